Take SIGHUP: read the configuration again and move to the discovery it names

Now: an event (Reloaded) goes through the reducer, whose effects move discovery and the limits. A new address is a new Source: it is asked for its whole list at once and then watched; news and refusals of the old one are dropped by their source, and its version numbers are forgotten. A faulty file is refused with its key named. Ruled out: the old watch's close counting as a refusal of the new source (tested in core). Tests: core (old source's word), config (file over environment), cmd/foldlb (real SIGHUP, faulty file, two moves).

--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -37,38 +37,68 @@
 		return fmt.Errorf("log-level: %w", err)
 	}
 	log.SetLevel(lvl)
+	// Danger: a SIGHUP that nothing takes ends the process, so it is taken first and for as long as it runs.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
-	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB) * memoryPart * (1 << 20)))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return run(ctx, cfg, ln, log)
+	return run(ctx, cfg, ln, reload, log)
+}
+
+// setMachine keeps the Go runtime to the limits.
+func setMachine(l core.Limits) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	debug.SetMemoryLimit(int64(float64(l.MemoryMB) * memoryPart * (1 << 20)))
+}
+
+// connections divides the descriptors between callers and next hops.
+func connections(l core.Limits) (callers, hops int) {
+	files := l.Sockets - reservedFiles
+	return files - files/nextHopPart, files / nextHopPart
+}
+
+// follow reads the configuration again at each word of reload. A faulty one changes nothing.
+func follow(reload <-chan os.Signal, cfg config.Config, post func(core.Event), log *logrus.Logger) {
+	for range reload {
+		next, err := config.Reload(os.Getenv)
+		if err != nil {
+			log.WithError(err).Error("reload refused, the old configuration stays")
+			continue
+		}
+		if keys := config.NeedRestart(cfg, next); len(keys) > 0 {
+			log.WithField("keys", keys).Warn("changed keys that only a restart applies")
+		}
+		post(core.Reloaded{Discovery: next.Discovery, Limits: next.Limits})
+		log.WithFields(logrus.Fields{"discovery": next.Discovery, "sockets": next.Limits.Sockets}).Info("reloaded")
+	}
 }
 
 // run wires the parts together and serves until the context ends and all that was taken is answered.
-func run(ctx context.Context, cfg config.Config, ln net.Listener, log *logrus.Logger) error {
+func run(ctx context.Context, cfg config.Config, ln net.Listener, reload <-chan os.Signal, log *logrus.Logger) error {
+	setMachine(cfg.Limits)
 	clock := newClock()
-	reducer, err := core.New(clock(), cfg.Settings, cfg.Known)
+	reducer, err := core.New(clock(), cfg.Settings, cfg.Known, cfg.Discovery)
 	if err != nil {
 		return err
 	}
-	files := cfg.Limits.Sockets - reservedFiles
 	var loop *core.Loop
 	post := func(ev core.Event) { loop.Post(ev) }
-	legs := callerleg.NewServer(files-files/nextHopPart, post, log)
+	forCallers, forHops := connections(cfg.Limits)
+	legs := callerleg.NewServer(forCallers, post, log)
 	hops := nexthop.NewSender(nexthop.Options{
 		DialTimeout: time.Duration(cfg.Settings.DialTimeout * secondsToNanos),
 		IdleClose:   time.Duration(cfg.Settings.ConnIdle * secondsToNanos),
-		MostConns:   files / nextHopPart,
+		MostConns:   forHops,
 	}, clock, post, log)
-	routes := routeset.NewClient(cfg.Discovery, post, log)
+	routes := routeset.NewClient(post, log)
 	lines := make(chan string, queuedLines)
 	go func() {
 		for text := range lines {
@@ -90,7 +120,12 @@
 		case core.Watch:
 			routes.Watch(e)
 		case core.FetchRouteSet:
-			routes.Fetch()
+			routes.Fetch(e)
+		case core.SetLimits:
+			setMachine(e.Limits)
+			callers, next := connections(e.Limits)
+			legs.SetMost(callers)
+			hops.SetMost(next)
 		case core.Log:
 			select {
 			case lines <- e.Text:
@@ -102,6 +137,7 @@
 	defer end()
 	go loop.Run(background)
 	go hops.Run(background)
+	go follow(reload, cfg, post, log)
 	served := make(chan error, 1)
 	go func() { served <- legs.Serve(ln) }()
 	log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen, "hops": len(cfg.Known.Hops)}).Info("serving")
--- a/cmd/foldlb/serve_test.go
+++ b/cmd/foldlb/serve_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -85,23 +88,28 @@
 			c.SetBodyString(list)
 		}
 	})
-	cfg, err := config.Parse([]byte(`{"listen":"`+w.addr+`","discovery":"`+discovery+`","limits":{"sockets":256},
- "known":{"version":1,"full":true,"servers":[`+strings.Join(entries, ",")+`]},
- "settings":{"balancers":1,"registry_mode":"on_request","zone":"a","zones":["a"],
- "allowed":{"cancel":true,"max_attempts":6,"second_copies":true,"retry_after":true,"max_retry_after_s":2},
- "contract":{"ask_within_s":0.1,"cold_share":0.13,"overload_factor":3,"tip_after_s":2,"warm_within_s":24},
- "classes":[{"name":"once","effect":"at_most_once","aim_s":1,"deadline_s":5,"worth":1},
- {"name":"safe","effect":"idempotent","aim_s":1,"deadline_s":5,"worth":1}]}}`), func(string) string { return "" })
+	cfg, err := config.Parse([]byte(configFile(w.addr, discovery, entries...)), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
-	go func() { w.over <- run(ctx, cfg, ln, quiet()) }()
+	go func() { w.over <- run(ctx, cfg, ln, nil, quiet()) }()
 	t.Cleanup(func() { stop(); close(w.lists) })
 	return w
 }
 
+// configFile is a configuration's text.
+func configFile(listen, discovery string, known ...string) string {
+	return `{"listen":"` + listen + `","discovery":"` + discovery + `","limits":{"sockets":256},
+ "known":{"version":1,"full":true,"servers":[` + strings.Join(known, ",") + `]},
+ "settings":{"balancers":1,"registry_mode":"on_request","zone":"a","zones":["a"],
+ "allowed":{"cancel":true,"max_attempts":6,"second_copies":true,"retry_after":true,"max_retry_after_s":2},
+ "contract":{"ask_within_s":0.1,"cold_share":0.13,"overload_factor":3,"tip_after_s":2,"warm_within_s":24},
+ "classes":[{"name":"once","effect":"at_most_once","aim_s":1,"deadline_s":5,"worth":1},
+ {"name":"safe","effect":"idempotent","aim_s":1,"deadline_s":5,"worth":1}]}}`
+}
+
 func (w *world) entry(h *hop, state string) string {
 	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"a","kind":"k","weight":1,%s}`, h.id, h.addr, state)
 }
@@ -280,6 +288,59 @@
 	}
 }
 
+// TestReload: on SIGHUP a running dispatcher reads its file again and moves to the discovery named there; a
+// faulty file changes nothing.
+func TestReload(t *testing.T) {
+	asked := make(chan string, 8)
+	discovery := func(name string) string {
+		return listen(t, func(c *fasthttp.RequestCtx) {
+			asked <- name + " " + string(c.QueryArgs().Peek("since"))
+			c.SetBodyString(`{"version":7,"full":true,"servers":[]}`)
+			if name == "first" || c.QueryArgs().Has("since") {
+				<-t.Context().Done() // a watch that has nothing to tell
+			}
+		})
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const anyPort = "127.0.0.1:0"
+	want := func(call string) {
+		t.Helper()
+		select {
+		case got := <-asked:
+			if got != call {
+				t.Fatalf("discovery is asked %q, want %q", got, call)
+			}
+		case <-time.After(patience):
+			t.Fatalf("discovery is not asked %q", call)
+		}
+	}
+	first := discovery("first")
+	write(configFile(anyPort, first))
+	t.Setenv("NODE_CONFIG", path)
+	t.Setenv("NODE_DISCOVERY", first)
+	ctx, stop := context.WithCancel(context.Background())
+	over := make(chan error, 1)
+	go func() { over <- serve(ctx, "panic") }()
+	want("first 1")
+	write(`{"listen":"nowhere"}`)
+	syscall.Kill(syscall.Getpid(), syscall.SIGHUP)
+	for _, name := range []string{"second", "third"} {
+		write(configFile(anyPort, discovery(name)))
+		syscall.Kill(syscall.Getpid(), syscall.SIGHUP)
+		want(name + " ")
+		want(name + " 7")
+	}
+	stop()
+	if err := <-over; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestPlannedRestart: on the signal what was taken is still answered, and the program then ends.
 func TestPlannedRestart(t *testing.T) {
 	w := start(t, active, take)
--- a/internal/callerleg/server.go
+++ b/internal/callerleg/server.go
@@ -34,7 +34,6 @@
 type Server struct {
 	post func(core.Event)
 	log  logrus.FieldLogger
-	most int // open connections
 	http *fasthttp.Server
 
 	freed chan struct{} // wakes the accepting that found no place
@@ -43,6 +42,7 @@
 	lastID   atomic.Uint64
 
 	mu    sync.Mutex
+	most  int // open connections
 	conns map[*legConn]struct{}
 	legs  map[core.LegID]chan core.Answer
 	last  time.Time // when the last connection or request came
@@ -109,6 +109,14 @@
 	return true
 }
 
+// SetMost changes how many connections may be open.
+func (s *Server) SetMost(conns int) {
+	s.mu.Lock()
+	s.most = conns
+	s.mu.Unlock()
+	s.wake()
+}
+
 func (s *Server) release(c *legConn) {
 	s.mu.Lock()
 	delete(s.conns, c)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	jsoniter "github.com/json-iterator/go"
@@ -17,19 +18,12 @@
 	"foldlb.example/foldlb/internal/routeset"
 )
 
-// Limits is what a dispatcher may use of its machine.
-type Limits struct {
-	Cores    float64
-	MemoryMB int
-	Sockets  int
-}
-
 // Config is all that a dispatcher is told at its start.
 type Config struct {
 	Name      string
 	Listen    string
 	Discovery string
-	Limits    Limits
+	Limits    core.Limits
 	Known     core.RouteSet // as this dispatcher last held it; may be old
 	Settings  choice.Settings
 }
@@ -45,6 +39,8 @@
 	leastSockets       = 128
 )
 
+const envDiscovery = "NODE_DISCOVERY"
+
 // file is NODE_CONFIG's form. Keys it does not name are skipped.
 type file struct {
 	Name      string `json:"name"`
@@ -74,6 +70,34 @@
 	return Parse(text, getenv)
 }
 
+// Reload reads the file again. Danger: NODE_DISCOVERY still holds the address of the start, and standing above
+// the file it would hide the new one.
+func Reload(getenv func(string) string) (Config, error) {
+	return Load(func(name string) string {
+		if name == envDiscovery {
+			return ""
+		}
+		return getenv(name)
+	})
+}
+
+// NeedRestart names the keys that differ between two configurations and that a reload does not change.
+func NeedRestart(old, now Config) (keys []string) {
+	for _, k := range []struct {
+		name string
+		same bool
+	}{
+		{"name", old.Name == now.Name},
+		{"listen", old.Listen == now.Listen},
+		{"settings", reflect.DeepEqual(old.Settings, now.Settings)},
+	} {
+		if !k.same {
+			keys = append(keys, k.name)
+		}
+	}
+	return keys
+}
+
 // Parse reads a configuration's text.
 func Parse(text []byte, getenv func(string) string) (Config, error) {
 	f := file{}
@@ -81,11 +105,11 @@
 	if err := decode(text, &f); err != nil {
 		return Config{}, fmt.Errorf("NODE_CONFIG: not a configuration object: %w", err)
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: Limits(f.Limits)}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: core.Limits(f.Limits)}
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {"NODE_DISCOVERY", &c.Discovery}} {
+	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {envDiscovery, &c.Discovery}} {
 		if x := getenv(v.name); x != "" {
 			*v.to = x
 		}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,8 +1,13 @@
 package config
 
 import (
+	"os"
+	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
+
+	"foldlb.example/foldlb/internal/core"
 )
 
 const good = `{"name":"n1","listen":"127.0.0.1:8443","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964","more":1,
@@ -17,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Name != "n9" || c.Listen != "127.0.0.1:8443" || c.Limits != (Limits{0.5, 96, 512}) ||
+	if c.Name != "n9" || c.Listen != "127.0.0.1:8443" || c.Limits != (core.Limits{Cores: 0.5, MemoryMB: 96, Sockets: 512}) ||
 		c.Settings.Seed != 0x8c1f30d27a5be964 || c.Settings.Self != 1 || len(c.Settings.Classes) != 1 ||
 		c.Known.Version != 41 || len(c.Known.Hops) != 1 || c.Known.Hops[0].Started != 1.5 {
 		t.Errorf("read as %+v", c)
@@ -27,6 +32,32 @@
 	}
 }
 
+// TestReload: the address in the file counts then, not the one that the process was started with.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(k string) string {
+		return map[string]string{"NODE_CONFIG": path, "NODE_DISCOVERY": "127.0.0.9:1", "NODE_LISTEN": "127.0.0.8:1"}[k]
+	}
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	first, err := Load(env)
+	if err != nil || first.Discovery != "127.0.0.9:1" {
+		t.Fatalf("started with %q, %v", first.Discovery, err)
+	}
+	again, err := Reload(env)
+	if err != nil || again.Discovery != "127.0.0.2:8500" || again.Listen != first.Listen {
+		t.Errorf("reloaded with %q at %q, %v", again.Discovery, again.Listen, err)
+	}
+	if keys := NeedRestart(first, again); len(keys) != 0 {
+		t.Errorf("a restart is wanted for %v", keys)
+	}
+	again.Name, again.Settings.MaxAttempts = "n7", 9
+	if keys := NeedRestart(first, again); !reflect.DeepEqual(keys, []string{"name", "settings"}) {
+		t.Errorf("a restart is wanted for %v", keys)
+	}
+}
+
 // TestFaultsNameTheirKey changes one thing in the good configuration; the error must name it.
 func TestFaultsNameTheirKey(t *testing.T) {
 	for _, tc := range []struct{ from, to, want string }{
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -25,7 +25,7 @@
 
 func start(t *testing.T, effect choice.Effect, ids ...string) *Reducer {
 	t.Helper()
-	r, err := New(1, settings(effect), RouteSet{Version: 1, Hops: hops(ids...)})
+	r, err := New(1, settings(effect), RouteSet{Version: 1, Hops: hops(ids...)}, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -190,14 +190,36 @@
 	r := start(t, choice.Idempotent, "a", "b")
 	leaving := hops("a")
 	leaving[0].State = HopLeaving
-	expect(t, r.Step(2, RouteSetTold{RouteSet{Version: 2, Hops: leaving}}), "core.DropHop")
+	expect(t, r.Step(2, RouteSetTold{RouteSet: RouteSet{Version: 2, Hops: leaving}}), "core.DropHop")
 	for i := range 20 {
 		expect(t, r.Step(2, CallArrived{Call{Leg: LegID(i), ID: RequestID(fmt.Sprint(i)), Class: "c", Remaining: 5}}), "send b")
 	}
-	expect(t, r.Step(2, RouteSetTold{RouteSet{Version: 3, Full: true, Hops: hops("c")}}), "core.DropHop")
+	expect(t, r.Step(2, RouteSetTold{RouteSet: RouteSet{Version: 3, Full: true, Hops: hops("c")}}), "core.DropHop")
 	expect(t, r.Step(2, call("last")), "send c")
 }
 
+// TestReloadMovesToANewSource: the new one is asked for its whole list at once, and the old one, its versions
+// and its failures count no longer.
+func TestReloadMovesToANewSource(t *testing.T) {
+	r := start(t, choice.Idempotent, "a")
+	old, limits := r.source, Limits{Cores: 0.5, MemoryMB: 32, Sockets: 256}
+	expect(t, r.Step(2, Reloaded{Discovery: old.Addr, Limits: limits}), "core.SetLimits") // the watch goes on
+	effects := r.Step(3, Reloaded{Discovery: "d:2", Limits: limits})
+	expect(t, effects, "core.SetLimits", "core.Watch")
+	if w := effects[1].(Watch); !w.On || w.Source.Addr != "d:2" || w.Since != VersionUnknown {
+		t.Errorf("watches as %+v", w)
+	}
+	expect(t, r.Step(4, RouteSetTold{Source: old, RouteSet: RouteSet{Version: 90, Full: true, Hops: hops("b")}}))
+	expect(t, r.Step(4, RouteSetRefused{Source: old}))
+	if timers := len(r.timers); r.version != VersionUnknown || timers != 0 {
+		t.Errorf("version %d and %d timers after the old source's word", r.version, timers)
+	}
+	expect(t, r.Step(5, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 1, Full: true, Hops: hops("c")}}), "core.DropHop")
+	expect(t, r.Step(5, call("r")), "send c")
+	r.Step(6, Reloaded{Discovery: old.Addr, Limits: limits}) // back at the first address, which starts anew
+	expect(t, r.Step(7, RouteSetTold{Source: old, RouteSet: RouteSet{Version: 91, Full: true, Hops: hops("b")}}))
+}
+
 // TestTimersComeAfterTheEvent: what an event tells counts for the timers that are due by then.
 func TestTimersComeAfterTheEvent(t *testing.T) {
 	r := start(t, choice.Idempotent, "a", "b")
@@ -206,8 +228,8 @@
 	r.after(3, func() { host{r}.Assign("r", "a", 0) })
 	q := &request{call: Call{Leg: 3, ID: "r"}, deadline: 9}
 	r.requests["r"] = q
-	expect(t, r.Step(3, RouteSetTold{RouteSet{Version: 2, Hops: gone}}), "core.DropHop", "core.DropHop")
-	expect(t, r.Step(4, RouteSetTold{RouteSet{Version: 3, Hops: gone[:1]}})) // what left before is not dropped again
+	expect(t, r.Step(3, RouteSetTold{RouteSet: RouteSet{Version: 2, Hops: gone}}), "core.DropHop", "core.DropHop")
+	expect(t, r.Step(4, RouteSetTold{RouteSet: RouteSet{Version: 3, Hops: gone[:1]}})) // what left before is not dropped again
 
 	r = start(t, choice.AtMostOnce, "a")
 	r.Step(2, call("late"))
@@ -221,7 +243,7 @@
 	got := make(chan Effect, 8)
 	l := NewLoop(r, func() float64 { return 2 }, func(e Effect) { got <- e })
 	l.Post(call("r"))
-	l.Post(RouteSetTold{RouteSet{Version: 2, Full: true, Hops: hops("b")}})
+	l.Post(RouteSetTold{RouteSet: RouteSet{Version: 2, Full: true, Hops: hops("b")}})
 	ctx, stop := context.WithCancel(context.Background())
 	go l.Run(ctx)
 	expect(t, []Effect{<-got, <-got}, "core.DropHop", "send b")
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -66,6 +66,20 @@
 	Hops    []Hop
 }
 
+// Limits is what a dispatcher may use of its machine.
+type Limits struct {
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+}
+
+// Source is one discovery address in use. A reload that names another one makes a new source, so that what
+// the old one still says can be told from it.
+type Source struct {
+	Addr string
+	No   int // counts the addresses used since the start
+}
+
 // Event is anything that reaches the reducer from outside.
 type Event interface{ event() }
 
@@ -118,10 +132,19 @@
 }
 
 // RouteSetTold brings discovery's news.
-type RouteSetTold struct{ RouteSet RouteSet }
+type RouteSetTold struct {
+	Source   Source
+	RouteSet RouteSet
+}
 
 // RouteSetRefused says that a question to discovery failed, or that a watch broke.
-type RouteSetRefused struct{}
+type RouteSetRefused struct{ Source Source }
+
+// Reloaded brings those parts of a configuration read again that may change while the dispatcher runs.
+type Reloaded struct {
+	Discovery string
+	Limits    Limits
+}
 
 // Tick says only that time has passed.
 type Tick struct{}
@@ -133,6 +156,7 @@
 func (JobReported) event()     {}
 func (RouteSetTold) event()    {}
 func (RouteSetRefused) event() {}
+func (Reloaded) event()        {}
 func (Tick) event()            {}
 
 // Effect is anything that the reducer wants done outside.
@@ -182,14 +206,22 @@
 // DropHop says that a next hop takes nothing new: what has not been written to it yet must not be.
 type DropHop struct{ Addr string }
 
-// Watch begins to watch the route set for what is newer than Since, or ends that.
+// VersionUnknown stands for the version of a list that a source has not told yet.
+const VersionUnknown int64 = -1
+
+// Watch begins to watch a source's route set for what is newer than Since, or ends that. From an unknown
+// version on it begins with the whole list.
 type Watch struct {
-	On    bool
-	Since int64
+	On     bool
+	Source Source
+	Since  int64
 }
 
-// FetchRouteSet asks discovery once for the whole list.
-type FetchRouteSet struct{}
+// FetchRouteSet asks a source once for the whole list.
+type FetchRouteSet struct{ Source Source }
+
+// SetLimits divides new limits among the parts.
+type SetLimits struct{ Limits Limits }
 
 // Log is a line for the log.
 type Log struct{ Text string }
@@ -201,4 +233,5 @@
 func (DropHop) effect()       {}
 func (Watch) effect()         {}
 func (FetchRouteSet) effect() {}
+func (SetLimits) effect()     {}
 func (Log) effect()           {}
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -83,8 +83,8 @@
 	}
 }
 
-func (h host) Subscribe(on bool) { h.r.emit(Watch{On: on, Since: h.r.version}) }
-func (h host) ListAll()          { h.r.emit(FetchRouteSet{}) }
+func (h host) Subscribe(on bool) { h.r.emit(Watch{On: on, Source: h.r.source, Since: h.r.version}) }
+func (h host) ListAll()          { h.r.emit(FetchRouteSet{Source: h.r.source}) }
 func (h host) Log(text string)   { h.r.emit(Log{Text: text}) }
 
 // Probe and Tell have no counterpart on this platform, which allows neither.
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -28,7 +28,7 @@
 func (l *Loop) Post(ev Event) {
 	queue := l.events
 	switch ev.(type) {
-	case RouteSetTold, RouteSetRefused:
+	case RouteSetTold, RouteSetRefused, Reloaded:
 		queue = l.news
 	}
 	select {
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -43,7 +43,8 @@
 	legs     map[LegID]*request
 	branches map[BranchID]*branch
 	hops     map[HopID]Hop
-	version  int64
+	source   Source
+	version  int64 // of the list that the source told
 	timers   timerHeap
 	timerSeq uint64
 	lastID   BranchID
@@ -51,10 +52,10 @@
 	later    []func() // outcomes that the decider's own actions caused; it must not be called from them
 }
 
-// New starts a reducer from the route set that the dispatcher last held. The first effects come with the
-// first Step.
-func New(now float64, s choice.Settings, known RouteSet) (*Reducer, error) {
-	r := &Reducer{now: now, settings: s, classes: map[string]int{}, tenants: map[string]int{},
+// New starts a reducer from the route set that the dispatcher last held, with discovery's address. The first
+// effects come with the first Step.
+func New(now float64, s choice.Settings, known RouteSet, discovery string) (*Reducer, error) {
+	r := &Reducer{now: now, settings: s, source: Source{Addr: discovery}, classes: map[string]int{}, tenants: map[string]int{},
 		requests: map[RequestID]*request{}, legs: map[LegID]*request{}, branches: map[BranchID]*branch{},
 		hops: map[HopID]Hop{}}
 	for i, c := range s.Classes {
@@ -101,13 +102,20 @@
 	case JobReported:
 		r.jobReported(ev)
 	case RouteSetTold:
+		if ev.Source != r.source {
+			break // danger: an old source's list may be older than what the new one has told
+		}
 		form := choice.ListChanges
 		if ev.RouteSet.Full {
 			form = choice.ListAll
 		}
 		r.applyRouteSet(ev.RouteSet, form)
 	case RouteSetRefused:
-		r.decider.List(r.now, choice.ListRefused, nil)
+		if ev.Source == r.source {
+			r.decider.List(r.now, choice.ListRefused, nil)
+		}
+	case Reloaded:
+		r.reloaded(ev)
 	case Tick:
 	}
 	r.settle()
@@ -291,6 +299,18 @@
 	r.decider.List(r.now, form, list)
 }
 
+// reloaded applies a configuration read again. A new source is asked for its whole list at once; its version
+// numbers have nothing to do with the old one's.
+func (r *Reducer) reloaded(ev Reloaded) {
+	r.emit(SetLimits{Limits: ev.Limits})
+	if ev.Discovery == r.source.Addr {
+		return
+	}
+	r.source = Source{Addr: ev.Discovery, No: r.source.No + 1}
+	r.version = VersionUnknown
+	r.emit(Watch{On: true, Source: r.source, Since: r.version})
+}
+
 // timer is a function to be called when its time has come.
 type timer struct {
 	at  float64
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -267,6 +267,9 @@
 	return err
 }
 
+// SetMost changes how many connections next hops may hold.
+func (s *Sender) SetMost(conns int) { s.pool.setMost(conns) }
+
 // CloseIdle closes the idle connections to an address.
 func (s *Sender) CloseIdle(addr string) { s.pool.closeIdle(addr) }
 
--- a/internal/nexthop/pool.go
+++ b/internal/nexthop/pool.go
@@ -94,6 +94,13 @@
 	return true // the closed one's place is the new one's
 }
 
+// setMost changes the budget. What is open beyond a smaller one ends as it is used up.
+func (p *pool) setMost(most int) {
+	p.mu.Lock()
+	p.most = most
+	p.mu.Unlock()
+}
+
 func (p *pool) unreserve() {
 	p.mu.Lock()
 	p.open--
--- a/internal/routeset/watch.go
+++ b/internal/routeset/watch.go
@@ -23,9 +23,9 @@
 	serviceHost = "discovery"
 )
 
-// Client reads and watches the list. Its news go to post as events.
+// Client reads and watches the lists of the sources that it is given. Its news go to post as events, with
+// the source that told them.
 type Client struct {
-	addr string
 	post func(core.Event)
 	log  logrus.FieldLogger
 
@@ -33,12 +33,12 @@
 	stop context.CancelFunc // ends the running watch
 }
 
-// NewClient makes a client of the discovery service at addr.
-func NewClient(addr string, post func(core.Event), log logrus.FieldLogger) *Client {
-	return &Client{addr: addr, post: post, log: log}
+// NewClient makes a client of discovery.
+func NewClient(post func(core.Event), log logrus.FieldLogger) *Client {
+	return &Client{post: post, log: log}
 }
 
-// Watch follows the list from a version on, in place of any earlier watch, or ends that. It does not block.
+// Watch follows a source's list, in place of any earlier watch, or ends that. It does not block.
 func (c *Client) Watch(w core.Watch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -49,37 +49,35 @@
 	if w.On {
 		ctx, stop := context.WithCancel(context.Background())
 		c.stop = stop
-		go c.watch(ctx, w.Since)
+		go c.watch(ctx, w.Source, w.Since)
 	}
 }
 
-// Fetch asks for the whole list, once. It does not block.
-func (c *Client) Fetch() {
+// Fetch asks a source for the whole list, once. It does not block.
+func (c *Client) Fetch(f core.FetchRouteSet) {
 	go func() {
-		conn, err := dial(context.Background(), c.addr)
+		link, err := c.ask(context.Background(), nil, f.Source, core.VersionUnknown)
 		if err == nil {
-			defer conn.Close()
-			if err = conn.ask(listPath, answerWait); err == nil {
-				var set core.RouteSet
-				if set, err = conn.answer(); err == nil {
-					c.post(core.RouteSetTold{RouteSet: set})
-					return
-				}
+			defer link.Close()
+			var set core.RouteSet
+			if set, err = link.answer(); err == nil {
+				c.post(core.RouteSetTold{Source: f.Source, RouteSet: set})
+				return
 			}
 		}
-		c.refused(err)
+		c.refused(f.Source, err)
 	}()
 }
 
-func (c *Client) refused(err error) {
-	c.log.WithError(err).Warn("discovery refused")
-	c.post(core.RouteSetRefused{})
+func (c *Client) refused(from core.Source, err error) {
+	c.log.WithError(err).WithField("discovery", from.Addr).Warn("discovery refused")
+	c.post(core.RouteSetRefused{Source: from})
 }
 
 // watch asks again and again on one connection of its own. The next call is written before the last answer
 // is passed on: discovery takes a watch that is not renewed within 200 ms for a new one.
-func (c *Client) watch(ctx context.Context, since int64) {
-	link, err := c.ask(ctx, nil, since)
+func (c *Client) watch(ctx context.Context, from core.Source, since int64) {
+	link, err := c.ask(ctx, nil, from, since)
 	for err == nil {
 		var set core.RouteSet
 		if set, err = link.answer(); err != nil {
@@ -87,27 +85,31 @@
 			break
 		}
 		since = set.Version
-		link, err = c.ask(ctx, link, since)
-		c.post(core.RouteSetTold{RouteSet: set})
+		link, err = c.ask(ctx, link, from, since)
+		c.post(core.RouteSetTold{Source: from, RouteSet: set})
 	}
 	if ctx.Err() == nil {
-		c.refused(err)
+		c.refused(from, err)
 	}
 }
 
-// ask writes the watch's next call, on a new connection where discovery has closed the last one.
-func (c *Client) ask(ctx context.Context, link *conn, since int64) (*conn, error) {
+// ask writes the next call, on a new connection where discovery has closed the last one.
+func (c *Client) ask(ctx context.Context, link *conn, from core.Source, since int64) (*conn, error) {
 	if link == nil || link.closes {
 		if link != nil {
 			link.Close()
 		}
 		var err error
-		if link, err = dial(ctx, c.addr); err != nil {
+		if link, err = dial(ctx, from.Addr); err != nil {
 			return nil, err
 		}
 		context.AfterFunc(ctx, func() { link.Close() })
 	}
-	if err := link.ask(watchTarget(since), watchWait+answerWait); err != nil {
+	target, wait := listPath, answerWait
+	if since != core.VersionUnknown {
+		target, wait = watchTarget(since), watchWait+answerWait
+	}
+	if err := link.ask(target, wait); err != nil {
 		link.Close()
 		return nil, err
 	}
