Cut bad clients off in 2 s, let them yield their places first, refuse doubtful framing

Hundreds of connections said nothing or half a request and held places for 10 s (readWait); as many asked /healthz once and stayed; sixty bad requests a connection were answered one by one. Requests with both lengths were passed on (24 to 166 came to servers, of all kinds). Now: a whole request is due 2 s after connecting and no trickle extends that; errors and /healthz close; a full table closes first what is overdue with its first request, kept connections last, and never one with unread bytes; checkHead refuses two lengths, repeated headers, folds, bare LF, odd numbers and versions; the log says at most one line a second about refused requests. A caller that leaves after its read limit is noticed again. A drain keeps connections open for 1.7 s, and answers what still waits 3.4 s after the signal (Stopping).

--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"foldlb.example/foldlb/choice"
 	"foldlb.example/foldlb/internal/callerleg"
 	"foldlb.example/foldlb/internal/config"
 	"foldlb.example/foldlb/internal/core"
@@ -28,6 +29,8 @@
 	nextHopPart    = 3   // one in so many of the rest is for next hops, the others for callers
 	queuedLines    = 64  // of the reducer's log
 	secondsToNanos = float64(time.Second)
+	mostDrain      = 3.0 // seconds of a deadline that a planned restart waits for
+	drainMargin    = 0.4 // of the 0.7 s that it waits beyond that
 )
 
 func serve(ctx context.Context, level string) error {
@@ -65,6 +68,16 @@
 	return files - files/nextHopPart, files / nextHopPart
 }
 
+// stopAfter tells how long after SIGTERM what still waits must be answered: a planned restart waits for the
+// longest deadline, for three seconds at the most, and a little more.
+func stopAfter(s choice.Settings) time.Duration {
+	longest := 0.0
+	for _, c := range s.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return time.Duration((min(longest, mostDrain) + drainMargin) * secondsToNanos)
+}
+
 // follow reads the configuration again at each word of reload. A faulty one changes nothing.
 func follow(reload <-chan os.Signal, cfg config.Config, post func(core.Event), log *logrus.Logger) {
 	for range reload {
@@ -147,7 +160,7 @@
 	case <-ctx.Done():
 	}
 	log.Info("draining")
-	legs.Drain()
+	legs.Drain(stopAfter(cfg.Settings), func() { post(core.Stopping{}) })
 	if err := ln.Close(); err != nil {
 		return fmt.Errorf("close listener: %w", err)
 	}
--- a/internal/callerleg/conn.go
+++ b/internal/callerleg/conn.go
@@ -4,6 +4,23 @@
 	"net"
 	"sync"
 	"time"
+
+	"foldlb.example/foldlb/internal/tcp"
+)
+
+// phase is where a connection stands with its current request.
+type phase int
+
+const (
+	waiting phase = iota // for the first byte of a request
+	reading              // part of a request has come
+	serving              // the request is being answered
+)
+
+// When a connection may give its place to another one.
+const (
+	silentGrace = 25 * time.Millisecond  // for a new one that has said nothing: callers write at once
+	partGrace   = 100 * time.Millisecond // for a new one with part of its first request
 )
 
 // legConn is a connection that a caller or a next hop opened. While its request waits for an answer it
@@ -11,11 +28,12 @@
 type legConn struct {
 	net.Conn
 	release func(*legConn)
-	freed   func() // told when the connection becomes idle
+	freed   func() // told when the connection begins to wait for a request
 
 	mu       sync.Mutex
-	idle     bool // no request is being read or answered
-	since    time.Time
+	phase    phase
+	proven   bool      // a well-formed request has come on it
+	since    time.Time // when it was opened; once proven, when its phase began
 	closed   bool
 	answered bool // the handler is done, but its answer may not have been written
 
@@ -29,7 +47,7 @@
 func (c *legConn) Read(p []byte) (int, error) {
 	if c.hasByte && len(p) > 0 {
 		p[0], c.hasByte = c.ahead[0], false
-		c.setIdle(false) // it is the first byte of the next request
+		c.enter(reading) // it is the first byte of the next request
 		return 1, nil
 	}
 	if c.err != nil {
@@ -38,25 +56,41 @@
 	c.beginRead()
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.setIdle(false)
+		c.enter(reading)
 	}
 	return n, err
 }
 
-// beginRead makes the connection idle once its last answer is out: fasthttp reads on only after writing.
-// Danger: one that counted as idle from the handler's end on could be closed with the answer unwritten.
+// beginRead makes the connection wait for its next request once its last answer is out: fasthttp reads on
+// only after writing. Danger: one that counted as idle from the handler's end on could be closed with the
+// answer unwritten.
 func (c *legConn) beginRead() {
 	c.mu.Lock()
 	was := c.answered
-	if was {
-		c.answered, c.idle, c.since = false, true, time.Now()
-	}
 	c.mu.Unlock()
 	if was {
+		c.enter(waiting)
 		c.freed()
 	}
 }
 
+// enter begins a phase.
+func (c *legConn) enter(p phase) {
+	c.mu.Lock()
+	if c.proven && c.phase != p {
+		c.since = time.Now()
+	}
+	c.phase, c.answered = p, false
+	c.mu.Unlock()
+}
+
+// prove marks that a well-formed request has come.
+func (c *legConn) prove() {
+	c.mu.Lock()
+	c.proven = true
+	c.mu.Unlock()
+}
+
 // handled marks that the handler is done.
 func (c *legConn) handled() {
 	c.mu.Lock()
@@ -77,21 +111,50 @@
 	return err
 }
 
-func (c *legConn) setIdle(idle bool) {
+// rank orders connections by how soon they give up their places.
+type rank int
+
+const (
+	stays     rank = iota // it is at work
+	keptIdle              // well-formed requests have come on it, and it waits for the next
+	mayProve              // new; its first request may still be on its way
+	yieldsNow             // new, and overdue with its first request
+)
+
+// rank tells how soon the connection gives up its place, and from when on it has held it. Danger: closing one
+// on which a request has arrived unread costs that request.
+func (c *legConn) rank(now time.Time) (rank, time.Time) {
 	c.mu.Lock()
-	c.idle, c.since, c.answered = idle, time.Now(), false
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	held := now.Sub(c.since)
+	switch {
+	case c.closed || c.phase == serving || c.proven && c.phase == reading:
+		return stays, c.since
+	case c.phase == waiting && !tcp.Silent(c.Conn):
+		return stays, c.since
+	case c.proven:
+		return keptIdle, c.since
+	case c.phase == waiting && held < silentGrace || c.phase == reading && held < partGrace:
+		return mayProve, c.since
+	default:
+		return yieldsNow, c.since
+	}
 }
 
-// idleSince tells whether the connection is between requests, and from when on.
-func (c *legConn) idleSince() (time.Time, bool) {
+// idleFor tells for how long the connection has been waiting for a request of which nothing has come.
+func (c *legConn) idleFor(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.since, c.idle && !c.closed
+	if c.closed || c.phase != waiting || !tcp.Silent(c.Conn) {
+		return 0
+	}
+	return now.Sub(c.since)
 }
 
-// watch calls left if the caller closes its leg before unwatch.
+// watch calls left if the caller closes its leg before unwatch. Danger: the time limit for reading the
+// request still runs; reaching it would end the watch with the caller still there.
 func (c *legConn) watch(left func()) {
+	c.Conn.SetReadDeadline(time.Time{})
 	c.stopped = make(chan struct{})
 	go func() {
 		defer close(c.stopped)
--- a/internal/callerleg/drain.go
+++ b/internal/callerleg/drain.go
@@ -5,36 +5,45 @@
 // On a planned restart new connections keep arriving for up to 0.4 s, and callers go on using those that
 // stay open.
 const (
-	drainArrivals = 600 * time.Millisecond // callers' idle connections are left open for so long
-	drainIdle     = 250 * time.Millisecond // then those are closed that were idle for so long
-	drainLeast    = time.Second            // and the listener for at least so long
-	drainQuiet    = 100 * time.Millisecond // without a new connection or request, before the end
-	drainPoll     = 10 * time.Millisecond
+	drainServe = 1700 * time.Millisecond // callers' connections stay open for so long: another dispatcher may be away
+	drainIdle  = 50 * time.Millisecond   // then those are closed that have waited for so long
+	drainQuiet = 100 * time.Millisecond  // without a new connection or request, before the end
+	drainPoll  = 10 * time.Millisecond
 )
 
-// Drain goes on taking and answering requests, each on a connection that closes after it, and returns when
-// nothing taken is unanswered.
-func (s *Server) Drain() {
+// Drain goes on taking and answering requests and returns when nothing taken is unanswered. After most it has
+// all that still waits answered by giveUp, and returns soon after.
+func (s *Server) Drain(most time.Duration, giveUp func()) {
 	s.draining.Store(true)
 	begin := time.Now()
 	t := time.NewTicker(drainPoll)
 	defer t.Stop()
+	gaveUp := false
 	for now := range t.C {
-		if now.Sub(begin) >= drainArrivals {
-			s.closeIdle()
+		passed := now.Sub(begin)
+		if passed >= drainServe {
+			s.closing.Store(true)
+			s.closeIdle(now)
+			if s.quiet(now) {
+				return
+			}
 		}
-		if now.Sub(begin) >= drainLeast && s.quiet(now) {
+		if passed >= most && !gaveUp {
+			gaveUp = true
+			giveUp()
+		}
+		if passed >= most+drainQuiet {
 			return
 		}
 	}
 }
 
-func (s *Server) closeIdle() {
+func (s *Server) closeIdle(now time.Time) {
 	s.mu.Lock()
 	var idle []*legConn
 	for c := range s.conns {
 		// Danger: a new connection is idle too until its first byte is read, and may bring a call-back.
-		if since, ok := c.idleSince(); ok && time.Since(since) >= drainIdle {
+		if c.idleFor(now) >= drainIdle {
 			idle = append(idle, c)
 		}
 	}
--- a/internal/callerleg/parse.go
+++ b/internal/callerleg/parse.go
@@ -1,10 +1,10 @@
 package callerleg
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"math"
 	"strconv"
 	"strings"
 
@@ -33,6 +33,46 @@
 
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
 
+// single names the headers that frame a request or that the dispatcher reads: twice, they could be read in two
+// ways.
+var single = []string{fasthttp.HeaderContentLength, fasthttp.HeaderTransferEncoding, headerID, headerClass,
+	headerTenant, headerKey, headerRemaining, headerResent, headerHint, headerLabels, headerToken}
+
+// checkHead refuses what two readers could take for different requests; fasthttp is more lenient. Danger: a
+// body framed in two ways may hide a second request, which a next hop would run.
+func checkHead(h *fasthttp.RequestHeader) error {
+	if p := string(h.Protocol()); p != "HTTP/1.1" && p != "HTTP/1.0" {
+		return fmt.Errorf("protocol %q is not served", p)
+	}
+	if target := h.RequestURI(); len(target) == 0 || target[0] != '/' {
+		return errors.New("the target is not a path")
+	}
+	var seen [16]bool
+	for raw := h.RawHeaders(); len(raw) > 0; {
+		line, rest, ended := bytes.Cut(raw, []byte("\n"))
+		raw = rest
+		if !ended || len(line) == 0 || line[len(line)-1] != '\r' {
+			return errors.New("a header's line does not end in CR LF")
+		}
+		if line[0] == ' ' || line[0] == '\t' {
+			return errors.New("a header is folded")
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		for i, s := range single {
+			if len(s) == len(name) && strings.EqualFold(s, string(name)) {
+				if seen[i] {
+					return fmt.Errorf("%s: is there twice", s)
+				}
+				seen[i] = true
+			}
+		}
+	}
+	if seen[0] && seen[1] {
+		return errors.New("both Content-Length and Transfer-Encoding are there")
+	}
+	return nil
+}
+
 // parseCall reads a caller's request. What it keeps is copied or taken out, since fasthttp reuses its
 // buffers; bodies are taken out, so that many large ones are held once.
 func parseCall(req *fasthttp.Request) (core.Call, error) {
@@ -61,8 +101,12 @@
 	if err := parseLabels(string(h.Peek(headerLabels)), &c); err != nil {
 		return c, fmt.Errorf("%s: %w", headerLabels, err)
 	}
+	token := string(h.Peek(headerToken))
+	if token != "" && !validToken(token) {
+		return c, fmt.Errorf("%s: is not a key", headerToken)
+	}
 	c.Message = core.Message{Verb: string(h.Method()), Target: string(h.RequestURI()),
-		Token: string(h.Peek(headerToken)), Body: req.SwapBody(nil)}
+		Token: token, Body: req.SwapBody(nil)}
 	return c, nil
 }
 
@@ -81,10 +125,15 @@
 	return true
 }
 
-// number reads a decimal that is neither negative nor odd.
+// validToken admits what may stand in a header as it is.
+func validToken(token string) bool {
+	return len(token) <= mostID && strings.IndexFunc(token, func(r rune) bool { return r <= ' ' || r > '~' }) < 0
+}
+
+// number reads a plain decimal, which is not negative.
 func number(s string) (float64, error) {
 	x, err := strconv.ParseFloat(s, 64)
-	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+	if err != nil || strings.Trim(s, "0123456789.") != "" {
 		return 0, fmt.Errorf("%q is not a number of 0 or more", s)
 	}
 	return x, nil
--- a/internal/callerleg/server.go
+++ b/internal/callerleg/server.go
@@ -20,14 +20,16 @@
 	pathCallBack = "/callback"
 	pathHealth   = "/healthz"
 
-	mostBody    = 64 << 10
-	readWait    = 10 * time.Second // for a request, and for the first one on a connection
-	writeWait   = 5 * time.Second
-	idleWait    = 75 * time.Second
-	acceptPause = 5 * time.Millisecond // after a failed accept
-	callerPart  = 0.8                  // of the connections for waiting callers; call-backs need the rest
-	busyRetry   = "1"                  // seconds, told to callers that find no place
-	healthWait  = 2 * time.Second
+	mostBody        = 64 << 10
+	readWait        = 2 * time.Second // for a whole request; for the first one from the connection's start on
+	writeWait       = 5 * time.Second
+	idleWait        = 75 * time.Second
+	acceptPause     = 5 * time.Millisecond  // after a failed accept
+	callerPart      = 0.8                   // of the connections for waiting callers; call-backs need the rest
+	busyRetry       = "1"                   // seconds, told to callers that find no place
+	placePause      = 10 * time.Millisecond // between looks for a place, where none is told to be free
+	complaintsEvery = time.Second           // between lines on requests that are refused
+	healthWait      = 2 * time.Second
 )
 
 // Server serves one listener.
@@ -38,7 +40,8 @@
 
 	freed chan struct{} // wakes the accepting that found no place
 
-	draining atomic.Bool
+	draining atomic.Bool // new callers should go elsewhere
+	closing  atomic.Bool // every answer closes its connection
 	lastID   atomic.Uint64
 
 	mu    sync.Mutex
@@ -46,13 +49,17 @@
 	conns map[*legConn]struct{}
 	legs  map[core.LegID]chan core.Answer
 	last  time.Time // when the last connection or request came
+
+	complained time.Time // when the last line on a refused request was logged
+	unsaid     int       // refused since then
 }
 
 // NewServer makes a server that holds at most so many connections.
 func NewServer(mostConns int, post func(core.Event), log logrus.FieldLogger) *Server {
 	s := &Server{post: post, log: log, most: mostConns, freed: make(chan struct{}, 1), conns: map[*legConn]struct{}{},
 		legs: map[core.LegID]chan core.Answer{}}
-	s.http = &fasthttp.Server{Handler: s.handle, ErrorHandler: unreadable, MaxRequestBodySize: mostBody, ReadTimeout: readWait,
+	s.http = &fasthttp.Server{Handler: s.handle, ErrorHandler: s.unreadable, MaxRequestBodySize: mostBody,
+		DisablePreParseMultipartForm: true, SecureErrorLogMessage: true, ReadTimeout: readWait,
 		WriteTimeout: writeWait, IdleTimeout: idleWait, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, Logger: log, CloseOnShutdown: true}
 	return s
@@ -70,11 +77,14 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		c := &legConn{Conn: nc, release: s.release, freed: s.wake, idle: true, since: time.Now()}
+		c := &legConn{Conn: nc, release: s.release, freed: s.wake, since: time.Now()}
 		for !s.admit(c) {
 			// Danger: closing it here could lose a request that the kernel has taken. What comes later waits
-			// in the kernel's backlog meanwhile.
-			<-s.freed
+			// in the kernel's backlog meanwhile, call-backs too: it must not wait on a silent connection.
+			select {
+			case <-s.freed:
+			case <-time.After(placePause):
+			}
 		}
 		go func() {
 			if err := s.http.ServeConn(c); err != nil {
@@ -84,18 +94,22 @@
 	}
 }
 
-// admit counts a connection. When all places are taken it closes the one that has been idle longest.
+// admit counts a connection. When all places are taken it closes another one: the oldest that is overdue with
+// its first request, else the one that has been idle longest. Danger: by age alone usual callers' kept
+// connections would go first when others connect by hundreds and say nothing; so they are spared for as long
+// as a new one may still turn out to be one of those.
 func (s *Server) admit(c *legConn) bool {
 	s.mu.Lock()
-	var oldest *legConn
+	var out *legConn
 	if len(s.conns) >= s.most {
 		var from time.Time
+		worst, now := stays, time.Now()
 		for x := range s.conns {
-			if since, idle := x.idleSince(); idle && (oldest == nil || since.Before(from)) {
-				oldest, from = x, since
+			if r, since := x.rank(now); r > worst || r == worst && r > stays && since.Before(from) {
+				out, from, worst = x, since, r
 			}
 		}
-		if oldest == nil {
+		if worst == stays || worst == mayProve {
 			s.mu.Unlock()
 			return false
 		}
@@ -103,8 +117,8 @@
 	s.conns[c] = struct{}{}
 	s.last = time.Now()
 	s.mu.Unlock()
-	if oldest != nil {
-		oldest.Close()
+	if out != nil {
+		out.Close()
 	}
 	return true
 }
@@ -141,34 +155,39 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	c, _ := ctx.Conn().(*legConn)
-	c.setIdle(false)
+	c.enter(serving)
 	defer c.handled()
 	defer func() {
-		if s.draining.Load() { // as of now: the request may have waited since before
+		if s.closing.Load() { // as of now: the request may have waited since before
 			ctx.SetConnectionClose()
 		}
 	}()
+	if err := checkHead(&ctx.Request.Header); err != nil {
+		s.reject(ctx, err)
+		return
+	}
 	switch string(ctx.Path()) {
 	case pathCallBack:
-		s.callBack(ctx)
+		s.callBack(ctx, c)
 	case pathHealth:
+		ctx.SetConnectionClose() // danger: hundreds may ask once and stay
 		s.health(ctx)
 	default:
 		s.call(ctx, c)
 	}
 }
 
-func (s *Server) callBack(ctx *fasthttp.RequestCtx) {
+func (s *Server) callBack(ctx *fasthttp.RequestCtx, c *legConn) {
 	if !ctx.IsPost() {
 		refuse(ctx, fasthttp.StatusMethodNotAllowed, "call-backs are posted")
 		return
 	}
 	report, err := parseCallBack(ctx.PostBody())
 	if err != nil {
-		s.log.WithError(err).Warn("call-back refused")
-		refuse(ctx, fasthttp.StatusBadRequest, err.Error())
+		s.reject(ctx, err)
 		return
 	}
+	c.prove()
 	s.post(report)
 	ctx.SetStatusCode(fasthttp.StatusOK)
 }
@@ -200,14 +219,13 @@
 	}
 	call, err := parseCall(&ctx.Request)
 	if err != nil {
-		s.log.WithError(err).Warn("request refused")
-		refuse(ctx, fasthttp.StatusBadRequest, err.Error())
+		s.reject(ctx, err)
 		return
 	}
+	c.prove()
 	if s.crowded() {
 		// The last places are kept for call-backs: without them no job that runs would ever be answered.
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, busyRetry)
-		ctx.SetConnectionClose()
 		refuse(ctx, fasthttp.StatusServiceUnavailable, "no place left")
 		return
 	}
@@ -253,16 +271,43 @@
 	}
 }
 
-// refuse answers with an error. fasthttp's own ctx.Error would drop the headers set before.
+// refuse answers with an error and closes the connection: what follows on it is in doubt too, and its place
+// is needed. fasthttp's own ctx.Error would drop the headers set before.
 func refuse(ctx *fasthttp.RequestCtx, status int, reason string) {
+	ctx.SetConnectionClose()
 	ctx.SetStatusCode(status)
 	ctx.SetBodyString(reason + "\n")
 }
 
+// reject answers a request that is at fault itself.
+func (s *Server) reject(ctx *fasthttp.RequestCtx, err error) {
+	s.complain(err)
+	refuse(ctx, fasthttp.StatusBadRequest, err.Error())
+}
+
+// complain logs that a request was refused. Danger: a line for each would make a flood of bad requests dear.
+func (s *Server) complain(err error) {
+	s.mu.Lock()
+	s.unsaid++
+	n, now := s.unsaid, time.Now()
+	due := now.Sub(s.complained) >= complaintsEvery
+	if due {
+		s.complained, s.unsaid = now, 0
+	}
+	s.mu.Unlock()
+	if due {
+		s.log.WithError(err).WithField("refused", n).Warn("requests refused; the error is the last one's")
+	}
+}
+
 // unreadable answers what could not be read as a request.
-func unreadable(ctx *fasthttp.RequestCtx, err error) {
+func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	s.complain(err)
 	var small *fasthttp.ErrSmallBuffer
+	var late net.Error
 	switch {
+	case errors.As(err, &late) && late.Timeout():
+		refuse(ctx, fasthttp.StatusRequestTimeout, "request took too long")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		refuse(ctx, fasthttp.StatusRequestEntityTooLarge, "body too large")
 	case errors.As(err, &small):
@@ -282,6 +327,9 @@
 	} else {
 		ctx.SetBodyString(a.Reason + "\n")
 	}
+	if a.Verdict == core.Rejected {
+		ctx.SetConnectionClose()
+	}
 	if a.Verdict == core.Busy && a.Pause > 0 {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(a.Pause, 'f', 3, 64))
 	}
--- a/internal/callerleg/server_test.go
+++ b/internal/callerleg/server_test.go
@@ -147,8 +147,8 @@
 	}
 	go far.Write([]byte("OST"))
 	c.beginRead()
-	if since, idle := c.idleSince(); idle {
-		t.Errorf("idle since %v with a request half read", since)
+	if c.phase != reading {
+		t.Errorf("phase %v with a request half read", c.phase)
 	}
 	if n, err := c.Read(b); err != nil || string(b[:n]) != "OST" {
 		t.Fatalf("read %q, %v", b[:n], err)
@@ -157,10 +157,26 @@
 
 func TestMalformed(t *testing.T) {
 	f := serve(t, 16)
+	smuggled := "0\r\n\r\n" + ask + "\r\n\r\nhi"
 	for _, tc := range []struct {
 		head, body string
 		status     int
 	}{
+		{strings.Replace(ask, "Length: 2", "Length: 5\r\nTransfer-Encoding: chunked", 1), smuggled, 400},
+		{strings.Replace(ask, "Length: 2", "Length: 2\r\nContent-Length: 2", 1), "hi", 400},
+		{strings.Replace(ask, "Length: 2", "Length: -2", 1), "hi", 400},
+		{strings.Replace(ask, "Length: 2", "Length: +2", 1), "hi", 400},
+		{strings.Replace(ask, "Length: 2", "Length: 60000000", 1), "hi", 413},
+		{strings.Replace(ask, "Content-Length: 2", "Transfer-Encoding: chunked", 1), "2\r\nhi\r\nzz\r\n", 400},
+		{strings.Replace(ask, "Content-Length: 2", "Transfer-Encoding: chunked", 1), "2\nhi\n0\n\n", 400},
+		{strings.Replace(ask, "Content-Length: 2", "Transfer-Encoding: gzip", 1), "hi", 400},
+		{strings.Replace(ask, "X-Txn: 9b1f\r\n", "X-Txn: 9b1f\n", 1), "hi", 400},
+		{strings.Replace(ask, "X-Txn: 9b1f", "X-Txn: 9b1f\r\nx-txn: 9b20", 1), "hi", 400},
+		{strings.Replace(ask, "X-Txn: 9b1f", "X-Txn: 9b1f\r\n folded", 1), "hi", 400},
+		{strings.Replace(ask, "X-Remaining: 5", "X-Remaining: 0x5p0", 1), "hi", 400},
+		{strings.Replace(ask, " /api", " http://h/api", 1), "hi", 400},
+		{strings.Replace(ask, "HTTP/1.1", "HTTP/2.1", 1), "hi", 400},
+		{strings.Replace(ask, "X-Lane: c", "X-Lane: c\r\nIdempotency-Key: a b", 1), "hi", 400},
 		{"POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: 0", "", 400},
 		{"GET /api HTTP/1.1\r\nHost: h", "", 405},
 		{"GET /callback HTTP/1.1\r\nHost: h", "", 405},
@@ -172,8 +188,8 @@
 	} {
 		c := f.dial()
 		c.send(tc.head, tc.body)
-		if resp := c.answer(); resp.StatusCode() != tc.status {
-			t.Errorf("%.60q: status %d, want %d", tc.head, resp.StatusCode(), tc.status)
+		if resp := c.answer(); resp.StatusCode() != tc.status || !resp.ConnectionClose() {
+			t.Errorf("%.200q: status %d, want %d and a close", tc.head, resp.StatusCode(), tc.status)
 		}
 	}
 	if len(f.events) > 0 {
@@ -181,6 +197,64 @@
 	}
 }
 
+// TestSlowIsCutOff: a connection owes its first request within a time that no trickle of bytes extends, and one
+// with a caller that waits for its answer does not.
+func TestSlowIsCutOff(t *testing.T) {
+	f := serve(t, 16)
+	waits := f.dial()
+	waits.send(ask, "hi")
+	leg := f.event().(core.CallArrived).Call.Leg
+	silent, trickle := f.dial(), f.dial()
+	go func() {
+		for i := 0; ; i++ {
+			if _, err := trickle.Write([]byte("P")); err != nil {
+				return
+			}
+			runtime.Gosched()
+			time.Sleep(readWait / 20) // the pace of the trickle; nothing waits for it
+		}
+	}()
+	for _, c := range []*caller{silent, trickle} {
+		if status := c.answer().StatusCode(); status < 400 {
+			t.Errorf("answered %d", status)
+		}
+	}
+	waits.Close() // long after its request's time limit: that must be noticed all the same
+	if e := f.event(); e != (core.CallerLeft{Leg: leg}) {
+		t.Errorf("event %+v, want that the caller left", e)
+	}
+}
+
+// TestFloodYieldsItsPlaces fills the table: what never brought a request goes first, a usual caller's kept
+// connection stays, and what has arrived on a connection is not thrown away.
+func TestFloodYieldsItsPlaces(t *testing.T) {
+	f := serve(t, 4)
+	usual := f.dial()
+	serveOne := func(c *caller) {
+		t.Helper()
+		c.send(ask, "hi")
+		f.s.Answer(core.Answer{Leg: f.event().(core.CallArrived).Call.Leg})
+		if status := c.answer().StatusCode(); status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+	}
+	serveOne(usual)
+	for range 20 {
+		f.dial() // and says nothing
+	}
+	serveOne(f.dial())
+	serveOne(usual)
+	for range 3 {
+		c := f.dial()
+		c.send("GET /healthz HTTP/1.1\r\nHost: h", "")
+		f.s.Answer(core.Answer{Leg: f.event().(core.HealthAsked).Leg})
+		if !c.answer().ConnectionClose() {
+			t.Error("who asks for health may stay")
+		}
+	}
+	serveOne(usual)
+}
+
 func TestCallBackAndHealth(t *testing.T) {
 	f := serve(t, 16)
 	c := f.dial()
@@ -192,7 +266,7 @@
 		t.Errorf("call-back answered %d", status)
 	}
 	c.send("GET /healthz HTTP/1.1\r\nHost: h", "")
-	f.s.Answer(core.Answer{Leg: f.event().(core.HealthAsked).Leg, Verdict: core.Served})
+	f.s.Answer(core.Answer{Leg: f.event().(core.HealthAsked).Leg})
 	if status := c.answer().StatusCode(); status != 200 {
 		t.Errorf("health answered %d", status)
 	}
@@ -224,14 +298,18 @@
 	}
 }
 
-// TestDrain: what is taken is answered, new connections are served and closed, and only then is it over.
+// TestDrain: what is taken is answered, connections stay open for a while and serve what comes, health says to
+// go elsewhere, and what still waits at the end is given up and answered.
 func TestDrain(t *testing.T) {
 	f := serve(t, 16)
 	waiting := f.dial()
 	waiting.send(ask, "hi")
 	leg := f.event().(core.CallArrived).Call.Leg
 	over := make(chan struct{})
-	go func() { f.s.Drain(); close(over) }()
+	go func() {
+		f.s.Drain(2*drainServe, func() { f.s.Answer(core.Answer{Leg: leg, Verdict: core.Busy}) })
+		close(over)
+	}()
 	for !f.s.draining.Load() {
 		runtime.Gosched()
 	}
@@ -241,18 +319,22 @@
 		t.Errorf("health answered %d", status)
 	}
 	late := f.dial()
-	late.send(ask, "hi")
-	f.s.Answer(core.Answer{Leg: f.event().(core.CallArrived).Call.Leg, Body: []byte("late")})
-	if resp := late.answer(); resp.StatusCode() != 200 || !resp.ConnectionClose() {
-		t.Errorf("answered %s", resp)
+	for range 2 { // on one connection
+		late.send(ask, "hi")
+		f.s.Answer(core.Answer{Leg: f.event().(core.CallArrived).Call.Leg, Body: []byte("late")})
+		if resp := late.answer(); resp.StatusCode() != 200 {
+			t.Errorf("answered %s", resp)
+		}
+	}
+	if _, err := late.r.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection ends with %v, want its close", err)
 	}
 	select {
 	case <-over:
 		t.Fatal("over with a caller waiting")
 	default:
 	}
-	f.s.Answer(core.Answer{Leg: leg, Body: []byte("first")})
-	if resp := waiting.answer(); string(resp.Body()) != "first" || !resp.ConnectionClose() {
+	if resp := waiting.answer(); resp.StatusCode() != 503 || !resp.ConnectionClose() {
 		t.Errorf("answered %s", resp)
 	}
 	select {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -111,6 +111,17 @@
 	}
 }
 
+// TestStoppingAnswersAll: what ends with the process gets its answer first, and a promise only where it holds.
+func TestStoppingAnswersAll(t *testing.T) {
+	for effect, verdict := range map[choice.Effect]Verdict{choice.AtMostOnce: Failed, choice.Deduplicated: Failed,
+		choice.Idempotent: Busy} {
+		r := start(t, effect, "a")
+		r.Step(2, call("r"))
+		expect(t, r.Step(3, Stopping{}), "give up a", fmt.Sprint("answer ", verdict, " "))
+		expect(t, r.Step(4, Stopping{}))
+	}
+}
+
 // TestUnansweredRequestFailsAtTheDeadline hides a request from the decider, so that the reducer must answer.
 func TestUnansweredRequestFailsAtTheDeadline(t *testing.T) {
 	r := start(t, choice.Idempotent, "a")
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -146,6 +146,9 @@
 	Limits    Limits
 }
 
+// Stopping says that the process ends now: all that callers wait for must be answered.
+type Stopping struct{}
+
 // Tick says only that time has passed.
 type Tick struct{}
 
@@ -157,6 +160,7 @@
 func (RouteSetTold) event()    {}
 func (RouteSetRefused) event() {}
 func (Reloaded) event()        {}
+func (Stopping) event()        {}
 func (Tick) event()            {}
 
 // Effect is anything that the reducer wants done outside.
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -116,6 +116,8 @@
 		}
 	case Reloaded:
 		r.reloaded(ev)
+	case Stopping:
+		r.stop()
 	case Tick:
 	}
 	r.settle()
@@ -191,6 +193,23 @@
 	}
 }
 
+// stop answers all that callers wait for, since nothing will answer it later. Busy is a promise that asking
+// again is harmless, so only what never ran, or may be repeated freely, is told that.
+func (r *Reducer) stop() {
+	for _, q := range r.legs {
+		a := Answer{Verdict: Busy, Reason: "stopping"}
+		if len(q.branches) > 0 && r.settings.Classes[r.classes[q.call.Class]].Effect != choice.Idempotent {
+			a.Verdict = Failed
+		}
+		for _, b := range q.branches {
+			if !b.ended {
+				r.giveUp(b)
+			}
+		}
+		r.answer(q, a)
+	}
+}
+
 // answer gives the one final answer of a request.
 func (r *Reducer) answer(q *request, a Answer) {
 	a.Leg = q.call.Leg
--- a/internal/nexthop/conn.go
+++ b/internal/nexthop/conn.go
@@ -4,10 +4,11 @@
 	"bufio"
 	"fmt"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"foldlb.example/foldlb/internal/tcp"
 )
 
 const mostAnswer = 64 << 10 // bytes of a next hop's answer
@@ -56,23 +57,5 @@
 // fresh reports whether an idle connection is still open and silent. A request written to one that the
 // next hop has closed would end as a reset, after which most classes must not be tried again.
 func (c *conn) fresh() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && silent
+	return c.r.Buffered() == 0 && tcp.Silent(c.Conn)
 }
