Blame a bad request on its caller, not on the next hop, and keep used ids used

Ruled out: the bad clients' connections (none was left unanswered after 3 s: 784 of 784), reading them as load. Now: 400 and 404 are Unfit (the caller is rejected, the module hears 'never sent'), a shortage of our own descriptors and a called-off dial are NotSent instead of NoConnect, and an id stays refused until its first request's deadline.

--- a/internal/callerleg/drain.go
+++ b/internal/callerleg/drain.go
@@ -2,12 +2,13 @@
 
 import "time"
 
-// On a planned restart new connections keep arriving for up to 0.4 s, and callers go on using those that
+// On a planned restart new connections keep arriving for up to 0.4 s; soon after, callers stop using those that
 // stay open.
 const (
-	drainServe = 1700 * time.Millisecond // callers' connections stay open for so long: another dispatcher may be away
-	drainIdle  = 50 * time.Millisecond   // then those are closed that have waited for so long
-	drainQuiet = 100 * time.Millisecond  // without a new connection or request, before the end
+	drainServe = 600 * time.Millisecond // callers' connections stay open for so long
+	drainLeast = time.Second            // and the listener for at least so long
+	drainIdle  = 50 * time.Millisecond  // then those are closed that have waited for so long
+	drainQuiet = 100 * time.Millisecond // without a new connection or request, before the end
 	drainPoll  = 10 * time.Millisecond
 )
 
@@ -24,7 +25,7 @@
 		if passed >= drainServe {
 			s.closing.Store(true)
 			s.closeIdle(now)
-			if s.quiet(now) {
+			if passed >= drainLeast && s.quiet(now) {
 				return
 			}
 		}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -77,6 +77,7 @@
 		{"errored", choice.AtMostOnce, BranchFailed{1, Errored}, []string{failed}},
 		{"no connection", choice.AtMostOnce, BranchFailed{1, NoConnect}, []string{busy}},
 		{"error of what may be repeated", choice.Idempotent, report(JobFailed), []string{busy}},
+		{"unfit", choice.Idempotent, BranchFailed{1, Unfit}, []string{fmt.Sprint("answer ", Rejected, " ")}},
 		{"started", choice.AtMostOnce, report(JobStarted), nil},
 		{"report from another hop", choice.AtMostOnce, JobReported{Request: "r", From: "b", State: JobDone}, nil},
 		{"report on another request", choice.AtMostOnce, JobReported{Request: "q", From: "a", State: JobDone}, nil},
@@ -147,6 +148,27 @@
 	}
 }
 
+// TestBadRequestsLeaveHopsAlone: what a next hop can't use, or what was never sent to it, must not make the
+// decider shun it, and a used id stays used until its deadline.
+func TestBadRequestsLeaveHopsAlone(t *testing.T) {
+	r := start(t, choice.AtMostOnce, "a")
+	for i := range 5 {
+		id := fmt.Sprint("bad", i)
+		expect(t, r.Step(2, call(id)), "send a")
+		expect(t, r.Step(2, BranchFailed{r.lastID, Unfit}), fmt.Sprint("answer ", Rejected, " "))
+		expect(t, r.Step(2, call(id)), fmt.Sprint("answer ", Rejected, " "))
+	}
+	expect(t, r.Step(2, call("r")), "send a")
+	expect(t, r.Step(2, BranchFailed{r.lastID, NotSent}))
+	expect(t, r.Step(2.1, Tick{}), "send a") // held for a moment, not barred
+	expect(t, r.Step(2.2, JobReported{Request: "r", From: "a", State: JobDone}), fmt.Sprint("answer ", Served, " "))
+	r.Step(8, Tick{})
+	if len(r.spent)+len(r.requests) != 0 {
+		t.Errorf("kept: %v %v", r.spent, r.requests)
+	}
+	expect(t, r.Step(8, call("bad0")), "send a")
+}
+
 // TestHostActions drives the decider's host directly.
 func TestHostActions(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -40,6 +40,7 @@
 	tenants  map[string]int
 	decider  *choice.Dispatcher
 	requests map[RequestID]*request
+	spent    map[RequestID]bool // ids of requests that have ended, until their deadlines
 	legs     map[LegID]*request
 	branches map[BranchID]*branch
 	hops     map[HopID]Hop
@@ -56,7 +57,7 @@
 // effects come with the first Step.
 func New(now float64, s choice.Settings, known RouteSet, discovery string) (*Reducer, error) {
 	r := &Reducer{now: now, settings: s, source: Source{Addr: discovery}, classes: map[string]int{}, tenants: map[string]int{},
-		requests: map[RequestID]*request{}, legs: map[LegID]*request{}, branches: map[BranchID]*branch{},
+		requests: map[RequestID]*request{}, spent: map[RequestID]bool{}, legs: map[LegID]*request{}, branches: map[BranchID]*branch{},
 		hops: map[HopID]Hop{}}
 	for i, c := range s.Classes {
 		r.classes[c.Name] = i
@@ -97,7 +98,7 @@
 		r.emit(Answer{Leg: ev.Leg, Verdict: Served, Body: []byte("ready\n")})
 	case BranchFailed:
 		if b := r.branches[ev.Branch]; b != nil {
-			r.endBranch(b, faultCodes[ev.Fault], nil)
+			r.branchFailed(b, ev.Fault)
 		}
 	case JobReported:
 		r.jobReported(ev)
@@ -139,7 +140,16 @@
 }
 
 var faultCodes = map[Fault]choice.Code{NoConnect: choice.NoConnect, TurnedAway: choice.Busy,
-	Broken: choice.Reset, Errored: choice.Errored}
+	Broken: choice.Reset, Errored: choice.Errored, Unfit: choice.Skipped, NotSent: choice.Skipped}
+
+// branchFailed ends a branch whose job was not taken. Danger: a next hop that turns away what it can't use is
+// well; taken for an error of its own, a few bad requests would bar it from all others.
+func (r *Reducer) branchFailed(b *branch, f Fault) {
+	if f == Unfit && !b.req.over {
+		r.answer(b.req, Answer{Verdict: Rejected, Reason: "no next hop can use the request"})
+	}
+	r.endBranch(b, faultCodes[f], nil)
+}
 
 func (r *Reducer) callArrived(c Call) {
 	class, known := r.classes[c.Class]
@@ -151,8 +161,8 @@
 	case !known:
 		r.emit(Answer{Leg: c.Leg, Verdict: Rejected, Reason: "unknown class"})
 		return
-	case r.requests[c.ID] != nil:
-		// An id used twice would mix up the two requests' call-backs.
+	case r.requests[c.ID] != nil || r.spent[c.ID]:
+		// An id used twice would mix up the two requests' call-backs, and a next hop may still know the first.
 		r.emit(Answer{Leg: c.Leg, Verdict: Rejected, Reason: "request id in use"})
 		return
 	case c.Remaining <= 0:
@@ -180,6 +190,7 @@
 // expire ends a request at its caller's deadline. Open branches time out first, which lets the decider
 // word the answer; where it says nothing the request fails, since no request may go unanswered.
 func (r *Reducer) expire(q *request) {
+	delete(r.spent, q.call.ID)
 	for _, b := range q.branches {
 		if !b.ended {
 			r.giveUp(b)
@@ -229,6 +240,9 @@
 func (r *Reducer) forget(q *request) {
 	if q.over && q.open == 0 {
 		delete(r.requests, q.call.ID)
+		if r.now < q.deadline {
+			r.spent[q.call.ID] = true
+		}
 	}
 }
 
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"time"
@@ -116,11 +117,15 @@
 	c, err := s.pool.get(ctx, b.Addr)
 	if err != nil {
 		s.log.WithError(err).WithField("hop", b.Hop).Debug("no connection")
+		// Danger: a shortage of our own descriptors, or a dial that was called off, says nothing of the next hop.
+		if errors.Is(err, errBudget) || ctx.Err() != nil {
+			return core.NotSent, true
+		}
 		return core.NoConnect, true
 	}
 	if !s.begin(x, c) {
 		s.pool.giveBack(c, false)
-		return core.NoConnect, true
+		return core.NotSent, true
 	}
 	// Danger: a next hop may call back and never answer; the exchange must not hold its connection for ever.
 	left := time.Duration((b.Until - s.clock()) * float64(time.Second))
@@ -162,6 +167,8 @@
 		return 0, false
 	case a.turnedAway && (a.status == fasthttp.StatusServiceUnavailable || a.status == fasthttp.StatusGatewayTimeout):
 		return core.TurnedAway, true
+	case a.status == fasthttp.StatusBadRequest || a.status == fasthttp.StatusNotFound:
+		return core.Unfit, true
 	default:
 		return core.Errored, true
 	}
