Let kept connections age by how they fare, and bar workers by the part that broke

The recorded traffic shows connections to next hops reset under requests: 39% of those kept idle for 100 ms or more, 4 to 5% of fresher and of new ones; 124 requests were written to connections that the machine had dropped without a word. choice's learn() barred a worker for 1 to 16 s (3 times as long for issue-policy) after each, so a few workers got all the jobs, started them late, and the module shed load. Ruled out: slow starts at the workers themselves (medians of 0.5 to 5 ms at those not overloaded). Now: a break of a kept connection is Stale, which bars nobody and halves the time that connections are kept (regrown by those that hold); a broken connection bars a warm worker by the part that failed lately; a DELETE that got no answer is sent again; a job in doubt that must not run twice is given 0.15 s to report its start; a result that comes from a branch taken for lost is served. Each has its test.

--- a/choice/api.go
+++ b/choice/api.go
@@ -149,6 +149,7 @@
 	Reset          // the connection broke: may have run
 	Cancelled      // may have run
 	Skipped        // never sent
+	Stale          // a kept connection had ended: may have run, and says nothing of the worker
 )
 
 // NeverRan reports whether the code proves that the attempt did not run.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,6 +23,7 @@
 	fullPart              = 0.15      // part of a mean response that 'full' bars a worker for its size
 	errBar, errBarMost    = 1.0, 16.0 // seconds an erring worker is barred: first and most
 	unsafeBar             = 3.0       // times as long for jobs that a failure loses
+	badMemory, badMost    = 12.0, 0.3 // attempts that the part of failed ones is of; part that bars in full
 	probeShare            = 0.5       // probes for each request
 	coldMargin            = 0.6       // part of the overload factor that all dispatchers together may use
 	coldSaved             = 0.3       // seconds of its budget that a cold worker saves up at the most
@@ -99,7 +100,7 @@
 			d.workers = append(d.workers, w)
 		}
 		if e.Started > w.Started {
-			w.barTill, w.unsafeTil, w.barSpan, w.fullTill, w.freeAt = 0, 0, 0, 0, 0
+			w.barTill, w.unsafeTil, w.barSpan, w.bad, w.fullTill, w.freeAt = 0, 0, 0, 0, 0, 0
 			w.resetBudget(now, d.rng.Float64())
 		}
 		w.Worker, w.home, w.listed = e, e.Zone == d.s.Zone, e.State != Terminated
@@ -450,7 +451,7 @@
 	w := a.w
 	switch o.Code {
 	case Done:
-		w.lifeAt, w.fullTill, w.barSpan = now, 0, w.barSpan/2
+		w.lifeAt, w.fullTill, w.barSpan, w.bad = now, 0, w.barSpan/2, w.bad-w.bad/badMemory
 		cost := d.cost(r)
 		if c := &d.classes[r.Class]; a.startedAt > 0 {
 			c.run += (now - a.startedAt - c.run) / memory
@@ -477,9 +478,7 @@
 	case Errored, Reset, NoConnect:
 		// Danger: one that fails fast empties its count of jobs in flight and would draw ever more.
 		w.lifeAt = now
-		w.barSpan = min(errBarMost, max(errBar, 2*w.barSpan))
-		w.barTill = now + w.barSpan*(0.75+d.rng.Float64()/2)
-		w.unsafeTil = now + unsafeBar*w.barSpan
+		w.failed(now, o.Code == Reset && d.warmth(now, w) == 1, 0.75+d.rng.Float64()/2)
 	}
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -160,6 +160,7 @@
 		{Busy, Idempotent, "assign"}, {Busy, Deduplicated, "assign"}, {Busy, AtMostOnce, "assign"},
 		{NoConnect, Idempotent, "assign"}, {NoConnect, AtMostOnce, "assign"},
 		{Skipped, Idempotent, "assign"}, {Skipped, AtMostOnce, "assign"},
+		{Stale, Idempotent, "assign"}, {Stale, Deduplicated, "assign"}, {Stale, AtMostOnce, "fail"},
 	} {
 		d, h := start(t, plain(tc.effect), fleet("a", "b"))
 		d.Request(2, ask("r", 2))
@@ -374,6 +375,33 @@
 	}
 }
 
+// TestBrokenConnectionsBarByTheirPart: single ones must not shut out workers that are well, many in a row must.
+func TestBrokenConnectionsBarByTheirPart(t *testing.T) {
+	d, h := start(t, plain(Idempotent), fleet("a"))
+	w := d.byID["a"]
+	fails := func(code Code, now float64) float64 {
+		t.Helper()
+		id := fmt.Sprint(code, now)
+		d.Request(now, ask(id, now))
+		only(t, h, "assign")
+		d.Outcome(now, Outcome{Request: id, Worker: "a", Code: code, Final: true})
+		return w.barTill - now
+	}
+	if bar := fails(Stale, 2); bar > 0 {
+		t.Errorf("barred for %.2f s after a stale connection", bar)
+	}
+	if bar := fails(Reset, 3); bar <= 0 || bar > errBar/4 {
+		t.Errorf("barred for %.2f s after one broken connection", bar)
+	}
+	now := 4.0
+	for range 6 {
+		now += fails(Reset, now) + 0.01
+	}
+	if w.barSpan < errBar {
+		t.Errorf("barred for %.2f s after seven broken connections", w.barSpan)
+	}
+}
+
 func TestFullBarsForItsSizeOnly(t *testing.T) {
 	d, _ := start(t, plain(Idempotent), fleet("a"))
 	w := d.byID["a"]
--- a/choice/state.go
+++ b/choice/state.go
@@ -70,6 +70,7 @@
 	barTill   float64
 	unsafeTil float64
 	barSpan   float64
+	bad       float64 // part of the last attempts that failed
 	credit    float64 // of its cold budget, in seconds of work
 	need      float64 // part of a job's size that its credit must reach, drawn anew for each
 	coldAt    float64 // when that was last reckoned
@@ -79,6 +80,19 @@
 // resetBudget empties a worker's cold budget, as of its start.
 func (w *worker) resetBudget(now, need float64) { w.credit, w.need, w.coldAt = 0, need, now }
 
+// failed bars a worker after a failure. Danger: where single connections break at workers that are well, a full
+// bar for each would shut out most of the fleet at once; so for those it grows with the part that failed lately.
+func (w *worker) failed(now float64, broke bool, spread float64) {
+	w.bad += (1 - w.bad) / badMemory
+	part := 1.0
+	if broke {
+		part = min(1, w.bad/badMost)
+	}
+	w.barSpan = min(errBarMost, max(errBar*part*part, 2*w.barSpan))
+	w.barTill = now + w.barSpan*spread
+	w.unsafeTil = now + unsafeBar*w.barSpan
+}
+
 // kind gathers what workers of one machine kind have in common.
 type kind struct {
 	medians  []float64 // of the response times seen, by class
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -74,6 +74,7 @@
 		{"failed", choice.AtMostOnce, report(JobFailed), []string{failed}},
 		{"lost", choice.AtMostOnce, report(JobLost), []string{failed}},
 		{"broken after writing", choice.AtMostOnce, BranchFailed{1, Broken}, []string{failed}},
+		{"a kept connection broke", choice.AtMostOnce, BranchFailed{1, Stale}, []string{failed}},
 		{"errored", choice.AtMostOnce, BranchFailed{1, Errored}, []string{failed}},
 		{"no connection", choice.AtMostOnce, BranchFailed{1, NoConnect}, []string{busy}},
 		{"error of what may be repeated", choice.Idempotent, report(JobFailed), []string{busy}},
@@ -169,6 +170,38 @@
 	expect(t, r.Step(8, call("bad0")), "send a")
 }
 
+// TestJobInDoubt: a job whose connection broke before its 202 may run all the same. One that must not run twice
+// is waited for, shortly; one that is known to run is served when it is done.
+func TestJobInDoubt(t *testing.T) {
+	served, failed := fmt.Sprint("answer ", Served, " x"), fmt.Sprint("answer ", Failed, " ")
+	report := func(s JobState) Event { return JobReported{Request: "r", From: "a", State: s, Result: []byte("x")} }
+	r := start(t, choice.AtMostOnce, "a")
+	r.Step(2, call("r"))
+	expect(t, r.Step(2.1, BranchFailed{1, Broken}))
+	expect(t, r.Step(2.2, report(JobStarted)))
+	expect(t, r.Step(2.5, Tick{}))
+	expect(t, r.Step(3, report(JobDone)), served)
+
+	r = start(t, choice.AtMostOnce, "a")
+	r.Step(2, call("r"))
+	expect(t, r.Step(2.1, BranchFailed{1, Broken}))
+	expect(t, r.Step(2.1+2*doubtTime, Tick{}), failed)
+
+	r = start(t, choice.Idempotent, "a", "b")
+	r.Step(2, call("r"))
+	from := r.branches[1].hop
+	if got := brief(r.Step(2.1, BranchFailed{1, Broken})); len(got) != 1 || got[0] == "send "+string(from) {
+		t.Fatalf("effects %q, want another branch", got)
+	}
+	got := brief(r.Step(2.2, JobReported{Request: "r", From: from, State: JobDone, Result: []byte("x")}))
+	if len(got) != 2 || got[0] != served || got[1][:7] != "give up" {
+		t.Errorf("effects %q, want the late result served and the other branch given up", got)
+	}
+	if len(r.requests)+len(r.branches)+len(r.legs) != 0 {
+		t.Errorf("kept: %v %v %v", r.requests, r.branches, r.legs)
+	}
+}
+
 // TestHostActions drives the decider's host directly.
 func TestHostActions(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -100,6 +100,7 @@
 	NoConnect  Fault = iota // the request was never written whole: it never ran
 	TurnedAway              // the next hop gave a busy answer: it never ran
 	Broken                  // the connection broke after the last byte: it may have run
+	Stale                   // a kept connection broke under the request: it may have run
 	Errored                 // the next hop answered with an error: it may have run
 	Unfit                   // the next hop can't use the request, whoever is asked: it never ran
 	NotSent                 // this dispatcher had no place for it, or called it off: the next hop knows nothing
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -11,6 +11,9 @@
 	"foldlb.example/foldlb/choice"
 )
 
+// doubtTime is how long a job in doubt may take to report its start, in seconds.
+const doubtTime = 0.15
+
 // request is a caller's request until it is answered and its last branch has ended.
 type request struct {
 	call     Call
@@ -30,6 +33,8 @@
 	sent  float64
 	ended bool
 	begun bool // its start has been passed on
+
+	inDoubt bool // its connection broke, and a report of its start is still waited for
 }
 
 // Reducer owns all state of a dispatcher. It must be used from one goroutine.
@@ -140,13 +145,22 @@
 }
 
 var faultCodes = map[Fault]choice.Code{NoConnect: choice.NoConnect, TurnedAway: choice.Busy,
-	Broken: choice.Reset, Errored: choice.Errored, Unfit: choice.Skipped, NotSent: choice.Skipped}
+	Broken: choice.Reset, Stale: choice.Stale, Errored: choice.Errored, Unfit: choice.Skipped, NotSent: choice.Skipped}
 
 // branchFailed ends a branch whose job was not taken. Danger: a next hop that turns away what it can't use is
 // well; taken for an error of its own, a few bad requests would bar it from all others.
 func (r *Reducer) branchFailed(b *branch, f Fault) {
-	if f == Unfit && !b.req.over {
+	switch {
+	case f == Unfit && !b.req.over:
 		r.answer(b.req, Answer{Verdict: Rejected, Reason: "no next hop can use the request"})
+	case f == Broken && b.begun:
+		return // the job runs: its end will be reported, or it ends at the deadline
+	case f == Broken && r.effect(b.req) == choice.AtMostOnce && !b.inDoubt:
+		// Danger: a job that was taken before the break runs, and may never be sent again. Its start, if there
+		// is one, is reported at once.
+		b.inDoubt = true
+		r.after(r.now+doubtTime, func() { r.branchFailed(b, f) })
+		return
 	}
 	r.endBranch(b, faultCodes[f], nil)
 }
@@ -204,12 +218,17 @@
 	}
 }
 
+// effect tells what a repeat of the request would do.
+func (r *Reducer) effect(q *request) choice.Effect {
+	return r.settings.Classes[r.classes[q.call.Class]].Effect
+}
+
 // stop answers all that callers wait for, since nothing will answer it later. Busy is a promise that asking
 // again is harmless, so only what never ran, or may be repeated freely, is told that.
 func (r *Reducer) stop() {
 	for _, q := range r.legs {
 		a := Answer{Verdict: Busy, Reason: "stopping"}
-		if len(q.branches) > 0 && r.settings.Classes[r.classes[q.call.Class]].Effect != choice.Idempotent {
+		if len(q.branches) > 0 && r.effect(q) != choice.Idempotent {
 			a.Verdict = Failed
 		}
 		for _, b := range q.branches {
@@ -275,12 +294,19 @@
 		return
 	}
 	var b *branch
+	known := false
 	for _, x := range q.branches {
-		if !x.ended && x.hop == ev.From {
-			b = x
+		if x.hop == ev.From {
+			known = true
+			if !x.ended {
+				b = x
+			}
 		}
 	}
 	if b == nil {
+		if known && ev.State == JobDone && !q.over {
+			r.doneAfterAll(q, ev.Result)
+		}
 		return
 	}
 	switch ev.State {
@@ -302,6 +328,18 @@
 	}
 }
 
+// doneAfterAll serves a request with the result of a branch that was taken for lost, and ends the others.
+func (r *Reducer) doneAfterAll(q *request, result []byte) {
+	r.answer(q, Answer{Verdict: Served, Body: result})
+	for _, b := range q.branches {
+		if !b.ended {
+			r.giveUp(b)
+			r.endBranch(b, choice.Cancelled, nil)
+		}
+	}
+	r.decider.Withdrawn(r.now, string(q.call.ID))
+}
+
 var hopStates = map[HopState]choice.State{HopActive: choice.InService, HopLeaving: choice.Terminating,
 	HopLeft: choice.Terminated}
 
--- a/internal/nexthop/conn.go
+++ b/internal/nexthop/conn.go
@@ -19,9 +19,13 @@
 	addr  string
 	r     *bufio.Reader
 	w     *bufio.Writer
-	since time.Time // when it became idle
+	since time.Time     // when it became idle
+	age   time.Duration // for how long it was idle before it was taken; 0 for a new one
 }
 
+// kept tells whether the connection has carried an exchange before this one.
+func (c *conn) kept() bool { return c.age > 0 }
+
 func newConn(c net.Conn, addr string) *conn {
 	return &conn{Conn: c, addr: addr, r: bufio.NewReader(c), w: bufio.NewWriter(c)}
 }
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -25,6 +26,7 @@
 
 	idlePart    = 0.6             // of the time after which a next hop closes an idle connection
 	giveUpWait  = 2 * time.Second // for the answer to a giving up
+	mostTells   = 3               // tries of a giving up, on a connection each
 	mostGiveUps = 64              // at once; more wait their turn
 	mostWaiting = 1024            // with those that wait; beyond that the next hop's own deadline must do
 	answerGrace = time.Second     // after a branch's end, when the reducer has long given it up
@@ -141,9 +143,14 @@
 	a, err := c.read()
 	if err != nil {
 		s.pool.discard(c)
-		s.log.WithError(err).WithField("hop", b.Hop).Debug("no answer")
+		s.log.WithError(err).WithField("hop", b.Hop).WithField("idle", c.age).Debug("no answer")
+		if c.kept() && !errors.Is(err, os.ErrDeadlineExceeded) && !s.ended(x) {
+			s.pool.tried(c, true)
+			return core.Stale, true
+		}
 		return core.Broken, true
 	}
+	s.pool.tried(c, false)
 	s.finish(x, c, a, b)
 	return verdict(a)
 }
@@ -185,6 +192,13 @@
 	return true
 }
 
+// ended tells whether an exchange was given up or dropped, so that its connection was closed from here.
+func (s *Sender) ended(x *exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return x.over
+}
+
 func (s *Sender) forget(id core.BranchID) {
 	s.mu.Lock()
 	delete(s.exchanges, id)
@@ -229,7 +243,11 @@
 	s.givingUp[key] = told
 	go func() {
 		s.slots <- struct{}{}
-		if err := s.delete(g); err != nil {
+		err := s.delete(g)
+		for i := 1; err != nil && i < mostTells; i++ {
+			err = s.delete(g) // danger: untold, the next hop runs on what another one may be given
+		}
+		if err != nil {
 			s.log.WithError(err).WithField("hop", g.Hop).Debug("giving up not delivered")
 		}
 		<-s.slots
@@ -270,6 +288,7 @@
 		return err
 	}
 	a, err := c.read()
+	s.pool.tried(c, err != nil)
 	s.pool.giveBack(c, err != nil || a.closes)
 	return err
 }
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/nexthop/nexthop_test.go
@@ -269,6 +269,45 @@
 	}
 }
 
+// TestKeptConnectionsAgeByHowTheyFare: one that breaks under its next request says nothing of the next hop, and
+// shortens the time that others are kept; those that hold lengthen it again.
+func TestKeptConnectionsAgeByHowTheyFare(t *testing.T) {
+	p := listen(t)
+	s, events := sender(Options{IdleClose: time.Minute})
+	l := p.takes(s, 1)
+	s.Send(branch(2, p.addr()))
+	l.request()
+	l.Close()
+	wantFault(t, events, 2, core.Stale)
+	if s.pool.limit != leastKept {
+		t.Errorf("kept for %v after a break", s.pool.limit)
+	}
+	c := &conn{age: s.pool.limit}
+	for range 200 {
+		s.pool.tried(c, false)
+		c.age = s.pool.limit
+	}
+	if s.pool.limit != s.pool.idleFor {
+		t.Errorf("kept for %v at last, want %v", s.pool.limit, s.pool.idleFor)
+	}
+	p.takes(s, 3)
+	s.pool.idle[p.addr()][0].since = time.Now().Add(-2 * s.pool.limit)
+	p.takes(s, 4) // over a new connection
+}
+
+// TestGivingUpIsRepeated: a DELETE that a stale connection swallowed is sent again.
+func TestGivingUpIsRepeated(t *testing.T) {
+	p := listen(t)
+	s, _ := sender(Options{IdleClose: time.Minute})
+	l := p.takes(s, 1)
+	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Hop: "s", Addr: p.addr()})
+	l.request()
+	l.Close()
+	if got := p.accept().request(); !strings.HasPrefix(got, "DELETE /jobs/r HTTP/1.1\r\n") {
+		t.Errorf("request %q", got)
+	}
+}
+
 // endsSoon waits for the other side's close to arrive.
 func endsSoon(c net.Conn) bool {
 	c.SetReadDeadline(time.Now().Add(patience))
--- a/internal/nexthop/pool.go
+++ b/internal/nexthop/pool.go
@@ -12,19 +12,43 @@
 // errBudget says that all connections that next hops may hold are in use.
 var errBudget = errors.New("no descriptor left for a next hop")
 
+// How the time that connections are kept follows what becomes of them.
+const (
+	leastKept  = 5 * time.Millisecond
+	keptGrowth = 1.1
+)
+
 // pool keeps the idle connections and counts all of them.
 type pool struct {
 	dialTimeout time.Duration
-	idleFor     time.Duration // an idle connection is closed after this
-	most        int           // open connections, over all next hops
+	idleFor     time.Duration // an idle connection is closed after this at the latest
 
-	mu   sync.Mutex
-	open int
-	idle map[string][]*conn // by address; the one used last is at the end
+	mu    sync.Mutex
+	most  int           // open connections, over all next hops
+	limit time.Duration // after which idle connections are closed now; idleFor where none breaks
+	open  int
+	idle  map[string][]*conn // by address; the one used last is at the end
 }
 
 func newPool(dialTimeout, idleFor time.Duration, most int) *pool {
-	return &pool{dialTimeout: dialTimeout, idleFor: idleFor, most: most, idle: map[string][]*conn{}}
+	return &pool{dialTimeout: dialTimeout, idleFor: idleFor, limit: idleFor, most: most, idle: map[string][]*conn{}}
+}
+
+// tried learns from how a kept connection fared at its next request. Danger: a machine may forget connections
+// long before it says, without a word; requests written to those end as resets, after which some may not be
+// sent again. So what broke halves the time that connections are kept, and what held slowly restores it.
+func (p *pool) tried(c *conn, broke bool) {
+	if !c.kept() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case broke:
+		p.limit = max(leastKept, min(p.limit, c.age)/2)
+	case c.age >= p.limit/2:
+		p.limit = min(p.idleFor, time.Duration(float64(p.limit)*keptGrowth))
+	}
 }
 
 // get returns an idle connection or dials a new one. Its errors mean that nothing was sent.
@@ -59,6 +83,9 @@
 		return nil
 	}
 	c := list[len(list)-1]
+	if c.age = time.Since(c.since); c.age > p.limit {
+		return nil // the others have been idle for longer; retire closes them
+	}
 	p.setIdle(addr, list[:len(list)-1])
 	return c
 }
@@ -132,7 +159,7 @@
 	defer p.mu.Unlock()
 	for addr, list := range p.idle {
 		n := 0
-		for n < len(list) && now.Sub(list[n].since) >= p.idleFor {
+		for n < len(list) && now.Sub(list[n].since) >= p.limit {
 			list[n].Close()
 			n++
 		}
