Place running jobs anew when their progress falls silent, and keep connections by record

Now: a started job of a class that may be repeated, 1.5 progress notes late, is called off and placed anew, and its worker does not look alive for that; connections are kept for as long as under a tenth of those broke that were idle for as long; Cut (never ran) bars by its part; a job not taken yet is moved one wait later (TellsTaken).

--- a/choice/api.go
+++ b/choice/api.go
@@ -83,6 +83,7 @@
 	WorthByWork        bool     // a request's worth is counted for each unit of its work
 	LiveShare          bool     // Worker.Share falls as the worker holds more
 	TellsStart         bool     // a note comes when a job starts
+	TellsTaken         bool     // and another when the worker has taken it
 	ProgressEvery      float64  // the gap between progress notes; 0 for none
 	Seed               uint64
 }
@@ -149,11 +150,12 @@
 	Reset          // the connection broke: may have run
 	Cancelled      // may have run
 	Skipped        // never sent
+	Cut            // the connection came up and broke before the job was written: never ran
 	Stale          // a kept connection had ended: may have run, and says nothing of the worker
 )
 
 // NeverRan reports whether the code proves that the attempt did not run.
-func (c Code) NeverRan() bool { return c == Busy || c == NoConnect || c == Skipped }
+func (c Code) NeverRan() bool { return c == Busy || c == NoConnect || c == Skipped || c == Cut }
 
 // Outcome is the end of one attempt.
 type Outcome struct {
@@ -173,6 +175,7 @@
 	Worker  string
 	Attempt int
 	Started bool    // it has begun
+	Taken   bool    // the worker has it, begun or not
 	Share   float64 // part completed, for progress notes
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -472,13 +472,13 @@
 			c.most = max(c.most, w.inv[r.Class])
 		}
 	case Busy, Cancelled:
-		w.lifeAt = now
+		w.lifeAt = max(w.lifeAt, a.aliveAt(now))
 		w.fullTill = now + max(retryPause, fullPart*d.response(r.Class, w))
 		w.fullSlots = r.Slots
-	case Errored, Reset, NoConnect:
+	case Errored, Reset, NoConnect, Cut:
 		// Danger: one that fails fast empties its count of jobs in flight and would draw ever more.
 		w.lifeAt = now
-		w.failed(now, o.Code == Reset && d.warmth(now, w) == 1, 0.75+d.rng.Float64()/2)
+		w.failed(now, (o.Code == Reset || o.Code == Cut) && d.warmth(now, w) == 1, 0.75+d.rng.Float64()/2)
 	}
 }
 
@@ -516,7 +516,7 @@
 		a.startedAt = now
 		d.sawLate(now-a.sent > c.Aim+(c.Stretch-1)*c.run)
 	}
-	a.started = true
+	d.heard(now, a, n)
 	if n.Started || n.Share > 0 && (now-a.sent)/n.Share < 3*d.response(r.Class, a.w)*max(1, d.cost(r)) {
 		a.w.lifeAt = now
 	}
@@ -548,7 +548,7 @@
 			// Danger: a worker may run what is called off all the same, so moves are rationed by the price
 			// of waste, and stop when the whole fleet is late.
 			delete(d.moves, token)
-			if !a.started && !a.ended && !a.req.over && len(a.req.attempts) < d.s.MaxAttempts &&
+			if !d.stays(now, a, token) && !a.started && !a.ended && !a.req.over && len(a.req.attempts) < d.s.MaxAttempts &&
 				d.paidMoves >= 1 && d.late <= 2*lateBorne {
 				d.paidMoves--
 				d.act.Cancel(a.req.ID, a.no)
--- a/choice/state.go
+++ b/choice/state.go
@@ -29,6 +29,10 @@
 	sent      float64
 	started   bool
 	startedAt float64
+	taken     bool // the worker has said that it has it
+	heardAt   float64
+	listen    uint64 // token of the timer that looks whether it is still heard of
+	spared    bool   // from a move, once, as its connection may not have come up yet
 	ended     bool
 	neverRan  bool
 }
@@ -43,6 +47,54 @@
 	token    uint64
 }
 
+// quietAfter is after how many missing progress notes a running job is taken for lost.
+const quietAfter = 1.5
+
+// heard enters that a worker told of an attempt. One that it has begun is listened to from then on.
+func (d *Dispatcher) heard(now float64, a *attempt, n Note) {
+	begins := !a.started && !n.Taken
+	a.taken, a.started, a.heardAt = true, a.started || !n.Taken, now
+	if c := &d.classes[a.req.Class]; begins && c.Effect != AtMostOnce && d.s.CanCancel && d.s.ProgressEvery > 0 {
+		d.token++
+		a.listen, d.moves[d.token] = d.token, a
+		d.act.Timer(quietAfter*d.s.ProgressEvery, d.token)
+	}
+}
+
+// stays tells whether a job that is looked at by timer stays where it is for now, to be looked at again, or has
+// been dealt with. Danger: to call off what the worker has not taken yet closes its connection; where a new one
+// takes as long as a move waits, none would ever stay open, here or at the next worker. And a job whose worker
+// has fallen silent, or whose answer was lost, would be waited for until its client has gone.
+func (d *Dispatcher) stays(now float64, a *attempt, token uint64) bool {
+	again := 0.0
+	switch {
+	case a.ended || a.req.over || a.started && token != a.listen:
+		return false
+	case a.started:
+		if again = a.heardAt + quietAfter*d.s.ProgressEvery - now; again < 1e-3 {
+			delete(d.moves, token)
+			d.act.Cancel(a.req.ID, a.no)
+			return true
+		}
+	case d.s.TellsTaken && !a.taken && !a.spared:
+		a.spared, again = true, d.classes[a.req.Class].Aim*moveAfter
+	default:
+		return false
+	}
+	d.moves[token] = a
+	d.act.Timer(again, token)
+	return true
+}
+
+// aliveAt is when the worker last showed life by this attempt, which ends now without being done. Danger: one that
+// fell silent with the job running, and is called off for that, must not look alive by our own act.
+func (a *attempt) aliveAt(now float64) float64 {
+	if a.started {
+		return a.heardAt
+	}
+	return now
+}
+
 // bound is the first attempt that may have run; a repeat must not leave its group.
 func (r *request) bound() *attempt {
 	for _, a := range r.attempts {
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -97,7 +97,8 @@
 
 // The faults of a branch.
 const (
-	NoConnect  Fault = iota // the request was never written whole: it never ran
+	NoConnect  Fault = iota // no connection came up: it never ran
+	Cut                     // a connection came up and broke before the last byte: it never ran
 	TurnedAway              // the next hop gave a busy answer: it never ran
 	Broken                  // the connection broke after the last byte: it may have run
 	Stale                   // a kept connection broke under the request: it may have run
@@ -112,6 +113,9 @@
 	Fault  Fault
 }
 
+// BranchTaken says that a branch's next hop has taken the job.
+type BranchTaken struct{ Branch BranchID }
+
 // JobState is what a next hop reports of a job that it took.
 type JobState int
 
@@ -159,6 +163,7 @@
 func (CallerLeft) event()      {}
 func (HealthAsked) event()     {}
 func (BranchFailed) event()    {}
+func (BranchTaken) event()     {}
 func (JobReported) event()     {}
 func (RouteSetTold) event()    {}
 func (RouteSetRefused) event() {}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -64,6 +64,7 @@
 	r := &Reducer{now: now, settings: s, source: Source{Addr: discovery}, classes: map[string]int{}, tenants: map[string]int{},
 		requests: map[RequestID]*request{}, spent: map[RequestID]bool{}, legs: map[LegID]*request{}, branches: map[BranchID]*branch{},
 		hops: map[HopID]Hop{}}
+	s.TellsTaken = true // as BranchTaken
 	for i, c := range s.Classes {
 		r.classes[c.Name] = i
 	}
@@ -105,6 +106,10 @@
 		if b := r.branches[ev.Branch]; b != nil {
 			r.branchFailed(b, ev.Fault)
 		}
+	case BranchTaken:
+		if b := r.branches[ev.Branch]; b != nil && !b.begun {
+			r.decider.Note(r.now, choice.Note{Request: string(b.req.call.ID), Worker: string(b.hop), Attempt: b.no, Taken: true})
+		}
 	case JobReported:
 		r.jobReported(ev)
 	case RouteSetTold:
@@ -144,7 +149,7 @@
 	}
 }
 
-var faultCodes = map[Fault]choice.Code{NoConnect: choice.NoConnect, TurnedAway: choice.Busy,
+var faultCodes = map[Fault]choice.Code{NoConnect: choice.NoConnect, Cut: choice.Cut, TurnedAway: choice.Busy,
 	Broken: choice.Reset, Stale: choice.Stale, Errored: choice.Errored, Unfit: choice.Skipped, NotSent: choice.Skipped}
 
 // branchFailed ends a branch whose job was not taken. Danger: a next hop that turns away what it can't use is
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -109,6 +109,8 @@
 		}
 		if fault, failed := s.exchange(ctx, x, b); failed {
 			s.post(core.BranchFailed{Branch: b.Branch, Fault: fault})
+		} else {
+			s.post(core.BranchTaken{Branch: b.Branch})
 		}
 	}()
 }
@@ -138,7 +140,11 @@
 	if err != nil {
 		s.pool.discard(c)
 		s.log.WithError(err).WithField("hop", b.Hop).Debug("request not written")
-		return core.NoConnect, true
+		if c.kept() {
+			s.pool.tried(c, true)
+			return core.NotSent, true
+		}
+		return core.Cut, true
 	}
 	a, err := c.read()
 	if err != nil {
--- a/internal/nexthop/pool.go
+++ b/internal/nexthop/pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"math/bits"
 	"net"
 	"sync"
 	"time"
@@ -14,10 +16,24 @@
 
 // How the time that connections are kept follows what becomes of them.
 const (
-	leastKept  = 5 * time.Millisecond
-	keptGrowth = 1.1
+	ageBands   = 14               // of idle times, each twice as long as the one before; the first is up to 1 ms
+	brokeBorne = 0.1              // part of a band's connections that may break
+	bandPrior  = 10.0             // that a band is thought to have held before any is tried
+	bandMemory = 10 * time.Second // after which a band's record counts for a third
 )
 
+// band is the record of kept connections that were idle for about equally long.
+type band struct {
+	tries, broke float64
+	at           time.Time
+}
+
+// fade lets a record count for less as it grows old, so that a band is tried again some day.
+func (b *band) fade(now time.Time) {
+	keep := math.Exp(-float64(now.Sub(b.at)) / float64(bandMemory))
+	b.tries, b.broke, b.at = b.tries*keep, b.broke*keep, now
+}
+
 // pool keeps the idle connections and counts all of them.
 type pool struct {
 	dialTimeout time.Duration
@@ -25,7 +41,8 @@
 
 	mu    sync.Mutex
 	most  int           // open connections, over all next hops
-	limit time.Duration // after which idle connections are closed now; idleFor where none breaks
+	limit time.Duration // after which idle connections are closed now; idleFor where few break
+	bands [ageBands]band
 	open  int
 	idle  map[string][]*conn // by address; the one used last is at the end
 }
@@ -36,18 +53,32 @@
 
 // tried learns from how a kept connection fared at its next request. Danger: a machine may forget connections
 // long before it says, without a word; requests written to those end as resets, after which some may not be
-// sent again. So what broke halves the time that connections are kept, and what held slowly restores it.
+// sent again. So connections are kept for as long only as few break that were idle for as long.
 func (p *pool) tried(c *conn, broke bool) {
 	if !c.kept() {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch {
-	case broke:
-		p.limit = max(leastKept, min(p.limit, c.age)/2)
-	case c.age >= p.limit/2:
-		p.limit = min(p.idleFor, time.Duration(float64(p.limit)*keptGrowth))
+	now := time.Now()
+	b := &p.bands[min(bits.Len64(uint64(c.age.Milliseconds())), ageBands-1)]
+	b.fade(now)
+	b.tries++
+	if broke {
+		b.broke++
+	}
+	p.setLimit(now)
+}
+
+// setLimit sets the time that connections are kept; p.mu is held.
+func (p *pool) setLimit(now time.Time) {
+	p.limit = p.idleFor
+	for i := range p.bands {
+		b := &p.bands[i]
+		if b.fade(now); b.broke > brokeBorne*(b.tries+bandPrior) {
+			p.limit = min(p.limit, time.Millisecond<<i/2)
+			return
+		}
 	}
 }
 
@@ -157,6 +188,7 @@
 func (p *pool) retire(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.setLimit(now)
 	for addr, list := range p.idle {
 		n := 0
 		for n < len(list) && now.Sub(list[n].since) >= p.limit {
