--- a/choice/choice.go
+++ b/choice/choice.go
@@ -548,7 +548,7 @@
 			// Danger: a worker may run what is called off all the same, so moves are rationed by the price
 			// of waste, and stop when the whole fleet is late.
 			delete(d.moves, token)
-			if !d.stays(now, a, token) && !a.started && !a.ended && !a.req.over && len(a.req.attempts) < d.s.MaxAttempts &&
+			if !d.stays(now, a, token) && len(a.req.attempts) < d.s.MaxAttempts &&
 				d.paidMoves >= 1 && d.late <= 2*lateBorne {
 				d.paidMoves--
 				d.act.Cancel(a.req.ID, a.no)
--- a/choice/state.go
+++ b/choice/state.go
@@ -61,15 +61,15 @@
 	}
 }
 
-// stays tells whether a job that is looked at by timer stays where it is for now, to be looked at again, or has
-// been dealt with. Danger: to call off what the worker has not taken yet closes its connection; where a new one
+// stays tells whether a job that is looked at by timer is not to be moved: it has ended or begun, is to be looked at
+// again later, or was just called off for its silence. Danger: to call off what the worker has not taken yet closes its connection; where a new one
 // takes as long as a move waits, none would ever stay open, here or at the next worker. And a job whose worker
 // has fallen silent, or whose answer was lost, would be waited for until its client has gone.
 func (d *Dispatcher) stays(now float64, a *attempt, token uint64) bool {
 	again := 0.0
 	switch {
 	case a.ended || a.req.over || a.started && token != a.listen:
-		return false
+		return true
 	case a.started:
 		if again = a.heardAt + quietAfter*d.s.ProgressEvery - now; again < 1e-3 {
 			delete(d.moves, token)
