Keep callers' connections open for 1.7 s of a drain again: the next dispatcher may be away

Ruled out: the flood of /healthz and silent connections as the cause (all answered or cut off, the table never full).

--- a/internal/callerleg/drain.go
+++ b/internal/callerleg/drain.go
@@ -2,13 +2,14 @@
 
 import "time"
 
-// On a planned restart new connections keep arriving for up to 0.4 s; soon after, callers stop using those that
-// stay open.
+// On a planned restart new connections keep arriving for up to 0.4 s, and callers go on using those that stay open.
+// Danger: where dispatchers restart one after the other, the last one may still be away, and callers whose
+// connections close early find nobody.
 const (
-	drainServe = 600 * time.Millisecond // callers' connections stay open for so long
-	drainLeast = time.Second            // and the listener for at least so long
-	drainIdle  = 50 * time.Millisecond  // then those are closed that have waited for so long
-	drainQuiet = 100 * time.Millisecond // without a new connection or request, before the end
+	drainServe = 1700 * time.Millisecond // callers' connections stay open for so long
+	drainLeast = time.Second             // and the listener for at least so long
+	drainIdle  = 50 * time.Millisecond   // then those are closed that have waited for so long
+	drainQuiet = 100 * time.Millisecond  // without a new connection or request, before the end
 	drainPoll  = 10 * time.Millisecond
 )
 
