Close silent connections without a word, and let deadlines end with their class's

Seen in the code: fasthttp answers 408 to a first request that never begins; that answer could cross a usual caller's first request and count as its own, where a close is repeated without harm. A caller that names 3600 s was remembered for an hour with its id and timer.

--- a/internal/callerleg/conn.go
+++ b/internal/callerleg/conn.go
@@ -1,7 +1,10 @@
 package callerleg
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -57,10 +60,21 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.enter(reading)
+	} else if errors.Is(err, os.ErrDeadlineExceeded) && c.silent() {
+		// Danger: fasthttp answers a first request that does not come in time; the answer could cross that
+		// request and be taken for its own. A close crosses without harm.
+		err = io.EOF
 	}
 	return n, err
 }
 
+// silent tells whether nothing of a request has come.
+func (c *legConn) silent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == waiting
+}
+
 // beginRead makes the connection wait for its next request once its last answer is out: fasthttp reads on
 // only after writing. Danger: one that counted as idle from the handler's end on could be closed with the
 // answer unwritten.
--- a/internal/callerleg/server_test.go
+++ b/internal/callerleg/server_test.go
@@ -214,10 +214,11 @@
 			time.Sleep(readWait / 20) // the pace of the trickle; nothing waits for it
 		}
 	}()
-	for _, c := range []*caller{silent, trickle} {
-		if status := c.answer().StatusCode(); status < 400 {
-			t.Errorf("answered %d", status)
-		}
+	if _, err := silent.r.ReadByte(); err != io.EOF {
+		t.Errorf("who says nothing gets %v, want a close and no word that a request could cross", err)
+	}
+	if status := trickle.answer().StatusCode(); status != 408 {
+		t.Errorf("answered %d", status)
 	}
 	waits.Close() // long after its request's time limit: that must be noticed all the same
 	if e := f.event(); e != (core.CallerLeft{Leg: leg}) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -124,6 +124,15 @@
 	}
 }
 
+// TestDeadlineIsTheClassesAtMost: no caller is waited for, and remembered, for longer than its class allows.
+func TestDeadlineIsTheClassesAtMost(t *testing.T) {
+	r := start(t, choice.AtMostOnce, "a")
+	long := call("r").(CallArrived)
+	long.Call.Remaining = 3600
+	r.Step(2, long)
+	expect(t, r.Step(7, Tick{}), "give up a", fmt.Sprint("answer ", Failed, " "))
+}
+
 // TestUnansweredRequestFailsAtTheDeadline hides a request from the decider, so that the reducer must answer.
 func TestUnansweredRequestFailsAtTheDeadline(t *testing.T) {
 	r := start(t, choice.Idempotent, "a")
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -191,6 +191,9 @@
 		r.emit(Answer{Leg: c.Leg, Verdict: Busy, Reason: "too many open requests"})
 		return
 	}
+	if most := r.settings.Classes[class].Deadline; most > 0 {
+		c.Remaining = min(c.Remaining, most) // danger: a caller that says it waits for an hour is remembered for one
+	}
 	q := &request{call: c, deadline: r.now + c.Remaining}
 	r.requests[c.ID], r.legs[c.Leg] = q, q
 	r.after(q.deadline, func() { r.expire(q) })
