Let silent connections no longer hold the end of a drain

Seen on the incident: both dispatchers ended 3.5 s after SIGTERM with nothing to answer, since quiet() waited for new connections that say nothing, which came 40 a second. The tests wait on tickers, not sleeps.

--- a/internal/callerleg/conn.go
+++ b/internal/callerleg/conn.go
@@ -165,6 +165,13 @@
 	return now.Sub(c.since)
 }
 
+// saysNothing tells whether the connection is new and not a byte has come on it.
+func (c *legConn) saysNothing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.proven && c.phase == waiting && tcp.Silent(c.Conn)
+}
+
 // watch calls left if the caller closes its leg before unwatch. Danger: the time limit for reading the
 // request still runs; reaching it would end the watch with the caller still there.
 func (c *legConn) watch(left func()) {
--- a/internal/callerleg/drain.go
+++ b/internal/callerleg/drain.go
@@ -9,7 +9,7 @@
 	drainServe = 1700 * time.Millisecond // callers' connections stay open for so long
 	drainLeast = time.Second             // and the listener for at least so long
 	drainIdle  = 50 * time.Millisecond   // then those are closed that have waited for so long
-	drainQuiet = 100 * time.Millisecond  // without a new connection or request, before the end
+	drainQuiet = 100 * time.Millisecond  // without a new request, before the end
 	drainPoll  = 10 * time.Millisecond
 )
 
@@ -55,9 +55,15 @@
 	}
 }
 
-// quiet tells whether nothing is being read or answered.
+// quiet tells whether nothing is being read or answered. Danger: connections that say nothing keep coming from
+// those who mean harm; they must not hold the end of a drain.
 func (s *Server) quiet(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.legs) == 0 && len(s.conns) == 0 && now.Sub(s.last) >= drainQuiet
+	for c := range s.conns {
+		if !c.saysNothing() {
+			return false
+		}
+	}
+	return len(s.legs) == 0 && now.Sub(s.last) >= drainQuiet
 }
--- a/internal/callerleg/server.go
+++ b/internal/callerleg/server.go
@@ -48,7 +48,7 @@
 	most  int // open connections
 	conns map[*legConn]struct{}
 	legs  map[core.LegID]chan core.Answer
-	last  time.Time // when the last connection or request came
+	last  time.Time // when the last request came
 
 	complained time.Time // when the last line on a refused request was logged
 	unsaid     int       // refused since then
@@ -115,7 +115,6 @@
 		}
 	}
 	s.conns[c] = struct{}{}
-	s.last = time.Now()
 	s.mu.Unlock()
 	if out != nil {
 		out.Close()
--- a/internal/callerleg/server_test.go
+++ b/internal/callerleg/server_test.go
@@ -197,6 +197,28 @@
 	}
 }
 
+// TestSilentConnectionsDoNotHoldADrain: they keep coming, and the drain ends long before it must.
+func TestSilentConnectionsDoNotHoldADrain(t *testing.T) {
+	f := serve(t, 16)
+	over := make(chan struct{})
+	go func() {
+		f.s.Drain(patience, func() { t.Error("given up") })
+		close(over)
+	}()
+	pace := time.NewTicker(drainPoll)
+	defer pace.Stop()
+	for limit := time.After(patience / 2); ; {
+		select {
+		case <-over:
+			return
+		case <-limit:
+			t.Fatal("the drain goes on")
+		case <-pace.C:
+			f.dial()
+		}
+	}
+}
+
 // TestSlowIsCutOff: a connection owes its first request within a time that no trickle of bytes extends, and one
 // with a caller that waits for its answer does not.
 func TestSlowIsCutOff(t *testing.T) {
@@ -205,13 +227,13 @@
 	waits.send(ask, "hi")
 	leg := f.event().(core.CallArrived).Call.Leg
 	silent, trickle := f.dial(), f.dial()
+	pace := time.NewTicker(readWait / 20)
+	defer pace.Stop()
 	go func() {
-		for i := 0; ; i++ {
+		for range pace.C {
 			if _, err := trickle.Write([]byte("P")); err != nil {
 				return
 			}
-			runtime.Gosched()
-			time.Sleep(readWait / 20) // the pace of the trickle; nothing waits for it
 		}
 	}()
 	if _, err := silent.r.ReadByte(); err != io.EOF {
