Notice a watch that fell silent 1 s after its wait, before its news count as told

Now a watch is refused 1 s after its wait, which leaves a second for the pause and the new call. That this was the one cause is inferred from the log and the figures of the protocol; the break itself was not reproduced.

--- a/internal/routeset/watch.go
+++ b/internal/routeset/watch.go
@@ -16,9 +16,12 @@
 )
 
 const (
-	watchWait   = 20 * time.Second        // how long a watch may wait for news
-	answerWait  = 2500 * time.Millisecond // beyond that, and for dialling: discovery gives a call up after 2 s
-	mostList    = 8 << 20                 // bytes of a list
+	watchWait  = 20 * time.Second        // how long a watch may wait for news
+	answerWait = 2500 * time.Millisecond // for a call that does not wait, and for dialling: discovery gives a call up after 2 s
+	// Danger: 2 s after a watch's wait its news count as told, whether they came or not. A watch that has fallen
+	// silent must be noticed early enough to ask again before that.
+	watchGrace  = time.Second
+	mostList    = 8 << 20 // bytes of a list
 	listPath    = "/v1/servers"
 	serviceHost = "discovery"
 )
@@ -28,6 +31,7 @@
 type Client struct {
 	post func(core.Event)
 	log  logrus.FieldLogger
+	wait time.Duration // that a watch is asked to wait for news
 
 	mu   sync.Mutex
 	stop context.CancelFunc // ends the running watch
@@ -35,7 +39,7 @@
 
 // NewClient makes a client of discovery.
 func NewClient(post func(core.Event), log logrus.FieldLogger) *Client {
-	return &Client{post: post, log: log}
+	return &Client{post: post, log: log, wait: watchWait}
 }
 
 // Watch follows a source's list, in place of any earlier watch, or ends that. It does not block.
@@ -107,7 +111,7 @@
 	}
 	target, wait := listPath, answerWait
 	if since != core.VersionUnknown {
-		target, wait = watchTarget(since), watchWait+answerWait
+		target, wait = watchTarget(since, c.wait), c.wait+watchGrace
 	}
 	if err := link.ask(target, wait); err != nil {
 		link.Close()
@@ -116,9 +120,9 @@
 	return link, nil
 }
 
-func watchTarget(since int64) string {
+func watchTarget(since int64, wait time.Duration) string {
 	return listPath + "?since=" + strconv.FormatInt(since, 10) +
-		"&timeout_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
+		"&timeout_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 }
 
 // conn is a connection to discovery.
