--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,7 +52,8 @@
 	if act == nil || len(s.Classes) == 0 || s.MaxAttempts < 1 || s.Dispatchers < 1 {
 		return nil, errors.New("choice: actions, a class, an attempt and a dispatcher are needed")
 	}
-	d := &Dispatcher{s: s, act: act, rng: rand.New(rand.NewPCG(s.Seed, uint64(s.Self)+1)),
+	pcg := rand.NewPCG(s.Seed, uint64(s.Self)+1)
+	d := &Dispatcher{s: s, act: act, pcg: pcg, rng: rand.New(pcg),
 		byID: map[string]*worker{}, kinds: map[string]*kind{}, reqs: map[string]*request{},
 		waiting: map[uint64]*request{}, moves: map[uint64]*attempt{}, retries: 2, token: listToken,
 		refreshAt: now}
@@ -93,8 +94,7 @@
 	for _, e := range list {
 		w := d.byID[e.ID]
 		if w == nil {
-			w = &worker{kind: d.kindOf(e.Kind), profiles: make([]profile, len(d.classes)),
-				inv: make([]float64, len(d.classes)), n: make([]int, len(d.classes))}
+			w = d.newWorker(d.kindOf(e.Kind))
 			w.resetBudget(now, d.rng.Float64())
 			d.byID[e.ID] = w
 			d.workers = append(d.workers, w)
@@ -144,12 +144,7 @@
 	}
 	for i := range d.classes {
 		c := &d.classes[i]
-		c.all = c.all[:0]
-		for _, w := range d.workers {
-			if w.listed && w.State == InService && !c.KindUnknown && (c.Kind == "" || c.Kind == w.Kind) {
-				c.all = append(c.all, w)
-			}
-		}
+		d.listCandidates(i)
 		if m := d.medianOf(i, nil); m > 0 {
 			c.median = m
 		}
@@ -170,6 +165,17 @@
 	}
 }
 
+// listCandidates lists the workers that a class's jobs may go to.
+func (d *Dispatcher) listCandidates(i int) {
+	c := &d.classes[i]
+	c.all = c.all[:0]
+	for _, w := range d.workers {
+		if w.listed && w.State == InService && !c.KindUnknown && (c.Kind == "" || c.Kind == w.Kind) {
+			c.all = append(c.all, w)
+		}
+	}
+}
+
 func (d *Dispatcher) medianOf(i int, k *kind) float64 {
 	d.scratch = d.scratch[:0]
 	for _, w := range d.classes[i].all {
--- /dev/null
+++ b/choice/snapshot.go
@@ -0,0 +1,401 @@
+package choice
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// Snapshot is all that a Dispatcher remembers, as a value without pointers. Its fields are exported so that any
+// well-kept serialisation can write it down; what can be worked out from others is left out.
+// Times are seconds on the host's clock, which must go on counting where the state is taken up.
+type Snapshot struct {
+	RNG      []byte // of math/rand/v2's PCG
+	Classes  []ClassState
+	Tenants  []TenantState
+	Kinds    []KindState   // in the order in which they were first seen
+	Workers  []WorkerState // sorted by id
+	Gone     []WorkerState // no longer known, but attempts of open requests were theirs
+	Requests []RequestState
+	Moves    []MoveState
+	Scalars  Scalars
+}
+
+// Scalars holds the figures that exist once for each dispatcher.
+type Scalars struct {
+	Token                                                                                   uint64
+	RefreshAt, RefreshedAt, Probes, Retries, Late, PaidMoves, Dear, NoRoom, Took, ListPause float64
+	NextProbe                                                                               int
+	Subscribed, Asked                                                                       bool
+}
+
+// ClassState is what is known of a class.
+type ClassState struct {
+	Name                                         string
+	Sum, Most, Hint, Hints, Median, Run, Fastest float64
+}
+
+// RateState is a decaying sum and the time that it is of.
+type RateState struct{ Sum, At float64 }
+
+// TenantState is what is known of a tenant.
+type TenantState struct {
+	Name string
+	Seen RateState
+}
+
+// KindState is what is known of a machine kind.
+type KindState struct {
+	Name                          string
+	Medians                       []float64 // by class
+	Work, UnitTime                RateState
+	Free, Reports, Carried, Units float64
+}
+
+// ProfileState is a worker's record with one class.
+type ProfileState struct{ Took, Cost, Inv float64 }
+
+// WorkerState is what is known of a worker.
+type WorkerState struct {
+	Worker                                                        Worker
+	Home, Listed                                                  bool
+	Profiles                                                      []ProfileState // by class
+	Out                                                           []AttemptRef   // oldest first
+	LifeAt, Free, FreeAt, FullTill, FullSlots, BarTill, UnsafeTil float64
+	BarSpan, Bad, Credit, Need, ColdAt, ProbedAt                  float64
+}
+
+// AttemptRef names an attempt by its request's place in Snapshot.Requests and its number.
+type AttemptRef struct{ Request, Attempt int }
+
+// RequestState is a request that is open, or has an attempt out.
+type RequestState struct {
+	Request      Request
+	Arrived      float64
+	Over, Excess bool
+	Token        uint64
+	Waiting      bool // for the timer of its token
+	Attempts     []AttemptState
+}
+
+// AttemptState is one attempt of a request.
+type AttemptState struct {
+	Worker                                  int // place in Snapshot.Workers; -1-n for place n in Snapshot.Gone
+	Sent, StartedAt, HeardAt                float64
+	Started, Taken, Spared, Ended, NeverRan bool
+	Listen                                  uint64
+}
+
+// MoveState says that a timer will look at an attempt.
+type MoveState struct {
+	Token   uint64
+	Attempt AttemptRef
+}
+
+// ErrState says that a state can't be taken up. The errors of Restore wrap it and name what is wrong.
+var ErrState = errors.New("choice: state not usable")
+
+// Export returns all that the dispatcher remembers. The dispatcher is not changed and shares nothing with it.
+func (d *Dispatcher) Export() (Snapshot, error) {
+	rng, err := d.pcg.MarshalBinary()
+	if err != nil {
+		return Snapshot{}, fmt.Errorf("choice: random numbers: %w", err)
+	}
+	s := Snapshot{RNG: rng, Scalars: Scalars{Token: d.token, RefreshAt: d.refreshAt, RefreshedAt: d.refreshedAt,
+		Probes: d.probes, Retries: d.retries, Late: d.late, PaidMoves: d.paidMoves, Dear: d.dear, NoRoom: d.noRoom,
+		Took: d.took, ListPause: d.listPause, NextProbe: d.nextProbe, Subscribed: d.subscribed, Asked: d.asked}}
+	for i := range d.classes {
+		c := &d.classes[i]
+		s.Classes = append(s.Classes, ClassState{Name: c.Name, Sum: c.sum, Most: c.most, Hint: c.hint, Hints: c.hints,
+			Median: c.median, Run: c.run, Fastest: c.fastest})
+	}
+	for i := range d.tenants {
+		s.Tenants = append(s.Tenants, TenantState{Name: d.tenants[i].Name, Seen: d.tenants[i].seen.export()})
+	}
+	names := make(map[*kind]string, len(d.kinds))
+	for name, k := range d.kinds {
+		names[k] = name
+	}
+	for _, k := range d.kindList {
+		s.Kinds = append(s.Kinds, KindState{Name: names[k], Medians: slices.Clone(k.medians), Work: k.work.export(),
+			UnitTime: k.unitTime.export(), Free: k.free, Reports: k.reports, Carried: k.carried, Units: k.units})
+	}
+	place := make(map[*worker]int, len(d.workers))
+	for i, w := range d.workers {
+		place[w] = i
+	}
+	open := make([]*request, 0, len(d.reqs))
+	for _, r := range d.reqs {
+		open = append(open, r)
+	}
+	slices.SortFunc(open, func(a, b *request) int { return cmp.Compare(a.ID, b.ID) })
+	number := make(map[*request]int, len(open))
+	for i, r := range open {
+		number[r] = i
+		s.Requests = append(s.Requests, s.exportRequest(r, d.waiting[r.token] == r, place))
+	}
+	for _, w := range d.workers {
+		ws := exportWorker(w)
+		for _, a := range w.out {
+			ws.Out = append(ws.Out, AttemptRef{number[a.req], a.no})
+		}
+		s.Workers = append(s.Workers, ws)
+	}
+	for token, a := range d.moves {
+		// What has ended or is over stays where it is, whenever the timer comes: it need not be kept.
+		if n, ok := number[a.req]; ok && !a.ended && !a.req.over {
+			s.Moves = append(s.Moves, MoveState{token, AttemptRef{n, a.no}})
+		}
+	}
+	slices.SortFunc(s.Moves, func(a, b MoveState) int { return cmp.Compare(a.Token, b.Token) })
+	return s, nil
+}
+
+func (m rate) export() RateState { return RateState{m.sum, m.at} }
+
+func (s *Snapshot) exportRequest(r *request, waiting bool, place map[*worker]int) RequestState {
+	q := RequestState{Request: r.Request, Arrived: r.arrived, Over: r.over, Excess: r.excess, Token: r.token, Waiting: waiting}
+	for _, a := range r.attempts {
+		at, ok := place[a.w]
+		if !ok { // it has left for good; repeats must still keep to its group
+			s.Gone = append(s.Gone, exportWorker(a.w))
+			at = -len(s.Gone)
+			place[a.w] = at
+		}
+		q.Attempts = append(q.Attempts, AttemptState{Worker: at, Sent: a.sent, StartedAt: a.startedAt, HeardAt: a.heardAt,
+			Started: a.started, Taken: a.taken, Spared: a.spared, Ended: a.ended, NeverRan: a.neverRan, Listen: a.listen})
+	}
+	return q
+}
+
+func exportWorker(w *worker) WorkerState {
+	ws := WorkerState{Worker: w.Worker, Home: w.home, Listed: w.listed, LifeAt: w.lifeAt, Free: w.free, FreeAt: w.freeAt,
+		FullTill: w.fullTill, FullSlots: w.fullSlots, BarTill: w.barTill, UnsafeTil: w.unsafeTil, BarSpan: w.barSpan,
+		Bad: w.bad, Credit: w.credit, Need: w.need, ColdAt: w.coldAt, ProbedAt: w.probedAt}
+	for i, p := range w.profiles {
+		ws.Profiles = append(ws.Profiles, ProfileState{p.took, p.cost, w.inv[i]})
+	}
+	return ws
+}
+
+// Restore makes a dispatcher that goes on where the exported one stood: from the same events it takes the
+// same decisions. The settings may differ from the exported one's: classes and tenants are found by name, new
+// ones start afresh, and only a class that has gone with requests of it open is an error. Nothing is asked of
+// act before the first event. A state that does not fit together is an error that wraps ErrState.
+func Restore(s Settings, act Actions, st Snapshot) (*Dispatcher, error) {
+	if len(st.Workers) > 1<<20 || len(st.Requests) > 1<<20 {
+		return nil, fmt.Errorf("%w: %d workers and %d requests", ErrState, len(st.Workers), len(st.Requests))
+	}
+	d, err := New(0, s, muted{act})
+	if err != nil {
+		return nil, err
+	}
+	d.act = act
+	if err := d.pcg.UnmarshalBinary(st.RNG); err != nil {
+		return nil, fmt.Errorf("%w: random numbers: %w", ErrState, err)
+	}
+	x := st.Scalars
+	d.token, d.refreshAt, d.refreshedAt, d.probes, d.retries = x.Token, x.RefreshAt, x.RefreshedAt, x.Probes, x.Retries
+	d.late, d.paidMoves, d.dear, d.noRoom, d.took = x.Late, x.PaidMoves, x.Dear, x.NoRoom, x.Took
+	d.listPause, d.nextProbe, d.subscribed, d.asked = x.ListPause, max(0, x.NextProbe%(1<<21)), x.Subscribed, x.Asked
+	r := restorer{d: d, st: &st, class: make([]int, len(st.Classes))}
+	r.scalars()
+	if err := r.kinds(); err != nil {
+		return nil, err
+	}
+	if err := r.workers(); err != nil {
+		return nil, err
+	}
+	if err := r.requests(); err != nil {
+		return nil, err
+	}
+	return d, r.inFlight()
+}
+
+// muted is an act that asks for nothing, for the time of a start.
+type muted struct{ Actions }
+
+func (muted) Timer(float64, uint64) {}
+
+// restorer holds what the steps of one Restore share.
+type restorer struct {
+	d     *Dispatcher
+	st    *Snapshot
+	class []int // the state's class number -> the dispatcher's; -1 for a class that has gone
+	gone  []*worker
+	open  []*request
+}
+
+// scalars takes up the classes' and tenants' figures by their names.
+func (r *restorer) scalars() {
+	d := r.d
+	for i, c := range r.st.Classes {
+		r.class[i] = slices.IndexFunc(d.classes, func(x class) bool { return x.Name == c.Name })
+		if n := r.class[i]; n >= 0 {
+			to := &d.classes[n]
+			to.sum, to.most, to.hint, to.hints, to.median, to.run, to.fastest = c.Sum, c.Most, c.Hint, c.Hints, c.Median, c.Run, c.Fastest
+		}
+	}
+	for _, t := range r.st.Tenants {
+		if n := slices.IndexFunc(d.tenants, func(x tenant) bool { return x.Name == t.Name }); n >= 0 {
+			d.tenants[n].seen = rate{t.Seen.Sum, t.Seen.At}
+		}
+	}
+}
+
+func (r *restorer) kinds() error {
+	for i, k := range r.st.Kinds {
+		if len(k.Medians) != len(r.class) || r.d.kinds[k.Name] != nil {
+			return fmt.Errorf("%w: kind %d (%q) has %d medians for %d classes, or is there twice", ErrState, i, k.Name,
+				len(k.Medians), len(r.class))
+		}
+		to := r.d.kindOf(k.Name)
+		for j, m := range k.Medians {
+			if n := r.class[j]; n >= 0 {
+				to.medians[n] = m
+			}
+		}
+		to.work, to.unitTime = rate{k.Work.Sum, k.Work.At}, rate{k.UnitTime.Sum, k.UnitTime.At}
+		to.free, to.reports, to.carried, to.units = k.Free, k.Reports, k.Carried, k.Units
+	}
+	return nil
+}
+
+func (r *restorer) workers() error {
+	d := r.d
+	for i, ws := range r.st.Workers {
+		if d.byID[ws.Worker.ID] != nil || i > 0 && d.workers[i-1].ID > ws.Worker.ID {
+			return fmt.Errorf("%w: worker %d (%q) is there twice or out of order", ErrState, i, ws.Worker.ID)
+		}
+		w, err := r.worker(ws)
+		if err != nil {
+			return fmt.Errorf("worker %d: %w", i, err)
+		}
+		d.workers = append(d.workers, w)
+		d.byID[w.ID] = w
+	}
+	for i, ws := range r.st.Gone {
+		w, err := r.worker(ws)
+		if err != nil {
+			return fmt.Errorf("gone worker %d: %w", i, err)
+		}
+		r.gone = append(r.gone, w)
+	}
+	for i := range d.classes {
+		d.listCandidates(i)
+	}
+	return nil
+}
+
+func (r *restorer) worker(ws WorkerState) (*worker, error) {
+	if len(ws.Profiles) != len(r.class) {
+		return nil, fmt.Errorf("%w: %d profiles for %d classes", ErrState, len(ws.Profiles), len(r.class))
+	}
+	k := r.d.kinds[ws.Worker.Kind]
+	if k == nil {
+		return nil, fmt.Errorf("%w: unknown kind %q", ErrState, ws.Worker.Kind)
+	}
+	w := r.d.newWorker(k)
+	w.Worker, w.home, w.listed = ws.Worker, ws.Home, ws.Listed
+	w.lifeAt, w.free, w.freeAt, w.fullTill, w.fullSlots = ws.LifeAt, ws.Free, ws.FreeAt, ws.FullTill, ws.FullSlots
+	w.barTill, w.unsafeTil, w.barSpan, w.bad = ws.BarTill, ws.UnsafeTil, ws.BarSpan, ws.Bad
+	w.credit, w.need, w.coldAt, w.probedAt = ws.Credit, ws.Need, ws.ColdAt, ws.ProbedAt
+	for i, p := range ws.Profiles {
+		if n := r.class[i]; n >= 0 {
+			w.profiles[n], w.inv[n] = profile{p.Took, p.Cost}, p.Inv
+		}
+	}
+	return w, nil
+}
+
+func (r *restorer) requests() error {
+	d := r.d
+	for i, q := range r.st.Requests {
+		if q.Request.Class < 0 || q.Request.Class >= len(r.class) || d.reqs[q.Request.ID] != nil {
+			return fmt.Errorf("%w: request %d (%q) is there twice or of no class", ErrState, i, q.Request.ID)
+		}
+		to := &request{Request: q.Request, arrived: q.Arrived, over: q.Over, excess: q.Excess, token: q.Token}
+		if to.Class = r.class[q.Request.Class]; to.Class < 0 {
+			return fmt.Errorf("%w: a request of class %q is open, which the settings no longer name", ErrState,
+				r.st.Classes[q.Request.Class].Name)
+		}
+		to.Tenant = -1
+		if t := q.Request.Tenant; t >= 0 && t < len(r.st.Tenants) {
+			to.Tenant = slices.IndexFunc(d.tenants, func(x tenant) bool { return x.Name == r.st.Tenants[t].Name })
+		}
+		for no, a := range q.Attempts {
+			w := r.find(a.Worker)
+			if w == nil || a.Worker < 0 && !a.Ended {
+				return fmt.Errorf("%w: request %d: attempt %d is at no worker", ErrState, i, no)
+			}
+			to.attempts = append(to.attempts, &attempt{req: to, no: no, w: w, sent: a.Sent, started: a.Started,
+				startedAt: a.StartedAt, taken: a.Taken, heardAt: a.HeardAt, listen: a.Listen, spared: a.Spared,
+				ended: a.Ended, neverRan: a.NeverRan})
+			if !a.Ended {
+				to.out++
+			}
+		}
+		if q.Waiting {
+			d.waiting[to.token] = to
+		}
+		d.reqs[to.ID] = to
+		r.open = append(r.open, to)
+	}
+	return nil
+}
+
+func (r *restorer) find(place int) *worker {
+	switch {
+	case place >= 0 && place < len(r.d.workers):
+		return r.d.workers[place]
+	case place < 0 && -1-place >= 0 && -1-place < len(r.gone):
+		return r.gone[-1-place]
+	}
+	return nil
+}
+
+// inFlight takes up what is out at each worker and what timers will look at, and counts it.
+func (r *restorer) inFlight() error {
+	d := r.d
+	counted := map[*attempt]bool{}
+	for i, ws := range r.st.Workers {
+		w := d.workers[i]
+		for _, ref := range ws.Out {
+			a := r.attempt(ref)
+			if a == nil || a.ended || a.w != w || counted[a] {
+				return fmt.Errorf("%w: worker %q holds an attempt that is not out there", ErrState, w.ID)
+			}
+			counted[a] = true
+			w.out = append(w.out, a)
+			w.n[a.req.Class]++
+			d.classes[a.req.Class].n++
+		}
+	}
+	out := 0
+	for _, q := range r.open {
+		out += q.out
+	}
+	if out != len(counted) {
+		return fmt.Errorf("%w: %d attempts are out, the workers hold %d", ErrState, out, len(counted))
+	}
+	for _, m := range r.st.Moves {
+		a := r.attempt(m.Attempt)
+		if a == nil {
+			return fmt.Errorf("%w: timer %d looks at no attempt", ErrState, m.Token)
+		}
+		d.moves[m.Token] = a
+	}
+	return nil
+}
+
+func (r *restorer) attempt(ref AttemptRef) *attempt {
+	if ref.Request < 0 || ref.Request >= len(r.open) {
+		return nil
+	}
+	q := r.open[ref.Request]
+	if ref.Attempt < 0 || ref.Attempt >= len(q.attempts) {
+		return nil
+	}
+	return q.attempts[ref.Attempt]
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -129,6 +129,12 @@
 	probedAt  float64
 }
 
+// newWorker makes a worker of which nothing is known yet.
+func (d *Dispatcher) newWorker(k *kind) *worker {
+	n := len(d.classes)
+	return &worker{kind: k, profiles: make([]profile, n), inv: make([]float64, n), n: make([]int, n)}
+}
+
 // resetBudget empties a worker's cold budget, as of its start.
 func (w *worker) resetBudget(now, need float64) { w.credit, w.need, w.coldAt = 0, need, now }
 
@@ -178,6 +184,7 @@
 type Dispatcher struct {
 	s           Settings
 	act         Actions
+	pcg         *rand.PCG // what rng draws from
 	rng         *rand.Rand
 	workers     []*worker
 	byID        map[string]*worker
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -138,7 +138,7 @@
 	r := start(t, choice.Idempotent, "a")
 	q := &request{call: Call{Leg: 3, ID: "r"}, deadline: 4}
 	r.requests["r"], r.legs[3] = q, q
-	r.after(q.deadline, func() { r.expire(q) })
+	r.after(q.deadline, timer{kind: timerExpire, request: "r", leg: 3})
 	expect(t, r.Step(4, Tick{}), fmt.Sprint("answer ", Failed, " "))
 }
 
@@ -300,10 +300,10 @@
 	r := start(t, choice.Idempotent, "a", "b")
 	gone := hops("a", "b")
 	gone[0].State, gone[1].State = HopLeaving, HopLeft
-	r.after(3, func() { host{r}.Assign("r", "a", 0) })
-	q := &request{call: Call{Leg: 3, ID: "r"}, deadline: 9}
-	r.requests["r"] = q
-	expect(t, r.Step(3, RouteSetTold{RouteSet: RouteSet{Version: 2, Hops: gone}}), "core.DropHop", "core.DropHop")
+	r.Step(2, call("r"))
+	r.Step(2.99, BranchFailed{1, TurnedAway})
+	r.Step(2.991, BranchFailed{2, TurnedAway}) // both were full: a timer tries again soon
+	expect(t, r.Step(3.1, RouteSetTold{RouteSet: RouteSet{Version: 2, Hops: gone}}), "core.DropHop", "core.DropHop")
 	expect(t, r.Step(4, RouteSetTold{RouteSet: RouteSet{Version: 3, Hops: gone[:1]}})) // what left before is not dropped again
 
 	r = start(t, choice.AtMostOnce, "a")
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -38,12 +38,7 @@
 	r.emit(SendBranch{Branch: b.id, Request: q.call.ID, Hop: b.hop, Addr: b.addr, Until: until,
 		Message: q.call.Message})
 	if until < q.deadline {
-		r.after(until, func() {
-			if !b.ended {
-				r.giveUp(b)
-				r.endBranch(b, choice.TimedOut, nil)
-			}
-		})
+		r.after(until, timer{kind: timerBranch, branch: b.id})
 	}
 }
 
@@ -74,7 +69,7 @@
 }
 
 func (h host) Timer(delay float64, token uint64) {
-	h.r.after(h.r.now+max(0, delay), func() { h.r.decider.Timer(h.r.now, token) })
+	h.r.after(h.r.now+max(0, delay), timer{kind: timerDecider, token: token})
 }
 
 func (h host) CloseIdle(worker string) {
@@ -83,9 +78,13 @@
 	}
 }
 
-func (h host) Subscribe(on bool) { h.r.emit(Watch{On: on, Source: h.r.source, Since: h.r.version}) }
-func (h host) ListAll()          { h.r.emit(FetchRouteSet{Source: h.r.source}) }
-func (h host) Log(text string)   { h.r.emit(Log{Text: text}) }
+func (h host) Subscribe(on bool) {
+	h.r.watching = on
+	h.r.emit(Watch{On: on, Source: h.r.source, Since: h.r.version})
+}
+
+func (h host) ListAll()        { h.r.emit(FetchRouteSet{Source: h.r.source}) }
+func (h host) Log(text string) { h.r.emit(Log{Text: text}) }
 
 // Probe and Tell have no counterpart on this platform, which allows neither.
 func (h host) Probe(worker string) {
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"fmt"
 	"maps"
+	"slices"
 
 	"foldlb.example/foldlb/choice"
 )
@@ -51,6 +52,7 @@
 	hops     map[HopID]Hop
 	source   Source
 	version  int64 // of the list that the source told
+	watching bool  // a watch of the source was asked for and has not been refused
 	timers   timerHeap
 	timerSeq uint64
 	lastID   BranchID
@@ -61,16 +63,9 @@
 // New starts a reducer from the route set that the dispatcher last held, with discovery's address. The first
 // effects come with the first Step.
 func New(now float64, s choice.Settings, known RouteSet, discovery string) (*Reducer, error) {
-	r := &Reducer{now: now, settings: s, source: Source{Addr: discovery}, classes: map[string]int{}, tenants: map[string]int{},
-		requests: map[RequestID]*request{}, spent: map[RequestID]bool{}, legs: map[LegID]*request{}, branches: map[BranchID]*branch{},
-		hops: map[HopID]Hop{}}
+	r := empty(now, s)
+	r.source = Source{Addr: discovery}
 	s.TellsTaken = true // as BranchTaken
-	for i, c := range s.Classes {
-		r.classes[c.Name] = i
-	}
-	for i, t := range s.Tenants {
-		r.tenants[t.Name] = i
-	}
 	d, err := choice.New(now, s, host{r})
 	if err != nil {
 		return nil, fmt.Errorf("start the decision module: %w", err)
@@ -81,6 +76,19 @@
 	return r, nil
 }
 
+// empty makes a reducer without a decision module.
+func empty(now float64, s choice.Settings) *Reducer {
+	r := &Reducer{now: now, settings: s, classes: map[string]int{}, tenants: map[string]int{}, requests: map[RequestID]*request{},
+		spent: map[RequestID]bool{}, legs: map[LegID]*request{}, branches: map[BranchID]*branch{}, hops: map[HopID]Hop{}}
+	for i, c := range s.Classes {
+		r.classes[c.Name] = i
+	}
+	for i, t := range s.Tenants {
+		r.tenants[t.Name] = i
+	}
+	return r
+}
+
 // Due tells when the reducer next wants a Tick.
 func (r *Reducer) Due() (float64, bool) {
 	if len(r.timers) == 0 {
@@ -123,6 +131,7 @@
 		r.applyRouteSet(ev.RouteSet, form)
 	case RouteSetRefused:
 		if ev.Source == r.source {
+			r.watching = false
 			r.decider.List(r.now, choice.ListRefused, nil)
 		}
 	case Reloaded:
@@ -164,7 +173,7 @@
 		// Danger: a job that was taken before the break runs, and may never be sent again. Its start, if there
 		// is one, is reported at once.
 		b.inDoubt = true
-		r.after(r.now+doubtTime, func() { r.branchFailed(b, f) })
+		r.after(r.now+doubtTime, timer{kind: timerDoubt, branch: b.id, fault: f})
 		return
 	}
 	r.endBranch(b, faultCodes[f], nil)
@@ -196,7 +205,7 @@
 	}
 	q := &request{call: c, deadline: r.now + c.Remaining}
 	r.requests[c.ID], r.legs[c.Leg] = q, q
-	r.after(q.deadline, func() { r.expire(q) })
+	r.after(q.deadline, timer{kind: timerExpire, request: c.ID, leg: c.Leg})
 	r.decider.Request(r.now, choice.Request{ID: string(c.ID), Deadline: q.deadline, Class: class,
 		Tenant: tenant, Key: c.Key, HasKey: c.HasKey, Memory: c.Memory, Slots: c.Slots, Hint: c.Hint,
 		HasHint: c.HasHint, Repeat: c.Repeat})
@@ -212,7 +221,6 @@
 // expire ends a request at its caller's deadline. Open branches time out first, which lets the decider
 // word the answer; where it says nothing the request fails, since no request may go unanswered.
 func (r *Reducer) expire(q *request) {
-	delete(r.spent, q.call.ID)
 	for _, b := range q.branches {
 		if !b.ended {
 			r.giveUp(b)
@@ -234,7 +242,8 @@
 // stop answers all that callers wait for, since nothing will answer it later. Busy is a promise that asking
 // again is harmless, so only what never ran, or may be repeated freely, is told that.
 func (r *Reducer) stop() {
-	for _, q := range r.legs {
+	for _, leg := range slices.Sorted(maps.Keys(r.legs)) { // in order, so that twins do alike
+		q := r.legs[leg]
 		a := Answer{Verdict: Busy, Reason: "stopping"}
 		if len(q.branches) > 0 && r.effect(q) != choice.Idempotent {
 			a.Verdict = Failed
@@ -364,7 +373,8 @@
 		list = append(list, choice.Worker{ID: string(h.ID), Zone: h.Zone, Kind: h.Kind, Cell: h.Cell,
 			State: hopStates[h.State], Share: h.Weight, Started: h.Started})
 	}
-	for id, h := range before {
+	for _, id := range slices.Sorted(maps.Keys(before)) {
+		h := before[id]
 		now, listed := r.hops[id]
 		if h.State == HopActive && (!listed || now.State != HopActive || now.Addr != h.Addr) {
 			r.emit(DropHop{Addr: h.Addr})
@@ -386,15 +396,31 @@
 		return
 	}
 	r.source = Source{Addr: ev.Discovery, No: r.source.No + 1}
-	r.version = VersionUnknown
+	r.version, r.watching = VersionUnknown, true
 	r.emit(Watch{On: true, Source: r.source, Since: r.version})
 }
 
-// timer is a function to be called when its time has come.
+// timerKind says what a timer is for.
+type timerKind uint8
+
+const (
+	timerExpire  timerKind = iota + 1 // a request's deadline
+	timerBranch                       // a branch's end before that
+	timerDoubt                        // the end of the wait for a start that was in doubt
+	timerDecider                      // the decision module's own
+)
+
+// timer says what is to be done when its time has come. It is a record, not a function, so that it can be written
+// down and taken up by another process.
 type timer struct {
-	at  float64
-	seq uint64
-	run func()
+	at      float64
+	seq     uint64
+	kind    timerKind
+	request RequestID // timerExpire
+	leg     LegID     // timerExpire: ids may be used again, legs are not
+	branch  BranchID  // timerBranch, timerDoubt
+	fault   Fault     // timerDoubt
+	token   uint64    // timerDecider
 }
 
 type timerHeap []timer
@@ -413,16 +439,39 @@
 	return t
 }
 
-func (r *Reducer) after(at float64, run func()) {
+// after sets a timer.
+func (r *Reducer) after(at float64, t timer) {
 	r.timerSeq++
-	heap.Push(&r.timers, timer{at: at, seq: r.timerSeq, run: run})
+	t.at, t.seq = at, r.timerSeq
+	heap.Push(&r.timers, t)
 }
 
 // fireTimers runs what is due, up to the last timer set before this step: the decider expects those that it
 // sets meanwhile in a later one.
 func (r *Reducer) fireTimers(last uint64) {
 	for len(r.timers) > 0 && r.timers[0].at <= r.now && r.timers[0].seq <= last {
-		heap.Pop(&r.timers).(timer).run()
+		r.fire(heap.Pop(&r.timers).(timer))
 		r.settle()
 	}
 }
+
+func (r *Reducer) fire(t timer) {
+	switch t.kind {
+	case timerExpire:
+		delete(r.spent, t.request)
+		if q := r.requests[t.request]; q != nil && q.call.Leg == t.leg {
+			r.expire(q)
+		}
+	case timerBranch:
+		if b := r.branches[t.branch]; b != nil {
+			r.giveUp(b)
+			r.endBranch(b, choice.TimedOut, nil)
+		}
+	case timerDoubt:
+		if b := r.branches[t.branch]; b != nil {
+			r.branchFailed(b, t.fault)
+		}
+	case timerDecider:
+		r.decider.Timer(r.now, t.token)
+	}
+}
--- /dev/null
+++ b/internal/core/state.go
@@ -0,0 +1,206 @@
+package core
+
+import (
+	"cmp"
+	"container/heap"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"foldlb.example/foldlb/choice"
+)
+
+// State is all that a reducer remembers, as a value: what a successor needs to go on without a seam. Times are
+// seconds on the dispatcher's clock.
+type State struct {
+	Now      float64
+	Source   Source
+	Version  int64 // of the route set that the source told; VersionUnknown before the first
+	Watching bool
+	Hops     []Hop // by id
+	LastID   BranchID
+	TimerSeq uint64
+	Timers   []TimerState   // in the order in which they come due
+	Requests []RequestState // by id
+	Spent    []RequestID    // ids of requests that have ended, before their deadlines
+	Decider  choice.Snapshot
+}
+
+// TimerState is a timer that is set. Which of the last five fields count depends on Kind.
+type TimerState struct {
+	At      float64
+	Seq     uint64
+	Kind    uint8
+	Request RequestID `cbor:",omitempty"`
+	Leg     LegID     `cbor:",omitempty"`
+	Branch  BranchID  `cbor:",omitempty"`
+	Fault   Fault     `cbor:",omitempty"`
+	Token   uint64    `cbor:",omitempty"`
+}
+
+// RequestState is a request that is unanswered, or has an open branch.
+type RequestState struct {
+	Call     Call
+	Deadline float64
+	Over     bool
+	Branches []BranchState
+}
+
+// BranchState is one attempt of a request.
+type BranchState struct {
+	ID      BranchID
+	Hop     HopID
+	Addr    string
+	Sent    float64
+	Ended   bool
+	Begun   bool
+	InDoubt bool
+}
+
+// ErrState says that a state can't be taken up. Import's errors wrap it and name what does not fit.
+var ErrState = errors.New("core: state not usable")
+
+const (
+	mostNumber = 1 << 62 // of what counts up
+	mostTime   = 1e12    // seconds
+)
+
+func isTime(t float64) bool { return t >= -mostTime && t <= mostTime }
+
+// Export returns all that the reducer remembers, between two steps. Messages' bodies are shared with the
+// reducer, which never writes to them; everything else is a copy.
+func (r *Reducer) Export() (State, error) {
+	decider, err := r.decider.Export()
+	if err != nil {
+		return State{}, err
+	}
+	s := State{Now: r.now, Source: r.source, Version: r.version, Watching: r.watching, LastID: r.lastID,
+		TimerSeq: r.timerSeq, Spent: slices.Sorted(maps.Keys(r.spent)), Decider: decider}
+	for _, id := range slices.Sorted(maps.Keys(r.hops)) {
+		s.Hops = append(s.Hops, r.hops[id])
+	}
+	for _, t := range r.timers {
+		s.Timers = append(s.Timers, TimerState{At: t.at, Seq: t.seq, Kind: uint8(t.kind), Request: t.request, Leg: t.leg,
+			Branch: t.branch, Fault: t.fault, Token: t.token})
+	}
+	slices.SortFunc(s.Timers, func(a, b TimerState) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Seq, b.Seq))
+	})
+	for _, id := range slices.Sorted(maps.Keys(r.requests)) {
+		q := r.requests[id]
+		out := RequestState{Call: q.call, Deadline: q.deadline, Over: q.over}
+		for _, b := range q.branches {
+			out.Branches = append(out.Branches, BranchState{ID: b.id, Hop: b.hop, Addr: b.addr, Sent: b.sent, Ended: b.ended,
+				Begun: b.begun, InDoubt: b.inDoubt})
+		}
+		s.Requests = append(s.Requests, out)
+	}
+	return s, nil
+}
+
+// Import makes a reducer that goes on where the exported one stood: the same events at the same times have the
+// same effects. Classes, tenants and figures of the settings may differ from the exported one's, as
+// choice.Restore says. A state that does not fit together is an error that wraps ErrState or choice.ErrState.
+func Import(s choice.Settings, st State) (*Reducer, error) {
+	// Danger: numbers near their ends would wrap, and a timer that sets itself anew would fire without end; times
+	// that are no numbers compare as neither before nor after.
+	if st.TimerSeq > mostNumber || uint64(st.LastID) > mostNumber || st.Decider.Scalars.Token > mostNumber {
+		return nil, fmt.Errorf("%w: a running number is over %d", ErrState, uint64(mostNumber))
+	}
+	if !isTime(st.Now) {
+		return nil, fmt.Errorf("%w: now is %v", ErrState, st.Now)
+	}
+	r := empty(st.Now, s)
+	r.source, r.version, r.watching, r.lastID, r.timerSeq = st.Source, st.Version, st.Watching, st.LastID, st.TimerSeq
+	for i, h := range st.Hops {
+		if _, twice := r.hops[h.ID]; twice || h.State < HopActive || h.State > HopLeft {
+			return nil, fmt.Errorf("%w: hop %d (%q) is there twice or in no state", ErrState, i, h.ID)
+		}
+		r.hops[h.ID] = h
+	}
+	for _, id := range st.Spent {
+		r.spent[id] = true
+	}
+	for i, q := range st.Requests {
+		if err := r.importRequest(q); err != nil {
+			return nil, fmt.Errorf("request %d: %w", i, err)
+		}
+	}
+	for i, t := range st.Timers {
+		if k := timerKind(t.Kind); k < timerExpire || k > timerDecider || t.Seq > st.TimerSeq || !isTime(t.At) {
+			return nil, fmt.Errorf("%w: timer %d is of unknown kind %d, at no time or out of order", ErrState, i, t.Kind)
+		}
+		r.timers = append(r.timers, timer{at: t.At, seq: t.Seq, kind: timerKind(t.Kind), request: t.Request, leg: t.Leg,
+			branch: t.Branch, fault: t.Fault, token: t.Token})
+	}
+	heap.Init(&r.timers)
+	for i, q := range st.Decider.Requests {
+		if own := r.requests[RequestID(q.Request.ID)]; own == nil || len(own.branches) != len(q.Attempts) {
+			return nil, fmt.Errorf("%w: the decision module's request %d (%q) is not the reducer's", ErrState, i, q.Request.ID)
+		}
+	}
+	s.TellsTaken = true // as BranchTaken
+	d, err := choice.Restore(s, host{r}, st.Decider)
+	if err != nil {
+		return nil, err
+	}
+	r.decider = d
+	return r, nil
+}
+
+func (r *Reducer) importRequest(q RequestState) error {
+	if _, known := r.classes[q.Call.Class]; !known {
+		return fmt.Errorf("%w: it is of class %q, which the settings do not name", ErrState, q.Call.Class)
+	}
+	if r.requests[q.Call.ID] != nil || r.spent[q.Call.ID] || r.legs[q.Call.Leg] != nil {
+		return fmt.Errorf("%w: id %q or leg %d is there twice", ErrState, q.Call.ID, q.Call.Leg)
+	}
+	if !isTime(q.Deadline) {
+		return fmt.Errorf("%w: deadline %v", ErrState, q.Deadline)
+	}
+	to := &request{call: q.Call, deadline: q.Deadline, over: q.Over}
+	for no, b := range q.Branches {
+		if b.ID > r.lastID || r.branches[b.ID] != nil {
+			return fmt.Errorf("%w: branch %d is there twice or not given out yet", ErrState, b.ID)
+		}
+		own := &branch{id: b.ID, no: no, req: to, hop: b.Hop, addr: b.Addr, sent: b.Sent, ended: b.Ended, begun: b.Begun,
+			inDoubt: b.InDoubt}
+		to.branches = append(to.branches, own)
+		if !b.Ended {
+			to.open++
+			r.branches[b.ID] = own
+		}
+	}
+	if to.over && to.open == 0 {
+		return fmt.Errorf("%w: %q is over and has nothing open", ErrState, q.Call.ID)
+	}
+	r.requests[q.Call.ID] = to
+	if !to.over {
+		r.legs[q.Call.Leg] = to
+	}
+	return nil
+}
+
+// Resume returns the effects that a successor performs before its first step: its predecessor's watch does not
+// pass on. What was told meanwhile is told again from the version held.
+func (r *Reducer) Resume() []Effect {
+	if !r.watching {
+		return nil
+	}
+	return []Effect{Watch{On: true, Source: r.source, Since: r.version}}
+}
+
+// Open counts the requests that callers wait for.
+func (r *Reducer) Open() int { return len(r.legs) }
+
+// Open counts the requests that callers wait for.
+func (s *State) Open() int {
+	n := 0
+	for _, q := range s.Requests {
+		if !q.Over {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/snapshot/events.go
@@ -0,0 +1,81 @@
+package snapshot
+
+import (
+	"fmt"
+
+	"foldlb.example/foldlb/internal/core"
+)
+
+// Event carries one of the reducer's events; just one field is set. It is the form in which events that were
+// taken and not applied yet pass from one process to another.
+type Event struct {
+	CallArrived     *core.CallArrived     `cbor:"1,keyasint,omitempty"`
+	CallerLeft      *core.CallerLeft      `cbor:"2,keyasint,omitempty"`
+	HealthAsked     *core.HealthAsked     `cbor:"3,keyasint,omitempty"`
+	BranchFailed    *core.BranchFailed    `cbor:"4,keyasint,omitempty"`
+	BranchTaken     *core.BranchTaken     `cbor:"5,keyasint,omitempty"`
+	JobReported     *core.JobReported     `cbor:"6,keyasint,omitempty"`
+	RouteSetTold    *core.RouteSetTold    `cbor:"7,keyasint,omitempty"`
+	RouteSetRefused *core.RouteSetRefused `cbor:"8,keyasint,omitempty"`
+	Reloaded        *core.Reloaded        `cbor:"9,keyasint,omitempty"`
+	Stopping        *core.Stopping        `cbor:"10,keyasint,omitempty"`
+	Tick            *core.Tick            `cbor:"11,keyasint,omitempty"`
+}
+
+// Pack puts an event into its carrier. An event of a type that is not known here is an error.
+func Pack(ev core.Event) (Event, error) {
+	switch ev := ev.(type) {
+	case core.CallArrived:
+		return Event{CallArrived: &ev}, nil
+	case core.CallerLeft:
+		return Event{CallerLeft: &ev}, nil
+	case core.HealthAsked:
+		return Event{HealthAsked: &ev}, nil
+	case core.BranchFailed:
+		return Event{BranchFailed: &ev}, nil
+	case core.BranchTaken:
+		return Event{BranchTaken: &ev}, nil
+	case core.JobReported:
+		return Event{JobReported: &ev}, nil
+	case core.RouteSetTold:
+		return Event{RouteSetTold: &ev}, nil
+	case core.RouteSetRefused:
+		return Event{RouteSetRefused: &ev}, nil
+	case core.Reloaded:
+		return Event{Reloaded: &ev}, nil
+	case core.Stopping:
+		return Event{Stopping: &ev}, nil
+	case core.Tick:
+		return Event{Tick: &ev}, nil
+	}
+	return Event{}, fmt.Errorf("snapshot: event %T can't be written down", ev)
+}
+
+// Unpack takes the event out of its carrier. A carrier without one is an error that wraps ErrForm.
+func (e Event) Unpack() (core.Event, error) {
+	switch {
+	case e.CallArrived != nil:
+		return *e.CallArrived, nil
+	case e.CallerLeft != nil:
+		return *e.CallerLeft, nil
+	case e.HealthAsked != nil:
+		return *e.HealthAsked, nil
+	case e.BranchFailed != nil:
+		return *e.BranchFailed, nil
+	case e.BranchTaken != nil:
+		return *e.BranchTaken, nil
+	case e.JobReported != nil:
+		return *e.JobReported, nil
+	case e.RouteSetTold != nil:
+		return *e.RouteSetTold, nil
+	case e.RouteSetRefused != nil:
+		return *e.RouteSetRefused, nil
+	case e.Reloaded != nil:
+		return *e.Reloaded, nil
+	case e.Stopping != nil:
+		return *e.Stopping, nil
+	case e.Tick != nil:
+		return *e.Tick, nil
+	}
+	return nil, fmt.Errorf("%w: an event of no known kind", ErrForm)
+}
