--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -18,6 +18,7 @@
 	"foldlb.example/foldlb/internal/callerleg"
 	"foldlb.example/foldlb/internal/config"
 	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
 	"foldlb.example/foldlb/internal/nexthop"
 	"foldlb.example/foldlb/internal/routeset"
 )
@@ -105,13 +106,14 @@
 	var loop *core.Loop
 	post := func(ev core.Event) { loop.Post(ev) }
 	forCallers, forHops := connections(cfg.Limits)
-	legs := callerleg.NewServer(forCallers, post, log)
+	gate := hold.NewGate()
+	legs := callerleg.NewServer(forCallers, gate, post, log)
 	hops := nexthop.NewSender(nexthop.Options{
 		DialTimeout: time.Duration(cfg.Settings.DialTimeout * secondsToNanos),
 		IdleClose:   time.Duration(cfg.Settings.ConnIdle * secondsToNanos),
 		MostConns:   forHops,
-	}, clock, post, log)
-	routes := routeset.NewClient(post, log)
+	}, gate, clock, post, log)
+	routes := routeset.NewClient(gate, post, log)
 	lines := make(chan string, queuedLines)
 	go func() {
 		for text := range lines {
--- a/internal/callerleg/conn.go
+++ b/internal/callerleg/conn.go
@@ -1,23 +1,21 @@
 package callerleg
 
 import (
-	"errors"
-	"io"
-	"net"
-	"os"
 	"sync"
 	"time"
 
-	"foldlb.example/foldlb/internal/tcp"
+	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
 )
 
 // phase is where a connection stands with its current request.
-type phase int
+type phase uint8
 
 const (
-	waiting phase = iota // for the first byte of a request
-	reading              // part of a request has come
-	serving              // the request is being answered
+	waiting   phase = iota // for the first byte of a request
+	reading                // part of a request has come
+	serving                // the request is being answered
+	answering              // the answer is being written
 )
 
 // When a connection may give its place to another one.
@@ -26,66 +24,22 @@
 	partGrace   = 100 * time.Millisecond // for a new one with part of its first request
 )
 
-// legConn is a connection that a caller or a next hop opened. While its request waits for an answer it
-// reads ahead: fasthttp does not say that a caller has closed its leg.
+// legConn is a connection that a caller or a next hop opened.
 type legConn struct {
-	net.Conn
+	*hold.Conn
 	release func(*legConn)
-	freed   func() // told when the connection begins to wait for a request
-
-	mu       sync.Mutex
-	phase    phase
-	proven   bool      // a well-formed request has come on it
-	since    time.Time // when it was opened; once proven, when its phase began
-	closed   bool
-	answered bool // the handler is done, but its answer may not have been written
-
-	ahead   [1]byte
-	hasByte bool
-	err     error
-	stopped chan struct{} // closed when reading ahead has ended
-}
-
-// Read serves the byte that was read ahead first.
-func (c *legConn) Read(p []byte) (int, error) {
-	if c.hasByte && len(p) > 0 {
-		p[0], c.hasByte = c.ahead[0], false
-		c.enter(reading) // it is the first byte of the next request
-		return 1, nil
-	}
-	if c.err != nil {
-		return 0, c.err
-	}
-	c.beginRead()
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.enter(reading)
-	} else if errors.Is(err, os.ErrDeadlineExceeded) && c.silent() {
-		// Danger: fasthttp answers a first request that does not come in time; the answer could cross that
-		// request and be taken for its own. A close crosses without harm.
-		err = io.EOF
-	}
-	return n, err
-}
-
-// silent tells whether nothing of a request has come.
-func (c *legConn) silent() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase == waiting
-}
 
-// beginRead makes the connection wait for its next request once its last answer is out: fasthttp reads on
-// only after writing. Danger: one that counted as idle from the handler's end on could be closed with the
-// answer unwritten.
-func (c *legConn) beginRead() {
-	c.mu.Lock()
-	was := c.answered
-	c.mu.Unlock()
-	if was {
-		c.enter(waiting)
-		c.freed()
-	}
+	mu        sync.Mutex
+	phase     phase
+	proven    bool       // a well-formed request has come on it
+	later     bool       // an answer has been written: what comes next is not its first request
+	since     time.Time  // when it was opened; once proven, when its phase began
+	leg       core.LegID // while a request waits for the reducer's answer
+	old       bool       // the request being served is of HTTP/1.0
+	head      bool       // it is a HEAD
+	ends      bool       // its answer is the last
+	continued bool       // a 100 Continue was written for the request being read
+	closed    bool
 }
 
 // enter begins a phase.
@@ -94,7 +48,7 @@
 	if c.proven && c.phase != p {
 		c.since = time.Now()
 	}
-	c.phase, c.answered = p, false
+	c.phase = p
 	c.mu.Unlock()
 }
 
@@ -105,10 +59,10 @@
 	c.mu.Unlock()
 }
 
-// handled marks that the handler is done.
-func (c *legConn) handled() {
+// serves marks which request of the reducer's the connection waits with.
+func (c *legConn) serves(leg core.LegID) {
 	c.mu.Lock()
-	c.answered = true
+	c.leg = leg
 	c.mu.Unlock()
 }
 
@@ -118,7 +72,7 @@
 	c.closed = true
 	c.mu.Unlock()
 	if was {
-		return net.ErrClosed
+		return nil
 	}
 	err := c.Conn.Close()
 	c.release(c)
@@ -142,9 +96,9 @@
 	defer c.mu.Unlock()
 	held := now.Sub(c.since)
 	switch {
-	case c.closed || c.phase == serving || c.proven && c.phase == reading:
+	case c.closed || c.phase >= serving || c.proven && c.phase == reading:
 		return stays, c.since
-	case c.phase == waiting && !tcp.Silent(c.Conn):
+	case c.phase == waiting && !c.Silent():
 		return stays, c.since
 	case c.proven:
 		return keptIdle, c.since
@@ -159,7 +113,7 @@
 func (c *legConn) idleFor(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.phase != waiting || !tcp.Silent(c.Conn) {
+	if c.closed || c.phase != waiting || !c.Silent() {
 		return 0
 	}
 	return now.Sub(c.since)
@@ -169,28 +123,5 @@
 func (c *legConn) saysNothing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.proven && c.phase == waiting && tcp.Silent(c.Conn)
-}
-
-// watch calls left if the caller closes its leg before unwatch. Danger: the time limit for reading the
-// request still runs; reaching it would end the watch with the caller still there.
-func (c *legConn) watch(left func()) {
-	c.Conn.SetReadDeadline(time.Time{})
-	c.stopped = make(chan struct{})
-	go func() {
-		defer close(c.stopped)
-		n, err := c.Conn.Read(c.ahead[:])
-		c.hasByte = n > 0
-		if ne, ok := err.(net.Error); err != nil && !(ok && ne.Timeout()) {
-			c.err = err
-			left()
-		}
-	}()
-}
-
-// unwatch ends reading ahead.
-func (c *legConn) unwatch() {
-	c.Conn.SetReadDeadline(time.Unix(1, 0)) // wakes the reader; a closed connection wakes by itself
-	<-c.stopped
-	c.Conn.SetReadDeadline(time.Time{})
+	return !c.proven && c.phase == waiting && c.Silent()
 }
--- a/internal/callerleg/server.go
+++ b/internal/callerleg/server.go
@@ -5,7 +5,9 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
 )
 
 const (
@@ -21,6 +24,7 @@
 	pathHealth   = "/healthz"
 
 	mostBody        = 64 << 10
+	mostHeader      = 4 << 10
 	readWait        = 2 * time.Second // for a whole request; for the first one from the connection's start on
 	writeWait       = 5 * time.Second
 	idleWait        = 75 * time.Second
@@ -32,11 +36,18 @@
 	healthWait      = 2 * time.Second
 )
 
+// leg is a request that waits for the reducer's answer.
+type leg struct {
+	conn     *legConn
+	answer   core.Answer
+	answered bool
+}
+
 // Server serves one listener.
 type Server struct {
 	post func(core.Event)
 	log  logrus.FieldLogger
-	http *fasthttp.Server
+	gate *hold.Gate
 
 	freed chan struct{} // wakes the accepting that found no place
 
@@ -44,29 +55,27 @@
 	closing  atomic.Bool // every answer closes its connection
 	lastID   atomic.Uint64
 
-	mu    sync.Mutex
-	most  int // open connections
-	conns map[*legConn]struct{}
-	legs  map[core.LegID]chan core.Answer
-	last  time.Time // when the last request came
+	mu      sync.Mutex
+	most    int // open connections
+	conns   map[*legConn]struct{}
+	pending *legConn // accepted, and waits for a place
+	legs    map[core.LegID]*leg
+	last    time.Time // when the last request came
 
 	complained time.Time // when the last line on a refused request was logged
 	unsaid     int       // refused since then
 }
 
-// NewServer makes a server that holds at most so many connections.
-func NewServer(mostConns int, post func(core.Event), log logrus.FieldLogger) *Server {
-	s := &Server{post: post, log: log, most: mostConns, freed: make(chan struct{}, 1), conns: map[*legConn]struct{}{},
-		legs: map[core.LegID]chan core.Answer{}}
-	s.http = &fasthttp.Server{Handler: s.handle, ErrorHandler: s.unreadable, MaxRequestBodySize: mostBody,
-		DisablePreParseMultipartForm: true, SecureErrorLogMessage: true, ReadTimeout: readWait,
-		WriteTimeout: writeWait, IdleTimeout: idleWait, NoDefaultServerHeader: true, NoDefaultDate: true,
-		NoDefaultContentType: true, Logger: log, CloseOnShutdown: true}
-	return s
+// NewServer makes a server that holds at most so many connections, all behind the gate.
+func NewServer(mostConns int, gate *hold.Gate, post func(core.Event), log logrus.FieldLogger) *Server {
+	return &Server{post: post, log: log, gate: gate, most: mostConns, freed: make(chan struct{}, 1),
+		conns: map[*legConn]struct{}{}, legs: map[core.LegID]*leg{}}
 }
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error {
+	s.gate.Wake()
+	defer s.gate.Rest()
 	for {
 		nc, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -77,23 +86,35 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		c := &legConn{Conn: nc, release: s.release, freed: s.wake, since: time.Now()}
-		for !s.admit(c) {
-			// Danger: closing it here could lose a request that the kernel has taken. What comes later waits
-			// in the kernel's backlog meanwhile, call-backs too: it must not wait on a silent connection.
-			select {
-			case <-s.freed:
-			case <-time.After(placePause):
-			}
+		c := &legConn{Conn: s.gate.Wrap(nc), release: s.release, since: time.Now()}
+		c.SetReadDeadline(c.since.Add(readWait))
+		s.place(c)
+		s.gate.Go(func() { s.serve(c) })
+	}
+}
+
+// place waits until a connection is admitted.
+func (s *Server) place(c *legConn) {
+	for !s.admit(c) {
+		s.setPending(c)
+		s.gate.Rest()
+		// Danger: closing it here could lose a request that the kernel has taken. What comes later waits
+		// in the kernel's backlog meanwhile, call-backs too: it must not wait on a silent connection.
+		select {
+		case <-s.freed:
+		case <-time.After(placePause):
 		}
-		go func() {
-			if err := s.http.ServeConn(c); err != nil {
-				s.log.WithError(err).Debug("connection ended")
-			}
-		}()
+		s.gate.Wake()
+		s.setPending(nil)
 	}
 }
 
+func (s *Server) setPending(c *legConn) {
+	s.mu.Lock()
+	s.pending = c
+	s.mu.Unlock()
+}
+
 // admit counts a connection. When all places are taken it closes another one: the oldest that is overdue with
 // its first request, else the one that has been idle longest. Danger: by age alone usual callers' kept
 // connections would go first when others connect by hundreds and say nothing; so they are spared for as long
@@ -152,136 +173,118 @@
 	return float64(len(s.legs)) >= callerPart*float64(s.most)
 }
 
-func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	c, _ := ctx.Conn().(*legConn)
-	c.enter(serving)
-	defer c.handled()
-	defer func() {
-		if s.closing.Load() { // as of now: the request may have waited since before
-			ctx.SetConnectionClose()
-		}
-	}()
-	if err := checkHead(&ctx.Request.Header); err != nil {
-		s.reject(ctx, err)
-		return
+// handle takes a request. It returns the answer, or says that the connection waits for the reducer's.
+func (s *Server) handle(c *legConn, req *fasthttp.Request) (a answer, waits bool) {
+	if err := checkHead(&req.Header); err != nil {
+		return s.reject(err), false
 	}
-	switch string(ctx.Path()) {
+	path, _, _ := strings.Cut(string(req.RequestURI()), "?")
+	switch path {
 	case pathCallBack:
-		s.callBack(ctx, c)
+		return s.callBack(c, req), false
 	case pathHealth:
-		ctx.SetConnectionClose() // danger: hundreds may ask once and stay
-		s.health(ctx)
+		return s.health(c)
 	default:
-		s.call(ctx, c)
+		return s.call(c, req)
 	}
 }
 
-func (s *Server) callBack(ctx *fasthttp.RequestCtx, c *legConn) {
-	if !ctx.IsPost() {
-		refuse(ctx, fasthttp.StatusMethodNotAllowed, "call-backs are posted")
-		return
+func (s *Server) callBack(c *legConn, req *fasthttp.Request) answer {
+	if !req.Header.IsPost() {
+		return refusal(fasthttp.StatusMethodNotAllowed, "call-backs are posted")
 	}
-	report, err := parseCallBack(ctx.PostBody())
+	report, err := parseCallBack(req.Body())
 	if err != nil {
-		s.reject(ctx, err)
-		return
+		return s.reject(err)
 	}
 	c.prove()
 	s.post(report)
-	ctx.SetStatusCode(fasthttp.StatusOK)
+	return answer{status: fasthttp.StatusOK}
 }
 
-// health asks the reducer itself, so that a 200 shows that it runs.
-func (s *Server) health(ctx *fasthttp.RequestCtx) {
+// health asks the reducer itself, so that a 200 shows that it runs. Danger: hundreds may ask once and stay, so
+// the answer closes the connection.
+func (s *Server) health(c *legConn) (answer, bool) {
 	if s.draining.Load() {
-		refuse(ctx, fasthttp.StatusServiceUnavailable, "draining")
-		return
+		return refusal(fasthttp.StatusServiceUnavailable, "draining"), false
 	}
-	leg, answered := s.open()
-	defer s.close(leg)
-	s.post(core.HealthAsked{Leg: leg})
-	t := time.NewTimer(healthWait)
-	defer t.Stop()
-	select {
-	case a := <-answered:
-		s.write(ctx, a)
-	case <-t.C:
-		refuse(ctx, fasthttp.StatusServiceUnavailable, "not ready")
+	c.mu.Lock()
+	c.ends = true
+	c.mu.Unlock()
+	id := s.open(c)
+	s.post(core.HealthAsked{Leg: id})
+	c.SetReadDeadline(time.Now().Add(healthWait))
+	err := c.Await()
+	if a, answered := s.close(id); answered {
+		return answerOf(a), false
+	} else if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refusal(fasthttp.StatusServiceUnavailable, "not ready"), false
 	}
+	return refusal(fasthttp.StatusServiceUnavailable, "left"), false
 }
 
-// call takes a caller's request and waits for its one final answer.
-func (s *Server) call(ctx *fasthttp.RequestCtx, c *legConn) {
-	if !ctx.IsPost() {
-		refuse(ctx, fasthttp.StatusMethodNotAllowed, "jobs are posted")
-		return
+// call takes a caller's request, which waits for its one final answer.
+func (s *Server) call(c *legConn, req *fasthttp.Request) (answer, bool) {
+	if !req.Header.IsPost() {
+		return refusal(fasthttp.StatusMethodNotAllowed, "jobs are posted"), false
 	}
-	call, err := parseCall(&ctx.Request)
+	call, err := parseCall(req)
 	if err != nil {
-		s.reject(ctx, err)
-		return
+		return s.reject(err), false
 	}
 	c.prove()
 	if s.crowded() {
 		// The last places are kept for call-backs: without them no job that runs would ever be answered.
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, busyRetry)
-		refuse(ctx, fasthttp.StatusServiceUnavailable, "no place left")
-		return
+		a := refusal(fasthttp.StatusServiceUnavailable, "no place left")
+		a.pause = busyRetry
+		return a, false
 	}
-	leg, answered := s.open()
-	defer s.close(leg)
-	call.Leg = leg
+	call.Leg = s.open(c)
+	// Danger: the time limit for reading the request still runs; reaching it would look as if the caller had left.
+	c.SetReadDeadline(time.Time{})
 	s.post(core.CallArrived{Call: call})
-	left := make(chan struct{})
-	c.watch(func() { close(left) })
-	select {
-	case a := <-answered:
-		c.unwatch()
-		s.write(ctx, a)
-	case <-left:
-		c.unwatch()
-		s.post(core.CallerLeft{Leg: leg})
-		ctx.SetConnectionClose()
-	}
+	return answer{}, true
 }
 
-func (s *Server) open() (core.LegID, chan core.Answer) {
-	leg, answered := core.LegID(s.lastID.Add(1)), make(chan core.Answer, 1)
+func (s *Server) open(c *legConn) core.LegID {
+	id := core.LegID(s.lastID.Add(1))
+	c.serves(id)
 	s.mu.Lock()
-	s.legs[leg] = answered
+	s.legs[id] = &leg{conn: c}
 	s.last = time.Now()
 	s.mu.Unlock()
-	return leg, answered
+	return id
 }
 
-func (s *Server) close(leg core.LegID) {
+// close ends a leg, and tells its answer if it has got one.
+func (s *Server) close(id core.LegID) (core.Answer, bool) {
 	s.mu.Lock()
-	delete(s.legs, leg)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	l := s.legs[id]
+	if l == nil {
+		return core.Answer{}, false
+	}
+	delete(s.legs, id)
+	return l.answer, l.answered
 }
 
 // Answer hands a final answer to its caller leg. It does not block.
 func (s *Server) Answer(a core.Answer) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if answered := s.legs[a.Leg]; answered != nil {
-		answered <- a // room for the one answer that a leg gets
-		delete(s.legs, a.Leg)
+	l := s.legs[a.Leg]
+	if l == nil || l.answered {
+		s.mu.Unlock()
+		return
 	}
-}
-
-// refuse answers with an error and closes the connection: what follows on it is in doubt too, and its place
-// is needed. fasthttp's own ctx.Error would drop the headers set before.
-func refuse(ctx *fasthttp.RequestCtx, status int, reason string) {
-	ctx.SetConnectionClose()
-	ctx.SetStatusCode(status)
-	ctx.SetBodyString(reason + "\n")
+	l.answer, l.answered = a, true
+	s.mu.Unlock()
+	l.conn.Interrupt()
 }
 
 // reject answers a request that is at fault itself.
-func (s *Server) reject(ctx *fasthttp.RequestCtx, err error) {
+func (s *Server) reject(err error) answer {
 	s.complain(err)
-	refuse(ctx, fasthttp.StatusBadRequest, err.Error())
+	return refusal(fasthttp.StatusBadRequest, err.Error())
 }
 
 // complain logs that a request was refused. Danger: a line for each would make a flood of bad requests dear.
@@ -300,36 +303,33 @@
 }
 
 // unreadable answers what could not be read as a request.
-func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
+func (s *Server) unreadable(err error) answer {
 	s.complain(err)
 	var small *fasthttp.ErrSmallBuffer
 	var late net.Error
 	switch {
 	case errors.As(err, &late) && late.Timeout():
-		refuse(ctx, fasthttp.StatusRequestTimeout, "request took too long")
+		return refusal(fasthttp.StatusRequestTimeout, "request took too long")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		refuse(ctx, fasthttp.StatusRequestEntityTooLarge, "body too large")
+		return refusal(fasthttp.StatusRequestEntityTooLarge, "body too large")
 	case errors.As(err, &small):
-		refuse(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "headers too large")
+		return refusal(fasthttp.StatusRequestHeaderFieldsTooLarge, "headers too large")
 	default:
-		refuse(ctx, fasthttp.StatusBadRequest, "not a request")
+		return refusal(fasthttp.StatusBadRequest, "not a request")
 	}
 }
 
 var statuses = map[core.Verdict]int{core.Served: fasthttp.StatusOK, core.Busy: fasthttp.StatusServiceUnavailable,
 	core.Failed: fasthttp.StatusBadGateway, core.Rejected: fasthttp.StatusBadRequest}
 
-func (s *Server) write(ctx *fasthttp.RequestCtx, a core.Answer) {
-	ctx.SetStatusCode(statuses[a.Verdict])
-	if a.Verdict == core.Served {
-		ctx.Response.SetBodyRaw(a.Body)
-	} else {
-		ctx.SetBodyString(a.Reason + "\n")
-	}
-	if a.Verdict == core.Rejected {
-		ctx.SetConnectionClose()
+// answerOf words the reducer's answer.
+func answerOf(a core.Answer) answer {
+	out := answer{status: statuses[a.Verdict], body: a.Body, last: a.Verdict == core.Rejected}
+	if a.Verdict != core.Served {
+		out.body = []byte(a.Reason + "\n")
 	}
 	if a.Verdict == core.Busy && a.Pause > 0 {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(a.Pause, 'f', 3, 64))
+		out.pause = strconv.FormatFloat(a.Pause, 'f', 3, 64)
 	}
+	return out
 }
--- a/internal/callerleg/server_test.go
+++ b/internal/callerleg/server_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
 )
 
 const patience = 10 * time.Second // for what must come; nothing is timed
@@ -33,7 +34,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f := &fixture{t: t, ln: ln, events: make(chan core.Event, 64)}
-	f.s = NewServer(most, func(e core.Event) { f.events <- e }, log)
+	f.s = NewServer(most, hold.NewGate(), func(e core.Event) { f.events <- e }, log)
 	go f.s.Serve(ln)
 	t.Cleanup(func() { ln.Close() })
 	return f
@@ -129,29 +130,32 @@
 	}
 }
 
-// TestNextRequestReadAhead: the byte that reading ahead takes belongs to the next request, and a connection
-// with half a request read is not idle.
+// TestNextRequestReadAhead: what a caller sends behind a request that waits belongs to the next one.
 func TestNextRequestReadAhead(t *testing.T) {
-	near, far := net.Pipe()
-	defer far.Close()
-	c := &legConn{Conn: near, freed: func() {}, release: func(*legConn) {}}
-	c.watch(func() { t.Error("left") })
-	if _, err := far.Write([]byte("P")); err != nil { // returns once the byte has been read ahead
-		t.Fatal(err)
-	}
-	c.unwatch()
-	c.handled()
-	b := make([]byte, 8)
-	if n, err := c.Read(b); err != nil || string(b[:n]) != "P" {
-		t.Fatalf("read %q, %v", b[:n], err)
-	}
-	go far.Write([]byte("OST"))
-	c.beginRead()
-	if c.phase != reading {
-		t.Errorf("phase %v with a request half read", c.phase)
-	}
-	if n, err := c.Read(b); err != nil || string(b[:n]) != "OST" {
-		t.Fatalf("read %q, %v", b[:n], err)
+	f := serve(t, 16)
+	c := f.dial()
+	for _, at := range []int{1, 30, len(ask) + 5} { // so much of the next request comes early
+		c.send(ask, "hi")
+		leg := f.event().(core.CallArrived).Call.Leg
+		next := ask + "\r\n\r\nho"
+		if _, err := io.WriteString(c, next[:at]); err != nil {
+			t.Fatal(err)
+		}
+		f.s.Answer(core.Answer{Leg: leg, Verdict: core.Served, Body: []byte("one")})
+		if resp := c.answer(); string(resp.Body()) != "one" {
+			t.Fatalf("answered %s", resp)
+		}
+		if _, err := io.WriteString(c, next[at:]); err != nil {
+			t.Fatal(err)
+		}
+		call := f.event().(core.CallArrived).Call
+		if string(call.Message.Body) != "ho" {
+			t.Fatalf("read as %+v", call)
+		}
+		f.s.Answer(core.Answer{Leg: call.Leg, Verdict: core.Served, Body: []byte("two")})
+		if resp := c.answer(); string(resp.Body()) != "two" {
+			t.Fatalf("answered %s", resp)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/callerleg/state.go
@@ -0,0 +1,111 @@
+package callerleg
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
+)
+
+// State is what a held server's successor needs to go on with its connections.
+type State struct {
+	LastLeg core.LegID
+	Conns   []ConnState
+}
+
+// ConnState is one connection, however far it has come with its current request.
+type ConnState struct {
+	File      int // place of its descriptor
+	Conn      hold.ConnState
+	Phase     uint8
+	Proven    bool
+	Later     bool
+	Continued bool
+	Old       bool
+	Ends      bool
+	Held      float64 // seconds since `since`
+	Leg       core.LegID
+}
+
+// Export tells how far all connections have come. The gate must be held.
+func (s *Server) Export(files *hold.Files) (State, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := State{LastLeg: core.LegID(s.lastID.Load())}
+	all := make([]*legConn, 0, len(s.conns)+1)
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	if s.pending != nil {
+		all = append(all, s.pending)
+	}
+	slices.SortFunc(all, func(a, b *legConn) int { return a.since.Compare(b.since) })
+	for _, c := range all {
+		file, err := files.Add(c)
+		if err != nil {
+			continue // it was closed, and its goroutine will find that
+		}
+		st.Conns = append(st.Conns, ConnState{File: file, Conn: c.Conn.Export(), Phase: uint8(c.phase), Proven: c.proven,
+			Later: c.later, Continued: c.continued, Old: c.old, Ends: c.ends, Held: time.Since(c.since).Seconds(), Leg: c.leg})
+	}
+	return st, nil
+}
+
+// Import takes connections up. The gate must be held; they go on when it is let go.
+func (s *Server) Import(st State, files *hold.Received) error {
+	s.lastID.Store(uint64(st.LastLeg))
+	for i, x := range st.Conns {
+		if phase(x.Phase) > answering || x.Leg > st.LastLeg {
+			return fmt.Errorf("callerleg: connection %d: phase %d, leg %d of %d", i, x.Phase, x.Leg, st.LastLeg)
+		}
+		nc, err := files.Conn(x.File)
+		if err != nil {
+			return fmt.Errorf("callerleg: connection %d: %w", i, err)
+		}
+		c := &legConn{Conn: s.gate.Import(nc, x.Conn), release: s.release, phase: phase(x.Phase), proven: x.Proven, later: x.Later,
+			continued: x.Continued, old: x.Old, ends: x.Ends, leg: x.Leg,
+			since: time.Now().Add(-time.Duration(x.Held * float64(time.Second)))}
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		if c.phase == serving {
+			s.legs[c.leg] = &leg{conn: c}
+		}
+		s.mu.Unlock()
+		s.gate.Go(func() { s.goOn(c, x.Conn.Rest) })
+	}
+	return nil
+}
+
+// goOn serves a connection that was taken up, from where it stood.
+func (s *Server) goOn(c *legConn, rest []byte) {
+	defer c.Close()
+	on := true
+	switch c.phase {
+	case answering:
+		on = s.finish(c, rest)
+	case serving:
+		on = s.await(c)
+	default:
+		if len(rest) > 0 { // of a 100 Continue
+			_, err := c.Write(rest)
+			on = err == nil
+		}
+	}
+	for on {
+		on = s.next(c)
+	}
+}
+
+// Waiting tells the legs that callers wait on, in order.
+func (s *State) Waiting() (legs []core.LegID) {
+	for _, c := range s.Conns {
+		if phase(c.Phase) == serving {
+			legs = append(legs, c.Leg)
+		}
+	}
+	slices.SortFunc(legs, cmp.Compare)
+	return legs
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -16,19 +16,21 @@
 	events  chan Event
 	news    chan Event // discovery's, which must not wait behind the rest
 	done    chan struct{}
+	holds   chan chan struct{} // each closed when the loop may go on
+	backlog []Event            // to be applied before anything that is posted; touched by the loop, or while held
+	watch   func(now float64, ev Event, effects []Effect)
 }
 
 // NewLoop makes a loop. perform is called from the loop's goroutine and must not block or post.
 func NewLoop(r *Reducer, clock func() float64, perform func(Effect)) *Loop {
 	return &Loop{reducer: r, clock: clock, perform: perform, events: make(chan Event, queueLength),
-		news: make(chan Event, 16), done: make(chan struct{})}
+		news: make(chan Event, 16), done: make(chan struct{}), holds: make(chan chan struct{})}
 }
 
 // Post hands an event to the reducer; after the loop's end it is dropped.
 func (l *Loop) Post(ev Event) {
 	queue := l.events
-	switch ev.(type) {
-	case RouteSetTold, RouteSetRefused, Reloaded:
+	if isNews(ev) {
 		queue = l.news
 	}
 	select {
@@ -37,27 +39,31 @@
 	}
 }
 
+// isNews tells what must not wait behind the rest.
+func isNews(ev Event) bool {
+	switch ev.(type) {
+	case RouteSetTold, RouteSetRefused, Reloaded:
+		return true
+	}
+	return false
+}
+
 // Run steps the reducer until the context ends.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
 	wake := time.NewTimer(0)
 	defer wake.Stop()
 	for {
-		var ev Event
-		select { // a drain that was told comes before whatever else waits
-		case ev = <-l.news:
-		default:
-			select {
-			case <-ctx.Done():
-				return
-			case ev = <-l.news:
-			case ev = <-l.events:
-			case <-wake.C:
-				ev = Tick{}
-			}
+		ev, ok := l.next(ctx, wake.C)
+		if !ok {
+			return
 		}
 		now := l.clock()
-		for _, e := range l.reducer.Step(now, ev) {
+		effects := l.reducer.Step(now, ev)
+		if l.watch != nil {
+			l.watch(now, ev, effects)
+		}
+		for _, e := range effects {
 			l.perform(e)
 		}
 		if due, ok := l.reducer.Due(); ok {
@@ -67,3 +73,76 @@
 		}
 	}
 }
+
+// next waits for the next event. It tells false where the context has ended.
+func (l *Loop) next(ctx context.Context, wake <-chan time.Time) (Event, bool) {
+	for {
+		if len(l.backlog) > 0 {
+			ev := l.backlog[0]
+			l.backlog = l.backlog[1:]
+			return ev, true
+		}
+		select { // a drain that was told comes before whatever else waits
+		case ev := <-l.news:
+			return ev, true
+		default:
+		}
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case ev := <-l.news:
+			return ev, true
+		case ev := <-l.events:
+			return ev, true
+		case <-wake:
+			return Tick{}, true
+		case goOn := <-l.holds:
+			<-goOn
+		}
+	}
+}
+
+// Hold stops the loop between two steps and returns the word that lets it go on. It tells false where the loop has
+// ended. While it is held the caller may use the reducer, Drain and Backlog.
+func (l *Loop) Hold() (goOn func(), ok bool) {
+	word := make(chan struct{})
+	select {
+	case l.holds <- word:
+		return func() { close(word) }, true
+	case <-l.done:
+		return nil, false
+	}
+}
+
+// Drain takes all posted events out of the queues into the backlog, news first, so that nobody waits to post. The
+// loop must be held, or not run yet.
+func (l *Loop) Drain() {
+	for {
+		select {
+		case ev := <-l.news:
+			at := 0
+			for at < len(l.backlog) && isNews(l.backlog[at]) {
+				at++
+			}
+			l.backlog = append(l.backlog[:at], append([]Event{ev}, l.backlog[at:]...)...)
+			continue
+		default:
+		}
+		select {
+		case ev := <-l.events:
+			l.backlog = append(l.backlog, ev)
+		default:
+			return
+		}
+	}
+}
+
+// Backlog returns the events that were taken out of the queues and not applied yet. The loop must be held.
+func (l *Loop) Backlog() []Event { return l.backlog }
+
+// Precede puts events before all that are posted. The loop must be held, or not run yet.
+func (l *Loop) Precede(events []Event) { l.backlog = append(events, l.backlog...) }
+
+// Watch has f told of every step, before its effects are performed. f is called from the loop's goroutine and must
+// not block; nil ends it. The loop must be held, or not run yet.
+func (l *Loop) Watch(f func(now float64, ev Event, effects []Effect)) { l.watch = f }
--- /dev/null
+++ b/internal/hold/conn.go
@@ -0,0 +1,345 @@
+package hold
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"foldlb.example/foldlb/internal/tcp"
+)
+
+// place is where a goroutine is parked in a connection.
+type place uint8
+
+const (
+	nowhere place = iota
+	inRead
+	inWrite
+	inAwait // with a byte ahead, so that only Interrupt ends the wait
+)
+
+// Conn is a connection that can be held. One goroutine at a time may read and write it; Interrupt, the deadlines
+// and Close may be called by others.
+//
+// What has been read since the last Mark is kept, so that whoever takes the connection up reads it again.
+type Conn struct {
+	net.Conn
+	gate *Gate
+
+	mu          sync.Mutex
+	cond        *sync.Cond
+	parked      place
+	interrupted bool
+	ahead       []byte // to be read before anything from the kernel
+	taken       []byte // read since the last Mark
+	rest        []byte // not written yet, while parked in a Write
+	readUntil   time.Time
+	writeUntil  time.Time
+}
+
+// Wrap puts a connection behind the gate.
+func (g *Gate) Wrap(c net.Conn) *Conn {
+	h := &Conn{Conn: c, gate: g}
+	h.cond = sync.NewCond(&h.mu)
+	g.add(h)
+	return h
+}
+
+// Read reads what is ahead first.
+func (c *Conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	if len(c.ahead) > 0 && len(p) > 0 {
+		n := copy(p, c.ahead)
+		if n == len(c.ahead) {
+			c.ahead = c.ahead[:0]
+		} else {
+			c.ahead = c.ahead[n:]
+		}
+		c.taken = append(c.taken, p[:n]...)
+		c.mu.Unlock()
+		return n, nil
+	}
+	c.mu.Unlock()
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 {
+			c.mu.Lock()
+			c.taken = append(c.taken, p[:n]...)
+			c.mu.Unlock()
+			return n, err
+		}
+		if !timedOut(err) || !c.park(inRead) {
+			return n, err
+		}
+	}
+}
+
+// park waits while the gate is held, and tells whether it was.
+func (c *Conn) park(at place) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.gate.held.Load() {
+		// Let go between the deadline's passing and now; or it was the caller's own deadline. Danger: a
+		// deadline that the gate had set, and has taken back, must not reach the caller as its own.
+		return !c.ended(at)
+	}
+	c.waitAt(at)
+	return true
+}
+
+// ended tells whether the caller's own deadline has passed; c.mu is held.
+func (c *Conn) ended(at place) bool {
+	until := c.readUntil
+	if at == inWrite {
+		until = c.writeUntil
+	}
+	return !until.IsZero() && !time.Now().Before(until)
+}
+
+// waitAt parks until letGo or Interrupt; c.mu is held.
+func (c *Conn) waitAt(at place) {
+	c.parked = at
+	c.gate.Rest()
+	for c.parked != nowhere {
+		c.cond.Wait()
+	}
+}
+
+// wake ends a park; c.mu is held. Whoever was parked counts as active from here on.
+func (c *Conn) wake() {
+	c.parked = nowhere
+	c.gate.stir()
+	c.cond.Broadcast()
+}
+
+// Write writes all of p. An error may leave part of it written.
+func (c *Conn) Write(p []byte) (int, error) {
+	done := 0
+	for {
+		n, err := c.Conn.Write(p[done:])
+		done += n
+		if done == len(p) {
+			return done, nil
+		}
+		c.mu.Lock()
+		c.rest = p[done:]
+		c.mu.Unlock()
+		on := timedOut(err) && c.park(inWrite)
+		c.mu.Lock()
+		c.rest = nil
+		c.mu.Unlock()
+		if !on {
+			return done, err
+		}
+	}
+}
+
+// firstBytes is how much First reads at once: a usual request whole, without much memory for silent connections.
+const firstBytes = 512
+
+// First waits until something is ahead: the beginning of what the other side says next.
+func (c *Conn) First() error {
+	c.mu.Lock()
+	some, buf := len(c.ahead) > 0, c.ahead
+	c.mu.Unlock()
+	if some {
+		return nil
+	}
+	if cap(buf) < firstBytes {
+		buf = make([]byte, firstBytes)
+	}
+	for {
+		n, err := c.Conn.Read(buf[:firstBytes])
+		if n > 0 {
+			c.mu.Lock()
+			c.ahead = buf[:n]
+			c.mu.Unlock()
+			return nil
+		}
+		if !timedOut(err) || !c.park(inRead) {
+			return err
+		}
+	}
+}
+
+// Await reads ahead until Interrupt is called (nil), or the connection ends (its error). Bytes that come meanwhile
+// stay ahead for the next Read. A read deadline ends it as a Read.
+func (c *Conn) Await() error {
+	var b [1]byte
+	for {
+		c.mu.Lock()
+		if !c.interrupted && len(c.ahead) > 0 {
+			c.waitAt(inAwait)
+		}
+		if c.interrupted {
+			c.interrupted = false
+			c.setRead()
+			c.mu.Unlock()
+			return nil
+		}
+		c.mu.Unlock()
+		n, err := c.Conn.Read(b[:])
+		c.mu.Lock()
+		if n > 0 {
+			c.ahead = append(c.ahead, b[0])
+		}
+		interrupted := c.interrupted
+		c.mu.Unlock()
+		if n == 0 && !interrupted && (!timedOut(err) || !c.park(inRead)) {
+			return err
+		}
+	}
+}
+
+// Interrupt ends an Await, the present one or the next.
+func (c *Conn) Interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = true
+	if c.parked == inRead || c.parked == inAwait {
+		c.wake()
+	} else {
+		c.Conn.SetReadDeadline(past)
+	}
+}
+
+// Mark says that what was read is done with, but for its last n bytes.
+func (c *Conn) Mark(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n == 0 && cap(c.taken) > 1024 {
+		c.taken = nil // silent connections are many
+		return
+	}
+	c.taken = append(c.taken[:0], c.taken[max(0, len(c.taken)-n):]...)
+}
+
+// Unread puts what was read since the last Mark ahead again.
+func (c *Conn) Unread() {
+	c.mu.Lock()
+	c.ahead, c.taken = append(c.taken, c.ahead...), nil
+	c.mu.Unlock()
+}
+
+// Silent tells whether nothing has come on the connection that is not read yet.
+func (c *Conn) Silent() bool {
+	c.mu.Lock()
+	ahead := len(c.ahead) > 0
+	c.mu.Unlock()
+	return !ahead && tcp.Silent(c.Conn)
+}
+
+// SetDeadline sets both deadlines.
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// SetReadDeadline sets the time at which reading fails. While the gate is held it counts from the letting go.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readUntil = t
+	return c.setRead()
+}
+
+// SetWriteDeadline sets the time at which writing fails.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeUntil = t
+	if c.gate.held.Load() {
+		return nil
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// setRead puts the read deadline in force; c.mu is held. Danger: while the gate is held, or an Interrupt has not
+// been taken, it must stay in the past.
+func (c *Conn) setRead() error {
+	if c.gate.held.Load() || c.interrupted {
+		return c.Conn.SetReadDeadline(past)
+	}
+	return c.Conn.SetReadDeadline(c.readUntil)
+}
+
+func (c *Conn) kick() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Conn.SetDeadline(past)
+}
+
+func (c *Conn) letGo() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Conn.SetWriteDeadline(c.writeUntil)
+	c.setRead()
+	if c.parked == inRead || c.parked == inWrite {
+		c.wake()
+	}
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.gate.drop(c)
+	return c.Conn.Close()
+}
+
+// ConnState is a held connection as a value, but for its descriptor.
+type ConnState struct {
+	Ahead   []byte  // to be read before anything from the kernel
+	Rest    []byte  // to be written before anything else
+	ReadIn  float64 // seconds to the read deadline; 0 for none
+	WriteIn float64
+}
+
+// Export tells how far a connection has come. The gate must be held.
+func (c *Conn) Export() ConnState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return ConnState{Ahead: slices.Concat(c.taken, c.ahead), Rest: slices.Clone(c.rest), ReadIn: in(c.readUntil), WriteIn: in(c.writeUntil)}
+}
+
+// in tells the seconds to a deadline; one that has passed is due at once.
+func in(t time.Time) float64 {
+	if t.IsZero() {
+		return 0
+	}
+	return max(1e-6, time.Until(t).Seconds())
+}
+
+// Import takes a connection up from a descriptor's connection. What was left to be written is the caller's to
+// write first.
+func (g *Gate) Import(nc net.Conn, st ConnState) *Conn {
+	c := g.Wrap(nc)
+	c.ahead = st.Ahead
+	if st.ReadIn > 0 {
+		c.readUntil = time.Now().Add(time.Duration(st.ReadIn * float64(time.Second)))
+	}
+	if st.WriteIn > 0 {
+		c.writeUntil = time.Now().Add(time.Duration(st.WriteIn * float64(time.Second)))
+	}
+	c.letGo()
+	return c
+}
+
+// FD calls f with the connection's descriptor, which stays the connection's own.
+func (c *Conn) FD(f func(fd int)) error { return control(c.Conn, f) }
+
+// FD calls f with the listener's descriptor, which stays the listener's own.
+func (l *Listener) FD(f func(fd int)) error { return control(l.TCPListener, f) }
+
+func control(x any, f func(fd int)) error {
+	sc, ok := x.(syscall.Conn)
+	if !ok {
+		return fmt.Errorf("hold: %T has no descriptor", x)
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
+}
--- /dev/null
+++ b/internal/hold/files.go
@@ -0,0 +1,63 @@
+package hold
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+)
+
+// Files lists the descriptors of held connections in the order in which they are passed on. They stay their
+// connections' own, and are good for as long as those are held.
+type Files struct{ FDs []int }
+
+// Add lists the descriptor of a connection or listener and returns its place.
+func (f *Files) Add(x interface{ FD(func(fd int)) error }) (int, error) {
+	if err := x.FD(func(fd int) { f.FDs = append(f.FDs, fd) }); err != nil {
+		return 0, err
+	}
+	return len(f.FDs) - 1, nil
+}
+
+// Received are descriptors that were passed on to this process. Each is taken once.
+type Received struct{ FDs []int } // -1 where taken
+
+// take returns a descriptor as a file; whoever uses it closes it.
+func (r *Received) take(place int) (*os.File, error) {
+	if place < 0 || place >= len(r.FDs) || r.FDs[place] < 0 {
+		return nil, fmt.Errorf("hold: no descriptor at place %d of %d", place, len(r.FDs))
+	}
+	f := os.NewFile(uintptr(r.FDs[place]), "passed on")
+	r.FDs[place] = -1
+	return f, nil
+}
+
+// Conn takes the connection at a place.
+func (r *Received) Conn(place int) (net.Conn, error) {
+	f, err := r.take(place)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close() // the connection has a descriptor of its own
+	return net.FileConn(f)
+}
+
+// Listener takes the listener at a place.
+func (r *Received) Listener(place int) (net.Listener, error) {
+	f, err := r.take(place)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return net.FileListener(f)
+}
+
+// Close closes what nobody has taken.
+func (r *Received) Close() {
+	for i, fd := range r.FDs {
+		if fd >= 0 {
+			syscall.Close(fd)
+			r.FDs[i] = -1
+		}
+	}
+}
--- a/internal/nexthop/conn.go
+++ b/internal/nexthop/conn.go
@@ -2,23 +2,23 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
-	"net"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"foldlb.example/foldlb/internal/tcp"
+	"foldlb.example/foldlb/internal/hold"
 )
 
 const mostAnswer = 64 << 10 // bytes of a next hop's answer
 
 // conn is a connection to a next hop. It carries one exchange at a time.
 type conn struct {
-	net.Conn
+	*hold.Conn
 	addr  string
 	r     *bufio.Reader
-	w     *bufio.Writer
 	since time.Time     // when it became idle
 	age   time.Duration // for how long it was idle before it was taken; 0 for a new one
 }
@@ -26,16 +26,32 @@
 // kept tells whether the connection has carried an exchange before this one.
 func (c *conn) kept() bool { return c.age > 0 }
 
-func newConn(c net.Conn, addr string) *conn {
-	return &conn{Conn: c, addr: addr, r: bufio.NewReader(c), w: bufio.NewWriter(c)}
+func newConn(c *hold.Conn, addr string) *conn {
+	return &conn{Conn: c, addr: addr, r: bufio.NewReader(c)}
 }
 
+// requests are buffers that whole requests are written into. Danger: a request that went out in parts could not be
+// finished by another process, which gets what is left of one Write.
+var requests = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
 // write sends a whole request. An error means that its last byte was not written.
 func (c *conn) write(req *fasthttp.Request) error {
-	if err := req.Write(c.w); err != nil {
+	buf := requests.Get().(*bytes.Buffer)
+	defer requests.Put(buf)
+	buf.Reset()
+	w := bufio.NewWriter(buf)
+	if err := req.Write(w); err != nil {
+		return fmt.Errorf("write to %s: %w", c.addr, err)
+	}
+	if err := w.Flush(); err != nil {
 		return fmt.Errorf("write to %s: %w", c.addr, err)
 	}
-	if err := c.w.Flush(); err != nil {
+	return c.send(buf.Bytes())
+}
+
+// send writes what is left of a request.
+func (c *conn) send(rest []byte) error {
+	if _, err := c.Write(rest); err != nil {
 		return fmt.Errorf("write to %s: %w", c.addr, err)
 	}
 	return nil
@@ -54,6 +70,7 @@
 	if err := resp.ReadLimitBody(c.r, mostAnswer); err != nil {
 		return answer{}, fmt.Errorf("read from %s: %w", c.addr, err)
 	}
+	c.Mark(c.r.Buffered())
 	return answer{status: resp.StatusCode(), turnedAway: string(resp.Header.Peek(headerTurnedAway)) == "1",
 		closes: resp.ConnectionClose()}, nil
 }
@@ -61,5 +78,5 @@
 // fresh reports whether an idle connection is still open and silent. A request written to one that the
 // next hop has closed would end as a reset, after which most classes must not be tried again.
 func (c *conn) fresh() bool {
-	return c.r.Buffered() == 0 && tcp.Silent(c.Conn)
+	return c.r.Buffered() == 0 && c.Silent()
 }
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
 )
 
 const (
@@ -46,7 +47,15 @@
 	cancel  context.CancelFunc // ends a dial
 	conn    *conn              // once it is open
 	written bool               // writing has begun
-	over    bool               // given up or dropped: its connection is closed by whoever holds it
+	branch  core.SendBranch
+	over    bool // given up or dropped: its connection is closed by whoever holds it
+}
+
+// giving is a giving up that its next hop has not confirmed yet.
+type giving struct {
+	what core.GiveUpBranch
+	conn *conn         // once it is open
+	told chan struct{} // closed at the end
 }
 
 // job names a request at one next hop.
@@ -57,6 +66,7 @@
 
 // Sender sends branches. Its methods do not block.
 type Sender struct {
+	gate  *hold.Gate
 	pool  *pool
 	clock func() float64
 	post  func(core.Event)
@@ -65,15 +75,15 @@
 
 	mu        sync.Mutex
 	exchanges map[core.BranchID]*exchange
-	givingUp  map[job]chan struct{} // closed when the next hop has been told
+	givingUp  map[job]*giving
 }
 
-// NewSender makes a sender that reports through post.
-func NewSender(o Options, clock func() float64, post func(core.Event), log logrus.FieldLogger) *Sender {
+// NewSender makes a sender that reports through post, with all its connections behind the gate.
+func NewSender(o Options, gate *hold.Gate, clock func() float64, post func(core.Event), log logrus.FieldLogger) *Sender {
 	idleFor := time.Duration(float64(o.IdleClose) * idlePart)
-	return &Sender{pool: newPool(o.DialTimeout, idleFor, o.MostConns), clock: clock, post: post, log: log,
+	return &Sender{gate: gate, pool: newPool(gate, o.DialTimeout, idleFor, o.MostConns), clock: clock, post: post, log: log,
 		slots: make(chan struct{}, mostGiveUps), exchanges: map[core.BranchID]*exchange{},
-		givingUp: map[job]chan struct{}{}}
+		givingUp: map[job]*giving{}}
 }
 
 // Run retires idle connections until the context ends.
@@ -85,7 +95,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
+			s.gate.Wake()
 			s.pool.retire(now)
+			s.gate.Rest()
 		}
 	}
 }
@@ -93,26 +105,33 @@
 // Send starts a branch.
 func (s *Sender) Send(b core.SendBranch) {
 	ctx, cancel := context.WithCancel(context.Background())
-	x := &exchange{addr: b.Addr, cancel: cancel}
+	x := &exchange{addr: b.Addr, cancel: cancel, branch: b}
 	s.mu.Lock()
 	s.exchanges[b.Branch] = x
 	earlier := s.givingUp[job{b.Addr, b.Request}]
 	s.mu.Unlock()
-	go func() {
+	s.gate.Go(func() {
 		defer cancel()
 		if earlier != nil {
 			// A next hop takes one attempt of a request at a time: it must first hear that the last is over.
+			s.gate.Rest()
 			select {
-			case <-earlier:
+			case <-earlier.told:
 			case <-ctx.Done():
 			}
+			s.gate.Wake()
 		}
-		if fault, failed := s.exchange(ctx, x, b); failed {
-			s.post(core.BranchFailed{Branch: b.Branch, Fault: fault})
-		} else {
-			s.post(core.BranchTaken{Branch: b.Branch})
-		}
-	}()
+		s.report(b.Branch, func() (core.Fault, bool) { return s.exchange(ctx, x, b) })
+	})
+}
+
+// report posts how an exchange ended.
+func (s *Sender) report(id core.BranchID, exchange func() (core.Fault, bool)) {
+	if fault, failed := exchange(); failed {
+		s.post(core.BranchFailed{Branch: id, Fault: fault})
+	} else {
+		s.post(core.BranchTaken{Branch: id})
+	}
 }
 
 // exchange runs a branch up to the next hop's answer, and tells its fault if the job was not taken.
@@ -138,14 +157,24 @@
 		err = s.write(c, b)
 	}
 	if err != nil {
-		s.pool.discard(c)
-		s.log.WithError(err).WithField("hop", b.Hop).Debug("request not written")
-		if c.kept() {
-			s.pool.tried(c, true)
-			return core.NotSent, true
-		}
-		return core.Cut, true
+		return s.unwritten(c, b, err), true
 	}
+	return s.hear(x, c, b)
+}
+
+// unwritten ends an exchange whose request was not written to its end.
+func (s *Sender) unwritten(c *conn, b core.SendBranch, err error) core.Fault {
+	s.pool.discard(c)
+	s.log.WithError(err).WithField("hop", b.Hop).Debug("request not written")
+	if c.kept() {
+		s.pool.tried(c, true)
+		return core.NotSent
+	}
+	return core.Cut
+}
+
+// hear reads the next hop's answer to a request that was written.
+func (s *Sender) hear(x *exchange, c *conn, b core.SendBranch) (core.Fault, bool) {
 	a, err := c.read()
 	if err != nil {
 		s.pool.discard(c)
@@ -245,23 +274,29 @@
 	if s.givingUp[key] != nil || len(s.givingUp) >= mostWaiting {
 		return
 	}
-	told := make(chan struct{})
-	s.givingUp[key] = told
-	go func() {
+	x := &giving{what: g, told: make(chan struct{})}
+	s.givingUp[key] = x
+	s.gate.Go(func() {
+		s.gate.Rest()
 		s.slots <- struct{}{}
-		err := s.delete(g)
-		for i := 1; err != nil && i < mostTells; i++ {
-			err = s.delete(g) // danger: untold, the next hop runs on what another one may be given
-		}
-		if err != nil {
-			s.log.WithError(err).WithField("hop", g.Hop).Debug("giving up not delivered")
-		}
-		<-s.slots
-		s.mu.Lock()
-		delete(s.givingUp, key)
-		s.mu.Unlock()
-		close(told)
-	}()
+		s.gate.Wake()
+		s.giveUp(x, s.delete(x))
+	})
+}
+
+// giveUp tries a giving up again where its first try failed, and ends it. It holds a slot.
+func (s *Sender) giveUp(x *giving, err error) {
+	for i := 1; err != nil && i < mostTells; i++ {
+		err = s.delete(x) // danger: untold, the next hop runs on what another one may be given
+	}
+	if err != nil {
+		s.log.WithError(err).WithField("hop", x.what.Hop).Debug("giving up not delivered")
+	}
+	<-s.slots
+	s.mu.Lock()
+	delete(s.givingUp, job{x.what.Addr, x.what.Request})
+	s.mu.Unlock()
+	close(x.told)
 }
 
 // abandon ends an exchange; s.mu is held.
@@ -273,10 +308,10 @@
 	}
 }
 
-func (s *Sender) delete(g core.GiveUpBranch) error {
+func (s *Sender) delete(x *giving) error {
 	ctx, cancel := context.WithTimeout(context.Background(), giveUpWait)
 	defer cancel()
-	c, err := s.pool.get(ctx, g.Addr)
+	c, err := s.pool.get(ctx, x.what.Addr)
 	if err != nil {
 		return err
 	}
@@ -287,18 +322,33 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(fasthttp.MethodDelete)
-	req.Header.SetRequestURI(jobPath + string(g.Request))
-	req.Header.SetHost(g.Addr)
+	req.Header.SetRequestURI(jobPath + string(x.what.Request))
+	req.Header.SetHost(x.what.Addr)
+	s.holds(x, c)
 	if err := c.write(req); err != nil {
+		s.holds(x, nil)
 		s.pool.discard(c)
 		return err
 	}
+	return s.confirmed(x, c)
+}
+
+// confirmed reads the next hop's answer to a giving up.
+func (s *Sender) confirmed(x *giving, c *conn) error {
 	a, err := c.read()
+	s.holds(x, nil)
 	s.pool.tried(c, err != nil)
 	s.pool.giveBack(c, err != nil || a.closes)
 	return err
 }
 
+// holds notes the connection that a giving up uses now.
+func (s *Sender) holds(x *giving, c *conn) {
+	s.mu.Lock()
+	x.conn = c
+	s.mu.Unlock()
+}
+
 // SetMost changes how many connections next hops may hold.
 func (s *Sender) SetMost(conns int) { s.pool.setMost(conns) }
 
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/nexthop/nexthop_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
 )
 
 const patience = 10 * time.Second // for what must come; nothing is timed
@@ -97,7 +98,7 @@
 	if o.MostConns == 0 {
 		o.MostConns = 8
 	}
-	return NewSender(o, func() float64 { return 0 }, func(e core.Event) {
+	return NewSender(o, hold.NewGate(), func() float64 { return 0 }, func(e core.Event) {
 		if _, taken := e.(core.BranchTaken); !taken { // a fixture's connections tell those themselves
 			events <- e
 		}
--- a/internal/nexthop/pool.go
+++ b/internal/nexthop/pool.go
@@ -9,6 +9,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"foldlb.example/foldlb/internal/hold"
 )
 
 // errBudget says that all connections that next hops may hold are in use.
@@ -36,6 +38,7 @@
 
 // pool keeps the idle connections and counts all of them.
 type pool struct {
+	gate        *hold.Gate
 	dialTimeout time.Duration
 	idleFor     time.Duration // an idle connection is closed after this at the latest
 
@@ -47,8 +50,8 @@
 	idle  map[string][]*conn // by address; the one used last is at the end
 }
 
-func newPool(dialTimeout, idleFor time.Duration, most int) *pool {
-	return &pool{dialTimeout: dialTimeout, idleFor: idleFor, limit: idleFor, most: most, idle: map[string][]*conn{}}
+func newPool(gate *hold.Gate, dialTimeout, idleFor time.Duration, most int) *pool {
+	return &pool{gate: gate, dialTimeout: dialTimeout, idleFor: idleFor, limit: idleFor, most: most, idle: map[string][]*conn{}}
 }
 
 // tried learns from how a kept connection fared at its next request. Danger: a machine may forget connections
@@ -98,12 +101,15 @@
 		return nil, errBudget
 	}
 	d := net.Dialer{Timeout: p.dialTimeout}
+	// While it dials it rests: nothing has been sent, and where the gate is held the other process dials anew.
+	p.gate.Rest()
 	nc, err := d.DialContext(ctx, "tcp", addr)
+	p.gate.Wake()
 	if err != nil {
 		p.unreserve()
 		return nil, fmt.Errorf("connect to next hop: %w", err)
 	}
-	return newConn(nc, addr), nil
+	return newConn(p.gate.Wrap(nc), addr), nil
 }
 
 func (p *pool) takeIdle(addr string) *conn {
--- /dev/null
+++ b/internal/routeset/state.go
@@ -0,0 +1,62 @@
+package routeset
+
+import (
+	"context"
+	"fmt"
+
+	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
+)
+
+// State is the watch that a held client's successor goes on with; nothing where none waits.
+type State struct {
+	Watch *WatchState `cbor:",omitempty"`
+}
+
+// WatchState is a call that waits for news, or whose answer has come in part.
+type WatchState struct {
+	File  int // place of its descriptor
+	Conn  hold.ConnState
+	From  core.Source
+	Since int64
+}
+
+// Export tells which watch waits. The gate must be held.
+func (c *Client) Export(files *hold.Files) State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watch == nil {
+		return State{}
+	}
+	file, err := files.Add(c.watch.link)
+	if err != nil {
+		return State{} // it has just been closed, and is asked for anew
+	}
+	return State{&WatchState{File: file, Conn: c.watch.link.Conn.Export(), From: c.watch.from, Since: c.watch.since}}
+}
+
+// Import takes a watch up, and tells whether there was one. The gate must be held; it goes on when that is let go.
+// Danger: news that had been written to the old connection would be lost with it, and they count as told.
+func (c *Client) Import(st State, files *hold.Received) (bool, error) {
+	if st.Watch == nil {
+		return false, nil
+	}
+	nc, err := files.Conn(st.Watch.File)
+	if err != nil {
+		return false, fmt.Errorf("routeset: %w", err)
+	}
+	link := newConn(c.gate.Import(nc, st.Watch.Conn))
+	ctx, stop := context.WithCancel(context.Background())
+	context.AfterFunc(ctx, func() { link.Close() })
+	c.mu.Lock()
+	c.stop = stop
+	c.mu.Unlock()
+	c.gate.Go(func() {
+		var err error
+		if rest := st.Watch.Conn.Rest; len(rest) > 0 {
+			_, err = link.Write(rest)
+		}
+		c.follow(ctx, link, err, st.Watch.From, st.Watch.Since)
+	})
+	return true, nil
+}
--- a/internal/routeset/watch.go
+++ b/internal/routeset/watch.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -13,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
 )
 
 const (
@@ -33,13 +36,23 @@
 	log  logrus.FieldLogger
 	wait time.Duration // that a watch is asked to wait for news
 
-	mu   sync.Mutex
-	stop context.CancelFunc // ends the running watch
+	gate *hold.Gate
+
+	mu    sync.Mutex
+	stop  context.CancelFunc // ends the running watch
+	watch *watch             // the running one, once its call is written
+}
+
+// watch is a call that waits for news.
+type watch struct {
+	link  *conn
+	from  core.Source
+	since int64
 }
 
-// NewClient makes a client of discovery.
-func NewClient(post func(core.Event), log logrus.FieldLogger) *Client {
-	return &Client{post: post, log: log, wait: watchWait}
+// NewClient makes a client of discovery, with its connections behind the gate.
+func NewClient(gate *hold.Gate, post func(core.Event), log logrus.FieldLogger) *Client {
+	return &Client{gate: gate, post: post, log: log, wait: watchWait}
 }
 
 // Watch follows a source's list, in place of any earlier watch, or ends that. It does not block.
@@ -48,18 +61,21 @@
 	defer c.mu.Unlock()
 	if c.stop != nil {
 		c.stop()
-		c.stop = nil
+		c.stop, c.watch = nil, nil
 	}
 	if w.On {
 		ctx, stop := context.WithCancel(context.Background())
 		c.stop = stop
-		go c.watch(ctx, w.Source, w.Since)
+		c.gate.Go(func() {
+			link, err := c.ask(ctx, nil, w.Source, w.Since)
+			c.follow(ctx, link, err, w.Source, w.Since)
+		})
 	}
 }
 
 // Fetch asks a source for the whole list, once. It does not block.
 func (c *Client) Fetch(f core.FetchRouteSet) {
-	go func() {
+	c.gate.Go(func() {
 		link, err := c.ask(context.Background(), nil, f.Source, core.VersionUnknown)
 		if err == nil {
 			defer link.Close()
@@ -70,7 +86,7 @@
 			}
 		}
 		c.refused(f.Source, err)
-	}()
+	})
 }
 
 func (c *Client) refused(from core.Source, err error) {
@@ -78,11 +94,12 @@
 	c.post(core.RouteSetRefused{Source: from})
 }
 
-// watch asks again and again on one connection of its own. The next call is written before the last answer
-// is passed on: discovery takes a watch that is not renewed within 200 ms for a new one.
-func (c *Client) watch(ctx context.Context, from core.Source, since int64) {
-	link, err := c.ask(ctx, nil, from, since)
+// follow reads the answers of a watch and asks again and again, on one connection of its own. The next call is
+// written before the last answer is passed on: discovery takes a watch that is not renewed within 200 ms for a new
+// one.
+func (c *Client) follow(ctx context.Context, link *conn, err error, from core.Source, since int64) {
 	for err == nil {
+		c.waits(ctx, &watch{link, from, since})
 		var set core.RouteSet
 		if set, err = link.answer(); err != nil {
 			link.Close()
@@ -92,11 +109,21 @@
 		link, err = c.ask(ctx, link, from, since)
 		c.post(core.RouteSetTold{Source: from, RouteSet: set})
 	}
+	c.waits(ctx, nil)
 	if ctx.Err() == nil {
 		c.refused(from, err)
 	}
 }
 
+// waits notes the call that a watch waits on, unless another watch has taken its place.
+func (c *Client) waits(ctx context.Context, w *watch) {
+	c.mu.Lock()
+	if ctx.Err() == nil {
+		c.watch = w
+	}
+	c.mu.Unlock()
+}
+
 // ask writes the next call, on a new connection where discovery has closed the last one.
 func (c *Client) ask(ctx context.Context, link *conn, from core.Source, since int64) (*conn, error) {
 	if link == nil || link.closes {
@@ -104,7 +131,7 @@
 			link.Close()
 		}
 		var err error
-		if link, err = dial(ctx, from.Addr); err != nil {
+		if link, err = c.dial(ctx, from.Addr); err != nil {
 			return nil, err
 		}
 		context.AfterFunc(ctx, func() { link.Close() })
@@ -127,21 +154,24 @@
 
 // conn is a connection to discovery.
 type conn struct {
-	net.Conn
+	*hold.Conn
 	r      *bufio.Reader
-	w      *bufio.Writer
 	closes bool // discovery closes it after its last answer
 }
 
-func dial(ctx context.Context, addr string) (*conn, error) {
+func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
 	d := net.Dialer{Timeout: answerWait}
-	c, err := d.DialContext(ctx, "tcp", addr)
+	c.gate.Rest() // nothing is asked yet: where the gate is held the other process dials anew
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	c.gate.Wake()
 	if err != nil {
 		return nil, fmt.Errorf("connect to discovery: %w", err)
 	}
-	return &conn{Conn: c, r: bufio.NewReader(c), w: bufio.NewWriter(c)}, nil
+	return newConn(c.gate.Wrap(nc)), nil
 }
 
+func newConn(c *hold.Conn) *conn { return &conn{Conn: c, r: bufio.NewReader(c)} }
+
 // ask writes a call whose answer must be there within the wait.
 func (c *conn) ask(target string, wait time.Duration) error {
 	req := fasthttp.AcquireRequest()
@@ -151,10 +181,13 @@
 	if err := c.SetDeadline(time.Now().Add(wait)); err != nil {
 		return fmt.Errorf("ask discovery: %w", err)
 	}
-	if err := req.Write(c.w); err != nil {
+	// Danger: a call that went out in parts could not be finished by another process.
+	var text bytes.Buffer
+	w := bufio.NewWriter(&text)
+	if err := errors.Join(req.Write(w), w.Flush()); err != nil {
 		return fmt.Errorf("ask discovery: %w", err)
 	}
-	if err := c.w.Flush(); err != nil {
+	if _, err := c.Write(text.Bytes()); err != nil {
 		return fmt.Errorf("ask discovery: %w", err)
 	}
 	return nil
@@ -167,6 +200,7 @@
 	if err := resp.ReadLimitBody(c.r, mostList); err != nil {
 		return core.RouteSet{}, fmt.Errorf("discovery's answer: %w", err)
 	}
+	c.Mark(c.r.Buffered())
 	c.closes = resp.ConnectionClose()
 	if code := resp.StatusCode(); code != fasthttp.StatusOK {
 		return core.RouteSet{}, fmt.Errorf("discovery's answer: status %d", code)
--- a/internal/routeset/watch_test.go
+++ b/internal/routeset/watch_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
 )
 
 // TestSilentWatchIsRefusedInTime: discovery takes a watch and says nothing. That must end as a refusal, which has
@@ -26,7 +27,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	events := make(chan core.Event, 1)
-	c := NewClient(func(e core.Event) { events <- e }, log)
+	c := NewClient(hold.NewGate(), func(e core.Event) { events <- e }, log)
 	c.wait = time.Millisecond
 	from := core.Source{Addr: ln.Addr().String(), No: 3}
 	c.Watch(core.Watch{On: true, Source: from, Since: 7})
