--- /dev/null
+++ b/cmd/foldlb/node.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"foldlb.example/foldlb/internal/callerleg"
+	"foldlb.example/foldlb/internal/config"
+	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
+	"foldlb.example/foldlb/internal/nexthop"
+	"foldlb.example/foldlb/internal/routeset"
+	"foldlb.example/foldlb/internal/upgrade"
+)
+
+// node is one dispatcher's parts.
+type node struct {
+	cfg    config.Config
+	log    logrus.FieldLogger
+	gate   *hold.Gate
+	loop   *core.Loop
+	legs   *callerleg.Server
+	hops   *nexthop.Sender
+	routes *routeset.Client
+	body   *upgrade.Body
+	giver  *upgrade.Giver // nil where upgrades are off
+	lines  chan string    // of the reducer's log
+
+	begins    func() // called when the node begins to serve; nil for nothing
+	configure func() // reads the operator file again; nil where there is none
+}
+
+// build makes the parts around a reducer. Nothing runs yet.
+func build(cfg config.Config, reducer *core.Reducer, clock upgrade.Clock, log logrus.FieldLogger) *node {
+	setMachine(cfg.Limits)
+	n := &node{cfg: cfg, log: log, gate: hold.NewGate(), lines: make(chan string, queuedLines)}
+	n.loop = core.NewLoop(reducer, clock.Now, n.perform)
+	forCallers, forHops := connections(cfg.Limits)
+	n.legs = callerleg.NewServer(forCallers, n.gate, n.loop.Post, log)
+	n.hops = nexthop.NewSender(nexthop.Options{
+		DialTimeout: time.Duration(cfg.Settings.DialTimeout * secondsToNanos),
+		IdleClose:   time.Duration(cfg.Settings.ConnIdle * secondsToNanos),
+		MostConns:   forHops,
+	}, n.gate, clock.Now, n.loop.Post, log)
+	n.routes = routeset.NewClient(n.gate, n.loop.Post, log)
+	n.body = &upgrade.Body{Loop: n.loop, Reducer: reducer, Gate: n.gate, Clock: clock, Generation: 1, Started: time.Now(),
+		Parts: []upgrade.Part{
+			upgrade.NewPart("callers", n.legs.Export, n.legs.Import),
+			upgrade.NewPart("next hops", n.hops.Export, n.hops.Import),
+			upgrade.NewPart("routes", n.routes.Export, n.routes.Import),
+		}}
+	return n
+}
+
+// perform carries an effect out.
+func (n *node) perform(e core.Effect) {
+	switch e := e.(type) {
+	case core.Answer:
+		n.legs.Answer(e)
+	case core.SendBranch:
+		n.hops.Send(e)
+	case core.GiveUpBranch:
+		n.hops.GiveUp(e)
+	case core.CloseIdle:
+		n.hops.CloseIdle(e.Addr)
+	case core.DropHop:
+		n.hops.Drop(e.Addr)
+	case core.Watch:
+		n.routes.Watch(e)
+	case core.FetchRouteSet:
+		n.routes.Fetch(e)
+	case core.SetLimits:
+		setMachine(e.Limits)
+		callers, next := connections(e.Limits)
+		n.legs.SetMost(callers)
+		n.hops.SetMost(next)
+	case core.Log:
+		select {
+		case n.lines <- e.Text:
+		default: // danger: a log that nobody reads would stop the reducer
+		}
+	}
+}
+
+// take takes everything up that another process hands over, and returns when it is this one's own.
+func (n *node) take(t *upgrade.Taken) error {
+	if err := n.gate.Hold(time.Second, nil); err != nil {
+		return err
+	}
+	n.loop.Precede(t.Backlog)
+	n.body.Generation, n.body.Started = t.Parcel.Generation, t.Started()
+	if err := t.Import(n.body.Parts); err != nil {
+		return err
+	}
+	return t.Go()
+}
+
+// serve runs the parts until the word to stop, and until all that was taken is answered.
+func (n *node) serve(ctx context.Context, ln *net.TCPListener, reload <-chan os.Signal, hup bool) error {
+	held := n.gate.Listen(ln)
+	n.body.Listener = held
+	background, end := context.WithCancel(context.Background())
+	defer end()
+	served := make(chan error, 1)
+	go func() { served <- n.legs.Serve(held) }()
+	go n.hops.Run(background)
+	go func() {
+		for text := range n.lines {
+			n.log.Info(text)
+		}
+	}()
+	n.gate.Release()
+	if !n.routes.Watching() {
+		for _, e := range n.body.Reducer.Resume() {
+			n.perform(e)
+		}
+	}
+	go n.loop.Run(background)
+	go n.follow(reload, hup)
+	if n.giver != nil {
+		go n.giver.Run()
+		n.begins()
+	}
+	n.log.WithFields(logrus.Fields{"name": n.cfg.Name, "listen": n.cfg.Listen, "hops": len(n.cfg.Known.Hops)}).Info("serving")
+
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	if n.giver != nil {
+		n.giver.Stop() // where a new process has taken over it is told instead, and this one ends here
+	}
+	n.log.Info("draining")
+	n.legs.Drain(stopAfter(n.cfg.Settings), func() { n.loop.Post(core.Stopping{}) })
+	if err := held.Close(); err != nil {
+		return fmt.Errorf("close listener: %w", err)
+	}
+	n.log.Info("all answered")
+	return <-served
+}
+
+// follow reads the configuration again at each word of reload, and at once where now is set.
+func (n *node) follow(reload <-chan os.Signal, now bool) {
+	if now {
+		n.reload()
+	}
+	for range reload {
+		if n.giver == nil {
+			n.reload()
+		} else {
+			n.giver.Order(syscall.SIGHUP, n.reload)
+		}
+	}
+}
+
+// reload reads the configuration again. A faulty one changes nothing.
+func (n *node) reload() {
+	if n.configure != nil {
+		n.configure()
+	}
+	next, err := config.Reload(os.Getenv)
+	if err != nil {
+		n.log.WithError(err).Error("reload refused, the old configuration stays")
+		return
+	}
+	if keys := config.NeedRestart(n.cfg, next); len(keys) > 0 {
+		n.log.WithField("keys", keys).Warn("changed keys that only a restart applies")
+	}
+	n.body.Reloads.Add(1)
+	n.loop.Post(core.Reloaded{Discovery: next.Discovery, Limits: next.Limits})
+	n.log.WithFields(logrus.Fields{"discovery": next.Discovery, "sockets": next.Limits.Sockets}).Info("reloaded")
+}
--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -15,12 +16,10 @@
 	"github.com/sirupsen/logrus"
 
 	"foldlb.example/foldlb/choice"
-	"foldlb.example/foldlb/internal/callerleg"
 	"foldlb.example/foldlb/internal/config"
 	"foldlb.example/foldlb/internal/core"
-	"foldlb.example/foldlb/internal/hold"
-	"foldlb.example/foldlb/internal/nexthop"
-	"foldlb.example/foldlb/internal/routeset"
+	"foldlb.example/foldlb/internal/operator"
+	"foldlb.example/foldlb/internal/upgrade"
 )
 
 // The parts of the limits.
@@ -34,27 +33,119 @@
 	drainMargin    = 0.4 // of the 0.7 s that it waits beyond that
 )
 
-func serve(ctx context.Context, level string) error {
-	log := logrus.New()
-	lvl, err := logrus.ParseLevel(level)
-	if err != nil {
-		return fmt.Errorf("log-level: %w", err)
-	}
-	log.SetLevel(lvl)
+// options is what the command line says.
+type options struct {
+	level    string
+	operator string // path of the operator file; empty for none
+}
+
+// serve runs one dispatcher: a new one, or one that takes over from a running process.
+func serve(ctx context.Context, o options) error {
 	// Danger: a SIGHUP that nothing takes ends the process, so it is taken first and for as long as it runs.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	cfg, err := config.Load(os.Getenv)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	pipe, err := upgrade.FromEnv(os.Getenv)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	ln, err := net.Listen("tcp", cfg.Listen)
+	s, err := prepare(o)
+	if err == nil && pipe == nil && s.operator.Upgrade.KeepPID && !isKept() {
+		return keep()
+	}
+	if err == nil && pipe != nil {
+		return s.takeOver(ctx, pipe, reload)
+	}
+	if err != nil {
+		if pipe != nil {
+			upgrade.Refuse(pipe, err)
+		}
+		return err
+	}
+	ln, err := net.Listen("tcp", s.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return run(ctx, cfg, ln, reload, log)
+	return s.begin(ctx, ln, reload)
+}
+
+// setup is what a start reads.
+type setup struct {
+	options
+	cfg      config.Config
+	operator operator.Config
+	log      *logrus.Logger
+}
+
+func prepare(o options) (setup, error) {
+	s := setup{options: o, log: logrus.New()}
+	lvl, err := logrus.ParseLevel(o.level)
+	if err != nil {
+		return s, fmt.Errorf("log-level: %w", err)
+	}
+	s.log.SetLevel(lvl)
+	if o.operator != "" {
+		if s.operator, err = operator.Load(o.operator); err != nil {
+			return s, err
+		}
+		if s.operator.Log.Format == "json" {
+			s.log.SetFormatter(&logrus.JSONFormatter{})
+		}
+	}
+	s.cfg, err = config.Load(os.Getenv)
+	return s, err
+}
+
+// begin serves from a fresh start.
+func (s setup) begin(ctx context.Context, ln net.Listener, reload <-chan os.Signal) error {
+	clock := upgrade.NewClock()
+	reducer, err := core.New(clock.Now(), s.cfg.Settings, s.cfg.Known, s.cfg.Discovery)
+	if err != nil {
+		return err
+	}
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		return fmt.Errorf("listen: %T is not a TCP listener", ln)
+	}
+	n := build(s.cfg, reducer, clock, s.log)
+	end, err := s.operate(n, nil)
+	if err != nil {
+		return err
+	}
+	defer end()
+	return n.serve(ctx, tcp, reload, false)
+}
+
+// takeOver serves from where another process stands.
+func (s setup) takeOver(ctx context.Context, pipe *upgrade.Pipe, reload <-chan os.Signal) error {
+	fail := func(err error) error {
+		upgrade.Refuse(pipe, err)
+		return fmt.Errorf("take over: %w", err)
+	}
+	taken, err := upgrade.Take(pipe, s.cfg.Settings, version)
+	if err != nil {
+		return fail(err)
+	}
+	ln, err := taken.Files.Listener(taken.Parcel.Listener)
+	if err != nil {
+		return fail(err)
+	}
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		return fail(errors.New("what was handed over as the listener is none"))
+	}
+	n := build(s.cfg, taken.Reducer, taken.Clock, s.log.WithField("generation", taken.Parcel.Generation))
+	end, err := s.operate(n, taken)
+	if err != nil {
+		return fail(err)
+	}
+	if err := n.take(taken); err != nil {
+		return fail(err)
+	}
+	defer end()
+	s.announce(os.Getpid())
+	return n.serve(ctx, tcp, reload, taken.Parcel.Reload)
 }
 
 // setMachine keeps the Go runtime to the limits.
@@ -78,101 +169,3 @@
 	}
 	return time.Duration((min(longest, mostDrain) + drainMargin) * secondsToNanos)
 }
-
-// follow reads the configuration again at each word of reload. A faulty one changes nothing.
-func follow(reload <-chan os.Signal, cfg config.Config, post func(core.Event), log *logrus.Logger) {
-	for range reload {
-		next, err := config.Reload(os.Getenv)
-		if err != nil {
-			log.WithError(err).Error("reload refused, the old configuration stays")
-			continue
-		}
-		if keys := config.NeedRestart(cfg, next); len(keys) > 0 {
-			log.WithField("keys", keys).Warn("changed keys that only a restart applies")
-		}
-		post(core.Reloaded{Discovery: next.Discovery, Limits: next.Limits})
-		log.WithFields(logrus.Fields{"discovery": next.Discovery, "sockets": next.Limits.Sockets}).Info("reloaded")
-	}
-}
-
-// run wires the parts together and serves until the context ends and all that was taken is answered.
-func run(ctx context.Context, cfg config.Config, ln net.Listener, reload <-chan os.Signal, log *logrus.Logger) error {
-	setMachine(cfg.Limits)
-	clock := newClock()
-	reducer, err := core.New(clock(), cfg.Settings, cfg.Known, cfg.Discovery)
-	if err != nil {
-		return err
-	}
-	var loop *core.Loop
-	post := func(ev core.Event) { loop.Post(ev) }
-	forCallers, forHops := connections(cfg.Limits)
-	gate := hold.NewGate()
-	legs := callerleg.NewServer(forCallers, gate, post, log)
-	hops := nexthop.NewSender(nexthop.Options{
-		DialTimeout: time.Duration(cfg.Settings.DialTimeout * secondsToNanos),
-		IdleClose:   time.Duration(cfg.Settings.ConnIdle * secondsToNanos),
-		MostConns:   forHops,
-	}, gate, clock, post, log)
-	routes := routeset.NewClient(gate, post, log)
-	lines := make(chan string, queuedLines)
-	go func() {
-		for text := range lines {
-			log.Info(text)
-		}
-	}()
-	loop = core.NewLoop(reducer, clock, func(e core.Effect) {
-		switch e := e.(type) {
-		case core.Answer:
-			legs.Answer(e)
-		case core.SendBranch:
-			hops.Send(e)
-		case core.GiveUpBranch:
-			hops.GiveUp(e)
-		case core.CloseIdle:
-			hops.CloseIdle(e.Addr)
-		case core.DropHop:
-			hops.Drop(e.Addr)
-		case core.Watch:
-			routes.Watch(e)
-		case core.FetchRouteSet:
-			routes.Fetch(e)
-		case core.SetLimits:
-			setMachine(e.Limits)
-			callers, next := connections(e.Limits)
-			legs.SetMost(callers)
-			hops.SetMost(next)
-		case core.Log:
-			select {
-			case lines <- e.Text:
-			default: // danger: a log that nobody reads would stop the reducer
-			}
-		}
-	})
-	background, end := context.WithCancel(context.Background())
-	defer end()
-	go loop.Run(background)
-	go hops.Run(background)
-	go follow(reload, cfg, post, log)
-	served := make(chan error, 1)
-	go func() { served <- legs.Serve(ln) }()
-	log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen, "hops": len(cfg.Known.Hops)}).Info("serving")
-	select {
-	case err := <-served:
-		return err
-	case <-ctx.Done():
-	}
-	log.Info("draining")
-	legs.Drain(stopAfter(cfg.Settings), func() { post(core.Stopping{}) })
-	if err := ln.Close(); err != nil {
-		return fmt.Errorf("close listener: %w", err)
-	}
-	log.Info("all answered")
-	return <-served
-}
-
-// newClock tells Unix seconds that never run backwards.
-func newClock() func() float64 {
-	begin := time.Now()
-	unix := float64(begin.UnixNano()) / secondsToNanos
-	return func() float64 { return unix + time.Since(begin).Seconds() }
-}
--- a/cmd/foldlb/serve_test.go
+++ b/cmd/foldlb/serve_test.go
@@ -94,7 +94,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
-	go func() { w.over <- run(ctx, cfg, ln, nil, quiet()) }()
+	go func() { w.over <- setup{cfg: cfg, log: quiet()}.begin(ctx, ln, nil) }()
 	t.Cleanup(func() { stop(); close(w.lists) })
 	return w
 }
@@ -325,7 +325,7 @@
 	t.Setenv("NODE_DISCOVERY", first)
 	ctx, stop := context.WithCancel(context.Background())
 	over := make(chan error, 1)
-	go func() { over <- serve(ctx, "panic") }()
+	go func() { over <- serve(ctx, options{level: "panic"}) }()
 	want("first 1")
 	write(`{"listen":"nowhere"}`)
 	syscall.Kill(syscall.Getpid(), syscall.SIGHUP)
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,176 @@
+// Package operator reads the operator file: what an installation switches on beyond the platform's configuration.
+// It is written in HCL. Every key has a default, and an error names file, line and key.
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+)
+
+// mostBytes bounds the file.
+const mostBytes = 1 << 20
+
+// Config is what the operator file says. The zero value is that of no file: everything is off.
+type Config struct {
+	Control Control
+	Upgrade Upgrade
+	Log     Log
+}
+
+// Control is the control socket.
+type Control struct {
+	Socket string // path; empty for none
+}
+
+// Upgrade says how the dispatcher replaces itself. It needs the control socket.
+type Upgrade struct {
+	Binary    string        // of the new process; empty for the path that this one was started from
+	Start     time.Duration // for the new process to say hello, and again to take up a first snapshot
+	Probation time.Duration // for which it follows before it takes over
+	Hold      time.Duration // for this process to come to rest
+	Offer     time.Duration // for the new process to take everything up
+	Commit    time.Duration // for it to act
+	Strict    bool          // other decisions than this process's while it follows are a reason to fall back
+	KeepPID   bool          // a small first process stays, so that a supervisor sees one PID for ever
+	PIDFile   string        // rewritten at each upgrade; empty for none
+}
+
+// Log says how the log is written.
+type Log struct {
+	Format string // text or json
+}
+
+// Default is what an empty operator file says.
+func Default() Config {
+	return Config{Upgrade: Upgrade{Start: 10 * time.Second, Probation: 1500 * time.Millisecond, Hold: 250 * time.Millisecond,
+		Offer: 2 * time.Second, Commit: 2 * time.Second}, Log: Log{Format: "text"}}
+}
+
+// file is the form of the operator file.
+type file struct {
+	Control *struct {
+		Socket *string `hcl:"socket"`
+	} `hcl:"control,block"`
+	Upgrade *struct {
+		Binary    *string `hcl:"binary"`
+		Start     *string `hcl:"start_within"`
+		Probation *string `hcl:"probation"`
+		Hold      *string `hcl:"hold_at_most"`
+		Offer     *string `hcl:"take_within"`
+		Commit    *string `hcl:"act_within"`
+		Strict    *bool   `hcl:"same_decisions"`
+		KeepPID   *bool   `hcl:"keep_pid"`
+		PIDFile   *string `hcl:"pid_file"`
+	} `hcl:"upgrade,block"`
+	Log *struct {
+		Format *string `hcl:"format"`
+	} `hcl:"log,block"`
+}
+
+// Load reads an operator file.
+func Load(path string) (Config, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("operator file: %w", err)
+	}
+	defer f.Close()
+	if info, err := f.Stat(); err == nil && info.Size() > mostBytes {
+		return Config{}, fmt.Errorf("operator file: %s: %d bytes, %d at most", path, info.Size(), mostBytes)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("operator file: %w", err)
+	}
+	return Parse(text, path)
+}
+
+// Parse reads an operator file's text. Paths in it that are not absolute count from the file's folder.
+func Parse(text []byte, path string) (Config, error) {
+	parsed, diags := hclparse.NewParser().ParseHCL(text, path)
+	if diags.HasErrors() {
+		return Config{}, named(diags)
+	}
+	var f file
+	if diags := gohcl.DecodeBody(parsed.Body, nil, &f); diags.HasErrors() {
+		return Config{}, named(diags)
+	}
+	c := Default()
+	at := places(parsed.Body)
+	var faults []error
+	fault := func(key, format string, args ...any) {
+		faults = append(faults, fmt.Errorf("%s: %s: %s", at(key), key, fmt.Sprintf(format, args...)))
+	}
+	duration := func(key string, from *string, to *time.Duration, least, most time.Duration) {
+		if from == nil {
+			return
+		}
+		d, err := time.ParseDuration(*from)
+		switch {
+		case err != nil:
+			fault(key, "%q is not a time such as \"250ms\" or \"2s\"", *from)
+		case d < least || d > most:
+			fault(key, "%v is not from %v to %v", d, least, most)
+		default:
+			*to = d
+		}
+	}
+	full := func(from *string, to *string) {
+		if from == nil || *from == "" {
+			return
+		}
+		if *to = *from; !filepath.IsAbs(*to) {
+			*to = filepath.Join(filepath.Dir(path), *to)
+		}
+	}
+	if x := f.Control; x != nil {
+		if full(x.Socket, &c.Control.Socket); len(c.Control.Socket) > 100 {
+			fault("control.socket", "a Unix socket's path has 100 bytes at most, this one %d", len(c.Control.Socket))
+		}
+	}
+	if x := f.Upgrade; x != nil {
+		full(x.Binary, &c.Upgrade.Binary)
+		full(x.PIDFile, &c.Upgrade.PIDFile)
+		duration("upgrade.start_within", x.Start, &c.Upgrade.Start, 100*time.Millisecond, 10*time.Minute)
+		duration("upgrade.probation", x.Probation, &c.Upgrade.Probation, 10*time.Millisecond, 10*time.Minute)
+		duration("upgrade.hold_at_most", x.Hold, &c.Upgrade.Hold, 10*time.Millisecond, time.Second)
+		duration("upgrade.take_within", x.Offer, &c.Upgrade.Offer, 10*time.Millisecond, 10*time.Second)
+		duration("upgrade.act_within", x.Commit, &c.Upgrade.Commit, 10*time.Millisecond, 10*time.Second)
+		if x.Strict != nil {
+			c.Upgrade.Strict = *x.Strict
+		}
+		if x.KeepPID != nil {
+			c.Upgrade.KeepPID = *x.KeepPID
+		}
+		if c.Control.Socket == "" {
+			fault("upgrade", "needs control.socket, over which an upgrade is asked for")
+		}
+	}
+	if x := f.Log; x != nil && x.Format != nil {
+		if c.Log.Format = *x.Format; c.Log.Format != "text" && c.Log.Format != "json" {
+			fault("log.format", "%q is neither text nor json", c.Log.Format)
+		}
+	}
+	return c, errors.Join(faults...)
+}
+
+// named words HCL's errors with file, line and what is at fault.
+func named(diags hcl.Diagnostics) error {
+	var all []error
+	for _, d := range diags {
+		if d.Severity == hcl.DiagError {
+			where := "operator file"
+			if d.Subject != nil {
+				where = fmt.Sprintf("%s:%d", d.Subject.Filename, d.Subject.Start.Line)
+			}
+			all = append(all, fmt.Errorf("%s: %s: %s", where, d.Summary, d.Detail))
+		}
+	}
+	return errors.Join(all...)
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,70 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(`
+control { socket = "control.sock" }
+upgrade {
+  binary         = "/opt/foldlb"
+  probation      = "3s"
+  same_decisions = true
+  keep_pid       = true
+}
+log { format = "json" }
+`), "/etc/foldlb/operator.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Default()
+	want.Control.Socket = "/etc/foldlb/control.sock"
+	want.Upgrade.Binary, want.Upgrade.Probation, want.Upgrade.Strict, want.Upgrade.KeepPID = "/opt/foldlb", 3*time.Second, true, true
+	want.Log.Format = "json"
+	if c != want {
+		t.Errorf("read as %+v, want %+v", c, want)
+	}
+	if c, err := Parse(nil, "x.hcl"); err != nil || c != Default() {
+		t.Errorf("an empty file: %+v, %v", c, err)
+	}
+}
+
+// TestFaultsNameFileLineAndKey: whoever edits the file must find the fault at once.
+func TestFaultsNameFileLineAndKey(t *testing.T) {
+	for text, want := range map[string]string{
+		"control {\n socket = 3 +\n}":    "op.hcl:2",
+		"control {\n sockets = \"a\"\n}": "op.hcl:2",
+		"controls {\n}":                  "op.hcl:1",
+		"control { socket = \"a\" }\nupgrade {\n probation = \"soon\"\n}":    "op.hcl:3: upgrade.probation",
+		"control { socket = \"a\" }\nupgrade {\n probation = \"1h\"\n}":      "op.hcl:3: upgrade.probation",
+		"control { socket = \"a\" }\nupgrade {\n\n hold_at_most = \"5s\"\n}": "op.hcl:4: upgrade.hold_at_most",
+		"\nupgrade {\n}":              "op.hcl:2: upgrade",
+		"log {\n format = \"xml\"\n}": "op.hcl:2: log.format",
+		"control {\n socket = \"" + strings.Repeat("a", 200) + "\"\n}":                        "op.hcl:2: control.socket",
+		"control { socket = \"a\" }\ncontrol { socket = \"b\" }":                              "op.hcl:2",
+		"control { socket = \"a\" }\nupgrade {\n keep_pid = \"perhaps\"\n}":                   "op.hcl:3",
+		"control { socket = \"a\" }\nupgrade {\n act_within = \"x\"\n take_within = \"y\"\n}": "op.hcl:4: upgrade.take_within",
+	} {
+		if _, err := Parse([]byte(text), "op.hcl"); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: error %v does not name %q", text, err, want)
+		}
+	}
+}
+
+func TestLoad(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "operator.hcl")
+	if _, err := Load(path); err == nil || !strings.Contains(err.Error(), path) {
+		t.Errorf("no file: %v", err)
+	}
+	if err := os.WriteFile(path, make([]byte, mostBytes+1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path); err == nil || !strings.Contains(err.Error(), "at most") {
+		t.Errorf("a large file: %v", err)
+	}
+}
--- a/internal/routeset/state.go
+++ b/internal/routeset/state.go
@@ -22,28 +22,35 @@
 }
 
 // Export tells which watch waits. The gate must be held.
-func (c *Client) Export(files *hold.Files) State {
+func (c *Client) Export(files *hold.Files) (State, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.watch == nil {
-		return State{}
+		return State{}, nil
 	}
 	file, err := files.Add(c.watch.link)
 	if err != nil {
-		return State{} // it has just been closed, and is asked for anew
+		return State{}, nil // it has just been closed, and is asked for anew
 	}
-	return State{&WatchState{File: file, Conn: c.watch.link.Conn.Export(), From: c.watch.from, Since: c.watch.since}}
+	return State{&WatchState{File: file, Conn: c.watch.link.Conn.Export(), From: c.watch.from, Since: c.watch.since}}, nil
 }
 
-// Import takes a watch up, and tells whether there was one. The gate must be held; it goes on when that is let go.
+// Watching tells whether a watch runs, or was taken up.
+func (c *Client) Watching() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stop != nil
+}
+
+// Import takes a watch up, if there was one. The gate must be held; it goes on when that is let go.
 // Danger: news that had been written to the old connection would be lost with it, and they count as told.
-func (c *Client) Import(st State, files *hold.Received) (bool, error) {
+func (c *Client) Import(st State, files *hold.Received) error {
 	if st.Watch == nil {
-		return false, nil
+		return nil
 	}
 	nc, err := files.Conn(st.Watch.File)
 	if err != nil {
-		return false, fmt.Errorf("routeset: %w", err)
+		return fmt.Errorf("routeset: %w", err)
 	}
 	link := newConn(c.gate.Import(nc, st.Watch.Conn))
 	ctx, stop := context.WithCancel(context.Background())
@@ -58,5 +65,5 @@
 		}
 		c.follow(ctx, link, err, st.Watch.From, st.Watch.Since)
 	})
-	return true, nil
+	return nil
 }
--- /dev/null
+++ b/internal/upgrade/body.go
@@ -0,0 +1,177 @@
+package upgrade
+
+import (
+	"fmt"
+	"hash/fnv"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sys/unix"
+
+	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
+	"foldlb.example/foldlb/internal/snapshot"
+)
+
+// Part is a front or source whose state passes on beside the reducer's.
+type Part struct {
+	Name   string
+	Export func(*hold.Files) (any, error)              // the gate is held
+	Import func(cbor.RawMessage, *hold.Received) error // the gate is held; what it takes up goes on when it is let go
+}
+
+// NewPart makes a part of its two functions.
+func NewPart[T any](name string, export func(*hold.Files) (T, error), take func(T, *hold.Received) error) Part {
+	return Part{Name: name, Export: func(f *hold.Files) (any, error) { return export(f) },
+		Import: func(raw cbor.RawMessage, r *hold.Received) error {
+			var st T
+			if err := snapshot.Unmarshal(raw, &st); err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			return take(st, r)
+		}}
+}
+
+// Clock is a dispatcher's clock: seconds that go on counting in another process.
+type Clock struct {
+	at   float64
+	mono int64
+}
+
+// NewClock starts a clock at the Unix time.
+func NewClock() Clock { return Clock{at: float64(time.Now().UnixNano()) / 1e9, mono: monotonic()} }
+
+// Now tells the time, in seconds. It never runs backwards.
+func (c Clock) Now() float64 { return c.at + float64(monotonic()-c.mono)/1e9 }
+
+func monotonic() int64 {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &ts); err != nil {
+		panic(err) // every Linux has it
+	}
+	return ts.Nano()
+}
+
+// Body is all that a dispatcher hands over.
+type Body struct {
+	Loop     *core.Loop
+	Reducer  *core.Reducer
+	Gate     *hold.Gate
+	Clock    Clock
+	Listener *hold.Listener
+	Control  interface{ FD(func(fd int)) error } // nil for none
+	Parts    []Part
+
+	Generation int
+	Started    time.Time    // of the first generation
+	Reloads    atomic.Int64 // of the configuration, in this process
+
+	goOn func() // while held
+}
+
+// Trial takes a snapshot between two steps, and has every later step told to follow.
+func (b *Body) Trial(follow func(Followed)) ([]byte, error) {
+	goOn, ok := b.Loop.Hold()
+	if !ok {
+		return nil, fmt.Errorf("upgrade: the loop has ended")
+	}
+	defer goOn()
+	st, err := b.Reducer.Export()
+	if err != nil {
+		return nil, err
+	}
+	b.Loop.Watch(func(now float64, ev core.Event, effects []core.Effect) {
+		packed, err := snapshot.Pack(ev)
+		if err == nil {
+			follow(Followed{Now: now, Event: packed, Digest: Digest(effects)})
+		}
+	})
+	return snapshot.Encode(st)
+}
+
+// Unfollow ends the telling of steps.
+func (b *Body) Unfollow() {
+	if goOn, ok := b.Loop.Hold(); ok {
+		b.Loop.Watch(nil)
+		goOn()
+	}
+}
+
+// Digest sums up effects, so that two processes can compare theirs.
+func Digest(effects []core.Effect) uint64 {
+	h := fnv.New64a()
+	for _, e := range effects {
+		fmt.Fprintf(h, "%T", e)
+		text, err := snapshot.Marshal(e)
+		if err != nil {
+			text = []byte(err.Error())
+		}
+		h.Write(text)
+	}
+	return h.Sum64()
+}
+
+// Hold stops the loop and brings everything to rest.
+func (b *Body) Hold(most time.Duration) error {
+	goOn, ok := b.Loop.Hold()
+	if !ok {
+		return fmt.Errorf("upgrade: the loop has ended")
+	}
+	if err := b.Gate.Hold(most, b.Loop.Drain); err != nil {
+		goOn()
+		return err
+	}
+	b.Loop.Watch(nil)
+	b.Loop.Drain()
+	b.goOn = goOn
+	return nil
+}
+
+// LetGo lets everything go on.
+func (b *Body) LetGo() {
+	if b.goOn != nil {
+		b.Gate.Release()
+		b.goOn()
+		b.goOn = nil
+	}
+}
+
+// Pack writes everything down. The body must be held.
+func (b *Body) Pack(files *hold.Files) (Parcel, error) {
+	p := Parcel{Generation: b.Generation + 1, Started: b.Started.UnixNano(), Clock: b.Clock.at, Monotonic: b.Clock.mono,
+		Control: -1, Parts: map[string]cbor.RawMessage{}}
+	st, err := b.Reducer.Export()
+	if err != nil {
+		return p, err
+	}
+	if p.Reducer, err = snapshot.Encode(st); err != nil {
+		return p, err
+	}
+	for _, ev := range b.Loop.Backlog() {
+		packed, err := snapshot.Pack(ev)
+		if err != nil {
+			return p, err
+		}
+		p.Backlog = append(p.Backlog, packed)
+	}
+	if p.Listener, err = files.Add(b.Listener); err != nil {
+		return p, fmt.Errorf("listener: %w", err)
+	}
+	if b.Control != nil {
+		if p.Control, err = files.Add(b.Control); err != nil {
+			return p, fmt.Errorf("control socket: %w", err)
+		}
+	}
+	for _, part := range b.Parts {
+		v, err := part.Export(files)
+		if err != nil {
+			return p, fmt.Errorf("%s: %w", part.Name, err)
+		}
+		if p.Parts[part.Name], err = snapshot.Marshal(v); err != nil {
+			return p, fmt.Errorf("%s: %w", part.Name, err)
+		}
+	}
+	p.Files = len(files.FDs)
+	return p, nil
+}
--- /dev/null
+++ b/internal/upgrade/giver.go
@@ -0,0 +1,394 @@
+package upgrade
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"foldlb.example/foldlb/internal/hold"
+)
+
+// EnvPipe names the descriptors of the pipe, for a process that is to take over.
+const EnvPipe = "FOLDLB_UPGRADE"
+
+// firstFile is the descriptor that the first of a command's ExtraFiles becomes.
+const firstFile = 3
+
+// followMost bounds the steps that wait to be told to the new process. Beyond that it is no longer told any.
+const followMost = 8192
+
+// Progress is what those who watch an upgrade are told.
+type Progress struct {
+	At     time.Time `json:"at"`
+	Step   string    `json:"step"`
+	Detail string    `json:"detail,omitempty"`
+	Final  bool      `json:"final,omitempty"`
+	Result string    `json:"result,omitempty"` // of the final one: replaced, fell back, refused
+	PID    int       `json:"pid,omitempty"`    // of the new process
+	Files  int       `json:"descriptors,omitempty"`
+	Bytes  int       `json:"bytes,omitempty"`   // of the parcel's state
+	HeldMS float64   `json:"held_ms,omitempty"` // from the beginning of the hold to this moment
+}
+
+// The results of an upgrade.
+const (
+	Replaced = "replaced"
+	FellBack = "fell back"
+	Refusal  = "refused"
+)
+
+// Giver hands a dispatcher over to new processes.
+type Giver struct {
+	Body    *Body
+	Command func() (*exec.Cmd, error) // the new process, to be started; its ExtraFiles and Env are added to
+	Log     logrus.FieldLogger
+	Leave   func(pid int) // called last, before the process exits
+
+	inputs chan Input
+	orders chan order
+
+	mu       sync.Mutex
+	watchers map[chan Progress]struct{}
+	last     Progress // the last upgrade's end
+	limits   Limits   // for the next upgrade
+	strict   bool
+
+	// Of the goroutine that runs.
+	machine  Machine
+	reloads  int64 // of the body, when the new process was started
+	pipe     *Pipe
+	cmd      *exec.Cmd
+	timer    *time.Timer
+	follow   chan Followed
+	followed chan struct{} // closed when all of follow is written
+	heldAt   time.Time
+	parcel   Progress
+	waiting  []order
+	signals  []os.Signal
+}
+
+// order is what somebody wants done by the process that owns everything.
+type order struct {
+	signal os.Signal // sent to the new process, if that takes over first
+	run    func()    // done here, if this process stays
+}
+
+// NewGiver makes a giver with its limits.
+func NewGiver(b *Body, l Limits, strict bool, command func() (*exec.Cmd, error), leave func(pid int), log logrus.FieldLogger) *Giver {
+	return &Giver{Body: b, Command: command, Log: log, Leave: leave, limits: l, strict: strict,
+		inputs: make(chan Input, 64), orders: make(chan order), watchers: map[chan Progress]struct{}{}, timer: time.NewTimer(time.Hour)}
+}
+
+// Configure sets the limits of the next upgrade.
+func (g *Giver) Configure(l Limits, strict bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limits, g.strict = l, strict
+}
+
+// Upgrade asks for an upgrade, and has its progress told until the final word. Where another one is under way, that
+// final word comes at once.
+func (g *Giver) Upgrade(tell func(Progress)) {
+	g.watch(tell, func(c chan Progress) { g.inputs <- Begin{By: c} })
+}
+
+// Watch has the progress of the upgrade that comes next, or is under way, told until its final word. It ends early
+// when done is closed.
+func (g *Giver) Watch(tell func(Progress)) { g.watch(tell, func(chan Progress) {}) }
+
+func (g *Giver) watch(tell func(Progress), begin func(chan Progress)) {
+	c := make(chan Progress, 64)
+	g.mu.Lock()
+	g.watchers[c] = struct{}{}
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		delete(g.watchers, c)
+		g.mu.Unlock()
+	}()
+	begin(c)
+	for p := range c {
+		tell(p)
+		if p.Final {
+			return
+		}
+	}
+}
+
+// Last tells how the last upgrade that this process began has ended.
+func (g *Giver) Last() Progress {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.last
+}
+
+// Order has run called by the process that owns everything: here, at once or when an upgrade under way has fallen
+// back; or, as the signal says, by the new process. It returns when run has been called here.
+func (g *Giver) Order(signal os.Signal, run func()) {
+	done := make(chan struct{})
+	g.orders <- order{signal, func() { run(); close(done) }}
+	<-done
+}
+
+// Stop says that the process is to end. It returns when no upgrade is under way any more; where the new process has
+// taken over it does not return, and the new one is told instead.
+func (g *Giver) Stop() {
+	g.inputs <- Stopped{}
+	idle := make(chan struct{})
+	g.orders <- order{syscall.SIGTERM, func() { close(idle) }}
+	<-idle
+}
+
+func (g *Giver) tell(p Progress) {
+	p.At = time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.Final {
+		g.last = p
+	}
+	for c := range g.watchers {
+		select {
+		case c <- p:
+		default: // danger: one who does not read must not hold up an upgrade
+			if p.Final {
+				close(c)
+				delete(g.watchers, c)
+			}
+		}
+	}
+}
+
+// Run hands over whenever it is asked to. It does not return.
+func (g *Giver) Run() {
+	for {
+		var in Input
+		select {
+		case in = <-g.inputs:
+		case <-g.timer.C:
+			in = TimeUp{}
+		case o := <-g.orders:
+			if g.machine.Past() || o.signal == syscall.SIGTERM && g.machine.Phase() != Idle {
+				g.waiting = append(g.waiting, o)
+			} else {
+				o.run()
+			}
+			continue
+		}
+		if _, begins := in.(Begin); begins && g.machine.Phase() == Idle {
+			g.mu.Lock()
+			g.machine.Limits, g.machine.Strict = g.limits, g.strict
+			g.mu.Unlock()
+		}
+		g.step(in)
+	}
+}
+
+// step feeds the machine and carries out its actions. What these find out at once goes back into it.
+func (g *Giver) step(in Input) {
+	for _, a := range g.machine.Step(in) {
+		if next := g.carryOut(a); next != nil {
+			g.step(next)
+		}
+	}
+}
+
+func (g *Giver) carryOut(a Action) Input {
+	switch a := a.(type) {
+	case SetTimer:
+		if g.timer.Stop(); a.In > 0 {
+			g.timer.Reset(a.In)
+		}
+	case Step:
+		g.Log.WithField("phase", a.Phase.String()).Info("upgrade")
+		g.tell(Progress{Step: a.Phase.String()})
+	case Start:
+		if err := g.start(); err != nil {
+			return Gone{How: err.Error()}
+		}
+	case SendTrial:
+		if err := g.sendTrial(); err != nil {
+			g.Log.WithError(err).Warn("upgrade: the first snapshot was not sent")
+			return Heard{Refused{Reason: "it could not be sent its first snapshot: " + err.Error()}}
+		}
+	case Hold:
+		g.heldAt = time.Now()
+		err := g.Body.Hold(g.machine.Limits.Hold)
+		return Held{err}
+	case SendAll:
+		return Sent{g.sendAll()}
+	case SendGo:
+		if err := g.pipe.Send(Go{}); err != nil {
+			g.Log.WithError(err).Warn("upgrade: the word to go was not sent")
+		}
+	case Kill:
+		if g.cmd != nil && g.cmd.Process != nil {
+			g.cmd.Process.Kill()
+		}
+	case LetGo:
+		g.Body.LetGo()
+	case Ended:
+		g.ended(a)
+	case Leave:
+		g.leave()
+	case Abandon:
+		g.Log.Error("the new process took over and ended at once; what it did is not known, so this one ends too")
+		os.Exit(1)
+	}
+	return nil
+}
+
+// start starts the new process and listens to it.
+func (g *Giver) start() error {
+	g.reloads = g.Body.Reloads.Load()
+	cmd, err := g.Command()
+	if err != nil {
+		return err
+	}
+	pipe, theirs, err := Pair()
+	if err != nil {
+		return err
+	}
+	at := firstFile + len(cmd.ExtraFiles)
+	cmd.ExtraFiles = append(cmd.ExtraFiles, theirs...)
+	cmd.Env = append(cmd.Env, fmt.Sprintf("%s=%d,%d", EnvPipe, at, at+1))
+	err = cmd.Start()
+	for _, f := range theirs {
+		f.Close()
+	}
+	if err != nil {
+		pipe.Close()
+		return err
+	}
+	g.pipe, g.cmd = pipe, cmd
+	go g.listen(pipe, cmd)
+	return nil
+}
+
+// listen passes on what the new process says, and then its end.
+func (g *Giver) listen(pipe *Pipe, cmd *exec.Cmd) {
+	for {
+		m, err := pipe.Receive(0)
+		if err != nil {
+			if !ended(err) {
+				g.inputs <- Heard{err}
+			}
+			break
+		}
+		g.inputs <- Heard{m}
+	}
+	err := cmd.Wait() // a process that says no more must end; where it does not, a limit has it killed
+	how := "exit status 0"
+	if err != nil {
+		how = err.Error()
+	}
+	g.inputs <- Gone{How: how}
+}
+
+// sendTrial sends a snapshot and begins to tell the new process every step.
+func (g *Giver) sendTrial() error {
+	g.follow, g.followed = make(chan Followed, followMost), make(chan struct{})
+	steps, behind := g.follow, false
+	text, err := g.Body.Trial(func(f Followed) {
+		if behind {
+			return
+		}
+		select {
+		case steps <- f:
+		default:
+			behind = true // danger: a gap would make the rest worthless, and waiting would stop the service
+		}
+	})
+	if err != nil {
+		close(g.followed)
+		return err
+	}
+	if err := g.pipe.words.SetWriteDeadline(time.Now().Add(g.machine.Limits.Start)); err != nil {
+		return err
+	}
+	err = g.pipe.Send(Trial{Reducer: text})
+	pipe, followed := g.pipe, g.followed
+	go func() {
+		defer close(followed)
+		for f := range steps {
+			if pipe.Send(f) != nil {
+				for range steps { // nobody listens any more
+				}
+			}
+		}
+	}()
+	return err
+}
+
+// unfollow ends the telling of steps, once the loop no longer adds any.
+func (g *Giver) unfollow() {
+	if g.follow != nil {
+		close(g.follow)
+		<-g.followed
+		g.follow = nil
+	}
+}
+
+// sendAll sends everything. The body is held.
+func (g *Giver) sendAll() error {
+	limit := time.Now().Add(g.machine.Limits.Offer)
+	if err := errors.Join(g.pipe.words.SetWriteDeadline(limit), g.pipe.files.SetDeadline(limit)); err != nil {
+		return err
+	}
+	g.unfollow()
+	var files hold.Files
+	parcel, err := g.Body.Pack(&files)
+	if err != nil {
+		return err
+	}
+	parcel.Reload = g.Body.Reloads.Load() != g.reloads
+	if err := g.pipe.Send(parcel); err != nil {
+		return err
+	}
+	g.parcel = Progress{Files: len(files.FDs), Bytes: len(parcel.Reducer)}
+	return g.pipe.SendFiles(files.FDs)
+}
+
+// ended cleans up after an upgrade that did not come about.
+func (g *Giver) ended(e Ended) {
+	if e.Refused {
+		if c, ok := e.By.(chan Progress); ok {
+			c <- Progress{At: time.Now(), Step: g.machine.Phase().String(), Final: true, Result: Refusal, Detail: e.Reason}
+		}
+		return
+	}
+	if g.follow != nil {
+		g.Body.Unfollow()
+		g.unfollow()
+	}
+	if g.pipe != nil {
+		g.pipe.Close()
+	}
+	g.pipe, g.cmd = nil, nil
+	g.Log.WithField("reason", e.Reason).Warn("upgrade fell back: this process goes on")
+	g.tell(Progress{Step: Idle.String(), Final: true, Result: FellBack, Detail: e.Reason})
+	for _, o := range g.waiting {
+		o.run()
+	}
+	g.waiting = nil
+}
+
+// leave ends this process. Danger: nothing may be closed in an orderly way, since a shutdown of what both processes
+// hold would reach the other sides.
+func (g *Giver) leave() {
+	pid := g.cmd.Process.Pid
+	p := g.parcel
+	p.Step, p.Final, p.Result, p.PID, p.HeldMS = Leaving.String(), true, Replaced, pid, float64(time.Since(g.heldAt).Microseconds())/1000
+	g.tell(p)
+	g.Log.WithFields(logrus.Fields{"pid": pid, "held_ms": p.HeldMS, "descriptors": p.Files, "bytes": p.Bytes}).Info("upgraded: the new process has taken over")
+	for _, o := range g.waiting {
+		syscall.Kill(pid, o.signal.(syscall.Signal))
+	}
+	g.Leave(pid)
+	os.Exit(0)
+}
--- a/internal/upgrade/machine.go
+++ b/internal/upgrade/machine.go
@@ -51,7 +51,7 @@
 
 // The inputs.
 type (
-	Begin   struct{}              // an upgrade is asked for
+	Begin   struct{ By any }      // an upgrade is asked for, by somebody who is told where it is refused
 	Heard   struct{ Message any } // the new process said something
 	Gone    struct{ How string }  // it has ended, and all that it said has been heard
 	TimeUp  struct{}              // the time set by the last SetTimer is over
@@ -86,6 +86,7 @@
 	Step      struct{ Phase Phase }      // for those who watch
 	Ended     struct {                   // for those who watch: the upgrade is over, and this process stays
 		Refused bool
+		By      any // who asked, where it is refused
 		Reason  string
 	}
 )
@@ -126,7 +127,7 @@
 	m.out = nil
 	switch in := in.(type) {
 	case Begin:
-		m.begin()
+		m.begin(in.By)
 	case Heard:
 		m.heard(in.Message)
 	case Gone:
@@ -157,12 +158,12 @@
 	m.do(SetTimer{limit}, Step{p})
 }
 
-func (m *Machine) begin() {
+func (m *Machine) begin(by any) {
 	switch {
 	case m.stopped:
-		m.do(Ended{Refused: true, Reason: "the dispatcher is ending"})
+		m.do(Ended{Refused: true, By: by, Reason: "the dispatcher is ending"})
 	case m.phase != Idle:
-		m.do(Ended{Refused: true, Reason: "an upgrade is under way: " + m.phase.String()})
+		m.do(Ended{Refused: true, By: by, Reason: "an upgrade is under way: " + m.phase.String()})
 	default:
 		m.reason, m.passed = "", false
 		m.enter(Starting, m.Limits.Start)
--- a/internal/upgrade/messages.go
+++ b/internal/upgrade/messages.go
@@ -59,6 +59,7 @@
 		Control    int // place of the control socket's listener; -1 for none
 		Parts      map[string]cbor.RawMessage
 		Files      int
+		Reload     bool // the configuration was read again since the new process was started
 	}
 	// Go tells the new process that everything is its own.
 	Go struct{}
--- /dev/null
+++ b/internal/upgrade/taker.go
@@ -0,0 +1,176 @@
+package upgrade
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"foldlb.example/foldlb/choice"
+	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
+	"foldlb.example/foldlb/internal/snapshot"
+)
+
+// ended tells whether an error says that the other end of a pipe is closed, after a whole message. With words that
+// it had not read it is said to be reset.
+func ended(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// FromEnv opens the pipe that the environment names. It returns nil where this process was started by itself.
+func FromEnv(getenv func(string) string) (*Pipe, error) {
+	text := getenv(EnvPipe)
+	if text == "" {
+		return nil, nil
+	}
+	os.Unsetenv(EnvPipe)
+	words, files, ok := strings.Cut(text, ",")
+	w, errW := strconv.Atoi(words)
+	f, errF := strconv.Atoi(files)
+	if !ok || errW != nil || errF != nil || w < 3 || f < 3 {
+		return nil, fmt.Errorf("%s: %q does not name two descriptors", EnvPipe, text)
+	}
+	return Inherit(w, f)
+}
+
+// Taken is everything that was handed over, before the word to go.
+type Taken struct {
+	Parcel  Parcel
+	Reducer *core.Reducer
+	Backlog []core.Event
+	Files   *hold.Received
+	Clock   Clock
+
+	pipe               *Pipe
+	followed, differed int
+}
+
+// Take rehearses with the old process and receives everything from it. settings are the new process's own.
+func Take(p *Pipe, settings choice.Settings, version string) (*Taken, error) {
+	if err := p.Send(Hello{Protocol: Protocol, Schema: ownSchema, Version: version, PID: os.Getpid()}); err != nil {
+		return nil, err
+	}
+	t := &Taken{pipe: p}
+	var twin *core.Reducer
+	for {
+		m, err := p.Receive(snapshot.MostBytes)
+		if err != nil {
+			return nil, fmt.Errorf("the old process said no more: %w", err)
+		}
+		switch m := m.(type) {
+		case Trial:
+			if twin, err = restore(m.Reducer, settings); err != nil {
+				return nil, err
+			}
+			if err := p.Send(TrialTaken{Bytes: len(m.Reducer)}); err != nil {
+				return nil, err
+			}
+		case Followed:
+			if err := t.follow(twin, m); err != nil {
+				return nil, err
+			}
+		case Parcel:
+			return t, t.open(m, settings)
+		default:
+			return nil, fmt.Errorf("%w: %T was not expected", snapshot.ErrForm, m)
+		}
+	}
+}
+
+func restore(text []byte, settings choice.Settings) (*core.Reducer, error) {
+	st, err := snapshot.Decode(text)
+	if err != nil {
+		return nil, err
+	}
+	return core.Import(settings, st)
+}
+
+// follow takes the old process's step and compares. After the first difference there is nothing to compare with.
+func (t *Taken) follow(twin *core.Reducer, f Followed) error {
+	if twin == nil {
+		return fmt.Errorf("%w: a step before the first snapshot", snapshot.ErrForm)
+	}
+	t.followed++
+	if t.differed > 0 {
+		t.differed++
+		return nil
+	}
+	ev, err := f.Event.Unpack()
+	if err != nil {
+		return err
+	}
+	if effects := twin.Step(f.Now, ev); Digest(effects) != f.Digest {
+		t.differed++
+		return t.pipe.Send(Differs{Steps: t.followed, First: fmt.Sprintf("step %d, event %T: %d effects of its own", t.followed, ev, len(effects))})
+	}
+	return nil
+}
+
+// open takes the descriptors and reads the state.
+func (t *Taken) open(p Parcel, settings choice.Settings) error {
+	fds, err := t.pipe.ReceiveFiles(p.Files)
+	if err != nil {
+		return err
+	}
+	t.Parcel, t.Files, t.Clock = p, &hold.Received{FDs: fds}, Clock{at: p.Clock, mono: p.Monotonic}
+	if t.Reducer, err = restore(p.Reducer, settings); err != nil {
+		return err
+	}
+	for _, packed := range p.Backlog {
+		ev, err := packed.Unpack()
+		if err != nil {
+			return err
+		}
+		t.Backlog = append(t.Backlog, ev)
+	}
+	return nil
+}
+
+// Started tells when the first generation was started.
+func (t *Taken) Started() time.Time { return time.Unix(0, t.Parcel.Started) }
+
+// Import hands the parts their state. The gate must be held.
+func (t *Taken) Import(parts []Part) error {
+	for _, part := range parts {
+		raw, ok := t.Parcel.Parts[part.Name]
+		if !ok {
+			return fmt.Errorf("%w: nothing for %s", snapshot.ErrForm, part.Name)
+		}
+		if err := part.Import(raw, t.Files); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Go says that this process is ready, waits for the word to go, and says that it acts. When it returns nil
+// everything is this process's own; on an error nothing is.
+func (t *Taken) Go() error {
+	t.Files.Close()
+	if err := t.pipe.Send(Ready{Followed: t.followed, Differed: t.differed}); err != nil && !ended(err) {
+		return err
+	}
+	m, err := t.pipe.Receive(0)
+	if ended(err) {
+		// The old process is dead: before it would go on by itself it kills this one. Danger: without this, one
+		// killed between its last word and the word to go would take everything with it.
+		return nil
+	} else if err != nil {
+		return err
+	}
+	if _, ok := m.(Go); !ok {
+		return fmt.Errorf("%w: %T where the word to go was expected", snapshot.ErrForm, m)
+	}
+	if err := t.pipe.Send(Acting{}); err != nil && !ended(err) {
+		return err
+	}
+	return nil // where the old one has died meanwhile, it acts no more either
+}
+
+// Refuse tells the old process why nothing comes of it.
+func Refuse(p *Pipe, why error) { p.Send(Refused{Reason: why.Error()}) }
