Pass descriptors ahead and let the new process follow, so that little is left for the hold

Writing down and reading back the reducer's state and taking 2,300 descriptors took most of it. Change: descriptors pass on while the old process serves; a twin that followed every step takes the place of the state; only who waits in the kernel is woken; holds, taking and acting may take 600 ms together, since drains must be kept meanwhile.

--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -5,7 +5,6 @@
 	"container/heap"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 
 	"foldlb.example/foldlb/choice"
@@ -76,19 +75,19 @@
 		return State{}, err
 	}
 	s := State{Now: r.now, Source: r.source, Version: r.version, Watching: r.watching, LastID: r.lastID,
-		TimerSeq: r.timerSeq, Spent: slices.Sorted(maps.Keys(r.spent)), Decider: decider}
-	for _, id := range slices.Sorted(maps.Keys(r.hops)) {
-		s.Hops = append(s.Hops, r.hops[id])
+		TimerSeq: r.timerSeq, Decider: decider, Spent: make([]RequestID, 0, len(r.spent)),
+		Timers: make([]TimerState, 0, len(r.timers)), Requests: make([]RequestState, 0, len(r.requests))}
+	for id := range r.spent {
+		s.Spent = append(s.Spent, id)
+	}
+	for _, h := range r.hops {
+		s.Hops = append(s.Hops, h)
 	}
 	for _, t := range r.timers {
 		s.Timers = append(s.Timers, TimerState{At: t.at, Seq: t.seq, Kind: uint8(t.kind), Request: t.request, Leg: t.leg,
 			Branch: t.branch, Fault: t.fault, Token: t.token})
 	}
-	slices.SortFunc(s.Timers, func(a, b TimerState) int {
-		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Seq, b.Seq))
-	})
-	for _, id := range slices.Sorted(maps.Keys(r.requests)) {
-		q := r.requests[id]
+	for _, q := range r.requests {
 		out := RequestState{Call: q.call, Deadline: q.deadline, Over: q.over}
 		for _, b := range q.branches {
 			out.Branches = append(out.Branches, BranchState{ID: b.id, Hop: b.hop, Addr: b.addr, Sent: b.sent, Ended: b.ended,
@@ -99,6 +98,17 @@
 	return s, nil
 }
 
+// Sort puts everything into the order that its fields name. Export leaves it to whoever writes the state down, since
+// the reducer stands still for as long as an export takes.
+func (s *State) Sort() {
+	slices.SortFunc(s.Hops, func(a, b Hop) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(s.Timers, func(a, b TimerState) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Seq, b.Seq))
+	})
+	slices.SortFunc(s.Requests, func(a, b RequestState) int { return cmp.Compare(a.Call.ID, b.Call.ID) })
+	slices.Sort(s.Spent)
+}
+
 // Import makes a reducer that goes on where the exported one stood: the same events at the same times have the
 // same effects. Classes, tenants and figures of the settings may differ from the exported one's, as
 // choice.Restore says. A state that does not fit together is an error that wraps ErrState or choice.ErrState.
--- a/internal/hold/conn.go
+++ b/internal/hold/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -33,6 +34,9 @@
 	mu          sync.Mutex
 	cond        *sync.Cond
 	parked      place
+	reading     bool // somebody is in the kernel's read, or about to be
+	writing     bool
+	kicked      bool // the deadlines in force are the gate's
 	interrupted bool
 	ahead       []byte // to be read before anything from the kernel
 	taken       []byte // read since the last Mark
@@ -65,7 +69,7 @@
 	}
 	c.mu.Unlock()
 	for {
-		n, err := c.Conn.Read(p)
+		n, err := c.readKernel(p)
 		if n > 0 {
 			c.mu.Lock()
 			c.taken = append(c.taken, p[:n]...)
@@ -78,6 +82,38 @@
 	}
 }
 
+// readKernel reads what the kernel has. A gate that is held, or is closed meanwhile, ends it as a deadline does.
+func (c *Conn) readKernel(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.gate.held.Load() {
+		c.mu.Unlock()
+		return 0, os.ErrDeadlineExceeded
+	}
+	c.reading = true
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.reading = false
+	c.mu.Unlock()
+	return n, err
+}
+
+// writeKernel is for writing what readKernel is for reading.
+func (c *Conn) writeKernel(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.gate.held.Load() {
+		c.mu.Unlock()
+		return 0, os.ErrDeadlineExceeded
+	}
+	c.writing = true
+	c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.writing = false
+	c.mu.Unlock()
+	return n, err
+}
+
 // park waits while the gate is held, and tells whether it was.
 func (c *Conn) park(at place) bool {
 	c.mu.Lock()
@@ -120,7 +156,7 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	done := 0
 	for {
-		n, err := c.Conn.Write(p[done:])
+		n, err := c.writeKernel(p[done:])
 		done += n
 		if done == len(p) {
 			return done, nil
@@ -153,7 +189,7 @@
 		buf = make([]byte, firstBytes)
 	}
 	for {
-		n, err := c.Conn.Read(buf[:firstBytes])
+		n, err := c.readKernel(buf[:firstBytes])
 		if n > 0 {
 			c.mu.Lock()
 			c.ahead = buf[:n]
@@ -182,7 +218,7 @@
 			return nil
 		}
 		c.mu.Unlock()
-		n, err := c.Conn.Read(b[:])
+		n, err := c.readKernel(b[:])
 		c.mu.Lock()
 		if n > 0 {
 			c.ahead = append(c.ahead, b[0])
@@ -251,7 +287,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeUntil = t
-	if c.gate.held.Load() {
+	if c.kicked {
 		return nil
 	}
 	return c.Conn.SetWriteDeadline(t)
@@ -260,7 +296,7 @@
 // setRead puts the read deadline in force; c.mu is held. Danger: while the gate is held, or an Interrupt has not
 // been taken, it must stay in the past.
 func (c *Conn) setRead() error {
-	if c.gate.held.Load() || c.interrupted {
+	if c.kicked || c.interrupted {
 		return c.Conn.SetReadDeadline(past)
 	}
 	return c.Conn.SetReadDeadline(c.readUntil)
@@ -269,14 +305,20 @@
 func (c *Conn) kick() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.Conn.SetDeadline(past)
+	if c.reading || c.writing {
+		c.kicked = true
+		c.Conn.SetDeadline(past)
+	}
 }
 
 func (c *Conn) letGo() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.Conn.SetWriteDeadline(c.writeUntil)
-	c.setRead()
+	if c.kicked {
+		c.kicked = false
+		c.Conn.SetWriteDeadline(c.writeUntil)
+		c.setRead()
+	}
 	if c.parked == inRead || c.parked == inWrite {
 		c.wake()
 	}
@@ -317,12 +359,11 @@
 	c := g.Wrap(nc)
 	c.ahead = st.Ahead
 	if st.ReadIn > 0 {
-		c.readUntil = time.Now().Add(time.Duration(st.ReadIn * float64(time.Second)))
+		c.SetReadDeadline(time.Now().Add(time.Duration(st.ReadIn * float64(time.Second))))
 	}
 	if st.WriteIn > 0 {
-		c.writeUntil = time.Now().Add(time.Duration(st.WriteIn * float64(time.Second)))
+		c.SetWriteDeadline(time.Now().Add(time.Duration(st.WriteIn * float64(time.Second))))
 	}
-	c.letGo()
 	return c
 }
 
--- a/internal/hold/files.go
+++ b/internal/hold/files.go
@@ -9,10 +9,19 @@
 
 // Files lists the descriptors of held connections in the order in which they are passed on. They stay their
 // connections' own, and are good for as long as those are held.
-type Files struct{ FDs []int }
+type Files struct {
+	FDs   []int
+	Ahead map[*Conn]int // those whose descriptors were passed on ahead, while they were at work
+}
 
-// Add lists the descriptor of a connection or listener and returns its place.
+// Add lists the descriptor of a connection or listener and returns its place: below 0 for one that was passed on
+// ahead.
 func (f *Files) Add(x interface{ FD(func(fd int)) error }) (int, error) {
+	if c, ok := x.(interface{ held() *Conn }); ok {
+		if n, ahead := f.Ahead[c.held()]; ahead {
+			return -1 - n, nil
+		}
+	}
 	if err := x.FD(func(fd int) { f.FDs = append(f.FDs, fd) }); err != nil {
 		return 0, err
 	}
@@ -20,7 +29,13 @@
 }
 
 // Received are descriptors that were passed on to this process. Each is taken once.
-type Received struct{ FDs []int } // -1 where taken
+type Received struct {
+	FDs   []int      // -1 where taken
+	Ahead []net.Conn // that came ahead; nil where taken
+}
+
+// held makes a connection known to Files, also inside those that embed it.
+func (c *Conn) held() *Conn { return c }
 
 // take returns a descriptor as a file; whoever uses it closes it.
 func (r *Received) take(place int) (*os.File, error) {
@@ -34,6 +49,11 @@
 
 // Conn takes the connection at a place.
 func (r *Received) Conn(place int) (net.Conn, error) {
+	if n := -1 - place; place < 0 && n < len(r.Ahead) && r.Ahead[n] != nil {
+		c := r.Ahead[n]
+		r.Ahead[n] = nil
+		return c, nil
+	}
 	f, err := r.take(place)
 	if err != nil {
 		return nil, err
@@ -42,6 +62,20 @@
 	return net.FileConn(f)
 }
 
+// Early makes connections of descriptors that came ahead, in their order.
+func (r *Received) Early(fds []int) error {
+	early := Received{FDs: fds}
+	for i := range fds {
+		c, err := early.Conn(i)
+		if err != nil {
+			early.Close()
+			return err
+		}
+		r.Ahead = append(r.Ahead, c)
+	}
+	return nil
+}
+
 // Listener takes the listener at a place.
 func (r *Received) Listener(place int) (net.Listener, error) {
 	f, err := r.take(place)
@@ -52,8 +86,14 @@
 	return net.FileListener(f)
 }
 
-// Close closes what nobody has taken.
+// Close closes what nobody has taken: what came ahead and has ended since, above all.
 func (r *Received) Close() {
+	for i, c := range r.Ahead {
+		if c != nil {
+			c.Close()
+			r.Ahead[i] = nil
+		}
+	}
 	for i, fd := range r.FDs {
 		if fd >= 0 {
 			syscall.Close(fd)
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -223,3 +223,16 @@
 	l.gate.drop(l)
 	return l.TCPListener.Close()
 }
+
+// Conns lists the connections behind the gate.
+func (g *Gate) Conns() []*Conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := make([]*Conn, 0, len(g.members))
+	for m := range g.members {
+		if c, ok := m.(*Conn); ok {
+			all = append(all, c)
+		}
+	}
+	return all
+}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"foldlb.example/foldlb/internal/upgrade"
 )
 
 // Tools are the programs that a run uses.
@@ -152,17 +154,18 @@
 
 // UpgradeResult is how one upgrade went.
 type UpgradeResult struct {
-	Binary string  `json:"binary"`
-	Want   string  `json:"want"`
-	Result string  `json:"result"`
-	Detail string  `json:"detail,omitempty"`
-	At     float64 `json:"at_s"`
-	Took   float64 `json:"took_s"`
-	HeldMS float64 `json:"held_ms"`
-	Files  int     `json:"descriptors"`
-	Bytes  int     `json:"bytes"`
-	Open   int     `json:"open_requests"` // about
-	PeakKB int     `json:"peak_kb"`       // of both processes together
+	Binary string        `json:"binary"`
+	Want   string        `json:"want"`
+	Result string        `json:"result"`
+	Detail string        `json:"detail,omitempty"`
+	At     float64       `json:"at_s"`
+	Took   float64       `json:"took_s"`
+	HeldMS float64       `json:"held_ms"`
+	Parts  upgrade.Times `json:"held_parts_ms"`
+	Files  int           `json:"descriptors"`
+	Bytes  int           `json:"bytes"`
+	Open   int           `json:"open_requests"` // about
+	PeakKB int           `json:"peak_kb"`       // of both processes together
 }
 
 // upgrade asks for an upgrade and waits for its end.
@@ -187,18 +190,19 @@
 	close(done)
 	u.PeakKB = <-peak
 	var last struct {
-		Result      string  `json:"result"`
-		Detail      string  `json:"detail"`
-		PID         int     `json:"pid"`
-		Descriptors int     `json:"descriptors"`
-		Bytes       int     `json:"bytes"`
-		HeldMS      float64 `json:"held_ms"`
+		Result      string        `json:"result"`
+		Detail      string        `json:"detail"`
+		PID         int           `json:"pid"`
+		Descriptors int           `json:"descriptors"`
+		Bytes       int           `json:"bytes"`
+		HeldMS      float64       `json:"held_ms"`
+		Held        upgrade.Times `json:"held_parts"`
 	}
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	if e := json.Unmarshal([]byte(lines[len(lines)-1]), &last); e != nil {
 		return u, fmt.Errorf("foldlb upgrade: %v, %w, said %q", err, e, out.String())
 	}
-	u.Result, u.Detail, u.HeldMS, u.Files, u.Bytes = last.Result, last.Detail, last.HeldMS, last.Descriptors, last.Bytes
+	u.Result, u.Detail, u.HeldMS, u.Parts, u.Files, u.Bytes = last.Result, last.Detail, last.HeldMS, last.Held, last.Descriptors, last.Bytes
 	if last.PID != 0 {
 		d.mu.Lock()
 		d.pid = last.PID
@@ -273,7 +277,12 @@
 	if d.pid == d.cmd.Process.Pid {
 		return d.cmd.Wait()
 	}
-	go d.cmd.Wait()
+	d.cmd.Wait() // the first generation, which has ended long ago
+	for _, c := range children(os.Getpid()) {
+		if c != d.pid { // generations between the first and the last; their parents have ended before them
+			syscall.Wait4(c, nil, syscall.WNOHANG, nil)
+		}
+	}
 	ended := make(chan error, 1)
 	go func() {
 		var status syscall.WaitStatus
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -171,7 +171,7 @@
 	c.run(s.plan(o.Seed))
 	events.Wait()
 	r.Files[1], r.Resident[1] = openFiles(d.pid), resident(d.pid)
-	left := zombies(os.Getpid()) + zombies(d.pid)
+	left := zombies(d.serving())
 	ended := d.stop()
 	if failed != nil {
 		return nil, failed
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -14,6 +14,9 @@
 	"github.com/hashicorp/hcl/v2/hclparse"
 )
 
+// mostHeld bounds the time for which an upgrade may hold everything still.
+const mostHeld = 600 * time.Millisecond
+
 // mostBytes bounds the file.
 const mostBytes = 1 << 20
 
@@ -49,8 +52,8 @@
 
 // Default is what an empty operator file says.
 func Default() Config {
-	return Config{Upgrade: Upgrade{Start: 10 * time.Second, Probation: 1500 * time.Millisecond, Hold: 250 * time.Millisecond,
-		Offer: 2 * time.Second, Commit: 2 * time.Second}, Log: Log{Format: "text"}}
+	return Config{Upgrade: Upgrade{Start: 10 * time.Second, Probation: 1500 * time.Millisecond, Hold: 150 * time.Millisecond,
+		Offer: 300 * time.Millisecond, Commit: 100 * time.Millisecond}, Log: Log{Format: "text"}}
 }
 
 // file is the form of the operator file.
@@ -140,8 +143,12 @@
 		duration("upgrade.start_within", x.Start, &c.Upgrade.Start, 100*time.Millisecond, 10*time.Minute)
 		duration("upgrade.probation", x.Probation, &c.Upgrade.Probation, 10*time.Millisecond, 10*time.Minute)
 		duration("upgrade.hold_at_most", x.Hold, &c.Upgrade.Hold, 10*time.Millisecond, time.Second)
-		duration("upgrade.take_within", x.Offer, &c.Upgrade.Offer, 10*time.Millisecond, 10*time.Second)
-		duration("upgrade.act_within", x.Commit, &c.Upgrade.Commit, 10*time.Millisecond, 10*time.Second)
+		duration("upgrade.take_within", x.Offer, &c.Upgrade.Offer, 10*time.Millisecond, time.Second)
+		duration("upgrade.act_within", x.Commit, &c.Upgrade.Commit, 10*time.Millisecond, time.Second)
+		// Danger: a drain that is told while everything is held is known only afterwards, and must be within 750 ms.
+		if sum := c.Upgrade.Hold + c.Upgrade.Offer + c.Upgrade.Commit; sum > mostHeld {
+			fault("upgrade", "hold_at_most, take_within and act_within are %v together, %v at most: drains must be kept meanwhile", sum, mostHeld)
+		}
 		if x.Strict != nil {
 			c.Upgrade.Strict = *x.Strict
 		}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -68,3 +68,15 @@
 		t.Errorf("a large file: %v", err)
 	}
 }
+
+// TestHoldsAreBounded: everything that may stand still must come to less than a drain's grace.
+func TestHoldsAreBounded(t *testing.T) {
+	d := Default().Upgrade
+	if sum := d.Hold + d.Offer + d.Commit; sum > mostHeld {
+		t.Errorf("the defaults hold for %v", sum)
+	}
+	_, err := Parse([]byte("control { socket = \"a\" }\n\nupgrade {\n take_within = \"500ms\"\n}"), "op.hcl")
+	if err == nil || !strings.Contains(err.Error(), "op.hcl:3: upgrade: hold_at_most") {
+		t.Errorf("a long hold: %v", err)
+	}
+}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -71,8 +71,9 @@
 	return nil
 }
 
-// Encode writes a reducer's state, with its header.
+// Encode writes a reducer's state, with its header. The same state makes the same bytes; st is put in order.
 func Encode(st core.State) ([]byte, error) {
+	st.Sort()
 	body, err := Marshal(st)
 	if err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
--- a/internal/upgrade/body.go
+++ b/internal/upgrade/body.go
@@ -76,17 +76,29 @@
 	if !ok {
 		return nil, fmt.Errorf("upgrade: the loop has ended")
 	}
-	defer goOn()
+	st, err := b.Reducer.Export()
+	if err == nil {
+		b.Loop.Watch(func(now float64, ev core.Event, effects []core.Effect) {
+			packed, err := snapshot.Pack(ev)
+			if err != nil {
+				packed = snapshot.Event{} // which the new process refuses
+			}
+			follow(Followed{Now: now, Event: packed, Digest: Digest(effects)})
+		})
+	}
+	goOn() // danger: writing it down takes far longer, and callers wait meanwhile
+	if err != nil {
+		return nil, err
+	}
+	return snapshot.Encode(st)
+}
+
+// State takes a snapshot. The body must be held.
+func (b *Body) State() ([]byte, error) {
 	st, err := b.Reducer.Export()
 	if err != nil {
 		return nil, err
 	}
-	b.Loop.Watch(func(now float64, ev core.Event, effects []core.Effect) {
-		packed, err := snapshot.Pack(ev)
-		if err == nil {
-			follow(Followed{Now: now, Event: packed, Digest: Digest(effects)})
-		}
-	})
 	return snapshot.Encode(st)
 }
 
@@ -141,13 +153,7 @@
 func (b *Body) Pack(files *hold.Files) (Parcel, error) {
 	p := Parcel{Generation: b.Generation + 1, Started: b.Started.UnixNano(), Clock: b.Clock.at, Monotonic: b.Clock.mono,
 		Control: -1, Parts: map[string]cbor.RawMessage{}}
-	st, err := b.Reducer.Export()
-	if err != nil {
-		return p, err
-	}
-	if p.Reducer, err = snapshot.Encode(st); err != nil {
-		return p, err
-	}
+	var err error
 	for _, ev := range b.Loop.Backlog() {
 		packed, err := snapshot.Pack(ev)
 		if err != nil {
--- a/internal/upgrade/giver.go
+++ b/internal/upgrade/giver.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"foldlb.example/foldlb/internal/hold"
 )
@@ -20,6 +21,9 @@
 // firstFile is the descriptor that the first of a command's ExtraFiles becomes.
 const firstFile = 3
 
+// aheadAtOnce is how many descriptors there are twice for a moment while they pass on ahead.
+const aheadAtOnce = 16
+
 // followMost bounds the steps that wait to be told to the new process. Beyond that it is no longer told any.
 const followMost = 8192
 
@@ -32,10 +36,26 @@
 	Result string    `json:"result,omitempty"` // of the final one: replaced, fell back, refused
 	PID    int       `json:"pid,omitempty"`    // of the new process
 	Files  int       `json:"descriptors,omitempty"`
-	Bytes  int       `json:"bytes,omitempty"`   // of the parcel's state
-	HeldMS float64   `json:"held_ms,omitempty"` // from the beginning of the hold to this moment
+	Late   int       `json:"descriptors_held,omitempty"` // of those, passed on while everything was held
+	Bytes  int       `json:"bytes,omitempty"`            // of the first snapshot
+	HeldMS float64   `json:"held_ms,omitempty"`          // from the beginning of the hold to this moment
+	Held   Times     `json:"held_parts,omitzero"`
+}
+
+// Times are the parts of a hold, in milliseconds.
+type Times struct {
+	Rest float64 `json:"rest_ms"` // until everything was at rest
+	Pack float64 `json:"pack_ms"` // writing everything down
+	Send float64 `json:"send_ms"` // until the last descriptor was taken
+	Take float64 `json:"take_ms"` // until the new process acted
 }
 
+func (t Times) String() string {
+	return fmt.Sprintf("%.1f+%.1f+%.1f+%.1f", t.Rest, t.Pack, t.Send, t.Take)
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 // The results of an upgrade.
 const (
 	Replaced = "replaced"
@@ -66,9 +86,13 @@
 	cmd      *exec.Cmd
 	timer    *time.Timer
 	follow   chan Followed
+	steps    int  // told since the first snapshot; of the loop's goroutine until the hold
+	behind   bool // one was left out
+	ahead    map[*hold.Conn]int
 	followed chan struct{} // closed when all of follow is written
 	heldAt   time.Time
 	parcel   Progress
+	bytes    int // of the first snapshot
 	waiting  []order
 	signals  []os.Signal
 }
@@ -219,9 +243,21 @@
 	case Hold:
 		g.heldAt = time.Now()
 		err := g.Body.Hold(g.machine.Limits.Hold)
+		g.parcel = Progress{Held: Times{Rest: millis(time.Since(g.heldAt))}}
 		return Held{err}
 	case SendAll:
 		return Sent{g.sendAll()}
+	case PassAhead:
+		if err := g.passAhead(); err != nil {
+			return Heard{Refused{Reason: "descriptors could not be passed on ahead: " + err.Error()}}
+		}
+	case SendState:
+		text, err := g.Body.State()
+		if err == nil {
+			err = g.pipe.Send(State{Reducer: text})
+		}
+		g.Log.Warn("upgrade: the new process could not follow every step; the whole state is sent while everything is held")
+		return Sent{err}
 	case SendGo:
 		if err := g.pipe.Send(Go{}); err != nil {
 			g.Log.WithError(err).Warn("upgrade: the word to go was not sent")
@@ -293,15 +329,17 @@
 // sendTrial sends a snapshot and begins to tell the new process every step.
 func (g *Giver) sendTrial() error {
 	g.follow, g.followed = make(chan Followed, followMost), make(chan struct{})
-	steps, behind := g.follow, false
+	steps := g.follow
+	g.steps, g.behind, g.ahead = 0, false, nil
 	text, err := g.Body.Trial(func(f Followed) {
-		if behind {
+		if g.behind {
 			return
 		}
 		select {
 		case steps <- f:
+			g.steps++
 		default:
-			behind = true // danger: a gap would make the rest worthless, and waiting would stop the service
+			g.behind = true // danger: a gap would make the rest worthless, and waiting would stop the service
 		}
 	})
 	if err != nil {
@@ -311,6 +349,7 @@
 	if err := g.pipe.words.SetWriteDeadline(time.Now().Add(g.machine.Limits.Start)); err != nil {
 		return err
 	}
+	g.bytes = len(text)
 	err = g.pipe.Send(Trial{Reducer: text})
 	pipe, followed := g.pipe, g.followed
 	go func() {
@@ -334,6 +373,46 @@
 	}
 }
 
+// passAhead passes on the descriptors of the connections there are, while they go on working: it is what takes
+// longest, and nobody has to wait for it.
+func (g *Giver) passAhead() error {
+	limit := time.Now().Add(g.machine.Limits.Start)
+	if err := errors.Join(g.pipe.words.SetWriteDeadline(limit), g.pipe.files.SetDeadline(limit)); err != nil {
+		return err
+	}
+	conns, sent := g.Body.Gate.Conns(), 0
+	g.ahead = make(map[*hold.Conn]int, len(conns))
+	for len(conns) > 0 {
+		some := conns[:min(len(conns), aheadAtOnce)]
+		conns = conns[len(some):]
+		var fds []int
+		for _, c := range some {
+			// Danger: its number alone may stand for another connection by the time it is sent.
+			c.FD(func(fd int) {
+				if twin, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0); err == nil {
+					g.ahead[c] = sent + len(fds)
+					fds = append(fds, twin)
+				}
+			})
+		}
+		if len(fds) == 0 {
+			continue
+		}
+		err := g.pipe.Send(Ahead{Files: len(fds)})
+		if err == nil {
+			err = g.pipe.SendFiles(fds)
+		}
+		for _, fd := range fds {
+			unix.Close(fd)
+		}
+		if err != nil {
+			return err
+		}
+		sent += len(fds)
+	}
+	return g.pipe.Send(Ahead{})
+}
+
 // sendAll sends everything. The body is held.
 func (g *Giver) sendAll() error {
 	limit := time.Now().Add(g.machine.Limits.Offer)
@@ -341,17 +420,24 @@
 		return err
 	}
 	g.unfollow()
-	var files hold.Files
+	files := hold.Files{Ahead: g.ahead}
 	parcel, err := g.Body.Pack(&files)
 	if err != nil {
 		return err
 	}
+	if parcel.Steps = g.steps; g.behind {
+		parcel.Steps = -1
+	}
 	parcel.Reload = g.Body.Reloads.Load() != g.reloads
+	packed := time.Now()
+	g.parcel.Held.Pack = millis(packed.Sub(g.heldAt)) - g.parcel.Held.Rest
+	g.parcel.Files, g.parcel.Late = len(files.FDs)+len(g.ahead), len(files.FDs)
 	if err := g.pipe.Send(parcel); err != nil {
 		return err
 	}
-	g.parcel = Progress{Files: len(files.FDs), Bytes: len(parcel.Reducer)}
-	return g.pipe.SendFiles(files.FDs)
+	err = g.pipe.SendFiles(files.FDs)
+	g.parcel.Held.Send = millis(time.Since(packed))
+	return err
 }
 
 // ended cleans up after an upgrade that did not come about.
@@ -383,9 +469,11 @@
 func (g *Giver) leave() {
 	pid := g.cmd.Process.Pid
 	p := g.parcel
-	p.Step, p.Final, p.Result, p.PID, p.HeldMS = Leaving.String(), true, Replaced, pid, float64(time.Since(g.heldAt).Microseconds())/1000
+	p.Bytes = g.bytes
+	p.Step, p.Final, p.Result, p.PID, p.HeldMS = Leaving.String(), true, Replaced, pid, millis(time.Since(g.heldAt))
+	p.Held.Take = p.HeldMS - p.Held.Rest - p.Held.Pack - p.Held.Send
 	g.tell(p)
-	g.Log.WithFields(logrus.Fields{"pid": pid, "held_ms": p.HeldMS, "descriptors": p.Files, "bytes": p.Bytes}).Info("upgraded: the new process has taken over")
+	g.Log.WithFields(logrus.Fields{"pid": pid, "held_ms": p.HeldMS, "held_parts_ms": p.Held.String(), "descriptors": p.Files, "bytes": p.Bytes}).Info("upgraded: the new process has taken over")
 	for _, o := range g.waiting {
 		syscall.Kill(pid, o.signal.(syscall.Signal))
 	}
--- a/internal/upgrade/machine.go
+++ b/internal/upgrade/machine.go
@@ -19,6 +19,7 @@
 	Starting                // the new process has been started and has not said hello
 	Rehearsing              // it is taking up a first snapshot, while the old process serves
 	Following               // it follows the old one's events, until the probation is over
+	Passing                 // descriptors pass to it ahead, while the old process serves
 	Holding                 // the old process is coming to rest
 	Offering                // everything has been sent; the new process has not said that it is ready
 	Committing              // it has been told to go; it has not said that it acts
@@ -27,7 +28,7 @@
 	Stranded                // it acted, and ended at once: nobody knows what it did
 )
 
-var phaseNames = [...]string{"idle", "starting", "rehearsing", "following", "holding", "offering", "committing", "leaving",
+var phaseNames = [...]string{"idle", "starting", "rehearsing", "following", "passing", "holding", "offering", "committing", "leaving",
 	"falling back", "stranded"}
 
 func (p Phase) String() string {
@@ -75,6 +76,8 @@
 type (
 	Start     struct{}                   // start the new process
 	SendTrial struct{}                   // send a snapshot, and from there on every step
+	PassAhead struct{}                   // pass on the descriptors there are
+	SendState struct{}                   // send the reducer's state, which the new process could not follow
 	Hold      struct{}                   // stop the loop and hold the gate; Held answers
 	SendAll   struct{}                   // send everything with its descriptors; Sent answers
 	SendGo    struct{}                   // tell the new process to go
@@ -94,6 +97,8 @@
 func (Start) action()     {}
 func (SendTrial) action() {}
 func (Hold) action()      {}
+func (PassAhead) action() {}
+func (SendState) action() {}
 func (SendAll) action()   {}
 func (SendGo) action()    {}
 func (Kill) action()      {}
@@ -143,7 +148,7 @@
 	case Stopped:
 		m.stopped = true
 		switch m.phase {
-		case Starting, Rehearsing, Following:
+		case Starting, Rehearsing, Following, Passing:
 			m.fail("SIGTERM came meanwhile")
 		}
 	}
@@ -202,9 +207,19 @@
 			m.enter(Following, m.Limits.Probation)
 		}
 	case Differs:
-		if m.Strict && m.phase == Following {
+		if m.Strict && (m.phase == Following || m.phase == Passing) {
 			m.fail("the new process decides otherwise: " + x.First)
 		}
+	case AheadTaken:
+		if m.phase == Passing {
+			m.held = true
+			m.enter(Holding, 0) // Hold has a limit of its own
+			m.do(Hold{})
+		}
+	case NeedState:
+		if m.phase == Offering {
+			m.do(SendState{})
+		}
 	case Ready:
 		if m.phase == Offering {
 			m.passed = true
@@ -248,10 +263,9 @@
 func (m *Machine) timeUp() {
 	switch m.phase {
 	case Following:
-		m.held = true
-		m.enter(Holding, 0) // Hold has a limit of its own
-		m.do(Hold{})
-	case Starting, Rehearsing, Offering, Committing:
+		m.enter(Passing, m.Limits.Start)
+		m.do(PassAhead{})
+	case Starting, Rehearsing, Passing, Offering, Committing:
 		m.fail(fmt.Sprintf("the new process took too long while %v", m.phase))
 	}
 }
--- a/internal/upgrade/messages.go
+++ b/internal/upgrade/messages.go
@@ -29,6 +29,10 @@
 		Steps int
 		First string
 	}
+	// AheadTaken says that it has taken the descriptors that were passed on ahead.
+	AheadTaken struct{}
+	// NeedState says that it could not follow to the last step, and needs the reducer's state.
+	NeedState struct{}
 	// Ready says that it has taken up everything and waits for the word to go.
 	Ready struct{ Followed, Differed int }
 	// Acting is its last word: from here on it owns everything.
@@ -53,7 +57,7 @@
 		Started    int64   // Unix nanoseconds of the first generation's start
 		Clock      float64 // the dispatcher's clock, in seconds
 		Monotonic  int64   // CLOCK_MONOTONIC at that, in nanoseconds
-		Reducer    []byte  // a sealed snapshot
+		Steps      int     // that were told since the first snapshot; -1 where one was left out
 		Backlog    []snapshot.Event
 		Listener   int
 		Control    int // place of the control socket's listener; -1 for none
@@ -61,6 +65,10 @@
 		Files      int
 		Reload     bool // the configuration was read again since the new process was started
 	}
+	// Ahead says that so many descriptors pass on ahead.
+	Ahead struct{ Files int }
+	// State is the reducer's state at the hold.
+	State struct{ Reducer []byte }
 	// Go tells the new process that everything is its own.
 	Go struct{}
 )
@@ -77,6 +85,10 @@
 	kindFollowed
 	kindParcel
 	kindGo
+	kindAheadTaken
+	kindNeedState
+	kindAhead
+	kindState
 )
 
 // encode writes a message down.
@@ -102,6 +114,14 @@
 		kind = kindParcel
 	case Go:
 		kind = kindGo
+	case AheadTaken:
+		kind = kindAheadTaken
+	case NeedState:
+		kind = kindNeedState
+	case Ahead:
+		kind = kindAhead
+	case State:
+		kind = kindState
 	default:
 		return 0, nil, fmt.Errorf("upgrade: %T is no message", m)
 	}
@@ -132,6 +152,14 @@
 		return as[Parcel](text)
 	case kindGo:
 		return as[Go](text)
+	case kindAheadTaken:
+		return as[AheadTaken](text)
+	case kindNeedState:
+		return as[NeedState](text)
+	case kindAhead:
+		return as[Ahead](text)
+	case kindState:
+		return as[State](text)
 	}
 	return nil, fmt.Errorf("%w: message of unknown kind %d", snapshot.ErrForm, kind)
 }
--- a/internal/upgrade/taker.go
+++ b/internal/upgrade/taker.go
@@ -55,7 +55,7 @@
 	if err := p.Send(Hello{Protocol: Protocol, Schema: ownSchema, Version: version, PID: os.Getpid()}); err != nil {
 		return nil, err
 	}
-	t := &Taken{pipe: p}
+	t := &Taken{pipe: p, Files: &hold.Received{}}
 	var twin *core.Reducer
 	for {
 		m, err := p.Receive(snapshot.MostBytes)
@@ -74,8 +74,12 @@
 			if err := t.follow(twin, m); err != nil {
 				return nil, err
 			}
+		case Ahead:
+			if err := t.takeAhead(m); err != nil {
+				return nil, err
+			}
 		case Parcel:
-			return t, t.open(m, settings)
+			return t, t.open(m, twin, settings)
 		default:
 			return nil, fmt.Errorf("%w: %T was not expected", snapshot.ErrForm, m)
 		}
@@ -111,16 +115,32 @@
 	return nil
 }
 
-// open takes the descriptors and reads the state.
-func (t *Taken) open(p Parcel, settings choice.Settings) error {
-	fds, err := t.pipe.ReceiveFiles(p.Files)
+// takeAhead takes descriptors that pass on ahead; none says that these were all.
+func (t *Taken) takeAhead(a Ahead) error {
+	if a.Files == 0 {
+		return t.pipe.Send(AheadTaken{})
+	}
+	fds, err := t.pipe.ReceiveFiles(a.Files)
 	if err != nil {
 		return err
 	}
-	t.Parcel, t.Files, t.Clock = p, &hold.Received{FDs: fds}, Clock{at: p.Clock, mono: p.Monotonic}
-	if t.Reducer, err = restore(p.Reducer, settings); err != nil {
+	return t.Files.Early(fds)
+}
+
+// open takes the rest of the descriptors and what was written down. A twin that has followed every step, and always
+// did the same, stands where the old process's reducer stands; any other is dropped for that one's state.
+func (t *Taken) open(p Parcel, twin *core.Reducer, settings choice.Settings) error {
+	fds, err := t.pipe.ReceiveFiles(p.Files)
+	if err != nil {
 		return err
 	}
+	t.Files.FDs = fds
+	t.Parcel, t.Clock, t.Reducer = p, Clock{at: p.Clock, mono: p.Monotonic}, twin
+	if twin == nil || t.differed > 0 || t.followed != p.Steps {
+		if t.Reducer, err = t.askState(settings); err != nil {
+			return err
+		}
+	}
 	for _, packed := range p.Backlog {
 		ev, err := packed.Unpack()
 		if err != nil {
@@ -131,6 +151,21 @@
 	return nil
 }
 
+func (t *Taken) askState(settings choice.Settings) (*core.Reducer, error) {
+	if err := t.pipe.Send(NeedState{}); err != nil {
+		return nil, err
+	}
+	m, err := t.pipe.Receive(snapshot.MostBytes)
+	if err != nil {
+		return nil, err
+	}
+	st, ok := m.(State)
+	if !ok {
+		return nil, fmt.Errorf("%w: %T where the state was expected", snapshot.ErrForm, m)
+	}
+	return restore(st.Reducer, settings)
+}
+
 // Started tells when the first generation was started.
 func (t *Taken) Started() time.Time { return time.Unix(0, t.Parcel.Started) }
 
