--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -88,6 +88,9 @@
 	}
 }
 
+// beforeGo is called when everything has been taken up and nobody may act yet; tests wait in it.
+var beforeGo = func() {}
+
 // take takes everything up that another process hands over, and returns when it is this one's own.
 func (n *node) take(t *upgrade.Taken) error {
 	if err := n.gate.Hold(time.Second, nil); err != nil {
@@ -98,6 +101,7 @@
 	if err := t.Import(n.body.Parts); err != nil {
 		return err
 	}
+	beforeGo()
 	return t.Go()
 }
 
--- a/cmd/foldlb/operate.go
+++ b/cmd/foldlb/operate.go
@@ -45,7 +45,7 @@
 		return nil, err
 	}
 	binary, since := executable(), time.Now()
-	n.giver = upgrade.NewGiver(n.body, limits(s.operator.Upgrade), s.operator.Upgrade.Strict, s.successor(binary), s.announce, n.log)
+	n.giver = upgrade.NewGiver(n.body, limits(s.operator.Upgrade), s.operator.Upgrade.Strict, s.successor(binary), nil, n.log)
 	server := control.NewServer(ln, map[string]control.Handler{
 		"status": func(_ json.RawMessage, say func(any) error) error {
 			return say(status{Name: n.cfg.Name, PID: os.Getpid(), Generation: n.body.Generation, Version: version, Binary: binary,
@@ -60,6 +60,10 @@
 			return nil
 		},
 	}, n.log)
+	n.giver.Leave = func(pid int) {
+		server.Leave()
+		s.announce(pid)
+	}
 	n.body.Control = server
 	n.configure = func() { s.configure(n) }
 	n.begins = func() { go server.Run() }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -49,6 +50,7 @@
 	handlers map[string]Handler
 	log      logrus.FieldLogger
 	places   chan struct{}
+	left     atomic.Bool
 }
 
 // Listen opens the socket at a path, for this user only. A socket that no process answers at is replaced; one that a
@@ -122,6 +124,10 @@
 	}
 }
 
+// Leave says that another process answers from now on: new questions that still come here end without a word, and
+// are asked again.
+func (s *Server) Leave() { s.left.Store(true) }
+
 // Close closes the socket and removes its file.
 func (s *Server) Close() error { return s.ln.Close() }
 
@@ -137,6 +143,9 @@
 		_, err = c.Write(append(text, '\n'))
 		return err
 	}
+	if s.left.Load() {
+		return
+	}
 	if err != nil {
 		say(Fault{"no question came: a question is one line of JSON"})
 		return
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -33,6 +33,7 @@
 	let     *sync.Cond // told when the gate is let go
 	active  int
 	quiet   chan struct{} // closed when active comes to 0 while held; nil otherwise
+	later   []func()      // to be run on goroutines of their own when the gate is let go
 	members map[member]struct{}
 }
 
@@ -51,8 +52,19 @@
 
 // Go runs f on a goroutine of its own that counts as active, once the gate is open.
 func (g *Gate) Go(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.held.Load() {
+		g.later = append(g.later, f)
+		return
+	}
+	g.run(f)
+}
+
+// run runs f on a goroutine that counts as active; g.mu is held.
+func (g *Gate) run(f func()) {
+	g.active++
 	go func() {
-		g.Wake()
 		defer g.Rest()
 		f()
 	}()
@@ -134,6 +146,10 @@
 	g.mu.Lock()
 	g.held.Store(false)
 	g.quiet = nil
+	for _, f := range g.later {
+		g.run(f)
+	}
+	g.later = nil
 	all := g.list()
 	g.let.Broadcast()
 	g.mu.Unlock()
--- a/internal/upgrade/body.go
+++ b/internal/upgrade/body.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -124,19 +125,27 @@
 	return h.Sum64()
 }
 
+// pauseCollector keeps the garbage collector from running while everybody waits. The memory limit still counts.
+func pauseCollector() (goOn func()) {
+	old := debug.SetGCPercent(-1)
+	return func() { debug.SetGCPercent(old) }
+}
+
 // Hold stops the loop and brings everything to rest.
 func (b *Body) Hold(most time.Duration) error {
 	goOn, ok := b.Loop.Hold()
 	if !ok {
 		return fmt.Errorf("upgrade: the loop has ended")
 	}
+	collect := pauseCollector()
 	if err := b.Gate.Hold(most, b.Loop.Drain); err != nil {
+		collect()
 		goOn()
 		return err
 	}
 	b.Loop.Watch(nil)
 	b.Loop.Drain()
-	b.goOn = goOn
+	b.goOn = func() { goOn(); collect() }
 	return nil
 }
 
--- a/internal/upgrade/giver.go
+++ b/internal/upgrade/giver.go
@@ -68,7 +68,7 @@
 	Body    *Body
 	Command func() (*exec.Cmd, error) // the new process, to be started; its ExtraFiles and Env are added to
 	Log     logrus.FieldLogger
-	Leave   func(pid int) // called last, before the process exits
+	Leave   func(pid int) // called when the new process acts, before anybody is told
 
 	inputs chan Input
 	orders chan order
@@ -472,12 +472,12 @@
 	p.Bytes = g.bytes
 	p.Step, p.Final, p.Result, p.PID, p.HeldMS = Leaving.String(), true, Replaced, pid, millis(time.Since(g.heldAt))
 	p.Held.Take = p.HeldMS - p.Held.Rest - p.Held.Pack - p.Held.Send
+	g.Leave(pid) // first: whoever hears the final word may ask at once who serves
 	g.tell(p)
 	g.Log.WithFields(logrus.Fields{"pid": pid, "held_ms": p.HeldMS, "held_parts_ms": p.Held.String(), "descriptors": p.Files, "bytes": p.Bytes}).Info("upgraded: the new process has taken over")
 	for _, o := range g.waiting {
 		syscall.Kill(pid, o.signal.(syscall.Signal))
 	}
-	g.Leave(pid)
 	g.flush()
 	os.Exit(0)
 }
--- /dev/null
+++ b/internal/upgrade/parcel_bench_test.go
@@ -0,0 +1,68 @@
+package upgrade
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"foldlb.example/foldlb/internal/hold"
+	"foldlb.example/foldlb/internal/snapshot"
+)
+
+type benchConn struct {
+	File  int
+	Conn  hold.ConnState
+	Phase uint8
+	Leg   uint64
+}
+
+// BenchmarkParcelOf2000 reads a parcel of 2,000 connections and puts each behind a gate.
+func BenchmarkParcelOf2000(b *testing.B) {
+	var st struct{ Conns []benchConn }
+	for i := range 2000 {
+		st.Conns = append(st.Conns, benchConn{File: -i, Conn: hold.ConnState{ReadIn: 70}, Phase: 2, Leg: uint64(i)})
+	}
+	raw, err := snapshot.Marshal(st)
+	if err != nil {
+		b.Fatal(err)
+	}
+	text, err := snapshot.Marshal(Parcel{Parts: map[string]cbor.RawMessage{"callers": raw}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("decode", func(b *testing.B) {
+		for b.Loop() {
+			m, err := decode(kindParcel, text)
+			if err != nil {
+				b.Fatal(err)
+			}
+			var out struct{ Conns []benchConn }
+			if err := snapshot.Unmarshal(m.(Parcel).Parts["callers"], &out); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("import", func(b *testing.B) {
+		near, far := net.Pipe()
+		defer far.Close()
+		for b.Loop() {
+			g := hold.NewGate()
+			g.Hold(time.Second, nil)
+			for range st.Conns {
+				g.Import(near, hold.ConnState{ReadIn: 70})
+			}
+		}
+	})
+	b.Run("goroutines", func(b *testing.B) {
+		for b.Loop() {
+			g := hold.NewGate()
+			g.Hold(time.Second, nil)
+			for range st.Conns {
+				g.Go(func() {})
+			}
+			g.Release()
+		}
+	})
+}
--- a/lab/upgrade-short.hcl
+++ b/lab/upgrade-short.hcl
@@ -130,18 +130,25 @@
   at = 28
   binary = "good"
 }
+# Told while the new process follows, and while a stalled one has everything held.
 event "drain" {
-  at = 11.3
+  at     = 19.2
   worker = "s-old-box-2"
 }
+event "drain" {
+  at     = 27.1
+  worker = "s-new-blade-1"
+}
 event "return" {
-  at = 20
+  at     = 24
   worker = "s-old-box-2"
 }
-event "reload" {
-  at = 11.6
-}
-event "reload" {
-  at = 20.2
+event "return" {
+  at     = 30
+  worker = "s-new-blade-1"
 }
+event "reload" { at = 10.2 }
+event "reload" { at = 19.4 }
+event "reload" { at = 27.05 }
+
 promises {}
