--- a/cmd/foldlb/upgrade_test.go
+++ b/cmd/foldlb/upgrade_test.go
@@ -584,10 +584,15 @@
 	}
 }
 
-func childrenOf(t *testing.T, pid int) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/task/%d/children", pid, pid))
+// childrenOf counts the children of all of a process's threads.
+func childrenOf(t *testing.T, pid int) (n int) {
+	lists, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", pid))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return len(strings.Fields(string(text)))
+	for _, list := range lists {
+		text, _ := os.ReadFile(list) // a thread may have ended
+		n += len(strings.Fields(string(text)))
+	}
+	return n
 }
--- a/internal/callerleg/server_test.go
+++ b/internal/callerleg/server_test.go
@@ -34,8 +34,9 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f := &fixture{t: t, ln: ln, events: make(chan core.Event, 64)}
-	f.s = NewServer(most, hold.NewGate(), func(e core.Event) { f.events <- e }, log)
-	go f.s.Serve(ln)
+	gate := hold.NewGate()
+	f.s = NewServer(most, gate, func(e core.Event) { f.events <- e }, log)
+	go f.s.Serve(gate.Listen(ln.(*net.TCPListener)))
 	t.Cleanup(func() { ln.Close() })
 	return f
 }
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -231,10 +231,13 @@
 }
 
 func children(pid int) (all []int) {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/task/%d/children", pid, pid))
-	for _, f := range strings.Fields(string(text)) {
-		if n, err := strconv.Atoi(f); err == nil {
-			all = append(all, n)
+	lists, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", pid)) // each thread has its own
+	for _, list := range lists {
+		text, _ := os.ReadFile(list)
+		for _, f := range strings.Fields(string(text)) {
+			if n, err := strconv.Atoi(f); err == nil {
+				all = append(all, n)
+			}
 		}
 	}
 	return all
--- a/internal/upgrade/machine.go
+++ b/internal/upgrade/machine.go
@@ -178,7 +178,8 @@
 
 // fail ends a hand-over. Danger: nothing may go on here while the new process lives, and might act.
 func (m *Machine) fail(reason string) {
-	if m.phase == Killing || m.phase == Idle {
+	switch m.phase {
+	case Idle, Killing, Leaving, Stranded:
 		return
 	}
 	m.reason = reason
@@ -189,9 +190,7 @@
 func (m *Machine) heard(message any) {
 	switch x := message.(type) {
 	case Refused:
-		if m.phase != Leaving {
-			m.fail("the new process refused: " + x.Reason)
-		}
+		m.fail("the new process refused: " + x.Reason)
 	case Hello:
 		if m.phase != Starting {
 			m.fail("the new process said hello again")
