--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -108,7 +108,11 @@
 	if !ok {
 		return fmt.Errorf("listen: %T is not a TCP listener", ln)
 	}
-	n := build(s.cfg, reducer, clock, s.log)
+	var log logrus.FieldLogger = s.log
+	if s.operator.Control.Socket != "" {
+		log = s.log.WithField("generation", 1)
+	}
+	n := build(s.cfg, reducer, clock, log)
 	end, err := s.operate(n, nil)
 	if err != nil {
 		return err
--- /dev/null
+++ b/deploy/operator.hcl
@@ -0,0 +1,29 @@
+# What an installation switches on beyond the platform's configuration. `foldlb serve --operator deploy/operator.hcl`
+# reads it; without it everything here is off. Paths that are not absolute count from this file's folder. Each value
+# below is the default, unless its comment says otherwise. `foldlb check-config --operator FILE` names what is wrong.
+
+control {
+  # The Unix socket for `foldlb status` and `foldlb upgrade`, for the dispatcher's own user only (mode 0600).
+  # Default: none, which leaves upgrades off.
+  socket = "foldlb.sock"
+}
+
+upgrade {
+  # The program that an upgrade starts. Default: the path that the running one was started from.
+  # binary = "../bin/foldlb"
+
+  start_within   = "10s"    # for the new process to say hello, and again to take up a first snapshot
+  probation      = "1500ms" # for which it follows every step of the old one before it takes over
+  hold_at_most   = "150ms"  # for the old process to come to rest
+  take_within    = "300ms"  # for the new one to take everything up; callers wait meanwhile
+  act_within     = "100ms"  # for it to act once it was told to; the three together: 600ms at most
+  same_decisions = false    # fall back where the new process, while it follows, decides otherwise
+  keep_pid       = false    # a small first process stays, so that a supervisor sees one PID for ever
+
+  # Rewritten at each upgrade with the PID of the process that serves. Default: none.
+  # pid_file = "foldlb.pid"
+}
+
+log {
+  format = "text" # or "json"
+}
