Shorten the hold: collector paused before it, states as arrays, buffers only while reading

Cause, by a benchmark and its profile: pausing the collector waited for a collection under way; field names in every connection's state; a 4 KiB buffer for every kept connection. Change: the collector is paused before anything is held; connections' states are CBOR arrays; next hops' read buffers come from a pool while an answer is read.

--- a/internal/callerleg/state.go
+++ b/internal/callerleg/state.go
@@ -18,7 +18,8 @@
 
 // ConnState is one connection, however far it has come with its current request.
 type ConnState struct {
-	File      int // place of its descriptor
+	_         struct{} `cbor:",toarray"`
+	File      int      // place of its descriptor
 	Conn      hold.ConnState
 	Phase     uint8
 	Proven    bool
--- a/internal/hold/conn.go
+++ b/internal/hold/conn.go
@@ -305,9 +305,13 @@
 func (c *Conn) kick() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reading || c.writing {
+	if c.reading {
 		c.kicked = true
-		c.Conn.SetDeadline(past)
+		c.Conn.SetReadDeadline(past)
+	}
+	if c.writing {
+		c.kicked = true
+		c.Conn.SetWriteDeadline(past)
 	}
 }
 
@@ -332,9 +336,10 @@
 
 // ConnState is a held connection as a value, but for its descriptor.
 type ConnState struct {
-	Ahead   []byte  // to be read before anything from the kernel
-	Rest    []byte  // to be written before anything else
-	ReadIn  float64 // seconds to the read deadline; 0 for none
+	_       struct{} `cbor:",toarray"`
+	Ahead   []byte   // to be read before anything from the kernel
+	Rest    []byte   // to be written before anything else
+	ReadIn  float64  // seconds to the read deadline; 0 for none
 	WriteIn float64
 }
 
--- a/internal/nexthop/conn.go
+++ b/internal/nexthop/conn.go
@@ -18,7 +18,7 @@
 type conn struct {
 	*hold.Conn
 	addr  string
-	r     *bufio.Reader
+	r     *bufio.Reader // while it reads, or holds bytes that nobody asked for; nil otherwise
 	since time.Time     // when it became idle
 	age   time.Duration // for how long it was idle before it was taken; 0 for a new one
 }
@@ -27,9 +27,12 @@
 func (c *conn) kept() bool { return c.age > 0 }
 
 func newConn(c *hold.Conn, addr string) *conn {
-	return &conn{Conn: c, addr: addr, r: bufio.NewReader(c)}
+	return &conn{Conn: c, addr: addr}
 }
 
+// readers are the buffers of answers that are being read: kept connections are many, and silent.
+var readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
 // requests are buffers that whole requests are written into. Danger: a request that went out in parts could not be
 // finished by another process, which gets what is left of one Write.
 var requests = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -65,12 +68,20 @@
 }
 
 func (c *conn) read() (answer, error) {
+	if c.r == nil {
+		c.r = readers.Get().(*bufio.Reader)
+		c.r.Reset(c.Conn)
+	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	if err := resp.ReadLimitBody(c.r, mostAnswer); err != nil {
 		return answer{}, fmt.Errorf("read from %s: %w", c.addr, err)
 	}
 	c.Mark(c.r.Buffered())
+	if c.r.Buffered() == 0 {
+		readers.Put(c.r)
+		c.r = nil
+	}
 	return answer{status: resp.StatusCode(), turnedAway: string(resp.Header.Peek(headerTurnedAway)) == "1",
 		closes: resp.ConnectionClose()}, nil
 }
@@ -78,5 +89,5 @@
 // fresh reports whether an idle connection is still open and silent. A request written to one that the
 // next hop has closed would end as a reset, after which most classes must not be tried again.
 func (c *conn) fresh() bool {
-	return c.r.Buffered() == 0 && c.Silent()
+	return c.r == nil && c.Silent()
 }
--- a/internal/nexthop/state.go
+++ b/internal/nexthop/state.go
@@ -24,7 +24,8 @@
 
 // LinkState is a connection to a next hop.
 type LinkState struct {
-	File int // place of its descriptor
+	_    struct{} `cbor:",toarray"`
+	File int      // place of its descriptor
 	Addr string
 	Conn hold.ConnState
 	Age  float64 // seconds that it had been idle for when it was taken; 0 for a new one
@@ -32,6 +33,7 @@
 
 // SentState is a branch whose request was written, or part of it. Its message is not in it.
 type SentState struct {
+	_      struct{} `cbor:",toarray"`
 	Branch core.SendBranch
 	Link   LinkState
 }
@@ -44,12 +46,16 @@
 
 // IdleState is a kept connection.
 type IdleState struct {
+	_       struct{} `cbor:",toarray"`
 	Link    LinkState
 	IdleFor float64 // seconds
 }
 
 // BandState is the record of kept connections that were idle for about equally long.
-type BandState struct{ Tries, Broke, Ago float64 }
+type BandState struct {
+	_                 struct{} `cbor:",toarray"`
+	Tries, Broke, Ago float64
+}
 
 func linkOf(c *conn, files *hold.Files) (LinkState, error) {
 	file, err := files.Add(c)
@@ -70,7 +76,7 @@
 			}
 			sent := x.branch
 			sent.Message = core.Message{}
-			st.Sent = append(st.Sent, SentState{sent, l})
+			st.Sent = append(st.Sent, SentState{Branch: sent, Link: l})
 		case x.over:
 			st.Dropped = append(st.Dropped, id)
 		default:
@@ -97,12 +103,12 @@
 	for _, addr := range slices.Sorted(maps.Keys(p.idle)) {
 		for _, c := range p.idle[addr] {
 			if l, err := linkOf(c, files); err == nil {
-				st.Idle = append(st.Idle, IdleState{l, time.Since(c.since).Seconds()})
+				st.Idle = append(st.Idle, IdleState{Link: l, IdleFor: time.Since(c.since).Seconds()})
 			}
 		}
 	}
 	for _, b := range p.bands {
-		st.Bands = append(st.Bands, BandState{b.tries, b.broke, time.Since(b.at).Seconds()})
+		st.Bands = append(st.Bands, BandState{Tries: b.tries, Broke: b.broke, Ago: time.Since(b.at).Seconds()})
 	}
 }
 
--- a/internal/upgrade/body.go
+++ b/internal/upgrade/body.go
@@ -126,6 +126,7 @@
 }
 
 // pauseCollector keeps the garbage collector from running while everybody waits. The memory limit still counts.
+// Danger: it waits for a collection that is under way, so it is called before anything is held.
 func pauseCollector() (goOn func()) {
 	old := debug.SetGCPercent(-1)
 	return func() { debug.SetGCPercent(old) }
@@ -137,15 +138,13 @@
 	if !ok {
 		return fmt.Errorf("upgrade: the loop has ended")
 	}
-	collect := pauseCollector()
 	if err := b.Gate.Hold(most, b.Loop.Drain); err != nil {
-		collect()
 		goOn()
 		return err
 	}
 	b.Loop.Watch(nil)
 	b.Loop.Drain()
-	b.goOn = func() { goOn(); collect() }
+	b.goOn = goOn
 	return nil
 }
 
--- a/internal/upgrade/giver.go
+++ b/internal/upgrade/giver.go
@@ -89,6 +89,7 @@
 	steps    int  // told since the first snapshot; of the loop's goroutine until the hold
 	behind   bool // one was left out
 	ahead    map[*hold.Conn]int
+	collect  func()        // lets the collector run again
 	followed chan struct{} // closed when all of follow is written
 	heldAt   time.Time
 	parcel   Progress
@@ -380,6 +381,7 @@
 	if err := errors.Join(g.pipe.words.SetWriteDeadline(limit), g.pipe.files.SetDeadline(limit)); err != nil {
 		return err
 	}
+	g.collect = pauseCollector()
 	conns, sent := g.Body.Gate.Conns(), 0
 	g.ahead = make(map[*hold.Conn]int, len(conns))
 	for len(conns) > 0 {
@@ -448,6 +450,10 @@
 		}
 		return
 	}
+	if g.collect != nil {
+		g.collect()
+		g.collect = nil
+	}
 	if g.follow != nil {
 		g.Body.Unfollow()
 		g.unfollow()
--- a/internal/upgrade/taker.go
+++ b/internal/upgrade/taker.go
@@ -119,6 +119,9 @@
 // takeAhead takes descriptors that pass on ahead; none says that these were all.
 func (t *Taken) takeAhead(a Ahead) error {
 	if a.Files == 0 {
+		if t.collect == nil {
+			t.collect = pauseCollector()
+		}
 		return t.pipe.Send(AheadTaken{})
 	}
 	fds, err := t.pipe.ReceiveFiles(a.Files)
@@ -131,7 +134,6 @@
 // open takes the rest of the descriptors and what was written down. A twin that has followed every step, and always
 // did the same, stands where the old process's reducer stands; any other is dropped for that one's state.
 func (t *Taken) open(p Parcel, twin *core.Reducer, settings choice.Settings) error {
-	t.collect = pauseCollector()
 	fds, err := t.pipe.ReceiveFiles(p.Files)
 	if err != nil {
 		return err
@@ -188,7 +190,9 @@
 // Go says that this process is ready, waits for the word to go, and says that it acts. When it returns nil
 // everything is this process's own; on an error nothing is.
 func (t *Taken) Go() error {
-	defer t.collect()
+	if t.collect != nil {
+		defer func() { go t.collect() }()
+	}
 	t.Files.Close()
 	if err := t.pipe.Send(Ready{Followed: t.followed, Differed: t.differed}); err != nil && !ended(err) {
 		return err
