--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -146,6 +146,20 @@
 	return strings.Join(all[max(0, len(all)-lines):], "\n")
 }
 
+// restart ends the dispatcher as a plain restart does, and starts it again at its address.
+func (d *dispatcher) restart() (window, error) {
+	w := window{from: time.Now(), good: true, restart: true}
+	if err := d.stop(); err != nil {
+		return w, err
+	}
+	if err := d.start(); err != nil {
+		return w, err
+	}
+	w.changed = time.Now()
+	w.to = w.changed
+	return w, nil
+}
+
 // setBinary writes the operator file with another binary.
 func (d *dispatcher) setBinary(path string) error {
 	return os.WriteFile(d.operator, fmt.Appendf(nil, "control { socket = %q }\nupgrade {\n  binary = %q\n%s\n}\nlog { format = \"json\" }\n",
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -54,7 +54,9 @@
 			fmt.Fprintf(w, "%s\t%.1f\t%.2f\t%.1f\t%v\t%d\t%d\t%d\t%d\t%s %s\n", u.Binary, u.At, u.Took, u.HeldMS, u.Parts, u.Open, u.Files, u.Bytes, u.PeakKB, u.Result, u.Detail)
 		}
 		fmt.Fprintf(w, "\nheld\tmedian %.1f ms\tworst %.1f ms\n", r.HeldMS.Median, r.HeldMS.Worst)
-		fmt.Fprintf(w, "worth served\t%.3f in 5 s before\t%.3f in 5 s after\n", r.WorthPre, r.WorthAft)
+	}
+	if len(r.windows) > 0 {
+		fmt.Fprintf(w, "worth served\t%.3f in 5 s before\t%.3f in 5 s after a change of process\n", r.WorthPre, r.WorthAft)
 	}
 	for _, x := range r.Account.Worst {
 		fmt.Fprintf(w, "example\t%s\n", x)
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -35,8 +35,8 @@
 	Reopened int             `json:"connections_found_closed"`
 	Files    [2]int          `json:"open_files_first_last"` // of the dispatcher
 	Resident [2]int          `json:"resident_kb_first_last"`
-	WorthPre float64         `json:"worth_in_5s_before_upgrades"` // share of what was asked
-	WorthAft float64         `json:"worth_in_5s_after_upgrades"`
+	WorthPre float64         `json:"worth_in_5s_before_changes"` // of process, as a share of what was asked
+	WorthAft float64         `json:"worth_in_5s_after_changes"`
 
 	samples []sample
 	begin   time.Time
@@ -70,7 +70,8 @@
 type window struct {
 	from, to time.Time
 	good     bool
-	changed  time.Time // when the new process took over
+	restart  bool
+	changed  time.Time // when the new process took over, or was ready
 }
 
 // Options of a run.
@@ -208,6 +209,12 @@
 			switch e.Kind {
 			case "upgrade":
 				upgrades <- e
+			case "restart":
+				w, err := d.restart()
+				if err != nil {
+					return err
+				}
+				r.windows = append(r.windows, w)
 			case "drain":
 				if err := f.roster.set(e.Worker, "leaving"); err != nil {
 					return err
@@ -288,9 +295,13 @@
 				around.RecordValue(us)
 			}
 			worth, asked := worthOf(classes[x.class], x), classes[x.class].Worth
-			if d := x.planned.Sub(w.changed); w.good && d >= -5*time.Second && d < 0 {
+			before := w.changed
+			if w.restart {
+				before = w.from
+			}
+			if d := x.planned.Sub(before); w.good && d >= -5*time.Second && d < 0 {
 				pre[0], pre[1] = pre[0]+worth, pre[1]+asked
-			} else if w.good && d >= 0 && d < 5*time.Second {
+			} else if d := x.planned.Sub(w.changed); w.good && d >= 0 && d < 5*time.Second {
 				aft[0], aft[1] = aft[0]+worth, aft[1]+asked
 			}
 		}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -66,7 +66,7 @@
 
 // Event is something that happens at a time.
 type Event struct {
-	Kind   string  `hcl:"kind,label"` // upgrade, drain, return, reload
+	Kind   string  `hcl:"kind,label"` // upgrade, restart, drain, return, reload
 	At     float64 `hcl:"at"`         // seconds from the beginning
 	Worker string  `hcl:"worker,optional"`
 	Binary string  `hcl:"binary,optional"` // of an upgrade: good, or a kind of bad start
@@ -86,7 +86,7 @@
 }
 
 var (
-	eventKinds = map[string]bool{"upgrade": true, "drain": true, "return": true, "reload": true}
+	eventKinds = map[string]bool{"upgrade": true, "drain": true, "return": true, "reload": true, "restart": true}
 	effects    = map[string]bool{"idempotent": true, "deduplicated": true, "at_most_once": true}
 )
 
@@ -154,7 +154,7 @@
 	for _, e := range s.Events {
 		switch {
 		case !eventKinds[e.Kind]:
-			fault("event %q: is none of upgrade, drain, return, reload", e.Kind)
+			fault("event %q: is none of upgrade, restart, drain, return, reload", e.Kind)
 		case (e.Kind == "drain" || e.Kind == "return") && !workers[e.Worker]:
 			fault("event %q at %v: there is no worker %q", e.Kind, e.At, e.Worker)
 		case e.Kind == "upgrade" && e.Binary != "" && e.Binary != "good" && !BadStarts[e.Binary]:
