--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsimple"
 	"gonum.org/v1/gonum/stat/distuv"
 )
@@ -103,6 +104,10 @@
 func ParseScenario(path string, text []byte) (*Scenario, error) {
 	var s Scenario
 	if err := hclsimple.Decode(path, text, nil, &s); err != nil {
+		var all hcl.Diagnostics
+		if errors.As(err, &all) {
+			err = errors.Join(all.Errs()...)
+		}
 		return nil, fmt.Errorf("scenario: %w", err)
 	}
 	var faults []error
