--- a/cmd/foldlb/operate.go
+++ b/cmd/foldlb/operate.go
@@ -52,6 +52,7 @@
 				Since: since, Started: n.body.Started, Listen: n.cfg.Listen, Upgrade: n.giver.Last()})
 		},
 		"upgrade": func(_ json.RawMessage, say func(any) error) error {
+			s.configure(n) // what the file says now counts, as its binary does
 			n.giver.Upgrade(func(p upgrade.Progress) { say(p) })
 			return nil
 		},
--- a/cmd/foldlb/upgrade_test.go
+++ b/cmd/foldlb/upgrade_test.go
@@ -596,3 +596,73 @@
 	}
 	return n
 }
+
+// TestUpgradeToOtherDecisions: a new process that decides otherwise while it follows gets the state instead, or is
+// refused where the operators want the same decisions.
+func TestUpgradeToOtherDecisions(t *testing.T) {
+	p := launch(t, false, take)
+	c := p.dial()
+	operator, err := os.ReadFile(filepath.Join(p.dir, "operator.hcl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(filepath.Join(p.dir, "config.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.write("config.json", strings.ReplaceAll(string(text), `"deadline_s":5`, `"deadline_s":4`)) // another end of each branch
+	for i, strict := range []bool{true, false} {
+		p.write("operator.hcl", strings.Replace(string(operator), `probation = "20ms"`, fmt.Sprintf("probation = \"400ms\"\n same_decisions = %v", strict), 1))
+		id := fmt.Sprint("r", i)
+		go func() { // where it comes so far; a hold that nobody waits for ends with the test
+			os.ReadFile(filepath.Join(p.dir, "held"))
+			p.release()
+		}()
+		var last upgrade.Progress
+		err := control.Ask(p.socket, "upgrade", nil, func(line []byte) error {
+			if err := json.Unmarshal(line, &last); err != nil {
+				return err
+			}
+			if last.Step == upgrade.Following.String() {
+				c.say(job(id, "once", 5))
+				p.takes(p.hops[0], id)
+			}
+			return nil
+		})
+		want := map[bool]string{true: upgrade.FellBack, false: upgrade.Replaced}[strict]
+		if err != nil || last.Result != want || strict && !strings.Contains(last.Detail, "decides otherwise") {
+			t.Fatalf("same_decisions = %v: ended as %+v, %v", strict, last, err)
+		}
+		p.callBack(fmt.Sprintf(`{"id":%q,"from":"a","state":"done","result":"policy"}`, id))
+		c.hears(200, "policy")
+	}
+	p.nothingAt(p.hops[0])
+}
+
+// TestSupervisorsAreTold: who supervises by a PID file or a notification socket knows at once who serves.
+func TestSupervisorsAreTold(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "notify")
+	socket, err := net.ListenUnixgram("unixgram", &net.UnixAddr{Name: path, Net: "unixgram"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	t.Setenv("NOTIFY_SOCKET", path)
+	told := func(pid int) {
+		t.Helper()
+		b := make([]byte, 256)
+		socket.SetReadDeadline(time.Now().Add(patience))
+		n, err := socket.Read(b)
+		if want := fmt.Sprintf("MAINPID=%d\nREADY=1", pid); err != nil || string(b[:n]) != want {
+			t.Fatalf("told %q, %v, want %q", b[:n], err, want)
+		}
+	}
+	p := launch(t, false, done)
+	told(p.pid)
+	p.replaced(nil)
+	told(p.pid) // by the old process, and again by the new one
+	told(p.pid)
+	if got := p.readPID(); got != p.pid || got == p.first.Process.Pid {
+		t.Errorf("the PID file names %d, %d serves", got, p.pid)
+	}
+}
