--- a/cmd/foldlb/handover_bench_test.go
+++ b/cmd/foldlb/handover_bench_test.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	n := build(cfg, reducer, clock, quiet())
+	n := build(cfg, reducer, hold.NewGate(), clock, quiet())
 	ctx, stop := context.WithCancel(context.Background())
 	go n.serve(ctx, ln.(*net.TCPListener), nil, false)
 	for i := range open {
@@ -121,20 +121,21 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		received := &hold.Received{}
+		gate := hold.NewGate()
+		if err := gate.Hold(time.Second, nil); err != nil {
+			b.Fatal(err)
+		}
+		received := gate.Receive()
 		if err := received.Early(twins(b, conns)); err != nil {
 			b.Fatal(err)
 		}
-		next := build(cfg, r2, clock, quiet())
+		next := build(cfg, r2, gate, clock, quiet())
 		b.StartTimer()
 		begun := time.Now()
 		var p upgrade.Parcel
 		if err := snapshot.Unmarshal(whole, &p); err != nil {
 			b.Fatal(err)
 		}
-		if err := next.gate.Hold(time.Second, nil); err != nil {
-			b.Fatal(err)
-		}
 		t := upgrade.Taken{Parcel: p, Files: received}
 		if err := t.Import(next.body.Parts); err != nil {
 			b.Fatal(err)
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -37,9 +37,9 @@
 }
 
 // build makes the parts around a reducer. Nothing runs yet.
-func build(cfg config.Config, reducer *core.Reducer, clock upgrade.Clock, log logrus.FieldLogger) *node {
+func build(cfg config.Config, reducer *core.Reducer, gate *hold.Gate, clock upgrade.Clock, log logrus.FieldLogger) *node {
 	setMachine(cfg.Limits)
-	n := &node{cfg: cfg, log: log, gate: hold.NewGate(), lines: make(chan string, queuedLines)}
+	n := &node{cfg: cfg, log: log, gate: gate, lines: make(chan string, queuedLines)}
 	n.loop = core.NewLoop(reducer, clock.Now, n.perform)
 	forCallers, forHops := connections(cfg.Limits)
 	n.legs = callerleg.NewServer(forCallers, n.gate, n.loop.Post, log)
@@ -91,11 +91,9 @@
 // beforeGo is called when everything has been taken up and nobody may act yet; tests wait in it.
 var beforeGo = func() {}
 
-// take takes everything up that another process hands over, and returns when it is this one's own.
+// take takes everything up that another process hands over, and returns when it is this one's own. The gate is held
+// until the node serves.
 func (n *node) take(t *upgrade.Taken) error {
-	if err := n.gate.Hold(time.Second, nil); err != nil {
-		return err
-	}
 	n.loop.Precede(t.Backlog)
 	n.body.Generation, n.body.Started = t.Parcel.Generation, t.Started()
 	if err := t.Import(n.body.Parts); err != nil {
--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -18,6 +18,7 @@
 	"foldlb.example/foldlb/choice"
 	"foldlb.example/foldlb/internal/config"
 	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
 	"foldlb.example/foldlb/internal/operator"
 	"foldlb.example/foldlb/internal/upgrade"
 )
@@ -112,7 +113,7 @@
 	if s.operator.Control.Socket != "" {
 		log = s.log.WithField("generation", 1)
 	}
-	n := build(s.cfg, reducer, clock, log)
+	n := build(s.cfg, reducer, hold.NewGate(), clock, log)
 	end, err := s.operate(n, nil)
 	if err != nil {
 		return err
@@ -127,7 +128,11 @@
 		upgrade.Refuse(pipe, err)
 		return fmt.Errorf("take over: %w", err)
 	}
-	taken, err := upgrade.Take(pipe, s.cfg.Settings, version)
+	gate := hold.NewGate()
+	if err := gate.Hold(time.Second, nil); err != nil { // nothing may act before the word to go
+		return fail(err)
+	}
+	taken, err := upgrade.Take(pipe, s.cfg.Settings, version, gate)
 	if err != nil {
 		return fail(err)
 	}
@@ -139,7 +144,7 @@
 	if !ok {
 		return fail(errors.New("what was handed over as the listener is none"))
 	}
-	n := build(s.cfg, taken.Reducer, taken.Clock, s.log.WithField("generation", taken.Parcel.Generation))
+	n := build(s.cfg, taken.Reducer, gate, taken.Clock, s.log.WithField("generation", taken.Parcel.Generation))
 	end, err := s.operate(n, taken)
 	if err != nil {
 		return fail(err)
--- a/internal/callerleg/handover_test.go
+++ b/internal/callerleg/handover_test.go
@@ -39,13 +39,13 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	received := &hold.Received{}
+	next := hold.NewGate()
+	received := next.Receive()
 	for _, fd := range files.FDs { // the twins that another process would get
 		received.FDs = append(received.FDs, dup(f.t, fd))
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	next := hold.NewGate()
 	s := NewServer(16, next, func(e core.Event) { f.events <- e }, log)
 	if err := next.Hold(patience, nil); err != nil {
 		f.t.Fatal(err)
@@ -158,8 +158,9 @@
 		"no phase":      {Conns: []ConnState{{Phase: 9}}},
 		"a leg to come": {Conns: []ConnState{{Leg: 5}}},
 	} {
-		s := NewServer(16, hold.NewGate(), func(core.Event) {}, logrus.New())
-		if err := s.Import(st, &hold.Received{}); err == nil || errors.Is(err, os.ErrNotExist) {
+		gate := hold.NewGate()
+		s := NewServer(16, gate, func(core.Event) {}, logrus.New())
+		if err := s.Import(st, gate.Receive()); err == nil || errors.Is(err, os.ErrNotExist) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
--- a/internal/callerleg/state.go
+++ b/internal/callerleg/state.go
@@ -62,11 +62,11 @@
 		if phase(x.Phase) > answering || x.Leg > st.LastLeg {
 			return fmt.Errorf("callerleg: connection %d: phase %d, leg %d of %d", i, x.Phase, x.Leg, st.LastLeg)
 		}
-		nc, err := files.Conn(x.File)
+		hc, err := files.Conn(x.File, x.Conn)
 		if err != nil {
 			return fmt.Errorf("callerleg: connection %d: %w", i, err)
 		}
-		c := &legConn{Conn: s.gate.Import(nc, x.Conn), release: s.release, phase: phase(x.Phase), proven: x.Proven, later: x.Later,
+		c := &legConn{Conn: hc, release: s.release, phase: phase(x.Phase), proven: x.Proven, later: x.Later,
 			continued: x.Continued, old: x.Old, ends: x.Ends, leg: x.Leg,
 			since: time.Now().Add(-time.Duration(x.Held * float64(time.Second)))}
 		s.mu.Lock()
--- a/internal/hold/conn.go
+++ b/internal/hold/conn.go
@@ -419,10 +419,8 @@
 	return max(1e-6, time.Until(t).Seconds())
 }
 
-// Import takes a connection up from a descriptor's connection. What was left to be written is the caller's to
-// write first.
-func (g *Gate) Import(nc net.Conn, st ConnState) *Conn {
-	c := g.Wrap(nc)
+// adopt puts a connection that nobody uses yet where another one stood.
+func (c *Conn) adopt(st ConnState) {
 	c.ahead = st.Ahead
 	if st.ReadIn > 0 {
 		c.SetReadDeadline(time.Now().Add(time.Duration(st.ReadIn * float64(time.Second))))
@@ -430,7 +428,6 @@
 	if st.WriteIn > 0 {
 		c.SetWriteDeadline(time.Now().Add(time.Duration(st.WriteIn * float64(time.Second))))
 	}
-	return c
 }
 
 // FD calls f with the connection's descriptor, which stays the connection's own.
--- a/internal/hold/files.go
+++ b/internal/hold/files.go
@@ -30,10 +30,15 @@
 
 // Received are descriptors that were passed on to this process. Each is taken once.
 type Received struct {
-	FDs   []int      // -1 where taken
-	Ahead []net.Conn // that came ahead; nil where taken
+	FDs []int // -1 where taken
+
+	gate  *Gate
+	ahead []*Conn // that came ahead; nil where taken
 }
 
+// Receive makes a place for what comes: connections get behind the gate.
+func (g *Gate) Receive() *Received { return &Received{gate: g} }
+
 // held makes a connection known to Files, also inside those that embed it.
 func (c *Conn) held() *Conn { return c }
 
@@ -47,31 +52,47 @@
 	return f, nil
 }
 
-// Conn takes the connection at a place.
-func (r *Received) Conn(place int) (net.Conn, error) {
-	if n := -1 - place; place < 0 && n < len(r.Ahead) && r.Ahead[n] != nil {
-		c := r.Ahead[n]
-		r.Ahead[n] = nil
+// Conn takes the connection at a place, and puts it where the state says that it stood. What was left to be written
+// is the caller's to write first.
+func (r *Received) Conn(place int, st ConnState) (*Conn, error) {
+	if n := -1 - place; place < 0 && n < len(r.ahead) && r.ahead[n] != nil {
+		c := r.ahead[n]
+		r.ahead[n] = nil
+		c.adopt(st)
 		return c, nil
 	}
+	c, err := r.wrap(place)
+	if err != nil {
+		return nil, err
+	}
+	c.adopt(st)
+	return c, nil
+}
+
+// wrap makes a connection of a descriptor.
+func (r *Received) wrap(place int) (*Conn, error) {
 	f, err := r.take(place)
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close() // the connection has a descriptor of its own
-	return net.FileConn(f)
+	nc, err := net.FileConn(f)
+	if err != nil {
+		return nil, err
+	}
+	return r.gate.Wrap(nc), nil
 }
 
-// Early makes connections of descriptors that came ahead, in their order.
+// Early makes connections of descriptors that came ahead, in their order: it is what takes longest.
 func (r *Received) Early(fds []int) error {
-	early := Received{FDs: fds}
+	early := Received{FDs: fds, gate: r.gate}
 	for i := range fds {
-		c, err := early.Conn(i)
+		c, err := early.wrap(i)
 		if err != nil {
 			early.Close()
 			return err
 		}
-		r.Ahead = append(r.Ahead, c)
+		r.ahead = append(r.ahead, c)
 	}
 	return nil
 }
@@ -88,10 +109,10 @@
 
 // Close closes what nobody has taken: what came ahead and has ended since, above all.
 func (r *Received) Close() {
-	for i, c := range r.Ahead {
+	for i, c := range r.ahead {
 		if c != nil {
 			c.Close()
-			r.Ahead[i] = nil
+			r.ahead[i] = nil
 		}
 	}
 	for i, fd := range r.FDs {
--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -196,7 +196,8 @@
 		}
 		far.Write(text[written:])
 		second := NewGate()
-		next := second.Import(near.Conn, near.Export())
+		next := second.Wrap(near.Conn)
+		next.adopt(near.Export())
 		second.Wake()
 		next.SetReadDeadline(time.Now().Add(patience))
 		got := make([]byte, len(text)-marked)
--- a/internal/nexthop/handover_test.go
+++ b/internal/nexthop/handover_test.go
@@ -111,7 +111,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	received := &hold.Received{}
+	next := side()
+	received := next.gate.Receive()
 	for _, fd := range files.FDs {
 		twin, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0)
 		if err != nil {
@@ -119,7 +120,6 @@
 		}
 		received.FDs = append(received.FDs, twin)
 	}
-	next := side()
 	if err := next.gate.Hold(10*time.Second, nil); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/nexthop/state.go
+++ b/internal/nexthop/state.go
@@ -115,11 +115,11 @@
 // Import takes branches and connections up. The gate must be held; they go on when it is let go.
 func (s *Sender) Import(st State, files *hold.Received) error {
 	take := func(l LinkState) (*conn, error) {
-		nc, err := files.Conn(l.File)
+		hc, err := files.Conn(l.File, l.Conn)
 		if err != nil {
 			return nil, fmt.Errorf("nexthop: connection to %s: %w", l.Addr, err)
 		}
-		c := newConn(s.gate.Import(nc, l.Conn), l.Addr)
+		c := newConn(hc, l.Addr)
 		c.age = seconds(l.Age)
 		s.pool.mu.Lock()
 		s.pool.open++
--- a/internal/routeset/state.go
+++ b/internal/routeset/state.go
@@ -48,11 +48,11 @@
 	if st.Watch == nil {
 		return nil
 	}
-	nc, err := files.Conn(st.Watch.File)
+	hc, err := files.Conn(st.Watch.File, st.Watch.Conn)
 	if err != nil {
 		return fmt.Errorf("routeset: %w", err)
 	}
-	link := newConn(c.gate.Import(nc, st.Watch.Conn))
+	link := newConn(hc)
 	ctx, stop := context.WithCancel(context.Background())
 	context.AfterFunc(ctx, func() { link.Close() })
 	c.mu.Lock()
--- a/internal/upgrade/parcel_bench_test.go
+++ b/internal/upgrade/parcel_bench_test.go
@@ -44,14 +44,14 @@
 			}
 		}
 	})
-	b.Run("import", func(b *testing.B) {
+	b.Run("wrap", func(b *testing.B) {
 		near, far := net.Pipe()
 		defer far.Close()
 		for b.Loop() {
 			g := hold.NewGate()
 			g.Hold(time.Second, nil)
 			for range st.Conns {
-				g.Import(near, hold.ConnState{ReadIn: 70})
+				g.Wrap(near)
 			}
 		}
 	})
--- a/internal/upgrade/pipe_test.go
+++ b/internal/upgrade/pipe_test.go
@@ -166,7 +166,7 @@
 	if _, err := r.Listener(0); err == nil {
 		t.Error("taken twice")
 	}
-	if _, err := r.Conn(7); err == nil {
+	if _, err := r.Conn(7, hold.ConnState{}); err == nil {
 		t.Error("a place that is none")
 	}
 	left := r.FDs[1]
--- a/internal/upgrade/taker.go
+++ b/internal/upgrade/taker.go
@@ -51,12 +51,13 @@
 	followed, differed int
 }
 
-// Take rehearses with the old process and receives everything from it. settings are the new process's own.
-func Take(p *Pipe, settings choice.Settings, version string) (*Taken, error) {
+// Take rehearses with the old process and receives everything from it. settings are the new process's own; what
+// passes on gets behind the gate.
+func Take(p *Pipe, settings choice.Settings, version string, gate *hold.Gate) (*Taken, error) {
 	if err := p.Send(Hello{Protocol: Protocol, Schema: ownSchema, Version: version, PID: os.Getpid()}); err != nil {
 		return nil, err
 	}
-	t := &Taken{pipe: p, Files: &hold.Received{}}
+	t := &Taken{pipe: p, Files: gate.Receive()}
 	var twin *core.Reducer
 	for {
 		m, err := p.Receive(snapshot.MostBytes)
