--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -153,7 +153,9 @@
 		return fail(err)
 	}
 	defer end()
+	read, place, words := taken.Times()
 	s.announce(os.Getpid())
+	n.log.WithFields(logrus.Fields{"read": read.String(), "place": place.String(), "words": words.String()}).Info("taken over")
 	return n.serve(ctx, tcp, reload, taken.Parcel.Reload)
 }
 
--- a/internal/upgrade/taker.go
+++ b/internal/upgrade/taker.go
@@ -49,6 +49,14 @@
 	pipe               *Pipe
 	collect            func() // lets the collector run again
 	followed, differed int
+
+	begun, opened, imported time.Time // of taking up
+}
+
+// Times tells how long the parts of taking up took: reading what was written down, putting everything in its place,
+// and the last words.
+func (t *Taken) Times() (read, place, words time.Duration) {
+	return t.opened.Sub(t.begun), t.imported.Sub(t.opened), time.Since(t.imported)
 }
 
 // Take rehearses with the old process and receives everything from it. settings are the new process's own; what
@@ -81,7 +89,9 @@
 				return nil, err
 			}
 		case Parcel:
-			return t, t.open(m, twin, settings)
+			err := t.open(m, twin, settings)
+			t.opened = time.Now()
+			return t, err
 		default:
 			return nil, fmt.Errorf("%w: %T was not expected", snapshot.ErrForm, m)
 		}
@@ -135,6 +145,7 @@
 // open takes the rest of the descriptors and what was written down. A twin that has followed every step, and always
 // did the same, stands where the old process's reducer stands; any other is dropped for that one's state.
 func (t *Taken) open(p Parcel, twin *core.Reducer, settings choice.Settings) error {
+	t.begun = time.Now()
 	fds, err := t.pipe.ReceiveFiles(p.Files)
 	if err != nil {
 		return err
@@ -185,6 +196,7 @@
 			return err
 		}
 	}
+	t.imported = time.Now()
 	return nil
 }
 
