Keep nothing of what was read where no upgrade can come

Need: for a hand-over each connection keeps what was read of its request, so a slow 64 KiB body is held twice: at 128 callers' places up to 16 MB more, too much of 32 MB. Change: without a control socket the gate forgets; what follows a request is put back from the reader's own buffer.

--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -113,7 +113,11 @@
 	if s.operator.Control.Socket != "" {
 		log = s.log.WithField("generation", 1)
 	}
-	n := build(s.cfg, reducer, hold.NewGate(), clock, log)
+	gate := hold.NewGate()
+	if s.operator.Control.Socket == "" {
+		gate.Forget() // there will be no upgrade
+	}
+	n := build(s.cfg, reducer, gate, clock, log)
 	end, err := s.operate(n, nil)
 	if err != nil {
 		return err
--- a/internal/callerleg/serve.go
+++ b/internal/callerleg/serve.go
@@ -110,11 +110,9 @@
 	if err := req.ContinueReadBody(br, mostBody, false); err != nil {
 		return err
 	}
-	rest := br.Buffered()
-	if c.Mark(rest); rest > 0 {
-		c.Unread()
-	}
-	return nil
+	rest, err := br.Peek(br.Buffered())
+	c.Unread(rest)
+	return err
 }
 
 // await waits for the reducer's answer, reading ahead: the caller may leave. It writes the answer.
--- a/internal/hold/conn.go
+++ b/internal/hold/conn.go
@@ -77,7 +77,7 @@
 		} else {
 			c.ahead = c.ahead[n:]
 		}
-		c.taken = append(c.taken, p[:n]...)
+		c.keep(p[:n])
 		c.mu.Unlock()
 		return n, nil
 	}
@@ -86,7 +86,7 @@
 		n, err := c.readKernel(p)
 		if n > 0 {
 			c.mu.Lock()
-			c.taken = append(c.taken, p[:n]...)
+			c.keep(p[:n])
 			c.mu.Unlock()
 			return n, err
 		}
@@ -96,6 +96,13 @@
 	}
 }
 
+// keep notes what was read, for whoever takes the connection up; c.mu is held.
+func (c *Conn) keep(p []byte) {
+	if !c.gate.forgets {
+		c.taken = append(c.taken, p...)
+	}
+}
+
 // readKernel reads what the kernel has, and rests while that is nothing. Danger: what arrives while the gate is held
 // must stay in the kernel, for whoever takes the connection up; so the reader makes itself active, which a held gate
 // does not allow, before it takes anything. Nobody need be woken for a hold: silent connections are many.
@@ -315,10 +322,11 @@
 	c.taken = append(c.taken[:0], c.taken[max(0, len(c.taken)-n):]...)
 }
 
-// Unread puts what was read since the last Mark ahead again.
-func (c *Conn) Unread() {
+// Unread says that what was read is done with, but for rest, its end, which is to be read again.
+func (c *Conn) Unread(rest []byte) {
+	c.Mark(0)
 	c.mu.Lock()
-	c.ahead, c.taken = append(c.taken, c.ahead...), nil
+	c.ahead = slices.Concat(rest, c.ahead)
 	c.mu.Unlock()
 }
 
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -28,7 +28,8 @@
 
 // Gate holds connections, and lets them go. Its zero value is not ready for use: see NewGate.
 type Gate struct {
-	held atomic.Bool // written under mu
+	held    atomic.Bool // written under mu
+	forgets bool        // set before anything is behind the gate
 
 	mu      sync.Mutex
 	let     *sync.Cond // told when the gate is let go
@@ -51,6 +52,11 @@
 	return g
 }
 
+// Forget says that nothing behind the gate will ever be handed over, so that connections need not keep what was read
+// of a request in case another process must read it again. It is called before anything is behind the gate. Danger:
+// with it large requests that come slowly would be held twice, which a small machine's memory can't bear.
+func (g *Gate) Forget() { g.forgets = true }
+
 // Go runs f on a goroutine of its own that counts as active, once the gate is open.
 func (g *Gate) Go(f func()) {
 	g.mu.Lock()
--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -185,9 +185,9 @@
 				near.Mark(left)
 				marked = read - left
 			}
-			if rapid.IntRange(0, 3).Draw(t, "unread") == 0 {
-				near.Unread()
-				read = marked
+			if left := rapid.IntRange(0, read-marked).Draw(t, "unread"); left > 0 && rapid.Bool().Draw(t, "does") {
+				near.Unread(text[read-left : read])
+				read, marked = read-left, read-left
 			}
 		}
 		first.Rest()
@@ -206,3 +206,25 @@
 		}
 	})
 }
+
+// TestForget: where nothing is ever handed over, nothing is kept, and what is unread comes again all the same.
+func TestForget(t *testing.T) {
+	g := NewGate()
+	g.Forget()
+	near, far := pair(t, g)
+	defer far.Close()
+	io.WriteString(far, "one two")
+	g.Wake()
+	b := make([]byte, 7)
+	if _, err := io.ReadFull(near, b); err != nil {
+		t.Fatal(err)
+	}
+	if kept := near.Export().Ahead; len(kept) != 0 {
+		t.Errorf("%q is kept", kept)
+	}
+	near.Unread(b[4:])
+	if n, err := near.Read(b); err != nil || string(b[:n]) != "two" {
+		t.Errorf("%q, %v", b[:n], err)
+	}
+	g.Rest()
+}
