Pass on orders that come in the last moment of an upgrade

Cause: a SIGHUP that had reached the old process, but not its giver, when the new process acted was lost with the old one; one test run in six found it with six of them running side by side. Change: the old process passes on what still comes for 5 ms before it ends; status tells how many orders are put off, on which the test waits.

--- a/cmd/foldlb/operate.go
+++ b/cmd/foldlb/operate.go
@@ -26,7 +26,8 @@
 	Since      time.Time        `json:"since"`   // of this process
 	Started    time.Time        `json:"started"` // of the first generation
 	Listen     string           `json:"listen"`
-	Upgrade    upgrade.Progress `json:"last_upgrade"` // that this process has tried
+	PutOff     int              `json:"orders_put_off"` // until the end of an upgrade that is under way
+	Upgrade    upgrade.Progress `json:"last_upgrade"`   // that this process has tried
 }
 
 // operate opens the control socket and makes upgrades possible, where the operator file says so. It returns what is
@@ -49,7 +50,7 @@
 	server := control.NewServer(ln, map[string]control.Handler{
 		"status": func(_ json.RawMessage, say func(any) error) error {
 			return say(status{Name: n.cfg.Name, PID: os.Getpid(), Generation: n.body.Generation, Version: version, Binary: binary,
-				Since: since, Started: n.body.Started, Listen: n.cfg.Listen, Upgrade: n.giver.Last()})
+				Since: since, Started: n.body.Started, Listen: n.cfg.Listen, PutOff: n.giver.PutOff(), Upgrade: n.giver.Last()})
 		},
 		"upgrade": func(_ json.RawMessage, say func(any) error) error {
 			s.configure(n) // what the file says now counts, as its binary does
--- a/cmd/foldlb/upgrade_test.go
+++ b/cmd/foldlb/upgrade_test.go
@@ -203,6 +203,16 @@
 	p.pid = p.readPID()
 }
 
+// putOff waits until the old process has put an order off.
+func (p *process) putOff() {
+	p.t.Helper()
+	for until := time.Now().Add(patience); p.status().PutOff == 0; {
+		if time.Now().After(until) {
+			p.t.Fatal("the order does not arrive")
+		}
+	}
+}
+
 // line is a caller's connection.
 type line struct {
 	net.Conn
@@ -506,6 +516,7 @@
 		}
 		p.write("config.json", configFile(p.addr, other, p.entry(p.hops[0], `"state":"active"`)))
 		syscall.Kill(p.pid, syscall.SIGHUP)
+		p.putOff()
 	})
 	select {
 	case <-p.watches: // the new discovery is asked, by the new process
@@ -513,7 +524,10 @@
 		t.Fatal("SIGHUP during the hold is lost")
 	}
 	old := p.pid
-	p.replaced(func() { syscall.Kill(old, syscall.SIGTERM) })
+	p.replaced(func() {
+		syscall.Kill(old, syscall.SIGTERM)
+		p.putOff()
+	})
 	p.callBack(`{"id":"r1","from":"a","state":"done","result":"one"}`)
 	c.hears(200, "one")
 	until := time.Now().Add(patience)
--- a/internal/upgrade/giver.go
+++ b/internal/upgrade/giver.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -72,6 +73,7 @@
 
 	inputs chan Input
 	orders chan order
+	putOff atomic.Int64 // orders that wait for the end of an upgrade
 
 	mu       sync.Mutex
 	watchers map[chan Progress]struct{}
@@ -200,6 +202,7 @@
 		case o := <-g.orders:
 			if g.machine.Past() || o.signal == syscall.SIGTERM && g.machine.Phase() != Idle {
 				g.waiting = append(g.waiting, o)
+				g.putOff.Add(1)
 			} else {
 				o.run()
 			}
@@ -468,6 +471,7 @@
 		o.run()
 	}
 	g.waiting = nil
+	g.putOff.Store(0)
 }
 
 // leave ends this process. Danger: nothing may be closed in an orderly way, since a shutdown of what both processes
@@ -484,7 +488,7 @@
 	for _, o := range g.waiting {
 		syscall.Kill(pid, o.signal.(syscall.Signal))
 	}
-	g.flush()
+	g.flush(pid)
 	os.Exit(0)
 }
 
@@ -492,14 +496,29 @@
 // for the other side until this one has ended too.
 const flushMost = 100 * time.Millisecond
 
-// flush waits until those who watch have been told the end.
-func (g *Giver) flush() {
-	for until := time.Now().Add(flushMost); time.Now().Before(until); time.Sleep(time.Millisecond) {
-		g.mu.Lock()
-		n := len(g.watchers)
-		g.mu.Unlock()
-		if n == 0 {
-			return
+// lastOrders is how long orders are passed on that came before the new process acted, and are still on their way
+// inside this one.
+const lastOrders = 5 * time.Millisecond
+
+// flush passes on the last orders, and waits until those who watch have been told the end.
+func (g *Giver) flush(pid int) {
+	begin := time.Now()
+	t := time.NewTicker(time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case o := <-g.orders:
+			syscall.Kill(pid, o.signal.(syscall.Signal))
+		case now := <-t.C:
+			g.mu.Lock()
+			n := len(g.watchers)
+			g.mu.Unlock()
+			if past := now.Sub(begin); past >= flushMost || n == 0 && past >= lastOrders {
+				return
+			}
 		}
 	}
 }
+
+// PutOff tells how many orders wait for the end of an upgrade.
+func (g *Giver) PutOff() int { return int(g.putOff.Load()) }
