Hold descriptors against each run's beginning, and close the pipe after taking over

Cause found meanwhile: the new process kept its end of the pipe (two descriptors, not passed on to the next one).

--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -273,6 +273,18 @@
 	return len(list)
 }
 
+// settled waits until kept connections have ended, and tells how many descriptors are open then.
+func (d *dispatcher) settled(most int) int {
+	until := time.Now().Add(8 * time.Second)
+	for {
+		n := openFiles(d.serving())
+		if n <= most || time.Now().After(until) {
+			return n
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // zombies counts this process's children that have ended and were not waited for.
 func zombies(pid int) (n int) {
 	for _, c := range children(pid) {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -82,6 +82,10 @@
 	Tick  func(elapsed time.Duration, l *Ledger) // called every second; nil for none
 }
 
+// filesSlack is how many descriptors more a dispatcher may have open after the day than before it: those that the Go
+// runtime opens when they are first needed.
+const filesSlack = 4
+
 // fleet is the stand-ins of a run.
 type fleet struct {
 	ledger  *Ledger
@@ -171,7 +175,7 @@
 	}()
 	c.run(s.plan(o.Seed))
 	events.Wait()
-	r.Files[1], r.Resident[1] = openFiles(d.pid), resident(d.pid)
+	r.Files[1], r.Resident[1] = d.settled(r.Files[0]+filesSlack), resident(d.serving())
 	left := zombies(d.serving())
 	ended := d.stop()
 	if failed != nil {
@@ -345,6 +349,7 @@
 		r.Account.Worst = append(r.Account.Worst, "the dispatcher's end: "+ended.Error())
 	}
 	most("dispatchers that did not end well", exit, 0)
+	most("descriptors left open after the day", float64(r.Files[1]-r.Files[0]), filesSlack)
 	if p.P99Factor > 0 && r.Outside.Count > 0 {
 		most("p99 inside upgrades, in ms", r.Inside.P99, math.Round(100*(r.Outside.P99*p.P99Factor+p.P99PlusMS))/100)
 	}
--- a/internal/upgrade/taker.go
+++ b/internal/upgrade/taker.go
@@ -224,6 +224,7 @@
 	if err := t.pipe.Send(Acting{}); err != nil && !ended(err) {
 		return err
 	}
+	t.pipe.Close()
 	return nil // where the old one has died meanwhile, it acts no more either
 }
 
