Let the first process pass a signal on again where the serving one changes just then

Need: a signal that keep_pid's first process passed to a generation in its last moment was lost with it. Change: within 250 ms of a change of process it is passed on to the new one too. Measured: the tests of keep_pid and of crossing orders pass with the race detector; the race itself was not reproduced.

--- a/cmd/foldlb/keeper.go
+++ b/cmd/foldlb/keeper.go
@@ -24,6 +24,10 @@
 // keepWait is how long after the serving process's end the word of another one may come.
 const keepWait = 500 * time.Millisecond
 
+// signalAgain is how long before a change of process a signal is passed on to the new one too. Danger: one that the
+// old process was sent in its last moment is lost with it; each that is passed on does no harm twice.
+const signalAgain = 250 * time.Millisecond
+
 func isKept() bool { return os.Getenv(envKept) != "" }
 
 // keptFile opens the way to the first process.
@@ -89,18 +93,28 @@
 			}
 		}
 	}()
+	var last syscall.Signal // that was passed on, and when
+	var at time.Time
+	serves := func(pid int) {
+		if serving = pid; time.Since(at) < signalAgain {
+			syscall.Kill(pid, last)
+		}
+	}
 	for {
 		select {
 		case s := <-signals:
-			syscall.Kill(serving, s.(syscall.Signal))
-		case serving = <-words:
+			last, at = s.(syscall.Signal), time.Now()
+			syscall.Kill(serving, last)
+		case pid := <-words:
+			serves(pid)
 		case <-ended:
 			status, ok := reap(serving)
 			if !ok {
 				continue
 			}
 			select { // the word of the one that took over may still be on its way
-			case serving = <-words:
+			case pid := <-words:
+				serves(pid)
 			case <-time.After(keepWait):
 				return exitOf(status)
 			}
