--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -184,9 +184,24 @@
 	r.Seconds = time.Since(r.begin).Seconds()
 	r.Reopened = c.reopens
 	r.judge(s, f.ledger, left, ended)
+	if ctx.Err() != nil || len(r.Upgrades) < s.count("upgrade") {
+		// Danger: what was not played can't have gone wrong.
+		r.OK = false
+		r.Promises = append(r.Promises, Promise{Name: "the scenario was cut short; upgrades not played", Got: float64(s.count("upgrade") - len(r.Upgrades))})
+	}
 	return r, nil
 }
 
+// count tells how many events of a kind there are.
+func (s *Scenario) count(kind string) (n int) {
+	for _, e := range s.Events {
+		if e.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
 // play lets the events happen: upgrades one after the other, everything else beside them.
 func (s *Scenario) play(r *Result, d *dispatcher, f *fleet, stop <-chan struct{}) error {
 	list := append([]Event(nil), s.Events...)
