Leave the run's own folder out of what results say

Need: results are kept in the repository, and the folder of a run means nothing there. Change: it is written as DIR, in the recorded results too.

--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -217,6 +217,7 @@
 		return u, fmt.Errorf("foldlb upgrade: %v, %w, said %q", err, e, out.String())
 	}
 	u.Result, u.Detail, u.HeldMS, u.Parts, u.Files, u.Bytes = last.Result, last.Detail, last.HeldMS, last.Held, last.Descriptors, last.Bytes
+	u.Detail = strings.ReplaceAll(u.Detail, d.dir, "DIR") // results are kept; the folder is not
 	if last.PID != 0 {
 		d.mu.Lock()
 		d.pid = last.PID
