Remove what nobody calls, take descriptors in one place, and end a following in every case

Two comments said what no longer holds. Change: the unused code is gone, hold.FD serves both, the steps are always taken. Measured: gofmt, vet, build and the tests of hold, control, upgrade, callerleg and cmd/foldlb pass.

--- a/cmd/foldlb/operate.go
+++ b/cmd/foldlb/operate.go
@@ -57,10 +57,6 @@
 			n.giver.Upgrade(func(p upgrade.Progress) { say(p) })
 			return nil
 		},
-		"watch": func(_ json.RawMessage, say func(any) error) error {
-			n.giver.Watch(func(p upgrade.Progress) { say(p) })
-			return nil
-		},
 	}, n.log)
 	n.giver.Leave = func(pid int) {
 		server.Leave()
--- a/internal/callerleg/state.go
+++ b/internal/callerleg/state.go
@@ -1,7 +1,6 @@
 package callerleg
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -99,14 +98,3 @@
 		on = s.next(c)
 	}
 }
-
-// Waiting tells the legs that callers wait on, in order.
-func (s *State) Waiting() (legs []core.LegID) {
-	for _, c := range s.Conns {
-		if phase(c.Phase) == serving {
-			legs = append(legs, c.Leg)
-		}
-	}
-	slices.SortFunc(legs, cmp.Compare)
-	return legs
-}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -95,13 +95,7 @@
 }
 
 // FD calls f with the listener's descriptor.
-func (s *Server) FD(f func(fd int)) error {
-	raw, err := s.ln.SyscallConn()
-	if err != nil {
-		return err
-	}
-	return raw.Control(func(fd uintptr) { f(int(fd)) })
-}
+func (s *Server) FD(f func(fd int)) error { return hold.FD(s.ln, f) }
 
 // Run serves until the listener is closed.
 func (s *Server) Run() {
--- a/internal/hold/conn.go
+++ b/internal/hold/conn.go
@@ -343,7 +343,7 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-// SetReadDeadline sets the time at which reading fails. While the gate is held it counts from the letting go.
+// SetReadDeadline sets the time at which reading fails. It runs on while the gate is held, and is told afterwards.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -439,12 +439,13 @@
 }
 
 // FD calls f with the connection's descriptor, which stays the connection's own.
-func (c *Conn) FD(f func(fd int)) error { return control(c.Conn, f) }
+func (c *Conn) FD(f func(fd int)) error { return FD(c.Conn, f) }
 
 // FD calls f with the listener's descriptor, which stays the listener's own.
-func (l *Listener) FD(f func(fd int)) error { return control(l.TCPListener, f) }
+func (l *Listener) FD(f func(fd int)) error { return FD(l.TCPListener, f) }
 
-func control(x any, f func(fd int)) error {
+// FD calls f with the descriptor of a connection or listener, which stays its own and is good until f returns.
+func FD(x any, f func(fd int)) error {
 	sc, ok := x.(syscall.Conn)
 	if !ok {
 		return fmt.Errorf("hold: %T has no descriptor", x)
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -54,7 +54,7 @@
 
 // Forget says that nothing behind the gate will ever be handed over, so that connections need not keep what was read
 // of a request in case another process must read it again. It is called before anything is behind the gate. Danger:
-// with it large requests that come slowly would be held twice, which a small machine's memory can't bear.
+// without it large requests that come slowly would be held twice, which a small machine's memory can't bear.
 func (g *Gate) Forget() { g.forgets = true }
 
 // Go runs f on a goroutine of its own that counts as active, once the gate is open.
--- a/internal/upgrade/giver.go
+++ b/internal/upgrade/giver.go
@@ -97,7 +97,6 @@
 	parcel   Progress
 	bytes    int // of the first snapshot
 	waiting  []order
-	signals  []os.Signal
 }
 
 // order is what somebody wants done by the process that owns everything.
@@ -122,14 +121,6 @@
 // Upgrade asks for an upgrade, and has its progress told until the final word. Where another one is under way, that
 // final word comes at once.
 func (g *Giver) Upgrade(tell func(Progress)) {
-	g.watch(tell, func(c chan Progress) { g.inputs <- Begin{By: c} })
-}
-
-// Watch has the progress of the upgrade that comes next, or is under way, told until its final word. It ends early
-// when done is closed.
-func (g *Giver) Watch(tell func(Progress)) { g.watch(tell, func(chan Progress) {}) }
-
-func (g *Giver) watch(tell func(Progress), begin func(chan Progress)) {
 	c := make(chan Progress, 64)
 	g.mu.Lock()
 	g.watchers[c] = struct{}{}
@@ -139,7 +130,7 @@
 		delete(g.watchers, c)
 		g.mu.Unlock()
 	}()
-	begin(c)
+	g.inputs <- Begin{By: c}
 	for p := range c {
 		tell(p)
 		if p.Final {
@@ -350,11 +341,11 @@
 		close(g.followed)
 		return err
 	}
-	if err := g.pipe.words.SetWriteDeadline(time.Now().Add(g.machine.Limits.Start)); err != nil {
-		return err
-	}
 	g.bytes = len(text)
-	err = g.pipe.Send(Trial{Reducer: text})
+	if err = g.pipe.words.SetWriteDeadline(time.Now().Add(g.machine.Limits.Start)); err == nil {
+		err = g.pipe.Send(Trial{Reducer: text})
+	}
+	// Danger: also after an error the steps are taken: whoever ends the following waits for that.
 	pipe, followed := g.pipe, g.followed
 	go func() {
 		defer close(followed)
