Open a door for operators: readiness, figures, quote workers out by hand, drains

Design. internal/ops has a pure part that reads a call and an I/O part with 16 connections at most, of which the one that has gone longest without finishing its call yields. Bans and drains are events of the reducer: they take the queue of discovery's news, past all traffic, and each is answered by an effect that comes after all that puts it in force. The module is told of a hop that is out as leaving, and of one put back as just started; it chooses as ever. Figures are counted where they become true: ends where a caller leg closes with its answer, attempts where the last byte is written, in counters that the door reads without asking the reducer; the route set's two are published by the loop every 0.25 s. Not taken: a question to the reducer for each call, which waits behind 4,096 events when it matters most; counting in the reducer, which does not know what was written, and would pass counts on that must begin anew with each process.

A drain keeps callers' connections for 0.35 s, while the front still deals out new ones, then closes them as they fall idle and with each answer. Whose a connection is, its last well-formed request says, so that call-backs go on.

--- a/choice/state.go
+++ b/choice/state.go
@@ -240,3 +240,13 @@
 		delete(d.reqs, r.ID)
 	}
 }
+
+// Barred counts the listed workers in service that are barred for their failures.
+func (d *Dispatcher) Barred(now float64) (n int) {
+	for _, w := range d.workers {
+		if w.listed && w.State == InService && now < w.barTill {
+			n++
+		}
+	}
+	return n
+}
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,6 +16,7 @@
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/hold"
 	"foldlb.example/foldlb/internal/nexthop"
+	"foldlb.example/foldlb/internal/ops"
 	"foldlb.example/foldlb/internal/routeset"
 	"foldlb.example/foldlb/internal/upgrade"
 )
@@ -31,6 +33,9 @@
 	body   *upgrade.Body
 	giver  *upgrade.Giver // nil where upgrades are off
 	lines  chan string    // of the reducer's log
+	door   *ops.Door      // nil where there is none
+	behind ops.Node       // what is put behind it
+	ending atomic.Bool    // SIGTERM has come
 
 	begins    func() // called when the node begins to serve; nil for nothing
 	configure func() // reads the operator file again; nil where there is none
@@ -75,6 +80,12 @@
 		n.routes.Watch(e)
 	case core.FetchRouteSet:
 		n.routes.Fetch(e)
+	case core.SendAway:
+		n.legs.SendAway(e.On)
+	case core.Ordered:
+		if n.door != nil {
+			n.door.Ordered(e)
+		}
 	case core.SetLimits:
 		setMachine(e.Limits)
 		callers, next := connections(e.Limits)
@@ -123,7 +134,13 @@
 			n.perform(e)
 		}
 	}
+	if n.body.Reducer.Draining() {
+		n.legs.SendAway(true)
+	}
 	go n.loop.Run(background)
+	if n.door != nil {
+		n.door.Open(n.behind)
+	}
 	go n.follow(reload, hup)
 	if n.giver != nil {
 		go n.giver.Run()
@@ -140,6 +157,7 @@
 		n.giver.Stop() // where a new process has taken over it is told instead, and this one ends here
 	}
 	n.log.Info("draining")
+	n.ending.Store(true)
 	n.legs.Drain(stopAfter(n.cfg.Settings), func() { n.loop.Post(core.Stopping{}) })
 	if err := held.Close(); err != nil {
 		return fmt.Errorf("close listener: %w", err)
--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -118,6 +118,11 @@
 		gate.Forget() // there will be no upgrade
 	}
 	n := build(s.cfg, reducer, gate, clock, log)
+	door, err := s.listenDoor()
+	if err != nil {
+		return fmt.Errorf("mgmt: %w", err)
+	}
+	n.open(door)
 	end, err := s.operate(n, nil)
 	if err != nil {
 		return err
--- a/internal/callerleg/conn.go
+++ b/internal/callerleg/conn.go
@@ -18,6 +18,15 @@
 	answering              // the answer is being written
 )
 
+// side is whose connection it is, as its last well-formed request tells.
+type side uint8
+
+const (
+	unknown   side = iota
+	ofCallers      // it brings jobs
+	ofHops         // it brings call-backs
+)
+
 // When a connection may give its place to another one.
 const (
 	silentGrace = 25 * time.Millisecond  // for a new one that has said nothing: callers write at once
@@ -31,7 +40,8 @@
 
 	mu        sync.Mutex
 	phase     phase
-	proven    bool       // a well-formed request has come on it
+	proven    bool // a well-formed request has come on it
+	side      side
 	later     bool       // an answer has been written: what comes next is not its first request
 	since     time.Time  // when it was opened; once proven, when its phase began
 	leg       core.LegID // while a request waits for the reducer's answer
@@ -52,10 +62,10 @@
 	c.mu.Unlock()
 }
 
-// prove marks that a well-formed request has come.
-func (c *legConn) prove() {
+// prove marks that a well-formed request has come, and from whom.
+func (c *legConn) prove(from side) {
 	c.mu.Lock()
-	c.proven = true
+	c.proven, c.side = true, from
 	c.mu.Unlock()
 }
 
@@ -109,11 +119,12 @@
 	}
 }
 
-// idleFor tells for how long the connection has been waiting for a request of which nothing has come.
-func (c *legConn) idleFor(now time.Time) time.Duration {
+// idleFor tells for how long the connection, if it is of that side, has been waiting for a request of which nothing has
+// come. unknown stands for all sides.
+func (c *legConn) idleFor(now time.Time, of side) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.phase != waiting || !c.Silent() {
+	if of != unknown && c.side != of || c.closed || c.phase != waiting || !c.Silent() {
 		return 0
 	}
 	return now.Sub(c.since)
--- a/internal/callerleg/drain.go
+++ b/internal/callerleg/drain.go
@@ -25,7 +25,7 @@
 		passed := now.Sub(begin)
 		if passed >= drainServe {
 			s.closing.Store(true)
-			s.closeIdle(now)
+			s.closeIdle(now, unknown)
 			if passed >= drainLeast && s.quiet(now) {
 				return
 			}
@@ -40,12 +40,13 @@
 	}
 }
 
-func (s *Server) closeIdle(now time.Time) {
+// closeIdle closes what has been idle for long enough, on one side or, for unknown, on all.
+func (s *Server) closeIdle(now time.Time, of side) {
 	s.mu.Lock()
 	var idle []*legConn
 	for c := range s.conns {
 		// Danger: a new connection is idle too until its first byte is read, and may bring a call-back.
-		if c.idleFor(now) >= drainIdle {
+		if c.idleFor(now, of) >= drainIdle {
 			idle = append(idle, c)
 		}
 	}
--- a/internal/callerleg/serve.go
+++ b/internal/callerleg/serve.go
@@ -133,7 +133,8 @@
 // write writes an answer, and tells whether the connection goes on.
 func (s *Server) write(c *legConn, a answer) bool {
 	c.mu.Lock()
-	a.last = a.last || c.ends || s.closing.Load() // as of now: the request may have waited since before
+	// As of now: the request may have waited since before.
+	a.last = a.last || c.ends || s.closing.Load() || s.away.Load() && c.side != ofHops
 	c.ends = a.last
 	old, head := c.old, c.head
 	c.mu.Unlock()
--- a/internal/callerleg/server.go
+++ b/internal/callerleg/server.go
@@ -39,6 +39,7 @@
 // leg is a request that waits for the reducer's answer.
 type leg struct {
 	conn     *legConn
+	class    string // of the job; empty for none
 	answer   core.Answer
 	answered bool
 }
@@ -53,6 +54,8 @@
 
 	draining atomic.Bool // new callers should go elsewhere
 	closing  atomic.Bool // every answer closes its connection
+	away     atomic.Bool // every answer to a caller closes its connection
+	tallies  map[string]*tally
 	lastID   atomic.Uint64
 
 	mu      sync.Mutex
@@ -60,7 +63,8 @@
 	conns   map[*legConn]struct{}
 	pending *legConn // accepted, and waits for a place
 	legs    map[core.LegID]*leg
-	last    time.Time // when the last request came
+	last    time.Time     // when the last request came
+	awayEnd chan struct{} // closed at the end of a drain by hand; nil where there is none
 
 	complained time.Time // when the last line on a refused request was logged
 	unsaid     int       // refused since then
@@ -197,7 +201,7 @@
 	if err != nil {
 		return s.reject(err)
 	}
-	c.prove()
+	c.prove(ofHops)
 	s.post(report)
 	return answer{status: fasthttp.StatusOK}
 }
@@ -211,7 +215,7 @@
 	c.mu.Lock()
 	c.ends = true
 	c.mu.Unlock()
-	id := s.open(c)
+	id := s.open(c, "")
 	s.post(core.HealthAsked{Leg: id})
 	c.SetReadDeadline(time.Now().Add(healthWait))
 	err := c.Await()
@@ -232,31 +236,32 @@
 	if err != nil {
 		return s.reject(err), false
 	}
-	c.prove()
+	c.prove(ofCallers)
 	if s.crowded() {
 		// The last places are kept for call-backs: without them no job that runs would ever be answered.
 		a := refusal(fasthttp.StatusServiceUnavailable, "no place left")
 		a.pause = busyRetry
+		s.count(call.Class, a.status)
 		return a, false
 	}
-	call.Leg = s.open(c)
+	call.Leg = s.open(c, call.Class)
 	// Danger: the time limit for reading the request still runs; reaching it would look as if the caller had left.
 	c.SetReadDeadline(time.Time{})
 	s.post(core.CallArrived{Call: call})
 	return answer{}, true
 }
 
-func (s *Server) open(c *legConn) core.LegID {
+func (s *Server) open(c *legConn, class string) core.LegID {
 	id := core.LegID(s.lastID.Add(1))
 	c.serves(id)
 	s.mu.Lock()
-	s.legs[id] = &leg{conn: c}
+	s.legs[id] = &leg{conn: c, class: class}
 	s.last = time.Now()
 	s.mu.Unlock()
 	return id
 }
 
-// close ends a leg, and tells its answer if it has got one.
+// close ends a leg, and tells its answer if it has got one. A job's end is counted here.
 func (s *Server) close(id core.LegID) (core.Answer, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -265,6 +270,9 @@
 		return core.Answer{}, false
 	}
 	delete(s.legs, id)
+	if l.answered {
+		s.count(l.class, statuses[l.answer.Verdict])
+	}
 	return l.answer, l.answered
 }
 
--- a/internal/callerleg/state.go
+++ b/internal/callerleg/state.go
@@ -28,6 +28,8 @@
 	Ends      bool
 	Held      float64 // seconds since `since`
 	Leg       core.LegID
+	Side      uint8
+	Class     string // of the job that waits for its answer
 }
 
 // Export tells how far all connections have come. The gate must be held.
@@ -48,7 +50,11 @@
 		if err != nil {
 			continue // it was closed, and its goroutine will find that
 		}
-		st.Conns = append(st.Conns, ConnState{File: file, Conn: c.Conn.Export(), Phase: uint8(c.phase), Proven: c.proven,
+		class := ""
+		if l := s.legs[c.leg]; l != nil {
+			class = l.class
+		}
+		st.Conns = append(st.Conns, ConnState{Side: uint8(c.side), Class: class, File: file, Conn: c.Conn.Export(), Phase: uint8(c.phase), Proven: c.proven,
 			Later: c.later, Continued: c.continued, Old: c.old, Ends: c.ends, Held: time.Since(c.since).Seconds(), Leg: c.leg})
 	}
 	return st, nil
@@ -58,20 +64,20 @@
 func (s *Server) Import(st State, files *hold.Received) error {
 	s.lastID.Store(uint64(st.LastLeg))
 	for i, x := range st.Conns {
-		if phase(x.Phase) > answering || x.Leg > st.LastLeg {
-			return fmt.Errorf("callerleg: connection %d: phase %d, leg %d of %d", i, x.Phase, x.Leg, st.LastLeg)
+		if phase(x.Phase) > answering || side(x.Side) > ofHops || x.Leg > st.LastLeg {
+			return fmt.Errorf("callerleg: connection %d: phase %d, side %d, leg %d of %d", i, x.Phase, x.Side, x.Leg, st.LastLeg)
 		}
 		hc, err := files.Conn(x.File, x.Conn)
 		if err != nil {
 			return fmt.Errorf("callerleg: connection %d: %w", i, err)
 		}
 		c := &legConn{Conn: hc, release: s.release, phase: phase(x.Phase), proven: x.Proven, later: x.Later,
-			continued: x.Continued, old: x.Old, ends: x.Ends, leg: x.Leg,
+			continued: x.Continued, old: x.Old, ends: x.Ends, leg: x.Leg, side: side(x.Side),
 			since: time.Now().Add(-time.Duration(x.Held * float64(time.Second)))}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		if c.phase == serving {
-			s.legs[c.leg] = &leg{conn: c}
+			s.legs[c.leg] = &leg{conn: c, class: x.Class}
 		}
 		s.mu.Unlock()
 		s.gate.Go(func() { s.goOn(c, x.Conn.Rest) })
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -23,6 +23,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Mgmt      string // where operators call; empty for nowhere
 	Limits    core.Limits
 	Known     core.RouteSet // as this dispatcher last held it; may be old
 	Settings  choice.Settings
@@ -46,6 +47,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Mgmt      string `json:"mgmt"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -56,8 +58,8 @@
 	Settings jsoniter.RawMessage `json:"settings"`
 }
 
-// Load reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN and NODE_DISCOVERY, where they are
-// set, stand above the file.
+// Load reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN, NODE_DISCOVERY and NODE_MGMT, where
+// they are set, stand above the file.
 func Load(getenv func(string) string) (Config, error) {
 	path := getenv("NODE_CONFIG")
 	if path == "" {
@@ -89,6 +91,7 @@
 	}{
 		{"name", old.Name == now.Name},
 		{"listen", old.Listen == now.Listen},
+		{"mgmt", old.Mgmt == now.Mgmt},
 		{"settings", reflect.DeepEqual(old.Settings, now.Settings)},
 	} {
 		if !k.same {
@@ -105,11 +108,11 @@
 	if err := decode(text, &f); err != nil {
 		return Config{}, fmt.Errorf("NODE_CONFIG: not a configuration object: %w", err)
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: core.Limits(f.Limits)}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Mgmt: f.Mgmt, Limits: core.Limits(f.Limits)}
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {envDiscovery, &c.Discovery}} {
+	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {envDiscovery, &c.Discovery}, {"NODE_MGMT", &c.Mgmt}} {
 		if x := getenv(v.name); x != "" {
 			*v.to = x
 		}
@@ -120,6 +123,11 @@
 	if err := checkAddr(c.Discovery); err != nil {
 		return c, fmt.Errorf("discovery: %w", err)
 	}
+	if c.Mgmt != "" {
+		if err := checkAddr(c.Mgmt); err != nil {
+			return c, fmt.Errorf("mgmt: %w", err)
+		}
+	}
 	switch {
 	case c.Limits.Cores <= 0:
 		return c, fmt.Errorf("limits.cores: %v is not above 0", c.Limits.Cores)
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -29,8 +29,8 @@
 	q.open++
 	r.branches[b.id] = b
 	hop, known := r.hops[b.hop]
-	// A hop that drains or has gone gets nothing new, whatever the decider still thinks of it.
-	if q.over || !known || hop.State != HopActive || until <= r.now || b.no >= r.settings.MaxAttempts {
+	// A hop that drains, is out by hand or has gone gets nothing new, whatever the decider still thinks of it.
+	if q.over || !known || !r.usable(hop) || until <= r.now || b.no >= r.settings.MaxAttempts {
 		r.later = append(r.later, func() { r.endBranch(b, choice.Skipped, nil) })
 		return
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -19,8 +19,13 @@
 	holds   chan chan struct{} // each closed when the loop may go on
 	backlog []Event            // to be applied before anything that is posted; touched by the loop, or while held
 	watch   func(now float64, ev Event, effects []Effect)
+	publish func(View)
+	viewAt  float64 // when the next view is due
 }
 
+// viewEvery is the time between two views, in seconds: half the age that operators' figures may have.
+const viewEvery = 0.25
+
 // NewLoop makes a loop. perform is called from the loop's goroutine and must not block or post.
 func NewLoop(r *Reducer, clock func() float64, perform func(Effect)) *Loop {
 	return &Loop{reducer: r, clock: clock, perform: perform, events: make(chan Event, queueLength),
@@ -42,12 +47,15 @@
 // isNews tells what must not wait behind the rest.
 func isNews(ev Event) bool {
 	switch ev.(type) {
-	case RouteSetTold, RouteSetRefused, Reloaded:
+	case RouteSetTold, RouteSetRefused, Reloaded, BanOrdered, DrainOrdered:
 		return true
 	}
 	return false
 }
 
+// Publish has f told of the route set every viewEvery seconds, from the loop's goroutine. The loop must not run yet.
+func (l *Loop) Publish(f func(View)) { l.publish = f }
+
 // Run steps the reducer until the context ends.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
@@ -66,7 +74,17 @@
 		for _, e := range effects {
 			l.perform(e)
 		}
-		if due, ok := l.reducer.Due(); ok {
+		due, ok := l.reducer.Due()
+		if l.publish != nil {
+			if now >= l.viewAt {
+				l.publish(l.reducer.View(now))
+				l.viewAt = now + viewEvery
+			}
+			if !ok || due > l.viewAt {
+				due, ok = l.viewAt, true
+			}
+		}
+		if ok {
 			wake.Reset(time.Duration((due - l.clock()) * float64(time.Second)))
 		} else {
 			wake.Stop()
--- /dev/null
+++ b/internal/core/orders_test.go
@@ -0,0 +1,180 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"foldlb.example/foldlb/choice"
+)
+
+func told(full bool, hops ...Hop) Event {
+	return RouteSetTold{RouteSet: RouteSet{Version: 9, Full: full, Hops: hops}}
+}
+
+// TestBans: each order's effects, and the fault of those that can't be followed.
+func TestBans(t *testing.T) {
+	r := start(t, choice.Idempotent, "a", "b")
+	ordered := func(ev BanOrdered, drops int, want OrderFault) {
+		t.Helper()
+		ev.Order = 5
+		got := r.Step(r.now+0.01, ev)
+		if len(got) != drops+1 || got[drops] != (Ordered{Order: 5, Fault: want}) || drops == 1 && got[0] != (DropHop{Addr: "a:1"}) {
+			t.Errorf("%+v: %+v", ev, got)
+		}
+	}
+	ordered(BanOrdered{Hop: "x"}, 0, UnknownHop)
+	ordered(BanOrdered{Hop: "x", Lift: true}, 0, UnknownHop)
+	ordered(BanOrdered{Hop: "a", Lift: true}, 0, "") // it is not out
+	ordered(BanOrdered{Hop: "a"}, 1, "")
+	ordered(BanOrdered{Hop: "a"}, 0, "")
+	if v := r.View(r.now); v != (View{Known: 2, Excluded: 1}) {
+		t.Errorf("%+v", v)
+	}
+	for i := range 6 {
+		expect(t, r.Step(r.now+0.01, call(fmt.Sprint("r", i))), "send b")
+	}
+	r.Step(r.now, told(true, hops("b")...)) // a has left the list, and is out all the same
+	ordered(BanOrdered{Hop: "a"}, 0, "")
+	if v := r.View(r.now); v != (View{Known: 1}) {
+		t.Errorf("%+v", v)
+	}
+	ordered(BanOrdered{Hop: "a", Lift: true}, 0, "")
+	ordered(BanOrdered{Hop: "a", Lift: true}, 0, UnknownHop)
+}
+
+// TestDrainByHand: the health check says no until the end, whatever order is given twice; jobs are taken on.
+func TestDrainByHand(t *testing.T) {
+	r := start(t, choice.Idempotent, "a")
+	yes, no := fmt.Sprint("answer ", Served, " ready\n"), fmt.Sprint("answer ", Busy, " ")
+	expect(t, r.Step(2, DrainOrdered{End: true}), "core.Ordered")
+	expect(t, r.Step(2, HealthAsked{Leg: 1}), yes)
+	expect(t, r.Step(2, DrainOrdered{}), "core.SendAway", "core.Ordered")
+	expect(t, r.Step(2, DrainOrdered{}), "core.Ordered")
+	expect(t, r.Step(2, HealthAsked{Leg: 2}), no)
+	expect(t, r.Step(2, call("r")), "send a")
+	st, err := r.Export()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, err = Import(settings(choice.Idempotent), st); err != nil || !r.Draining() {
+		t.Fatalf("taken up as draining %v, %v", r.Draining(), err)
+	}
+	expect(t, r.Step(2, DrainOrdered{End: true}), "core.SendAway", "core.Ordered")
+	expect(t, r.Step(2, HealthAsked{Leg: 3}), yes)
+}
+
+// TestReturnIsCold: whoever was out is sent no more than a next hop that has just started may bear, and is one again
+// after the time to warm up, whatever discovery says of its start.
+func TestReturnIsCold(t *testing.T) {
+	s := settings(choice.Idempotent)
+	s.WarmWithin, s.ColdShare, s.TipAfter = 24, 0.13, 2
+	r, err := New(1, s, RouteSet{Version: 1, Hops: hops("a")}, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := hops("a")[0]
+	if w := r.worker(h); w.Started != 0 || w.State != choice.InService {
+		t.Errorf("%+v", w)
+	}
+	r.Step(50, BanOrdered{Hop: "a"})
+	if w := r.worker(h); w.State != choice.Terminating {
+		t.Errorf("%+v", w)
+	}
+	r.Step(60, BanOrdered{Hop: "a", Lift: true})
+	if w := r.worker(h); w.Started != 60 || w.State != choice.InService {
+		t.Errorf("%+v", w)
+	}
+	h.Started = 70 // restarted since
+	if w := r.worker(h); w.Started != 70 {
+		t.Errorf("%+v", w)
+	}
+	r.Step(80, told(true))
+	if len(r.returned) != 0 {
+		t.Error("a return is remembered of a hop that is not listed")
+	}
+}
+
+// TestNothingToBanned draws news, bans, returns, calls and hand-overs: nothing is ever sent to a next hop that is out,
+// one return ends any number of bans, and no ban ends otherwise.
+func TestNothingToBanned(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := settings(choice.Idempotent)
+		r, err := New(1, s, RouteSet{Version: 1, Hops: hops("a", "b", "c")}, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		out := map[HopID]bool{}
+		listed := map[HopID]bool{"a": true, "b": true, "c": true}
+		now, id := 1.0, rapid.SampledFrom([]HopID{"a", "b", "c", "d"})
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += rapid.SampledFrom([]float64{0, 0.02, 0.3, 2}).Draw(t, "passes")
+			var ev Event
+			want := Ordered{Order: OrderID(i + 1)}
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			case 0:
+				hop := id.Draw(t, "ban")
+				if !listed[hop] && !out[hop] {
+					want.Fault = UnknownHop
+				} else {
+					out[hop] = true
+				}
+				ev = BanOrdered{Order: want.Order, Hop: hop}
+			case 1:
+				hop := id.Draw(t, "return")
+				if !listed[hop] && !out[hop] {
+					want.Fault = UnknownHop
+				}
+				delete(out, hop)
+				ev = BanOrdered{Order: want.Order, Hop: hop, Lift: true}
+			case 2:
+				full := rapid.Bool().Draw(t, "full")
+				if full {
+					clear(listed)
+				}
+				var news []Hop
+				for _, h := range hops("a", "b", "c", "d") {
+					if rapid.Bool().Draw(t, "told") {
+						h.State = HopState(rapid.IntRange(0, 2).Draw(t, "state"))
+						h.Addr += rapid.SampledFrom([]string{"", "0"}).Draw(t, "moved")
+						h.Started = rapid.SampledFrom([]float64{0, now}).Draw(t, "started")
+						if listed[h.ID] = true; h.State == HopLeft {
+							delete(listed, h.ID)
+						}
+						news = append(news, h)
+					}
+				}
+				ev = told(full, news...)
+			case 3:
+				st, err := r.Export()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if r, err = Import(s, st); err != nil {
+					t.Fatal(err)
+				}
+				ev = Reloaded{}
+			default:
+				ev = CallArrived{Call: Call{Leg: LegID(i + 1), ID: RequestID(fmt.Sprint(i)), Class: "c", Remaining: 3, Slots: 1}}
+			}
+			_, order := ev.(BanOrdered)
+			for _, e := range r.Step(now, ev) {
+				if b, ok := e.(SendBranch); ok && out[b.Hop] {
+					t.Fatalf("step %d: a branch to %s, which is out", i, b.Hop)
+				}
+				if o, ok := e.(Ordered); ok && (!order || o != want) {
+					t.Fatalf("step %d: %+v, not %+v", i, o, want)
+				}
+			}
+			for hop := range out {
+				if !r.banned[hop] {
+					t.Fatalf("step %d: %s is no longer out", i, hop)
+				}
+			}
+			if len(r.banned) != len(out) {
+				t.Fatalf("step %d: %v are out, not %v", i, r.banned, out)
+			}
+		}
+	})
+}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -51,8 +51,11 @@
 	branches map[BranchID]*branch
 	hops     map[HopID]Hop
 	source   Source
-	version  int64 // of the list that the source told
-	watching bool  // a watch of the source was asked for and has not been refused
+	version  int64             // of the list that the source told
+	watching bool              // a watch of the source was asked for and has not been refused
+	banned   map[HopID]bool    // out by hand, listed or not
+	returned map[HopID]float64 // when a listed hop was put back by hand
+	draining bool              // by hand
 	timers   timerHeap
 	timerSeq uint64
 	lastID   BranchID
@@ -79,7 +82,8 @@
 // empty makes a reducer without a decision module.
 func empty(now float64, s choice.Settings) *Reducer {
 	r := &Reducer{now: now, settings: s, classes: map[string]int{}, tenants: map[string]int{}, requests: map[RequestID]*request{},
-		spent: map[RequestID]bool{}, legs: map[LegID]*request{}, branches: map[BranchID]*branch{}, hops: map[HopID]Hop{}}
+		spent: map[RequestID]bool{}, legs: map[LegID]*request{}, branches: map[BranchID]*branch{}, hops: map[HopID]Hop{},
+		banned: map[HopID]bool{}, returned: map[HopID]float64{}}
 	for i, c := range s.Classes {
 		r.classes[c.Name] = i
 	}
@@ -109,7 +113,11 @@
 	case CallerLeft:
 		r.callerLeft(ev.Leg)
 	case HealthAsked:
-		r.emit(Answer{Leg: ev.Leg, Verdict: Served, Body: []byte("ready\n")})
+		if r.draining {
+			r.emit(Answer{Leg: ev.Leg, Verdict: Busy, Reason: "draining"})
+		} else {
+			r.emit(Answer{Leg: ev.Leg, Verdict: Served, Body: []byte("ready\n")})
+		}
 	case BranchFailed:
 		if b := r.branches[ev.Branch]; b != nil {
 			r.branchFailed(b, ev.Fault)
@@ -136,6 +144,10 @@
 		}
 	case Reloaded:
 		r.reloaded(ev)
+	case BanOrdered:
+		r.banOrdered(ev)
+	case DrainOrdered:
+		r.drainOrdered(ev)
 	case Stopping:
 		r.stop()
 	case Tick:
@@ -370,8 +382,7 @@
 	list := make([]choice.Worker, 0, len(set.Hops))
 	for _, h := range set.Hops {
 		r.hops[h.ID] = h
-		list = append(list, choice.Worker{ID: string(h.ID), Zone: h.Zone, Kind: h.Kind, Cell: h.Cell,
-			State: hopStates[h.State], Share: h.Weight, Started: h.Started})
+		list = append(list, r.worker(h))
 	}
 	for _, id := range slices.Sorted(maps.Keys(before)) {
 		h := before[id]
@@ -385,6 +396,10 @@
 			delete(r.hops, id)
 		}
 	}
+	maps.DeleteFunc(r.returned, func(id HopID, _ float64) bool {
+		_, listed := r.hops[id]
+		return !listed
+	})
 	r.decider.List(r.now, form, list)
 }
 
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -23,9 +23,18 @@
 	Timers   []TimerState   // in the order in which they come due
 	Requests []RequestState // by id
 	Spent    []RequestID    // ids of requests that have ended, before their deadlines
+	Banned   []HopID        `cbor:",omitempty"` // out by hand
+	Returned []ReturnState  `cbor:",omitempty"` // put back by hand
+	Draining bool           // by hand
 	Decider  choice.Snapshot
 }
 
+// ReturnState is a next hop that was put back by hand, and when.
+type ReturnState struct {
+	Hop HopID
+	At  float64
+}
+
 // TimerState is a timer that is set. Which of the last five fields count depends on Kind.
 type TimerState struct {
 	At      float64
@@ -75,11 +84,17 @@
 		return State{}, err
 	}
 	s := State{Now: r.now, Source: r.source, Version: r.version, Watching: r.watching, LastID: r.lastID,
-		TimerSeq: r.timerSeq, Decider: decider, Spent: make([]RequestID, 0, len(r.spent)),
+		TimerSeq: r.timerSeq, Draining: r.draining, Decider: decider, Spent: make([]RequestID, 0, len(r.spent)),
 		Timers: make([]TimerState, 0, len(r.timers)), Requests: make([]RequestState, 0, len(r.requests))}
 	for id := range r.spent {
 		s.Spent = append(s.Spent, id)
 	}
+	for id := range r.banned {
+		s.Banned = append(s.Banned, id)
+	}
+	for id, at := range r.returned {
+		s.Returned = append(s.Returned, ReturnState{Hop: id, At: at})
+	}
 	for _, h := range r.hops {
 		s.Hops = append(s.Hops, h)
 	}
@@ -107,6 +122,8 @@
 	})
 	slices.SortFunc(s.Requests, func(a, b RequestState) int { return cmp.Compare(a.Call.ID, b.Call.ID) })
 	slices.Sort(s.Spent)
+	slices.Sort(s.Banned)
+	slices.SortFunc(s.Returned, func(a, b ReturnState) int { return cmp.Compare(a.Hop, b.Hop) })
 }
 
 // Import makes a reducer that goes on where the exported one stood: the same events at the same times have the
@@ -129,6 +146,19 @@
 		}
 		r.hops[h.ID] = h
 	}
+	if len(st.Banned) > mostBans {
+		return nil, fmt.Errorf("%w: %d hops are out by hand, %d at most", ErrState, len(st.Banned), mostBans)
+	}
+	r.draining = st.Draining
+	for _, id := range st.Banned {
+		r.banned[id] = true
+	}
+	for i, x := range st.Returned {
+		if _, listed := r.hops[x.Hop]; !listed || !isTime(x.At) {
+			return nil, fmt.Errorf("%w: return %d (%q) is of no hop or at no time", ErrState, i, x.Hop)
+		}
+		r.returned[x.Hop] = x.At
+	}
 	for _, id := range st.Spent {
 		r.spent[id] = true
 	}
@@ -214,3 +244,6 @@
 	}
 	return n
 }
+
+// Draining tells whether callers are sent away by hand, which a successor goes on with.
+func (r *Reducer) Draining() bool { return r.draining }
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -72,6 +73,7 @@
 	post  func(core.Event)
 	log   logrus.FieldLogger
 	slots chan struct{} // for giving up
+	sent  atomic.Uint64 // branches written whole
 
 	mu        sync.Mutex
 	exchanges map[core.BranchID]*exchange
@@ -159,6 +161,7 @@
 	if err != nil {
 		return s.unwritten(c, b, err), true
 	}
+	s.sent.Add(1)
 	return s.hear(x, c, b)
 }
 
@@ -234,6 +237,9 @@
 	return x.over
 }
 
+// Sent counts the branches of which this process wrote the last byte.
+func (s *Sender) Sent() uint64 { return s.sent.Load() }
+
 func (s *Sender) forget(id core.BranchID) {
 	s.mu.Lock()
 	delete(s.exchanges, id)
--- a/internal/nexthop/state.go
+++ b/internal/nexthop/state.go
@@ -189,6 +189,7 @@
 		if err := c.send(rest); err != nil {
 			return s.unwritten(c, x.branch, err), true
 		}
+		s.sent.Add(1)
 	}
 	return s.hear(x, c, x.branch)
 }
--- /dev/null
+++ b/internal/ops/door.go
@@ -0,0 +1,231 @@
+package ops
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
+)
+
+const (
+	mostCallers = 16 // at once; descriptors are needed elsewhere
+	// Callers wait for 1 s: who has not said everything by then hears no answer, and an order not in force by then is
+	// answered while that can still be heard.
+	readWait    = time.Second
+	orderWait   = 850 * time.Millisecond
+	lingerWait  = 200 * time.Millisecond // for a caller to read an answer that came before the end of its call
+	lingerMost  = 64 << 10
+	acceptPause = 5 * time.Millisecond // after a failed accept
+)
+
+// Node is the dispatcher behind the door.
+type Node struct {
+	Ready   func() error     // nil where this process serves; else why not
+	Figures func() Figures   // of published state: it must never wait
+	Post    func(core.Event) // takes an order, ahead of traffic
+}
+
+// Door serves operators. Its zero value is not ready for use: see New.
+type Door struct {
+	ln   *net.TCPListener
+	log  logrus.FieldLogger
+	node atomic.Pointer[Node] // nil until there is a dispatcher
+
+	mu     sync.Mutex
+	conns  map[*caller]struct{}
+	orders map[core.OrderID]chan core.OrderFault
+	last   core.OrderID
+}
+
+// caller is a connection at the door.
+type caller struct {
+	net.Conn
+	since time.Time
+	heard bool // its call has been read whole
+}
+
+// Listen opens the door at an address. Until Open, readiness is denied and there are no figures.
+func Listen(addr string, log logrus.FieldLogger) (*Door, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return New(ln.(*net.TCPListener), log), nil
+}
+
+// New makes a door of a listener.
+func New(ln *net.TCPListener, log logrus.FieldLogger) *Door {
+	return &Door{ln: ln, log: log, conns: map[*caller]struct{}{}, orders: map[core.OrderID]chan core.OrderFault{}}
+}
+
+// Addr is where the door listens.
+func (d *Door) Addr() string { return d.ln.Addr().String() }
+
+// FD calls f with the listener's descriptor.
+func (d *Door) FD(f func(fd int)) error { return hold.FD(d.ln, f) }
+
+// Open puts a dispatcher behind the door.
+func (d *Door) Open(n Node) { d.node.Store(&n) }
+
+// Close closes the door. Calls that were read are answered.
+func (d *Door) Close() error { return d.ln.Close() }
+
+// Run takes calls until the door is closed.
+func (d *Door) Run() {
+	for {
+		nc, err := d.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		} else if err != nil {
+			d.log.WithError(err).Warn("operators' door")
+			time.Sleep(acceptPause) // danger: out of descriptors, accepting fails at once, again and again
+			continue
+		}
+		c := &caller{Conn: nc, since: time.Now()}
+		d.admit(c)
+		go func() {
+			defer d.leave(c)
+			d.serve(c)
+		}()
+	}
+}
+
+// admit counts a caller. Where all places are taken the one that has gone longest without finishing its call yields.
+// Danger: callers that say nothing must not keep out those that do.
+func (d *Door) admit(c *caller) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.conns) >= mostCallers {
+		var out *caller
+		for x := range d.conns {
+			if out == nil || out.heard && !x.heard || out.heard == x.heard && x.since.Before(out.since) {
+				out = x
+			}
+		}
+		delete(d.conns, out)
+		out.Close()
+	}
+	d.conns[c] = struct{}{}
+}
+
+func (d *Door) leave(c *caller) {
+	c.Close()
+	d.mu.Lock()
+	delete(d.conns, c)
+	d.mu.Unlock()
+}
+
+// serve reads the one call of a connection and answers it.
+func (d *Door) serve(c *caller) {
+	c.SetDeadline(c.since.Add(readWait))
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	r := bufio.NewReaderSize(c, mostHead)
+	err := req.ReadLimitBody(r, mostBody)
+	d.mu.Lock()
+	c.heard = true
+	d.mu.Unlock()
+	var late net.Error
+	var small *fasthttp.ErrSmallBuffer
+	var a Answer
+	switch {
+	case err == nil:
+		a = d.answer(string(req.Header.Method()), string(req.RequestURI()), req.Body())
+	case errors.Is(err, io.EOF) || errors.As(err, &late) && late.Timeout():
+		return // nobody listens any more
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		a = line(fasthttp.StatusRequestEntityTooLarge, "a body has %d bytes at most", mostBody)
+	case errors.As(err, &small):
+		a = line(fasthttp.StatusRequestHeaderFieldsTooLarge, "a head has %d bytes at most", mostHead)
+	default:
+		a = line(fasthttp.StatusBadRequest, "not a call")
+	}
+	c.SetDeadline(time.Now().Add(readWait))
+	if _, werr := c.Write(a.bytes()); werr != nil || err == nil && r.Buffered() == 0 {
+		return
+	}
+	// Danger: a close with something unread would reset the connection, and the answer might never be read.
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		c.SetReadDeadline(time.Now().Add(lingerWait))
+		io.CopyN(io.Discard, c, lingerMost)
+	}
+}
+
+func (d *Door) answer(method, target string, body []byte) Answer {
+	call, a, ok := parse(method, target, body)
+	if !ok {
+		return a
+	}
+	n := d.node.Load()
+	if n == nil {
+		return line(fasthttp.StatusServiceUnavailable, "this process does not serve yet")
+	}
+	switch call.Kind {
+	case Readiness:
+		if err := n.Ready(); err != nil {
+			return line(fasthttp.StatusServiceUnavailable, "%v", err)
+		}
+		return line(fasthttp.StatusOK, "ready")
+	case Stats:
+		return n.Figures().answer()
+	}
+	return d.order(n, call)
+}
+
+// order passes an order on and waits until it is in force.
+func (d *Door) order(n *Node, call Call) Answer {
+	done := make(chan core.OrderFault, 1)
+	d.mu.Lock()
+	d.last++
+	id := d.last
+	d.orders[id] = done
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		delete(d.orders, id)
+		d.mu.Unlock()
+	}()
+	limit := time.NewTimer(orderWait)
+	defer limit.Stop()
+	go n.Post(event(call, id)) // it waits where the dispatcher is at rest
+	select {
+	case fault := <-done:
+		switch fault {
+		case "":
+			return line(fasthttp.StatusOK, "done")
+		case core.UnknownHop:
+			return line(fasthttp.StatusNotFound, "%s", fault)
+		}
+		return line(fasthttp.StatusConflict, "%s", fault)
+	case <-limit.C:
+		return line(fasthttp.StatusServiceUnavailable, "not in force yet; it will be")
+	}
+}
+
+func event(call Call, id core.OrderID) core.Event {
+	switch call.Kind {
+	case HopDown, HopUp:
+		return core.BanOrdered{Order: id, Hop: call.Hop, Lift: call.Kind == HopUp}
+	default:
+		return core.DrainOrdered{Order: id, End: call.Kind == DrainStop}
+	}
+}
+
+// Ordered tells whoever waits for an order how it went. It does not block.
+func (d *Door) Ordered(o core.Ordered) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if done := d.orders[o.Order]; done != nil {
+		done <- o.Fault
+		delete(d.orders, o.Order)
+	}
+}
--- a/internal/snapshot/events.go
+++ b/internal/snapshot/events.go
@@ -20,6 +20,8 @@
 	Reloaded        *core.Reloaded        `cbor:"9,keyasint,omitempty"`
 	Stopping        *core.Stopping        `cbor:"10,keyasint,omitempty"`
 	Tick            *core.Tick            `cbor:"11,keyasint,omitempty"`
+	BanOrdered      *core.BanOrdered      `cbor:"12,keyasint,omitempty"`
+	DrainOrdered    *core.DrainOrdered    `cbor:"13,keyasint,omitempty"`
 }
 
 // Pack puts an event into its carrier. An event of a type that is not known here is an error.
@@ -47,6 +49,10 @@
 		return Event{Stopping: &ev}, nil
 	case core.Tick:
 		return Event{Tick: &ev}, nil
+	case core.BanOrdered:
+		return Event{BanOrdered: &ev}, nil
+	case core.DrainOrdered:
+		return Event{DrainOrdered: &ev}, nil
 	}
 	return Event{}, fmt.Errorf("snapshot: event %T can't be written down", ev)
 }
@@ -76,6 +82,10 @@
 		return *e.Stopping, nil
 	case e.Tick != nil:
 		return *e.Tick, nil
+	case e.BanOrdered != nil:
+		return *e.BanOrdered, nil
+	case e.DrainOrdered != nil:
+		return *e.DrainOrdered, nil
 	}
 	return nil, fmt.Errorf("%w: an event of no known kind", ErrForm)
 }
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -15,7 +15,7 @@
 )
 
 // Schema is the version of the form written here. It changes whenever a reader of the last one would misread it.
-const Schema uint16 = 1
+const Schema uint16 = 2
 
 // MostBytes bounds a snapshot: 4,096 open requests with full bodies of 64 KiB.
 const MostBytes = 272 << 20
--- a/internal/upgrade/messages.go
+++ b/internal/upgrade/messages.go
@@ -9,7 +9,7 @@
 )
 
 // Protocol is the version of what giver and taker say to each other.
-const Protocol = 1
+const Protocol = 2
 
 const ownSchema = snapshot.Schema
 
