Take over from a running process that the newcomer finds in the shared folder

It is on only where NODE_INHERITED_FD is set. What differs: the newcomer is not the old process's to kill. Where nothing comes of it, it is told so (Cancelled) before the pipe ends, since a pipe that just ends means that the old process died and that everything is the newcomer's; it tries again, and else starts by itself on the inherited listener. Only one that was told to go and keeps silent is killed. SIGTERM to the old process does not reach the new one, SIGHUP does. Not taken: two processes side by side with call-backs relayed. Used ids, cold budgets and profiles would be two, and each call-back would make an extra way in half the cases; it stays what happens where no hand-over can be had, without the relay.

Found by the tests: a newcomer that made its own meeting place before it acted was met there by its own second try, and after its death nobody met the running process any more. The place is made once everything is taken.

--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -20,6 +20,7 @@
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/hold"
 	"foldlb.example/foldlb/internal/operator"
+	"foldlb.example/foldlb/internal/ops"
 	"foldlb.example/foldlb/internal/upgrade"
 )
 
@@ -56,7 +57,12 @@
 		return keep()
 	}
 	if err == nil && pipe != nil {
-		return s.takeOver(ctx, pipe, reload)
+		t, err := s.takeUp(pipe, nil)
+		if err != nil {
+			return fmt.Errorf("take over: %w", err)
+		}
+		s.announce(os.Getpid())
+		return t.serve(ctx, reload)
 	}
 	if err != nil {
 		if pipe != nil {
@@ -64,11 +70,22 @@
 		}
 		return err
 	}
+	door, err := s.listenDoor()
+	if err != nil {
+		return fmt.Errorf("mgmt: %w", err)
+	}
+	held, err := inherited(os.Getenv)
+	if err != nil {
+		return err
+	}
+	if held != nil {
+		return s.beside(ctx, held, door, reload)
+	}
 	ln, err := net.Listen("tcp", s.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return s.begin(ctx, ln, reload)
+	return s.begin(ctx, ln, door, reload)
 }
 
 // setup is what a start reads.
@@ -99,7 +116,7 @@
 }
 
 // begin serves from a fresh start.
-func (s setup) begin(ctx context.Context, ln net.Listener, reload <-chan os.Signal) error {
+func (s setup) begin(ctx context.Context, ln net.Listener, door *ops.Door, reload <-chan os.Signal) error {
 	clock := upgrade.NewClock()
 	reducer, err := core.New(clock.Now(), s.cfg.Settings, s.cfg.Known, s.cfg.Discovery)
 	if err != nil {
@@ -114,58 +131,79 @@
 		log = s.log.WithField("generation", 1)
 	}
 	gate := hold.NewGate()
-	if s.operator.Control.Socket == "" {
+	if s.operator.Control.Socket == "" && os.Getenv(envInherited) == "" {
 		gate.Forget() // there will be no upgrade
 	}
 	n := build(s.cfg, reducer, gate, clock, log)
-	door, err := s.listenDoor()
-	if err != nil {
-		return fmt.Errorf("mgmt: %w", err)
-	}
 	n.open(door)
 	end, err := s.operate(n, nil)
 	if err != nil {
 		return err
 	}
+	s.await(n)
 	defer end()
 	return n.serve(ctx, tcp, reload, false)
 }
 
-// takeOver serves from where another process stands.
-func (s setup) takeOver(ctx context.Context, pipe *upgrade.Pipe, reload <-chan os.Signal) error {
-	fail := func(err error) error {
-		upgrade.Refuse(pipe, err)
-		return fmt.Errorf("take over: %w", err)
-	}
+// takeover is all that another process has handed over: this process's own from now on.
+type takeover struct {
+	node  *node
+	ln    *net.TCPListener
+	taken *upgrade.Taken
+	end   func()
+}
+
+// takeUp takes everything up that the process at the other end of the pipe hands over. On an error, which that process
+// is told, nothing is this one's own and nothing is left open.
+func (s setup) takeUp(pipe *upgrade.Pipe, door *ops.Door) (_ *takeover, err error) {
 	gate := hold.NewGate()
-	if err := gate.Hold(time.Second, nil); err != nil { // nothing may act before the word to go
-		return fail(err)
+	var taken *upgrade.Taken
+	defer func() {
+		if err == nil {
+			return
+		}
+		upgrade.Refuse(pipe, err)
+		if taken != nil {
+			taken.Files.Close()
+		}
+		for _, c := range gate.Conns() {
+			c.Close() // danger: open here, they would stay open for the other side after the process that has them closes them
+		}
+	}()
+	if err = gate.Hold(time.Second, nil); err != nil { // nothing may act before the word to go
+		return nil, err
 	}
-	taken, err := upgrade.Take(pipe, s.cfg.Settings, version, gate)
-	if err != nil {
-		return fail(err)
+	if taken, err = upgrade.Take(pipe, s.cfg.Settings, version, gate); err != nil {
+		return nil, err
 	}
 	ln, err := taken.Files.Listener(taken.Parcel.Listener)
 	if err != nil {
-		return fail(err)
+		return nil, err
 	}
 	tcp, ok := ln.(*net.TCPListener)
 	if !ok {
-		return fail(errors.New("what was handed over as the listener is none"))
+		return nil, errors.New("what was handed over as the listener is none")
 	}
 	n := build(s.cfg, taken.Reducer, gate, taken.Clock, s.log.WithField("generation", taken.Parcel.Generation))
+	n.open(door)
 	end, err := s.operate(n, taken)
-	if err != nil {
-		return fail(err)
+	if err == nil {
+		err = n.take(taken)
 	}
-	if err := n.take(taken); err != nil {
-		return fail(err)
+	if err != nil {
+		tcp.Close()
+		return nil, err
 	}
-	defer end()
-	read, place, words := taken.Times()
-	s.announce(os.Getpid())
-	n.log.WithFields(logrus.Fields{"read": read.String(), "place": place.String(), "words": words.String()}).Info("taken over")
-	return n.serve(ctx, tcp, reload, taken.Parcel.Reload)
+	s.await(n) // danger: before everything is its own, newcomers must meet the process that has it
+	return &takeover{n, tcp, taken, end}, nil
+}
+
+// serve goes on where the other process stood.
+func (t *takeover) serve(ctx context.Context, reload <-chan os.Signal) error {
+	defer t.end()
+	read, place, words := t.taken.Times()
+	t.node.log.WithFields(logrus.Fields{"read": read.String(), "place": place.String(), "words": words.String()}).Info("taken over")
+	return t.node.serve(ctx, t.ln, reload, t.taken.Parcel.Reload)
 }
 
 // setMachine keeps the Go runtime to the limits.
--- a/cmd/foldlb/serve_test.go
+++ b/cmd/foldlb/serve_test.go
@@ -94,7 +94,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
-	go func() { w.over <- setup{cfg: cfg, log: quiet()}.begin(ctx, ln, nil) }()
+	go func() { w.over <- setup{cfg: cfg, log: quiet()}.begin(ctx, ln, nil, nil) }()
 	t.Cleanup(func() { stop(); close(w.lists) })
 	return w
 }
--- a/cmd/foldlb/upgrade_test.go
+++ b/cmd/foldlb/upgrade_test.go
@@ -53,8 +53,8 @@
 	ended  chan error
 }
 
-// launch starts a dispatcher process with next hops a, b ...
-func launch(t *testing.T, keepPID bool, plays ...play) *process {
+// stage makes next hops a, b ..., discovery, and a folder with the configuration of a dispatcher for them.
+func stage(t *testing.T, plays ...play) *process {
 	t.Helper()
 	w := &world{t: t, watches: make(chan *fasthttp.RequestCtx, 8), lists: make(chan string, 8)}
 	var entries []string
@@ -86,6 +86,18 @@
 	p := &process{world: w, dir: t.TempDir(), ended: make(chan error, 1)}
 	p.socket = filepath.Join(p.dir, "c.sock")
 	p.write("config.json", configFile(w.addr, discovery, entries...))
+	for _, fifo := range []string{"held", "go"} {
+		if err := syscall.Mkfifo(filepath.Join(p.dir, fifo), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return p
+}
+
+// launch starts a dispatcher process with next hops a, b ...
+func launch(t *testing.T, keepPID bool, plays ...play) *process {
+	t.Helper()
+	p := stage(t, plays...)
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
@@ -93,11 +105,6 @@
 	// The new process is the same program, held back until the test says so.
 	p.write("next", fmt.Sprintf("#!/bin/sh\n%s=%q exec %q \"$@\"\n", envHold, p.dir, self))
 	os.Chmod(filepath.Join(p.dir, "next"), 0o700)
-	for _, fifo := range []string{"held", "go"} {
-		if err := syscall.Mkfifo(filepath.Join(p.dir, fifo), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
 	p.write("operator.hcl", fmt.Sprintf("control { socket = \"c.sock\" }\nupgrade {\n binary = \"next\"\n probation = \"20ms\"\n start_within = \"20s\"\n"+
 		" hold_at_most = \"90ms\"\n take_within = \"490ms\"\n act_within = \"20ms\"\n keep_pid = %v\n pid_file = \"pid\"\n}\n", keepPID))
 	p.first = exec.Command(self, "serve", "--operator", filepath.Join(p.dir, "operator.hcl"), "--log-level", "error")
@@ -123,7 +130,7 @@
 				syscall.Kill(pid, syscall.SIGKILL)
 			}
 		}
-		close(w.lists)
+		close(p.lists)
 	})
 	return p
 }
--- a/internal/upgrade/giver.go
+++ b/internal/upgrade/giver.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"sync"
@@ -78,14 +79,16 @@
 	mu       sync.Mutex
 	watchers map[chan Progress]struct{}
 	last     Progress // the last upgrade's end
-	limits   Limits   // for the next upgrade
+	limits   Limits   // for the next upgrade that is ordered here
+	meeting  Limits   // for one that a newcomer begins
 	strict   bool
 
 	// Of the goroutine that runs.
 	machine  Machine
 	reloads  int64 // of the body, when the new process was started
 	pipe     *Pipe
-	cmd      *exec.Cmd
+	other    other
+	came     *Newcomer // the new process, where it came by itself
 	timer    *time.Timer
 	follow   chan Followed
 	steps    int  // told since the first snapshot; of the loop's goroutine until the hold
@@ -99,6 +102,13 @@
 	waiting  []order
 }
 
+// other is the new process.
+type other struct {
+	pid  int
+	kill func()       // ends it, or its part in the hand-over; Gone follows
+	wait func() error // until it has ended, once it says no more
+}
+
 // order is what somebody wants done by the process that owns everything.
 type order struct {
 	signal os.Signal // sent to the new process, if that takes over first
@@ -139,6 +149,21 @@
 	}
 }
 
+// Meet has every newcomer at a meeting place taken for the beginning of a hand-over, within its own limits. It returns
+// when the place is closed.
+func (g *Giver) Meet(m *Meeting, l Limits) {
+	g.mu.Lock()
+	g.meeting = l
+	g.mu.Unlock()
+	for {
+		n, err := m.Next()
+		if err != nil {
+			return
+		}
+		g.inputs <- Begin{Meet: n}
+	}
+}
+
 // Last tells how the last upgrade that this process began has ended.
 func (g *Giver) Last() Progress {
 	g.mu.Lock()
@@ -199,9 +224,13 @@
 			}
 			continue
 		}
-		if _, begins := in.(Begin); begins && g.machine.Phase() == Idle {
+		if b, begins := in.(Begin); begins && g.machine.Phase() == Idle {
 			g.mu.Lock()
 			g.machine.Limits, g.machine.Strict = g.limits, g.strict
+			if b.Meet != nil {
+				g.machine.Limits, g.machine.Strict = g.meeting, false
+			}
+			g.came = b.Meet
 			g.mu.Unlock()
 		}
 		g.step(in)
@@ -258,8 +287,8 @@
 			g.Log.WithError(err).Warn("upgrade: the word to go was not sent")
 		}
 	case Kill:
-		if g.cmd != nil && g.cmd.Process != nil {
-			g.cmd.Process.Kill()
+		if g.other.kill != nil {
+			g.other.kill()
 		}
 	case LetGo:
 		g.Body.LetGo()
@@ -274,16 +303,28 @@
 	return nil
 }
 
-// start starts the new process and listens to it.
+// start starts the new process, or takes the one that came, and listens to it.
 func (g *Giver) start() error {
 	g.reloads = g.Body.Reloads.Load()
+	var err error
+	if g.came != nil {
+		g.pipe, g.other = g.came.pipe, g.metBy(g.came)
+	} else if g.pipe, g.other, err = g.launch(); err != nil {
+		return err
+	}
+	go g.listen(g.pipe, g.other)
+	return nil
+}
+
+// launch starts the new process.
+func (g *Giver) launch() (*Pipe, other, error) {
 	cmd, err := g.Command()
 	if err != nil {
-		return err
+		return nil, other{}, err
 	}
 	pipe, theirs, err := Pair()
 	if err != nil {
-		return err
+		return nil, other{}, err
 	}
 	at := firstFile + len(cmd.ExtraFiles)
 	cmd.ExtraFiles = append(cmd.ExtraFiles, theirs...)
@@ -294,27 +335,37 @@
 	}
 	if err != nil {
 		pipe.Close()
-		return err
+		return nil, other{}, err
 	}
-	g.pipe, g.cmd = pipe, cmd
-	go g.listen(pipe, cmd)
-	return nil
+	return pipe, other{pid: cmd.Process.Pid, kill: func() { cmd.Process.Kill() }, wait: cmd.Wait}, nil
+}
+
+// metBy is a new process that came by itself. It is not this one's to end: where nothing comes of the hand-over it
+// starts by itself. Danger: told to go it may act, and then only its end makes sure that it does not.
+func (g *Giver) metBy(n *Newcomer) other {
+	return other{pid: n.PID, wait: func() error { return nil }, kill: func() {
+		if g.machine.passed {
+			syscall.Kill(n.PID, syscall.SIGKILL)
+			return
+		}
+		n.Refuse(g.machine.reason)
+	}}
 }
 
 // listen passes on what the new process says, and then its end.
-func (g *Giver) listen(pipe *Pipe, cmd *exec.Cmd) {
+func (g *Giver) listen(pipe *Pipe, o other) {
 	for {
 		m, err := pipe.Receive(0)
 		if err != nil {
-			if !ended(err) {
+			if !ended(err) && !errors.Is(err, net.ErrClosed) {
 				g.inputs <- Heard{err}
 			}
 			break
 		}
 		g.inputs <- Heard{m}
 	}
-	err := cmd.Wait() // a process that says no more must end; where it does not, a limit has it killed
-	how := "exit status 0"
+	err := o.wait() // a process that says no more must end; where it does not, a limit has it killed
+	how := "it ended, or gave up"
 	if err != nil {
 		how = err.Error()
 	}
@@ -439,6 +490,9 @@
 // ended cleans up after an upgrade that did not come about.
 func (g *Giver) ended(e Ended) {
 	if e.Refused {
+		if e.Meet != nil {
+			e.Meet.Refuse(e.Reason)
+		}
 		if c, ok := e.By.(chan Progress); ok {
 			c <- Progress{At: time.Now(), Step: g.machine.Phase().String(), Final: true, Result: Refusal, Detail: e.Reason}
 		}
@@ -455,7 +509,7 @@
 	if g.pipe != nil {
 		g.pipe.Close()
 	}
-	g.pipe, g.cmd = nil, nil
+	g.pipe, g.other, g.came = nil, other{}, nil
 	g.Log.WithField("reason", e.Reason).Warn("upgrade fell back: this process goes on")
 	g.tell(Progress{Step: Idle.String(), Final: true, Result: FellBack, Detail: e.Reason})
 	for _, o := range g.waiting {
@@ -468,18 +522,20 @@
 // leave ends this process. Danger: nothing may be closed in an orderly way, since a shutdown of what both processes
 // hold would reach the other sides.
 func (g *Giver) leave() {
-	pid := g.cmd.Process.Pid
+	pid := g.other.pid
 	p := g.parcel
 	p.Bytes = g.bytes
 	p.Step, p.Final, p.Result, p.PID, p.HeldMS = Leaving.String(), true, Replaced, pid, millis(time.Since(g.heldAt))
 	p.Held.Take = p.HeldMS - p.Held.Rest - p.Held.Pack - p.Held.Send
-	g.Leave(pid) // first: whoever hears the final word may ask at once who serves
+	if g.Leave != nil {
+		g.Leave(pid) // first: whoever hears the final word may ask at once who serves
+	}
 	g.tell(p)
 	g.Log.WithFields(logrus.Fields{"pid": pid, "held_ms": p.HeldMS, "held_parts_ms": p.Held.String(), "descriptors": p.Files, "bytes": p.Bytes}).Info("upgraded: the new process has taken over")
 	for _, o := range g.waiting {
-		syscall.Kill(pid, o.signal.(syscall.Signal))
+		g.passOn(o)
 	}
-	g.flush(pid)
+	g.flush()
 	os.Exit(0)
 }
 
@@ -491,15 +547,22 @@
 // inside this one.
 const lastOrders = 5 * time.Millisecond
 
+// passOn gives an order to the new process. SIGTERM after a newcomer has taken over meant this process, which ends.
+func (g *Giver) passOn(o order) {
+	if g.came == nil || o.signal != syscall.SIGTERM {
+		syscall.Kill(g.other.pid, o.signal.(syscall.Signal))
+	}
+}
+
 // flush passes on the last orders, and waits until those who watch have been told the end.
-func (g *Giver) flush(pid int) {
+func (g *Giver) flush() {
 	begin := time.Now()
 	t := time.NewTicker(time.Millisecond)
 	defer t.Stop()
 	for {
 		select {
 		case o := <-g.orders:
-			syscall.Kill(pid, o.signal.(syscall.Signal))
+			g.passOn(o)
 		case now := <-t.C:
 			g.mu.Lock()
 			n := len(g.watchers)
--- a/internal/upgrade/machine.go
+++ b/internal/upgrade/machine.go
@@ -52,7 +52,10 @@
 
 // The inputs.
 type (
-	Begin   struct{ By any }      // an upgrade is asked for, by somebody who is told where it is refused
+	Begin struct { // an upgrade is asked for, by somebody who is told where it is refused
+		By   any
+		Meet *Newcomer // the new process, where it came by itself; nil where it is to be started
+	}
 	Heard   struct{ Message any } // the new process said something
 	Gone    struct{ How string }  // it has ended, and all that it said has been heard
 	TimeUp  struct{}              // the time set by the last SetTimer is over
@@ -90,6 +93,7 @@
 	Ended     struct {                   // for those who watch: the upgrade is over, and this process stays
 		Refused bool
 		By      any // who asked, where it is refused
+		Meet    *Newcomer
 		Reason  string
 	}
 )
@@ -116,6 +120,7 @@
 	phase   Phase
 	held    bool // the loop and the gate are held
 	passed  bool // the new process was told to go
+	came    bool // the new process came by itself
 	reason  string
 	stopped bool // SIGTERM came; no new upgrade
 	out     []Action
@@ -132,7 +137,7 @@
 	m.out = nil
 	switch in := in.(type) {
 	case Begin:
-		m.begin(in.By)
+		m.begin(in)
 	case Heard:
 		m.heard(in.Message)
 	case Gone:
@@ -149,7 +154,10 @@
 		m.stopped = true
 		switch m.phase {
 		case Starting, Rehearsing, Following, Passing:
-			m.fail("SIGTERM came meanwhile")
+			// One that came by itself is there because this process is to end: it gets what it came for.
+			if !m.came {
+				m.fail("SIGTERM came meanwhile")
+			}
 		}
 	}
 	return m.out
@@ -163,14 +171,17 @@
 	m.do(SetTimer{limit}, Step{p})
 }
 
-func (m *Machine) begin(by any) {
+func (m *Machine) begin(in Begin) {
+	refuse := func(reason string) {
+		m.do(Ended{Refused: true, By: in.By, Meet: in.Meet, Reason: reason})
+	}
 	switch {
 	case m.stopped:
-		m.do(Ended{Refused: true, By: by, Reason: "the dispatcher is ending"})
+		refuse("the dispatcher is ending")
 	case m.phase != Idle:
-		m.do(Ended{Refused: true, By: by, Reason: "an upgrade is under way: " + m.phase.String()})
+		refuse("an upgrade is under way: " + m.phase.String())
 	default:
-		m.reason, m.passed = "", false
+		m.reason, m.passed, m.came = "", false, in.Meet != nil
 		m.enter(Starting, m.Limits.Start)
 		m.do(Start{})
 	}
--- a/internal/upgrade/messages.go
+++ b/internal/upgrade/messages.go
@@ -71,6 +71,9 @@
 	State struct{ Reducer []byte }
 	// Go tells the new process that everything is its own.
 	Go struct{}
+	// Cancelled tells a newcomer that nothing of what it was sent is its own. Danger: a pipe that just ended would say
+	// that this process has died, and that everything is.
+	Cancelled struct{ Reason string }
 )
 
 // kinds numbers the messages on the pipe.
@@ -89,6 +92,7 @@
 	kindNeedState
 	kindAhead
 	kindState
+	kindCancelled
 )
 
 // encode writes a message down.
@@ -122,6 +126,8 @@
 		kind = kindAhead
 	case State:
 		kind = kindState
+	case Cancelled:
+		kind = kindCancelled
 	default:
 		return 0, nil, fmt.Errorf("upgrade: %T is no message", m)
 	}
@@ -160,6 +166,8 @@
 		return as[Ahead](text)
 	case kindState:
 		return as[State](text)
+	case kindCancelled:
+		return as[Cancelled](text)
 	}
 	return nil, fmt.Errorf("%w: message of unknown kind %d", snapshot.ErrForm, kind)
 }
--- a/internal/upgrade/pipe.go
+++ b/internal/upgrade/pipe.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -17,6 +18,7 @@
 const (
 	filesAtOnce = 200 // descriptors in a packet; the kernel takes 253
 	mostWord    = 1 << 20
+	cancelWait  = 100 * time.Millisecond
 )
 
 // Pipe carries messages, and beside them descriptors, between the two processes. It consists of two pairs of Unix
@@ -187,6 +189,13 @@
 	return fds, nil
 }
 
+// cancel says that nothing which was sent is the other process's own. Where that can't be written the other process
+// has not read all that was sent before, so that it can't take anything for its own either.
+func (p *Pipe) cancel(reason string) {
+	p.words.SetWriteDeadline(time.Now().Add(cancelWait))
+	p.Send(Cancelled{Reason: reason})
+}
+
 // Close closes this end.
 func (p *Pipe) Close() error { return errors.Join(p.words.Close(), p.files.Close()) }
 
--- a/internal/upgrade/taker.go
+++ b/internal/upgrade/taker.go
@@ -38,6 +38,9 @@
 	return Inherit(w, f)
 }
 
+// ErrCancelled says that the running process goes on, and that nothing of what it sent may be used.
+var ErrCancelled = errors.New("the running process goes on")
+
 // Taken is everything that was handed over, before the word to go.
 type Taken struct {
 	Parcel  Parcel
@@ -88,6 +91,8 @@
 			if err := t.takeAhead(m); err != nil {
 				return nil, err
 			}
+		case Cancelled:
+			return nil, fmt.Errorf("%w: %s", ErrCancelled, m.Reason)
 		case Parcel:
 			err := t.open(m, twin, settings)
 			t.opened = time.Now()
@@ -218,6 +223,9 @@
 	} else if err != nil {
 		return err
 	}
+	if c, ok := m.(Cancelled); ok {
+		return fmt.Errorf("%w: %s", ErrCancelled, c.Reason)
+	}
 	if _, ok := m.(Go); !ok {
 		return fmt.Errorf("%w: %T where the word to go was expected", snapshot.ErrForm, m)
 	}
