--- a/cmd/foldlb/beside.go
+++ b/cmd/foldlb/beside.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"strconv"
@@ -23,8 +24,11 @@
 const (
 	takeOverMost = 3 * time.Second       // for a hand-over; then it still has time to start by itself
 	meetAgain    = 50 * time.Millisecond // before a second try, and twice as long before each further one
-	meetStart    = time.Second           // for each step of a newcomer before the hold
-	meetFollow   = 100 * time.Millisecond
+	// Two processes that could not hand over serve side by side: for the 6 s, and until SIGKILL ends the old one, 3.7 s after
+	// SIGTERM at the latest.
+	besideMost = 10 * time.Second
+	meetStart  = time.Second // for each step of a newcomer before the hold
+	meetFollow = 100 * time.Millisecond
 	// A drain that is told while everything is held is known only afterwards, and must be within 750 ms.
 	meetHold, meetOffer, meetCommit = 150 * time.Millisecond, 300 * time.Millisecond, 100 * time.Millisecond
 )
@@ -101,12 +105,15 @@
 	}
 	if err != nil {
 		n.log.WithError(err).Warn("no process can take over from this one")
+		n.legs.Shares(time.Duration(math.MaxInt64 / 2)) // a newcomer will serve beside it, and can't say so
 		return
 	}
 	limits := upgrade.Limits{Start: meetStart, Probation: meetFollow, Hold: meetHold, Offer: meetOffer, Commit: meetCommit}
 	if n.giver == nil {
 		n.giver = upgrade.NewGiver(n.body, limits, false, nil, nil, n.log)
 	}
+	n.giver.Shed = n.shed
+	n.giver.Apart = func() { n.legs.Shares(besideMost) }
 	begins := n.begins
 	n.begins = func() {
 		if begins != nil {
@@ -115,3 +122,11 @@
 		go n.giver.Meet(m, limits)
 	}
 }
+
+// shed closes kept connections until two processes can have all that are left open at once: next hops' first, which cost
+// least to open again, then callers'. What is at work stays, whatever the limit.
+func (n *node) shed() {
+	over := len(n.gate.Conns()) - (int(n.sockets.Load())-reservedFiles)/2
+	over -= n.hops.Shed(over)
+	n.legs.Shed(over)
+}
--- a/cmd/foldlb/beside_test.go
+++ b/cmd/foldlb/beside_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -219,19 +220,74 @@
 	}
 }
 
-// TestBesideFolderIsTaken: where nobody can be met a process serves all the same, and a second one beside it.
+// TestBesideFolderIsTaken: where nobody can be met, a second process serves beside the first. Each job's report finds the
+// process that has it, though it may have to come again: the other one does not acknowledge it.
 func TestBesideFolderIsTaken(t *testing.T) {
-	p := newPlatform(t, done)
+	p := newPlatform(t, take)
 	if err := os.MkdirAll(filepath.Join(p.tmp, "foldlb-meet", "x"), 0o700); err != nil {
 		t.Fatal(err)
 	}
 	first := p.run(false).ready()
+	jobs := map[string]*line{}
+	ask := func(id string) {
+		c := p.dial()
+		c.say(job(id, "once", 5))
+		p.takes(p.hops[0], id)
+		jobs[id] = c
+	}
+	ask("r1")
 	p.run(false).ready()
+	for i := range 6 { // either process may take them
+		ask(fmt.Sprint("s", i))
+	}
 	first.cmd.Process.Signal(syscall.SIGTERM)
+	for id, c := range jobs {
+		for tries := 1; ; tries++ {
+			body := fmt.Sprintf(`{"id":%q,"from":"a","state":"done","result":%q}`, id, "policy "+id)
+			if resp, err := p.post("/callback", body); err == nil && resp.StatusCode() == 200 {
+				break
+			} else if tries == 100 {
+				t.Fatalf("the report on %s is never acknowledged: %v", id, err)
+			}
+		}
+		c.hears(200, "policy "+id)
+	}
 	first.goes()
-	c := p.dial()
-	c.say(job("r1", "once", 5))
-	c.hears(200, "quote of a")
+}
+
+// TestBesideSheds: where both processes could not have all connections open at once, kept ones are closed first; one with
+// a job passes on.
+func TestBesideSheds(t *testing.T) {
+	p := newPlatform(t, take)
+	first := p.run(false).ready()
+	var kept []*line
+	for i := range 120 { // of 256 descriptors, 64 are set aside, and two processes can have 96 connections each
+		c := p.dial()
+		id := fmt.Sprint("k", i)
+		c.say(job(id, "once", 5))
+		p.takes(p.hops[0], id)
+		p.callBack(fmt.Sprintf(`{"id":%q,"from":"a","state":"done","result":"kept"}`, id))
+		c.hears(200, "kept")
+		kept = append(kept, c)
+	}
+	busy := p.dial()
+	busy.say(job("r1", "once", 5))
+	p.takes(p.hops[0], "r1")
+	p.run(false).ready()
+	first.goes()
+	p.callBack(`{"id":"r1","from":"a","state":"done","result":"policy 1"}`)
+	busy.hears(200, "policy 1")
+	open := 0
+	for _, c := range kept {
+		c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		var late net.Error
+		if _, err := c.r.ReadByte(); errors.As(err, &late) && late.Timeout() {
+			open++
+		}
+	}
+	if open > 96 || open < 80 {
+		t.Errorf("%d of %d kept connections are open", open, len(kept))
+	}
 }
 
 // TestBesideHungProcess: a running process that does not answer is given up, and the newcomer starts by itself.
--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -140,6 +140,9 @@
 	if err != nil {
 		return err
 	}
+	if os.Getenv(envInherited) != "" {
+		n.legs.Shares(besideMost) // whoever served before may still do
+	}
 	s.await(n)
 	defer end()
 	return n.serve(ctx, tcp, reload, false)
--- a/internal/callerleg/drain.go
+++ b/internal/callerleg/drain.go
@@ -1,6 +1,9 @@
 package callerleg
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // On a planned restart new connections keep arriving for up to 0.4 s, and callers go on using those that stay open.
 // Danger: where dispatchers restart one after the other, the last one may still be away, and callers whose
@@ -56,6 +59,27 @@
 	}
 }
 
+// Shed closes up to n connections that wait for a next request, those that have waited longest first.
+func (s *Server) Shed(n int) {
+	type waiter struct {
+		c     *legConn
+		since time.Time
+	}
+	var all []waiter
+	now := time.Now()
+	s.mu.Lock()
+	for c := range s.conns {
+		if r, since := c.rank(now); r == keptIdle {
+			all = append(all, waiter{c, since})
+		}
+	}
+	s.mu.Unlock()
+	slices.SortFunc(all, func(a, b waiter) int { return a.since.Compare(b.since) })
+	for _, w := range all[:max(0, min(n, len(all)))] {
+		w.c.Close()
+	}
+}
+
 // quiet tells whether nothing is being read or answered. Danger: connections that say nothing keep coming from
 // those who mean harm; they must not hold the end of a drain.
 func (s *Server) quiet(now time.Time) bool {
--- a/internal/callerleg/serve.go
+++ b/internal/callerleg/serve.go
@@ -127,6 +127,9 @@
 		return false
 	}
 	a, _ := s.close(leg)
+	if a.Verdict == core.Unowned {
+		return false // danger: an answer would say that it need not come again
+	}
 	return s.write(c, answerOf(a))
 }
 
--- a/internal/callerleg/server.go
+++ b/internal/callerleg/server.go
@@ -56,6 +56,7 @@
 	closing  atomic.Bool // every answer closes its connection
 	away     atomic.Bool // every answer to a caller closes its connection
 	tallies  map[string]*tally
+	shares   atomic.Int64 // Unix nanoseconds until which another process may serve the same listener
 	lastID   atomic.Uint64
 
 	mu      sync.Mutex
@@ -185,7 +186,7 @@
 	path, _, _ := strings.Cut(string(req.RequestURI()), "?")
 	switch path {
 	case pathCallBack:
-		return s.callBack(c, req), false
+		return s.callBack(c, req)
 	case pathHealth:
 		return s.health(c)
 	default:
@@ -193,17 +194,26 @@
 	}
 }
 
-func (s *Server) callBack(c *legConn, req *fasthttp.Request) answer {
+// Shares says that for so long another process may take callers and call-backs at the same address. A call-back that this
+// one knows nothing of is left unanswered meanwhile, and comes again. Danger: acknowledged here it would be lost there.
+func (s *Server) Shares(most time.Duration) { s.shares.Store(time.Now().Add(most).UnixNano()) }
+
+func (s *Server) callBack(c *legConn, req *fasthttp.Request) (answer, bool) {
 	if !req.Header.IsPost() {
-		return refusal(fasthttp.StatusMethodNotAllowed, "call-backs are posted")
+		return refusal(fasthttp.StatusMethodNotAllowed, "call-backs are posted"), false
 	}
 	report, err := parseCallBack(req.Body())
 	if err != nil {
-		return s.reject(err)
+		return s.reject(err), false
 	}
 	c.prove(ofHops)
+	shared := time.Now().UnixNano() < s.shares.Load()
+	if shared {
+		report.Leg = s.open(c, "")
+		c.SetReadDeadline(time.Time{})
+	}
 	s.post(report)
-	return answer{status: fasthttp.StatusOK}
+	return answer{status: fasthttp.StatusOK}, shared
 }
 
 // health asks the reducer itself, so that a 200 shows that it runs. Danger: hundreds may ask once and stay, so
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -129,8 +129,10 @@
 	JobLost
 )
 
-// JobReported is a next hop's call-back.
+// JobReported is a next hop's call-back. Where it has a leg it is answered there: Served where this dispatcher knows
+// the request or its id is used, Unowned where another one's request it may be.
 type JobReported struct {
+	Leg     LegID `cbor:",omitempty"` // 0 for none
 	Request RequestID
 	From    HopID
 	State   JobState
@@ -183,6 +185,7 @@
 	Busy             // a busy answer: asking again is harmless
 	Failed           // no promise
 	Rejected         // the request itself is at fault
+	Unowned          // nothing is said: another process may be the one to ask
 )
 
 // Answer is the one final answer on a caller leg.
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -127,6 +127,13 @@
 			r.decider.Note(r.now, choice.Note{Request: string(b.req.call.ID), Worker: string(b.hop), Attempt: b.no, Taken: true})
 		}
 	case JobReported:
+		if ev.Leg != 0 {
+			a := Answer{Leg: ev.Leg, Verdict: Served}
+			if r.requests[ev.Request] == nil && !r.spent[ev.Request] {
+				a.Verdict = Unowned
+			}
+			r.emit(a)
+		}
 		r.jobReported(ev)
 	case RouteSetTold:
 		if ev.Source != r.source {
--- a/internal/lab/bad.go
+++ b/internal/lab/bad.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -43,6 +44,12 @@
 		time.Sleep(time.Hour) // until it is killed
 	}
 	p, err := upgrade.FromEnv(os.Getenv)
+	if os.Getenv("NODE_INHERITED_FD") != "" { // beside a running process
+		var path string
+		if path, err = upgrade.MeetPath(os.Getenv("TMPDIR")); err == nil {
+			p, err = upgrade.Meet(context.Background(), path, time.Now().Add(time.Minute))
+		}
+	}
 	if err != nil || p == nil {
 		return fmt.Errorf("no pipe: %w", err)
 	}
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -30,6 +31,10 @@
 	wg      sync.WaitGroup
 	reopens int // connections that were found closed between two requests
 	mu      sync.Mutex
+
+	drains atomic.Bool  // callers are being sent away, and their connections closed
+	away   atomic.Bool  // the front deals out no new connection
+	linked atomic.Int64 // open connections, as far as their callers know
 }
 
 // run plays all arrivals and returns when each has ended.
@@ -70,6 +75,10 @@
 	var l *link
 	for a := range c.work {
 		l = c.usable(l)
+		if l == nil && c.away.Load() {
+			c.ledger.ended(a.id, Left, "sent elsewhere", "")
+			continue
+		}
 		if l == nil {
 			nc, err := net.DialTimeout("tcp", c.addr, 2*time.Second)
 			if err != nil {
@@ -77,17 +86,23 @@
 				continue
 			}
 			l = &link{nc, bufio.NewReader(nc)}
+			c.linked.Add(1)
 		}
 		if !c.play(l, a) {
-			l.Close()
+			c.unlink(l)
 			l = nil
 		}
 	}
 	if l != nil {
-		l.Close()
+		c.unlink(l)
 	}
 }
 
+func (c *callers) unlink(l *link) {
+	l.Close()
+	c.linked.Add(-1)
+}
+
 // usable looks whether a kept connection is open and silent.
 func (c *callers) usable(l *link) *link {
 	if l == nil || l.r.Buffered() == 0 && tcp.Silent(l.Conn) {
@@ -96,7 +111,7 @@
 	c.mu.Lock()
 	c.reopens++
 	c.mu.Unlock()
-	l.Close()
+	c.unlink(l)
 	return nil
 }
 
@@ -122,7 +137,7 @@
 		_, err = io.WriteString(l, text)
 	}
 	if err != nil {
-		c.ledger.ended(a.id, Lost, "write: "+err.Error(), "")
+		c.lost(a.id, "write: "+err.Error())
 		if next != "" {
 			c.ledger.ended(next, Left, "", "")
 		}
@@ -148,6 +163,16 @@
 	return on
 }
 
+// lost enters a request whose connection ended. In a drain a close may cross a request that was not read, and its client
+// asks again elsewhere; one that reached a worker was read.
+func (c *callers) lost(id, detail string) {
+	if c.drains.Load() && !c.ledger.wasSent(id) {
+		c.ledger.ended(id, Left, "crossed a close", "")
+		return
+	}
+	c.ledger.ended(id, Lost, detail, "")
+}
+
 func request(addr, id string, class Class) string {
 	body := strings.Repeat("q", max(2, class.BodyBytes))
 	key := ""
@@ -178,7 +203,7 @@
 		if errors.As(err, &late) && late.Timeout() {
 			c.ledger.ended(id, Overdue, err.Error(), "")
 		} else {
-			c.ledger.ended(id, Lost, "read: "+err.Error(), "")
+			c.lost(id, "read: "+err.Error())
 		}
 		return false
 	}
--- a/internal/lab/ledger.go
+++ b/internal/lab/ledger.go
@@ -95,6 +95,13 @@
 	}
 }
 
+func (l *Ledger) wasSent(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[id]
+	return e != nil && e.sends > 0
+}
+
 func (l *Ledger) ran(id string) { l.with(id, func(e *entry) { e.runs++ }) }
 
 func (l *Ledger) made(id, result string) {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -35,7 +35,9 @@
 	extra    string
 	cmd      *exec.Cmd
 	log      *os.File
-	pid      int // of the process that serves; see serving
+	pid      int       // of the process that serves; see serving
+	platform *platform // nil without
+	door     string    // of the process that serves, on a platform
 
 	mu sync.Mutex
 }
@@ -112,8 +114,14 @@
 	if err := d.setBinary(d.tools.Foldlb); err != nil {
 		return err
 	}
-	d.cmd = exec.Command(d.tools.Foldlb, "serve", "--operator", d.operator)
-	d.cmd.Env = append(os.Environ(), "NODE_CONFIG="+filepath.Join(d.dir, "config.json"))
+	if d.platform != nil {
+		if d.cmd, d.door, err = d.beside(d.tools.Foldlb, "serve"); err != nil {
+			return err
+		}
+	} else {
+		d.cmd = exec.Command(d.tools.Foldlb, "serve", "--operator", d.operator)
+	}
+	d.cmd.Env = append(os.Environ(), append(d.cmd.Env, "NODE_CONFIG="+d.config())...)
 	d.cmd.Stdout, d.cmd.Stderr = log, log
 	if err := d.cmd.Start(); err != nil {
 		return err
@@ -122,6 +130,8 @@
 	return d.ready(10 * time.Second)
 }
 
+func (d *dispatcher) config() string { return filepath.Join(d.dir, "config.json") }
+
 func (d *dispatcher) ready(most time.Duration) error {
 	until := time.Now().Add(most)
 	for {
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -55,6 +55,16 @@
 		}
 		fmt.Fprintf(w, "\nheld\tmedian %.1f ms\tworst %.1f ms\n", r.HeldMS.Median, r.HeldMS.Worst)
 	}
+	if len(r.Operations) > 0 {
+		fmt.Fprintf(w, "\noperation\tat s\tready s\tpeak KB\tdescriptors\tresult\n")
+		for _, o := range r.Operations {
+			result := "as it should"
+			if !o.OK {
+				result = "NOT as it should: " + o.Detail
+			}
+			fmt.Fprintf(w, "%s\t%.1f\t%.2f\t%d\t%d\t%s\n", o.Kind, o.At, o.Ready, o.PeakKB, o.Files, result)
+		}
+	}
 	if len(r.windows) > 0 {
 		fmt.Fprintf(w, "worth served\t%.3f in 5 s before\t%.3f in 5 s after a change of process\n", r.WorthPre, r.WorthAft)
 	}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -19,24 +19,25 @@
 
 // Result is what a run has found. It is written to results.json.
 type Result struct {
-	OK       bool            `json:"ok"`
-	Scenario string          `json:"scenario"`
-	Title    string          `json:"title"`
-	Seed     uint64          `json:"seed"`
-	Machine  string          `json:"machine"`
-	Seconds  float64         `json:"seconds"`
-	Promises []Promise       `json:"promises"`
-	Account  Account         `json:"account"`
-	Upgrades []UpgradeResult `json:"upgrades"`
-	Inside   Latency         `json:"latency_inside_upgrades"`  // from the word to upgrade until 250 ms after its end
-	Around   Latency         `json:"latency_around_the_holds"` // 100 ms before to 400 ms after a change of process
-	Outside  Latency         `json:"latency_outside_upgrades"`
-	HeldMS   Spread          `json:"held_ms"`
-	Reopened int             `json:"connections_found_closed"`
-	Files    [2]int          `json:"open_files_first_last"` // of the dispatcher
-	Resident [2]int          `json:"resident_kb_first_last"`
-	WorthPre float64         `json:"worth_in_5s_before_changes"` // of process, as a share of what was asked
-	WorthAft float64         `json:"worth_in_5s_after_changes"`
+	OK         bool            `json:"ok"`
+	Scenario   string          `json:"scenario"`
+	Title      string          `json:"title"`
+	Seed       uint64          `json:"seed"`
+	Machine    string          `json:"machine"`
+	Seconds    float64         `json:"seconds"`
+	Promises   []Promise       `json:"promises"`
+	Account    Account         `json:"account"`
+	Upgrades   []UpgradeResult `json:"upgrades"`
+	Operations []Operation     `json:"operations,omitempty"`
+	Inside     Latency         `json:"latency_inside_upgrades"`  // from the word to upgrade until 250 ms after its end
+	Around     Latency         `json:"latency_around_the_holds"` // 100 ms before to 400 ms after a change of process
+	Outside    Latency         `json:"latency_outside_upgrades"`
+	HeldMS     Spread          `json:"held_ms"`
+	Reopened   int             `json:"connections_found_closed"`
+	Files      [2]int          `json:"open_files_first_last"` // of the dispatcher
+	Resident   [2]int          `json:"resident_kb_first_last"`
+	WorthPre   float64         `json:"worth_in_5s_before_changes"` // of process, as a share of what was asked
+	WorthAft   float64         `json:"worth_in_5s_after_changes"`
 
 	samples []sample
 	begin   time.Time
@@ -91,6 +92,7 @@
 	ledger  *Ledger
 	workers []*Worker
 	roster  *Roster
+	callers *callers
 }
 
 func (s *Scenario) fleet(seed uint64, back func() string) (*fleet, error) {
@@ -142,9 +144,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(filepath.Join(o.Dir, "config.json"), text, 0o600); err != nil {
+	if err := os.WriteFile(d.config(), text, 0o600); err != nil {
 		return nil, err
 	}
+	if s.Platform {
+		if err := d.onPlatform(); err != nil {
+			return nil, err
+		}
+		defer d.platform.ln.Close()
+	}
 	if err := d.start(); err != nil {
 		return nil, err
 	}
@@ -152,6 +160,7 @@
 	r.begin = time.Now()
 	stop := make(chan struct{})
 	c := &callers{s: s, addr: addr, ledger: f.ledger, begin: r.begin, stop: stop}
+	f.callers = c
 	go func() {
 		<-ctx.Done()
 		close(stop)
@@ -184,18 +193,18 @@
 	r.Seconds = time.Since(r.begin).Seconds()
 	r.Reopened = c.reopens
 	r.judge(s, f.ledger, left, ended)
-	if ctx.Err() != nil || len(r.Upgrades) < s.count("upgrade") {
+	if missing := s.count(map[string]bool{"upgrade": true}) - len(r.Upgrades) + s.count(opsKinds) - len(r.Operations); ctx.Err() != nil || missing > 0 {
 		// Danger: what was not played can't have gone wrong.
 		r.OK = false
-		r.Promises = append(r.Promises, Promise{Name: "the scenario was cut short; upgrades not played", Got: float64(s.count("upgrade") - len(r.Upgrades))})
+		r.Promises = append(r.Promises, Promise{Name: "the scenario was cut short; upgrades and operations not played", Got: float64(missing)})
 	}
 	return r, nil
 }
 
-// count tells how many events of a kind there are.
-func (s *Scenario) count(kind string) (n int) {
+// count tells how many events of some kinds there are.
+func (s *Scenario) count(kinds map[string]bool) (n int) {
 	for _, e := range s.Events {
-		if e.Kind == kind {
+		if kinds[e.Kind] {
 			n++
 		}
 	}
@@ -225,6 +234,10 @@
 				return nil
 			case <-time.After(time.Until(r.begin.Add(time.Duration(e.At * float64(time.Second))))):
 			}
+			if opsKinds[e.Kind] {
+				r.operate(s, d, f, e)
+				continue
+			}
 			switch e.Kind {
 			case "upgrade":
 				upgrades <- e
@@ -310,7 +323,7 @@
 			if end.After(w.from) && end.Before(w.to.Add(250*time.Millisecond)) {
 				place = in
 			}
-			if w.good && end.After(w.changed.Add(-100*time.Millisecond)) && x.planned.Before(w.changed.Add(400*time.Millisecond)) {
+			if w.good && !w.changed.IsZero() && end.After(w.changed.Add(-100*time.Millisecond)) && x.planned.Before(w.changed.Add(400*time.Millisecond)) {
 				around.RecordValue(us)
 			}
 			worth, asked := worthOf(classes[x.class], x), classes[x.class].Worth
@@ -357,6 +370,13 @@
 	most("call-backs never acknowledged", float64(a.UnheardCalls), 0)
 	most("kept connections found closed", float64(r.Reopened), float64(p.Reopened))
 	most("upgrades that did not end as they should", float64(len(r.Upgrades)-asExpected), 0)
+	wrong := 0
+	for _, o := range r.Operations {
+		if !o.OK {
+			wrong++
+		}
+	}
+	most("operations that did not go as they should", float64(wrong), 0)
 	most("ended processes that nobody waited for", float64(zombies), 0)
 	exit := 0.0
 	if ended != nil {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -24,6 +24,7 @@
 	Events   []Event  `hcl:"event,block"`
 	Promises Promises `hcl:"promises,block"`
 	Operator string   `hcl:"operator,optional"` // more text for the dispatcher's operator file
+	Platform bool     `hcl:"platform,optional"` // the lab holds the listener, and staff work at the operators' door
 	Limits   *struct {
 		Cores    float64 `hcl:"cores,optional"`
 		MemoryMB int     `hcl:"memory_mb,optional"`
@@ -67,7 +68,7 @@
 
 // Event is something that happens at a time.
 type Event struct {
-	Kind   string  `hcl:"kind,label"` // upgrade, restart, drain, return, reload
+	Kind   string  `hcl:"kind,label"` // upgrade, restart, drain, return, reload; on a platform replace, ban, unban, away, stay, figures
 	At     float64 `hcl:"at"`         // seconds from the beginning
 	Worker string  `hcl:"worker,optional"`
 	Binary string  `hcl:"binary,optional"` // of an upgrade: good, or a kind of bad start
@@ -89,6 +90,8 @@
 
 var (
 	eventKinds = map[string]bool{"upgrade": true, "drain": true, "return": true, "reload": true, "restart": true}
+	opsKinds   = map[string]bool{"replace": true, "ban": true, "unban": true, "away": true, "stay": true, "figures": true}
+	ofWorkers  = map[string]bool{"drain": true, "return": true, "ban": true, "unban": true}
 	effects    = map[string]bool{"idempotent": true, "deduplicated": true, "at_most_once": true}
 )
 
@@ -159,12 +162,14 @@
 	}
 	for _, e := range s.Events {
 		switch {
-		case !eventKinds[e.Kind]:
-			fault("event %q: is none of upgrade, restart, drain, return, reload", e.Kind)
-		case (e.Kind == "drain" || e.Kind == "return") && !workers[e.Worker]:
+		case !eventKinds[e.Kind] && !opsKinds[e.Kind]:
+			fault("event %q: is none of upgrade, restart, drain, return, reload, replace, ban, unban, away, stay, figures", e.Kind)
+		case opsKinds[e.Kind] && !s.Platform || (e.Kind == "upgrade" || e.Kind == "restart") && s.Platform:
+			fault("event %q at %v: does not go with platform = %v", e.Kind, e.At, s.Platform)
+		case ofWorkers[e.Kind] && !workers[e.Worker]:
 			fault("event %q at %v: there is no worker %q", e.Kind, e.At, e.Worker)
-		case e.Kind == "upgrade" && e.Binary != "" && e.Binary != "good" && !BadStarts[e.Binary]:
-			fault("event upgrade at %v: binary %q is neither good nor a known bad start", e.At, e.Binary)
+		case (e.Kind == "upgrade" || e.Kind == "replace") && e.Binary != "" && e.Binary != "good" && !BadStarts[e.Binary]:
+			fault("event %s at %v: binary %q is neither good nor a known bad start", e.Kind, e.At, e.Binary)
 		case e.At < 0 || e.At > s.length.Seconds():
 			fault("event %q: at = %v is outside the duration", e.Kind, e.At)
 		}
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -358,6 +358,9 @@
 // SetMost changes how many connections next hops may hold.
 func (s *Sender) SetMost(conns int) { s.pool.setMost(conns) }
 
+// Shed closes up to n idle connections, those idle for longest first, and tells how many.
+func (s *Sender) Shed(n int) int { return s.pool.shed(n) }
+
 // CloseIdle closes the idle connections to an address.
 func (s *Sender) CloseIdle(addr string) { s.pool.closeIdle(addr) }
 
--- a/internal/nexthop/pool.go
+++ b/internal/nexthop/pool.go
@@ -144,6 +144,11 @@
 		p.open++
 		return true
 	}
+	return p.closeOldest() // the closed one's place is the new one's
+}
+
+// closeOldest closes the connection that has been idle longest, if there is one; p.mu is held.
+func (p *pool) closeOldest() bool {
 	var oldest *conn
 	for _, list := range p.idle {
 		if c := list[0]; oldest == nil || c.since.Before(oldest.since) {
@@ -155,7 +160,18 @@
 	}
 	p.setIdle(oldest.addr, p.idle[oldest.addr][1:])
 	oldest.Close()
-	return true // the closed one's place is the new one's
+	return true
+}
+
+// shed closes up to n idle connections and tells how many.
+func (p *pool) shed(n int) (closed int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for closed < n && p.closeOldest() {
+		p.open--
+		closed++
+	}
+	return closed
 }
 
 // setMost changes the budget. What is open beyond a smaller one ends as it is used up.
--- a/internal/upgrade/giver.go
+++ b/internal/upgrade/giver.go
@@ -71,6 +71,8 @@
 	Command func() (*exec.Cmd, error) // the new process, to be started; its ExtraFiles and Env are added to
 	Log     logrus.FieldLogger
 	Leave   func(pid int) // called when the new process acts, before anybody is told
+	Shed    func()        // called before connections pass on to a newcomer, both of which count; nil for nothing
+	Apart   func()        // called when a newcomer starts by itself, beside this process; nil for nothing
 
 	inputs chan Input
 	orders chan order
@@ -427,6 +429,9 @@
 		return err
 	}
 	g.collect = pauseCollector()
+	if g.came != nil && g.Shed != nil {
+		g.Shed()
+	}
 	conns, sent := g.Body.Gate.Conns(), 0
 	g.ahead = make(map[*hold.Conn]int, len(conns))
 	for len(conns) > 0 {
@@ -492,6 +497,7 @@
 	if e.Refused {
 		if e.Meet != nil {
 			e.Meet.Refuse(e.Reason)
+			g.apart()
 		}
 		if c, ok := e.By.(chan Progress); ok {
 			c <- Progress{At: time.Now(), Step: g.machine.Phase().String(), Final: true, Result: Refusal, Detail: e.Reason}
@@ -509,6 +515,9 @@
 	if g.pipe != nil {
 		g.pipe.Close()
 	}
+	if g.came != nil {
+		g.apart()
+	}
 	g.pipe, g.other, g.came = nil, other{}, nil
 	g.Log.WithField("reason", e.Reason).Warn("upgrade fell back: this process goes on")
 	g.tell(Progress{Step: Idle.String(), Final: true, Result: FellBack, Detail: e.Reason})
@@ -519,6 +528,12 @@
 	g.putOff.Store(0)
 }
 
+func (g *Giver) apart() {
+	if g.Apart != nil {
+		g.Apart()
+	}
+}
+
 // leave ends this process. Danger: nothing may be closed in an orderly way, since a shutdown of what both processes
 // hold would reach the other sides.
 func (g *Giver) leave() {
