Move keyed jobs that nobody takes within their group

Safe jobs were moved after 38 ms; about 20 keyed and one-time ones sat there until their deadlines, 5 and 7.5 s. Ruled out: connections kept too long (the idle times are 0.3 ms to 2.3 s), jobs without slots (nothing came, not even the 202).

Change: a keyed job whose worker has not said that it took it is looked at by the timer that moves safe jobs, on the same ration, and placed anew in its group and window. Not taken: a wait of its own, as the 202 comes long before the two waits that a connection is given.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -288,7 +288,7 @@
 	w.n[r.Class]++
 	c.n++
 	d.act.Assign(r.ID, w.ID, 0)
-	if c.Effect == Idempotent && d.s.TellsStart && d.s.CanCancel {
+	if (c.Effect == Idempotent || c.Effect == Deduplicated && d.s.TellsTaken) && d.s.TellsStart && d.s.CanCancel {
 		d.token++
 		d.moves[d.token] = a
 		d.act.Timer(c.Aim*moveAfter, d.token)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -649,6 +649,43 @@
 	}
 }
 
+// TestKeyedJobThatNobodyTakes: on a connection that has fallen silent it is called off after two waits and placed anew in
+// its group; one that was taken stays, as does one that must not run twice, or where nobody tells of taking.
+func TestKeyedJobThatNobodyTakes(t *testing.T) {
+	for _, tc := range []struct {
+		effect             Effect
+		tells, taken, want bool
+	}{{Deduplicated, true, false, true}, {Deduplicated, true, true, false}, {Deduplicated, false, false, false}, {AtMostOnce, true, false, false}} {
+		s := plain(tc.effect)
+		s.Classes[0].Group = GroupCell
+		s.TellsStart, s.CanCancel, s.TellsTaken = true, true, tc.tells
+		list := fleet("a", "b", "c")
+		list[2].Cell = 1
+		d, h := start(t, s, list[:2])
+		d.paidMoves = 5
+		d.Request(2, ask("r", 2))
+		log := h.log
+		first := log[0].worker
+		d.List(2, ListChanges, list[2:])
+		if tc.taken {
+			d.Note(2.01, Note{Request: "r", Worker: first, Taken: true})
+		}
+		h.take()
+		for i, timers := 1, log[1:]; i <= 2 && len(timers) > 0; i++ {
+			d.Timer(2+float64(i)*timers[0].value, timers[0].token)
+		}
+		got := h.take()
+		if called := len(got) == 1 && got[0].what == "cancel"; called != tc.want {
+			t.Errorf("%+v: %v", tc, got)
+		} else if called {
+			d.Outcome(2.2, Outcome{Request: "r", Worker: first, Code: Cancelled, Latency: 0.2})
+			if to := only(t, h, "assign").worker; to == "c" || to == first {
+				t.Errorf("placed anew at %s, first at %s", to, first)
+			}
+		}
+	}
+}
+
 // TestQuietJobIsPlacedAnew: a running job that misses its progress notes is called off where a repeat is safe, and
 // its worker does not look alive for that.
 func TestQuietJobIsPlacedAnew(t *testing.T) {
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -178,10 +178,11 @@
 
 // hear reads the next hop's answer to a request that was written.
 func (s *Sender) hear(x *exchange, c *conn, b core.SendBranch) (core.Fault, bool) {
+	written := time.Now()
 	a, err := c.read()
 	if err != nil {
 		s.pool.discard(c)
-		s.log.WithError(err).WithField("hop", b.Hop).WithField("idle", c.age).Debug("no answer")
+		s.log.WithError(err).WithFields(logrus.Fields{"hop": b.Hop, "idle": c.age, "after": time.Since(written)}).Debug("no answer")
 		if c.kept() && !errors.Is(err, os.ErrDeadlineExceeded) && !s.ended(x) {
 			s.pool.tried(c, true)
 			return core.Stale, true
