Fill a sparse profile up by the worker's pace with the other classes

Ruled out, from the debug log: connections (5 refused), broken exchanges (none), lists (36 watches broke at once and were asked for again with jitter).

Change: what fills a sparse profile up is the kind's median times the worker's pace over its other classes, held back by the borrowed answers, where it is above 1.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -190,9 +190,18 @@
 	return d.scratch[len(d.scratch)/2]
 }
 
+// response is R, with a sparse profile filled up by what the worker's kind takes, times the worker's own pace.
 func (d *Dispatcher) response(i int, w *worker) float64 {
+	// Danger: a dispatcher that sees little traffic has no profile of most pairs of worker and class, and would
+	// take the slowest worker for a usual one. How the worker fared with other classes tells.
+	took, cost := borrowed, borrowed
+	for j, p := range w.profiles {
+		if j != i {
+			took, cost = took+p.took/max(w.kind.medians[j], 1e-4), cost+p.cost
+		}
+	}
 	p := w.profiles[i]
-	return (p.took + borrowed*w.kind.medians[i]) / (p.cost + borrowed)
+	return (p.took + borrowed*w.kind.medians[i]*max(1, took/cost)) / (p.cost + borrowed)
 }
 
 func (d *Dispatcher) rerate(now float64, i int, w *worker) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -129,6 +129,34 @@
 	}
 }
 
+// TestUnseenClassBorrowsThePace: a worker that is slow with one class is taken for slow with another that it has not been
+// seen with, by as much as is known; one that is fast is taken for usual, and what was seen of a class counts once.
+func TestUnseenClassBorrowsThePace(t *testing.T) {
+	s := plain(Idempotent)
+	s.Classes = append(s.Classes, Class{Name: "e", Effect: Idempotent, Aim: 0.2, Stretch: 2, Deadline: 5, Worth: 1})
+	d, _ := start(t, s, fleet("a", "b", "c", "d"))
+	for _, id := range []string{"a", "b", "c"} {
+		seen(d, id, 0.1)
+	}
+	d.byID["c"].profiles[0] = profile{took: 6 * 0.4, cost: 6}
+	d.byID["d"].profiles[0] = profile{took: 6 * 0.02, cost: 6}
+	for _, w := range d.workers {
+		if w.ID != "c" {
+			w.profiles[1] = profile{took: 2 * 0.3, cost: 2}
+		}
+	}
+	d.refresh(1)
+	pace := (borrowed + 6*4) / (borrowed + 6) // c's, held back by the borrowed answers
+	for id, want := range map[string]float64{"a": 0.3, "c": 0.3 * pace, "d": 0.3} {
+		if got := d.response(1, d.byID[id]); math.Abs(got-want) > 1e-9 {
+			t.Errorf("%s: %.3f, want %.3f", id, got, want)
+		}
+	}
+	if got, want := d.response(0, d.byID["c"]), (6*0.4+borrowed*0.1)/(6+borrowed); math.Abs(got-want) > 1e-9 {
+		t.Errorf("c with what was seen: %.3f, want %.3f", got, want)
+	}
+}
+
 func TestHintsKeepOneHeavyJobFromSmearing(t *testing.T) {
 	d, h := start(t, plain(Idempotent), fleet("a"))
 	for i := range 100 {
