--- a/choice/choice.go
+++ b/choice/choice.go
@@ -190,10 +190,10 @@
 	return d.scratch[len(d.scratch)/2]
 }
 
-// response is R, with a sparse profile filled up by what the worker's kind takes, times the worker's own pace.
+// response is R, with a sparse profile filled up by what the kind takes, times the worker's own pace.
 func (d *Dispatcher) response(i int, w *worker) float64 {
-	// Danger: a dispatcher that sees little traffic has no profile of most pairs of worker and class, and would
-	// take the slowest worker for a usual one. How the worker fared with other classes tells.
+	// Danger: a dispatcher that sees little traffic has no profile of most pairs of worker and class, and
+	// would take the slowest worker for a usual one. How the worker fared with other classes tells.
 	took, cost := borrowed, borrowed
 	for j, p := range w.profiles {
 		if j != i {
@@ -297,7 +297,8 @@
 	w.n[r.Class]++
 	c.n++
 	d.act.Assign(r.ID, w.ID, 0)
-	if (c.Effect == Idempotent || c.Effect == Deduplicated && d.s.TellsTaken) && d.s.TellsStart && d.s.CanCancel {
+	if d.s.TellsStart && d.s.CanCancel &&
+		(c.Effect == Idempotent || c.Effect == Deduplicated && d.s.TellsTaken) {
 		d.token++
 		d.moves[d.token] = a
 		d.act.Timer(c.Aim*moveAfter, d.token)
--- a/cmd/foldlb/beside.go
+++ b/cmd/foldlb/beside.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/ops"
 	"foldlb.example/foldlb/internal/upgrade"
 )
@@ -70,6 +71,7 @@
 // beside serves on the listener that the platform holds: from where a running process stands if there is one, else, or
 // where no hand-over can be had, from a fresh start.
 func (s setup) beside(ctx context.Context, ln *net.TCPListener, door *ops.Door, reload <-chan os.Signal) error {
+	halved.Store(true)
 	until := time.Now().Add(takeOverMost)
 	path, err := meetingPath()
 	for met, pause := false, meetAgain; err == nil; pause *= 2 {
@@ -79,6 +81,7 @@
 			var t *takeover
 			if t, err = s.takeUp(pipe, door); err == nil {
 				ln.Close() // the same socket has been handed over
+				wholeMachine(s.cfg.Limits)
 				return t.serve(ctx, reload)
 			}
 			pipe.Close()
@@ -90,9 +93,16 @@
 		}
 	}
 	s.log.WithError(err).Info("nothing to take over: a fresh start")
+	time.AfterFunc(besideMost, func() { wholeMachine(s.cfg.Limits) })
 	return s.begin(ctx, ln, door, reload)
 }
 
+// wholeMachine says that no other process shares the memory any more.
+func wholeMachine(l core.Limits) {
+	halved.Store(false)
+	setMachine(l)
+}
+
 // await lets newcomers take over from the node, where the platform starts them.
 func (s setup) await(n *node) {
 	if os.Getenv(envInherited) == "" {
@@ -113,7 +123,10 @@
 		n.giver = upgrade.NewGiver(n.body, limits, false, nil, nil, n.log)
 	}
 	n.giver.Shed = n.shed
-	n.giver.Apart = func() { n.legs.Shares(besideMost) }
+	n.giver.Apart = func() {
+		n.legs.Shares(besideMost)
+		time.AfterFunc(besideMost, func() { wholeMachine(n.limits()) })
+	}
 	begins := n.begins
 	n.begins = func() {
 		if begins != nil {
@@ -123,10 +136,14 @@
 	}
 }
 
-// shed closes kept connections until two processes can have all that are left open at once: next hops' first, which cost
-// least to open again, then callers'. What is at work stays, whatever the limit.
+// shed makes room for a second process: it halves the memory, and closes kept connections until two processes can have
+// all that are left open at once: next hops' first, which cost least to open again, then callers'. What is at work stays,
+// whatever the limit.
 func (n *node) shed() {
-	over := len(n.gate.Conns()) - (int(n.sockets.Load())-reservedFiles)/2
+	l := n.limits()
+	halved.Store(true)
+	setMachine(l)
+	over := len(n.gate.Conns()) - (l.Sockets-reservedFiles)/2
 	over -= n.hops.Shed(over)
 	n.legs.Shed(over)
 }
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -37,7 +37,7 @@
 	behind ops.Node       // what is put behind it
 	ending atomic.Bool    // SIGTERM has come
 
-	sockets atomic.Int64 // limit of descriptors now
+	now atomic.Pointer[core.Limits] // those in force
 
 	begins    func() // called when the node begins to serve; nil for nothing
 	configure func() // reads the operator file again; nil where there is none
@@ -47,7 +47,7 @@
 func build(cfg config.Config, reducer *core.Reducer, gate *hold.Gate, clock upgrade.Clock, log logrus.FieldLogger) *node {
 	setMachine(cfg.Limits)
 	n := &node{cfg: cfg, log: log, gate: gate, lines: make(chan string, queuedLines)}
-	n.sockets.Store(int64(cfg.Limits.Sockets))
+	n.now.Store(&cfg.Limits)
 	n.loop = core.NewLoop(reducer, clock.Now, n.perform)
 	forCallers, forHops := connections(cfg.Limits)
 	n.legs = callerleg.NewServer(forCallers, n.gate, n.loop.Post, log)
@@ -66,6 +66,9 @@
 	return n
 }
 
+// limits are those in force.
+func (n *node) limits() core.Limits { return *n.now.Load() }
+
 // perform carries an effect out.
 func (n *node) perform(e core.Effect) {
 	switch e := e.(type) {
@@ -91,7 +94,7 @@
 		}
 	case core.SetLimits:
 		setMachine(e.Limits)
-		n.sockets.Store(int64(e.Limits.Sockets))
+		n.now.Store(&e.Limits)
 		callers, next := connections(e.Limits)
 		n.legs.SetMost(callers)
 		n.hops.SetMost(next)
--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -209,10 +210,17 @@
 	return t.node.serve(ctx, t.ln, reload, t.taken.Parcel.Reload)
 }
 
+// halved tells that another process shares this one's memory, as its successor or predecessor.
+var halved atomic.Bool
+
 // setMachine keeps the Go runtime to the limits.
 func setMachine(l core.Limits) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
-	debug.SetMemoryLimit(int64(float64(l.MemoryMB) * memoryPart * (1 << 20)))
+	most := float64(l.MemoryMB) * memoryPart * (1 << 20)
+	if halved.Load() {
+		most /= 2
+	}
+	debug.SetMemoryLimit(int64(most))
 }
 
 // connections divides the descriptors between callers and next hops.
--- a/internal/callerleg/conn.go
+++ b/internal/callerleg/conn.go
@@ -89,6 +89,16 @@
 	return err
 }
 
+// closeUnread closes the connection if it is still idle. Danger: it may have begun to read a request since it was chosen,
+// and its caller would have to ask again.
+func (c *legConn) closeUnread(idle func() bool) bool {
+	if !idle() {
+		return false
+	}
+	c.Close()
+	return true
+}
+
 // rank orders connections by how soon they give up their places.
 type rank int
 
--- a/internal/callerleg/drain.go
+++ b/internal/callerleg/drain.go
@@ -55,7 +55,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range idle {
-		c.Close()
+		c.closeUnread(func() bool { return c.idleFor(now, of) >= drainIdle })
 	}
 }
 
@@ -75,8 +75,17 @@
 	}
 	s.mu.Unlock()
 	slices.SortFunc(all, func(a, b waiter) int { return a.since.Compare(b.since) })
-	for _, w := range all[:max(0, min(n, len(all)))] {
-		w.c.Close()
+	for _, w := range all {
+		if n <= 0 {
+			return
+		}
+		idle := func() bool {
+			r, _ := w.c.rank(now)
+			return r == keptIdle
+		}
+		if w.c.closeUnread(idle) {
+			n--
+		}
 	}
 }
 
--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -44,6 +44,17 @@
 	ordered(BanOrdered{Hop: "a", Lift: true}, 0, UnknownHop)
 }
 
+// TestBansBindTheModule: whatever it still thinks of a hop that is out, nothing is sent there.
+func TestBansBindTheModule(t *testing.T) {
+	r := start(t, choice.Idempotent, "a", "b")
+	r.Step(2, BanOrdered{Hop: "b"})
+	expect(t, r.Step(2, call("r")), "send a")
+	host{r}.Assign("r", "b", 0)
+	if len(r.effects) != 0 {
+		t.Errorf("%+v", r.effects)
+	}
+}
+
 // TestDrainByHand: the health check says no until the end, whatever order is given twice; jobs are taken on.
 func TestDrainByHand(t *testing.T) {
 	r := start(t, choice.Idempotent, "a")
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -33,6 +33,7 @@
 	Around     Latency         `json:"latency_around_the_holds"` // 100 ms before to 400 ms after a change of process
 	Outside    Latency         `json:"latency_outside_upgrades"`
 	HeldMS     Spread          `json:"held_ms"`
+	Resent     int             `json:"requests_that_crossed_a_close"`
 	Reopened   int             `json:"connections_found_closed"`
 	Files      [2]int          `json:"open_files_first_last"` // of the dispatcher
 	Resident   [2]int          `json:"resident_kb_first_last"`
@@ -191,7 +192,7 @@
 		return nil, failed
 	}
 	r.Seconds = time.Since(r.begin).Seconds()
-	r.Reopened = c.reopens
+	r.Reopened, r.Resent = c.reopens, c.resent
 	r.judge(s, f.ledger, left, ended)
 	if missing := s.count(map[string]bool{"upgrade": true}) - len(r.Upgrades) + s.count(opsKinds) - len(r.Operations); ctx.Err() != nil || missing > 0 {
 		// Danger: what was not played can't have gone wrong.
@@ -369,6 +370,7 @@
 	most("requests failed", float64(a.Outcomes[Failed]), float64(p.Failed))
 	most("call-backs never acknowledged", float64(a.UnheardCalls), 0)
 	most("kept connections found closed", float64(r.Reopened), float64(p.Reopened))
+	most("requests that crossed a close", float64(r.Resent), float64(p.Crossed))
 	most("upgrades that did not end as they should", float64(len(r.Upgrades)-asExpected), 0)
 	wrong := 0
 	for _, o := range r.Operations {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -84,6 +84,7 @@
 	Refused   int     `hcl:"refused,optional"`
 	Failed    int     `hcl:"failed,optional"`
 	Reopened  int     `hcl:"connections_closed,optional"`
+	Crossed   int     `hcl:"crossed_closes,optional"`
 	P99Factor float64 `hcl:"p99_factor,optional"` // inside upgrade windows against outside; 0 for no promise
 	P99PlusMS float64 `hcl:"p99_plus_ms,optional"`
 }
--- a/internal/ops/door_test.go
+++ b/internal/ops/door_test.go
@@ -181,6 +181,12 @@
 			t.Fatal(status)
 		}
 	}
+	d.mu.Lock()
+	held := len(d.conns)
+	d.mu.Unlock()
+	if held > mostCallers {
+		t.Errorf("%d callers hold places, %d at most", held, mostCallers)
+	}
 	if status, body := hear(t, stuck); status != 503 || !strings.Contains(body, "not in force yet") {
 		t.Errorf("%d %q", status, body)
 	}
