Forget a next hop's old record when it is put back by hand, so that it is tried

Need: a quote worker that is put back must be offered work within 5 s, also where others look better. The module is told that the hop has gone and then that a new one has started: it begins with its kind's median and a cold budget. Not taken: a first job forced by the reducer, which would decide in the module's place.

--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -63,6 +63,10 @@
 			// Danger: whoever takes a next hop out restarts it, and discovery may tell of that late or never. Taken for
 			// warm it would be pushed over.
 			r.returned[ev.Hop] = r.now
+			// Danger: what was measured before would keep one that was slow then from ever being tried again.
+			gone := r.worker(hop)
+			gone.State = choice.Terminated
+			r.decider.List(r.now, choice.ListChanges, []choice.Worker{gone})
 			r.decider.List(r.now, choice.ListChanges, []choice.Worker{r.worker(hop)})
 		}
 	case len(r.banned) >= mostBans:
--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -107,6 +107,64 @@
 	}
 }
 
+// TestReturnIsTried: a next hop that was far slower than the others before it was taken out is offered work within 5 s of
+// its return, and no more than one that has just started may bear.
+func TestReturnIsTried(t *testing.T) {
+	s := settings(choice.Idempotent)
+	s.WarmWithin, s.ColdShare, s.TipAfter = 24, 0.13, 2
+	r, err := New(1, s, RouteSet{Version: 1, Hops: hops("a", "b", "c")}, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	now, leg := 1.0, LegID(0)
+	// play asks for a job every 20 ms; a's take 2 s, the others' 50 ms. It counts a's.
+	type due struct {
+		at float64
+		ev JobReported
+	}
+	var open []due
+	play := func(until float64) (n int) {
+		for ; now < until; now += 0.02 {
+			leg++
+			events := []Event{CallArrived{Call: Call{Leg: leg, ID: RequestID(fmt.Sprint(leg)), Class: "c", Remaining: 5, Slots: 1}}}
+			left := open[:0]
+			for _, d := range open {
+				if d.at <= now {
+					events = append(events, d.ev)
+				} else {
+					left = append(left, d)
+				}
+			}
+			open = left
+			for _, ev := range events {
+				for _, e := range r.Step(now, ev) {
+					b, ok := e.(SendBranch)
+					if !ok {
+						continue
+					}
+					r.Step(now, BranchTaken{Branch: b.Branch})
+					r.Step(now, JobReported{Request: b.Request, From: b.Hop, State: JobStarted})
+					takes := 0.05
+					if b.Hop == "a" {
+						n, takes = n+1, 2
+					}
+					open = append(open, due{now + takes, JobReported{Request: b.Request, From: b.Hop, State: JobDone}})
+				}
+			}
+		}
+		return n
+	}
+	play(20)
+	r.Step(now, BanOrdered{Hop: "a"})
+	if n := play(now + 5); n != 0 {
+		t.Fatalf("%d jobs while it is out", n)
+	}
+	r.Step(now, BanOrdered{Hop: "a", Lift: true})
+	if n := play(now + 5); n == 0 || n > 60 { // of 250; a third of them would be a warm one's share
+		t.Errorf("%d jobs in the 5 s after its return", n)
+	}
+}
+
 // TestNothingToBanned draws news, bans, returns, calls and hand-overs: nothing is ever sent to a next hop that is out,
 // one return ends any number of bans, and no ban ends otherwise.
 func TestNothingToBanned(t *testing.T) {
