--- a/cmd/foldlb/beside_test.go
+++ b/cmd/foldlb/beside_test.go
@@ -201,6 +201,46 @@
 	}
 }
 
+// TestOrdersCross: a reload changes neither bans nor a drain, and SIGTERM in a drain ends the process when the job that it
+// has is answered; ids that nobody has are owed a no.
+func TestOrdersCross(t *testing.T) {
+	p := newPlatform(t, take, take)
+	first := p.run(false).ready()
+	if status, text := first.asks("POST", "/ops/quote-workers/down", "z"); status != 404 {
+		t.Errorf("an unknown id is answered %d %s", status, text)
+	}
+	first.posts("/ops/drain/stop", "") // none is under way
+	first.posts("/ops/quote-workers/down", "b")
+	first.posts("/ops/quote-workers/down", "b")
+	first.posts("/ops/drain/start", "")
+	first.posts("/ops/drain/start", "")
+	asked := make(chan struct{}, 8)
+	p.moveDiscovery(listen(t, func(c *fasthttp.RequestCtx) {
+		asked <- struct{}{}
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}))
+	first.cmd.Process.Signal(syscall.SIGHUP)
+	<-asked // it has been obeyed
+	if resp, err := p.get("/healthz"); err != nil || resp.StatusCode() == 200 {
+		t.Errorf("a reload ended the drain: %v", err)
+	}
+	c := p.dial()
+	for i := range 4 { // both next hops would get some
+		id := fmt.Sprint("k", i)
+		c.say(job(id, "once", 5))
+		p.takes(p.hops[0], id)
+		p.callBack(fmt.Sprintf(`{"id":%q,"from":"a","state":"done","result":"kept"}`, id))
+		c.hears(200, "kept")
+		c = p.dial()
+	}
+	c.say(job("r1", "once", 5))
+	p.takes(p.hops[0], "r1")
+	first.cmd.Process.Signal(syscall.SIGTERM)
+	p.ends(c)
+	first.goes()
+	p.nothingAt(p.hops[1])
+}
+
 // TestBesideStaleFolder: whatever stands where processes meet, a process starts, and the next one takes over from it.
 func TestBesideStaleFolder(t *testing.T) {
 	for name, put := range map[string]func(path string) error{
