Pass the operators' door on with foldlb upgrade, and say nothing at it once another process serves

Need: read as a stranger would, foldlb upgrade left the new process without a door: its address could not be listened at while the old process lived. The door's listener passes on as a part of the parcel; where mgmt names another address the new process opens that. Found by its test: a process that had handed over still answered at the shared listener for its last milliseconds, with figures that were no longer true and orders that would never be in force. It now closes its door and ends calls that are under way without a word.

--- a/cmd/foldlb/beside.go
+++ b/cmd/foldlb/beside.go
@@ -120,7 +120,7 @@
 	}
 	limits := upgrade.Limits{Start: meetStart, Probation: meetFollow, Hold: meetHold, Offer: meetOffer, Commit: meetCommit}
 	if n.giver == nil {
-		n.giver = upgrade.NewGiver(n.body, limits, false, nil, nil, n.log)
+		n.giver = upgrade.NewGiver(n.body, limits, false, nil, func(int) { n.leaveDoor() }, n.log)
 	}
 	n.giver.Shed = n.shed
 	n.giver.Apart = func() {
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -62,6 +62,7 @@
 			upgrade.NewPart("callers", n.legs.Export, n.legs.Import),
 			upgrade.NewPart("next hops", n.hops.Export, n.hops.Import),
 			upgrade.NewPart("routes", n.routes.Export, n.routes.Import),
+			upgrade.NewPart("door", n.exportDoor, n.importDoor),
 		}}
 	return n
 }
@@ -147,6 +148,7 @@
 	go n.loop.Run(background)
 	if n.door != nil {
 		n.door.Open(n.behind)
+		go n.door.Run()
 	}
 	go n.follow(reload, hup)
 	if n.giver != nil {
--- a/cmd/foldlb/operate.go
+++ b/cmd/foldlb/operate.go
@@ -59,6 +59,7 @@
 		},
 	}, n.log)
 	n.giver.Leave = func(pid int) {
+		n.leaveDoor()
 		server.Leave()
 		s.announce(pid)
 	}
--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -62,6 +62,13 @@
 		if err != nil {
 			return fmt.Errorf("take over: %w", err)
 		}
+		if t.node.door == nil { // mgmt names another address than the old process's
+			door, err := s.listenDoor()
+			if err != nil {
+				t.node.log.WithError(err).Error("operators' door not opened")
+			}
+			t.node.open(door)
+		}
 		s.announce(os.Getpid())
 		return t.serve(ctx, reload)
 	}
--- a/cmd/foldlb/upgrade_test.go
+++ b/cmd/foldlb/upgrade_test.go
@@ -50,6 +50,7 @@
 	first  *exec.Cmd
 	pid    int
 	socket string
+	door   string
 	ended  chan error
 }
 
@@ -108,7 +109,13 @@
 	p.write("operator.hcl", fmt.Sprintf("control { socket = \"c.sock\" }\nupgrade {\n binary = \"next\"\n probation = \"20ms\"\n start_within = \"20s\"\n"+
 		" hold_at_most = \"90ms\"\n take_within = \"490ms\"\n act_within = \"20ms\"\n keep_pid = %v\n pid_file = \"pid\"\n}\n", keepPID))
 	p.first = exec.Command(self, "serve", "--operator", filepath.Join(p.dir, "operator.hcl"), "--log-level", "error")
-	p.first.Env = append(os.Environ(), envAsMain+"=1", "NODE_CONFIG="+filepath.Join(p.dir, "config.json"))
+	door, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.door = door.Addr().String()
+	door.Close()
+	p.first.Env = append(os.Environ(), envAsMain+"=1", "NODE_CONFIG="+filepath.Join(p.dir, "config.json"), "NODE_MGMT="+p.door)
 	p.first.Stderr = os.Stderr
 	if err := p.first.Start(); err != nil {
 		t.Fatal(err)
@@ -310,6 +317,21 @@
 	p.nothingAt(p.hops[0])
 }
 
+// TestUpgradeKeepsTheDoor: the new process answers at the operators' door, with a ban that was ordered of the old one.
+func TestUpgradeKeepsTheDoor(t *testing.T) {
+	p := launch(t, false, done, done)
+	door := &started{t: t, door: p.door}
+	door.posts("/ops/quote-workers/down", "b")
+	for range 2 {
+		p.replaced(nil)
+		door.ready()
+		if status, text := door.asks("GET", "/ops/stats", ""); status != 200 || !strings.Contains(text, `"quote_workers_excluded":1`) {
+			t.Errorf("figures %d %s", status, text)
+		}
+	}
+	door.posts("/ops/quote-workers/up", "b")
+}
+
 // TestUpgradeDoneInTwoHalves: a call-back whose first half has come before the hold is read by the new process.
 func TestUpgradeDoneInTwoHalves(t *testing.T) {
 	p := launch(t, false, take)
--- a/internal/ops/door.go
+++ b/internal/ops/door.go
@@ -40,6 +40,8 @@
 	log  logrus.FieldLogger
 	node atomic.Pointer[Node] // nil until there is a dispatcher
 
+	running, left atomic.Bool
+
 	mu     sync.Mutex
 	conns  map[*caller]struct{}
 	orders map[core.OrderID]chan core.OrderFault
@@ -76,11 +78,21 @@
 // Open puts a dispatcher behind the door.
 func (d *Door) Open(n Node) { d.node.Store(&n) }
 
+// Leave says that another process answers from now on: calls that still come here end without a word. Danger: what this
+// one would say is no longer true, and its orders would never be in force.
+func (d *Door) Leave() {
+	d.left.Store(true)
+	d.ln.Close()
+}
+
 // Close closes the door. Calls that were read are answered.
 func (d *Door) Close() error { return d.ln.Close() }
 
-// Run takes calls until the door is closed.
+// Run takes calls until the door is closed. A second call of it does nothing.
 func (d *Door) Run() {
+	if d.running.Swap(true) {
+		return
+	}
 	for {
 		nc, err := d.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -149,6 +161,9 @@
 	default:
 		a = line(fasthttp.StatusBadRequest, "not a call")
 	}
+	if d.left.Load() {
+		return
+	}
 	c.SetDeadline(time.Now().Add(readWait))
 	if _, werr := c.Write(a.bytes()); werr != nil || err == nil && r.Buffered() == 0 {
 		return
--- a/internal/ops/door_test.go
+++ b/internal/ops/door_test.go
@@ -163,6 +163,34 @@
 	}
 }
 
+// TestLeave: once another process answers, a call that is under way here ends without a word.
+func TestLeave(t *testing.T) {
+	d, _ := open(t) // nobody takes orders
+	c := dial(t, d)
+	io.WriteString(c, post("/ops/drain/start", ""))
+	half := dial(t, d)
+	io.WriteString(half, "GET /ops/stats HT")
+	for { // both have been taken
+		d.mu.Lock()
+		taken := len(d.conns)
+		d.mu.Unlock()
+		if taken == 2 {
+			break
+		}
+	}
+	d.Leave()
+	io.WriteString(half, "TP/1.1\r\nHost: h\r\n\r\n")
+	for _, x := range []net.Conn{c, half} {
+		if n, err := x.Read(make([]byte, 1)); n > 0 || err == nil {
+			t.Error("answered after the word to leave")
+		}
+	}
+	if x, err := net.Dial("tcp", d.Addr()); err == nil {
+		x.Close()
+		t.Error("the door is open")
+	}
+}
+
 // TestSilentCallersYield: however many callers say nothing, or half a call, one that speaks is heard at once; and an
 // order that the dispatcher does not take up holds nobody else.
 func TestSilentCallersYield(t *testing.T) {
