Refuse keep_pid where the platform holds the listener

Found on reading the whole change again: the first process of keep_pid passes its pipe to the child as descriptor 3, the very one that NODE_INHERITED_FD names, and the child ended over a listener that was none. The two ways to replace a process exclude each other, since the platform's SIGTERM means one process; the start names both now. Not taken: passing both descriptors on, for a combination that could not work.

--- a/cmd/foldlb/beside_test.go
+++ b/cmd/foldlb/beside_test.go
@@ -486,3 +486,11 @@
 		t.Errorf("%v, %v", ln, err)
 	}
 }
+
+// TestKeepPIDOnThePlatform: the two ways to replace a process exclude each other, and the start says so.
+func TestKeepPIDOnThePlatform(t *testing.T) {
+	t.Setenv(envInherited, "3")
+	if err := keep(); err == nil || !strings.Contains(err.Error(), envInherited) {
+		t.Errorf("started with both: %v", err)
+	}
+}
--- a/cmd/foldlb/keeper.go
+++ b/cmd/foldlb/keeper.go
@@ -60,6 +60,10 @@
 
 // keep runs the first process until the last generation has ended, and ends as that one did.
 func keep() error {
+	if os.Getenv(envInherited) != "" {
+		// Danger: the first process's word to its child takes the descriptor that the platform's listener has.
+		return fmt.Errorf("keep_pid: does not go with %s, where the platform replaces processes itself", envInherited)
+	}
 	if err := unix.Prctl(unix.PR_SET_CHILD_SUBREAPER, 1, 0, 0, 0); err != nil {
 		return fmt.Errorf("keep_pid: %w", err)
 	}
