Pay for moves by the part of them that found a worker free

A dispatcher meets a worker every two to three seconds and can't know its queue; a job that is called off while it queues and tried elsewhere finds out at once.

Way chosen: the ration of moves follows the part of moved jobs that then began within the time after which they would have been moved again.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,7 +31,8 @@
 	rateMemory            = 8.0       // seconds over which rates are averaged
 	carriedKeep           = 0.995     // of the most that a kind was seen to carry, at each refresh
 	moveAfter             = 0.25      // part of the aim after which a job not started is tried elsewhere
-	moveShare             = 0.3       // of them for each request at most, less where waste is dear
+	moveShare             = 0.3       // moves for each request at most, less where waste is dear
+	moveMore              = 1.2       // or so many times the part of moves that found a worker free
 	movePrice             = 0.00075
 	lateMemory            = 16.0      // starts or answers that the part of late ones is of
 	lateBorne             = 0.2       // part of late ones up to which nothing is turned away
@@ -253,7 +254,8 @@
 	}
 	d.probes = min(d.probes+probeShare, 20)
 	waste := max(d.s.Prices.Waste, 1e-3)
-	d.paidMoves = min(d.paidMoves+min(moveShare, movePrice*(1-c.LateWorth)/(waste*waste)), 10)
+	most := max(moveShare, moveMore*d.found)
+	d.paidMoves = min(d.paidMoves+min(most, movePrice*(1-c.LateWorth)/(waste*waste)), 10)
 	bears := max(0, c.Aim/max(c.fastest, 1e-3)+c.Stretch-2)
 	d.retries = min(d.retries+min(retryMost, retryShare*bears*bears), 20)
 	d.reqs[q.ID] = r
@@ -531,6 +533,9 @@
 	if c := &d.classes[r.Class]; n.Started && !a.started {
 		a.startedAt = now
 		d.sawLate(now-a.sent > c.Aim+(c.Stretch-1)*c.run)
+		if a.no > 0 && now-a.sent < c.Aim*moveAfter {
+			d.found += (1 - d.found) / lateMemory
+		}
 	}
 	d.heard(now, a, n)
 	if n.Started || n.Share > 0 && (now-a.sent)/n.Share < 3*d.response(r.Class, a.w)*max(1, d.cost(r)) {
@@ -564,7 +569,11 @@
 			// Danger: a worker may run what is called off all the same, so moves are rationed by the price
 			// of waste, and stop when the whole fleet is late.
 			delete(d.moves, token)
-			if !d.stays(now, a, token) && len(a.req.attempts) < d.s.MaxAttempts &&
+			stays := d.stays(now, a, token)
+			if a.no > 0 && !a.started && !a.ended {
+				d.found -= d.found / lateMemory
+			}
+			if !stays && len(a.req.attempts) < d.s.MaxAttempts &&
 				d.paidMoves >= 1 && d.late <= 2*lateBorne {
 				d.paidMoves--
 				d.act.Cancel(a.req.ID, a.no)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -764,6 +764,47 @@
 	}
 }
 
+// TestMovesFollowWhatTheyFind: where moved jobs begin at once, more of them are paid for; where they wait again, fewer.
+func TestMovesFollowWhatTheyFind(t *testing.T) {
+	for _, free := range []bool{true, false} {
+		s := plain(Idempotent)
+		s.TellsStart, s.CanCancel = true, true
+		d, _ := start(t, s, fleet("a", "b", "c"))
+		d.found = 0.5
+		due := func(r *request, no int, now float64) {
+			for token, a := range d.moves {
+				if a == r.attempts[no] {
+					d.Timer(now, token)
+				}
+			}
+		}
+		for i := range 20 {
+			id, now := fmt.Sprint(i), 2+float64(i)
+			d.paidMoves = 1
+			d.Request(now, ask(id, now))
+			r := d.reqs[id]
+			due(r, 0, now+0.1)
+			d.Outcome(now+0.1, Outcome{Request: id, Code: Cancelled, Latency: 0.1})
+			if len(r.attempts) != 2 {
+				t.Fatalf("%d attempts of a job that was called off", len(r.attempts))
+			}
+			if free {
+				d.Note(now+0.101, Note{Request: id, Attempt: 1, Started: true})
+			}
+			due(r, 1, now+0.2)
+			d.Outcome(now+0.5, Outcome{Request: id, Attempt: 1, Code: Done, Latency: 0.4, Final: true})
+		}
+		if free && d.found < 0.7 || !free && d.found > 0.3 {
+			t.Errorf("free %v: found is %.2f", free, d.found)
+		}
+		d.paidMoves = 0
+		d.Request(100, ask("last", 100))
+		if more := d.paidMoves > moveShare; more != free {
+			t.Errorf("free %v: a request pays for %.2f moves", free, d.paidMoves)
+		}
+	}
+}
+
 func TestLateFleetTurnsPartAwayAtOnce(t *testing.T) {
 	s := plain(AtMostOnce)
 	s.TellsStart, s.MaxRetryAfter = true, 2
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -24,10 +24,10 @@
 
 // Scalars holds the figures that exist once for each dispatcher.
 type Scalars struct {
-	Token                                                                                   uint64
-	RefreshAt, RefreshedAt, Probes, Retries, Late, PaidMoves, Dear, NoRoom, Took, ListPause float64
-	NextProbe                                                                               int
-	Subscribed, Asked                                                                       bool
+	Token                                                                                          uint64
+	RefreshAt, RefreshedAt, Probes, Retries, Late, PaidMoves, Found, Dear, NoRoom, Took, ListPause float64
+	NextProbe                                                                                      int
+	Subscribed, Asked                                                                              bool
 }
 
 // ClassState is what is known of a class.
@@ -103,7 +103,7 @@
 		return Snapshot{}, fmt.Errorf("choice: random numbers: %w", err)
 	}
 	s := Snapshot{RNG: rng, Scalars: Scalars{Token: d.token, RefreshAt: d.refreshAt, RefreshedAt: d.refreshedAt,
-		Probes: d.probes, Retries: d.retries, Late: d.late, PaidMoves: d.paidMoves, Dear: d.dear, NoRoom: d.noRoom,
+		Probes: d.probes, Retries: d.retries, Late: d.late, PaidMoves: d.paidMoves, Found: d.found, Dear: d.dear, NoRoom: d.noRoom,
 		Took: d.took, ListPause: d.listPause, NextProbe: d.nextProbe, Subscribed: d.subscribed, Asked: d.asked}}
 	for i := range d.classes {
 		c := &d.classes[i]
@@ -197,7 +197,7 @@
 	}
 	x := st.Scalars
 	d.token, d.refreshAt, d.refreshedAt, d.probes, d.retries = x.Token, x.RefreshAt, x.RefreshedAt, x.Probes, x.Retries
-	d.late, d.paidMoves, d.dear, d.noRoom, d.took = x.Late, x.PaidMoves, x.Dear, x.NoRoom, x.Took
+	d.late, d.paidMoves, d.found, d.dear, d.noRoom, d.took = x.Late, x.PaidMoves, x.Found, x.Dear, x.NoRoom, x.Took
 	d.listPause, d.nextProbe, d.subscribed, d.asked = x.ListPause, max(0, x.NextProbe%(1<<21)), x.Subscribed, x.Asked
 	r := restorer{d: d, st: &st, class: make([]int, len(st.Classes))}
 	r.scalars()
--- a/choice/state.go
+++ b/choice/state.go
@@ -204,6 +204,7 @@
 	retries     float64
 	late        float64 // part of late starts or answers
 	paidMoves   float64
+	found       float64 // part of further attempts that were begun at once
 	dear        float64 // mean of the work that a job takes for its worth
 	noRoom      float64 // part of outcomes that were connections refused at once
 	took        float64 // mean response of all classes
