Let what the last job of any class waited at a worker enter its response

Way chosen: R is how long the class's jobs run there, over the same dozen answers, and how long jobs of any class wait there, as the last start or calling off told, going over into the mean of all waits within 4 s.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,6 +28,7 @@
 	coldMargin            = 0.6       // part of the overload factor that all dispatchers together may use
 	coldSaved             = 0.3       // seconds of its budget that a cold worker saves up at the most
 	coldJob               = 0.3       // largest job for a cold worker, as a part of what tips it
+	waitMemory            = 4.0       // seconds after which what a job waited at a worker is less sure
 	rateMemory            = 8.0       // seconds over which rates are averaged
 	carriedKeep           = 0.995     // of the most that a kind was seen to carry, at each refresh
 	moveAfter             = 0.25      // part of the aim after which a job not started is tried elsewhere
@@ -101,7 +102,7 @@
 			d.workers = append(d.workers, w)
 		}
 		if e.Started > w.Started {
-			w.barTill, w.unsafeTil, w.barSpan, w.bad, w.fullTill, w.freeAt = 0, 0, 0, 0, 0, 0
+			w.barTill, w.unsafeTil, w.barSpan, w.bad, w.fullTill, w.freeAt, w.waitAt = 0, 0, 0, 0, 0, 0, 0
 			w.resetBudget(now, d.rng.Float64())
 		}
 		w.Worker, w.home, w.listed = e, e.Zone == d.s.Zone, e.State != Terminated
@@ -171,7 +172,7 @@
 	c := &d.classes[i]
 	c.all = c.all[:0]
 	for _, w := range d.workers {
-		if w.listed && w.State == InService && !c.KindUnknown && (c.Kind == "" || c.Kind == w.Kind) {
+		if w.listed && w.State == InService && c.runsOn(w) {
 			c.all = append(c.all, w)
 		}
 	}
@@ -191,8 +192,9 @@
 	return d.scratch[len(d.scratch)/2]
 }
 
-// response is R, with a sparse profile filled up by what the kind takes, times the worker's own pace.
-func (d *Dispatcher) response(i int, w *worker) float64 {
+// response is R: how long the class's jobs run there, with a sparse profile filled up by what the kind takes,
+// times the worker's own pace; and how long jobs of any class wait there, where starts are told.
+func (d *Dispatcher) response(now float64, i int, w *worker) float64 {
 	// Danger: a dispatcher that sees little traffic has no profile of most pairs of worker and class, and
 	// would take the slowest worker for a usual one. How the worker fared with other classes tells.
 	took, cost := borrowed, borrowed
@@ -202,11 +204,40 @@
 		}
 	}
 	p := w.profiles[i]
-	return (p.took + borrowed*w.kind.medians[i]*max(1, took/cost)) / (p.cost + borrowed)
+	runs := (p.took + borrowed*w.kind.medians[i]*max(1, took/cost)) / (p.cost + borrowed)
+	return runs + d.queue(now, w)
+}
+
+// queue is how long jobs are thought to wait at the worker: what the last one waited, less sure as time goes by.
+// Danger: one of many dispatchers meets a worker every few seconds. Averaged over a dozen answers of a class, a
+// queue would count for minutes after it has gone, and one that is there now would not show.
+func (d *Dispatcher) queue(now float64, w *worker) float64 {
+	return d.wait + (w.wait-d.wait)*math.Exp((w.waitAt-now)/waitMemory)
+}
+
+// waited enters how long a job waited at its worker, and has its shares follow.
+func (d *Dispatcher) waited(now float64, w *worker, wait float64) {
+	w.wait, w.waitAt = wait, now
+	d.wait += (wait - d.wait) / (4 * memory)
+	for i := range d.classes {
+		d.reshare(now, i, w)
+	}
+}
+
+// reshare has a worker's share of a class follow news of it at once.
+func (d *Dispatcher) reshare(now float64, i int, w *worker) {
+	c := &d.classes[i]
+	if !w.listed || w.State != InService || !c.runsOn(w) {
+		return
+	}
+	c.sum -= w.inv[i]
+	d.rerate(now, i, w)
+	c.sum += w.inv[i]
+	c.most = max(c.most, w.inv[i])
 }
 
 func (d *Dispatcher) rerate(now float64, i int, w *worker) {
-	r := d.response(i, w)
+	r := d.response(now, i, w)
 	if len(w.out) > 0 {
 		// Danger: a worker that swallows jobs answers none, so its fast profile would draw ever more.
 		r = max(r, now-max(w.out[0].sent, w.lifeAt))
@@ -482,16 +513,18 @@
 		}
 		d.took += (o.Latency - d.took) / (4 * memory)
 		w.kind.work.add(now, cost*w.kind.medians[r.Class])
-		w.profiles[r.Class].add(o.Latency, cost)
-		if c := &d.classes[r.Class]; w.listed && w.State == InService {
-			c.sum -= w.inv[r.Class]
-			d.rerate(now, r.Class, w)
-			c.sum += w.inv[r.Class]
-			c.most = max(c.most, w.inv[r.Class])
+		took := o.Latency
+		if a.startedAt > 0 {
+			took = now - a.startedAt
 		}
+		w.profiles[r.Class].add(took, cost)
+		d.reshare(now, r.Class, w)
 	case Busy, Cancelled:
+		if o.Code == Cancelled && !a.started && d.s.TellsStart {
+			d.waited(now, w, max(2*o.Latency, d.queue(now, w)))
+		}
 		w.lifeAt = max(w.lifeAt, a.aliveAt(now))
-		w.fullTill = now + max(retryPause, fullPart*d.response(r.Class, w))
+		w.fullTill = now + max(retryPause, fullPart*d.response(now, r.Class, w))
 		w.fullSlots = r.Slots
 	case Errored, Reset, NoConnect, Cut:
 		// Danger: one that fails fast empties its count of jobs in flight and would draw ever more.
@@ -532,13 +565,16 @@
 	a := r.attempts[n.Attempt]
 	if c := &d.classes[r.Class]; n.Started && !a.started {
 		a.startedAt = now
+		if d.s.TellsStart {
+			d.waited(now, a.w, now-a.sent)
+		}
 		d.sawLate(now-a.sent > c.Aim+(c.Stretch-1)*c.run)
 		if a.no > 0 && now-a.sent < c.Aim*moveAfter {
 			d.found += (1 - d.found) / lateMemory
 		}
 	}
 	d.heard(now, a, n)
-	if n.Started || n.Share > 0 && (now-a.sent)/n.Share < 3*d.response(r.Class, a.w)*max(1, d.cost(r)) {
+	if n.Started || n.Share > 0 && (now-a.sent)/n.Share < 3*d.response(now, r.Class, a.w)*max(1, d.cost(r)) {
 		a.w.lifeAt = now
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -124,7 +124,7 @@
 		seen(d, id, r)
 	}
 	d.refresh(2)
-	if got := d.response(0, d.byID["new"]); math.Abs(got-2) > 1e-9 {
+	if got := d.response(2, 0, d.byID["new"]); math.Abs(got-2) > 1e-9 {
 		t.Errorf("an unseen worker counts with %.3f s, want the median 2", got)
 	}
 }
@@ -148,15 +148,47 @@
 	d.refresh(1)
 	pace := (borrowed + 6*4) / (borrowed + 6) // c's, held back by the borrowed answers
 	for id, want := range map[string]float64{"a": 0.3, "c": 0.3 * pace, "d": 0.3} {
-		if got := d.response(1, d.byID[id]); math.Abs(got-want) > 1e-9 {
+		if got := d.response(2, 1, d.byID[id]); math.Abs(got-want) > 1e-9 {
 			t.Errorf("%s: %.3f, want %.3f", id, got, want)
 		}
 	}
-	if got, want := d.response(0, d.byID["c"]), (6*0.4+borrowed*0.1)/(6+borrowed); math.Abs(got-want) > 1e-9 {
+	if got, want := d.response(2, 0, d.byID["c"]), (6*0.4+borrowed*0.1)/(6+borrowed); math.Abs(got-want) > 1e-9 {
 		t.Errorf("c with what was seen: %.3f, want %.3f", got, want)
 	}
 }
 
+// TestWaitCountsForEveryClassWhileItIsFresh: one job that waited long makes its worker's share of all classes fall, and
+// leaves the time that jobs run there alone; some seconds later it says nothing more.
+func TestWaitCountsForEveryClassWhileItIsFresh(t *testing.T) {
+	s := plain(Idempotent)
+	s.TellsStart = true
+	s.Classes = append(s.Classes, s.Classes[0])
+	s.Classes[1].Name = "other"
+	d, _ := start(t, s, fleet("a", "b"))
+	seen(d, "a", 0.1)
+	seen(d, "b", 0.1)
+	d.Request(2, ask("r", 2))
+	a := d.reqs["r"].attempts[0].w
+	b := d.byID["a"]
+	if a == b {
+		b = d.byID["b"]
+	}
+	d.Note(2.5, Note{Request: "r", Started: true})
+	d.Outcome(2.6, Outcome{Request: "r", Code: Done, Latency: 0.6, Final: true})
+	for i, c := range d.classes {
+		if a.inv[i] > b.inv[i]/1.3 || math.Abs(c.sum-a.inv[i]-b.inv[i]) > 1e-6 {
+			t.Errorf("class %d: 1/R is %.2f where a job waited, %.2f elsewhere, %.2f in sum", i, a.inv[i], b.inv[i], c.sum)
+		}
+	}
+	if p := a.profiles[0]; math.Abs(p.took/p.cost-0.1) > 1e-3 {
+		t.Errorf("jobs are thought to run for %.3f s", p.took/p.cost)
+	}
+	d.refresh(2.6 + 10*waitMemory)
+	if math.Abs(a.inv[0]-b.inv[0]) > 0.01*b.inv[0] {
+		t.Errorf("1/R is %.2f long after a job waited, %.2f elsewhere", a.inv[0], b.inv[0])
+	}
+}
+
 func TestHintsKeepOneHeavyJobFromSmearing(t *testing.T) {
 	d, h := start(t, plain(Idempotent), fleet("a"))
 	for i := range 100 {
@@ -169,7 +201,7 @@
 		h.take()
 		d.Outcome(2, Outcome{Request: q.ID, Worker: "a", Code: Done, Latency: q.Hint, Final: true})
 	}
-	if got := d.response(0, d.byID["a"]); got > 1.5 {
+	if got := d.response(2, 0, d.byID["a"]); got > 1.5 {
 		t.Errorf("mean response %.2f s after one heavy job that was announced", got)
 	}
 }
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -24,10 +24,10 @@
 
 // Scalars holds the figures that exist once for each dispatcher.
 type Scalars struct {
-	Token                                                                                          uint64
-	RefreshAt, RefreshedAt, Probes, Retries, Late, PaidMoves, Found, Dear, NoRoom, Took, ListPause float64
-	NextProbe                                                                                      int
-	Subscribed, Asked                                                                              bool
+	Token                                                                                                uint64
+	RefreshAt, RefreshedAt, Probes, Retries, Late, PaidMoves, Found, Dear, NoRoom, Wait, Took, ListPause float64
+	NextProbe                                                                                            int
+	Subscribed, Asked                                                                                    bool
 }
 
 // ClassState is what is known of a class.
@@ -63,7 +63,7 @@
 	Profiles                                                      []ProfileState // by class
 	Out                                                           []AttemptRef   // oldest first
 	LifeAt, Free, FreeAt, FullTill, FullSlots, BarTill, UnsafeTil float64
-	BarSpan, Bad, Credit, Need, ColdAt, ProbedAt                  float64
+	BarSpan, Bad, Credit, Need, ColdAt, ProbedAt, Wait, WaitAt    float64
 }
 
 // AttemptRef names an attempt by its request's place in Snapshot.Requests and its number.
@@ -103,7 +103,7 @@
 		return Snapshot{}, fmt.Errorf("choice: random numbers: %w", err)
 	}
 	s := Snapshot{RNG: rng, Scalars: Scalars{Token: d.token, RefreshAt: d.refreshAt, RefreshedAt: d.refreshedAt,
-		Probes: d.probes, Retries: d.retries, Late: d.late, PaidMoves: d.paidMoves, Found: d.found, Dear: d.dear, NoRoom: d.noRoom,
+		Probes: d.probes, Retries: d.retries, Late: d.late, PaidMoves: d.paidMoves, Found: d.found, Dear: d.dear, NoRoom: d.noRoom, Wait: d.wait,
 		Took: d.took, ListPause: d.listPause, NextProbe: d.nextProbe, Subscribed: d.subscribed, Asked: d.asked}}
 	for i := range d.classes {
 		c := &d.classes[i]
@@ -172,7 +172,8 @@
 func exportWorker(w *worker) WorkerState {
 	ws := WorkerState{Worker: w.Worker, Home: w.home, Listed: w.listed, LifeAt: w.lifeAt, Free: w.free, FreeAt: w.freeAt,
 		FullTill: w.fullTill, FullSlots: w.fullSlots, BarTill: w.barTill, UnsafeTil: w.unsafeTil, BarSpan: w.barSpan,
-		Bad: w.bad, Credit: w.credit, Need: w.need, ColdAt: w.coldAt, ProbedAt: w.probedAt}
+		Bad: w.bad, Credit: w.credit, Need: w.need, ColdAt: w.coldAt, ProbedAt: w.probedAt,
+		Wait: w.wait, WaitAt: w.waitAt}
 	for i, p := range w.profiles {
 		ws.Profiles = append(ws.Profiles, ProfileState{p.took, p.cost, w.inv[i]})
 	}
@@ -197,7 +198,7 @@
 	}
 	x := st.Scalars
 	d.token, d.refreshAt, d.refreshedAt, d.probes, d.retries = x.Token, x.RefreshAt, x.RefreshedAt, x.Probes, x.Retries
-	d.late, d.paidMoves, d.found, d.dear, d.noRoom, d.took = x.Late, x.PaidMoves, x.Found, x.Dear, x.NoRoom, x.Took
+	d.late, d.paidMoves, d.found, d.dear, d.noRoom, d.wait, d.took = x.Late, x.PaidMoves, x.Found, x.Dear, x.NoRoom, x.Wait, x.Took
 	d.listPause, d.nextProbe, d.subscribed, d.asked = x.ListPause, max(0, x.NextProbe%(1<<21)), x.Subscribed, x.Asked
 	r := restorer{d: d, st: &st, class: make([]int, len(st.Classes))}
 	r.scalars()
@@ -301,6 +302,7 @@
 	w.lifeAt, w.free, w.freeAt, w.fullTill, w.fullSlots = ws.LifeAt, ws.Free, ws.FreeAt, ws.FullTill, ws.FullSlots
 	w.barTill, w.unsafeTil, w.barSpan, w.bad = ws.BarTill, ws.UnsafeTil, ws.BarSpan, ws.Bad
 	w.credit, w.need, w.coldAt, w.probedAt = ws.Credit, ws.Need, ws.ColdAt, ws.ProbedAt
+	w.wait, w.waitAt = ws.Wait, ws.WaitAt
 	for i, p := range ws.Profiles {
 		if n := r.class[i]; n >= 0 {
 			w.profiles[n], w.inv[n] = profile{p.Took, p.Cost}, p.Inv
--- a/choice/state.go
+++ b/choice/state.go
@@ -117,6 +117,8 @@
 	n         []int      // own jobs in flight, by class
 	out       []*attempt // oldest first
 	lifeAt    float64    // last sign of life
+	wait      float64    // how long the last job waited to begin
+	waitAt    float64    // when that was learned
 	free      float64    // slots free by the last report
 	freeAt    float64
 	fullTill  float64
@@ -177,6 +179,9 @@
 	fastest   float64 // the fastest kind's median
 }
 
+// runsOn tells whether the class's jobs may go to the worker.
+func (c *class) runsOn(w *worker) bool { return !c.KindUnknown && (c.Kind == "" || c.Kind == w.Kind) }
+
 type tenant struct {
 	Tenant
 	seen rate
@@ -207,6 +212,7 @@
 	found       float64 // part of further attempts that were begun at once
 	dear        float64 // mean of the work that a job takes for its worth
 	noRoom      float64 // part of outcomes that were connections refused at once
+	wait        float64 // mean time that jobs wait to begin
 	took        float64 // mean response of all classes
 	nextProbe   int
 	subscribed  bool
