--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,7 +40,7 @@
 	shedGain, shedMost    = 2.0, 0.85 // part turned away, times the late part above lateBorne
 	noRoomOf              = 64.0      // outcomes that the part of connections refused at once is of
 	noRoomMost            = 0.03      // part from which idle connections are closed
-	dearMost              = 2.0       // times as many of the dearest jobs, and as few of the cheapest
+	dearMost              = 4.0       // times as many of the dearest jobs, and as few of the cheapest
 	excessShed            = 2.0       // times as many of the jobs over their tenant's share
 	tickEvery             = 0.1
 	retryShare, retryMost = 1.2, 1.5 // tries after 'full' a request, by the square of what its aim bears
@@ -144,6 +144,14 @@
 		k.unitTime.add(now, k.units*since)
 		k.carried = max(k.carried*carriedKeep, k.work.perS(now)/max(k.unitTime.perS(now), 1e-9))
 	}
+	for _, r := range d.reqs {
+		// Danger: a job that waits in a long queue tells so only as it starts, when the queue has grown for as long.
+		c := &d.classes[r.Class]
+		if d.s.TellsStart && !r.judged && !r.over && now-r.arrived > c.Aim+(c.Stretch-1)*c.run {
+			r.judged = true
+			d.sawLate(true)
+		}
+	}
 	for i := range d.classes {
 		c := &d.classes[i]
 		d.listCandidates(i)
@@ -267,7 +275,11 @@
 	// Danger: a fleet that is asked for more than it can do answers everything late. Part of the jobs is
 	// turned away at once, before anything may have run, first what is dear for its worth or over-share.
 	// Never all: with nothing let in, no start would tell that the fleet is in time again.
-	dear := 1 / max(c.Worth, 1e-9)
+	worth := c.Worth
+	if c.Deadline-(q.Deadline-now) > c.Aim+c.Stretch*c.median {
+		worth *= c.LateWorth // it has come back, and can't be in time any more
+	}
+	dear := 1 / max(worth, 1e-9)
 	if !d.s.WorthByWork {
 		dear *= c.median
 	}
@@ -568,7 +580,10 @@
 		if d.s.TellsStart {
 			d.waited(now, a.w, now-a.sent)
 		}
-		d.sawLate(now-a.sent > c.Aim+(c.Stretch-1)*c.run)
+		if !r.judged {
+			r.judged = true
+			d.sawLate(now-r.arrived > c.Aim+(c.Stretch-1)*c.run)
+		}
 		if a.no > 0 && now-a.sent < c.Aim*moveAfter {
 			d.found += (1 - d.found) / lateMemory
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -865,6 +865,57 @@
 	}
 }
 
+// TestWaitingJobCountsAsLateBeforeItStarts: a job that has waited for longer than its aim bears is counted then, once, and
+// from its request's arrival, however often it was moved.
+func TestWaitingJobCountsAsLateBeforeItStarts(t *testing.T) {
+	s := plain(AtMostOnce)
+	s.TellsStart = true
+	d, _ := start(t, s, fleet("a"))
+	d.Request(2, ask("r", 2))
+	d.refresh(2.1)
+	if d.late != 0 {
+		t.Errorf("%.3f are late after 0.1 s of an aim of 0.2 s", d.late)
+	}
+	d.refresh(2.3)
+	once := d.late
+	d.refresh(2.5)
+	d.Note(2.6, Note{Request: "r", Started: true})
+	if once == 0 || d.late != once {
+		t.Errorf("%.3f are late after 0.3 s, %.3f after its start", once, d.late)
+	}
+	s = plain(Idempotent)
+	s.TellsStart, s.CanCancel = true, true
+	d, _ = start(t, s, fleet("a", "b"))
+	d.Request(2, ask("r", 2))
+	d.Outcome(2.19, Outcome{Request: "r", Code: Cancelled, Latency: 0.19})
+	d.Note(2.25, Note{Request: "r", Attempt: 1, Started: true})
+	if d.late == 0 {
+		t.Error("a job that began 0.25 s after it came, at its second worker, counts as in time")
+	}
+}
+
+// TestLateReturnsAreTurnedAwayFirst: a caller that has come back can't be served in time any more.
+func TestLateReturnsAreTurnedAwayFirst(t *testing.T) {
+	refused := map[bool]int{}
+	for i := range 2000 {
+		s := plain(Idempotent)
+		s.Seed, s.Classes[0].LateWorth = uint64(i), 0.25
+		d, h := start(t, s, fleet("a"))
+		d.late, d.dear = 0.3, 1
+		q := ask("r", 2)
+		if i%2 == 0 {
+			q.Deadline -= 3
+		}
+		d.Request(2, q)
+		if h.take()[0].what == "refuse" {
+			refused[i%2 == 0]++
+		}
+	}
+	if refused[true] < 2*refused[false] || refused[false] == 0 {
+		t.Errorf("of 1000 each, %d that came back and %d new ones are turned away", refused[true], refused[false])
+	}
+}
+
 func TestTriesTurnedAwayDoNotCountToAShare(t *testing.T) {
 	s := plain(AtMostOnce)
 	s.Tenants = []Tenant{{Name: "t", Quota: 1000}}
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -74,6 +74,7 @@
 	Request      Request
 	Arrived      float64
 	Over, Excess bool
+	Judged       bool
 	Token        uint64
 	Waiting      bool // for the timer of its token
 	Attempts     []AttemptState
@@ -155,7 +156,7 @@
 func (m rate) export() RateState { return RateState{m.sum, m.at} }
 
 func (s *Snapshot) exportRequest(r *request, waiting bool, place map[*worker]int) RequestState {
-	q := RequestState{Request: r.Request, Arrived: r.arrived, Over: r.over, Excess: r.excess, Token: r.token, Waiting: waiting}
+	q := RequestState{Request: r.Request, Arrived: r.arrived, Over: r.over, Excess: r.excess, Judged: r.judged, Token: r.token, Waiting: waiting}
 	for _, a := range r.attempts {
 		at, ok := place[a.w]
 		if !ok { // it has left for good; repeats must still keep to its group
@@ -317,7 +318,7 @@
 		if q.Request.Class < 0 || q.Request.Class >= len(r.class) || d.reqs[q.Request.ID] != nil {
 			return fmt.Errorf("%w: request %d (%q) is there twice or of no class", ErrState, i, q.Request.ID)
 		}
-		to := &request{Request: q.Request, arrived: q.Arrived, over: q.Over, excess: q.Excess, token: q.Token}
+		to := &request{Request: q.Request, arrived: q.Arrived, over: q.Over, excess: q.Excess, judged: q.Judged, token: q.Token}
 		if to.Class = r.class[q.Request.Class]; to.Class < 0 {
 			return fmt.Errorf("%w: a request of class %q is open, which the settings no longer name", ErrState,
 				r.st.Classes[q.Request.Class].Name)
--- a/choice/state.go
+++ b/choice/state.go
@@ -43,6 +43,7 @@
 	attempts []*attempt
 	out      int
 	over     bool // a final answer was given or is no longer owed
+	judged   bool // whether it began in time has been counted
 	excess   bool // over its tenant's share
 	token    uint64
 }
