Move keyed jobs that wait too, where most moves find a worker free, and pay for two moves each

Need: a keyed job, nearly half of the worth, stayed where it was taken however long it queued there, since a repeat would wait in its group too.

Change: where at least half of the moved jobs found a worker free, a keyed job that was taken and has not begun is called off by the same timer and on the same ration, and placed anew in its group and window.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,7 @@
 	carriedKeep           = 0.995     // of the most that a kind was seen to carry, at each refresh
 	moveAfter             = 0.25      // part of the aim after which a job not started is tried elsewhere
 	moveShare             = 0.3       // moves for each request at most, less where waste is dear
-	moveMore              = 1.2       // or so many times the part of moves that found a worker free
+	moveMore              = 2.0       // or so many times the part of moves that found a worker free
 	movePrice             = 0.00075
 	lateMemory            = 16.0      // starts or answers that the part of late ones is of
 	lateBorne             = 0.2       // part of late ones up to which nothing is turned away
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -715,14 +715,16 @@
 	for _, tc := range []struct {
 		effect             Effect
 		tells, taken, want bool
-	}{{Deduplicated, true, false, true}, {Deduplicated, true, true, false}, {Deduplicated, false, false, false}, {AtMostOnce, true, false, false}} {
+		found              float64
+	}{{Deduplicated, true, false, true, 0}, {Deduplicated, true, true, false, 0}, {Deduplicated, true, true, true, 0.8},
+		{Deduplicated, false, false, false, 0}, {AtMostOnce, true, false, false, 0}, {AtMostOnce, true, true, false, 0.8}} {
 		s := plain(tc.effect)
 		s.Classes[0].Group = GroupCell
 		s.TellsStart, s.CanCancel, s.TellsTaken = true, true, tc.tells
 		list := fleet("a", "b", "c")
 		list[2].Cell = 1
 		d, h := start(t, s, list[:2])
-		d.paidMoves = 5
+		d.paidMoves, d.found = 5, tc.found
 		d.Request(2, ask("r", 2))
 		log := h.log
 		first := log[0].worker
--- a/choice/state.go
+++ b/choice/state.go
@@ -71,8 +71,8 @@
 	switch {
 	case a.ended || a.req.over || a.started && token != a.listen:
 		return true
-	case a.taken && !a.started && d.classes[a.req.Class].Effect == Deduplicated:
-		return true // it waits at its group, where a repeat would wait too
+	case a.taken && !a.started && d.classes[a.req.Class].Effect == Deduplicated && d.found < 0.5:
+		return true // it waits at its group, where a repeat would wait too unless most moves find a worker free
 	case a.started:
 		if again = a.heardAt + quietAfter*d.s.ProgressEvery - now; again < 1e-3 {
 			delete(d.moves, token)
