Ask anew for a list that would lose what is held, and log a fleet's figures

Need: with discovery overbooked most of a fleet's news comes late, and an answer from a source that lost its state, or read a part of it, was believed at once: an empty list emptied the route set, an older version brought back what had left. And a fleet's logs could not be counted: list calls and failures, connections, moves and refusals were told by debug lines alone.

Change: an answer whose version goes back, or an empty list where next hops are held, leaves the route set as it is, is named in the log and asked for again, whole and once; the second time it is believed, since a source may really begin anew and drains must be kept to. Not taken: refusing such lists for good (a dispatcher would never learn of drains again); waiting for the back-off (750 ms after word of a drain nothing new may be sent). Once a minute the reducer is asked for its tally by an event, and what it and the connections counted is logged in fields; the reducer keeps no clock for it and /ops/stats keeps its form.

The decision module is not touched.

--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -23,19 +23,20 @@
 
 // node is one dispatcher's parts.
 type node struct {
-	cfg    config.Config
-	log    logrus.FieldLogger
-	gate   *hold.Gate
-	loop   *core.Loop
-	legs   *callerleg.Server
-	hops   *nexthop.Sender
-	routes *routeset.Client
-	body   *upgrade.Body
-	giver  *upgrade.Giver // nil where upgrades are off
-	lines  chan string    // of the reducer's log
-	door   *ops.Door      // nil where there is none
-	behind ops.Node       // what is put behind it
-	ending atomic.Bool    // SIGTERM has come
+	cfg     config.Config
+	log     logrus.FieldLogger
+	gate    *hold.Gate
+	loop    *core.Loop
+	legs    *callerleg.Server
+	hops    *nexthop.Sender
+	routes  *routeset.Client
+	body    *upgrade.Body
+	giver   *upgrade.Giver // nil where upgrades are off
+	lines   chan string    // of the reducer's log
+	tallies chan core.Figures
+	door    *ops.Door   // nil where there is none
+	behind  ops.Node    // what is put behind it
+	ending  atomic.Bool // SIGTERM has come
 
 	now atomic.Pointer[core.Limits] // those in force
 
@@ -46,7 +47,7 @@
 // build makes the parts around a reducer. Nothing runs yet.
 func build(cfg config.Config, reducer *core.Reducer, gate *hold.Gate, clock upgrade.Clock, log logrus.FieldLogger) *node {
 	setMachine(cfg.Limits)
-	n := &node{cfg: cfg, log: log, gate: gate, lines: make(chan string, queuedLines)}
+	n := &node{cfg: cfg, log: log, gate: gate, lines: make(chan string, queuedLines), tallies: make(chan core.Figures, 1)}
 	n.now.Store(&cfg.Limits)
 	n.loop = core.NewLoop(reducer, clock.Now, n.perform)
 	forCallers, forHops := connections(cfg.Limits)
@@ -99,6 +100,11 @@
 		callers, next := connections(e.Limits)
 		n.legs.SetMost(callers)
 		n.hops.SetMost(next)
+	case core.Figures:
+		select {
+		case n.tallies <- e:
+		default:
+		}
 	case core.Log:
 		select {
 		case n.lines <- e.Text:
@@ -146,6 +152,7 @@
 		n.legs.SendAway(true)
 	}
 	go n.loop.Run(background)
+	go n.logFigures(background, figuresEvery)
 	if n.door != nil {
 		n.door.Open(n.behind)
 		go n.door.Run()
--- /dev/null
+++ b/internal/core/figures.go
@@ -0,0 +1,59 @@
+package core
+
+import "fmt"
+
+// Tally counts what the reducer did since its process began. A successor begins at 0.
+type Tally struct {
+	Calls         uint64 // requests taken
+	Branches      uint64 // sent, or given to the next hops' connections to send
+	Moves         uint64 // called off by the decision module, to be tried elsewhere
+	RefusedAtOnce uint64 // busy answers before any attempt
+	RefusedTried  uint64 // busy answers after attempts that did not run, or may be repeated
+	Failed        uint64 // failures told, those at a deadline too
+	ListsDoubted  uint64 // answers of the source that were asked for again before they were believed
+}
+
+// FiguresAsked asks for the tally, which comes as Figures.
+type FiguresAsked struct{}
+
+func (FiguresAsked) event() {}
+
+// Figures is the tally as of now, with what it is read beside.
+type Figures struct {
+	Tally   Tally
+	Version int64 // of the route set
+	View    View
+	Open    int // requests that are not answered yet
+}
+
+func (Figures) effect() {}
+
+func (r *Reducer) figures() {
+	r.emit(Figures{Tally: r.tally, Version: r.version, View: r.View(r.now), Open: len(r.legs)})
+}
+
+// routeSetTold applies a source's news. Danger: a list from a source that has lost its state, or read a part of it,
+// would empty the route set, or bring back hops that have left. Such a list is asked for anew, whole and once; what is
+// told then counts, since a source may really begin anew, and what it tells of drains must be kept to.
+func (r *Reducer) routeSetTold(set RouteSet) {
+	if why := r.doubt(set); why != "" && !r.doubted {
+		r.tally.ListsDoubted++
+		r.doubted, r.watching, r.version = true, true, VersionUnknown
+		r.emit(Log{Text: "the route set is kept and asked for anew: " + why})
+		r.emit(Watch{On: true, Source: r.source, Since: r.version})
+		return
+	}
+	r.doubted = false
+	r.hear(set)
+}
+
+// doubt names what is odd about a source's news; empty for nothing.
+func (r *Reducer) doubt(set RouteSet) string {
+	switch {
+	case set.Version < r.version:
+		return fmt.Sprintf("version %d was told after version %d", set.Version, r.version)
+	case set.Full && len(set.Hops) == 0 && len(r.hops) > 0:
+		return fmt.Sprintf("an empty list was told where %d next hops are held", len(r.hops))
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/figures_test.go
@@ -0,0 +1,78 @@
+package core
+
+import (
+	"slices"
+	"testing"
+
+	"foldlb.example/foldlb/choice"
+)
+
+// TestOddListsAreAskedForAnew: news that would lose what is held is asked for again, whole and once, and then believed.
+func TestOddListsAreAskedForAnew(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		set  RouteSet
+		odd  bool
+	}{
+		{"an older version's changes", RouteSet{Version: 40, Hops: hops("b")}, true},
+		{"an older version's list", RouteSet{Version: 40, Full: true, Hops: hops("b")}, true},
+		{"an empty list", RouteSet{Version: 42, Full: true}, true},
+		{"no changes", RouteSet{Version: 41}, false},
+		{"a newer list", RouteSet{Version: 42, Full: true, Hops: hops("b")}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, err := New(1, settings(choice.Idempotent), RouteSet{Version: 41, Hops: hops("a")}, "d:1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := brief(r.Step(2, RouteSetTold{Source: r.source, RouteSet: tc.set}))
+			if odd := slices.Equal(got, []string{"core.Log", "core.Watch"}); odd != tc.odd {
+				t.Fatalf("effects %v", got)
+			}
+			if !tc.odd {
+				return
+			}
+			if got := brief(r.Step(2, call("r"))); !slices.Contains(got, "send a") {
+				t.Errorf("what was held is lost: %v", got)
+			}
+			st, err := r.Export()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r, err = Import(settings(choice.Idempotent), st); err != nil {
+				t.Fatal(err)
+			}
+			r.Step(2.1, RouteSetTold{Source: r.source, RouteSet: tc.set})
+			if r.version != tc.set.Version || len(tc.set.Hops) != 0 && r.hops["b"].ID != "b" || tc.set.Full && r.hops["a"].ID != "" {
+				t.Errorf("told again, it holds version %d and %v", r.version, r.hops)
+			}
+		})
+	}
+}
+
+// TestFiguresCountWhatWasDone: a request served, one refused at once, one refused after a try, one that fails.
+func TestFiguresCountWhatWasDone(t *testing.T) {
+	figures := func(r *Reducer) Figures {
+		t.Helper()
+		for _, e := range r.Step(r.now, FiguresAsked{}) {
+			if f, ok := e.(Figures); ok {
+				return f
+			}
+		}
+		t.Fatal("no figures")
+		return Figures{}
+	}
+	r := start(t, choice.Idempotent, "a")
+	r.Step(2, call("served"))
+	r.Step(2.1, JobReported{Request: "served", From: "a", State: JobDone})
+	r.Step(3, call("late"))
+	r.Step(9, Tick{})
+	if f := figures(r); f.Tally.Calls != 2 || f.Tally.Branches < 2 || f.Tally.RefusedTried+f.Tally.Failed != 1 || f.View.Known != 1 || f.Open != 0 {
+		t.Errorf("%+v", f)
+	}
+	none := start(t, choice.Idempotent)
+	none.Step(2, call("r"))
+	if f := figures(none); f.Tally != (Tally{Calls: 1, RefusedAtOnce: 1}) {
+		t.Errorf("%+v", f.Tally)
+	}
+}
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -35,6 +35,7 @@
 		return
 	}
 	b.addr = hop.Addr
+	r.tally.Branches++
 	r.emit(SendBranch{Branch: b.id, Request: q.call.ID, Hop: b.hop, Addr: b.addr, Until: until,
 		Message: q.call.Message})
 	if until < q.deadline {
@@ -64,6 +65,7 @@
 		return
 	}
 	b := q.branches[attempt]
+	h.r.tally.Moves++
 	h.r.giveUp(b)
 	h.r.later = append(h.r.later, func() { h.r.endBranch(b, choice.Cancelled, nil) })
 }
--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -102,6 +102,7 @@
 		t.Errorf("%+v", w)
 	}
 	r.Step(80, told(true))
+	r.Step(80, told(true)) // an empty list is believed the second time
 	if len(r.returned) != 0 {
 		t.Error("a return is remembered of a hop that is not listed")
 	}
@@ -215,6 +216,9 @@
 					}
 				}
 				ev = told(full, news...)
+				if full && len(news) == 0 {
+					r.Step(now, ev) // an empty list is believed the second time
+				}
 			case 3:
 				st, err := r.Export()
 				if err != nil {
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -56,6 +56,8 @@
 	banned   map[HopID]bool    // out by hand, listed or not
 	returned map[HopID]float64 // when a listed hop was put back by hand
 	draining bool              // by hand
+	doubted  bool              // the source was asked for its whole list, since what it told was odd
+	tally    Tally
 	timers   timerHeap
 	timerSeq uint64
 	lastID   BranchID
@@ -139,11 +141,7 @@
 		if ev.Source != r.source {
 			break // danger: an old source's list may be older than what the new one has told
 		}
-		form := choice.ListChanges
-		if ev.RouteSet.Full {
-			form = choice.ListAll
-		}
-		r.applyRouteSet(ev.RouteSet, form)
+		r.routeSetTold(ev.RouteSet)
 	case RouteSetRefused:
 		if ev.Source == r.source {
 			r.watching = false
@@ -155,6 +153,8 @@
 		r.banOrdered(ev)
 	case DrainOrdered:
 		r.drainOrdered(ev)
+	case FiguresAsked:
+		r.figures()
 	case Stopping:
 		r.stop()
 	case Tick:
@@ -223,6 +223,7 @@
 		c.Remaining = min(c.Remaining, most) // danger: a caller that says it waits for an hour is remembered for one
 	}
 	q := &request{call: c, deadline: r.now + c.Remaining}
+	r.tally.Calls++
 	r.requests[c.ID], r.legs[c.Leg] = q, q
 	r.after(q.deadline, timer{kind: timerExpire, request: c.ID, leg: c.Leg})
 	r.decider.Request(r.now, choice.Request{ID: string(c.ID), Deadline: q.deadline, Class: class,
@@ -279,6 +280,14 @@
 // answer gives the one final answer of a request.
 func (r *Reducer) answer(q *request, a Answer) {
 	a.Leg = q.call.Leg
+	switch {
+	case a.Verdict == Busy && len(q.branches) == 0:
+		r.tally.RefusedAtOnce++
+	case a.Verdict == Busy:
+		r.tally.RefusedTried++
+	case a.Verdict == Failed:
+		r.tally.Failed++
+	}
 	r.finish(q)
 	r.emit(a)
 }
@@ -379,6 +388,15 @@
 var hopStates = map[HopState]choice.State{HopActive: choice.InService, HopLeaving: choice.Terminating,
 	HopLeft: choice.Terminated}
 
+// hear applies what the source told.
+func (r *Reducer) hear(set RouteSet) {
+	form := choice.ListChanges
+	if set.Full {
+		form = choice.ListAll
+	}
+	r.applyRouteSet(set, form)
+}
+
 // applyRouteSet takes discovery's news before any later branch is sent.
 func (r *Reducer) applyRouteSet(set RouteSet, form choice.ListForm) {
 	r.version = set.Version
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -26,6 +26,7 @@
 	Banned   []HopID        `cbor:",omitempty"` // out by hand
 	Returned []ReturnState  `cbor:",omitempty"` // put back by hand
 	Draining bool           // by hand
+	Doubted  bool           `cbor:",omitempty"` // the source was asked for its whole list, since what it told was odd
 	Decider  choice.Snapshot
 }
 
@@ -84,7 +85,7 @@
 		return State{}, err
 	}
 	s := State{Now: r.now, Source: r.source, Version: r.version, Watching: r.watching, LastID: r.lastID,
-		TimerSeq: r.timerSeq, Draining: r.draining, Decider: decider, Spent: make([]RequestID, 0, len(r.spent)),
+		TimerSeq: r.timerSeq, Draining: r.draining, Doubted: r.doubted, Decider: decider, Spent: make([]RequestID, 0, len(r.spent)),
 		Timers: make([]TimerState, 0, len(r.timers)), Requests: make([]RequestState, 0, len(r.requests))}
 	for id := range r.spent {
 		s.Spent = append(s.Spent, id)
@@ -149,7 +150,7 @@
 	if len(st.Banned) > mostBans {
 		return nil, fmt.Errorf("%w: %d hops are out by hand, %d at most", ErrState, len(st.Banned), mostBans)
 	}
-	r.draining = st.Draining
+	r.draining, r.doubted = st.Draining, st.Doubted
 	for _, id := range st.Banned {
 		r.banned[id] = true
 	}
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -241,6 +241,11 @@
 // Sent counts the branches of which this process wrote the last byte.
 func (s *Sender) Sent() uint64 { return s.sent.Load() }
 
+// Connections counts those opened to next hops since the start, and those that were refused or never came up.
+func (s *Sender) Connections() (opened, refused uint64) {
+	return s.pool.dialled.Load(), s.pool.refused.Load()
+}
+
 func (s *Sender) forget(id core.BranchID) {
 	s.mu.Lock()
 	delete(s.exchanges, id)
--- a/internal/nexthop/pool.go
+++ b/internal/nexthop/pool.go
@@ -8,6 +8,7 @@
 	"math/bits"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"foldlb.example/foldlb/internal/hold"
@@ -42,6 +43,8 @@
 	dialTimeout time.Duration
 	idleFor     time.Duration // an idle connection is closed after this at the latest
 
+	dialled, refused atomic.Uint64
+
 	mu    sync.Mutex
 	most  int           // open connections, over all next hops
 	limit time.Duration // after which idle connections are closed now; idleFor where few break
@@ -106,9 +109,13 @@
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	p.gate.Wake()
 	if err != nil {
+		if ctx.Err() == nil {
+			p.refused.Add(1)
+		}
 		p.unreserve()
 		return nil, fmt.Errorf("connect to next hop: %w", err)
 	}
+	p.dialled.Add(1)
 	return newConn(p.gate.Wrap(nc), addr), nil
 }
 
--- a/internal/routeset/watch.go
+++ b/internal/routeset/watch.go
@@ -9,6 +9,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -38,6 +39,8 @@
 
 	gate *hold.Gate
 
+	asked, failed atomic.Uint64
+
 	mu    sync.Mutex
 	stop  context.CancelFunc // ends the running watch
 	watch *watch             // the running one, once its call is written
@@ -89,7 +92,11 @@
 	})
 }
 
+// Asked counts the calls written to discovery, and those of them and of the dials that failed.
+func (c *Client) Asked() (calls, failures uint64) { return c.asked.Load(), c.failed.Load() }
+
 func (c *Client) refused(from core.Source, err error) {
+	c.failed.Add(1)
 	c.log.WithError(err).WithField("discovery", from.Addr).Warn("discovery refused")
 	c.post(core.RouteSetRefused{Source: from})
 }
@@ -144,6 +151,7 @@
 		link.Close()
 		return nil, err
 	}
+	c.asked.Add(1)
 	return link, nil
 }
 
--- a/internal/snapshot/events.go
+++ b/internal/snapshot/events.go
@@ -49,6 +49,8 @@
 		return Event{Stopping: &ev}, nil
 	case core.Tick:
 		return Event{Tick: &ev}, nil
+	case core.FiguresAsked:
+		return Event{Tick: &core.Tick{}}, nil // the successor counts for itself
 	case core.BanOrdered:
 		return Event{BanOrdered: &ev}, nil
 	case core.DrainOrdered:
