--- a/cmd/foldlb/stale_test.go
+++ b/cmd/foldlb/stale_test.go
@@ -67,7 +67,7 @@
 	case <-time.After(patience):
 		t.Fatal("no answer")
 	}
-	<-w.watches // the call after the new address was read
+	<-w.watches                                          // the call after the new address was read
 	for i, limit := 0, time.Now().Add(patience); ; i++ { // it is barred for a moment, as nobody was there
 		if status, _ := w.call(fmt.Sprint("again", i), "once", "5"); status == 200 {
 			return
