--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strings"
 	"testing"
 
 	"foldlb.example/foldlb/choice"
@@ -100,6 +101,7 @@
 	again  bool // busy answers are given twice
 	keeps  bool // idle connections are never closed
 	storms bool // discovery is asked with every attempt
+	deaf   bool // discovery is never asked
 }
 
 func (a altered) Assign(id, worker string, until float64) {
@@ -113,6 +115,12 @@
 	}
 }
 
+func (a altered) Subscribe(on bool) {
+	if !a.deaf {
+		a.Actions.Subscribe(on)
+	}
+}
+
 func (a altered) Refuse(id string, pause float64) {
 	a.Actions.Refuse(id, pause)
 	if a.again {
@@ -134,11 +142,14 @@
 			return a
 		}
 	}
-	shuns := wrap(altered{assign: func(act choice.Actions, id, worker string, until float64) {
-		if worker != "w9" {
-			act.Assign(id, worker, until)
-		}
-	}})
+	shun := func(shunned func(worker string) bool) func(choice.Actions) choice.Actions {
+		return wrap(altered{assign: func(act choice.Actions, id, worker string, until float64) {
+			if !shunned(worker) {
+				act.Assign(id, worker, until)
+			}
+		}})
+	}
+	shuns := shun(func(worker string) bool { return worker == "w9" })
 	for _, tc := range []struct {
 		promise string
 		alter   func(*Config)
@@ -157,6 +168,11 @@
 		}},
 		{"no warm next hop starves", func(c *Config) { c.Wrap = shuns }},
 		{"calls fit into what discovery can do", func(c *Config) { c.Wrap = wrap(altered{storms: true}) }},
+		{"no second brings more calls than there are dispatchers", func(c *Config) { c.Wrap = wrap(altered{storms: true}) }},
+		{"everybody knows the list at the end", func(c *Config) { c.Wrap = wrap(altered{deaf: true}) }},
+		{"nine of ten requests are served", func(c *Config) {
+			c.Wrap = shun(func(worker string) bool { return strings.HasSuffix(worker, "3") || strings.HasSuffix(worker, "6") })
+		}},
 		{"connections fit into the next hops' tables", func(c *Config) { c.ConnsMost, c.Wrap = 22, wrap(altered{keeps: true}) }},
 	} {
 		c := day("zone", 1)
