Count a worker as full for half as long as the last job waited there

Change: what a job waited also says for how long the worker is full, for jobs of every size: half of it, which is what stands there on average, 2 s at the most.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -226,6 +226,9 @@
 // waited enters how long a job waited at its worker, and has its shares follow.
 func (d *Dispatcher) waited(now float64, w *worker, wait float64) {
 	w.wait, w.waitAt = wait, now
+	if wait > retryPause { // what stands there on average is worked off by then
+		w.fullTill, w.fullSlots = now+min(wait, waitMemory)/2, 0
+	}
 	d.wait += (wait - d.wait) / (4 * memory)
 	for i := range d.classes {
 		d.reshare(now, i, w)
@@ -536,8 +539,9 @@
 			d.waited(now, w, max(2*o.Latency, d.queue(now, w)))
 		}
 		w.lifeAt = max(w.lifeAt, a.aliveAt(now))
-		w.fullTill = now + max(retryPause, fullPart*d.response(now, r.Class, w))
-		w.fullSlots = r.Slots
+		if till := now + max(retryPause, fullPart*d.response(now, r.Class, w)); till > w.fullTill {
+			w.fullTill, w.fullSlots = till, r.Slots
+		}
 	case Errored, Reset, NoConnect, Cut:
 		// Danger: one that fails fast empties its count of jobs in flight and would draw ever more.
 		w.lifeAt = now
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -189,6 +189,26 @@
 	}
 }
 
+// TestWorkerIsFullWhereAJobWaited: for half as long as the job waited, for jobs of every size; a short wait says nothing.
+func TestWorkerIsFullWhereAJobWaited(t *testing.T) {
+	for _, tc := range []struct {
+		wait, at float64
+		free     bool
+	}{{0.5, 0.2, false}, {0.5, 0.3, true}, {0.01, 0, true}, {60, 1, false}, {60, waitMemory, true}} {
+		s := plain(AtMostOnce)
+		s.TellsStart = true
+		s.Classes[0].Deadline = 100
+		d, _ := start(t, s, fleet("a"))
+		d.Request(2, Request{ID: "r", Deadline: 100, Tenant: -1, Slots: 2})
+		now := 2 + tc.wait
+		d.Note(now, Note{Request: "r", Started: true})
+		small := &request{Request: ask("s", now)}
+		if free := d.available(now+tc.at, small, d.byID["a"]); free != tc.free {
+			t.Errorf("%.1f s after a wait of %.2f s: free %v", tc.at, tc.wait, free)
+		}
+	}
+}
+
 func TestHintsKeepOneHeavyJobFromSmearing(t *testing.T) {
 	d, h := start(t, plain(Idempotent), fleet("a"))
 	for i := range 100 {
