--- a/internal/nexthop/nexthop_test.go
+++ b/internal/nexthop/nexthop_test.go
@@ -167,6 +167,17 @@
 	}
 }
 
+// TestConnectionThatNeverComesUp: a dial that runs out of time is told as no connection, and counted as refused.
+func TestConnectionThatNeverComesUp(t *testing.T) {
+	p := listen(t)
+	s, events := sender(Options{IdleClose: time.Minute, DialTimeout: time.Nanosecond})
+	s.Send(branch(1, p.addr()))
+	wantFault(t, events, 1, core.NoConnect)
+	if opened, refused := s.Connections(); opened != 0 || refused != 1 || s.pool.open != 0 {
+		t.Errorf("%d connections opened, %d refused, %d counted as open", opened, refused, s.pool.open)
+	}
+}
+
 // TestTakenThenGivenUp: after the 202 a giving up is a DELETE, on the same idle connection, and a further
 // branch of the request to that next hop waits for its answer.
 func TestTakenThenGivenUp(t *testing.T) {
