--- a/choice/choice.go
+++ b/choice/choice.go
@@ -145,7 +145,7 @@
 		k.carried = max(k.carried*carriedKeep, k.work.perS(now)/max(k.unitTime.perS(now), 1e-9))
 	}
 	for _, r := range d.reqs {
-		// Danger: a job that waits in a long queue tells so only as it starts, when the queue has grown for as long.
+		// Danger: a job in a long queue tells so only as it starts, when the queue has grown for as long.
 		c := &d.classes[r.Class]
 		if d.s.TellsStart && !r.judged && !r.over && now-r.arrived > c.Aim+(c.Stretch-1)*c.run {
 			r.judged = true
@@ -216,9 +216,9 @@
 	return runs + d.queue(now, w)
 }
 
-// queue is how long jobs are thought to wait at the worker: what the last one waited, less sure as time goes by.
-// Danger: one of many dispatchers meets a worker every few seconds. Averaged over a dozen answers of a class, a
-// queue would count for minutes after it has gone, and one that is there now would not show.
+// queue is how long jobs are thought to wait at the worker: what the last one waited, less sure with time.
+// Danger: one of many dispatchers meets a worker every few seconds. Averaged over a dozen answers of a
+// class, a queue would count for minutes after it has gone, and one that is there now would not show.
 func (d *Dispatcher) queue(now float64, w *worker) float64 {
 	return d.wait + (w.wait-d.wait)*math.Exp((w.waitAt-now)/waitMemory)
 }
