--- a/choice/choice.go
+++ b/choice/choice.go
@@ -146,10 +146,8 @@
 	}
 	for _, r := range d.reqs {
 		// Danger: a job in a long queue tells so only as it starts, when the queue has grown for as long.
-		c := &d.classes[r.Class]
-		if d.s.TellsStart && !r.judged && !r.over && now-r.arrived > c.Aim+(c.Stretch-1)*c.run {
-			r.judged = true
-			d.sawLate(true)
+		if d.s.TellsStart && !r.over {
+			d.judge(now, r, false)
 		}
 	}
 	for i := range d.classes {
@@ -549,6 +547,15 @@
 	}
 }
 
+// judge counts a request once: when it has waited for longer than its aim bears, or as it begins in time.
+func (d *Dispatcher) judge(now float64, r *request, begins bool) {
+	c := &d.classes[r.Class]
+	if late := now-r.arrived > c.Aim+(c.Stretch-1)*c.run; !r.judged && (late || begins) {
+		r.judged = true
+		d.sawLate(late)
+	}
+}
+
 // sawLate enters whether a job waited or took longer than its aim bears.
 func (d *Dispatcher) sawLate(late bool) {
 	d.late -= d.late / lateMemory
@@ -584,10 +591,7 @@
 		if d.s.TellsStart {
 			d.waited(now, a.w, now-a.sent)
 		}
-		if !r.judged {
-			r.judged = true
-			d.sawLate(now-r.arrived > c.Aim+(c.Stretch-1)*c.run)
-		}
+		d.judge(now, r, true)
 		if a.no > 0 && now-a.sent < c.Aim*moveAfter {
 			d.found += (1 - d.found) / lateMemory
 		}
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -104,8 +104,8 @@
 		return Snapshot{}, fmt.Errorf("choice: random numbers: %w", err)
 	}
 	s := Snapshot{RNG: rng, Scalars: Scalars{Token: d.token, RefreshAt: d.refreshAt, RefreshedAt: d.refreshedAt,
-		Probes: d.probes, Retries: d.retries, Late: d.late, PaidMoves: d.paidMoves, Found: d.found, Dear: d.dear, NoRoom: d.noRoom, Wait: d.wait,
-		Took: d.took, ListPause: d.listPause, NextProbe: d.nextProbe, Subscribed: d.subscribed, Asked: d.asked}}
+		Probes: d.probes, Retries: d.retries, Late: d.late, PaidMoves: d.paidMoves, Found: d.found, Dear: d.dear,
+		NoRoom: d.noRoom, Wait: d.wait, Took: d.took, ListPause: d.listPause, NextProbe: d.nextProbe, Subscribed: d.subscribed, Asked: d.asked}}
 	for i := range d.classes {
 		c := &d.classes[i]
 		s.Classes = append(s.Classes, ClassState{Name: c.Name, Sum: c.sum, Most: c.most, Hint: c.hint, Hints: c.hints,
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -31,12 +31,12 @@
 	hops    *nexthop.Sender
 	routes  *routeset.Client
 	body    *upgrade.Body
-	giver   *upgrade.Giver // nil where upgrades are off
-	lines   chan string    // of the reducer's log
-	tallies chan core.Figures
-	door    *ops.Door   // nil where there is none
-	behind  ops.Node    // what is put behind it
-	ending  atomic.Bool // SIGTERM has come
+	giver   *upgrade.Giver    // nil where upgrades are off
+	lines   chan string       // of the reducer's log
+	tallies chan core.Figures // asked for by logFigures, which waits for one at a time
+	door    *ops.Door         // nil where there is none
+	behind  ops.Node          // what is put behind it
+	ending  atomic.Bool       // SIGTERM has come
 
 	now atomic.Pointer[core.Limits] // those in force
 
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -1,6 +1,10 @@
 package core
 
-import "fmt"
+import (
+	"fmt"
+
+	"foldlb.example/foldlb/choice"
+)
 
 // Tally counts what the reducer did since its process began. A successor begins at 0.
 type Tally struct {
@@ -44,7 +48,11 @@
 		return
 	}
 	r.doubted = false
-	r.hear(set)
+	form := choice.ListChanges
+	if set.Full {
+		form = choice.ListAll
+	}
+	r.applyRouteSet(set, form)
 }
 
 // doubt names what is odd about a source's news; empty for nothing.
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -388,15 +388,6 @@
 var hopStates = map[HopState]choice.State{HopActive: choice.InService, HopLeaving: choice.Terminating,
 	HopLeft: choice.Terminated}
 
-// hear applies what the source told.
-func (r *Reducer) hear(set RouteSet) {
-	form := choice.ListChanges
-	if set.Full {
-		form = choice.ListAll
-	}
-	r.applyRouteSet(set, form)
-}
-
 // applyRouteSet takes discovery's news before any later branch is sent.
 func (r *Reducer) applyRouteSet(set RouteSet, form choice.ListForm) {
 	r.version = set.Version
--- a/internal/fleet/dispatcher.go
+++ b/internal/fleet/dispatcher.go
@@ -68,7 +68,7 @@
 	d.alive, d.subscribed, d.diedAt = false, false, d.w.now
 	d.life++
 	for _, q := range d.open() {
-		q.final(d) // nobody is owed an answer any more
+		q.final() // nobody is owed an answer any more
 		for _, a := range q.attempts {
 			a.x.end(a, choice.Cancelled)
 		}
@@ -122,7 +122,7 @@
 	d := a.q.d
 	d.later(wayThere, func() {
 		if code == choice.Done && !a.q.over {
-			a.q.final(d)
+			a.q.final()
 			d.w.count.Served++
 		}
 		d.dec.Outcome(d.w.now, choice.Outcome{Request: a.q.id, Attempt: a.no, Worker: a.x.id, Code: code, Final: a.q.over,
@@ -131,14 +131,14 @@
 }
 
 // final enters a request's one answer.
-func (q *request) final(d *dispatcher) {
+func (q *request) final() {
 	if q.over {
-		d.w.count.Twice++
+		q.d.w.count.Twice++
 		return
 	}
 	q.over = true
-	d.w.count.finals++
-	d.w.note(q.id, len(q.attempts))
+	q.d.w.count.finals++
+	q.d.w.note(q.id, len(q.attempts))
 }
 
 // expire is a caller's deadline: what is out times out, and where nothing is said the request fails.
@@ -153,7 +153,7 @@
 		}
 	}
 	if !q.over {
-		q.final(d)
+		q.final()
 		d.dec.Withdrawn(d.w.now, q.id)
 	}
 }
@@ -189,10 +189,10 @@
 }
 
 // Refuse ends a request with a busy answer.
-func (d *dispatcher) Refuse(id string, _ float64) { d.requests[id].final(d) }
+func (d *dispatcher) Refuse(id string, _ float64) { d.requests[id].final() }
 
 // Fail ends a request with no promise.
-func (d *dispatcher) Fail(id string) { d.requests[id].final(d) }
+func (d *dispatcher) Fail(id string) { d.requests[id].final() }
 
 // Cancel calls an attempt off. The module must not be called from here, which outcome sees to.
 func (d *dispatcher) Cancel(id string, no int) {
@@ -217,17 +217,17 @@
 		d.later(listTimeout, func() { d.dec.List(w.now, choice.ListRefused, nil) })
 		return
 	}
-	news := w.listed[min(d.version, len(w.listed)):]
-	w.freeAt = max(w.freeAt, w.now) + callTime + float64(len(news))*lineTime
+	w.freeAt = max(w.freeAt, w.now) + callTime + float64(len(w.listed)-d.version)*lineTime
 	d.later(w.freeAt-w.now, func() {
 		d.subscribed = on
-		d.take(w.listed[min(d.version, len(w.listed)):])
+		d.take()
 	})
 }
 
-// take passes changes on to the module.
-func (d *dispatcher) take(news []choice.Worker) {
-	d.version += len(news)
+// take passes on to the module what has changed since it was told last.
+func (d *dispatcher) take() {
+	news := d.w.listed[d.version:]
+	d.version = len(d.w.listed)
 	var list []choice.Worker
 	for i, e := range news {
 		d.known[e.ID] = e
@@ -245,7 +245,7 @@
 		w.listed = append(w.listed, e)
 		for _, d := range w.dispatchers {
 			if d.subscribed {
-				d.later(w.rng.Float64()*0.1, func() { d.take(w.listed[min(d.version, len(w.listed)):]) })
+				d.later(w.rng.Float64()*0.1, d.take)
 			}
 		}
 	})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -248,8 +248,6 @@
 func (w *world) finish() {
 	sums, n := map[string]float64{}, map[string]float64{}
 	for _, x := range w.workers {
-		w.count.ConnsMost = max(w.count.ConnsMost, x.connsMost)
-		w.count.Cold = max(w.count.Cold, x.coldMost)
 		if x.startedAt == 0 && !x.down {
 			sums[x.kind+x.zone] += x.done
 			n[x.kind+x.zone]++
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -15,9 +15,8 @@
 	down             bool
 	running, queued  []*attempt
 	conns            map[*dispatcher]*held
-	open, connsMost  int
-	sent             []sent // by those that know of its start, while it is cold
-	coldMost         float64
+	open             int
+	sent             []sent  // by those that know of its start, while it is cold
 	done             float64 // seconds of work
 }
 
@@ -87,7 +86,7 @@
 		return true, false
 	}
 	x.open++
-	x.connsMost = max(x.connsMost, x.open)
+	x.w.count.ConnsMost = max(x.w.count.ConnsMost, x.open)
 	h.busy++
 	return true, true
 }
@@ -158,7 +157,7 @@
 	for _, e := range x.sent {
 		sum += e.work
 	}
-	x.coldMost = max(x.coldMost, sum/(s.OverloadFactor*s.TipAfter*x.capacity()*slots))
+	x.w.count.Cold = max(x.w.count.Cold, sum/(s.OverloadFactor*s.TipAfter*x.capacity()*slots))
 }
 
 // next starts what its slots allow.
