Doubt a new source's first odd list, whatever the old one was asked again for

Cause, found on reading: a reload that names another discovery left the mark of a list asked for anew, so the new source's first empty list would have been believed at once. The mark belongs to a source and ends with it. Tested; the test fails without the line.

--- a/internal/core/figures_test.go
+++ b/internal/core/figures_test.go
@@ -50,6 +50,21 @@
 	}
 }
 
+// TestNewSourceIsDoubtedForItself: what the old source was asked again for says nothing of a new one.
+func TestNewSourceIsDoubtedForItself(t *testing.T) {
+	r, err := New(1, settings(choice.Idempotent), RouteSet{Version: 41, Hops: hops("a")}, "d:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	empty := RouteSet{Version: 42, Full: true}
+	r.Step(2, RouteSetTold{Source: r.source, RouteSet: empty})
+	r.Step(2.1, Reloaded{Discovery: "d:2"})
+	r.Step(2.2, RouteSetTold{Source: r.source, RouteSet: empty})
+	if r.hops["a"].ID != "a" {
+		t.Error("the first empty list of a new source is believed")
+	}
+}
+
 // TestFiguresCountWhatWasDone: a request served, one refused at once, one refused after a try, one that fails.
 func TestFiguresCountWhatWasDone(t *testing.T) {
 	figures := func(r *Reducer) Figures {
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -427,7 +427,7 @@
 		return
 	}
 	r.source = Source{Addr: ev.Discovery, No: r.source.No + 1}
-	r.version, r.watching = VersionUnknown, true
+	r.version, r.watching, r.doubted = VersionUnknown, true, false
 	r.emit(Watch{On: true, Source: r.source, Since: r.version})
 }
 
