--- /dev/null
+++ b/internal/membership/state.go
@@ -0,0 +1,119 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Member is a member as staff see it.
+type Member struct {
+	Record
+	Since     float64 // of its state and verdict
+	Reached   bool    // at the last look
+	Self      bool
+	Suspected bool // this member had to try other ways to reach it
+	Disagrees bool // the last digest that it told is not this view's
+	Conflict  bool // its name is in two places
+}
+
+// Picture is a view as of one moment, for those outside the reducer. Nothing in it is written to.
+type Picture struct {
+	Now     float64
+	Self    Key
+	Process uint64
+	Members []Member // by key
+	Digest  uint64
+	Changed float64 // when a member, state or verdict last changed
+	Acting  int
+	Reached int
+	Zones   map[string]int // members that are live, by zone
+	Dropped uint64
+	History []Change
+	Told    []Record
+}
+
+// Picture makes a picture of the view.
+func (v *View) Picture() Picture {
+	p := Picture{Now: v.now, Self: v.self, Process: v.Self().Process, Digest: v.digest, Changed: v.changed, Acting: v.Acting(),
+		Reached: v.Reached(), Zones: map[string]int{}, Dropped: v.dropped, History: slices.Clone(v.history), Told: v.Told()}
+	live := map[string]int{}
+	for _, k := range v.keys() {
+		e := v.table[k]
+		p.Members = append(p.Members, Member{Record: e.Record, Since: e.since, Reached: e.reached, Self: k == v.self,
+			Suspected: e.doubted && e.reached, Disagrees: k != v.self && e.reached && e.heardAt > 0 && e.heard != v.digest})
+		if e.Live() {
+			live[k.Name]++
+			p.Zones[e.Zone]++
+		}
+	}
+	for i, m := range p.Members {
+		p.Members[i].Conflict = m.Live() && live[m.Name] > 1
+	}
+	return p
+}
+
+// EntryState is a member in a view's state.
+type EntryState struct {
+	Record  Record  `cbor:"1,keyasint"`
+	Since   float64 `cbor:"2,keyasint"`
+	Unseen  float64 `cbor:"3,keyasint,omitempty"`
+	Reached bool    `cbor:"4,keyasint,omitempty"`
+	Heard   uint64  `cbor:"5,keyasint,omitempty"`
+	HeardAt float64 `cbor:"6,keyasint,omitempty"`
+}
+
+// ViewState is all that a view remembers, for a successor.
+type ViewState struct {
+	Self    Key          `cbor:"1,keyasint"`
+	Entries []EntryState `cbor:"2,keyasint"` // by key
+	Now     float64      `cbor:"3,keyasint"`
+	Looked  float64      `cbor:"4,keyasint"`
+	Begun   float64      `cbor:"5,keyasint"`
+	Awake   float64      `cbor:"6,keyasint"`
+	Changed float64      `cbor:"7,keyasint"`
+	History []Change     `cbor:"8,keyasint"`
+	Dropped uint64       `cbor:"9,keyasint"`
+	News    []Key        `cbor:"10,keyasint"`
+}
+
+// Export returns all that the view remembers. What Fresh and News would return is kept by both.
+func (v *View) Export() ViewState {
+	s := ViewState{Self: v.self, Now: v.now, Looked: v.looked, Begun: v.begun, Awake: v.awake, Changed: v.changed,
+		History: slices.Clone(v.history), Dropped: v.dropped}
+	for _, k := range v.keys() {
+		e := v.table[k]
+		s.Entries = append(s.Entries, EntryState{Record: e.Record, Since: e.since, Unseen: e.unseen, Reached: e.reached, Heard: e.heard,
+			HeardAt: e.heardAt})
+		if v.news[k] {
+			s.News = append(s.News, k)
+		}
+	}
+	return s
+}
+
+// Import makes a view that goes on where the exported one stood. Its errors wrap ErrRecord.
+func Import(s ViewState) (*View, error) {
+	if len(s.Entries) > MostMembers || len(s.History) > mostHistory {
+		return nil, fmt.Errorf("%w: %d members and %d changes, %d and %d at most", ErrRecord, len(s.Entries), len(s.History), MostMembers, mostHistory)
+	}
+	v := empty(s.Self)
+	v.now, v.looked, v.begun, v.awake, v.changed, v.dropped = s.Now, s.Looked, s.Begun, s.Awake, s.Changed, s.Dropped
+	v.history = slices.Clone(s.History)
+	for i, x := range s.Entries {
+		if err := x.Record.Check(); err != nil {
+			return nil, fmt.Errorf("member %d: %w", i, err)
+		}
+		if v.table[x.Record.Key] != nil {
+			return nil, fmt.Errorf("%w: member %d (%v) is there twice", ErrRecord, i, x.Record.Key)
+		}
+		v.table[x.Record.Key] = &entry{Record: x.Record, since: x.Since, unseen: x.Unseen, reached: x.Reached, heard: x.Heard, heardAt: x.HeardAt}
+	}
+	if v.table[v.self] == nil {
+		return nil, fmt.Errorf("%w: this process is no member of its own view", ErrRecord)
+	}
+	for _, k := range s.News {
+		v.news[k] = true
+	}
+	v.digest = v.sum()
+	return v, nil
+}
