--- a/choice/choice.go
+++ b/choice/choice.go
@@ -118,6 +118,18 @@
 	d.refresh(now)
 }
 
+// Fleet takes how many dispatchers may be acting from now on. Danger: those that join take over a part of what this one
+// carries, and its memory of that fades slowly: all together would overdrive a cold worker for that long. Where some
+// have gone, what is carried rises by itself.
+func (d *Dispatcher) Fleet(dispatchers int) {
+	if part := float64(d.s.Dispatchers) / float64(dispatchers); part < 1 {
+		for _, k := range d.kindList {
+			k.carried, k.work.sum = k.carried*part, k.work.sum*part
+		}
+	}
+	d.s.Dispatchers = max(1, dispatchers)
+}
+
 // warmth is the part of its capacity that a worker has at the least.
 func (d *Dispatcher) warmth(now float64, w *worker) float64 {
 	if w.Started == 0 || d.s.WarmWithin <= 0 || now >= w.Started+d.s.WarmWithin {
--- a/cmd/foldlab/main.go
+++ b/cmd/foldlab/main.go
@@ -98,7 +98,11 @@
 	if !c.Bool("quiet") {
 		o.Tick = func(elapsed time.Duration, l *lab.Ledger) { fmt.Printf("%4.0f s  %s\n", elapsed.Seconds(), l.Count()) }
 	}
-	r, err := lab.Run(ctx, name, s, o)
+	play := lab.Run
+	if s.Dispatchers > 0 {
+		play = lab.RunFleet
+	}
+	r, err := play(ctx, name, s, o)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/foldlb/fleet.go
@@ -0,0 +1,337 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"foldlb.example/foldlb/internal/config"
+	"foldlb.example/foldlb/internal/control"
+	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/gossip"
+	"foldlb.example/foldlb/internal/hold"
+	"foldlb.example/foldlb/internal/membership"
+	"foldlb.example/foldlb/internal/operator"
+	"foldlb.example/foldlb/internal/snapshot"
+)
+
+const (
+	rebindAfter   = 2 * time.Second // after an address that could not be listened at
+	ownOrders     = core.OrderID(1) << 63
+	orderWait     = 5 * time.Second
+	fleetLineMost = 250 * time.Millisecond // between two lines of `foldlb fleet --watch`
+)
+
+// member is this dispatcher's part in its fleet. Without a fleet there is none.
+type member struct {
+	n    *node
+	cfg  gossip.Config
+	held *gossip.Sockets // that a predecessor handed over; nil for none
+	was  uint64          // its process's number
+
+	gossip atomic.Pointer[gossip.Node]
+
+	mu     sync.Mutex
+	orders map[core.OrderID]chan core.OrderFault
+	last   core.OrderID
+}
+
+// join makes the node a member, where the operator file names a fleet. Nothing runs yet.
+func (s setup) join(n *node) error {
+	f := s.operator.Fleet
+	if f == nil {
+		return nil
+	}
+	if s.cfg.Name == "" {
+		return errors.New("fleet: a member needs a name: set name, or NODE_NAME")
+	}
+	n.member = &member{n: n, cfg: fleetConfig(s.cfg.Name, f), orders: map[core.OrderID]chan core.OrderFault{}}
+	return nil
+}
+
+func fleetConfig(name string, f *operator.Fleet) gossip.Config {
+	return gossip.Config{Fleet: f.Name, Name: name, Listen: f.Listen, Advertise: f.Advertise, Seeds: f.Seeds, Allow: f.Allow, Probe: f.Probe}
+}
+
+// takePart begins this process's part in the fleet, or ends its predecessor's.
+func (n *node) takePart(ctx context.Context) {
+	if n.member != nil {
+		go n.member.run(ctx)
+	} else if _, was := n.body.Reducer.Fleet(); was {
+		n.loop.Precede([]core.Event{core.FleetEnded{}})
+	}
+}
+
+// run takes part until the context ends. Danger: callers must be served whatever becomes of the fleet, so an address that is
+// taken is tried again and keeps nothing else from working.
+func (m *member) run(ctx context.Context) {
+	sockets, process, taken := m.held, m.was, m.held != nil
+	for told := false; sockets == nil; {
+		var err error
+		if sockets, err = gossip.Listen(m.cfg.Listen); err == nil {
+			process = gossip.NewProcess()
+			break
+		}
+		if !told {
+			m.n.log.WithError(err).Error("no member of the fleet until its address is free")
+			told = true
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(rebindAfter):
+		}
+	}
+	g := gossip.New(m.cfg, sockets, process, taken, m.n.loop.Post, m.n.log)
+	m.gossip.Store(g)
+	m.n.loop.Post(core.FleetBegun{Self: membership.Record{Key: g.Key(), Incarnation: uint64(time.Now().UnixMilli()), Process: process,
+		Zone: m.n.cfg.Settings.Zone, Generation: m.n.body.Generation, Program: program(), Config: configured(m.n.cfg)}})
+	if err := g.Run(ctx); err != nil {
+		m.n.log.WithError(err).Error("no member of the fleet")
+	}
+}
+
+// program is the build that runs.
+var program = sync.OnceValue(func() membership.Version {
+	h := fnv.New64a()
+	if info, ok := debug.ReadBuildInfo(); ok {
+		h.Write([]byte(info.String()))
+	}
+	return membership.Version{Digest: h.Sum64(), Source: version}
+})
+
+// configured is what the configuration says that dispatchers of one fleet share.
+func configured(cfg config.Config) membership.Version {
+	s := cfg.Settings
+	s.Self, s.Zone, s.Seed = 0, "", 0
+	h := fnv.New64a()
+	if text, err := snapshot.Marshal(s); err == nil {
+		h.Write(text)
+	}
+	return membership.Version{Digest: h.Sum64()}
+}
+
+// perform carries out the fleet's effects.
+func (m *member) perform(e core.Effect) {
+	if m == nil {
+		return
+	}
+	if g := m.gossip.Load(); g != nil {
+		g.Perform(e)
+	}
+}
+
+// leave tells the others that this process ends.
+func (m *member) leave() {
+	if m == nil {
+		return
+	}
+	if g := m.gossip.Load(); g != nil {
+		g.Leave()
+	}
+}
+
+func (m *member) configure(name string, f *operator.Fleet) {
+	if (m == nil) != (f == nil) {
+		return // said by configure: only a restart or an upgrade begins or ends it
+	}
+	if m == nil {
+		return
+	}
+	if g := m.gossip.Load(); g != nil && g.Configure(fleetConfig(name, f)) {
+		m.n.log.Warn("changed keys of the fleet block that only a restart applies: all but seeds and allow")
+	}
+}
+
+func (n *node) exportFleet(files *hold.Files) (gossip.State, error) {
+	if n.member == nil {
+		return gossip.State{Packet: -1, Stream: -1}, nil
+	}
+	return n.member.gossip.Load().Export(files)
+}
+
+func (n *node) importFleet(st gossip.State, files *hold.Received) error {
+	if n.member == nil || st.Packet < 0 || st.Listen != n.member.cfg.Listen.String() {
+		return nil
+	}
+	sockets, err := gossip.Take(st, files)
+	if err != nil {
+		return err
+	}
+	n.member.held, n.member.was = sockets, st.Process
+	return nil
+}
+
+// ordered hands the answer to an order to whoever gave it over the control socket.
+func (m *member) ordered(o core.Ordered) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if done := m.orders[o.Order]; done != nil {
+		done <- o.Fault
+	}
+}
+
+// remove has the fleet forget a member that is gone for good.
+func (m *member) remove(name string) error {
+	done := make(chan core.OrderFault, 1)
+	m.mu.Lock()
+	m.last++
+	id := ownOrders | m.last
+	m.orders[id] = done
+	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		delete(m.orders, id)
+		m.mu.Unlock()
+	}()
+	go m.n.loop.Post(core.RemoveOrdered{Order: id, Name: name})
+	select {
+	case fault := <-done:
+		if fault != "" {
+			return fmt.Errorf("%s: %s", name, fault)
+		}
+		return nil
+	case <-time.After(orderWait):
+		return errors.New("not in force yet; it will be")
+	}
+}
+
+// fleetView is what `foldlb fleet` is told.
+type fleetView struct {
+	Self    string         `json:"self"`
+	Fleet   string         `json:"fleet"`
+	Digest  string         `json:"digest"`
+	Settled float64        `json:"settled_s"` // since a member, state or verdict last changed
+	Acting  int            `json:"acting"`    // at the most
+	Reached int            `json:"reached"`
+	Zones   map[string]int `json:"zones"`
+	Members []fleetMember  `json:"members"`
+	Counts  gossip.Counts  `json:"counts"`
+	Dropped uint64         `json:"dropped"`
+	History []fleetChange  `json:"history,omitempty"`
+}
+
+type fleetMember struct {
+	Name        string             `json:"name"`
+	Addr        string             `json:"addr"`
+	Zone        string             `json:"zone"`
+	State       string             `json:"state"`
+	Why         string             `json:"why,omitempty"`
+	Since       float64            `json:"since_s"`
+	Reached     bool               `json:"reached"`
+	Self        bool               `json:"self"`
+	Conflict    bool               `json:"conflict"`
+	Loser       bool               `json:"loser"`
+	Disagrees   bool               `json:"disagrees"`
+	Incarnation uint64             `json:"incarnation"`
+	Process     string             `json:"process"`
+	Seq         uint64             `json:"seq"`
+	Generation  int                `json:"generation"`
+	Program     membership.Version `json:"program"`
+	Config      membership.Version `json:"config"`
+	Routes      membership.Version `json:"routes"`
+}
+
+type fleetChange struct {
+	Ago  float64 `json:"ago_s"`
+	Name string  `json:"name"`
+	Addr string  `json:"addr"`
+	What string  `json:"what"`
+	Why  string  `json:"why,omitempty"`
+}
+
+var errNoFleet = errors.New("this dispatcher is in no fleet: its operator file has no fleet block, or its address is taken")
+
+// view words the view as of now.
+func (m *member) view(history bool) (fleetView, error) {
+	if m == nil {
+		return fleetView{}, errNoFleet
+	}
+	g := m.gossip.Load()
+	if g == nil || g.Picture() == nil {
+		return fleetView{}, errNoFleet
+	}
+	p, now := g.Picture(), m.n.body.Clock.Now()
+	v := fleetView{Self: p.Self.Name, Fleet: m.cfg.Fleet, Digest: fmt.Sprintf("%016x", p.Digest), Settled: now - p.Changed,
+		Acting: p.Acting, Reached: p.Reached, Zones: p.Zones, Counts: g.Counts(), Dropped: p.Dropped}
+	for _, x := range p.Members {
+		v.Members = append(v.Members, fleetMember{Name: x.Name, Addr: x.Addr, Zone: x.Zone, State: stateOf(x), Why: x.Why, Since: now - x.Since,
+			Reached: x.Reached, Self: x.Self, Conflict: x.Conflict, Loser: x.Loser, Disagrees: x.Disagrees, Incarnation: x.Incarnation,
+			Process: fmt.Sprintf("%x", x.Process), Seq: x.Seq, Generation: x.Generation, Program: x.Program, Config: x.Config, Routes: x.Routes})
+	}
+	if history {
+		for _, c := range p.History {
+			v.History = append(v.History, fleetChange{Ago: now - c.At, Name: c.Key.Name, Addr: c.Key.Addr, What: c.What, Why: c.Why})
+		}
+	}
+	return v, nil
+}
+
+// stateOf words what is held of a member: what it says of itself, unless the others know better.
+func stateOf(m membership.Member) string {
+	switch {
+	case m.State == membership.Left:
+	case m.Verdict != membership.Fine:
+		return m.Verdict.String()
+	case m.Suspected:
+		return "suspected"
+	}
+	return m.State.String()
+}
+
+// handlers are the fleet's questions at the control socket.
+func (m *member) handlers() map[string]control.Handler {
+	return map[string]control.Handler{
+		"fleet": func(args json.RawMessage, say func(any) error) error {
+			var a struct {
+				Watch   bool `json:"watch"`
+				History bool `json:"history"`
+			}
+			if len(args) > 0 {
+				if err := json.Unmarshal(args, &a); err != nil {
+					return err
+				}
+			}
+			for last := ""; ; {
+				v, err := m.view(a.History)
+				if err != nil {
+					return err
+				}
+				if v.Digest != last || !a.Watch {
+					last = v.Digest
+					if err := say(v); err != nil {
+						return nil // nobody hears it any more
+					}
+				}
+				if !a.Watch {
+					return nil
+				}
+				time.Sleep(fleetLineMost)
+			}
+		},
+		"fleet-remove": func(args json.RawMessage, say func(any) error) error {
+			var a struct {
+				Name string `json:"name"`
+			}
+			if err := json.Unmarshal(args, &a); err != nil {
+				return err
+			}
+			if m == nil {
+				return errNoFleet
+			}
+			if err := m.remove(a.Name); err != nil {
+				return err
+			}
+			return say(map[string]string{"removed": a.Name})
+		},
+	}
+}
--- a/cmd/foldlb/main.go
+++ b/cmd/foldlb/main.go
@@ -41,6 +41,7 @@
 			},
 			upgradeCommand(),
 			statusCommand(),
+			fleetCommand(),
 			{
 				Name:  "version",
 				Usage: "print the version",
@@ -70,6 +71,9 @@
 			return err
 		}
 		fmt.Printf("%s: control socket %q, log as %s\n", path, op.Control.Socket, op.Log.Format)
+		if f := op.Fleet; f != nil {
+			fmt.Printf("%s: member of fleet %s at %v, %d seeds\n", path, f.Name, f.Listen, len(f.Seeds))
+		}
 		if os.Getenv("NODE_CONFIG") == "" {
 			return nil
 		}
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -15,6 +15,7 @@
 	"foldlb.example/foldlb/internal/config"
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/hold"
+	"foldlb.example/foldlb/internal/membership"
 	"foldlb.example/foldlb/internal/nexthop"
 	"foldlb.example/foldlb/internal/ops"
 	"foldlb.example/foldlb/internal/routeset"
@@ -37,6 +38,7 @@
 	door    *ops.Door         // nil where there is none
 	behind  ops.Node          // what is put behind it
 	ending  atomic.Bool       // SIGTERM has come
+	member  *member           // of a fleet; nil where there is none
 
 	now atomic.Pointer[core.Limits] // those in force
 
@@ -64,6 +66,7 @@
 			upgrade.NewPart("next hops", n.hops.Export, n.hops.Import),
 			upgrade.NewPart("routes", n.routes.Export, n.routes.Import),
 			upgrade.NewPart("door", n.exportDoor, n.importDoor),
+			upgrade.NewPart("fleet", n.exportFleet, n.importFleet).OrNone(),
 		}}
 	return n
 }
@@ -91,9 +94,13 @@
 	case core.SendAway:
 		n.legs.SendAway(e.On)
 	case core.Ordered:
-		if n.door != nil {
+		if e.Order&ownOrders != 0 {
+			n.member.ordered(e)
+		} else if n.door != nil {
 			n.door.Ordered(e)
 		}
+	case core.FleetNews, core.FleetPictured:
+		n.member.perform(e)
 	case core.SetLimits:
 		setMachine(e.Limits)
 		n.now.Store(&e.Limits)
@@ -151,6 +158,7 @@
 	if n.body.Reducer.Draining() {
 		n.legs.SendAway(true)
 	}
+	n.takePart(background)
 	go n.loop.Run(background)
 	go n.logFigures(background, figuresEvery)
 	if n.door != nil {
@@ -174,10 +182,12 @@
 	}
 	n.log.Info("draining")
 	n.ending.Store(true)
+	n.loop.Post(core.FleetEntered{State: membership.Stopping})
 	n.legs.Drain(stopAfter(n.cfg.Settings), func() { n.loop.Post(core.Stopping{}) })
 	if err := held.Close(); err != nil {
 		return fmt.Errorf("close listener: %w", err)
 	}
+	n.member.leave()
 	n.log.Info("all answered")
 	return <-served
 }
--- a/cmd/foldlb/operate.go
+++ b/cmd/foldlb/operate.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
@@ -34,6 +35,9 @@
 // to be done at the end.
 func (s setup) operate(n *node, taken *upgrade.Taken) (end func(), err error) {
 	if s.operator.Control.Socket == "" {
+		if n.member != nil {
+			n.configure = func() { s.configure(n) }
+		}
 		return func() {}, nil
 	}
 	var ln *net.UnixListener
@@ -47,7 +51,7 @@
 	}
 	binary, since := executable(), time.Now()
 	n.giver = upgrade.NewGiver(n.body, limits(s.operator.Upgrade), s.operator.Upgrade.Strict, s.successor(binary), nil, n.log)
-	server := control.NewServer(ln, map[string]control.Handler{
+	handlers := map[string]control.Handler{
 		"status": func(_ json.RawMessage, say func(any) error) error {
 			return say(status{Name: n.cfg.Name, PID: os.Getpid(), Generation: n.body.Generation, Version: version, Binary: binary,
 				Since: since, Started: n.body.Started, Listen: n.cfg.Listen, PutOff: n.giver.PutOff(), Upgrade: n.giver.Last()})
@@ -57,7 +61,9 @@
 			n.giver.Upgrade(func(p upgrade.Progress) { say(p) })
 			return nil
 		},
-	}, n.log)
+	}
+	maps.Copy(handlers, n.member.handlers())
+	server := control.NewServer(ln, handlers, n.log)
 	n.giver.Leave = func(pid int) {
 		n.leaveDoor()
 		server.Leave()
@@ -87,6 +93,13 @@
 	if next.Control != s.operator.Control || next.Log != s.operator.Log || next.Upgrade.KeepPID != s.operator.Upgrade.KeepPID {
 		n.log.WithField("file", s.options.operator).Warn("changed blocks that only a restart or an upgrade applies: control, log, keep_pid")
 	}
+	if (next.Fleet == nil) != (n.member == nil) {
+		n.log.WithField("file", s.options.operator).Warn("a fleet block that is new or gone, which only a restart or an upgrade applies")
+	}
+	n.member.configure(n.cfg.Name, next.Fleet)
+	if n.giver == nil {
+		return
+	}
 	n.giver.Configure(limits(next.Upgrade), next.Upgrade.Strict)
 }
 
--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -144,6 +144,9 @@
 	}
 	n := build(s.cfg, reducer, gate, clock, log)
 	n.open(door)
+	if err := s.join(n); err != nil {
+		return err
+	}
 	end, err := s.operate(n, nil)
 	if err != nil {
 		return err
@@ -197,6 +200,10 @@
 	}
 	n := build(s.cfg, taken.Reducer, gate, taken.Clock, s.log.WithField("generation", taken.Parcel.Generation))
 	n.open(door)
+	if err := s.join(n); err != nil {
+		tcp.Close()
+		return nil, err
+	}
 	end, err := s.operate(n, taken)
 	if err == nil {
 		err = n.take(taken)
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -27,3 +27,14 @@
 log {
   format = "text" # or "json"
 }
+
+# What makes the dispatcher a member of its fleet: the members keep a view of which of them run, and `foldlb fleet` shows it.
+# Without the block there is no listener and no talk. docs/operators/fleet.md is the page for it.
+# fleet {
+#   name   = "valle"         # needed; members of another name are not heard
+#   listen = "10.0.0.4:7946" # needed; datagrams and connections of other members. Never on the open network
+#   # advertise = "10.0.0.4:7946" # where the others find it. Default: listen
+#   seeds  = ["10.0.0.5:7946", "10.0.0.6:7946"] # some members to ask; read again on SIGHUP
+#   # allow = ["10.0.0.0/24"]  # whom to hear. Default: loopback and private addresses; read again on SIGHUP
+#   probe_every = "500ms"    # between two questions to a member; with it the times in which failures are known change
+# }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -40,6 +40,11 @@
 	Error string `json:"error"`
 }
 
+// Refused is the error of a question that was heard and could not be answered, in the words of whoever was asked.
+type Refused string
+
+func (r Refused) Error() string { return string(r) }
+
 // Handler answers a question by any number of values, each of which becomes a line. An error becomes the last one.
 type Handler func(args json.RawMessage, say func(v any) error) error
 
@@ -206,7 +211,7 @@
 		lines++
 		var f Fault
 		if codec.Unmarshal(in.Bytes(), &f) == nil && f.Error != "" {
-			return lines, errors.New(f.Error)
+			return lines, Refused(f.Error)
 		}
 		if err := hear(in.Bytes()); err != nil {
 			return lines, err
--- /dev/null
+++ b/internal/core/fleet.go
@@ -0,0 +1,170 @@
+package core
+
+import (
+	"hash/fnv"
+
+	"foldlb.example/foldlb/internal/membership"
+)
+
+// FleetBegun begins a view of the fleet with this process's own record. Where there is a view already, as after a hand-over,
+// only what the process acts on is taken from it.
+type FleetBegun struct{ Self membership.Record }
+
+// FleetTold brings what other members tell.
+type FleetTold struct{ Records []membership.Record }
+
+// FleetLooked brings whom the transport reaches. It comes twice a second.
+type FleetLooked struct{ Sight membership.Sight }
+
+// FleetRefused says that a member's machine told that nobody listens there.
+type FleetRefused struct{ Process uint64 }
+
+// FleetEntered says that this process is stopping, or has left.
+type FleetEntered struct{ State membership.State }
+
+// FleetEnded says that this dispatcher is a member no longer: its operator file has no fleet any more.
+type FleetEnded struct{}
+
+// RemoveOrdered takes a member that is gone for good out of the fleet.
+type RemoveOrdered struct {
+	Order OrderID
+	Name  string
+}
+
+func (FleetBegun) event()    {}
+func (FleetTold) event()     {}
+func (FleetLooked) event()   {}
+func (FleetRefused) event()  {}
+func (FleetEntered) event()  {}
+func (FleetEnded) event()    {}
+func (RemoveOrdered) event() {}
+
+// NoFleet is the fault of an order that needs a view of the fleet.
+const NoFleet OrderFault = "this dispatcher keeps no view of a fleet"
+
+// FleetNews is to be told to other members.
+type FleetNews struct{ Records []membership.Record }
+
+// FleetPictured is the view as of now, for those outside, with what has changed since the last.
+type FleetPictured struct {
+	Picture membership.Picture
+	Fresh   []membership.Change
+}
+
+func (FleetNews) effect()     {}
+func (FleetPictured) effect() {}
+
+// fleetOf applies an event of the fleet.
+func (r *Reducer) fleetOf(ev Event) {
+	if begun, is := ev.(FleetBegun); is {
+		r.fleetBegun(begun.Self)
+		return
+	}
+	if r.fleet == nil {
+		if o, is := ev.(RemoveOrdered); is {
+			r.emit(Ordered{Order: o.Order, Fault: NoFleet})
+		}
+		return
+	}
+	switch ev := ev.(type) {
+	case FleetTold:
+		r.fleet.Merge(r.now, ev.Records)
+	case FleetLooked:
+		r.fleet.Look(r.now, ev.Sight)
+		r.saysOfItself()
+	case FleetRefused:
+		r.fleet.Refused(r.now, ev.Process)
+	case FleetEntered:
+		r.fleet.Enter(r.now, ev.State)
+	case FleetEnded:
+		r.fleet, r.acting, r.says = nil, 0, membership.Says{}
+		r.decider.Fleet(r.settings.Dispatchers)
+		return
+	case RemoveOrdered:
+		r.emit(Ordered{Order: ev.Order, Fault: OrderFault(r.fleet.Remove(r.now, ev.Name))})
+	}
+	r.fleetMoved()
+}
+
+func (r *Reducer) fleetBegun(self membership.Record) {
+	if r.fleet == nil {
+		v, err := membership.New(r.now, self)
+		if err != nil {
+			r.emit(Log{Text: "no view of the fleet: " + err.Error()})
+			return
+		}
+		r.fleet = v
+	}
+	r.says = membership.Says{Generation: self.Generation, Program: self.Program, Config: self.Config, Zone: self.Zone}
+	r.saysOfItself()
+	r.fleetMoved()
+}
+
+// saysOfItself has the view say what this process acts on.
+func (r *Reducer) saysOfItself() {
+	if r.says.Generation == 0 {
+		return // an upgrade's follower has not begun itself
+	}
+	if own := r.fleet.Self().Routes; own.No != r.version || own.Source != r.source.Addr {
+		r.says.Routes = membership.Version{No: r.version, Digest: r.routesDigest(), Source: r.source.Addr}
+	} else {
+		r.says.Routes = own
+	}
+	r.fleet.Say(r.now, r.says, r.draining)
+}
+
+// routesDigest sums the route set up: the same list has the same digest at every dispatcher, whatever addresses it was told.
+func (r *Reducer) routesDigest() (d uint64) {
+	for _, h := range r.hops {
+		f := fnv.New64a()
+		f.Write([]byte(h.ID))
+		f.Write([]byte{byte(h.State)})
+		d += f.Sum64()
+	}
+	return d
+}
+
+// fleetMoved tells others and the decision module of what has changed.
+func (r *Reducer) fleetMoved() {
+	// One that has met nobody yet knows no number, and the settings' stands.
+	if n := r.fleet.Acting(); n != r.acting && r.fleet.Self().State != membership.Joining {
+		r.acting = n
+		r.decider.Fleet(n)
+	}
+	news, fresh := r.fleet.News(), r.fleet.Fresh()
+	if len(news) > 0 {
+		r.emit(FleetNews{Records: news})
+	}
+	r.emit(FleetPictured{Picture: r.fleet.Picture(), Fresh: fresh})
+}
+
+// FleetState is the view's part of a reducer's state.
+type FleetState struct {
+	View   membership.ViewState
+	Says   membership.Says
+	Acting int
+}
+
+func (r *Reducer) exportFleet() *FleetState {
+	if r.fleet == nil {
+		return nil
+	}
+	return &FleetState{View: r.fleet.Export(), Says: r.says, Acting: r.acting}
+}
+
+func (r *Reducer) importFleet(st *FleetState) (err error) {
+	if st == nil {
+		return nil
+	}
+	r.says, r.acting = st.Says, st.Acting
+	r.fleet, err = membership.Import(st.View)
+	return err
+}
+
+// Fleet is the view of the fleet as of now; false where there is none.
+func (r *Reducer) Fleet() (membership.Picture, bool) {
+	if r.fleet == nil {
+		return membership.Picture{}, false
+	}
+	return r.fleet.Picture(), true
+}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"foldlb.example/foldlb/choice"
+	"foldlb.example/foldlb/internal/membership"
 )
 
 // doubtTime is how long a job in doubt may take to report its start, in seconds.
@@ -58,6 +59,9 @@
 	draining bool              // by hand
 	doubted  bool              // the source was asked for its whole list, since what it told was odd
 	tally    Tally
+	fleet    *membership.View // nil where this dispatcher keeps none
+	says     membership.Says  // of itself, to the fleet
+	acting   int              // members that may be acting, as last told to the decision module; 0 for the settings' number
 	timers   timerHeap
 	timerSeq uint64
 	lastID   BranchID
@@ -158,6 +162,8 @@
 	case Stopping:
 		r.stop()
 	case Tick:
+	default:
+		r.fleetOf(ev)
 	}
 	r.settle()
 	r.fireTimers(last)
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -27,6 +27,7 @@
 	Returned []ReturnState  `cbor:",omitempty"` // put back by hand
 	Draining bool           // by hand
 	Doubted  bool           `cbor:",omitempty"` // the source was asked for its whole list, since what it told was odd
+	Fleet    *FleetState    `cbor:",omitempty"`
 	Decider  choice.Snapshot
 }
 
@@ -85,7 +86,7 @@
 		return State{}, err
 	}
 	s := State{Now: r.now, Source: r.source, Version: r.version, Watching: r.watching, LastID: r.lastID,
-		TimerSeq: r.timerSeq, Draining: r.draining, Doubted: r.doubted, Decider: decider, Spent: make([]RequestID, 0, len(r.spent)),
+		TimerSeq: r.timerSeq, Draining: r.draining, Doubted: r.doubted, Fleet: r.exportFleet(), Decider: decider, Spent: make([]RequestID, 0, len(r.spent)),
 		Timers: make([]TimerState, 0, len(r.timers)), Requests: make([]RequestState, 0, len(r.requests))}
 	for id := range r.spent {
 		s.Spent = append(s.Spent, id)
@@ -181,6 +182,12 @@
 			return nil, fmt.Errorf("%w: the decision module's request %d (%q) is not the reducer's", ErrState, i, q.Request.ID)
 		}
 	}
+	if err := r.importFleet(st.Fleet); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrState, err)
+	}
+	if r.acting > 0 {
+		s.Dispatchers = r.acting
+	}
 	s.TellsTaken = true // as BranchTaken
 	d, err := choice.Restore(s, host{r}, st.Decider)
 	if err != nil {
--- /dev/null
+++ b/internal/gossip/form.go
@@ -0,0 +1,61 @@
+package gossip
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"foldlb.example/foldlb/internal/membership"
+)
+
+// form is the version of the form of news. A member of another form is no peer: what it tells is counted and dropped.
+const form = 1
+
+const mostNews = 1 << 20 // bytes
+
+// ErrNews says that news can't be read. Errors of unpack wrap it.
+var ErrNews = errors.New("gossip: news not of a known form")
+
+type parcel struct {
+	Form    uint                `cbor:"1,keyasint"`
+	Records []membership.Record `cbor:"2,keyasint"`
+}
+
+var reader = func() cbor.DecMode {
+	m, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxArrayElements: membership.MostMembers, MaxMapPairs: 64,
+		MaxNestedLevels: 8, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}()
+
+func pack(records []membership.Record) ([]byte, error) {
+	return cbor.Marshal(parcel{Form: form, Records: records})
+}
+
+// unpack reads news. Records that can't be are the view's to drop and count.
+func unpack(text []byte) ([]membership.Record, error) {
+	if len(text) > mostNews {
+		return nil, fmt.Errorf("%w: %d bytes, %d at most", ErrNews, len(text), mostNews)
+	}
+	var p parcel
+	if err := reader.Unmarshal(text, &p); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNews, err)
+	}
+	if p.Form != form {
+		return nil, fmt.Errorf("%w: form %d, this program reads %d", ErrNews, p.Form, form)
+	}
+	return p.Records, nil
+}
+
+func digestText(d uint64) []byte { return binary.BigEndian.AppendUint64([]byte{form}, d) }
+
+func digestOf(text []byte) (uint64, bool) {
+	if len(text) != 9 || text[0] != form {
+		return 0, false
+	}
+	return binary.BigEndian.Uint64(text[1:]), true
+}
--- a/internal/hold/files.go
+++ b/internal/hold/files.go
@@ -107,6 +107,16 @@
 	return net.FileListener(f)
 }
 
+// Packets takes the socket for datagrams at a place.
+func (r *Received) Packets(place int) (net.PacketConn, error) {
+	f, err := r.take(place)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return net.FilePacketConn(f)
+}
+
 // Close closes what nobody has taken: what came ahead and has ended since, above all.
 func (r *Received) Close() {
 	for i, c := range r.ahead {
--- /dev/null
+++ b/internal/lab/fleet.go
@@ -0,0 +1,738 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"foldlb.example/foldlb/internal/control"
+)
+
+// A fleet's run: several dispatchers, each a process on a loopback address of its own, with links between them that a script
+// cuts. What each holds of the others is asked at its control socket all the time, and held against what the script did.
+
+const (
+	pollEvery  = 150 * time.Millisecond
+	staleAfter = 1500 * time.Millisecond // an answer older than that says nothing
+	frontBlind = 2 * time.Second         // for which the front leads callers to a dispatcher that has died
+	startWait  = 15 * time.Second
+)
+
+// The bounds within which all that reach each other must hold one view, by what happened last; docs/measurements/membership.md
+// derives them from the configuration.
+var bounds = map[string]time.Duration{"begin": 15 * time.Second, "start": 3 * time.Second, "leave": 3 * time.Second, "kill": 6 * time.Second,
+	"bounce": 6 * time.Second, "heal": 10 * time.Second, "cut": 20 * time.Second, "apart": 10 * time.Second, "links": 10 * time.Second,
+	"wake": 10 * time.Second, "pause": 20 * time.Second, "upgrade": 3 * time.Second}
+
+// Settling is how long the fleet took to hold one view again after something.
+type Settling struct {
+	What  string  `json:"what"`
+	At    float64 `json:"at_s"`
+	Took  float64 `json:"took_s"` // below 0 where something else happened first
+	Most  float64 `json:"most_s"`
+	Fault string  `json:"fault,omitempty"` // what was still wrong when the time was over
+}
+
+// FleetResult is what a fleet's run has found beside the ledger.
+type FleetResult struct {
+	Members   int        `json:"members"`
+	Settlings []Settling `json:"settlings"`
+	Broken    []string   `json:"broken,omitempty"`
+	Views     int        `json:"views_looked_at"`
+	Sent      int        `json:"datagrams"`
+	Lost      int        `json:"datagrams_lost"`
+	Acting    []int      `json:"most_that_ran_and_least_count_of_those_that_may_act"`
+}
+
+// seen is what a dispatcher said of its fleet.
+type seen struct {
+	Digest  string  `json:"digest"`
+	Acting  int     `json:"acting"`
+	Reached int     `json:"reached"`
+	Settled float64 `json:"settled_s"`
+	Members []struct {
+		Name        string `json:"name"`
+		State       string `json:"state"`
+		Reached     bool   `json:"reached"`
+		Self        bool   `json:"self"`
+		Incarnation uint64 `json:"incarnation"`
+		Generation  int    `json:"generation"`
+	} `json:"members"`
+	at time.Time
+}
+
+// peer is one dispatcher of a fleet.
+type peer struct {
+	*dispatcher
+	name   string
+	no     int
+	roster *Roster
+	up     bool      // its process runs, as the script wants
+	paused bool      // it is stopped
+	down   time.Time // when it last stopped running
+	calm   time.Time // until then nobody may hold it for failed, since it is upgraded
+	view   seen
+	most   map[string]uint64 // incarnations that it held
+}
+
+// squad is a fleet's dispatchers and what the script did to them.
+type squad struct {
+	s     *Scenario
+	f     *fleet
+	links *Links
+	r     *Result
+	begin time.Time
+
+	mu       sync.Mutex
+	peers    []*peer
+	last     Settling // what happened last, and is waited for
+	lastAt   time.Time
+	waiting  bool
+	judged   bool
+	turn     int
+	out      FleetResult
+	excused  int
+	checking bool
+}
+
+// RunFleet plays a scenario with several dispatchers.
+func RunFleet(ctx context.Context, path string, s *Scenario, o Options) (*Result, error) {
+	if err := adopt(); err != nil {
+		return nil, err
+	}
+	run := os.Getpid()
+	links, err := newLinks(s.Dispatchers, o.Seed, run)
+	if err != nil {
+		return nil, err
+	}
+	defer links.close()
+	q := &squad{s: s, links: links, r: &Result{Scenario: filepath.Base(path), Title: s.Title, Seed: o.Seed,
+		Machine: fmt.Sprintf("%d cores, %s", runtime.NumCPU(), runtime.Version())}}
+	addrs := make([]string, s.Dispatchers)
+	for i := range addrs {
+		real, _ := memberAddr(run, i)
+		if addrs[i], err = freeAddrAt(real.String()); err != nil {
+			return nil, err
+		}
+	}
+	if q.f, err = s.fleet(o.Seed, func() string { return addrs[0] }); err != nil {
+		return nil, err
+	}
+	defer q.f.stop()
+	for _, w := range q.f.workers {
+		w.excuse = q.excuse
+	}
+	for i := range s.Dispatchers {
+		p, err := q.peer(i, addrs[i], o)
+		if err != nil {
+			return nil, err
+		}
+		q.peers = append(q.peers, p)
+	}
+	defer q.killAll()
+	if err := q.each(func(p *peer) error { return p.start() }); err != nil {
+		return nil, err
+	}
+	q.r.begin, q.begin = time.Now(), time.Now()
+	for _, p := range q.peers {
+		p.up = true
+	}
+	q.happened("begin", "", bounds["begin"])
+	stop, watched := make(chan struct{}), make(chan struct{})
+	go func() { <-ctx.Done(); close(stop) }()
+	over := make(chan struct{})
+	go q.watch(over, watched)
+	c := &callers{s: s, ledger: q.f.ledger, begin: q.r.begin, stop: stop, pick: q.pick, excuse: q.excuse}
+	if o.Tick != nil {
+		ticks := time.NewTicker(time.Second)
+		defer ticks.Stop()
+		go func() {
+			for range ticks.C {
+				o.Tick(time.Since(q.r.begin), q.f.ledger)
+			}
+		}()
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- q.play(o.Seed, stop) }()
+	c.run(s.plan(o.Seed))
+	err = <-failed
+	q.await(stop)
+	close(over)
+	<-watched
+	if err != nil {
+		return nil, err
+	}
+	ended := q.each(func(p *peer) error {
+		if !p.up {
+			return nil
+		}
+		p.up = false
+		return p.stop()
+	})
+	q.r.Seconds = time.Since(q.begin).Seconds()
+	q.r.Reopened, q.r.Resent = c.reopens, c.resent
+	q.r.judge(s, q.f.ledger, 0, ended)
+	q.judge(ctx)
+	return q.r, nil
+}
+
+func (q *squad) peer(i int, addr string, o Options) (*peer, error) {
+	name := fmt.Sprintf("n%d", i+1)
+	dir := filepath.Join(o.Dir, name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	p := &peer{name: name, no: i, most: map[string]uint64{}}
+	at := map[*Worker]string{}
+	for _, w := range q.f.workers { // each dispatcher knows a worker by an address of its own, so that call-backs find the right one
+		ln, err := w.listen(func() string { return addr })
+		if err != nil {
+			return nil, err
+		}
+		at[w] = ln
+	}
+	p.roster = &Roster{addrOf: func(w *Worker) string { return at[w] }}
+	if err := p.roster.start(q.f.workers); err != nil {
+		return nil, err
+	}
+	var seeds []string
+	for j := range min(2, q.s.Dispatchers) {
+		seeds = append(seeds, fmt.Sprintf("%q", q.links.ends[j].shown))
+	}
+	e := q.links.ends[i]
+	p.dispatcher = &dispatcher{tools: o.Tools, dir: dir, addr: addr, operator: filepath.Join(dir, "operator.hcl"), extra: q.s.Operator,
+		blocks: fmt.Sprintf("fleet {\n  name = \"lab\"\n  listen = %q\n  advertise = %q\n  seeds = [%s]\n}\n", e.real, e.shown, strings.Join(seeds, ", "))}
+	text, err := q.s.configuration(addr, p.roster.Addr, o.Seed+uint64(i), p.roster.list(-1))
+	if err != nil {
+		return nil, err
+	}
+	var form map[string]any
+	if err := json.Unmarshal(text, &form); err != nil {
+		return nil, err
+	}
+	form["name"] = name
+	form["settings"].(map[string]any)["balancers"] = q.s.Dispatchers
+	if text, err = json.Marshal(form); err != nil {
+		return nil, err
+	}
+	return p, os.WriteFile(p.config(), text, 0o600)
+}
+
+// each does something with all dispatchers at once.
+func (q *squad) each(f func(*peer) error) error {
+	all := make([]error, len(q.peers))
+	var wg sync.WaitGroup
+	for i, p := range q.peers {
+		wg.Add(1)
+		go func() { defer wg.Done(); all[i] = f(p) }()
+	}
+	wg.Wait()
+	return errors.Join(all...)
+}
+
+func (q *squad) killAll() {
+	for _, p := range q.peers {
+		if pid := p.serving(); pid > 0 && p.up {
+			syscall.Kill(pid, syscall.SIGCONT)
+			syscall.Kill(pid, syscall.SIGKILL)
+		}
+		p.roster.ln.Close()
+	}
+}
+
+// pick is the front: it deals callers out in turn, and notices a death late.
+func (q *squad) pick() string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for range q.peers {
+		q.turn++
+		p := q.peers[q.turn%len(q.peers)]
+		if p.up || time.Since(p.down) < frontBlind {
+			return p.addr
+		}
+	}
+	return q.peers[0].addr
+}
+
+// excuse tells whether a dispatcher's end explains why a request there has no answer: it was killed or stopped meanwhile.
+func (q *squad) excuse(addr string, since time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, p := range q.peers {
+		if p.addr == addr && (!p.up || p.paused || p.down.After(since)) {
+			q.excused++
+			return true
+		}
+	}
+	return false
+}
+
+// happened says that something was done to the fleet, after which it has some time to hold one view.
+func (q *squad) happened(kind, detail string, most time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.waiting {
+		q.last.Took = -1
+		q.out.Settlings = append(q.out.Settlings, q.last)
+		// Danger: what came shortly before still counts, or a storm of small things would hide a slow one.
+		most = max(most, time.Until(q.lastAt.Add(time.Duration(q.last.Most*float64(time.Second)))))
+	}
+	q.lastAt = time.Now()
+	q.last = Settling{What: strings.TrimSpace(kind + " " + detail), At: q.lastAt.Sub(q.begin).Seconds(), Most: most.Seconds()}
+	q.waiting, q.judged = true, false
+}
+
+// watch asks all dispatchers all the time.
+func (q *squad) watch(over <-chan struct{}, watched chan<- struct{}) {
+	defer close(watched)
+	t := time.NewTicker(pollEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-over:
+			return
+		case <-t.C:
+		}
+		q.poll()
+		q.check()
+	}
+}
+
+func (q *squad) poll() {
+	var wg sync.WaitGroup
+	for _, p := range q.peers {
+		q.mu.Lock()
+		ask := p.up && !p.paused
+		q.mu.Unlock()
+		if !ask {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var v seen
+			done := make(chan error, 1)
+			go func() {
+				done <- control.Ask(filepath.Join(p.dir, "control.sock"), "fleet", nil, func(line []byte) error { return json.Unmarshal(line, &v) })
+			}()
+			select {
+			case err := <-done:
+				if err == nil {
+					v.at = time.Now()
+					q.mu.Lock()
+					p.view = v
+					q.out.Views++
+					q.mu.Unlock()
+				}
+			case <-time.After(staleAfter): // one that was stopped meanwhile
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+var live = map[string]bool{"joining": true, "serving": true, "sent away": true, "stopping": true, "suspected": true}
+
+// check holds what the dispatchers say against what the script did.
+func (q *squad) check() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	running := 0
+	for _, p := range q.peers {
+		if p.up && !p.paused {
+			running++
+		}
+	}
+	for _, p := range q.peers {
+		if !p.up || p.paused || now.Sub(p.view.at) > staleAfter {
+			continue
+		}
+		for _, m := range p.view.Members {
+			if m.Incarnation < p.most[m.Name] {
+				q.broken("%s holds incarnation %d of %s after %d", p.name, m.Incarnation, m.Name, p.most[m.Name])
+			}
+			p.most[m.Name] = max(p.most[m.Name], m.Incarnation)
+			if x := q.named(m.Name); x != nil && now.Before(x.calm) && x.up && !x.paused && !live[m.State] && p.view.at.After(x.calm.Add(-bounds["upgrade"])) {
+				q.broken("%s holds %s for %s while that is only upgraded", p.name, m.Name, m.State)
+			}
+		}
+	}
+	fault := q.unsettled(now)
+	took := now.Sub(q.lastAt)
+	switch {
+	case fault == "" && q.waiting && took > 2*pollEvery:
+		q.waiting = false
+		q.last.Took = took.Seconds()
+		q.out.Settlings = append(q.out.Settlings, q.last)
+	case fault != "" && took.Seconds() > q.last.Most && !q.judged:
+		q.judged = true
+		q.last.Fault = fault
+		q.broken("%.1f s after %s at %.1f s: %s", took.Seconds(), q.last.What, q.last.At, fault)
+		if q.waiting {
+			q.waiting = false
+			q.last.Took = took.Seconds()
+			q.out.Settlings = append(q.out.Settlings, q.last)
+		}
+	}
+}
+
+func (q *squad) broken(format string, args ...any) {
+	if len(q.out.Broken) < 50 {
+		q.out.Broken = append(q.out.Broken, fmt.Sprintf("at %.1f s: ", time.Since(q.begin).Seconds())+fmt.Sprintf(format, args...))
+	}
+}
+
+func (q *squad) named(name string) *peer {
+	for _, p := range q.peers {
+		if p.name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// unsettled tells what is not as it must be in the end; empty where all is. q.mu is held.
+func (q *squad) unsettled(now time.Time) string {
+	group := q.groups()
+	digest := map[int]string{}
+	for _, p := range q.peers {
+		if !p.up || p.paused {
+			continue
+		}
+		if now.Sub(p.view.at) > staleAfter {
+			return p.name + " does not say what it holds"
+		}
+		if d, ok := digest[group[p.no]]; ok && d != p.view.Digest {
+			return fmt.Sprintf("%s holds another view than others that it reaches", p.name)
+		}
+		digest[group[p.no]] = p.view.Digest
+		states := map[string]string{}
+		for _, m := range p.view.Members {
+			states[m.Name] = m.State
+		}
+		for _, x := range q.peers {
+			state, known := states[x.name]
+			switch {
+			case x.paused:
+			case x.up && group[x.no] != group[p.no]:
+				if live[state] {
+					return fmt.Sprintf("%s holds %s, which it can't reach, for %q", p.name, x.name, state)
+				}
+			case x.up && (!known || !live[state]):
+				return fmt.Sprintf("%s holds %s, which runs and is reached, for %q", p.name, x.name, state)
+			case !x.up && live[state]:
+				return fmt.Sprintf("%s holds %s, which does not run, for %q", p.name, x.name, state)
+			}
+		}
+	}
+	return ""
+}
+
+// groups are the members that reach each other, if need be through others.
+func (q *squad) groups() []int {
+	g := make([]int, len(q.peers))
+	for i := range g {
+		g[i] = i
+	}
+	for range g {
+		for i, a := range q.peers {
+			for j, b := range q.peers {
+				if a.up && b.up && !a.paused && !b.paused && q.links.meets(i, j) {
+					g[i], g[j] = min(g[i], g[j]), min(g[i], g[j])
+				}
+			}
+		}
+	}
+	return g
+}
+
+// await waits for the last thing that happened to be over.
+func (q *squad) await(stop <-chan struct{}) {
+	for {
+		q.mu.Lock()
+		waiting := q.waiting
+		q.mu.Unlock()
+		if !waiting {
+			return
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+// play does to the fleet what the scenario says.
+func (q *squad) play(seed uint64, stop <-chan struct{}) error {
+	list := append([]Event(nil), q.s.Events...)
+	if f := q.s.Faults; f != nil {
+		list = append(list, f.draw(q.s, seed)...)
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var all []error
+	for _, e := range list {
+		select {
+		case <-stop:
+			return nil
+		case <-time.After(time.Until(q.begin.Add(time.Duration(e.At * float64(time.Second))))):
+		}
+		wg.Add(1)
+		done := make(chan struct{})
+		go func() {
+			defer wg.Done()
+			defer close(done)
+			if err := q.do(e); err != nil {
+				mu.Lock()
+				all = append(all, fmt.Errorf("%s at %v: %w", e.Kind, e.At, err))
+				mu.Unlock()
+			}
+		}()
+		if e.Kind != "upgrade" && e.Kind != "leave" && e.Kind != "pause" {
+			<-done
+		}
+	}
+	wg.Wait()
+	return errors.Join(all...)
+}
+
+func (q *squad) do(e Event) error {
+	p := q.named(e.Dispatcher)
+	detail := e.Dispatcher
+	switch e.Kind {
+	case "kill", "bounce":
+		if err := q.kill(p); err != nil {
+			return err
+		}
+		if e.Kind == "kill" {
+			q.happened(e.Kind, detail, bounds[e.Kind])
+			return nil
+		}
+		return q.start(p, e.Kind)
+	case "start":
+		return q.start(p, e.Kind)
+	case "leave":
+		q.mark(p, false)
+		q.happened(e.Kind, detail, bounds[e.Kind])
+		err := p.stop()
+		return errors.Join(err, q.links.runs(p.no, false))
+	case "pause":
+		q.stopped(p, true)
+		q.happened(e.Kind, detail, bounds[e.Kind])
+		if err := syscall.Kill(p.serving(), syscall.SIGSTOP); err != nil {
+			return err
+		}
+		time.Sleep(time.Duration(e.For * float64(time.Second)))
+		err := syscall.Kill(p.serving(), syscall.SIGCONT)
+		q.stopped(p, false)
+		q.happened("wake", fmt.Sprintf("%s after %v s", detail, e.For), bounds["wake"])
+		return err
+	case "cut":
+		q.cut(e.Groups)
+		q.happened(e.Kind, fmt.Sprint(e.Groups), bounds[e.Kind])
+	case "apart":
+		for _, pair := range e.Groups {
+			for _, a := range pair {
+				for _, b := range pair {
+					if a != b {
+						q.links.set(q.named(a).no, q.named(b).no, Link{Cut: true})
+					}
+				}
+			}
+		}
+		q.happened(e.Kind, fmt.Sprint(e.Groups), bounds[e.Kind])
+	case "links":
+		for i := range q.peers {
+			for j := range q.peers {
+				q.links.set(i, j, Link{Loss: e.Loss, Delay: ms(e.DelayMS), Jitter: ms(e.JitterMS), Twice: e.Twice, Trickle: e.Trickle})
+			}
+		}
+		q.happened(e.Kind, fmt.Sprintf("loss %v, delay %v ms", e.Loss, e.DelayMS), bounds[e.Kind])
+	case "heal":
+		q.links.clear()
+		q.happened(e.Kind, "", bounds[e.Kind])
+	case "upgrade":
+		q.mu.Lock()
+		p.calm = time.Now().Add(time.Hour)
+		q.mu.Unlock()
+		u, err := p.upgrade(e.Binary)
+		q.mu.Lock()
+		p.calm = time.Now().Add(bounds["upgrade"])
+		u.At, u.Want = time.Since(q.begin).Seconds(), "replaced"
+		q.r.Upgrades = append(q.r.Upgrades, u)
+		q.mu.Unlock()
+		q.happened(e.Kind, detail, bounds[e.Kind])
+		return err
+	case "drain", "return":
+		state := map[string]string{"drain": "leaving", "return": "active"}[e.Kind]
+		for _, x := range q.peers {
+			if err := x.roster.set(e.Worker, state); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func ms(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+// cut parts the fleet: members of two groups reach each other no more.
+func (q *squad) cut(groups [][]string) {
+	group := map[string]int{}
+	for g, names := range groups {
+		for _, n := range names {
+			group[n] = g + 1
+		}
+	}
+	for i, a := range q.peers {
+		for j, b := range q.peers {
+			if i != j {
+				q.links.set(i, j, Link{Cut: group[a.name] != group[b.name]})
+			}
+		}
+	}
+}
+
+func (q *squad) mark(p *peer, up bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p.up = up
+	if !up {
+		p.down = time.Now()
+	}
+}
+
+func (q *squad) stopped(p *peer, paused bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p.paused = paused
+	p.down = time.Now() // what was open there may be answered late
+	p.view.at = time.Time{}
+	if !paused {
+		p.view.at = time.Now()
+	}
+}
+
+func (q *squad) kill(p *peer) error {
+	q.mark(p, false)
+	if err := syscall.Kill(p.serving(), syscall.SIGKILL); err != nil {
+		return err
+	}
+	p.dispatcher.gone()
+	return q.links.runs(p.no, false)
+}
+
+func (q *squad) start(p *peer, kind string) error {
+	if err := q.links.runs(p.no, true); err != nil {
+		return err
+	}
+	if err := p.start(); err != nil {
+		return err
+	}
+	q.mark(p, true)
+	q.mu.Lock()
+	p.view = seen{at: time.Now()}
+	q.mu.Unlock()
+	q.happened(kind, p.name, bounds[kind])
+	return nil
+}
+
+// gone waits for the end of a process that was killed.
+func (d *dispatcher) gone() {
+	defer d.log.Close()
+	if d.serving() == d.cmd.Process.Pid {
+		d.cmd.Wait()
+		return
+	}
+	var status syscall.WaitStatus
+	for {
+		if _, err := syscall.Wait4(d.serving(), &status, 0, nil); err != syscall.EINTR {
+			break
+		}
+	}
+	d.cmd.Wait()
+}
+
+// judge adds the fleet's promises to the run's.
+func (q *squad) judge(ctx context.Context) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.links.mu.Lock()
+	q.out.Sent, q.out.Lost = q.links.sent, q.links.lost
+	q.links.mu.Unlock()
+	q.out.Members = len(q.peers)
+	q.r.Fleet = &q.out
+	none := func(name string, got float64) {
+		q.r.Promises = append(q.r.Promises, Promise{name, got <= 0, got, 0})
+		q.r.OK = q.r.OK && got <= 0
+	}
+	none("promises of the view broken", float64(len(q.out.Broken)))
+	unplayed := 0.0
+	if ctx.Err() != nil || q.out.Views == 0 {
+		unplayed = 1 // danger: what was not looked at can't have gone wrong
+	}
+	none("runs cut short", unplayed)
+}
+
+// Faults are drawn by seed over a run.
+type Faults struct {
+	From  float64 `hcl:"from_s"`
+	Every float64 `hcl:"every_s"` // between the end of one and the next
+	Until float64 `hcl:"until_s"`
+}
+
+// draw draws faults, each with its end.
+func (f *Faults) draw(s *Scenario, seed uint64) (all []Event) {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	name := func() string { return fmt.Sprintf("n%d", 1+rng.IntN(s.Dispatchers)) }
+	names := make([]string, s.Dispatchers)
+	for i := range names {
+		names[i] = fmt.Sprintf("n%d", i+1)
+	}
+	for at := f.From; at < f.Until; {
+		lasts := 2 + rng.Float64()*f.Every
+		rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		split := 1 + rng.IntN(len(names)-1)
+		who := name()
+		switch rng.IntN(9) {
+		case 0:
+			all = append(all, Event{Kind: "cut", At: at, Groups: [][]string{slices.Clone(names[:split]), slices.Clone(names[split:])}}, Event{Kind: "heal", At: at + lasts})
+		case 1: // one that moves before the view has settled
+			all = append(all, Event{Kind: "cut", At: at, Groups: [][]string{slices.Clone(names[:split]), slices.Clone(names[split:])}},
+				Event{Kind: "cut", At: at + 2, Groups: [][]string{slices.Clone(names[:1]), slices.Clone(names[1:])}}, Event{Kind: "heal", At: at + 2 + lasts})
+		case 2:
+			all = append(all, Event{Kind: "kill", At: at, Dispatcher: who}, Event{Kind: "start", At: at + lasts, Dispatcher: who})
+		case 3:
+			all = append(all, Event{Kind: "bounce", At: at, Dispatcher: who})
+		case 4:
+			all = append(all, Event{Kind: "leave", At: at, Dispatcher: who}, Event{Kind: "start", At: at + 6 + lasts, Dispatcher: who})
+			lasts += 6
+		case 5:
+			long := []float64{0.3, 3, 8}[rng.IntN(3)]
+			all = append(all, Event{Kind: "pause", At: at, Dispatcher: who, For: long})
+			lasts = max(lasts, long)
+		case 6:
+			all = append(all, Event{Kind: "upgrade", At: at, Dispatcher: who})
+		case 7:
+			all = append(all, Event{Kind: "links", At: at, Loss: 0.2, DelayMS: 5, JitterMS: 20, Twice: 0.1}, Event{Kind: "heal", At: at + lasts})
+		case 8:
+			all = append(all, Event{Kind: "apart", At: at, Groups: [][]string{slices.Clone(names[:2])}}, Event{Kind: "heal", At: at + lasts})
+		}
+		at += lasts + f.Every
+	}
+	return all
+}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -65,6 +65,20 @@
 			fmt.Fprintf(w, "%s\t%.1f\t%.2f\t%.1f\t%d\t%d\t%d\t%s\n", o.Kind, o.At, o.Ready, o.HeldMS, o.PeakKB, o.AnonKB, o.Files, result)
 		}
 	}
+	if f := r.Fleet; f != nil {
+		fmt.Fprintf(w, "\nwhat happened\tat s\tone view after s\tat most\t\n")
+		for _, x := range f.Settlings {
+			took := fmt.Sprintf("%.1f", x.Took)
+			if x.Took < 0 {
+				took = "next came first"
+			}
+			fmt.Fprintf(w, "%s\t%.1f\t%s\t%.0f\t%s\n", x.What, x.At, took, x.Most, x.Fault)
+		}
+		fmt.Fprintf(w, "%d members\t%d views looked at\t%d datagrams\t%d lost\t\n", f.Members, f.Views, f.Sent, f.Lost)
+		for _, x := range f.Broken {
+			fmt.Fprintf(w, "broken\t%s\n", x)
+		}
+	}
 	if len(r.windows) > 0 {
 		fmt.Fprintf(w, "worth served\t%.3f in 5 s before\t%.3f in 5 s after a change of process\n", r.WorthPre, r.WorthAft)
 	}
--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -22,6 +22,7 @@
 	workers []*Worker
 	news    chan struct{} // closed at each change
 	ln      net.Listener
+	addrOf  func(*Worker) string // as this roster tells it; nil for the worker's own
 }
 
 func (r *Roster) start(workers []*Worker) error {
@@ -72,12 +73,19 @@
 	for _, w := range r.workers {
 		if s := r.state[w.ID]; r.changed[w.ID] > since && !(since < 0 && s == "left") {
 			entries = append(entries, fmt.Sprintf(`{"id":%q,"addr":%q,"zone":%q,"kind":%q,"cell":0,"state":%q,"weight":1,"started_ms":0}`,
-				w.ID, w.Addr, w.Zone, w.Kind, s))
+				w.ID, r.addr(w), w.Zone, w.Kind, s))
 		}
 	}
 	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, r.version, since < 0, strings.Join(entries, ","))
 }
 
+func (r *Roster) addr(w *Worker) string {
+	if r.addrOf != nil {
+		return r.addrOf(w)
+	}
+	return w.Addr
+}
+
 // set changes a worker's state and tells all who watch.
 func (r *Roster) set(id, state string) error {
 	r.mu.Lock()
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -40,6 +40,8 @@
 	WorthPre   float64         `json:"worth_in_5s_before_changes"` // of process, as a share of what was asked
 	WorthAft   float64         `json:"worth_in_5s_after_changes"`
 
+	Fleet *FleetResult `json:"fleet,omitempty"`
+
 	samples []sample
 	begin   time.Time
 	windows []window
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,6 +5,8 @@
 import (
 	"errors"
 	"fmt"
+	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -25,6 +27,17 @@
 	Control Control
 	Upgrade Upgrade
 	Log     Log
+	Fleet   *Fleet // nil where this dispatcher keeps no view of its fleet
+}
+
+// Fleet says how the dispatcher is a member of its fleet.
+type Fleet struct {
+	Name      string         // that all its members say
+	Listen    netip.AddrPort // for datagrams and connections of other members
+	Advertise netip.AddrPort // where they find this one; the zero value for Listen
+	Seeds     []string       // host:port of some members
+	Allow     []netip.Prefix // of members; empty for loopback and private addresses
+	Probe     time.Duration  // between two questions to a member
 }
 
 // Control is the control socket.
@@ -75,6 +88,16 @@
 	Log *struct {
 		Format *string `hcl:"format"`
 	} `hcl:"log,block"`
+	Fleet *fleetFile `hcl:"fleet,block"`
+}
+
+type fleetFile struct {
+	Name      *string   `hcl:"name"`
+	Listen    *string   `hcl:"listen"`
+	Advertise *string   `hcl:"advertise"`
+	Seeds     *[]string `hcl:"seeds"`
+	Allow     *[]string `hcl:"allow"`
+	Probe     *string   `hcl:"probe_every"`
 }
 
 // Load reads an operator file.
@@ -164,9 +187,79 @@
 			fault("log.format", "%q is neither text nor json", c.Log.Format)
 		}
 	}
+	if x := f.Fleet; x != nil {
+		c.Fleet = x.read(fault)
+		duration("fleet.probe_every", x.Probe, &c.Fleet.Probe, 50*time.Millisecond, time.Minute)
+	}
 	return c, errors.Join(faults...)
 }
 
+// The bounds of lists in the fleet block.
+const (
+	mostSeeds = 64
+	mostAllow = 256
+	mostName  = 64
+)
+
+// read checks the fleet block. Danger: whoever reaches the listener may speak as a member, so beyond loopback and private
+// addresses its peers must be named.
+func (x *fleetFile) read(fault func(key, format string, args ...any)) *Fleet {
+	f := &Fleet{Probe: 500 * time.Millisecond}
+	address := func(key string, from *string, to *netip.AddrPort) {
+		if from == nil {
+			return
+		}
+		at, err := netip.ParseAddrPort(*from)
+		if err != nil || at.Port() == 0 {
+			fault(key, "%q is not an address with a port, such as \"10.0.0.4:7946\"", *from)
+			return
+		}
+		*to = at
+	}
+	if x.Name != nil {
+		f.Name = *x.Name
+	}
+	if f.Name == "" || len(f.Name) > mostName {
+		fault("fleet.name", "%d bytes, 1 to %d are needed", len(f.Name), mostName)
+	}
+	if x.Listen == nil {
+		fault("fleet.listen", "is needed")
+	}
+	address("fleet.listen", x.Listen, &f.Listen)
+	address("fleet.advertise", x.Advertise, &f.Advertise)
+	if x.Seeds != nil {
+		f.Seeds = *x.Seeds
+	}
+	if len(f.Seeds) > mostSeeds {
+		fault("fleet.seeds", "%d, %d at most", len(f.Seeds), mostSeeds)
+	}
+	for _, s := range f.Seeds {
+		if host, port, err := net.SplitHostPort(s); err != nil || host == "" || port == "" {
+			fault("fleet.seeds", "%q is not host:port", s)
+		}
+	}
+	if x.Allow != nil {
+		for _, text := range *x.Allow {
+			p, err := netip.ParsePrefix(text)
+			if err != nil {
+				fault("fleet.allow", "%q is not an address set such as \"10.0.0.0/24\"", text)
+				continue
+			}
+			f.Allow = append(f.Allow, p)
+		}
+	}
+	switch at := f.Listen.Addr(); {
+	case len(f.Allow) > mostAllow:
+		fault("fleet.allow", "%d, %d at most", len(f.Allow), mostAllow)
+	case !at.IsValid():
+	case at.IsUnspecified() && !f.Advertise.IsValid():
+		fault("fleet.listen", "%v is every address, so advertise must name one", at)
+	case len(f.Allow) == 0 && !at.IsLoopback() && !at.IsPrivate():
+		fault("fleet.listen", "%v is neither loopback nor private, so allow must name the members", at)
+	}
+	return f
+}
+
 // named words HCL's errors with file, line and what is at fault.
 func named(diags hcl.Diagnostics) error {
 	var all []error
--- a/internal/snapshot/events.go
+++ b/internal/snapshot/events.go
@@ -22,6 +22,13 @@
 	Tick            *core.Tick            `cbor:"11,keyasint,omitempty"`
 	BanOrdered      *core.BanOrdered      `cbor:"12,keyasint,omitempty"`
 	DrainOrdered    *core.DrainOrdered    `cbor:"13,keyasint,omitempty"`
+	FleetBegun      *core.FleetBegun      `cbor:"14,keyasint,omitempty"`
+	FleetTold       *core.FleetTold       `cbor:"15,keyasint,omitempty"`
+	FleetLooked     *core.FleetLooked     `cbor:"16,keyasint,omitempty"`
+	FleetRefused    *core.FleetRefused    `cbor:"17,keyasint,omitempty"`
+	FleetEntered    *core.FleetEntered    `cbor:"18,keyasint,omitempty"`
+	FleetEnded      *core.FleetEnded      `cbor:"20,keyasint,omitempty"`
+	RemoveOrdered   *core.RemoveOrdered   `cbor:"19,keyasint,omitempty"`
 }
 
 // Pack puts an event into its carrier. An event of a type that is not known here is an error.
@@ -55,6 +62,20 @@
 		return Event{BanOrdered: &ev}, nil
 	case core.DrainOrdered:
 		return Event{DrainOrdered: &ev}, nil
+	case core.FleetBegun:
+		return Event{FleetBegun: &ev}, nil
+	case core.FleetTold:
+		return Event{FleetTold: &ev}, nil
+	case core.FleetLooked:
+		return Event{FleetLooked: &ev}, nil
+	case core.FleetRefused:
+		return Event{FleetRefused: &ev}, nil
+	case core.FleetEntered:
+		return Event{FleetEntered: &ev}, nil
+	case core.FleetEnded:
+		return Event{FleetEnded: &ev}, nil
+	case core.RemoveOrdered:
+		return Event{RemoveOrdered: &ev}, nil
 	}
 	return Event{}, fmt.Errorf("snapshot: event %T can't be written down", ev)
 }
@@ -88,6 +109,20 @@
 		return *e.BanOrdered, nil
 	case e.DrainOrdered != nil:
 		return *e.DrainOrdered, nil
+	case e.FleetBegun != nil:
+		return *e.FleetBegun, nil
+	case e.FleetTold != nil:
+		return *e.FleetTold, nil
+	case e.FleetLooked != nil:
+		return *e.FleetLooked, nil
+	case e.FleetRefused != nil:
+		return *e.FleetRefused, nil
+	case e.FleetEntered != nil:
+		return *e.FleetEntered, nil
+	case e.FleetEnded != nil:
+		return *e.FleetEnded, nil
+	case e.RemoveOrdered != nil:
+		return *e.RemoveOrdered, nil
 	}
 	return nil, fmt.Errorf("%w: an event of no known kind", ErrForm)
 }
--- a/internal/upgrade/body.go
+++ b/internal/upgrade/body.go
@@ -20,6 +20,8 @@
 	Name   string
 	Export func(*hold.Files) (any, error)              // the gate is held
 	Import func(cbor.RawMessage, *hold.Received) error // the gate is held; what it takes up goes on when it is let go
+
+	Optional bool // an earlier build, or one with it switched off, hands nothing over for it
 }
 
 // NewPart makes a part of its two functions.
@@ -34,6 +36,12 @@
 		}}
 }
 
+// OrNone is the part where whoever hands over may hand nothing over for it.
+func (p Part) OrNone() Part {
+	p.Optional = true
+	return p
+}
+
 // Clock is a dispatcher's clock: seconds that go on counting in another process.
 type Clock struct {
 	at   float64
--- a/internal/upgrade/taker.go
+++ b/internal/upgrade/taker.go
@@ -194,7 +194,9 @@
 func (t *Taken) Import(parts []Part) error {
 	for _, part := range parts {
 		raw, ok := t.Parcel.Parts[part.Name]
-		if !ok {
+		if !ok && part.Optional {
+			continue
+		} else if !ok {
 			return fmt.Errorf("%w: nothing for %s", snapshot.ErrForm, part.Name)
 		}
 		if err := part.Import(raw, t.Files); err != nil {
--- a/internal/fleet/dispatcher.go
+++ b/internal/virtual/dispatcher.go
@@ -1,4 +1,4 @@
-package fleet
+package virtual
 
 import (
 	"cmp"
--- a/internal/fleet/fleet.go
+++ b/internal/virtual/model.go
@@ -1,7 +1,7 @@
-// Package fleet plays many decision modules against one small model of next hops, their list and callers, in virtual
+// Package virtual plays many decision modules against one small model of next hops, their list and callers, in virtual
 // time by a seed: no sockets, no clock of the machine. It is a test's model, and counts what a dispatcher that knows
 // only itself can't see: what all of them together do to a cold next hop, to discovery and to connections.
-package fleet
+package virtual
 
 import (
 	"container/heap"
