Test the fleet on real processes, in the reducer, the members' links and the model

Need: each promise of the view is to be shown on processes, with faults between them.

Found by the first: a member that is over counted as one that disagrees, so that fleet wait never returned after a crash.

--- a/cmd/foldlb/upgrade_test.go
+++ b/cmd/foldlb/upgrade_test.go
@@ -97,6 +97,12 @@
 
 // launch starts a dispatcher process with next hops a, b ...
 func launch(t *testing.T, keepPID bool, plays ...play) *process {
+	t.Helper()
+	return launchWith(t, "", "", keepPID, plays...)
+}
+
+// launchWith starts one with a name, and with more blocks in its operator file.
+func launchWith(t *testing.T, name, blocks string, keepPID bool, plays ...play) *process {
 	t.Helper()
 	p := stage(t, plays...)
 	self, err := os.Executable()
@@ -107,7 +113,7 @@
 	p.write("next", fmt.Sprintf("#!/bin/sh\n%s=%q exec %q \"$@\"\n", envHold, p.dir, self))
 	os.Chmod(filepath.Join(p.dir, "next"), 0o700)
 	p.write("operator.hcl", fmt.Sprintf("control { socket = \"c.sock\" }\nupgrade {\n binary = \"next\"\n probation = \"20ms\"\n start_within = \"20s\"\n"+
-		" hold_at_most = \"90ms\"\n take_within = \"490ms\"\n act_within = \"20ms\"\n keep_pid = %v\n pid_file = \"pid\"\n}\n", keepPID))
+		" hold_at_most = \"90ms\"\n take_within = \"490ms\"\n act_within = \"20ms\"\n keep_pid = %v\n pid_file = \"pid\"\n}\n%s", keepPID, blocks))
 	p.first = exec.Command(self, "serve", "--operator", filepath.Join(p.dir, "operator.hcl"), "--log-level", "error")
 	door, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -115,7 +121,7 @@
 	}
 	p.door = door.Addr().String()
 	door.Close()
-	p.first.Env = append(os.Environ(), envAsMain+"=1", "NODE_CONFIG="+filepath.Join(p.dir, "config.json"), "NODE_MGMT="+p.door)
+	p.first.Env = append(os.Environ(), envAsMain+"=1", "NODE_CONFIG="+filepath.Join(p.dir, "config.json"), "NODE_MGMT="+p.door, "NODE_NAME="+name)
 	p.first.Stderr = os.Stderr
 	if err := p.first.Start(); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,262 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/hold"
+	"foldlb.example/foldlb/internal/membership"
+)
+
+// body is a member with a view, in the place of a reducer.
+type body struct {
+	*Node
+	mu   sync.Mutex
+	view *membership.View
+	end  context.CancelFunc
+	done chan struct{}
+}
+
+var began = time.Now()
+
+func seconds() float64 { return time.Since(began).Seconds() + 1 }
+
+func silent() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+func (b *body) post(ev core.Event) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch ev := ev.(type) {
+	case core.FleetTold:
+		b.view.Merge(seconds(), ev.Records)
+	case core.FleetLooked:
+		b.view.Look(seconds(), ev.Sight)
+	case core.FleetRefused:
+		b.view.Refused(seconds(), ev.Process)
+	case core.FleetEntered:
+		b.view.Enter(seconds(), ev.State)
+	}
+	b.tell()
+}
+
+func (b *body) tell() {
+	if news := b.view.News(); len(news) > 0 {
+		b.Perform(core.FleetNews{Records: news})
+	}
+	b.Perform(core.FleetPictured{Picture: b.view.Picture(), Fresh: b.view.Fresh()})
+}
+
+func config(name string, seeds ...string) Config {
+	return Config{Fleet: "test", Name: name, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Seeds: seeds, Probe: 100 * time.Millisecond}
+}
+
+// member starts one; s and process are a predecessor's, or nil and 0.
+func member(t *testing.T, cfg Config, s *Sockets, process uint64, view *membership.View) *body {
+	t.Helper()
+	taken := s != nil
+	if s == nil {
+		var err error
+		if s, err = Listen(cfg.Listen); err != nil {
+			t.Fatal(err)
+		}
+		process = NewProcess()
+	}
+	b := &body{view: view, done: make(chan struct{})}
+	b.Node = New(cfg, s, process, taken, b.post, silent())
+	if b.view == nil {
+		var err error
+		if b.view, err = membership.New(seconds(), membership.Record{Key: b.Key(), Incarnation: uint64(time.Now().UnixMilli()), Process: process, Generation: 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.mu.Lock()
+	b.tell()
+	b.mu.Unlock()
+	ctx, end := context.WithCancel(context.Background())
+	b.end = end
+	go func() {
+		defer close(b.done)
+		if err := b.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { end(); <-b.done })
+	return b
+}
+
+// await waits until something is so, and fails where it never is.
+func await(t *testing.T, what string, so func() bool) {
+	t.Helper()
+	until := time.Now().Add(20 * time.Second)
+	for !so() {
+		if time.Now().After(until) {
+			t.Fatal("never: " + what)
+		}
+		time.Sleep(10 * time.Millisecond) // between two looks at what comes from other goroutines
+	}
+}
+
+func (b *body) holds(live ...string) bool {
+	var got []string
+	for _, m := range b.Picture().Members {
+		if m.Live() {
+			got = append(got, m.Name)
+		}
+	}
+	slices.Sort(got)
+	slices.Sort(live)
+	return slices.Equal(got, live)
+}
+
+func (b *body) at() string { return b.t.advertise.String() }
+
+// TestMembersMeet, one leaves, and one ends without a word: its machine's refusal is evidence.
+func TestMembersMeet(t *testing.T) {
+	a := member(t, config("a"), nil, 0, nil)
+	b := member(t, config("b", a.at()), nil, 0, nil)
+	c := member(t, config("c", "127.0.0.1:1", a.at()), nil, 0, nil) // a seed that is down, and one that is up
+	for _, x := range []*body{a, b, c} {
+		await(t, "all hold all", func() bool { return x.holds("a", "b", "c") })
+	}
+	await(t, "all hold the same", func() bool {
+		return a.Picture().Digest == b.Picture().Digest && b.Picture().Digest == c.Picture().Digest
+	})
+	b.Leave()
+	b.end()
+	await(t, "b has left", func() bool { return a.holds("a", "c") && c.holds("a", "c") })
+	c.end() // without a word
+	await(t, "c is gone", func() bool { return a.holds("a") && a.Picture().Acting == 1 })
+}
+
+// TestOthersAreNotHeard: members of another fleet, strangers' addresses, and what is no message at all.
+func TestOthersAreNotHeard(t *testing.T) {
+	a := member(t, config("a"), nil, 0, nil)
+	foreign := config("f", a.at())
+	foreign.Fleet = "other"
+	f := member(t, foreign, nil, 0, nil)
+	shut := config("s")
+	shut.Allow = []netip.Prefix{netip.MustParsePrefix("127.0.0.9/32")}
+	s := member(t, shut, nil, 0, nil)
+	b := member(t, config("b", a.at(), s.at()), nil, 0, nil)
+	to, err := net.Dial("udp", a.at())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer to.Close()
+	for i := range 200 {
+		fmt.Fprintf(to, "rubbish %d", i)
+	}
+	conn, err := net.Dial("tcp", a.at())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Write(make([]byte, 1<<16))
+	conn.Close()
+	a.NotifyMsg([]byte("no news"))
+	a.MergeRemoteState(make([]byte, mostNews+1), false)
+	await(t, "a and b meet", func() bool { return a.holds("a", "b") && b.holds("a", "b") })
+	await(t, "strangers are counted", func() bool { return s.Counts().Strangers > 0 && a.Counts().Unreadable == 2 })
+	if !f.holds("f") || !s.holds("s") {
+		t.Errorf("the foreign one holds %v, the shut one %v", f.Picture().Members, s.Picture().Members)
+	}
+	s.Configure(config("s")) // as SIGHUP does
+	await(t, "the one that was shut is met", func() bool { return a.holds("a", "b", "s") })
+}
+
+// TestSocketsPassOn: a successor on the same sockets and with the same view is the same member, and nobody doubts it.
+func TestSocketsPassOn(t *testing.T) {
+	a := member(t, config("a"), nil, 0, nil)
+	b := member(t, config("b", a.at()), nil, 0, nil)
+	await(t, "they meet", func() bool { return a.holds("a", "b") && b.holds("a", "b") })
+	var files hold.Files
+	st, err := b.Export(&files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	received := hold.NewGate().Receive()
+	for _, fd := range files.FDs {
+		received.FDs = append(received.FDs, dup(t, fd))
+	}
+	taken, err := Take(st, received)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.mu.Lock()
+	view, err := membership.Import(b.view.Export())
+	b.mu.Unlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.end()
+	<-b.done
+	next := member(t, config("b"), taken, st.Process, view)
+	await(t, "the successor reaches a", func() bool { return next.Picture().Reached == 2 })
+	for range 3 {
+		last := a.Counts().Sent
+		await(t, "a asks on", func() bool { return a.Counts().Sent > last+5 })
+		if !a.holds("a", "b") {
+			t.Fatalf("a holds %v", a.Picture().Members)
+		}
+	}
+	for _, c := range a.Picture().History {
+		if c.Key.Name == "b" && (c.What == "failed" || c.What == "gone") {
+			t.Errorf("a doubted it: %+v", c)
+		}
+	}
+}
+
+func dup(t *testing.T, fd int) int {
+	t.Helper()
+	n, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func FuzzNews(f *testing.F) {
+	good, err := pack([]membership.Record{{Key: membership.Key{Name: "a", Addr: "127.0.0.1:1"}, Incarnation: 1, Process: 2, Seq: 3, State: membership.Serving, Generation: 1}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add(good[:len(good)/2])
+	f.Add([]byte{})
+	f.Add([]byte{0xa2, 1, 2, 2, 0x80})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		records, err := unpack(text)
+		if err != nil {
+			return
+		}
+		v, err := membership.New(1, membership.Record{Key: membership.Key{Name: "me", Addr: "127.0.0.1:9"}, Incarnation: 1, Process: 1, Generation: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		v.Merge(2, records)
+		if _, err := membership.Import(v.Export()); err != nil {
+			t.Fatalf("what was taken in can't be written down: %v", err)
+		}
+		told, err := pack(v.Told())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again, err := unpack(told); err != nil || len(again) != len(v.Told()) {
+			t.Fatalf("what is told can't be read: %v", err)
+		}
+	})
+}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -40,7 +40,7 @@
 	for _, k := range v.keys() {
 		e := v.table[k]
 		p.Members = append(p.Members, Member{Record: e.Record, Since: e.since, Reached: e.reached, Self: k == v.self,
-			Suspected: e.doubted && e.reached, Disagrees: k != v.self && e.reached && e.heardAt > 0 && e.heard != v.digest})
+			Suspected: e.doubted && e.reached, Disagrees: k != v.self && !e.Over() && e.reached && e.heardAt > 0 && e.heard != v.digest})
 		if e.Live() {
 			live[k.Name]++
 			p.Zones[e.Zone]++
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -276,7 +276,11 @@
 	met := false
 	for _, k := range v.keys() {
 		e := v.table[k]
-		if k == v.self || e.Over() {
+		if k == v.self {
+			continue
+		}
+		if e.Over() {
+			e.reached, e.doubted = false, false
 			continue
 		}
 		if d, said := digests[e.Process]; said {
--- a/internal/virtual/model.go
+++ b/internal/virtual/model.go
@@ -25,6 +25,7 @@
 	lineTime     = 0.0002
 	listTimeout  = 2.0 // seconds after which discovery gives up a call that waits
 	noticeAfter  = 1.5 // seconds until a change is in the list
+	viewAfter    = 1.0 // seconds until all members know of one that joined
 	frontNotices = 1.5 // seconds until callers are no longer led to a dispatcher that died
 )
 
@@ -37,6 +38,8 @@
 	Load        float64 // part of what all warm next hops can do
 	ConnsMost   int     // connections that a next hop holds
 	Plan        []Happening
+	Told        bool // dispatchers keep a view, and tell their modules how many may be acting
+	Behind      int  // of those that join, so many are behind a partition, and not in the view
 
 	// To show that a promise can be broken: what changes the settings that a dispatcher is told, what stands between a
 	// decision module and its host, and a host that lets deadlines pass. All off where nothing is altered.
@@ -54,6 +57,7 @@
 	Replaced    float64 // part that is replaced by new ones
 	Within      float64 // seconds over which that is done
 	Back        float64 // seconds after which what was lost starts again, cold
+	Join        int     // dispatchers that join
 }
 
 // Count is what was counted over the whole fleet.
@@ -225,6 +229,20 @@
 			w.after(h.Back, d.start)
 		}
 	}
+	for range h.Join {
+		d := &dispatcher{w: w, no: len(w.dispatchers), zone: zoneOf(len(w.dispatchers))}
+		w.dispatchers = append(w.dispatchers, d)
+		d.start()
+	}
+	if h.Join > 0 && w.Told {
+		w.after(viewAfter, func() {
+			for _, d := range w.dispatchers {
+				if d.alive {
+					d.dec.Fleet(len(w.dispatchers) - w.Behind)
+				}
+			}
+		})
+	}
 	for _, x := range append([]*worker(nil), w.workers...) {
 		if h.Zone != "" && x.zone != h.Zone || x.startedAt > 0 {
 			continue
