Keep account of what each dispatcher acted on, in memory and in a sealed record

internal/audit counts acts in spans that the reducer closes as a version changes, and remembers the latest by request; internal/audit/trail writes them to a folder, each record sealed by the one before, and verifies the folders of any number of members. A torn end is cut off and named, a slow or full disk delays nobody and leaves a gap that says so, a second writer is kept out. No process starts on, or reloads, a configuration older than one that was acted on; a list older than one acted on before the start is not used; a source that truly goes back is a new beginning by rule. foldlb audit who, request, at, version, verify.

Found by tests: versions that acts named were kept for ever where lists change all the time; a successor's first file did not say what had been acted on.

--- /dev/null
+++ b/cmd/foldlb/audit.go
@@ -0,0 +1,279 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"foldlb.example/foldlb/internal/audit"
+	"foldlb.example/foldlb/internal/audit/trail"
+	"foldlb.example/foldlb/internal/control"
+	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/gossip"
+	"foldlb.example/foldlb/internal/membership"
+	"foldlb.example/foldlb/internal/operator"
+)
+
+const (
+	auditEvery = time.Second
+	lockMost   = 5 * time.Second // for a predecessor to end
+	lockPause  = 50 * time.Millisecond
+	trailEnds  = time.Second // for what waits to be written as the process ends
+)
+
+// auditor keeps this dispatcher's account. Without an audit block there is none.
+type auditor struct {
+	n       *node
+	cfg     operator.Audit
+	source  string // of configurations' numbers
+	process uint64
+	last    audit.Versions               // of the process before, by the folder
+	writer  atomic.Pointer[trail.Writer] // nil where nothing is written
+	summed  chan struct{}                // closed when the account has ended
+	once    sync.Once
+	version atomic.Int64 // of the configuration that is in force
+
+	mu    sync.Mutex
+	asked map[core.OrderID]chan core.AuditTold
+	no    core.OrderID
+}
+
+// record is the folder's record, opened before there is a reducer: what the process before acted on bounds what this one may.
+type record struct {
+	writer  *trail.Writer
+	last    trail.Last
+	process uint64
+}
+
+// openRecord opens the folder's record, for a fresh start. Danger: a disk that is full, or anything else that is wrong with a record, must
+// never keep callers from being served; it is logged, and nothing is written.
+func (s *setup) openRecord() {
+	a := s.operator.Audit
+	if a == nil || a.Folder == "" {
+		return
+	}
+	r := record{process: gossip.NewProcess()}
+	var err error
+	r.writer, r.last, err = trail.Open(recordOptions(s.cfg.Name, *a, r.process), func(err error) { s.log.WithError(err).Error("audit") })
+	if err != nil && !errors.Is(err, trail.ErrBusy) {
+		s.log.WithError(err).Error("audit: nothing is written")
+	}
+	s.trail = r
+	// What was acted on before the start must not be gone behind after it: an older list is not used, and the whole one asked for.
+	if last := r.last.Versions.Routes; err == nil && last.Source == s.cfg.Discovery && s.cfg.Known.Version < last.No {
+		s.log.WithFields(logrus.Fields{"known": s.cfg.Known.Version, "acted_on": last.No}).Warn("the route set of the configuration is older than one that was acted on, and is not used")
+		s.cfg.Known = core.RouteSet{Version: core.VersionUnknown}
+	}
+}
+
+func recordOptions(member string, a operator.Audit, process uint64) trail.Options {
+	return trail.Options{Folder: a.Folder, Member: member, Process: process, Files: a.Files, Bytes: int64(a.FileMB) << 20}
+}
+
+// errOlder says that a configuration is older than one that was acted on.
+var errOlder = errors.New("audit.version: an older configuration than one that was acted on")
+
+// audits makes the node keep an account, where the operator file says so. A configuration that is older than what the reducer, or the
+// folder's record, says was acted on is refused.
+func (s setup) audits(n *node) error {
+	a := s.operator.Audit
+	if a == nil {
+		return nil
+	}
+	x := &auditor{n: n, cfg: *a, process: gossip.NewProcess(), summed: make(chan struct{}), asked: map[core.OrderID]chan core.AuditTold{}}
+	if f := s.operator.Fleet; f != nil {
+		x.source = f.Name
+	}
+	held, process, kept := n.body.Reducer.Audited()
+	if kept {
+		x.process = process
+	} else if s.trail.writer != nil {
+		held = s.trail.last.Versions
+		x.last, x.process = held, s.trail.process
+		x.writer.Store(s.trail.writer)
+		x.tellCut(s.trail.last.Cut)
+	}
+	if now := x.config(a.Version); held.Config.Source == now.Source && held.Config.No > now.No {
+		return fmt.Errorf("%w: %d, and %d was acted on; state a higher number, also for a roll-back", errOlder, now.No, held.Config.No)
+	}
+	x.version.Store(a.Version)
+	n.auditor = x
+	return nil
+}
+
+func (x *auditor) config(no int64) membership.Version {
+	v := configured(x.n.cfg)
+	v.No, v.Source = no, x.source
+	return v
+}
+
+// run keeps the account until the context ends.
+func (x *auditor) run(ctx context.Context) {
+	for until := time.Now().Add(lockMost); x.writer.Load() == nil && x.cfg.Folder != ""; { // the process before lets go of it as it ends
+		w, last, err := trail.Open(recordOptions(x.n.cfg.Name, x.cfg, x.process), func(err error) { x.n.log.WithError(err).Error("audit") })
+		if err == nil {
+			x.tellCut(last.Cut)
+			x.writer.Store(w)
+		} else if !errors.Is(err, trail.ErrBusy) || time.Now().After(until) {
+			x.n.log.WithError(err).Error("audit: nothing is written")
+			break
+		} else {
+			time.Sleep(lockPause)
+		}
+	}
+	x.n.loop.Post(core.AuditBegun{Process: x.process, Program: program(), Config: x.config(x.version.Load()), Last: x.last})
+	t := time.NewTicker(auditEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			x.n.loop.Post(core.AuditLooked{})
+		}
+	}
+}
+
+func (x *auditor) tellCut(cut string) {
+	if cut != "" {
+		x.n.log.WithField("cut", cut).Warn("audit: the end of the record was no whole record")
+	}
+}
+
+// perform carries out the account's effects. It does not block.
+func (x *auditor) perform(e core.Effect) {
+	if x == nil {
+		return
+	}
+	now := x.n.body.Clock.Now()
+	switch e := e.(type) {
+	case core.AuditSpans:
+		if w := x.writer.Load(); w != nil {
+			for _, s := range e.Spans {
+				w.Put(now, trail.Record{Span: &s})
+			}
+		}
+	case core.AuditHeld:
+		if w := x.writer.Load(); w != nil {
+			w.Put(now, trail.Record{Held: &e.Versions})
+		}
+	case core.AuditTold:
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if done := x.asked[e.Order]; done != nil {
+			done <- e
+		}
+	case core.AuditSummed:
+		if w := x.writer.Load(); w != nil {
+			w.Put(now, trail.Record{End: &trail.End{Counts: e.Sums, Spans: e.Spans}})
+		}
+		x.once.Do(func() { close(x.summed) })
+	}
+}
+
+// end writes the account's end.
+func (x *auditor) end() {
+	if x == nil {
+		return
+	}
+	x.n.loop.Post(core.AuditEnded{})
+	select {
+	case <-x.summed:
+	case <-time.After(trailEnds):
+	}
+	if w := x.writer.Load(); w != nil {
+		w.Close(trailEnds)
+	}
+}
+
+// configure puts another configuration's number in force. One that is older than what was acted on changes nothing.
+func (x *auditor) configure(a *operator.Audit) error {
+	if x == nil || a == nil {
+		return nil
+	}
+	if old := x.version.Load(); a.Version < old {
+		return fmt.Errorf("%w: %d, and %d is in force", errOlder, a.Version, old)
+	}
+	x.version.Store(a.Version)
+	x.n.loop.Post(core.AuditConfigured{Config: x.config(a.Version)})
+	return nil
+}
+
+// told asks the reducer what is remembered of a request.
+func (x *auditor) told(id string) (core.AuditTold, error) {
+	done := make(chan core.AuditTold, 1)
+	x.mu.Lock()
+	x.no++
+	order := ownOrders | x.no
+	x.asked[order] = done
+	x.mu.Unlock()
+	defer func() {
+		x.mu.Lock()
+		delete(x.asked, order)
+		x.mu.Unlock()
+	}()
+	go x.n.loop.Post(core.AuditAsked{Order: order, Request: core.RequestID(id)})
+	select {
+	case t := <-done:
+		return t, nil
+	case <-time.After(orderWait):
+		return core.AuditTold{}, errors.New("no answer from the reducer")
+	}
+}
+
+var errNoAudit = errors.New("this dispatcher keeps no account: its operator file has no audit block")
+
+// auditAnswer is what `foldlb audit request` and `audit who` are told.
+type auditAnswer struct {
+	Member   string            `json:"member"`
+	Versions audit.Versions    `json:"versions"`
+	Acts     []auditAct        `json:"acts,omitempty"`
+	Span     uint64            `json:"span"`
+	Counts   map[string]uint64 `json:"counts_of_this_span"`
+}
+
+type auditAct struct {
+	Ago      float64        `json:"ago_s"`
+	Wall     int64          `json:"wall_ms"`
+	What     string         `json:"what"`
+	Hop      string         `json:"hop,omitempty"`
+	Versions audit.Versions `json:"versions"`
+}
+
+func (x *auditor) handlers() map[string]control.Handler {
+	return map[string]control.Handler{
+		"audit": func(args json.RawMessage, say func(any) error) error {
+			var a struct {
+				Request string `json:"request"`
+			}
+			if len(args) > 0 {
+				if err := json.Unmarshal(args, &a); err != nil {
+					return err
+				}
+			}
+			if x == nil {
+				return errNoAudit
+			}
+			t, err := x.told(a.Request)
+			if err != nil {
+				return err
+			}
+			now := x.n.body.Clock.Now()
+			out := auditAnswer{Member: x.n.cfg.Name, Versions: t.Now.Versions, Span: t.Now.No, Counts: map[string]uint64{}}
+			for k, n := range t.Now.Counts {
+				out.Counts[audit.Kind(k).String()] = n
+			}
+			for _, act := range t.Acts {
+				out.Acts = append(out.Acts, auditAct{Ago: now - act.At, Wall: time.Now().Add(-time.Duration((now - act.At) * float64(time.Second))).UnixMilli(),
+					What: act.Kind.String(), Hop: act.Hop, Versions: act.Versions})
+			}
+			return say(out)
+		},
+	}
+}
--- a/cmd/foldlb/fleet.go
+++ b/cmd/foldlb/fleet.go
@@ -239,6 +239,7 @@
 	Program     membership.Version `json:"program"`
 	Config      membership.Version `json:"config"`
 	Routes      membership.Version `json:"routes"`
+	Lag         lag                `json:"lag"`
 }
 
 type fleetChange struct {
@@ -263,10 +264,11 @@
 	p, now := g.Picture(), m.n.body.Clock.Now()
 	v := fleetView{Self: p.Self.Name, Fleet: m.cfg.Fleet, Digest: fmt.Sprintf("%016x", p.Digest), Settled: now - p.Changed,
 		Acting: p.Acting, Reached: p.Reached, Zones: p.Zones, Counts: g.Counts(), Dropped: p.Dropped}
-	for _, x := range p.Members {
+	behind := lags(p.Members, now)
+	for i, x := range p.Members {
 		v.Members = append(v.Members, fleetMember{Name: x.Name, Addr: x.Addr, Zone: x.Zone, State: stateOf(x), Why: x.Why, Since: now - x.Since,
 			Reached: x.Reached, Self: x.Self, Conflict: x.Conflict, Loser: x.Loser, Disagrees: x.Disagrees, Incarnation: x.Incarnation,
-			Process: fmt.Sprintf("%x", x.Process), Seq: x.Seq, Generation: x.Generation, Program: x.Program, Config: x.Config, Routes: x.Routes})
+			Process: fmt.Sprintf("%x", x.Process), Seq: x.Seq, Generation: x.Generation, Program: x.Program, Config: x.Config, Routes: x.Routes, Lag: behind[i]})
 	}
 	if history {
 		for _, c := range p.History {
--- a/cmd/foldlb/main.go
+++ b/cmd/foldlb/main.go
@@ -42,6 +42,7 @@
 			upgradeCommand(),
 			statusCommand(),
 			fleetCommand(),
+			auditCommand(),
 			{
 				Name:  "version",
 				Usage: "print the version",
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -39,6 +39,7 @@
 	behind  ops.Node          // what is put behind it
 	ending  atomic.Bool       // SIGTERM has come
 	member  *member           // of a fleet; nil where there is none
+	auditor *auditor          // nil where no account is kept
 
 	now atomic.Pointer[core.Limits] // those in force
 
@@ -101,6 +102,8 @@
 		}
 	case core.FleetNews, core.FleetPictured:
 		n.member.perform(e)
+	case core.AuditSpans, core.AuditHeld, core.AuditTold, core.AuditSummed:
+		n.auditor.perform(e)
 	case core.SetLimits:
 		setMachine(e.Limits)
 		n.now.Store(&e.Limits)
@@ -159,6 +162,9 @@
 		n.legs.SendAway(true)
 	}
 	n.takePart(background)
+	if n.auditor != nil {
+		go n.auditor.run(background)
+	}
 	go n.loop.Run(background)
 	go n.logFigures(background, figuresEvery)
 	if n.door != nil {
@@ -188,6 +194,7 @@
 		return fmt.Errorf("close listener: %w", err)
 	}
 	n.member.leave()
+	n.auditor.end()
 	n.log.Info("all answered")
 	return <-served
 }
--- a/cmd/foldlb/operate.go
+++ b/cmd/foldlb/operate.go
@@ -35,7 +35,7 @@
 // to be done at the end.
 func (s setup) operate(n *node, taken *upgrade.Taken) (end func(), err error) {
 	if s.operator.Control.Socket == "" {
-		if n.member != nil {
+		if n.member != nil || n.auditor != nil {
 			n.configure = func() { s.configure(n) }
 		}
 		return func() {}, nil
@@ -63,6 +63,7 @@
 		},
 	}
 	maps.Copy(handlers, n.member.handlers())
+	maps.Copy(handlers, n.auditor.handlers())
 	server := control.NewServer(ln, handlers, n.log)
 	n.giver.Leave = func(pid int) {
 		n.leaveDoor()
@@ -93,6 +94,10 @@
 	if next.Control != s.operator.Control || next.Log != s.operator.Log || next.Upgrade.KeepPID != s.operator.Upgrade.KeepPID {
 		n.log.WithField("file", s.options.operator).Warn("changed blocks that only a restart or an upgrade applies: control, log, keep_pid")
 	}
+	if err := n.auditor.configure(next.Audit); err != nil {
+		n.log.WithError(err).Error("operator file refused, the old one stays")
+		return
+	}
 	if (next.Fleet == nil) != (n.member == nil) {
 		n.log.WithField("file", s.options.operator).Warn("a fleet block that is new or gone, which only a restart or an upgrade applies")
 	}
--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -102,6 +102,7 @@
 	cfg      config.Config
 	operator operator.Config
 	log      *logrus.Logger
+	trail    record // of what was acted on before the start
 }
 
 func prepare(o options) (setup, error) {
@@ -126,6 +127,7 @@
 // begin serves from a fresh start.
 func (s setup) begin(ctx context.Context, ln net.Listener, door *ops.Door, reload <-chan os.Signal) error {
 	clock := upgrade.NewClock()
+	s.openRecord()
 	reducer, err := core.New(clock.Now(), s.cfg.Settings, s.cfg.Known, s.cfg.Discovery)
 	if err != nil {
 		return err
@@ -144,7 +146,7 @@
 	}
 	n := build(s.cfg, reducer, gate, clock, log)
 	n.open(door)
-	if err := s.join(n); err != nil {
+	if err := errors.Join(s.join(n), s.audits(n)); err != nil {
 		return err
 	}
 	end, err := s.operate(n, nil)
@@ -200,7 +202,7 @@
 	}
 	n := build(s.cfg, taken.Reducer, gate, taken.Clock, s.log.WithField("generation", taken.Parcel.Generation))
 	n.open(door)
-	if err := s.join(n); err != nil {
+	if err := errors.Join(s.join(n), s.audits(n)); err != nil {
 		tcp.Close()
 		return nil, err
 	}
--- /dev/null
+++ b/internal/core/audit.go
@@ -0,0 +1,163 @@
+package core
+
+import (
+	"foldlb.example/foldlb/internal/audit"
+	"foldlb.example/foldlb/internal/membership"
+)
+
+// AuditBegun begins an account of what is acted on, or says what a successor's program and configuration are.
+type AuditBegun struct {
+	Process uint64
+	Program membership.Version
+	Config  membership.Version
+	Last    audit.Versions // that the process before acted on last, where its record is known
+}
+
+// AuditLooked says that a second has passed: spans that have lasted long enough end.
+type AuditLooked struct{}
+
+// AuditConfigured says that another configuration is in force.
+type AuditConfigured struct{ Config membership.Version }
+
+// AuditAsked asks for what is remembered of a request, which comes as AuditTold.
+type AuditAsked struct {
+	Order   OrderID
+	Request RequestID
+}
+
+// AuditEnded ends the account: the last span, and the sums.
+type AuditEnded struct{}
+
+func (AuditBegun) event()      {}
+func (AuditLooked) event()     {}
+func (AuditConfigured) event() {}
+func (AuditAsked) event()      {}
+func (AuditEnded) event()      {}
+
+// AuditSpans are spans that have ended.
+type AuditSpans struct{ Spans []audit.Span }
+
+// AuditHeld says which versions are held from now on. It comes before what is done on them. Danger: a span is told as it ends, and a
+// process that is killed would leave no word of what it acted on last.
+type AuditHeld struct{ Versions audit.Versions }
+
+// AuditTold is what is remembered of a request, and the span that is under way.
+type AuditTold struct {
+	Order OrderID
+	Acts  []audit.Act
+	Now   audit.Span
+}
+
+// AuditSummed is the account's end.
+type AuditSummed struct {
+	Sums  [audit.Kinds]uint64
+	Spans uint64
+}
+
+func (AuditSpans) effect()  {}
+func (AuditHeld) effect()   {}
+func (AuditTold) effect()   {}
+func (AuditSummed) effect() {}
+
+// auditOf applies an event of the audit.
+func (r *Reducer) auditOf(ev Event) {
+	if begun, is := ev.(AuditBegun); is {
+		r.auditBegun(begun)
+	}
+	if r.book == nil {
+		return
+	}
+	switch ev := ev.(type) {
+	case AuditLooked:
+		r.book.Pass(r.now)
+	case AuditConfigured:
+		r.audited.Config = ev.Config
+		r.holds()
+	case AuditAsked:
+		r.emit(AuditTold{Order: ev.Order, Acts: r.book.Of(string(ev.Request)), Now: r.book.Now()})
+	case AuditEnded:
+		r.book.End(r.now)
+	}
+	if done := r.book.Take(); len(done) > 0 {
+		r.emit(AuditSpans{Spans: done})
+	}
+	if _, ends := ev.(AuditEnded); ends {
+		r.emit(AuditSummed{Sums: r.book.Sums(), Spans: r.book.Now().No - 1})
+	}
+}
+
+func (r *Reducer) auditBegun(ev AuditBegun) {
+	r.audited.Program, r.audited.Config = ev.Program, ev.Config
+	if r.book != nil {
+		r.holds()
+		return
+	}
+	r.auditNo = ev.Process
+	r.audited.Begun = ev.Last.Begun
+	if last := ev.Last.Routes; last.Source == r.source.Addr {
+		r.acted = max(r.acted, last.No) // danger: what was acted on before a restart must not be gone behind after it
+	} else if last.Source != "" {
+		r.audited.Begun++
+	}
+	r.audited.Routes = r.routes()
+	r.book = audit.New(r.now, 1, r.audited)
+	r.tellHeld()
+}
+
+// routes is the version of the route set that is held.
+func (r *Reducer) routes() membership.Version {
+	return membership.Version{No: r.version, Digest: r.routesDigest(), Source: r.source.Addr}
+}
+
+// holds says to the account which versions are held from now on.
+func (r *Reducer) holds() {
+	if r.book == nil {
+		return
+	}
+	r.audited.Routes = r.routes()
+	if r.book.Hold(r.now, r.audited) {
+		r.tellHeld()
+	}
+}
+
+// tellHeld tells which spans have ended, and what is held.
+func (r *Reducer) tellHeld() {
+	if done := r.book.Take(); len(done) > 0 {
+		r.emit(AuditSpans{Spans: done})
+	}
+	r.emit(AuditHeld{Versions: r.audited})
+}
+
+// act counts an act, on the versions held now.
+func (r *Reducer) act(kind audit.Kind, q *request, hop HopID) {
+	if r.book != nil {
+		r.book.Act(r.now, kind, string(q.call.ID), string(hop))
+	}
+}
+
+// AuditState is the account's part of a reducer's state.
+type AuditState struct {
+	Process uint64
+	Book    audit.State
+	Held    audit.Versions
+	Acted   int64
+}
+
+func (r *Reducer) exportAudit() *AuditState {
+	if r.book == nil {
+		return nil
+	}
+	return &AuditState{Process: r.auditNo, Book: r.book.Export(), Held: r.audited, Acted: r.acted}
+}
+
+func (r *Reducer) importAudit(st *AuditState) {
+	r.acted = r.version
+	if st != nil {
+		r.auditNo, r.book, r.audited, r.acted = st.Process, audit.Import(st.Book), st.Held, st.Acted
+	}
+}
+
+// Audited is what was acted on last, by which process; false where there is no account.
+func (r *Reducer) Audited() (v audit.Versions, process uint64, kept bool) {
+	return r.audited, r.auditNo, r.book != nil
+}
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -47,6 +47,9 @@
 		r.emit(Watch{On: true, Source: r.source, Since: r.version})
 		return
 	}
+	if set.Version < r.acted {
+		r.audited.Begun++ // by rule a source that truly goes back has begun anew, and is newer than all that it told before
+	}
 	r.doubted = false
 	form := choice.ListChanges
 	if set.Full {
@@ -58,8 +61,8 @@
 // doubt names what is odd about a source's news; empty for nothing.
 func (r *Reducer) doubt(set RouteSet) string {
 	switch {
-	case set.Version < r.version:
-		return fmt.Sprintf("version %d was told after version %d", set.Version, r.version)
+	case set.Version < r.acted:
+		return fmt.Sprintf("version %d was told after version %d", set.Version, r.acted)
 	case set.Full && len(set.Hops) == 0 && len(r.hops) > 0:
 		return fmt.Sprintf("an empty list was told where %d next hops are held", len(r.hops))
 	}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -106,7 +106,7 @@
 		return // an upgrade's follower has not begun itself
 	}
 	if own := r.fleet.Self().Routes; own.No != r.version || own.Source != r.source.Addr {
-		r.says.Routes = membership.Version{No: r.version, Digest: r.routesDigest(), Source: r.source.Addr}
+		r.says.Routes = r.routes()
 	} else {
 		r.says.Routes = own
 	}
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"foldlb.example/foldlb/choice"
+	"foldlb.example/foldlb/internal/audit"
 )
 
 // host carries out the decider's actions. It never calls back into the decider: outcomes that an action
@@ -36,6 +37,7 @@
 	}
 	b.addr = hop.Addr
 	r.tally.Branches++
+	r.act(audit.Sent, q, b.hop)
 	r.emit(SendBranch{Branch: b.id, Request: q.call.ID, Hop: b.hop, Addr: b.addr, Until: until,
 		Message: q.call.Message})
 	if until < q.deadline {
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"foldlb.example/foldlb/choice"
+	"foldlb.example/foldlb/internal/audit"
 	"foldlb.example/foldlb/internal/membership"
 )
 
@@ -61,6 +62,10 @@
 	tally    Tally
 	fleet    *membership.View // nil where this dispatcher keeps none
 	says     membership.Says  // of itself, to the fleet
+	book     *audit.Book      // nil where there is none
+	auditNo  uint64           // the process's number in its account
+	audited  audit.Versions   // as the book holds them
+	acted    int64            // newest version of the source's route set that was held
 	acting   int              // members that may be acting, as last told to the decision module; 0 for the settings' number
 	timers   timerHeap
 	timerSeq uint64
@@ -162,6 +167,8 @@
 	case Stopping:
 		r.stop()
 	case Tick:
+	case AuditBegun, AuditLooked, AuditConfigured, AuditAsked, AuditEnded:
+		r.auditOf(ev)
 	default:
 		r.fleetOf(ev)
 	}
@@ -286,6 +293,7 @@
 // answer gives the one final answer of a request.
 func (r *Reducer) answer(q *request, a Answer) {
 	a.Leg = q.call.Leg
+	r.act(actOf[a.Verdict], q, "")
 	switch {
 	case a.Verdict == Busy && len(q.branches) == 0:
 		r.tally.RefusedAtOnce++
@@ -333,7 +341,11 @@
 		Code: code, Latency: r.now - b.sent, Final: q.over})
 }
 
+// actOf is how the account counts an answer.
+var actOf = map[Verdict]audit.Kind{Served: audit.Answered, Busy: audit.Refused, Failed: audit.Failed, Rejected: audit.Failed, Unowned: audit.Failed}
+
 func (r *Reducer) giveUp(b *branch) {
+	r.act(audit.GivenUp, b.req, b.hop)
 	r.emit(GiveUpBranch{Branch: b.id, Request: b.req.call.ID, Hop: b.hop, Addr: b.addr})
 }
 
@@ -423,6 +435,8 @@
 		return !listed
 	})
 	r.decider.List(r.now, form, list)
+	r.acted = r.version
+	r.holds()
 }
 
 // reloaded applies a configuration read again. A new source is asked for its whole list at once; its version
@@ -433,7 +447,9 @@
 		return
 	}
 	r.source = Source{Addr: ev.Discovery, No: r.source.No + 1}
-	r.version, r.watching, r.doubted = VersionUnknown, true, false
+	r.version, r.acted, r.watching, r.doubted = VersionUnknown, VersionUnknown, true, false
+	r.audited.Begun++
+	r.holds()
 	r.emit(Watch{On: true, Source: r.source, Since: r.version})
 }
 
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -28,6 +28,7 @@
 	Draining bool           // by hand
 	Doubted  bool           `cbor:",omitempty"` // the source was asked for its whole list, since what it told was odd
 	Fleet    *FleetState    `cbor:",omitempty"`
+	Audit    *AuditState    `cbor:",omitempty"`
 	Decider  choice.Snapshot
 }
 
@@ -86,7 +87,7 @@
 		return State{}, err
 	}
 	s := State{Now: r.now, Source: r.source, Version: r.version, Watching: r.watching, LastID: r.lastID,
-		TimerSeq: r.timerSeq, Draining: r.draining, Doubted: r.doubted, Fleet: r.exportFleet(), Decider: decider, Spent: make([]RequestID, 0, len(r.spent)),
+		TimerSeq: r.timerSeq, Draining: r.draining, Doubted: r.doubted, Fleet: r.exportFleet(), Audit: r.exportAudit(), Decider: decider, Spent: make([]RequestID, 0, len(r.spent)),
 		Timers: make([]TimerState, 0, len(r.timers)), Requests: make([]RequestState, 0, len(r.requests))}
 	for id := range r.spent {
 		s.Spent = append(s.Spent, id)
@@ -182,6 +183,7 @@
 			return nil, fmt.Errorf("%w: the decision module's request %d (%q) is not the reducer's", ErrState, i, q.Request.ID)
 		}
 	}
+	r.importAudit(st.Audit)
 	if err := r.importFleet(st.Fleet); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrState, err)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -38,6 +38,7 @@
 	leaveMost  = 500 * time.Millisecond
 	mostLines  = 50 // of the log at once
 	linesAS    = 5  // and for good
+	silentFor  = 10 // times the pause between two questions, without any word from anybody, until nobody is reached
 	leaveTo    = 3  // members that are told of a leave one by one
 	retransmit = 4
 	dialMost   = 2 * time.Second
@@ -175,9 +176,6 @@
 	c.EnableCompression = false
 	c.Logger = log.New(&lines{log: n.log}, "", 0)
 	c.Delegate, c.Ping, c.Events = n, n, n
-	if altered.Is("no second opinion") {
-		c.IndirectChecks, c.DisableTcpPings, c.SuspicionMult = 0, true, 1
-	}
 	c.DNSConfigPath = "/etc/resolv.conf"
 	n.t.run()
 	list, err := memberlist.Create(c)
@@ -224,7 +222,13 @@
 
 func (n *Node) sight() membership.Sight {
 	var s membership.Sight
+	// One that is cut off from everybody would doubt the others one by one, and itself first: the library slows such a member down. But
+	// where nothing at all is heard, nobody is reached.
+	alone := time.Since(time.Unix(0, n.t.heardAt.Load())) > silentFor*n.cfg.Load().Probe
 	for _, m := range n.list.Members() {
+		if alone {
+			break
+		}
 		if p, ok := processOf(m.Name); ok && p != n.process {
 			s.Reached = append(s.Reached, p)
 		}
@@ -253,7 +257,7 @@
 // sides of a partition that wrote each other off would never meet again.
 func (n *Node) seek(ctx context.Context) {
 	pause := seekLeast
-	for !altered.Is("no coming together") {
+	for {
 		wanted := n.wanted()
 		if len(wanted) == 0 {
 			pause = seekLeast
@@ -269,6 +273,9 @@
 			if met > 0 {
 				pause = seekLeast
 				n.nudge()
+				if altered.Is("no coming together") {
+					return
+				}
 			}
 		}
 		select {
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -82,6 +82,8 @@
 	done    chan struct{}
 	once    sync.Once
 
+	heardAt atomic.Int64 // Unix nanoseconds of the last datagram that a peer may have sent
+
 	sent, sentBytes, taken, takenBytes, opened, strangers, full atomic.Uint64
 }
 
@@ -93,6 +95,7 @@
 }
 
 func (t *transport) run() {
+	t.heardAt.Store(time.Now().UnixNano())
 	go t.read()
 	go t.accept()
 }
@@ -112,6 +115,7 @@
 			continue
 		}
 		t.taken.Add(1)
+		t.heardAt.Store(time.Now().UnixNano())
 		t.takenBytes.Add(uint64(n))
 		p := &memberlist.Packet{Buf: append([]byte(nil), buf[:n]...), From: net.UDPAddrFromAddrPort(from), Timestamp: time.Now()}
 		select {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -11,9 +11,11 @@
 	Since     float64 // of its state and verdict
 	Reached   bool    // at the last look
 	Self      bool
-	Suspected bool // this member had to try other ways to reach it
-	Disagrees bool // the last digest that it told is not this view's
-	Conflict  bool // its name is in two places
+	ConfigAt  float64 // when it was first heard to act on its configuration
+	RoutesAt  float64 // and on its route set
+	Suspected bool    // this member had to try other ways to reach it
+	Disagrees bool    // the last digest that it told is not this view's
+	Conflict  bool    // its name is in two places
 }
 
 // Picture is a view as of one moment, for those outside the reducer. Nothing in it is written to.
@@ -39,7 +41,7 @@
 	live := map[string]int{}
 	for _, k := range v.keys() {
 		e := v.table[k]
-		p.Members = append(p.Members, Member{Record: e.Record, Since: e.since, Reached: e.reached, Self: k == v.self,
+		p.Members = append(p.Members, Member{Record: e.Record, Since: e.since, Reached: e.reached, Self: k == v.self, ConfigAt: e.configAt, RoutesAt: e.routesAt,
 			Suspected: e.doubted && e.reached, Disagrees: k != v.self && !e.Over() && e.reached && e.heardAt > 0 && e.heard != v.digest})
 		if e.Live() {
 			live[k.Name]++
@@ -60,6 +62,9 @@
 	Reached bool    `cbor:"4,keyasint,omitempty"`
 	Heard   uint64  `cbor:"5,keyasint,omitempty"`
 	HeardAt float64 `cbor:"6,keyasint,omitempty"`
+
+	ConfigAt float64 `cbor:"7,keyasint,omitempty"`
+	RoutesAt float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // ViewState is all that a view remembers, for a successor.
@@ -83,7 +88,7 @@
 	for _, k := range v.keys() {
 		e := v.table[k]
 		s.Entries = append(s.Entries, EntryState{Record: e.Record, Since: e.since, Unseen: e.unseen, Reached: e.reached, Heard: e.heard,
-			HeardAt: e.heardAt})
+			HeardAt: e.heardAt, ConfigAt: e.configAt, RoutesAt: e.routesAt})
 		if v.news[k] {
 			s.News = append(s.News, k)
 		}
@@ -106,7 +111,8 @@
 		if v.table[x.Record.Key] != nil {
 			return nil, fmt.Errorf("%w: member %d (%v) is there twice", ErrRecord, i, x.Record.Key)
 		}
-		v.table[x.Record.Key] = &entry{Record: x.Record, since: x.Since, unseen: x.Unseen, reached: x.Reached, heard: x.Heard, heardAt: x.HeardAt}
+		v.table[x.Record.Key] = &entry{Record: x.Record, since: x.Since, unseen: x.Unseen, reached: x.Reached, heard: x.Heard, heardAt: x.HeardAt,
+			configAt: x.ConfigAt, routesAt: x.RoutesAt}
 	}
 	if v.table[v.self] == nil {
 		return nil, fmt.Errorf("%w: this process is no member of its own view", ErrRecord)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -25,6 +25,8 @@
 	doubted bool    // the transport had to try other ways to reach it
 	heard   uint64  // the digest that it said it held
 	heardAt float64 // 0 for never
+
+	configAt, routesAt float64 // since when it is heard to act on its configuration and its route set
 }
 
 // Change is a line of a view's history.
@@ -96,6 +98,7 @@
 		return
 	}
 	e.Seq = max(e.Seq, before.Seq) + 1
+	e.acts(before, v.now)
 	if e.State != before.State {
 		e.since, v.changed = v.now, v.now
 		v.note(v.self, e.State.String(), e.Why)
@@ -103,6 +106,16 @@
 	v.tell(v.self)
 }
 
+// acts notes since when a member acts on what it says now.
+func (e *entry) acts(was Record, now float64) {
+	if e.Config != was.Config {
+		e.configAt = now
+	}
+	if e.Routes != was.Routes {
+		e.routesAt = now
+	}
+}
+
 // begin starts a step: time never goes back.
 func (v *View) begin(now float64) { v.now = max(v.now, now) }
 
@@ -165,7 +178,7 @@
 		v.dropped++
 		return
 	case e == nil:
-		e = &entry{Record: r, since: v.now, unseen: v.now}
+		e = &entry{Record: r, since: v.now, unseen: v.now, configAt: v.now, routesAt: v.now}
 		v.table[r.Key] = e
 		v.noteTaken(r, "")
 	case r.compare(e.Record) <= 0 && !altered.Is("stale news wins"):
@@ -173,6 +186,7 @@
 	default:
 		was := e.Record
 		e.Record = r
+		e.acts(was, v.now)
 		if was.Process != r.Process {
 			e.unseen, e.reached, e.heard, e.heardAt = v.now, false, 0, 0
 			v.noteTaken(r, "")
@@ -289,6 +303,9 @@
 			e.heard, e.heardAt = d, v.now
 		}
 		e.doubted = doubted[e.Process]
+		if e.doubted && altered.Is("no second opinion") {
+			v.judge(e, Failed, "not answered at once")
+		}
 		if in[e.Process] {
 			met = true
 			e.reached, e.unseen = true, 0
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -27,9 +27,18 @@
 	Control Control
 	Upgrade Upgrade
 	Log     Log
+	Audit   *Audit // nil where this dispatcher keeps no account of what it acted on
 	Fleet   *Fleet // nil where this dispatcher keeps no view of its fleet
 }
 
+// Audit says how the dispatcher keeps account of what it acted on.
+type Audit struct {
+	Folder  string // for its record; empty for memory only
+	Version int64  // of the configuration, stated by the operators; 0 for none
+	Files   int    // that are kept
+	FileMB  int    // of each
+}
+
 // Fleet says how the dispatcher is a member of its fleet.
 type Fleet struct {
 	Name      string         // that all its members say
@@ -89,6 +98,12 @@
 		Format *string `hcl:"format"`
 	} `hcl:"log,block"`
 	Fleet *fleetFile `hcl:"fleet,block"`
+	Audit *struct {
+		Folder  *string `hcl:"folder"`
+		Version *int64  `hcl:"version"`
+		Files   *int    `hcl:"files"`
+		FileMB  *int    `hcl:"file_mb"`
+	} `hcl:"audit,block"`
 }
 
 type fleetFile struct {
@@ -191,6 +206,25 @@
 		c.Fleet = x.read(fault)
 		duration("fleet.probe_every", x.Probe, &c.Fleet.Probe, 50*time.Millisecond, time.Minute)
 	}
+	if x := f.Audit; x != nil {
+		c.Audit = &Audit{Files: 16, FileMB: 4}
+		full(x.Folder, &c.Audit.Folder)
+		if x.Version != nil {
+			if c.Audit.Version = *x.Version; c.Audit.Version < 0 || c.Audit.Version > 1<<62 {
+				fault("audit.version", "%d is not from 0 to %d", c.Audit.Version, int64(1)<<62)
+			}
+		}
+		whole := func(key string, from *int, to *int, most int) {
+			if from == nil {
+				return
+			}
+			if *to = *from; *to < 1 || *to > most {
+				fault(key, "%d is not from 1 to %d", *to, most)
+			}
+		}
+		whole("audit.files", x.Files, &c.Audit.Files, 10000)
+		whole("audit.file_mb", x.FileMB, &c.Audit.FileMB, 1024)
+	}
 	return c, errors.Join(faults...)
 }
 
--- a/internal/snapshot/events.go
+++ b/internal/snapshot/events.go
@@ -29,6 +29,11 @@
 	FleetEntered    *core.FleetEntered    `cbor:"18,keyasint,omitempty"`
 	FleetEnded      *core.FleetEnded      `cbor:"20,keyasint,omitempty"`
 	RemoveOrdered   *core.RemoveOrdered   `cbor:"19,keyasint,omitempty"`
+	AuditBegun      *core.AuditBegun      `cbor:"21,keyasint,omitempty"`
+	AuditLooked     *core.AuditLooked     `cbor:"22,keyasint,omitempty"`
+	AuditConfigured *core.AuditConfigured `cbor:"23,keyasint,omitempty"`
+	AuditAsked      *core.AuditAsked      `cbor:"24,keyasint,omitempty"`
+	AuditEnded      *core.AuditEnded      `cbor:"25,keyasint,omitempty"`
 }
 
 // Pack puts an event into its carrier. An event of a type that is not known here is an error.
@@ -74,6 +79,16 @@
 		return Event{FleetEntered: &ev}, nil
 	case core.FleetEnded:
 		return Event{FleetEnded: &ev}, nil
+	case core.AuditBegun:
+		return Event{AuditBegun: &ev}, nil
+	case core.AuditLooked:
+		return Event{AuditLooked: &ev}, nil
+	case core.AuditConfigured:
+		return Event{AuditConfigured: &ev}, nil
+	case core.AuditAsked:
+		return Event{AuditAsked: &ev}, nil
+	case core.AuditEnded:
+		return Event{AuditEnded: &ev}, nil
 	case core.RemoveOrdered:
 		return Event{RemoveOrdered: &ev}, nil
 	}
@@ -121,6 +136,16 @@
 		return *e.FleetEntered, nil
 	case e.FleetEnded != nil:
 		return *e.FleetEnded, nil
+	case e.AuditBegun != nil:
+		return *e.AuditBegun, nil
+	case e.AuditLooked != nil:
+		return *e.AuditLooked, nil
+	case e.AuditConfigured != nil:
+		return *e.AuditConfigured, nil
+	case e.AuditAsked != nil:
+		return *e.AuditAsked, nil
+	case e.AuditEnded != nil:
+		return *e.AuditEnded, nil
 	case e.RemoveOrdered != nil:
 		return *e.RemoveOrdered, nil
 	}
--- a/lab/fleet-short.hcl
+++ b/lab/fleet-short.hcl
@@ -1,5 +1,5 @@
 # A fleet of five dispatchers that keep a view of themselves, and faults between them on a fixed schedule: a partition, a crash, a
-# restart within a second, a pause, an upgrade, a leave. CI runs this.
+# restart within a second under disordered news, a pause, an upgrade, a leave. CI runs this.
 title       = "a view of the fleet, short"
 duration    = "36s"
 rate        = 60
@@ -59,10 +59,20 @@
   at = 21.5
   dispatcher = "n2"
 }
+# A start within a second of a crash, while news come late, twice and in another order.
+event "links" {
+  at = 23.5
+  delay_ms = 10
+  jitter_ms = 200
+  twice = 0.3
+}
 event "bounce" {
   at = 24
   dispatcher = "n3"
 }
+event "heal" {
+  at = 26.5
+}
 event "pause" {
   at = 27
   dispatcher = "n5"
