Let the judge's test hold what it judges for as long as it must stand

A fault that comes after all had settled is broken only once it has stood for three seconds, since a changed route set is told to all in a moment; the test's fleets begin with one that has.

--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -8,7 +8,7 @@
 
 // squadOf is a fleet of members that run and hold one view, settled long ago.
 func squadOf(n int) *squad {
-	q := &squad{links: &Links{pairs: map[[2]int]Link{}}, begin: time.Now().Add(-time.Minute), lastAt: time.Now().Add(-30 * time.Second),
+	q := &squad{links: &Links{pairs: map[[2]int]Link{}}, begin: time.Now().Add(-time.Minute), lastAt: time.Now().Add(-30 * time.Second), faultAt: time.Now().Add(-10 * time.Second),
 		last: Settling{What: "begin", Most: 1}}
 	for i := range n {
 		q.peers = append(q.peers, &peer{name: "n" + string(rune('1'+i)), no: i, up: true, since: time.Now().Add(-time.Minute), most: map[string]uint64{}})
