Shut a straggler out: floors, and leases that make them hold behind a partition

Need: a member that acts on an old configuration or list goes on until somebody notices, and nothing said to the others reaches one that is cut off.

A floor says that nothing older than a version may be acted on from a time on. It spreads with the view; who is below is shut out in time: /healthz says no, requests are answered busy, nothing new is sent. With lease set a member may act only while over half of the members answered, within the lease, holding just the floors that it holds; so a lease after a floor is told nobody acts below it anywhere. A floor that would shut out over half of a zone or of the fleet is refused unless forced. foldlb fleet floor tells and withdraws.

--- a/cmd/foldlb/audit.go
+++ b/cmd/foldlb/audit.go
@@ -34,6 +34,7 @@
 	source  string // of configurations' numbers
 	routes  string // what the members call the source of route sets
 	process uint64
+	failed  bool                         // its folder can't be written to, and that was said
 	last    audit.Versions               // of the process before, by the folder
 	writer  atomic.Pointer[trail.Writer] // nil where nothing is written
 	summed  chan struct{}                // closed when the account has ended
@@ -50,6 +51,7 @@
 	writer  *trail.Writer
 	last    trail.Last
 	process uint64
+	failed  bool // it can't be written to, and that was said
 }
 
 // openRecord opens the folder's record, for a fresh start. Danger: a disk that is full, or anything else that is wrong with a record, must
@@ -64,6 +66,7 @@
 	r.writer, r.last, err = trail.Open(recordOptions(s.cfg.Name, *a, r.process), func(err error) { s.log.WithError(err).Error("audit") })
 	if err != nil && !errors.Is(err, trail.ErrBusy) {
 		s.log.WithError(err).Error("audit: nothing is written")
+		r.failed = true
 	}
 	s.trail = r
 	// What was acted on before the start must not be gone behind after it: an older list is not used, and the whole one asked for.
@@ -99,6 +102,7 @@
 	if f := s.operator.Fleet; f != nil {
 		x.source, x.routes = f.Name, f.Routes
 	}
+	x.failed = s.trail.failed
 	held, process, kept := n.body.Reducer.Audited()
 	if kept {
 		x.process = process
@@ -124,7 +128,7 @@
 
 // run keeps the account until the context ends.
 func (x *auditor) run(ctx context.Context) {
-	for until := time.Now().Add(lockMost); x.writer.Load() == nil && x.cfg.Folder != ""; { // the process before lets go of it as it ends
+	for until := time.Now().Add(lockMost); x.writer.Load() == nil && x.cfg.Folder != "" && !x.failed; { // the process before lets go of it as it ends
 		w, last, err := trail.Open(recordOptions(x.n.cfg.Name, x.cfg, x.process), func(err error) { x.n.log.WithError(err).Error("audit") })
 		if err == nil {
 			x.tellCut(last.Cut)
--- a/cmd/foldlb/fleet.go
+++ b/cmd/foldlb/fleet.go
@@ -25,6 +25,7 @@
 	rebindAfter   = 2 * time.Second // after an address that could not be listened at
 	ownOrders     = core.OrderID(1) << 63
 	orderWait     = 5 * time.Second
+	toldMost      = 10 * time.Second       // for over half of the members to be seen to hold a floor
 	fleetLineMost = 250 * time.Millisecond // between two lines of `foldlb fleet --watch`
 )
 
@@ -40,6 +41,7 @@
 
 	mu     sync.Mutex
 	orders map[core.OrderID]chan core.OrderFault
+	floors map[core.OrderID]chan core.FloorTold
 	last   core.OrderID
 }
 
@@ -52,12 +54,12 @@
 	if s.cfg.Name == "" {
 		return errors.New("fleet: a member needs a name: set name, or NODE_NAME")
 	}
-	n.member = &member{n: n, routes: f.Routes, cfg: fleetConfig(s.cfg.Name, f), orders: map[core.OrderID]chan core.OrderFault{}}
+	n.member = &member{n: n, routes: f.Routes, cfg: fleetConfig(s.cfg.Name, f), orders: map[core.OrderID]chan core.OrderFault{}, floors: map[core.OrderID]chan core.FloorTold{}}
 	return nil
 }
 
 func fleetConfig(name string, f *operator.Fleet) gossip.Config {
-	return gossip.Config{Fleet: f.Name, Name: name, Listen: f.Listen, Advertise: f.Advertise, Seeds: f.Seeds, Allow: f.Allow, Probe: f.Probe}
+	return gossip.Config{Fleet: f.Name, Name: name, Listen: f.Listen, Advertise: f.Advertise, Seeds: f.Seeds, Allow: f.Allow, Probe: f.Probe, Lease: f.Lease}
 }
 
 // takePart begins this process's part in the fleet, or ends its predecessor's.
@@ -89,10 +91,10 @@
 		case <-time.After(rebindAfter):
 		}
 	}
-	g := gossip.New(m.cfg, sockets, process, taken, m.n.loop.Post, m.n.log)
+	g := gossip.New(m.cfg, sockets, process, taken, m.n.body.Clock.Now, m.n.loop.Post, m.n.log)
 	m.gossip.Store(g)
-	m.n.loop.Post(core.FleetBegun{Routes: m.routes, Self: membership.Record{Key: g.Key(), Incarnation: uint64(time.Now().UnixMilli()), Process: process,
-		Zone: m.n.cfg.Settings.Zone, Generation: m.n.body.Generation, Program: program(), Config: configured(m.n.cfg)}})
+	m.n.loop.Post(core.FleetBegun{Routes: m.routes, Lease: m.cfg.Lease.Seconds(), Self: membership.Record{Key: g.Key(), Incarnation: uint64(time.Now().UnixMilli()), Process: process,
+		Zone: m.n.cfg.Settings.Zone, Generation: m.n.body.Generation, Program: program(), Config: m.n.acts()}})
 	if err := g.Run(ctx); err != nil {
 		m.n.log.WithError(err).Error("no member of the fleet")
 	}
@@ -107,6 +109,14 @@
 	return membership.Version{Digest: h.Sum64(), Source: version}
 })
 
+// acts is the configuration that the node acts on.
+func (n *node) acts() membership.Version {
+	if n.auditor != nil {
+		return n.auditor.config(n.auditor.version.Load())
+	}
+	return configured(n.cfg)
+}
+
 // configured is what the configuration says that dispatchers of one fleet share.
 func configured(cfg config.Config) membership.Version {
 	s := cfg.Settings
@@ -206,6 +216,82 @@
 	}
 }
 
+func (m *member) floorTold(t core.FloorTold) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if done := m.floors[t.Order]; done != nil {
+		done <- t
+	}
+}
+
+// floorOrder is what `foldlb fleet floor` asks.
+type floorOrder struct {
+	Kind     membership.Kind `json:"kind"`
+	No       int64           `json:"no"`
+	Program  string          `json:"program"`
+	Within   float64         `json:"within_s"`
+	Why      string          `json:"why"`
+	Force    bool            `json:"force"`
+	Withdraw bool            `json:"withdraw"`
+}
+
+// floorAnswer is what it is told, as often as something is known.
+type floorAnswer struct {
+	Hit   []string `json:"below"`
+	Fault string   `json:"fault,omitempty"`
+	Told  bool     `json:"told"`  // over half of the members hold it
+	Bound float64  `json:"bound"` // seconds from now until nobody acts below it, with the lease that this member has; below 0 where there is none
+}
+
+// floor tells a floor to the fleet, and says when over half of the members hold it.
+func (m *member) floor(o floorOrder, say func(any) error) error {
+	f := membership.Floor{Kind: o.Kind, No: o.No, Within: o.Within, Why: o.Why, Withdrawn: o.Withdraw, Source: m.cfg.Fleet}
+	switch o.Kind {
+	case membership.OfRoutes:
+		f.Source = m.routes
+		if f.Source == "" {
+			f.Source = m.n.cfg.Discovery
+		}
+	case membership.OfProgram:
+		f.Source = o.Program
+	}
+	done := make(chan core.FloorTold, 1)
+	m.mu.Lock()
+	m.last++
+	id := ownOrders | m.last
+	m.floors[id] = done
+	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		delete(m.floors, id)
+		m.mu.Unlock()
+	}()
+	begin := time.Now()
+	go m.n.loop.Post(core.FloorOrdered{Order: id, Floor: f, Force: o.Force})
+	select {
+	case t := <-done:
+		if t.Fault != "" {
+			return say(floorAnswer{Hit: t.Hit, Fault: t.Fault})
+		}
+		for time.Since(begin) < toldMost {
+			if p := m.gossip.Load().Picture(); p.FloorsTold && p.FloorsAt > 0 {
+				a := floorAnswer{Hit: t.Hit, Told: true, Bound: -1}
+				if m.cfg.Lease > 0 {
+					a.Bound = max(0, o.Within-time.Since(begin).Seconds()) + m.cfg.Lease.Seconds()
+				}
+				return say(a)
+			}
+			time.Sleep(waitPoll)
+		}
+		return say(floorAnswer{Hit: t.Hit})
+	case <-time.After(orderWait):
+		return errors.New("not told yet; it will be")
+	}
+}
+
 // fleetView is what `foldlb fleet` is told.
 type fleetView struct {
 	Self    string         `json:"self"`
@@ -218,6 +304,8 @@
 	Members []fleetMember  `json:"members"`
 	Counts  gossip.Counts  `json:"counts"`
 	Dropped uint64         `json:"dropped"`
+	Floors  []fleetFloor   `json:"floors,omitempty"`
+	Fenced  string         `json:"shut_out,omitempty"` // why the one that was asked may not act
 	History []fleetChange  `json:"history,omitempty"`
 }
 
@@ -243,6 +331,15 @@
 	Lag         lag                `json:"lag"`
 }
 
+type fleetFloor struct {
+	Kind   string  `json:"kind"`
+	No     int64   `json:"no"`
+	Source string  `json:"source"`
+	By     string  `json:"by"`
+	Why    string  `json:"why"`
+	In     float64 `json:"in_force_in_s"` // below 0 where it is in force
+}
+
 type fleetChange struct {
 	Ago  float64 `json:"ago_s"`
 	Name string  `json:"name"`
@@ -271,6 +368,12 @@
 			Reached: x.Reached, Self: x.Self, Conflict: x.Conflict, Loser: x.Loser, Disagrees: x.Disagrees, Incarnation: x.Incarnation,
 			Process: fmt.Sprintf("%x", x.Process), Seq: x.Seq, Generation: x.Generation, Program: x.Program, Config: x.Config, Routes: x.Routes, Lag: behind[i]})
 	}
+	v.Fenced = p.Fenced
+	for _, f := range p.Floors {
+		if !f.Withdrawn {
+			v.Floors = append(v.Floors, fleetFloor{Kind: f.Kind.String(), No: f.No, Source: f.Source, By: f.By, Why: f.Why, In: f.Within - f.Age - (now - p.FloorsAt)})
+		}
+	}
 	if history {
 		for _, c := range p.History {
 			v.History = append(v.History, fleetChange{Ago: now - c.At, Name: c.Key.Name, Addr: c.Key.Addr, What: c.What, Why: c.Why})
@@ -321,6 +424,16 @@
 				time.Sleep(fleetLineMost)
 			}
 		},
+		"fleet-floor": func(args json.RawMessage, say func(any) error) error {
+			var o floorOrder
+			if err := json.Unmarshal(args, &o); err != nil {
+				return err
+			}
+			if m == nil || m.gossip.Load() == nil {
+				return errNoFleet
+			}
+			return m.floor(o, say)
+		},
 		"fleet-remove": func(args json.RawMessage, say func(any) error) error {
 			var a struct {
 				Name string `json:"name"`
--- a/cmd/foldlb/fleetcmd.go
+++ b/cmd/foldlb/fleetcmd.go
@@ -22,6 +22,8 @@
 const (
 	exitNotSettled = 3
 	exitNotRemoved = 4
+	exitNotTold    = 3 // of a floor: not over half of the members were seen to hold it
+	exitFloor      = 4 // it was refused
 )
 
 const waitPoll = 100 * time.Millisecond
@@ -51,6 +53,19 @@
 					&cli.DurationFlag{Name: "within", Value: 30 * time.Second, Usage: "to wait at the most"}}, ask...),
 				Action: waitFleet,
 			},
+			{
+				Name: "floor", Usage: "say that nothing older than a version may be acted on any more, or withdraw that",
+				Description: "Who is below brings itself up, or is shut out at the time: it answers no to /healthz and sends nothing new.\n" +
+					"Exit code 0: over half of the members hold it. 3: that was not seen yet; it goes on being told. 4: refused.",
+				Flags: append([]cli.Flag{&cli.Int64Flag{Name: "config", Usage: "least version of the configuration"},
+					&cli.Int64Flag{Name: "routes", Usage: "least version of the route set"},
+					&cli.StringFlag{Name: "program", Usage: "the program's version, none but which may act"},
+					&cli.DurationFlag{Name: "within", Value: 10 * time.Second, Usage: "for members to come up to it"},
+					&cli.StringFlag{Name: "why", Usage: "the reason, which everybody is shown"},
+					&cli.BoolFlag{Name: "force", Usage: "also where over half of a zone or of the fleet would be shut out"},
+					&cli.BoolFlag{Name: "withdraw", Usage: "withdraw what was said of that kind"}}, ask...),
+				Action: tellFloor,
+			},
 			{
 				Name: "remove", Usage: "say that a member is gone for good, so that it no longer counts as one that may act", ArgsUsage: "NAME",
 				Description: "Exit code 0: removed. 4: refused, as it answers or nobody knows it. 1: the dispatcher could not be asked.\n" +
@@ -76,6 +91,52 @@
 	}
 }
 
+func tellFloor(_ context.Context, c *cli.Command) error {
+	o := floorOrder{Within: c.Duration("within").Seconds(), Why: c.String("why"), Force: c.Bool("force"), Withdraw: c.Bool("withdraw")}
+	n := 0
+	for _, k := range []struct {
+		flag string
+		kind membership.Kind
+	}{{"config", membership.OfConfig}, {"routes", membership.OfRoutes}, {"program", membership.OfProgram}} {
+		if c.IsSet(k.flag) {
+			n++
+			if o.Kind = k.kind; k.kind == membership.OfProgram {
+				o.Program = c.String(k.flag)
+			} else {
+				o.No = c.Int64(k.flag)
+			}
+		}
+	}
+	if n != 1 || o.Why == "" {
+		return errors.New("fleet floor: one of --config, --routes and --program, and --why, are needed")
+	}
+	path, err := socket(c)
+	if err != nil {
+		return err
+	}
+	return control.Ask(path, "fleet-floor", o, func(line []byte) error {
+		if c.Bool("json") {
+			fmt.Println(string(line))
+		}
+		var a floorAnswer
+		if err := json.Unmarshal(line, &a); err != nil {
+			return err
+		}
+		switch {
+		case a.Fault != "":
+			return cli.Exit(fmt.Sprintf("refused: %s; below it now: %v", a.Fault, a.Hit), exitFloor)
+		case !a.Told:
+			return cli.Exit(fmt.Sprintf("told, but over half of the members were not yet seen to hold it; below it now: %v", a.Hit), exitNotTold)
+		case c.Bool("json"):
+		case a.Bound < 0:
+			fmt.Printf("over half of the members hold it; below it now: %v. Without a lease a member out of reach may act below it.\n", a.Hit)
+		default:
+			fmt.Printf("over half of the members hold it; below it now: %v. In %.1f s no member acts below it, reached or not.\n", a.Hit, a.Bound)
+		}
+		return nil
+	})
+}
+
 // askFleet asks for the view and passes each that comes to show, or prints it as JSON.
 func askFleet(c *cli.Command, args map[string]any, show func(fleetView) error) error {
 	path, err := socket(c)
@@ -157,6 +218,15 @@
 	for _, zone := range slices.Sorted(maps.Keys(v.Zones)) {
 		fmt.Fprintf(to, "; %d in zone %q", v.Zones[zone], zone)
 	}
+	for _, f := range v.Floors {
+		fmt.Fprintf(to, "\nfloor of the %s: %d of %s, by %s: %s", f.Kind, f.No, f.Source, f.By, f.Why)
+		if f.In > 0 {
+			fmt.Fprintf(to, " (in force in %s)", ago(f.In))
+		}
+	}
+	if v.Fenced != "" {
+		fmt.Fprintf(to, "\nSHUT OUT: %s", v.Fenced)
+	}
 	_, err := fmt.Fprint(to, "\n\n")
 	return err
 }
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -102,6 +102,8 @@
 		}
 	case core.FleetNews, core.FleetPictured, core.HintsNews:
 		n.member.perform(e)
+	case core.FloorTold:
+		n.member.floorTold(e)
 	case core.AuditSpans, core.AuditHeld, core.AuditTold, core.AuditSummed:
 		n.auditor.perform(e)
 	case core.SetLimits:
--- a/cmd/foldlb/upgrade_test.go
+++ b/cmd/foldlb/upgrade_test.go
@@ -46,12 +46,13 @@
 // process is a dispatcher in a process of its own, with the next hops and the discovery of a world.
 type process struct {
 	*world
-	dir    string
-	first  *exec.Cmd
-	pid    int
-	socket string
-	door   string
-	ended  chan error
+	dir          string
+	first        *exec.Cmd
+	pid          int
+	socket       string
+	door         string
+	operatorText string
+	ended        chan error
 }
 
 // stage makes next hops a, b ..., discovery, and a folder with the configuration of a dispatcher for them.
@@ -101,8 +102,23 @@
 	return launchWith(t, "", "", keepPID, plays...)
 }
 
-// launchWith starts one with a name, and with more blocks in its operator file.
+// launchWith starts one with a name, and with more blocks in its operator file, and waits until it is ready.
 func launchWith(t *testing.T, name, blocks string, keepPID bool, plays ...play) *process {
+	t.Helper()
+	p := launchReady(t, name, blocks, keepPID, plays...)
+	until := time.Now().Add(patience)
+	for {
+		if resp, err := p.get("/healthz"); err == nil && resp.StatusCode() == 200 {
+			return p
+		}
+		if time.Now().After(until) {
+			t.Fatal("the dispatcher does not come up")
+		}
+	}
+}
+
+// launchReady does the same, and waits only until it answers.
+func launchReady(t *testing.T, name, blocks string, keepPID bool, plays ...play) *process {
 	t.Helper()
 	p := stage(t, plays...)
 	self, err := os.Executable()
@@ -112,8 +128,9 @@
 	// The new process is the same program, held back until the test says so.
 	p.write("next", fmt.Sprintf("#!/bin/sh\n%s=%q exec %q \"$@\"\n", envHold, p.dir, self))
 	os.Chmod(filepath.Join(p.dir, "next"), 0o700)
-	p.write("operator.hcl", fmt.Sprintf("control { socket = \"c.sock\" }\nupgrade {\n binary = \"next\"\n probation = \"20ms\"\n start_within = \"20s\"\n"+
-		" hold_at_most = \"90ms\"\n take_within = \"490ms\"\n act_within = \"20ms\"\n keep_pid = %v\n pid_file = \"pid\"\n}\n%s", keepPID, blocks))
+	p.operatorText = fmt.Sprintf("control { socket = \"c.sock\" }\nupgrade {\n binary = \"next\"\n probation = \"20ms\"\n start_within = \"20s\"\n"+
+		" hold_at_most = \"90ms\"\n take_within = \"490ms\"\n act_within = \"20ms\"\n keep_pid = %v\n pid_file = \"pid\"\n}\n%s", keepPID, blocks)
+	p.write("operator.hcl", p.operatorText)
 	p.first = exec.Command(self, "serve", "--operator", filepath.Join(p.dir, "operator.hcl"), "--log-level", "error")
 	door, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -129,7 +146,7 @@
 	go func() { p.ended <- p.first.Wait() }()
 	until := time.Now().Add(patience)
 	for {
-		if resp, err := p.get("/healthz"); err == nil && resp.StatusCode() == 200 {
+		if _, err := p.get("/healthz"); err == nil {
 			break
 		}
 		if time.Now().After(until) {
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -36,5 +36,15 @@
 #   # advertise = "10.0.0.4:7946" # where the others find it. Default: listen
 #   seeds  = ["10.0.0.5:7946", "10.0.0.6:7946"] # some members to ask; read again on SIGHUP
 #   # allow = ["10.0.0.0/24"]  # whom to hear. Default: loopback and private addresses; read again on SIGHUP
+#   # lease = "10s"           # for which it may act without touch with over half of the fleet. Default: for any time
+#   # routes = "discovery-1"  # what the members call the source of route sets, where its address differs. Default: its address
 #   probe_every = "500ms"    # between two questions to a member; with it the times in which failures are known change
 # }
+
+# An account of what this dispatcher acted on, for `foldlb audit`; docs/operators/audit.md is the page for it.
+# audit {
+#   folder  = "record" # where it is written; without one it is in memory only
+#   version = 7        # of the configuration, stated by you: raise it with each change, also with a roll-back. Read again on SIGHUP
+#   files   = 16       # that are kept
+#   file_mb = 4        # of each
+# }
--- a/internal/core/audit.go
+++ b/internal/core/audit.go
@@ -74,6 +74,11 @@
 	case AuditConfigured:
 		r.audited.Config = ev.Config
 		r.holds()
+		if r.fleet != nil {
+			r.says.Config = ev.Config
+			r.saysOfItself()
+			r.fleetMoved()
+		}
 	case AuditAsked:
 		r.emit(AuditTold{Order: ev.Order, Acts: r.book.Of(string(ev.Request)), Now: r.book.Now()})
 	case AuditEnded:
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -11,7 +11,8 @@
 // only what the process acts on is taken from it.
 type FleetBegun struct {
 	Self   membership.Record
-	Routes string // the name of the source of route sets among members; empty for its address
+	Routes string  // the name of the source of route sets among members; empty for its address
+	Lease  float64 // seconds that this dispatcher may act without touch with the fleet; 0 for any time
 }
 
 // FleetTold brings what other members tell.
@@ -61,13 +62,16 @@
 // fleetOf applies an event of the fleet.
 func (r *Reducer) fleetOf(ev Event) {
 	if begun, is := ev.(FleetBegun); is {
-		r.routesName = begun.Routes
+		r.routesName, r.lease = begun.Routes, r.checkLease(begun.Lease)
 		r.fleetBegun(begun.Self)
 		return
 	}
 	if r.fleet == nil {
-		if o, is := ev.(RemoveOrdered); is {
+		switch o := ev.(type) {
+		case RemoveOrdered:
 			r.emit(Ordered{Order: o.Order, Fault: NoFleet})
+		case FloorOrdered:
+			r.emit(FloorTold{Order: o.Order, Fault: string(NoFleet)})
 		}
 		return
 	}
@@ -81,12 +85,15 @@
 	case FleetHinted:
 		r.hinted(ev.Hints)
 		return
+	case FleetFloored, FleetContacted, FloorOrdered:
+		r.floorsOf(ev)
 	case FleetRefused:
 		r.fleet.Refused(r.now, ev.Process)
 	case FleetEntered:
 		r.fleet.Enter(r.now, ev.State)
 	case FleetEnded:
 		r.fleet, r.acting, r.says, r.routesName = nil, 0, membership.Says{}, ""
+		r.lease, r.fenceUntil = 0, 0
 		clear(r.hints)
 		r.decider.Fleet(r.settings.Dispatchers)
 		return
@@ -141,11 +148,17 @@
 		r.acting = n
 		r.decider.Fleet(n)
 	}
+	r.fence()
 	news, fresh := r.fleet.News(), r.fleet.Fresh()
 	if len(news) > 0 {
 		r.emit(FleetNews{Records: news})
 	}
-	r.emit(FleetPictured{Picture: r.fleet.Picture(), Fresh: fresh})
+	p := r.fleet.Picture()
+	p.FloorsTold = r.fleet.FloorsTold(r.settings.Dispatchers)
+	if r.fenced() {
+		p.Fenced = r.fenceWhy
+	}
+	r.emit(FleetPictured{Picture: p, Fresh: fresh})
 }
 
 // FleetState is the view's part of a reducer's state.
@@ -155,13 +168,16 @@
 	Acting int
 	Routes string      `cbor:",omitempty"`
 	Hints  []HintState `cbor:",omitempty"`
+	Lease  float64     `cbor:",omitempty"`
+	Until  float64     `cbor:",omitempty"` // when it may act no longer
 }
 
 func (r *Reducer) exportFleet() *FleetState {
 	if r.fleet == nil {
 		return nil
 	}
-	return &FleetState{View: r.fleet.Export(), Says: r.says, Acting: r.acting, Routes: r.routesName, Hints: r.exportHints()}
+	return &FleetState{View: r.fleet.Export(), Says: r.says, Acting: r.acting, Routes: r.routesName, Hints: r.exportHints(),
+		Lease: r.lease, Until: r.fenceUntil}
 }
 
 func (r *Reducer) importFleet(st *FleetState) (err error) {
@@ -169,6 +185,7 @@
 		return nil
 	}
 	r.says, r.acting, r.routesName = st.Says, st.Acting, st.Routes
+	r.lease, r.fenceUntil = st.Lease, st.Until
 	for i, x := range st.Hints {
 		if _, listed := r.hops[x.Hop]; !listed || !isTime(x.At) {
 			return fmt.Errorf("hint %d (%q) is of no hop or at no time", i, x.Hop)
--- /dev/null
+++ b/internal/core/floors.go
@@ -0,0 +1,86 @@
+package core
+
+import (
+	"fmt"
+	"math"
+
+	"foldlb.example/foldlb/internal/membership"
+)
+
+// FleetFloored brings floors that another member tells.
+type FleetFloored struct{ Floors []membership.Floor }
+
+// FleetContacted brings a member's answer to a question.
+type FleetContacted struct{ Contact membership.Contact }
+
+// FloorOrdered tells a floor to the fleet, or withdraws one. It is answered by FloorTold.
+type FloorOrdered struct {
+	Order OrderID
+	Floor membership.Floor
+	Force bool
+}
+
+func (FleetFloored) event()   {}
+func (FleetContacted) event() {}
+func (FloorOrdered) event()   {}
+
+// FloorsNews are floors to be told to other members.
+type FloorsNews struct{ Floors []membership.Floor }
+
+// FloorTold is the answer to an order: whom the floor shuts out unless they come up to it, or why it is not told.
+type FloorTold struct {
+	Order OrderID
+	Hit   []string
+	Fault string
+}
+
+func (FloorsNews) effect() {}
+func (FloorTold) effect()  {}
+
+// floorsOf applies an event of the floors; there is a view.
+func (r *Reducer) floorsOf(ev Event) {
+	switch ev := ev.(type) {
+	case FleetFloored:
+		r.fleet.TakeFloors(r.now, ev.Floors)
+	case FleetContacted:
+		r.fleet.Contact(r.now, ev.Contact)
+	case FloorOrdered:
+		hit, fault := r.fleet.TellFloor(r.now, ev.Floor, ev.Force)
+		r.emit(FloorTold{Order: ev.Order, Hit: hit, Fault: fault})
+	}
+}
+
+// fence works out until when this dispatcher may act, and tells of floors that have changed.
+func (r *Reducer) fence() {
+	news := r.fleet.FloorNews()
+	if len(news) > 0 {
+		r.emit(FloorsNews{Floors: news})
+	}
+	was := r.fenced()
+	r.fenceUntil, r.fenceWhy = r.fleet.Fence(r.settings.Dispatchers, r.lease)
+	for _, f := range news {
+		if f.Kind == membership.OfRoutes && !f.Withdrawn && f.No > r.version && r.watching {
+			r.emit(FetchRouteSet{Source: r.source}) // a straggler brings itself up
+		}
+	}
+	if now := r.fenced(); now != was && now {
+		r.emit(Log{Text: "shut out, nothing new is sent: " + r.fenceWhy})
+	} else if now != was {
+		r.emit(Log{Text: "may act again"})
+	}
+}
+
+// fenced tells whether nothing new may be sent. Danger: it is asked at the time of the step, and what a step asks for is written a moment
+// later; a process that is stopped in between writes when it wakes.
+func (r *Reducer) fenced() bool {
+	return r.fleet != nil && (r.lease > 0 || !math.IsInf(r.fenceUntil, 1)) && r.now >= r.fenceUntil
+}
+
+// FleetLease is for how many seconds a member may act without touch with the fleet; 0 for any time.
+func (r *Reducer) checkLease(lease float64) float64 {
+	if !(lease >= 0) || math.IsInf(lease, 0) {
+		r.emit(Log{Text: fmt.Sprintf("a lease of %v s is none", lease)})
+		return 0
+	}
+	return lease
+}
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -31,7 +31,7 @@
 	r.branches[b.id] = b
 	hop, known := r.hops[b.hop]
 	// A hop that drains, is out by hand or has gone gets nothing new, whatever the decider still thinks of it.
-	if q.over || !known || !r.usable(hop) || until <= r.now || b.no >= r.settings.MaxAttempts {
+	if q.over || r.fenced() || !known || !r.usable(hop) || until <= r.now || b.no >= r.settings.MaxAttempts {
 		r.later = append(r.later, func() { r.endBranch(b, choice.Skipped, nil) })
 		return
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -47,7 +47,7 @@
 // isNews tells what must not wait behind the rest.
 func isNews(ev Event) bool {
 	switch ev.(type) {
-	case RouteSetTold, RouteSetRefused, Reloaded, BanOrdered, DrainOrdered, RemoveOrdered, FleetHinted:
+	case RouteSetTold, RouteSetRefused, Reloaded, BanOrdered, DrainOrdered, RemoveOrdered, FleetHinted, FleetFloored, FleetContacted, FloorOrdered:
 		return true
 	}
 	return false
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -66,9 +66,12 @@
 	says       membership.Says  // of itself, to the fleet
 	book       *audit.Book      // nil where there is none
 	auditNo    uint64           // the process's number in its account
-	audited    audit.Versions   // as the book holds them
-	acted      int64            // newest version of the source's route set that was held
-	acting     int              // members that may be acting, as last told to the decision module; 0 for the settings' number
+	lease      float64          // seconds that it may act without touch with the fleet; 0 for any time
+	fenceUntil float64          // when it may act no longer
+	fenceWhy   string
+	audited    audit.Versions // as the book holds them
+	acted      int64          // newest version of the source's route set that was held
+	acting     int            // members that may be acting, as last told to the decision module; 0 for the settings' number
 	timers     timerHeap
 	timerSeq   uint64
 	lastID     BranchID
@@ -128,6 +131,8 @@
 	case HealthAsked:
 		if r.draining {
 			r.emit(Answer{Leg: ev.Leg, Verdict: Busy, Reason: "draining"})
+		} else if r.fenced() {
+			r.emit(Answer{Leg: ev.Leg, Verdict: Busy, Reason: "shut out"})
 		} else {
 			r.emit(Answer{Leg: ev.Leg, Verdict: Served, Body: []byte("ready\n")})
 		}
@@ -230,6 +235,9 @@
 	case c.Remaining <= 0:
 		r.emit(Answer{Leg: c.Leg, Verdict: Failed, Reason: "no time remains"})
 		return
+	case r.fenced():
+		r.emit(Answer{Leg: c.Leg, Verdict: Busy, Reason: "shut out"}) // asking elsewhere is harmless
+		return
 	case r.settings.OpenCap > 0 && len(r.legs) >= r.settings.OpenCap:
 		r.emit(Answer{Leg: c.Leg, Verdict: Busy, Reason: "too many open requests"})
 		return
--- a/internal/gossip/form.go
+++ b/internal/gossip/form.go
@@ -27,6 +27,9 @@
 	Form    uint                `cbor:"1,keyasint"`
 	Records []membership.Record `cbor:"2,keyasint,omitempty"`
 	Hints   []core.Hint         `cbor:"3,keyasint,omitempty"`
+	Floors  []membership.Floor  `cbor:"4,keyasint,omitempty"`
+	Ask     *ask                `cbor:"5,keyasint,omitempty"`
+	Answer  *membership.Contact `cbor:"6,keyasint,omitempty"`
 }
 
 var reader = func() cbor.DecMode {
@@ -42,6 +45,17 @@
 	return cbor.Marshal(parcel{Form: form, Records: records})
 }
 
+// ask is a question whose answer says that the asker is in touch.
+type ask struct {
+	Process uint64  `cbor:"1,keyasint"`
+	Sent    float64 `cbor:"2,keyasint"`
+}
+
+// packAll is everything that is told in an exchange.
+func packAll(records []membership.Record, floors []membership.Floor) ([]byte, error) {
+	return cbor.Marshal(parcel{Form: form, Records: records, Floors: floors})
+}
+
 func packHints(hints []core.Hint) ([]byte, error) {
 	return cbor.Marshal(parcel{Form: form, Hints: hints})
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/memberlist"
 	"github.com/sirupsen/logrus"
 
@@ -31,6 +32,7 @@
 
 const (
 	lookEvery  = 500 * time.Millisecond
+	askEvery   = time.Second
 	syncPause  = time.Second     // between two exchanges with one member
 	seekLeast  = time.Second     // between two tries to meet those out of reach, growing to
 	seekMost   = 5 * time.Second // which bounds how long after a partition two sides meet
@@ -55,6 +57,7 @@
 	Seeds     []string       // host:port
 	Allow     []netip.Prefix // of peers; empty for loopback and private addresses
 	Probe     time.Duration  // between two questions
+	Lease     time.Duration  // for which this member may act without touch with the fleet; 0 for any time
 }
 
 func near(a netip.Addr) bool { return a.IsLoopback() || a.IsPrivate() }
@@ -65,6 +68,7 @@
 	process uint64
 	t       *transport
 	post    func(core.Event)
+	clock   func() float64 // the reducer's
 	log     logrus.FieldLogger
 	list    *memberlist.Memberlist
 	queue   *memberlist.TransmitLimitedQueue
@@ -98,8 +102,8 @@
 func NewProcess() uint64 { return rand.Uint64()>>(64-drawnBits) | 1 }
 
 // New makes a member. Nothing runs yet. process is a new one's, or its predecessor's, as the sockets are.
-func New(cfg Config, s *Sockets, process uint64, taken bool, post func(core.Event), log logrus.FieldLogger) *Node {
-	n := &Node{process: process, post: post, log: log, taken: taken, heard: map[uint64]uint64{}, doubted: map[uint64]bool{},
+func New(cfg Config, s *Sockets, process uint64, taken bool, clock func() float64, post func(core.Event), log logrus.FieldLogger) *Node {
+	n := &Node{process: process, clock: clock, post: post, log: log, taken: taken, heard: map[uint64]uint64{}, doubted: map[uint64]bool{},
 		synced: map[uint64]time.Time{}, wake: make(chan struct{}, 1), sync: make(chan string, 8), left: make(chan struct{})}
 	n.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: retransmit, NumNodes: func() int { return max(1, n.size()) }}
 	n.cfg.Store(&cfg)
@@ -189,6 +193,7 @@
 	n.mu.Unlock()
 	go n.exchange(ctx)
 	go n.seek(ctx)
+	go n.ask(ctx)
 	n.look(ctx)
 	list.Shutdown()
 	return nil
@@ -341,6 +346,10 @@
 				n.queue.QueueBroadcast(&news{key: r.Key.String(), text: text})
 			}
 		}
+	case core.FloorsNews:
+		if text, err := packAll(nil, e.Floors); err == nil {
+			n.queue.QueueBroadcast(&news{text: text})
+		}
 	case core.HintsNews:
 		for some := range slices.Chunk(e.Hints, hintsEach) {
 			if text, err := packHints(some); err == nil {
@@ -374,6 +383,52 @@
 	}
 }
 
+// ask has members say that this one is in touch with them: each is asked once in a second, where there is a lease or a floor. The time of
+// a question is taken before it is sent, so that a process that is stopped at any point takes no answer for newer than it is.
+func (n *Node) ask(ctx context.Context) {
+	t := time.NewTicker(askEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		p := n.picture.Load()
+		if p == nil || n.cfg.Load().Lease == 0 && len(p.Floors) == 0 {
+			continue
+		}
+		for _, m := range n.list.Members() {
+			if process, ok := processOf(m.Name); ok && process != n.process {
+				n.send(m, parcel{Form: form, Ask: &ask{Process: n.process, Sent: n.clock()}})
+			}
+		}
+	}
+}
+
+// answer says to one that asks what is held here, as of the picture: never more than the reducer holds.
+func (n *Node) answer(a ask) {
+	p := n.picture.Load()
+	n.mu.Lock()
+	list := n.list
+	n.mu.Unlock()
+	if p == nil || list == nil {
+		return
+	}
+	for _, m := range list.Members() {
+		if process, ok := processOf(m.Name); ok && process == a.Process {
+			n.send(m, parcel{Form: form, Answer: &membership.Contact{Process: n.process, Asker: a.Process, Sent: a.Sent, Floors: p.FloorDigest, Established: p.Established}})
+			return
+		}
+	}
+}
+
+func (n *Node) send(to *memberlist.Node, p parcel) {
+	if text, err := cbor.Marshal(p); err == nil {
+		n.list.SendBestEffort(to, text)
+	}
+}
+
 // Picture is the view as it was last told; nil before that.
 func (n *Node) Picture() *membership.Picture { return n.picture.Load() }
 
@@ -431,6 +486,15 @@
 	if len(p.Records) > 0 {
 		n.post(core.FleetTold{Records: p.Records})
 	}
+	if len(p.Floors) > 0 {
+		n.post(core.FleetFloored{Floors: p.Floors})
+	}
+	if p.Ask != nil {
+		n.answer(*p.Ask)
+	}
+	if p.Answer != nil {
+		n.post(core.FleetContacted{Contact: *p.Answer})
+	}
 	if len(p.Hints) > 0 && !altered.Is("deaf to drains") {
 		n.post(core.FleetHinted{Hints: p.Hints})
 	}
@@ -450,7 +514,11 @@
 	if held := n.packed.Load(); held != nil && held.digest == p.Digest && time.Since(held.at) < time.Second {
 		return held.text
 	}
-	text, err := pack(p.Told)
+	floors := slices.Clone(p.Floors)
+	for i := range floors {
+		floors[i].Age += max(0, n.clock()-p.FloorsAt)
+	}
+	text, err := packAll(p.Told, floors)
 	if err != nil {
 		return nil
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -49,6 +49,10 @@
 		b.view.Look(seconds(), ev.Sight)
 	case core.FleetRefused:
 		b.view.Refused(seconds(), ev.Process)
+	case core.FleetFloored:
+		b.view.TakeFloors(seconds(), ev.Floors)
+	case core.FleetContacted:
+		b.view.Contact(seconds(), ev.Contact)
 	case core.FleetEntered:
 		b.view.Enter(seconds(), ev.State)
 	}
@@ -56,6 +60,9 @@
 }
 
 func (b *body) tell() {
+	if floors := b.view.FloorNews(); len(floors) > 0 {
+		b.Perform(core.FloorsNews{Floors: floors})
+	}
 	if news := b.view.News(); len(news) > 0 {
 		b.Perform(core.FleetNews{Records: news})
 	}
@@ -78,7 +85,7 @@
 		process = NewProcess()
 	}
 	b := &body{view: view, done: make(chan struct{})}
-	b.Node = New(cfg, s, process, taken, b.post, silent())
+	b.Node = New(cfg, s, process, taken, seconds, b.post, silent())
 	if b.view == nil {
 		var err error
 		if b.view, err = membership.New(seconds(), membership.Record{Key: b.Key(), Incarnation: uint64(time.Now().UnixMilli()), Process: process, Generation: 1}); err != nil {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -20,24 +20,31 @@
 
 // Picture is a view as of one moment, for those outside the reducer. Nothing in it is written to.
 type Picture struct {
-	Now     float64
-	Self    Key
-	Process uint64
-	Members []Member // by key
-	Digest  uint64
-	Changed float64 // when a member, state or verdict last changed
-	Acting  int
-	Reached int
-	Zones   map[string]int // members that are live, by zone
-	Dropped uint64
-	History []Change
-	Told    []Record
+	Now         float64
+	Self        Key
+	Process     uint64
+	Members     []Member // by key
+	Digest      uint64
+	Changed     float64 // when a member, state or verdict last changed
+	Acting      int
+	Reached     int
+	Zones       map[string]int // members that are live, by zone
+	Dropped     uint64
+	History     []Change
+	Told        []Record
+	Floors      []Floor
+	FloorDigest uint64
+	Established bool
+	FloorsAt    float64 // when Floors' ages were true
+	FloorsTold  bool    // over half of the members were seen to hold them
+	Fenced      string  // why this member may not act; empty where it may
 }
 
 // Picture makes a picture of the view.
 func (v *View) Picture() Picture {
 	p := Picture{Now: v.now, Self: v.self, Process: v.Self().Process, Digest: v.digest, Changed: v.changed, Acting: v.Acting(),
-		Reached: v.Reached(), Zones: map[string]int{}, Dropped: v.dropped, History: slices.Clone(v.history), Told: v.Told()}
+		Reached: v.Reached(), Zones: map[string]int{}, Dropped: v.dropped, History: slices.Clone(v.history), Told: v.Told(),
+		Floors: v.Floors(v.now), FloorDigest: v.FloorDigest(), Established: v.established, FloorsAt: v.now}
 	live := map[string]int{}
 	for _, k := range v.keys() {
 		e := v.table[k]
@@ -65,30 +72,38 @@
 
 	ConfigAt float64 `cbor:"7,keyasint,omitempty"`
 	RoutesAt float64 `cbor:"8,keyasint,omitempty"`
+	Contact  float64 `cbor:"9,keyasint,omitempty"`
+	Answered bool    `cbor:"10,keyasint,omitempty"`
 }
 
 // ViewState is all that a view remembers, for a successor.
 type ViewState struct {
-	Self    Key          `cbor:"1,keyasint"`
-	Entries []EntryState `cbor:"2,keyasint"` // by key
-	Now     float64      `cbor:"3,keyasint"`
-	Looked  float64      `cbor:"4,keyasint"`
-	Begun   float64      `cbor:"5,keyasint"`
-	Awake   float64      `cbor:"6,keyasint"`
-	Changed float64      `cbor:"7,keyasint"`
-	History []Change     `cbor:"8,keyasint"`
-	Dropped uint64       `cbor:"9,keyasint"`
-	News    []Key        `cbor:"10,keyasint"`
+	Self        Key          `cbor:"1,keyasint"`
+	Entries     []EntryState `cbor:"2,keyasint"` // by key
+	Now         float64      `cbor:"3,keyasint"`
+	Looked      float64      `cbor:"4,keyasint"`
+	Begun       float64      `cbor:"5,keyasint"`
+	Awake       float64      `cbor:"6,keyasint"`
+	Changed     float64      `cbor:"7,keyasint"`
+	History     []Change     `cbor:"8,keyasint"`
+	Dropped     uint64       `cbor:"9,keyasint"`
+	News        []Key        `cbor:"10,keyasint"`
+	Floors      []FloorState `cbor:"11,keyasint,omitempty"`
+	Established bool         `cbor:"12,keyasint,omitempty"`
 }
 
 // Export returns all that the view remembers. What Fresh and News would return is kept by both.
 func (v *View) Export() ViewState {
 	s := ViewState{Self: v.self, Now: v.now, Looked: v.looked, Begun: v.begun, Awake: v.awake, Changed: v.changed,
 		History: slices.Clone(v.history), Dropped: v.dropped}
+	s.Established = v.established
+	for _, f := range v.heldFloors() {
+		s.Floors = append(s.Floors, FloorState{Floor: f.Floor, At: f.at, Took: f.took})
+	}
 	for _, k := range v.keys() {
 		e := v.table[k]
 		s.Entries = append(s.Entries, EntryState{Record: e.Record, Since: e.since, Unseen: e.unseen, Reached: e.reached, Heard: e.heard,
-			HeardAt: e.heardAt, ConfigAt: e.configAt, RoutesAt: e.routesAt})
+			HeardAt: e.heardAt, ConfigAt: e.configAt, RoutesAt: e.routesAt, Contact: e.contact, Answered: e.answered})
 		if v.news[k] {
 			s.News = append(s.News, k)
 		}
@@ -96,6 +111,13 @@
 	return s
 }
 
+// FloorState is a floor in a view's state.
+type FloorState struct {
+	Floor Floor   `cbor:"1,keyasint"`
+	At    float64 `cbor:"2,keyasint"`
+	Took  float64 `cbor:"3,keyasint"`
+}
+
 // Import makes a view that goes on where the exported one stood. Its errors wrap ErrRecord.
 func Import(s ViewState) (*View, error) {
 	if len(s.Entries) > MostMembers || len(s.History) > mostHistory {
@@ -112,7 +134,7 @@
 			return nil, fmt.Errorf("%w: member %d (%v) is there twice", ErrRecord, i, x.Record.Key)
 		}
 		v.table[x.Record.Key] = &entry{Record: x.Record, since: x.Since, unseen: x.Unseen, reached: x.Reached, heard: x.Heard, heardAt: x.HeardAt,
-			configAt: x.ConfigAt, routesAt: x.RoutesAt}
+			configAt: x.ConfigAt, routesAt: x.RoutesAt, contact: x.Contact, answered: x.Answered}
 	}
 	if v.table[v.self] == nil {
 		return nil, fmt.Errorf("%w: this process is no member of its own view", ErrRecord)
@@ -120,6 +142,16 @@
 	for _, k := range s.News {
 		v.news[k] = true
 	}
+	v.established = s.Established
+	for i, f := range s.Floors {
+		if err := f.Floor.Check(); err != nil {
+			return nil, fmt.Errorf("floor %d: %w", i, err)
+		}
+		if v.floors[f.Floor.Kind] == nil {
+			v.floors[f.Floor.Kind] = &floors{}
+		}
+		v.floors[f.Floor.Kind].take(floor{Floor: f.Floor, at: f.At, took: f.Took})
+	}
 	v.digest = v.sum()
 	return v, nil
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -27,6 +27,8 @@
 	heardAt float64 // 0 for never
 
 	configAt, routesAt float64 // since when it is heard to act on its configuration and its route set
+	contact            float64 // when a question was sent that it answered holding the floors that are held here; 0 for never
+	answered           bool    // a question, at any time since this process\'s start, holding the floors that are held here
 }
 
 // Change is a line of a view's history.
@@ -39,18 +41,21 @@
 
 // View is one member's view of the fleet. It must be used from one goroutine.
 type View struct {
-	self    Key
-	table   map[Key]*entry
-	now     float64
-	looked  float64 // when the transport last told who is reached
-	begun   float64
-	awake   float64 // until when no verdict is passed, since this process stood still
-	changed float64 // when a member, state or verdict last changed
-	digest  uint64  // of all that are not over
-	history []Change
-	fresh   []Change // since Fresh was last called
-	news    map[Key]bool
-	dropped uint64 // records refused for want of a place, or of a form that can't be
+	self        Key
+	table       map[Key]*entry
+	now         float64
+	looked      float64 // when the transport last told who is reached
+	begun       float64
+	awake       float64 // until when no verdict is passed, since this process stood still
+	changed     float64 // when a member, state or verdict last changed
+	digest      uint64  // of all that are not over
+	history     []Change
+	fresh       []Change // since Fresh was last called
+	news        map[Key]bool
+	floors      map[Kind]*floors
+	floorNews   bool
+	established bool   // this process has learned of the floors since its start
+	dropped     uint64 // records refused for want of a place, or of a form that can't be
 }
 
 // New begins a view with this process's own record, which must pass Check.
@@ -69,7 +74,7 @@
 }
 
 func empty(self Key) *View {
-	return &View{self: self, table: map[Key]*entry{}, news: map[Key]bool{}}
+	return &View{self: self, table: map[Key]*entry{}, news: map[Key]bool{}, floors: map[Kind]*floors{}}
 }
 
 // Self is this process's own record.
@@ -188,7 +193,7 @@
 		e.Record = r
 		e.acts(was, v.now)
 		if was.Process != r.Process {
-			e.unseen, e.reached, e.heard, e.heardAt = v.now, false, 0, 0
+			e.unseen, e.reached, e.heard, e.heardAt, e.contact, e.answered = v.now, false, 0, 0, 0, false
 			v.noteTaken(r, "")
 			e.since = v.now
 		} else if was.State != r.State || was.Verdict != r.Verdict {
@@ -452,6 +457,9 @@
 			d += e.Record.digest() // commutative, so that no order is needed
 		}
 	}
+	if len(v.floors) > 0 {
+		d += v.FloorDigest()
+	}
 	return d
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -47,6 +47,7 @@
 	Seeds     []string       // host:port of some members
 	Allow     []netip.Prefix // of members; empty for loopback and private addresses
 	Probe     time.Duration  // between two questions to a member
+	Lease     time.Duration  // for which the dispatcher may act without touch with the fleet; 0 for any time
 	Routes    string         // what the members call the source of route sets, where its address differs among them; empty for its address
 }
 
@@ -114,6 +115,7 @@
 	Seeds     *[]string `hcl:"seeds"`
 	Allow     *[]string `hcl:"allow"`
 	Probe     *string   `hcl:"probe_every"`
+	Lease     *string   `hcl:"lease"`
 	Routes    *string   `hcl:"routes"`
 }
 
@@ -206,6 +208,7 @@
 	}
 	if x := f.Fleet; x != nil {
 		c.Fleet = x.read(fault)
+		duration("fleet.lease", x.Lease, &c.Fleet.Lease, 3*time.Second, time.Hour)
 		duration("fleet.probe_every", x.Probe, &c.Fleet.Probe, 50*time.Millisecond, time.Minute)
 	}
 	if x := f.Audit; x != nil {
--- a/internal/snapshot/events.go
+++ b/internal/snapshot/events.go
@@ -35,6 +35,9 @@
 	AuditAsked      *core.AuditAsked      `cbor:"24,keyasint,omitempty"`
 	AuditEnded      *core.AuditEnded      `cbor:"25,keyasint,omitempty"`
 	FleetHinted     *core.FleetHinted     `cbor:"26,keyasint,omitempty"`
+	FleetFloored    *core.FleetFloored    `cbor:"27,keyasint,omitempty"`
+	FleetContacted  *core.FleetContacted  `cbor:"28,keyasint,omitempty"`
+	FloorOrdered    *core.FloorOrdered    `cbor:"29,keyasint,omitempty"`
 }
 
 // Pack puts an event into its carrier. An event of a type that is not known here is an error.
@@ -92,6 +95,12 @@
 		return Event{AuditEnded: &ev}, nil
 	case core.FleetHinted:
 		return Event{FleetHinted: &ev}, nil
+	case core.FleetFloored:
+		return Event{FleetFloored: &ev}, nil
+	case core.FleetContacted:
+		return Event{FleetContacted: &ev}, nil
+	case core.FloorOrdered:
+		return Event{FloorOrdered: &ev}, nil
 	case core.RemoveOrdered:
 		return Event{RemoveOrdered: &ev}, nil
 	}
@@ -151,6 +160,12 @@
 		return *e.AuditEnded, nil
 	case e.FleetHinted != nil:
 		return *e.FleetHinted, nil
+	case e.FleetFloored != nil:
+		return *e.FleetFloored, nil
+	case e.FleetContacted != nil:
+		return *e.FleetContacted, nil
+	case e.FloorOrdered != nil:
+		return *e.FloorOrdered, nil
 	case e.RemoveOrdered != nil:
 		return *e.RemoveOrdered, nil
 	}
