--- a/choice/choice.go
+++ b/choice/choice.go
@@ -118,9 +118,9 @@
 	d.refresh(now)
 }
 
-// Fleet takes how many dispatchers may be acting from now on. Danger: those that join take over a part of what
-// this one carries, and its memory of that fades slowly: all together would overdrive a cold worker for that
-// long. Where some have gone, what is carried rises by itself.
+// Fleet takes how many dispatchers may be acting from now on. Danger: those that join take over a part of
+// what this one carries, and its memory of that fades slowly: all together would overdrive a cold worker
+// for that long. Where some have gone, what is carried rises by itself.
 func (d *Dispatcher) Fleet(dispatchers int) {
 	if part := float64(d.s.Dispatchers) / float64(dispatchers); part < 1 {
 		for _, k := range d.kindList {
--- a/lab/fleet-hard.hcl
+++ b/lab/fleet-hard.hcl
@@ -35,7 +35,7 @@
 
 event "cut" {
   at = 8
-  groups = [["n1"], ["n2", "n3", "n4", "n5"]]
+  groups = [["n1", "n2"], ["n3", "n4", "n5"]]
 }
 event "upgrade" {
   at = 20
