Let the judge wait out what a pause or a cut leaves behind

In ten minutes with sixteen members one verdict came 0.5 s after a member had woken from 3 s and all had settled: a suspicion from the pause that ran out just then, and was refuted.

--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -453,7 +453,7 @@
 	}
 	stood := now.Sub(q.faultAt) // a change of the route set, say, is known to all after a moment
 	switch {
-	case hard && !q.waiting && !q.judged:
+	case hard && !q.waiting && !q.judged && !(took.Seconds() < q.last.Most && lateVerdict(q.last.What)):
 		q.judged = true
 		q.broken("without a cause, %.1f s after %s had settled: %s", took.Seconds(), q.last.What, fault)
 	case fault == "" && q.waiting && took > 2*pollEvery:
@@ -472,6 +472,12 @@
 	}
 }
 
+// lateVerdict tells whether what happened leaves suspicions behind that may still become verdicts after all was settled, for as long as the
+// bound: one that is over is refuted by then. Nothing else does.
+func lateVerdict(what string) bool {
+	return strings.HasPrefix(what, "wake") || strings.HasPrefix(what, "heal")
+}
+
 func (q *squad) broken(format string, args ...any) {
 	if len(q.out.Broken) < 50 {
 		q.out.Broken = append(q.out.Broken, fmt.Sprintf("at %.1f s: ", time.Since(q.begin).Seconds())+fmt.Sprintf(format, args...))
--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -28,7 +28,15 @@
 		spoil func(q *squad)
 		want  string
 	}{
-		"all well":                   {func(*squad) {}, ""},
+		"all well": {func(*squad) {}, ""},
+		"a late verdict on waking": {func(q *squad) {
+			q.last, q.lastAt = Settling{What: "wake n1", Most: 10}, time.Now().Add(-time.Second)
+			q.peers[2].view.Members[0].State = "failed"
+		}, ""},
+		"a verdict without a cause": {func(q *squad) {
+			q.last, q.lastAt = Settling{What: "links", Most: 10}, time.Now().Add(-time.Second)
+			q.peers[2].view.Members[0].State = "failed"
+		}, "without a cause"},
 		"two views":                  {func(q *squad) { q.peers[1].view.Digest = "e" }, "holds another view"},
 		"a live one held for failed": {func(q *squad) { q.peers[2].view.Members[0].State = "failed" }, "n3 holds n1, which runs and is reached, for \"failed\""},
 		"a live one not known":       {func(q *squad) { q.peers[0].view.Members = q.peers[0].view.Members[:2] }, "for \"\""},
