--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -54,6 +54,7 @@
 type FleetPictured struct {
 	Picture membership.Picture
 	Fresh   []membership.Change
+	Hints   []Hint // that still count
 }
 
 func (FleetNews) effect()     {}
@@ -158,7 +159,7 @@
 	if r.fenced() {
 		p.Fenced = r.fenceWhy
 	}
-	r.emit(FleetPictured{Picture: p, Fresh: fresh})
+	r.emit(FleetPictured{Picture: p, Fresh: fresh, Hints: r.recentHints()})
 }
 
 // FleetState is the view's part of a reducer's state.
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -29,8 +29,9 @@
 func (HintsNews) effect()  {}
 
 const (
-	hintMost = 30.0 // seconds that a hint counts without discovery's own word
-	hintPart = 0.5  // of the next hops that hints may take out, all together
+	hintMost   = 30.0 // seconds that a hint counts without discovery's own word
+	mostRecent = 256  // hints that are kept for those that join
+	hintPart   = 0.5  // of the next hops that hints may take out, all together
 )
 
 // hint is what is held of one.
@@ -77,10 +78,30 @@
 		r.decider.List(r.now, choice.ListChanges, told)
 	}
 	if len(news) > 0 {
+		r.remember(news)
 		r.emit(HintsNews{Hints: news})
 	}
 }
 
+// remember keeps hints for those that join, or meet again, within the time in which they count.
+func (r *Reducer) remember(news []Hint) {
+	for _, x := range news {
+		r.recent = append(r.recent, HintState{Hop: x.Hop, Version: x.Version, At: r.now})
+	}
+	if len(r.recent) > mostRecent {
+		r.recent = slices.Delete(r.recent, 0, len(r.recent)-mostRecent)
+	}
+}
+
+// recentHints are those that still count, for an exchange of everything.
+func (r *Reducer) recentHints() (all []Hint) {
+	r.recent = slices.DeleteFunc(r.recent, func(x HintState) bool { return r.now-x.At >= hintMost })
+	for _, x := range r.recent {
+		all = append(all, Hint{Hop: x.Hop, Version: x.Version, Source: r.sourceName()})
+	}
+	return all
+}
+
 // unhint drops hints that are answered by a version of discovery's, or too old, and returns the hops that are in service again for it.
 func (r *Reducer) unhint(version int64) (back []Hop) {
 	for _, id := range slices.Sorted(maps.Keys(r.hints)) {
@@ -120,6 +141,7 @@
 		}
 	}
 	if len(news) > 0 {
+		r.remember(news)
 		r.emit(HintsNews{Hints: news})
 	}
 }
--- a/internal/core/hints_test.go
+++ b/internal/core/hints_test.go
@@ -31,6 +31,15 @@
 	if got := hintsOf(r.Step(2, FleetHinted{Hints: []Hint{drain}})); !reflect.DeepEqual(got, []Hint{drain}) {
 		t.Errorf("passed on: %v", got)
 	}
+	for now, want := range map[float64]int{3: 1, 2 + hintMost + 1: 0} { // what one that joins is told
+		twin := member(t, "a", "b")
+		twin.Step(2, FleetHinted{Hints: []Hint{drain}})
+		for _, e := range twin.Step(now, FleetLooked{}) {
+			if p, is := e.(FleetPictured); is && len(p.Hints) != want {
+				t.Errorf("at %v one that joins is told %v", now, p.Hints)
+			}
+		}
+	}
 	if got := hintsOf(r.Step(2, FleetHinted{Hints: []Hint{drain}})); got != nil {
 		t.Errorf("passed on twice, which would never end: %v", got)
 	}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -58,6 +58,7 @@
 	banned     map[HopID]bool    // out by hand, listed or not
 	returned   map[HopID]float64 // when a listed hop was put back by hand
 	hints      map[HopID]hint    // out by a peer\'s word, listed as active
+	recent     []HintState       // drains that were told lately, by this source or by peers
 	routesName string            // of the source, among the members of a fleet
 	draining   bool              // by hand
 	doubted    bool              // the source was asked for its whole list, since what it told was odd
@@ -469,6 +470,7 @@
 	}
 	r.source = Source{Addr: ev.Discovery, No: r.source.No + 1}
 	r.version, r.acted, r.watching, r.doubted = VersionUnknown, VersionUnknown, true, false
+	r.recent = nil
 	clear(r.hints) // of the old source; each hop that is still out is told by the new one
 	r.audited.Begun++
 	r.holds()
--- a/internal/gossip/form.go
+++ b/internal/gossip/form.go
@@ -52,8 +52,8 @@
 }
 
 // packAll is everything that is told in an exchange.
-func packAll(records []membership.Record, floors []membership.Floor) ([]byte, error) {
-	return cbor.Marshal(parcel{Form: form, Records: records, Floors: floors})
+func packAll(records []membership.Record, floors []membership.Floor, hints []core.Hint) ([]byte, error) {
+	return cbor.Marshal(parcel{Form: form, Records: records, Floors: floors, Hints: hints})
 }
 
 func packHints(hints []core.Hint) ([]byte, error) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -75,6 +75,7 @@
 	taken   bool // over from another process
 
 	picture atomic.Pointer[membership.Picture]
+	hints   atomic.Pointer[[]core.Hint]
 	packed  atomic.Pointer[packed] // what Told says, written down
 	foreign atomic.Uint64          // messages that can't be read
 
@@ -347,7 +348,7 @@
 			}
 		}
 	case core.FloorsNews:
-		if text, err := packAll(nil, e.Floors); err == nil {
+		if text, err := packAll(nil, e.Floors, nil); err == nil {
 			n.queue.QueueBroadcast(&news{text: text})
 		}
 	case core.HintsNews:
@@ -358,6 +359,7 @@
 		}
 	case core.FleetPictured:
 		n.picture.Store(&e.Picture)
+		n.hints.Store(&e.Hints)
 		for _, m := range e.Picture.Members {
 			if m.Self && m.State == membership.Left && !n.ended {
 				n.ended = true
@@ -518,7 +520,11 @@
 	for i := range floors {
 		floors[i].Age += max(0, n.clock()-p.FloorsAt)
 	}
-	text, err := packAll(p.Told, floors)
+	var hints []core.Hint
+	if told := n.hints.Load(); told != nil {
+		hints = *told
+	}
+	text, err := packAll(p.Told, floors, hints)
 	if err != nil {
 		return nil
 	}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"runtime"
 	"slices"
@@ -30,6 +31,7 @@
 	staleAfter = 1500 * time.Millisecond // an answer older than that says nothing
 	frontBlind = 2 * time.Second         // for which the front leads callers to a dispatcher that has died
 	starveFor  = 90 * time.Millisecond
+	stepSlack  = 0.25             // seconds for a step that was under way
 	costAfter  = 10 * time.Second // from which on what a member costs is counted
 )
 
@@ -131,17 +133,20 @@
 // peer is one dispatcher of a fleet.
 type peer struct {
 	*dispatcher
-	name   string
-	no     int
-	roster *Roster
-	up     bool      // its process runs, as the script wants
-	killed bool      // it was, at some time
-	paused bool      // it is stopped
-	since  time.Time // when it began to
-	down   time.Time // when it last stopped running
-	calm   time.Time // until then nobody may hold it for failed, since it is upgraded
-	view   seen
-	most   map[string]uint64 // incarnations that it held
+	name    string
+	no      int
+	roster  *Roster
+	seeds   string
+	end     *end
+	version int64     // of the configuration that is stated
+	up      bool      // its process runs, as the script wants
+	killed  bool      // it was, at some time
+	paused  bool      // it is stopped
+	since   time.Time // when it began to
+	down    time.Time // when it last stopped running
+	calm    time.Time // until then nobody may hold it for failed, since it is upgraded
+	view    seen
+	most    map[string]uint64 // incarnations that it held
 }
 
 // squad is a fleet's dispatchers and what the script did to them.
@@ -160,6 +165,8 @@
 	waiting bool
 	judged  bool
 	turn    int
+	floors  []least
+	untold  int // floors that over half were not seen to hold
 	out     FleetResult
 }
 
@@ -274,12 +281,8 @@
 	for j := range min(2, q.s.Dispatchers) {
 		seeds = append(seeds, fmt.Sprintf("%q", q.links.ends[j].shown))
 	}
-	e := q.links.ends[i]
-	p.dispatcher = &dispatcher{tools: o.Tools, dir: dir, addr: addr, operator: filepath.Join(dir, "operator.hcl"), extra: q.s.Operator,
-		blocks: fmt.Sprintf("fleet {\n  name = \"lab\"\n  listen = %q\n  advertise = %q\n  seeds = [%s]\n  routes = \"lab\"\n}\n", e.real, e.shown, strings.Join(seeds, ", "))}
-	if q.s.Audit {
-		p.blocks += "audit {\n  folder = \"record\"\n  version = 1\n}\n"
-	}
+	p.seeds, p.end, p.version = strings.Join(seeds, ", "), q.links.ends[i], 1
+	p.dispatcher = &dispatcher{tools: o.Tools, dir: dir, addr: addr, operator: filepath.Join(dir, "operator.hcl"), extra: q.s.Operator, blocks: p.words(q.s)}
 	text, err := q.s.configuration(addr, p.roster.Addr, o.Seed+uint64(i), p.roster.list(-1))
 	if err != nil {
 		return nil, err
@@ -296,6 +299,66 @@
 	return p, os.WriteFile(p.config(), text, 0o600)
 }
 
+// words are the blocks of a member's operator file.
+func (p *peer) words(s *Scenario) string {
+	lease := ""
+	if s.Lease != "" {
+		lease = fmt.Sprintf("  lease = %q\n", s.Lease)
+	}
+	text := fmt.Sprintf("fleet {\n  name = \"lab\"\n  listen = %q\n  advertise = %q\n  seeds = [%s]\n  routes = \"lab\"\n%s}\n", p.end.real, p.end.shown, p.seeds, lease)
+	if s.Audit {
+		text += fmt.Sprintf("audit {\n  folder = \"record\"\n  version = %d\n}\n", p.version)
+	}
+	return text
+}
+
+// config states another version of the configuration, and has the process read it. A process that does not run reads it as it starts.
+func (q *squad) config(p *peer, version int64) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if version < p.version {
+		return nil // one that was cut off is told late, and not back
+	}
+	p.version = version
+	p.blocks = p.words(q.s)
+	if err := p.setBinary(p.tools.Foldlb); err != nil {
+		return err
+	}
+	if p.up && !p.paused {
+		return syscall.Kill(p.pid, syscall.SIGHUP)
+	}
+	return nil
+}
+
+// least is a floor that was told, and when nobody may act below it any more.
+type least struct {
+	no    int64
+	bound float64 // Unix seconds; the machine has one clock
+}
+
+// floor has a member tell a floor, and takes its word of when it binds everybody.
+func (q *squad) floor(p *peer, version int64) error {
+	cmd := exec.Command(p.tools.Foldlb, "fleet", "floor", "--config", fmt.Sprint(version), "--within", "1s", "--force", "--why", "the lab", "--json", "--operator", p.operator)
+	var out strings.Builder
+	cmd.Stdout = &out
+	err := cmd.Run()
+	var a struct {
+		Told  bool    `json:"told"`
+		Bound float64 `json:"bound"`
+	}
+	if json.Unmarshal([]byte(strings.TrimSpace(out.String())), &a) != nil {
+		return nil // the one that should tell it was killed or stopped: nothing is promised
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if err == nil && a.Told && a.Bound >= 0 {
+		q.floors = append(q.floors, least{version, float64(time.Now().UnixNano())/1e9 + a.Bound + stepSlack})
+	} else {
+		q.untold++
+	}
+	return nil
+}
+
 // each does something with all dispatchers at once.
 func (q *squad) each(f func(*peer) error) error {
 	all := make([]error, len(q.peers))
@@ -687,6 +750,16 @@
 		q.mu.Unlock()
 		q.happened(e.Kind, detail, bounds[e.Kind])
 		return err
+	case "config":
+		for _, x := range q.peers {
+			if p == nil || x == p {
+				if err := q.config(x, e.Version); err != nil {
+					return err
+				}
+			}
+		}
+	case "floor":
+		return q.floor(p, e.Version)
 	case "late":
 		p.roster.lags(time.Duration(e.For * float64(time.Second)))
 	case "drain", "return":
@@ -819,6 +892,8 @@
 	Unheard  int    `json:"of_those_not_recorded_by_members_that_were_never_killed"`
 	Killed   int    `json:"of_those_not_recorded_by_members_that_were_killed"` // its last span was not told yet
 	VerifyMS int64  `json:"verified_in_ms"`
+	Floors   int    `json:"floors_told"`
+	Untold   int    `json:"floors_that_over_half_were_not_seen_to_hold"`
 }
 
 // audit verifies the members' records and holds them against the workers' own.
@@ -855,6 +930,17 @@
 			q.out.Broken = append(q.out.Broken, fmt.Sprintf("record of %s: %s: %s", b.Member, b.Where, b.What))
 		}
 	}
+	below := 0
+	for _, e := range v.Spans {
+		for _, f := range q.floors {
+			if e.Span.Acts() > 0 && e.Span.Versions.Config.No < f.no && e.Span.Last > f.bound && e.Span.Counts[audit.Sent] > 0 {
+				below++
+				q.out.Broken = append(q.out.Broken, fmt.Sprintf("%s sent on configuration %d until %.1f s after the floor %d bound everybody", e.Member, e.Span.Versions.Config.No, e.Span.Last-f.bound, f.no))
+			}
+		}
+	}
+	a.Floors, a.Untold = len(q.floors), q.untold
+	none("spans with sends below a floor after its bound", float64(below))
 	none("promises of the records broken", float64(len(v.Breaks)))
 	none("sends that reached a worker and are in no record", float64(a.Unheard))
 	if err != nil || a.Records == 0 || a.Sent == 0 {
@@ -908,5 +994,42 @@
 		}
 		at += lasts + f.Every
 	}
+	if s.Audit {
+		all = append(all, f.drawNews(s, rng)...)
+	}
+	return all
+}
+
+// drawNews draws what changes while things fail: workers that drain and return, discoveries that are late, configurations, and floors.
+func (f *Faults) drawNews(s *Scenario, rng *rand.Rand) (all []Event) {
+	var workers []string
+	for _, g := range s.Workers {
+		for n := range g.Count {
+			workers = append(workers, workerID(g.Kind, n))
+		}
+	}
+	version := int64(1)
+	for at := f.From; at < f.Until-15; at += 4 + 4*rng.Float64() {
+		w := workers[rng.IntN(len(workers)/2)] // half of them always serve
+		who := fmt.Sprintf("n%d", 1+rng.IntN(s.Dispatchers))
+		switch rng.IntN(4) {
+		case 0, 1:
+			all = append(all, Event{Kind: "late", At: at, Dispatcher: who, For: 5}, Event{Kind: "drain", At: at + 0.3, Worker: w}, Event{Kind: "return", At: at + 3.5, Worker: w})
+		case 2: // one of the members is told late
+			version++
+			straggler := fmt.Sprintf("n%d", 1+rng.IntN(s.Dispatchers))
+			for i := range s.Dispatchers {
+				if n := fmt.Sprintf("n%d", i+1); n != straggler {
+					all = append(all, Event{Kind: "config", At: at, Dispatcher: n, Version: version})
+				}
+			}
+			all = append(all, Event{Kind: "config", At: at + 12, Dispatcher: straggler, Version: version})
+			if rng.IntN(2) == 0 && straggler != who {
+				all = append(all, Event{Kind: "floor", At: at + 1, Dispatcher: who, Version: version})
+			}
+		case 3:
+			all = append(all, Event{Kind: "late", At: at, Dispatcher: who, For: 6})
+		}
+	}
 	return all
 }
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -80,6 +80,7 @@
 		}
 		if a := f.Audit; a != nil {
 			fmt.Fprintf(w, "records\t%d in %d bytes\t%d acts\t%d missing\tverified in %d ms\n", a.Records, a.Bytes, a.Acts, a.Missing, a.VerifyMS)
+			fmt.Fprintf(w, "floors\t%d told\t%d not seen to be\t\t\n", a.Floors, a.Untold)
 			fmt.Fprintf(w, "sends\t%d reached workers\t%d recorded\t%d not, of members that were killed\t\n", a.Reached, a.Sent, a.Killed)
 		}
 		for _, x := range f.Broken {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -27,6 +27,7 @@
 	Dispatchers int      `hcl:"dispatchers,optional"` // members of a fleet; 0 for one that is alone
 	Faults      *Faults  `hcl:"faults,block"`         // of the fleet, drawn by seed
 	Audit       bool     `hcl:"audit,optional"`       // the members keep records, which are verified at the end
+	Lease       string   `hcl:"lease,optional"`       // of the members; empty for none
 	Platform    bool     `hcl:"platform,optional"`    // the lab holds the listener, and staff work at the operators' door
 	Limits      *struct {
 		Cores    float64 `hcl:"cores,optional"`
@@ -78,6 +79,7 @@
 	Expect string  `hcl:"expect,optional"` // of an upgrade: replaced (also the default) or fell back
 
 	Dispatcher string     `hcl:"dispatcher,optional"` // n1, n2 ...: of a fleet, the one that it happens to
+	Version    int64      `hcl:"version,optional"`    // of config: the number that is stated; of floor: the least
 	Groups     [][]string `hcl:"groups,optional"`     // of a cut: those that reach each other still; of apart: those that don't meet; of oneway: the first's words don't reach the second
 	For        float64    `hcl:"for_s,optional"`      // of a pause
 	Loss       float64    `hcl:"loss,optional"`       // of links: part of the datagrams
@@ -104,7 +106,7 @@
 var (
 	eventKinds = map[string]bool{"upgrade": true, "drain": true, "return": true, "reload": true, "restart": true}
 	opsKinds   = map[string]bool{"replace": true, "ban": true, "unban": true, "away": true, "stay": true, "figures": true}
-	fleetKinds = map[string]bool{"kill": true, "bounce": true, "start": true, "leave": true, "pause": true, "cut": true, "apart": true, "oneway": true, "starve": true, "late": true, "links": true, "heal": true}
+	fleetKinds = map[string]bool{"kill": true, "bounce": true, "start": true, "leave": true, "pause": true, "cut": true, "apart": true, "oneway": true, "starve": true, "late": true, "config": true, "floor": true, "links": true, "heal": true}
 	ofOne      = map[string]bool{"kill": true, "bounce": true, "start": true, "leave": true, "pause": true, "starve": true, "late": true, "upgrade": true}
 	ofWorkers  = map[string]bool{"drain": true, "return": true, "ban": true, "unban": true}
 	effects    = map[string]bool{"idempotent": true, "deduplicated": true, "at_most_once": true}
@@ -196,11 +198,13 @@
 		}
 		switch {
 		case !eventKinds[e.Kind] && !opsKinds[e.Kind] && !fleetKinds[e.Kind]:
-			fault("event %q: is none of upgrade, restart, drain, return, reload, replace, ban, unban, away, stay, figures, kill, bounce, start, leave, pause, starve, late, cut, apart, oneway, links, heal", e.Kind)
+			fault("event %q: is none of upgrade, restart, drain, return, reload, replace, ban, unban, away, stay, figures, kill, bounce, start, leave, pause, starve, late, config, floor, cut, apart, oneway, links, heal", e.Kind)
 		case s.Dispatchers == 0 && fleetKinds[e.Kind] || s.Dispatchers > 0 && (e.Kind == "restart" || e.Kind == "reload"):
 			fault("event %q at %v: does not go with dispatchers = %d", e.Kind, e.At, s.Dispatchers)
 		case s.Dispatchers > 0 && ofOne[e.Kind] && !members[e.Dispatcher]:
 			fault("event %q at %v: there is no dispatcher %q", e.Kind, e.At, e.Dispatcher)
+		case (e.Kind == "config" || e.Kind == "floor") && (!s.Audit || e.Version < 1 || e.Kind == "floor" && !members[e.Dispatcher] || e.Dispatcher != "" && !members[e.Dispatcher]):
+			fault("event %q at %v: needs audit = true, a version and, for a floor, a dispatcher that tells it", e.Kind, e.At)
 		case strange != "":
 			fault("event %q at %v: there is no dispatcher %q", e.Kind, e.At, strange)
 		case e.Loss < 0 || e.Loss > 1 || e.Twice < 0 || e.Twice > 1 || e.DelayMS < 0 || e.JitterMS < 0 || e.Trickle < 0 || e.For < 0:
