Wait for the reducer's answers in one place, and for the picture that holds the floor

Three parts each kept a list of who waits for an answer. Found on reading: a floor's teller could take the picture of the moment before the floor for one in which over half hold it.

--- a/cmd/foldlb/audit.go
+++ b/cmd/foldlb/audit.go
@@ -41,9 +41,7 @@
 	once    sync.Once
 	version atomic.Int64 // of the configuration that is in force
 
-	mu    sync.Mutex
-	asked map[core.OrderID]chan core.AuditTold
-	no    core.OrderID
+	asked answers[core.AuditTold]
 }
 
 // record is the folder's record, opened before there is a reducer: what the process before acted on bounds what this one may.
@@ -98,7 +96,7 @@
 	if a == nil {
 		return nil
 	}
-	x := &auditor{n: n, cfg: *a, process: gossip.NewProcess(), summed: make(chan struct{}), asked: map[core.OrderID]chan core.AuditTold{}}
+	x := &auditor{n: n, cfg: *a, process: gossip.NewProcess(), summed: make(chan struct{})}
 	if f := s.operator.Fleet; f != nil {
 		x.source, x.routes = f.Name, f.Routes
 	}
@@ -177,11 +175,7 @@
 			w.Put(now, trail.Record{Held: &e.Versions})
 		}
 	case core.AuditTold:
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		if done := x.asked[e.Order]; done != nil {
-			done <- e
-		}
+		x.asked.give(e.Order, e)
 	case core.AuditSummed:
 		if w := x.writer.Load(); w != nil {
 			w.Put(now, trail.Record{End: &trail.End{Counts: e.Sums, Spans: e.Spans}})
@@ -220,24 +214,11 @@
 
 // told asks the reducer what is remembered of a request.
 func (x *auditor) told(id string) (core.AuditTold, error) {
-	done := make(chan core.AuditTold, 1)
-	x.mu.Lock()
-	x.no++
-	order := ownOrders | x.no
-	x.asked[order] = done
-	x.mu.Unlock()
-	defer func() {
-		x.mu.Lock()
-		delete(x.asked, order)
-		x.mu.Unlock()
-	}()
-	go x.n.loop.Post(core.AuditAsked{Order: order, Request: core.RequestID(id)})
-	select {
-	case t := <-done:
-		return t, nil
-	case <-time.After(orderWait):
-		return core.AuditTold{}, errors.New("no answer from the reducer")
+	t, came := x.asked.ask(func(order core.OrderID) { x.n.loop.Post(core.AuditAsked{Order: order, Request: core.RequestID(id)}) }, orderWait)
+	if !came {
+		return t, errors.New("no answer from the reducer")
 	}
+	return t, nil
 }
 
 var errNoAudit = errors.New("this dispatcher keeps no account: its operator file has no audit block")
--- a/cmd/foldlb/fleet.go
+++ b/cmd/foldlb/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,10 +40,8 @@
 
 	gossip atomic.Pointer[gossip.Node]
 
-	mu     sync.Mutex
-	orders map[core.OrderID]chan core.OrderFault
-	floors map[core.OrderID]chan core.FloorTold
-	last   core.OrderID
+	orders answers[core.OrderFault]
+	floors answers[core.FloorTold]
 }
 
 // join makes the node a member, where the operator file names a fleet. Nothing runs yet.
@@ -54,7 +53,7 @@
 	if s.cfg.Name == "" {
 		return errors.New("fleet: a member needs a name: set name, or NODE_NAME")
 	}
-	n.member = &member{n: n, routes: f.Routes, cfg: fleetConfig(s.cfg.Name, f), orders: map[core.OrderID]chan core.OrderFault{}, floors: map[core.OrderID]chan core.FloorTold{}}
+	n.member = &member{n: n, routes: f.Routes, cfg: fleetConfig(s.cfg.Name, f)}
 	return nil
 }
 
@@ -181,50 +180,27 @@
 
 // ordered hands the answer to an order to whoever gave it over the control socket.
 func (m *member) ordered(o core.Ordered) {
-	if m == nil {
-		return
+	if m != nil {
+		m.orders.give(o.Order, o.Fault)
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if done := m.orders[o.Order]; done != nil {
-		done <- o.Fault
+}
+
+func (m *member) floorTold(t core.FloorTold) {
+	if m != nil {
+		m.floors.give(t.Order, t)
 	}
 }
 
 // remove has the fleet forget a member that is gone for good.
 func (m *member) remove(name string) error {
-	done := make(chan core.OrderFault, 1)
-	m.mu.Lock()
-	m.last++
-	id := ownOrders | m.last
-	m.orders[id] = done
-	m.mu.Unlock()
-	defer func() {
-		m.mu.Lock()
-		delete(m.orders, id)
-		m.mu.Unlock()
-	}()
-	go m.n.loop.Post(core.RemoveOrdered{Order: id, Name: name})
-	select {
-	case fault := <-done:
-		if fault != "" {
-			return fmt.Errorf("%s: %s", name, fault)
-		}
-		return nil
-	case <-time.After(orderWait):
+	fault, came := m.orders.ask(func(id core.OrderID) { m.n.loop.Post(core.RemoveOrdered{Order: id, Name: name}) }, orderWait)
+	switch {
+	case !came:
 		return errors.New("not in force yet; it will be")
+	case fault != "":
+		return fmt.Errorf("%s: %s", name, fault)
 	}
-}
-
-func (m *member) floorTold(t core.FloorTold) {
-	if m == nil {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if done := m.floors[t.Order]; done != nil {
-		done <- t
-	}
+	return nil
 }
 
 // floorOrder is what `foldlb fleet floor` asks.
@@ -258,38 +234,26 @@
 	case membership.OfProgram:
 		f.Source = o.Program
 	}
-	done := make(chan core.FloorTold, 1)
-	m.mu.Lock()
-	m.last++
-	id := ownOrders | m.last
-	m.floors[id] = done
-	m.mu.Unlock()
-	defer func() {
-		m.mu.Lock()
-		delete(m.floors, id)
-		m.mu.Unlock()
-	}()
 	begin := time.Now()
-	go m.n.loop.Post(core.FloorOrdered{Order: id, Floor: f, Force: o.Force})
-	select {
-	case t := <-done:
-		if t.Fault != "" {
-			return say(floorAnswer{Hit: t.Hit, Fault: t.Fault})
-		}
-		for time.Since(begin) < toldMost {
-			if p := m.gossip.Load().Picture(); p.FloorsTold && p.FloorsAt > 0 {
-				a := floorAnswer{Hit: t.Hit, Told: true, Bound: -1}
-				if m.cfg.Lease > 0 {
-					a.Bound = max(0, o.Within-time.Since(begin).Seconds()) + m.cfg.Lease.Seconds()
-				}
-				return say(a)
+	t, came := m.floors.ask(func(id core.OrderID) { m.n.loop.Post(core.FloorOrdered{Order: id, Floor: f, Force: o.Force}) }, orderWait)
+	if !came {
+		return errors.New("not told yet; it will be")
+	}
+	if t.Fault != "" {
+		return say(floorAnswer{Hit: t.Hit, Fault: t.Fault})
+	}
+	for time.Since(begin) < toldMost {
+		// Danger: the picture may still be of the moment before.
+		if p := m.gossip.Load().Picture(); p.FloorsTold && slices.ContainsFunc(p.Floors, t.Floor.Same) {
+			a := floorAnswer{Hit: t.Hit, Told: true, Bound: -1}
+			if m.cfg.Lease > 0 {
+				a.Bound = max(0, o.Within-time.Since(begin).Seconds()) + m.cfg.Lease.Seconds()
 			}
-			time.Sleep(waitPoll)
+			return say(a)
 		}
-		return say(floorAnswer{Hit: t.Hit})
-	case <-time.After(orderWait):
-		return errors.New("not told yet; it will be")
+		time.Sleep(waitPoll)
 	}
+	return say(floorAnswer{Hit: t.Hit})
 }
 
 // fleetView is what `foldlb fleet` is told.
--- a/internal/core/floors.go
+++ b/internal/core/floors.go
@@ -30,6 +30,7 @@
 // FloorTold is the answer to an order: whom the floor shuts out unless they come up to it, or why it is not told.
 type FloorTold struct {
 	Order OrderID
+	Floor membership.Floor // as it is held
 	Hit   []string
 	Fault string
 }
@@ -45,8 +46,8 @@
 	case FleetContacted:
 		r.fleet.Contact(r.now, ev.Contact)
 	case FloorOrdered:
-		hit, fault := r.fleet.TellFloor(r.now, ev.Floor, ev.Force)
-		r.emit(FloorTold{Order: ev.Order, Hit: hit, Fault: fault})
+		f, hit, fault := r.fleet.TellFloor(r.now, ev.Floor, ev.Force)
+		r.emit(FloorTold{Order: ev.Order, Floor: f, Hit: hit, Fault: fault})
 	}
 }
 
--- a/internal/membership/floor.go
+++ b/internal/membership/floor.go
@@ -61,9 +61,9 @@
 	return nil
 }
 
-// same tells whether two floors are one.
-func (f Floor) same(o Floor) bool {
-	return f.Turn == o.Turn && f.By == o.By && f.No == o.No && f.Source == o.Source
+// Same tells whether two floors are one.
+func (f Floor) Same(o Floor) bool {
+	return f.Kind == o.Kind && f.Turn == o.Turn && f.By == o.By && f.No == o.No && f.Source == o.Source
 }
 
 // below tells whether a version is below the floor. Versions of another source can't be compared, and are below: what is not known to be
@@ -114,7 +114,7 @@
 		s.front = slices.DeleteFunc(s.front, func(x floor) bool { return x.Turn <= f.Turn })
 		return true
 	}
-	if slices.ContainsFunc(s.front, func(x floor) bool { return x.same(f.Floor) }) {
+	if slices.ContainsFunc(s.front, func(x floor) bool { return x.Same(f.Floor) }) {
 		return false
 	}
 	s.front = append(s.front, f)
@@ -124,7 +124,7 @@
 	if len(s.front) > mostFront {
 		lowest := s.front[mostFront]
 		s.front = s.front[:mostFront]
-		return !lowest.same(f.Floor)
+		return !lowest.Same(f.Floor)
 	}
 	return true
 }
@@ -159,24 +159,24 @@
 	v.note(v.self, what, fmt.Sprintf("by %s: %s", f.By, f.Why))
 }
 
-// TellFloor tells a floor first. It returns the members that it would shut out now; where those are over half of the live members of any
+// TellFloor tells a floor first. It returns it as it is held, and the members that it would shut out now; where those are over half of the live members of any
 // zone, or of all, nothing is told unless it is forced.
-func (v *View) TellFloor(now float64, f Floor, force bool) (hit []string, fault string) {
+func (v *View) TellFloor(now float64, f Floor, force bool) (told Floor, hit []string, fault string) {
 	v.begin(now)
 	f.Turn, f.By, f.Age = 1, v.self.Name, 0
 	if s := v.floors[f.Kind]; s != nil {
 		if len(s.front) >= mostFront && !f.Withdrawn {
-			return nil, fmt.Sprintf("%d floors are held; withdraw them first", len(s.front))
+			return f, nil, fmt.Sprintf("%d floors are held; withdraw them first", len(s.front))
 		}
 		for _, x := range s.all() {
 			f.Turn = max(f.Turn, x.Turn+1)
 			if !x.Withdrawn && !f.Withdrawn && x.Source == f.Source && x.No >= f.No {
-				return nil, fmt.Sprintf("a floor as high is in force: %d, by %s; withdraw it first", x.No, x.By)
+				return f, nil, fmt.Sprintf("a floor as high is in force: %d, by %s; withdraw it first", x.No, x.By)
 			}
 		}
 	}
 	if err := f.Check(); err != nil {
-		return nil, err.Error()
+		return f, nil, err.Error()
 	}
 	if !f.Withdrawn {
 		all, out := map[string]int{}, map[string]int{}
@@ -199,13 +199,13 @@
 		}
 		for _, z := range slices.Sorted(maps.Keys(all)) {
 			if !force && 2*out[z] > all[z] {
-				return hit, fmt.Sprintf("it would shut out %d of %d members of %s, over half", out[z], all[z], z)
+				return f, hit, fmt.Sprintf("it would shut out %d of %d members of %s, over half", out[z], all[z], z)
 			}
 		}
 	}
 	v.takeFloor(f)
 	v.end()
-	return hit, ""
+	return f, hit, ""
 }
 
 // Floors are those held, with their ages now. Danger: an age that is of an earlier moment would put a floor in force later elsewhere.
--- a/internal/membership/floor_test.go
+++ b/internal/membership/floor_test.go
@@ -112,7 +112,7 @@
 		if v := l.views[i]; v != nil && len(l.telling) < 3 {
 			no := int64(len(l.telling) + 2)
 			l.act(i, no)
-			if _, fault := v.TellFloor(l.now, Floor{Kind: OfConfig, No: no, Source: "f", Within: testWithin, Why: "test"}, true); fault != "" {
+			if _, _, fault := v.TellFloor(l.now, Floor{Kind: OfConfig, No: no, Source: "f", Within: testWithin, Why: "test"}, true); fault != "" {
 				t.Fatal(fault) // numbers rise, so none as high is known
 			}
 			l.telling[no] = l.now
@@ -217,14 +217,14 @@
 	far := peer
 	far.Key, far.Process = Key{Name: "d", Addr: "10.0.0.4:1"}, 4
 	a.Merge(1, []Record{peer, far})
-	hit, fault := a.TellFloor(2, Floor{Kind: OfConfig, No: 3, Source: "f", Within: 10, Why: "w"}, false)
+	_, hit, fault := a.TellFloor(2, Floor{Kind: OfConfig, No: 3, Source: "f", Within: 10, Why: "w"}, false)
 	if fault == "" || len(hit) != 2 || len(a.floors) != 0 {
 		t.Errorf("two of three shut out, unforced: %v, %q", hit, fault)
 	}
-	if _, fault = a.TellFloor(2, Floor{Kind: OfConfig, No: 3, Source: "f", Within: 10, Why: "w"}, true); fault != "" {
+	if _, _, fault = a.TellFloor(2, Floor{Kind: OfConfig, No: 3, Source: "f", Within: 10, Why: "w"}, true); fault != "" {
 		t.Errorf("forced: %q", fault)
 	}
-	if _, fault = b.TellFloor(2, Floor{Kind: OfConfig, No: 9, Source: "f", Within: 10, Why: "w"}, true); fault != "" {
+	if _, _, fault = b.TellFloor(2, Floor{Kind: OfConfig, No: 9, Source: "f", Within: 10, Why: "w"}, true); fault != "" {
 		t.Errorf("forced: %q", fault)
 	}
 	now := 3.0
@@ -237,7 +237,7 @@
 	if until, why := a.Fence(1, 0); until != 13 && until != 12 || why == "" {
 		t.Errorf("below the floor: until %v, %q", until, why)
 	}
-	if _, fault = a.TellFloor(4, Floor{Kind: OfConfig, Withdrawn: true}, false); fault != "" {
+	if _, _, fault = a.TellFloor(4, Floor{Kind: OfConfig, Withdrawn: true}, false); fault != "" {
 		t.Error(fault)
 	}
 	if until, _ := a.Fence(1, 0); !math.IsInf(until, 1) {
