--- a/cmd/foldlab/main.go
+++ b/cmd/foldlab/main.go
@@ -127,8 +127,11 @@
 		if err := r.Write(out); err != nil {
 			return err
 		}
-		if log, err := os.ReadFile(filepath.Join(dir, "foldlb.log")); err == nil && !r.OK {
-			os.WriteFile(filepath.Join(out, "foldlb.log"), log, 0o644)
+		logs, _ := filepath.Glob(filepath.Join(dir, "n*", "foldlb.log")) // of a fleet
+		for _, path := range append(logs, filepath.Join(dir, "foldlb.log")) {
+			if log, err := os.ReadFile(path); err == nil && !r.OK {
+				os.WriteFile(filepath.Join(out, strings.TrimPrefix(filepath.Base(filepath.Dir(path))+"-", filepath.Base(dir)+"-")+"foldlb.log"), log, 0o644)
+			}
 		}
 	}
 	if !r.OK {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -191,6 +191,17 @@
 	a := member(t, config("a"), nil, 0, nil)
 	b := member(t, config("b", a.at()), nil, 0, nil)
 	await(t, "they meet", func() bool { return a.holds("a", "b") && b.holds("a", "b") })
+	var silent []membership.Record // behind a partition: connections come up, and nobody says a word
+	for i := range 6 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		silent = append(silent, membership.Record{Key: membership.Key{Name: fmt.Sprint("s", i), Addr: ln.Addr().String()}, Incarnation: 1, Process: uint64(1000 + i),
+			Seq: 1, State: membership.Serving, Verdict: membership.Failed, Generation: 1})
+	}
+	b.post(core.FleetTold{Records: silent})
 	var files hold.Files
 	st, err := b.Export(&files)
 	if err != nil {
@@ -221,6 +232,11 @@
 			t.Fatalf("a holds %v", a.Picture().Members)
 		}
 	}
+	for _, c := range next.Picture().History {
+		if c.What == "stood still" || c.Key.Name == "a" && c.What == "failed" {
+			t.Errorf("the successor asked the silent ones first: %+v", c)
+		}
+	}
 	for _, c := range a.Picture().History {
 		if c.Key.Name == "b" && (c.What == "failed" || c.What == "gone") {
 			t.Errorf("a doubted it: %+v", c)
