--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -202,6 +202,15 @@
 			Seq: 1, State: membership.Serving, Verdict: membership.Failed, Generation: 1})
 	}
 	b.post(core.FleetTold{Records: silent})
+	await(t, "both hold the same, so that neither asks the other for everything", func() bool {
+		return len(a.Picture().Members) == 8 && a.Picture().Digest == b.Picture().Digest
+	})
+	last := a.Counts().Opened
+	await(t, "a asks for nothing more", func() bool {
+		was := last
+		last = a.Counts().Opened
+		return was == last && a.Picture().Digest == b.Picture().Digest
+	})
 	var files hold.Files
 	st, err := b.Export(&files)
 	if err != nil {
