Keep a dispatcher with a lease from acting before it is a member

Found on reading: where the member's address was taken, a dispatcher with a lease acted without one until it was free. It is fenced from its first step now. TestLeaseFromTheStart fails without that.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -63,7 +63,8 @@
 // fleetOf applies an event of the fleet.
 func (r *Reducer) fleetOf(ev Event) {
 	if begun, is := ev.(FleetBegun); is {
-		r.routesName, r.lease = begun.Routes, r.checkLease(begun.Lease)
+		r.routesName, r.lease = begun.Routes, 0
+		r.Lease(begun.Lease)
 		r.fleetBegun(begun.Self)
 		return
 	}
@@ -94,7 +95,7 @@
 		r.fleet.Enter(r.now, ev.State)
 	case FleetEnded:
 		r.fleet, r.acting, r.says, r.routesName = nil, 0, membership.Says{}, ""
-		r.lease, r.fenceUntil = 0, 0
+		r.lease, r.fenceUntil = 0, 0 // as there is no fleet to be in touch with
 		clear(r.hints)
 		r.decider.Fleet(r.settings.Dispatchers)
 		return
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -75,6 +75,35 @@
 	}
 }
 
+// TestLeaseFromTheStart: one that is to have a lease acts only once it is in touch, and not before it is a member at all.
+func TestLeaseFromTheStart(t *testing.T) {
+	r := start(t, choice.Idempotent, "a")
+	r.settings.Dispatchers = 2
+	r.Lease(4)
+	expect(t, r.Step(1, call("r0")), "answer 1 ")
+	r.Step(1, FleetBegun{Self: self(), Lease: 4})
+	r.Step(1, FleetTold{Records: []membership.Record{other(membership.Serving, membership.Fine)}})
+	if got := brief(r.Step(2, call("r1"))); len(got) != 1 || got[0] != "answer 1 " {
+		t.Errorf("out of touch: %v", got)
+	}
+	floors := r.fleet.FloorDigest()
+	r.Step(3, FleetContacted{Contact: membership.Contact{Process: 2, Asker: 1, Sent: 2.5, Floors: floors, Established: true}})
+	sent := func(now float64, id string) bool {
+		for _, e := range r.Step(now, call(id)) {
+			if _, is := e.(SendBranch); is {
+				return true
+			}
+		}
+		return false
+	}
+	if !sent(3.1, "r2") {
+		t.Error("in touch, and does not act")
+	}
+	if sent(6.6, "r3") {
+		t.Error("acts when its lease has ended")
+	}
+}
+
 // TestRemoveOrders are answered, also where there is no fleet.
 func TestRemoveOrders(t *testing.T) {
 	r := start(t, choice.Idempotent, "a")
--- a/internal/core/floors.go
+++ b/internal/core/floors.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"fmt"
 	"math"
 
 	"foldlb.example/foldlb/internal/membership"
@@ -74,14 +73,16 @@
 // fenced tells whether nothing new may be sent. Danger: it is asked at the time of the step, and what a step asks for is written a moment
 // later; a process that is stopped in between writes when it wakes.
 func (r *Reducer) fenced() bool {
-	return r.fleet != nil && (r.lease > 0 || !math.IsInf(r.fenceUntil, 1)) && r.now >= r.fenceUntil
+	if r.fleet == nil {
+		return r.lease > 0 // it is to have a lease, and has not begun as a member
+	}
+	return (r.lease > 0 || !math.IsInf(r.fenceUntil, 1)) && r.now >= r.fenceUntil
 }
 
-// FleetLease is for how many seconds a member may act without touch with the fleet; 0 for any time.
-func (r *Reducer) checkLease(lease float64) float64 {
-	if !(lease >= 0) || math.IsInf(lease, 0) {
-		r.emit(Log{Text: fmt.Sprintf("a lease of %v s is none", lease)})
-		return 0
+// Lease says, before the first step, for how many seconds this dispatcher may act without touch with its fleet; 0 for any time. Danger: one
+// that can't become a member, since its address is taken, must not act in the meantime as if it had no lease.
+func (r *Reducer) Lease(seconds float64) {
+	if seconds > 0 && !math.IsInf(seconds, 1) {
+		r.lease = seconds
 	}
-	return lease
 }
