--- a/cmd/foldlb/beside_test.go
+++ b/cmd/foldlb/beside_test.go
@@ -24,6 +24,7 @@
 	*process
 	ln  *os.File
 	tmp string
+	env []string // more, for each process
 }
 
 // started is one process, with a door of its own.
@@ -65,6 +66,7 @@
 	s.cmd = exec.Command(self, "serve", "--log-level", "error")
 	s.cmd.Env = append(os.Environ(), envAsMain+"=1", "NODE_CONFIG="+filepath.Join(p.dir, "config.json"),
 		"NODE_MGMT="+s.door, envInherited+"=3", "TMPDIR="+p.tmp)
+	s.cmd.Env = append(s.cmd.Env, p.env...)
 	if held {
 		s.cmd.Env = append(s.cmd.Env, envHold+"="+p.dir)
 	}
--- a/cmd/foldlb/fleet_test.go
+++ b/cmd/foldlb/fleet_test.go
@@ -105,6 +105,28 @@
 	}
 }
 
+// TestNewcomerBesideStaysAMember: a process that the platform starts beside the running one is the same member, and nobody doubts it.
+func TestNewcomerBesideStaysAMember(t *testing.T) {
+	one, two := freeMember(t), freeMember(t)
+	p := newPlatform(t, take)
+	p.write("operator.hcl", "control { socket = \"c.sock\" }\n"+fleetBlock(one, two))
+	p.env = []string{"FOLDLB_OPERATOR=" + filepath.Join(p.dir, "operator.hcl"), "NODE_NAME=a"}
+	first := p.run(false).ready()
+	b := launchWith(t, "b", fleetBlock(two, one), false, take)
+	b.settles(2)
+	p.settles(2)
+	p.run(false).ready()
+	first.goes()
+	p.settles(2)
+	b.settles(2)
+	if out, _ := b.asks("fleet", "--json"); !strings.Contains(out, `"generation":2`) {
+		t.Errorf("the newcomer is not known: %s", out)
+	}
+	if out, _ := b.asks("fleet", "events"); strings.Contains(out, "failed") || strings.Contains(out, "gone") {
+		t.Errorf("the newcomer was taken for a failure: %s", out)
+	}
+}
+
 // TestNameInTwoProcesses is named on both, with both addresses, and one of them is the loser on both.
 func TestNameInTwoProcesses(t *testing.T) {
 	one, two := freeMember(t), freeMember(t)
