Bear late answers only as far as they keep worth

TestLatenessIsBorneForItsWorth fails without it; the older test of shedding states the late worth that it meant.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -297,7 +297,10 @@
 		dear *= c.median
 	}
 	d.dear += (dear - d.dear) / lateMemory
-	shed := min(shedMost, shedGain*max(0, d.late-lateBorne)*min(dearMost, max(1/dearMost, dear/d.dear)))
+	// Lateness is borne for what late answers are worth: all of it where they keep a quarter or more, none
+	// where they are worth nothing: their queue only takes places from those that could be in time.
+	late := max(0, d.late-lateBorne*min(1, 4*c.LateWorth))
+	shed := min(shedMost, shedGain*late*min(dearMost, max(1/dearMost, dear/d.dear)))
 	if r.excess {
 		shed *= excessShed
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -862,6 +862,7 @@
 func TestLateFleetTurnsPartAwayAtOnce(t *testing.T) {
 	s := plain(AtMostOnce)
 	s.TellsStart, s.MaxRetryAfter = true, 2
+	s.Classes[0].LateWorth = 0.25 // a tenth of late answers is borne where they keep some worth
 	refused := func(late float64) (n int) {
 		d, h := start(t, s, fleet("a"))
 		d.late = late
@@ -1055,3 +1056,32 @@
 		t.Errorf("ten keys went to %d workers", len(all))
 	}
 }
+
+// TestLatenessIsBorneForItsWorth: where a late answer is worth nothing, some are turned away as soon as some are late; where it keeps
+// part of its worth, only beyond what is borne.
+func TestLatenessIsBorneForItsWorth(t *testing.T) {
+	for _, tc := range []struct {
+		lateWorth, late float64
+		least, most     int
+	}{{0, 0, 0, 0}, {0, 0.15, 80, 160}, {0.1, 0.15, 10, 110}, {0.25, 0.15, 0, 0}, {0.5, 0.15, 0, 0}, {0.25, 0.3, 50, 130}} {
+		s := plain(Idempotent)
+		s.Classes[0].LateWorth = tc.lateWorth
+		d, h := start(t, s, fleet("a", "b", "c"))
+		refused := 0
+		for i := range 400 {
+			d.late = tc.late
+			d.Request(1, ask(fmt.Sprint(i), 1))
+			for _, x := range h.take() {
+				if x.what == "refuse" {
+					refused++
+				}
+				if x.what == "assign" {
+					d.Outcome(1, Outcome{Request: fmt.Sprint(i), Worker: x.worker, Code: Done, Latency: 0.01, Final: true})
+				}
+			}
+		}
+		if refused < tc.least || refused > tc.most {
+			t.Errorf("worth %v late, part %v late: %d of 400 turned away, want %d to %d", tc.lateWorth, tc.late, refused, tc.least, tc.most)
+		}
+	}
+}
