Have a successor read its configuration's number once more before it refuses

Found by ten minutes of lab/audit.hcl: the configuration was raised and reloaded between an upgrade's start and the hand-over, and the new process, which had read the old number, refused to go behind what its predecessor acted on. Refusing is right; what it had read was out of date.

--- a/cmd/foldlb/audit.go
+++ b/cmd/foldlb/audit.go
@@ -110,7 +110,14 @@
 		x.writer.Store(s.trail.writer)
 		x.tellCut(s.trail.last.Cut)
 	}
-	if now := x.config(a.Version); held.Config.Source == now.Source && held.Config.No > now.No {
+	older := func() bool { return held.Config.Source == x.source && held.Config.No > a.Version }
+	if older() && kept { // the process before has read the file once more since this one did
+		if again, err := operator.Load(s.options.operator); err == nil && again.Audit != nil {
+			a = again.Audit
+		}
+	}
+	if older() {
+		now := x.config(a.Version)
 		return fmt.Errorf("%w: %d, and %d was acted on; state a higher number, also for a roll-back", errOlder, now.No, held.Config.No)
 	}
 	x.version.Store(a.Version)
