--- a/cmd/foldlb/upgrade_test.go
+++ b/cmd/foldlb/upgrade_test.go
@@ -143,7 +143,8 @@
 	if err := p.first.Start(); err != nil {
 		t.Fatal(err)
 	}
-	go func() { p.ended <- p.first.Wait() }()
+	first, ended := p.first, p.ended // a later start has others
+	go func() { ended <- first.Wait() }()
 	until := time.Now().Add(patience)
 	for {
 		if _, err := p.get("/healthz"); err == nil {
