--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -130,9 +130,6 @@
 	return membership.Key{Name: n.cfg.Load().Name, Addr: n.t.advertise.String()}
 }
 
-// Process is this process's number.
-func (n *Node) Process() uint64 { return n.process }
-
 func (n *Node) allowed(a netip.Addr) bool {
 	c := n.cfg.Load()
 	if len(c.Allow) == 0 {
@@ -233,10 +230,7 @@
 	// where nothing at all is heard, nobody is reached.
 	alone := time.Since(time.Unix(0, n.t.heardAt.Load())) > silentFor*n.cfg.Load().Probe
 	for _, m := range n.list.Members() {
-		if alone {
-			break
-		}
-		if p, ok := processOf(m.Name); ok && p != n.process {
+		if p, ok := processOf(m.Name); ok && p != n.process && !alone {
 			s.Reached = append(s.Reached, p)
 		}
 	}
