Play workers that start cold under a partition, with stand-ins that fall over

Need: what all members together send a cold worker was measured in the model in virtual time only. A stand-in worker can start anew now (event "renew"): its capacity rises as the settings say, and one that is sent more than the rule allows in any window of two seconds falls over; the run tells how near each came.

The judge counted a member as met that was met in an earlier process only, and called its absence behind a partition a broken promise; it goes by incarnations now.

--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -254,6 +254,7 @@
 	q.r.Seconds = time.Since(q.begin).Seconds()
 	q.r.Reopened, q.r.Resent = c.reopens, c.resent
 	q.r.judge(s, q.f.ledger, 0, ended)
+	q.r.cold(q.f.workers)
 	q.judge(ctx)
 	return q.r, nil
 }
@@ -497,9 +498,9 @@
 		if !p.up || p.paused || now.Sub(p.view.at) > staleAfter {
 			continue
 		}
-		may := 0 // that it has met, and that run
+		may := 0 // that it has met since their starts, and that run
 		for _, x := range q.peers {
-			if x.up && p.most[x.name] > 0 && now.Sub(x.since) > bounds["start"] {
+			if x.up && p.most[x.name] > 0 && p.most[x.name] >= x.most[x.name] && now.Sub(x.since) > bounds["start"] {
 				may++
 			}
 		}
@@ -650,13 +651,13 @@
 		go func() {
 			defer wg.Done()
 			defer close(done)
-			if err := q.do(e); err != nil {
+			if err := q.do(e, stop); err != nil {
 				mu.Lock()
 				all = append(all, fmt.Errorf("%s at %v: %w", e.Kind, e.At, err))
 				mu.Unlock()
 			}
 		}()
-		if e.Kind != "upgrade" && e.Kind != "leave" && e.Kind != "pause" && e.Kind != "starve" {
+		if e.Kind != "upgrade" && e.Kind != "leave" && e.Kind != "pause" && e.Kind != "starve" && e.Kind != "renew" {
 			<-done
 		}
 	}
@@ -664,7 +665,7 @@
 	return errors.Join(all...)
 }
 
-func (q *squad) do(e Event) error {
+func (q *squad) do(e Event, stop <-chan struct{}) error {
 	p := q.named(e.Dispatcher)
 	detail := e.Dispatcher
 	switch e.Kind {
@@ -762,6 +763,12 @@
 		return q.floor(p, e.Version)
 	case "late":
 		p.roster.lags(time.Duration(e.For * float64(time.Second)))
+	case "renew":
+		var all []*Roster
+		for _, x := range q.peers {
+			all = append(all, x.roster)
+		}
+		return q.s.renew(e, q.f.workers, all, stop)
 	case "drain", "return":
 		state := map[string]string{"drain": "leaving", "return": "active"}[e.Kind]
 		for _, x := range q.peers {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -102,8 +102,8 @@
 		"settings": map[string]any{"balancers": 1, "registry_mode": "on_request", "zone": "a", "zones": []string{"a"},
 			"allowed": map[string]any{"cancel": true, "max_attempts": 6, "second_copies": true, "retry_after": true,
 				"max_retry_after_s": 2, "idle_close_s": 5},
-			"contract": map[string]any{"ask_within_s": 10, "cold_share": 0.13, "overload_factor": 3, "tip_after_s": 2,
-				"warm_within_s": 24, "drain_grace_s": 0.75},
+			"contract": map[string]any{"ask_within_s": 10, "cold_share": coldShare, "overload_factor": coldFactor,
+				"tip_after_s": coldWindow.Seconds(), "warm_within_s": warmAfter.Seconds(), "drain_grace_s": 0.75},
 			"family_info": map[string]any{"tells_start": true},
 			"prices":      map[string]any{"waste": 0.01}, "classes": classes},
 	})
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -87,6 +87,9 @@
 			fmt.Fprintf(w, "broken\t%s\n", x)
 		}
 	}
+	if c := r.Cold; c != nil {
+		fmt.Fprintf(w, "cold workers\t%d\t%.3f of what one bears at the most\t%.3f in the mean\t%d fell over\t\n", c.Workers, c.Most, c.Mean, c.Fell)
+	}
 	if len(r.windows) > 0 {
 		fmt.Fprintf(w, "worth served\t%.3f in 5 s before\t%.3f in 5 s after a change of process\n", r.WorthPre, r.WorthAft)
 	}
--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -20,6 +20,7 @@
 	version int64
 	changed map[string]int64 // version of each worker's last change
 	state   map[string]string
+	began   map[string]time.Time // a start that it tells; none for one long ago
 	workers []*Worker
 	news    chan struct{} // closed at each change
 	ln      net.Listener
@@ -35,7 +36,7 @@
 		return err
 	}
 	r.ln, r.Addr, r.workers, r.version = ln, ln.Addr().String(), workers, 1
-	r.changed, r.state, r.news = map[string]int64{}, map[string]string{}, make(chan struct{})
+	r.changed, r.state, r.began, r.news = map[string]int64{}, map[string]string{}, map[string]time.Time{}, make(chan struct{})
 	for _, w := range workers {
 		r.changed[w.ID], r.state[w.ID] = 1, "active"
 	}
@@ -78,8 +79,12 @@
 	var entries []string
 	for _, w := range r.workers {
 		if s := state[w.ID]; (r.changed[w.ID] > since || since < 0) && (r.changed[w.ID] <= version || since < 0) && !(since < 0 && s == "left") {
-			entries = append(entries, fmt.Sprintf(`{"id":%q,"addr":%q,"zone":%q,"kind":%q,"cell":0,"state":%q,"weight":1,"started_ms":0}`,
-				w.ID, r.addr(w), w.Zone, w.Kind, s))
+			began := int64(0)
+			if t, told := r.began[w.ID]; told {
+				began = t.UnixMilli()
+			}
+			entries = append(entries, fmt.Sprintf(`{"id":%q,"addr":%q,"zone":%q,"kind":%q,"cell":0,"state":%q,"weight":1,"started_ms":%d}`,
+				w.ID, r.addr(w), w.Zone, w.Kind, s, began))
 		}
 	}
 	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, version, since < 0, strings.Join(entries, ","))
@@ -113,6 +118,13 @@
 	return w.Addr
 }
 
+// begins notes a worker's start, which is told with its next change.
+func (r *Roster) begins(id string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.began[id] = at
+}
+
 // set changes a worker's state and tells all who watch.
 func (r *Roster) set(id, state string) error {
 	r.mu.Lock()
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -41,6 +41,7 @@
 	WorthAft   float64         `json:"worth_in_5s_after_changes"`
 
 	Fleet *FleetResult `json:"fleet,omitempty"`
+	Cold  *ColdResult  `json:"cold_workers,omitempty"`
 
 	samples []sample
 	begin   time.Time
@@ -196,6 +197,7 @@
 	r.Seconds = time.Since(r.begin).Seconds()
 	r.Reopened, r.Resent = c.reopens, c.resent
 	r.judge(s, f.ledger, left, ended)
+	r.cold(f.workers)
 	if missing := s.count(map[string]bool{"upgrade": true}) - len(r.Upgrades) + s.count(opsKinds) - len(r.Operations); ctx.Err() != nil || missing > 0 {
 		// Danger: what was not played can't have gone wrong.
 		r.OK = false
@@ -250,6 +252,10 @@
 					return err
 				}
 				r.windows = append(r.windows, w)
+			case "renew":
+				if err := s.renew(e, f.workers, []*Roster{f.roster}, stop); err != nil {
+					return err
+				}
 			case "drain":
 				if err := f.roster.set(e.Worker, "leaving"); err != nil {
 					return err
@@ -269,6 +275,35 @@
 	return errors.Join(err, <-failed)
 }
 
+// renewTakes is how long a worker drains before its process starts anew.
+const renewTakes = 2 * time.Second
+
+// renew drains a worker at all rosters, and has it start anew, cold.
+func (s *Scenario) renew(e Event, workers []*Worker, rosters []*Roster, stop <-chan struct{}) error {
+	for _, x := range rosters {
+		if err := x.set(e.Worker, "leaving"); err != nil {
+			return err
+		}
+	}
+	select {
+	case <-stop:
+		return nil
+	case <-time.After(renewTakes):
+	}
+	for _, w := range workers {
+		if w.ID == e.Worker {
+			w.startCold(s.meanWork())
+		}
+	}
+	for _, x := range rosters {
+		x.begins(e.Worker, time.Now())
+		if err := x.set(e.Worker, "active"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // upgrade plays one upgrade and enters how it went.
 func (r *Result) upgrade(d *dispatcher, f *fleet, e Event) error {
 	want := e.Expect
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -72,7 +72,7 @@
 
 // Event is something that happens at a time.
 type Event struct {
-	Kind   string  `hcl:"kind,label"` // upgrade, restart, drain, return, reload; on a platform replace, ban, unban, away, stay, figures
+	Kind   string  `hcl:"kind,label"` // upgrade, restart, drain, return, renew, reload; on a platform replace, ban, unban, away, stay, figures
 	At     float64 `hcl:"at"`         // seconds from the beginning
 	Worker string  `hcl:"worker,optional"`
 	Binary string  `hcl:"binary,optional"` // of an upgrade: good, or a kind of bad start
@@ -104,11 +104,11 @@
 }
 
 var (
-	eventKinds = map[string]bool{"upgrade": true, "drain": true, "return": true, "reload": true, "restart": true}
+	eventKinds = map[string]bool{"upgrade": true, "drain": true, "return": true, "renew": true, "reload": true, "restart": true}
 	opsKinds   = map[string]bool{"replace": true, "ban": true, "unban": true, "away": true, "stay": true, "figures": true}
 	fleetKinds = map[string]bool{"kill": true, "bounce": true, "start": true, "leave": true, "pause": true, "cut": true, "apart": true, "oneway": true, "starve": true, "late": true, "config": true, "floor": true, "links": true, "heal": true}
 	ofOne      = map[string]bool{"kill": true, "bounce": true, "start": true, "leave": true, "pause": true, "starve": true, "late": true, "upgrade": true}
-	ofWorkers  = map[string]bool{"drain": true, "return": true, "ban": true, "unban": true}
+	ofWorkers  = map[string]bool{"drain": true, "return": true, "renew": true, "ban": true, "unban": true}
 	effects    = map[string]bool{"idempotent": true, "deduplicated": true, "at_most_once": true}
 )
 
@@ -198,7 +198,7 @@
 		}
 		switch {
 		case !eventKinds[e.Kind] && !opsKinds[e.Kind] && !fleetKinds[e.Kind]:
-			fault("event %q: is none of upgrade, restart, drain, return, reload, replace, ban, unban, away, stay, figures, kill, bounce, start, leave, pause, starve, late, config, floor, cut, apart, oneway, links, heal", e.Kind)
+			fault("event %q: is none of upgrade, restart, drain, return, renew, reload, replace, ban, unban, away, stay, figures, kill, bounce, start, leave, pause, starve, late, config, floor, cut, apart, oneway, links, heal", e.Kind)
 		case s.Dispatchers == 0 && fleetKinds[e.Kind] || s.Dispatchers > 0 && (e.Kind == "restart" || e.Kind == "reload"):
 			fault("event %q at %v: does not go with dispatchers = %d", e.Kind, e.At, s.Dispatchers)
 		case s.Dispatchers > 0 && ofOne[e.Kind] && !members[e.Dispatcher]:
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -38,6 +38,7 @@
 	queue   []*job
 	running int
 	drained time.Time // when dispatchers were told; zero while active
+	cold    *coldness // from a start of its own on, until it is warm; nil for one that always was
 }
 
 // job is one attempt that a worker holds.
@@ -86,6 +87,13 @@
 	_, held := w.jobs[id]
 	late := !w.drained.IsZero() && time.Since(w.drained) > drainRule
 	w.ledger.sent(id, back, late, held)
+	if w.cold != nil && !w.cold.bears(time.Now(), w.length(id)) {
+		w.mu.Unlock()
+		c.Response.SetConnectionClose()
+		c.HijackSetNoResponse(true)
+		c.Hijack(func(net.Conn) {}) // it has fallen over: nothing more is heard of it
+		return
+	}
 	if late || held || w.running >= w.Slots && len(w.queue) >= 4*w.Slots {
 		w.mu.Unlock()
 		c.Response.Header.Set("X-Turned-Away", "1")
@@ -128,9 +136,13 @@
 }
 
 func (w *Worker) run(j *job) {
-	class := w.classOf(j.id)
-	takes, size := w.work(class, j.id)
-	takes = time.Duration(float64(takes) / w.Pace)
+	_, size := w.work(w.classOf(j.id), j.id)
+	takes := w.length(j.id)
+	w.mu.Lock()
+	if w.cold != nil {
+		takes = time.Duration(float64(takes) / w.cold.warmth(time.Now()))
+	}
+	w.mu.Unlock()
 	started := make(chan struct{})
 	go func() {
 		w.call(j, fmt.Sprintf(`{"id":%q,"from":%q,"state":"started"}`, j.id, w.ID))
@@ -182,6 +194,12 @@
 	w.ledger.called(tries, heard || w.excuse != nil && w.excuse(j.back, begun))
 }
 
+// length is a job's time here, warm.
+func (w *Worker) length(id string) time.Duration {
+	takes, _ := w.work(w.classOf(id), id)
+	return time.Duration(float64(takes) / w.Pace)
+}
+
 func (w *Worker) tellDrain(at time.Time) {
 	w.mu.Lock()
 	w.drained = at
