Bring a straggler up with the configuration that its peers act on

It hears from the view that others act on a higher number, and asks one of them, another each second; the shared part of the settings comes as text, is read by the code that reads files, held against the view's digest, and counts in one step of the reducer: the decision module goes on under it as after a hand-over. Older numbers, one number with two contents, and settings without a class that has open requests are refused whole. It passes on in upgrades and is written beside the record before it counts. A reload with a higher number now puts its settings in force, too; without an audit block nothing of this exists.

--- a/cmd/foldlb/audit.go
+++ b/cmd/foldlb/audit.go
@@ -13,6 +13,7 @@
 
 	"foldlb.example/foldlb/internal/audit"
 	"foldlb.example/foldlb/internal/audit/trail"
+	"foldlb.example/foldlb/internal/config"
 	"foldlb.example/foldlb/internal/control"
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/gossip"
@@ -39,7 +40,8 @@
 	writer  atomic.Pointer[trail.Writer] // nil where nothing is written
 	summed  chan struct{}                // closed when the account has ended
 	once    sync.Once
-	version atomic.Int64 // of the configuration that is in force
+	held    atomic.Pointer[core.ConfigHeld] // the configuration that is in force
+	bringer bringer
 
 	asked answers[core.AuditTold]
 }
@@ -67,6 +69,9 @@
 		r.failed = true
 	}
 	s.trail = r
+	if err := s.readTaken(a.Folder); err != nil {
+		s.log.WithError(err).Error("the configuration that a peer told before is not used")
+	}
 	// What was acted on before the start must not be gone behind after it: an older list is not used, and the whole one asked for.
 	if last := r.last.Versions.Routes; err == nil && last.Source == s.routesName() && s.cfg.Known.Version < last.No {
 		s.log.WithFields(logrus.Fields{"known": s.cfg.Known.Version, "acted_on": last.No}).Warn("the route set of the configuration is older than one that was acted on, and is not used")
@@ -83,7 +88,7 @@
 }
 
 func recordOptions(member string, a operator.Audit, process uint64) trail.Options {
-	return trail.Options{Folder: a.Folder, Member: member, Process: process, Files: a.Files, Bytes: int64(a.FileMB) << 20}
+	return trail.Options{Folder: a.Folder, Member: member, Process: process, Files: a.Files, Bytes: int64(a.FileMB) << 20, Wall: wall}
 }
 
 // errOlder says that a configuration is older than one that was acted on.
@@ -110,23 +115,21 @@
 		x.writer.Store(s.trail.writer)
 		x.tellCut(s.trail.last.Cut)
 	}
-	older := func() bool { return held.Config.Source == x.source && held.Config.No > a.Version }
-	if older() && kept { // the process before has read the file once more since this one did
-		if again, err := operator.Load(s.options.operator); err == nil && again.Audit != nil {
-			a = again.Audit
-		}
+	now := core.ConfigHeld{Config: x.config(s.cfg, a.Version), Shared: s.cfg.Shared()}
+	if s.ahead != nil {
+		now = *s.ahead
 	}
-	if older() {
-		now := x.config(a.Version)
-		return fmt.Errorf("%w: %d, and %d was acted on; state a higher number, also for a roll-back", errOlder, now.No, held.Config.No)
+	if held.Config.Source == x.source && held.Config.No > now.Config.No {
+		return fmt.Errorf("%w: %d, and %d was acted on; state a higher number, also for a roll-back", errOlder, now.Config.No, held.Config.No)
 	}
-	x.version.Store(a.Version)
+	x.held.Store(&now)
 	n.auditor = x
 	return nil
 }
 
-func (x *auditor) config(no int64) membership.Version {
-	v := configured(x.n.cfg)
+// config is the version of a configuration that a file states.
+func (x *auditor) config(cfg config.Config, no int64) membership.Version {
+	v := configured(cfg)
 	v.No, v.Source = no, x.source
 	return v
 }
@@ -145,7 +148,9 @@
 			time.Sleep(lockPause)
 		}
 	}
-	x.n.loop.Post(core.AuditBegun{Routes: x.routes, Process: x.process, Program: program(), Config: x.config(x.version.Load()), Last: x.last})
+	held := x.held.Load()
+	x.n.loop.Post(core.AuditBegun{Routes: x.routes, Process: x.process, Program: program(), Config: held.Config, Shared: held.Shared, By: held.By,
+		BringUp: x.cfg.BringUp && x.n.member != nil, Last: x.last})
 	t := time.NewTicker(auditEvery)
 	defer t.Stop()
 	for {
@@ -181,6 +186,8 @@
 		if w := x.writer.Load(); w != nil {
 			w.Put(now, trail.Record{Held: &e.Versions})
 		}
+	case core.ConfigHeld:
+		x.holds(e)
 	case core.AuditTold:
 		x.asked.give(e.Order, e)
 	case core.AuditSummed:
@@ -206,17 +213,25 @@
 	}
 }
 
-// configure puts another configuration's number in force. One that is older than what was acted on changes nothing.
-func (x *auditor) configure(a *operator.Audit) error {
+// configure puts the configuration in force that the files state now, and tells whether its settings are. One that is older than what was
+// acted on changes nothing: it is an error where the files themselves went back, and of no matter where a peer told a newer one.
+func (x *auditor) configure(a *operator.Audit, cfg config.Config) (settings bool, err error) {
 	if x == nil || a == nil {
-		return nil
+		return false, nil
 	}
-	if old := x.version.Load(); a.Version < old {
-		return fmt.Errorf("%w: %d, and %d is in force", errOlder, a.Version, old)
+	held, stated := x.held.Load(), x.config(cfg, a.Version)
+	switch {
+	case a.Version < held.Config.No && held.By == "":
+		return false, fmt.Errorf("%w: %d, and %d is in force", errOlder, a.Version, held.Config.No)
+	case a.Version < held.Config.No:
+		x.n.log.WithFields(logrus.Fields{"stated": a.Version, "in_force": held.Config.No, "by": held.By}).
+			Warn("the files state an older configuration than the one that a peer told, which stays")
+		return false, nil
+	case a.Version == held.Config.No:
+		return stated == held.Config, nil
 	}
-	x.version.Store(a.Version)
-	x.n.loop.Post(core.AuditConfigured{Config: x.config(a.Version)})
-	return nil
+	x.n.loop.Post(core.AuditConfigured{Config: stated, Settings: &cfg.Settings, Shared: cfg.Shared()})
+	return true, nil
 }
 
 // told asks the reducer what is remembered of a request.
@@ -271,7 +286,7 @@
 				out.Counts[audit.Kind(k).String()] = n
 			}
 			for _, act := range t.Acts {
-				out.Acts = append(out.Acts, auditAct{Ago: now - act.At, Wall: time.Now().Add(-time.Duration((now - act.At) * float64(time.Second))).UnixMilli(),
+				out.Acts = append(out.Acts, auditAct{Ago: now - act.At, Wall: wall().Add(-time.Duration((now - act.At) * float64(time.Second))).UnixMilli(),
 					What: act.Kind.String(), Hop: act.Hop, Versions: act.Versions})
 			}
 			return say(out)
--- a/cmd/foldlb/fleet.go
+++ b/cmd/foldlb/fleet.go
@@ -30,6 +30,9 @@
 	fleetLineMost = 250 * time.Millisecond // between two lines of `foldlb fleet --watch`
 )
 
+// wall is the machine's clock of day. No order rests on it; tests set it back.
+var wall = time.Now
+
 // member is this dispatcher's part in its fleet. Without a fleet there is none.
 type member struct {
 	n      *node
@@ -92,8 +95,11 @@
 		}
 	}
 	g := gossip.New(m.cfg, sockets, process, taken, m.n.body.Clock.Now, m.n.loop.Post, m.n.log)
+	if m.n.auditor != nil {
+		g.OnConfig(m.n.auditor.brought)
+	}
 	m.gossip.Store(g)
-	m.n.loop.Post(core.FleetBegun{Routes: m.routes, Lease: m.cfg.Lease.Seconds(), Self: membership.Record{Key: g.Key(), Incarnation: uint64(time.Now().UnixMilli()), Process: process,
+	m.n.loop.Post(core.FleetBegun{Routes: m.routes, Lease: m.cfg.Lease.Seconds(), Self: membership.Record{Key: g.Key(), Incarnation: uint64(wall().UnixMilli()), Process: process,
 		Zone: m.n.cfg.Settings.Zone, Generation: m.n.body.Generation, Program: program(), Config: m.n.acts()}})
 	if err := g.Run(ctx); err != nil {
 		m.n.log.WithError(err).Error("no member of the fleet")
@@ -112,7 +118,7 @@
 // acts is the configuration that the node acts on.
 func (n *node) acts() membership.Version {
 	if n.auditor != nil {
-		return n.auditor.config(n.auditor.version.Load())
+		return n.auditor.held.Load().Config
 	}
 	return configured(n.cfg)
 }
--- a/cmd/foldlb/floor_test.go
+++ b/cmd/foldlb/floor_test.go
@@ -13,7 +13,7 @@
 func TestStragglerIsShutOut(t *testing.T) {
 	addrs := []string{freeMember(t), freeMember(t), freeMember(t)}
 	blocks := func(i, version int) string {
-		return strings.Replace(fleetBlock(addrs[i], addrs...), "probe_every", "lease = \"4s\"\n probe_every", 1) + auditBlock(version)
+		return strings.Replace(fleetBlock(addrs[i], addrs...), "probe_every", "lease = \"4s\"\n probe_every", 1) + strings.Replace(auditBlock(version), "version", "bring_up = false\n version", 1)
 	}
 	var all []*process
 	for i := range 3 {
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -43,8 +44,10 @@
 
 	now atomic.Pointer[core.Limits] // those in force
 
-	begins    func() // called when the node begins to serve; nil for nothing
-	configure func() // reads the operator file again; nil where there is none
+	begins func() // called when the node begins to serve; nil for nothing
+	// configure reads the operator file again, with another configuration beside it, and tells whether that one's settings are in force; nil
+	// where there is none.
+	configure func(config.Config, error) bool
 }
 
 // build makes the parts around a reducer. Nothing runs yet.
@@ -104,6 +107,11 @@
 		n.member.perform(e)
 	case core.FloorTold:
 		n.member.floorTold(e)
+	case core.FetchConfig:
+		n.member.perform(e)
+	case core.ConfigHeld:
+		n.auditor.perform(e)
+		n.member.perform(e)
 	case core.AuditSpans, core.AuditHeld, core.AuditTold, core.AuditSummed:
 		n.auditor.perform(e)
 	case core.SetLimits:
@@ -219,15 +227,13 @@
 
 // reload reads the configuration again. A faulty one changes nothing.
 func (n *node) reload() {
-	if n.configure != nil {
-		n.configure()
-	}
 	next, err := config.Reload(os.Getenv)
+	applied := n.configure != nil && n.configure(next, err)
 	if err != nil {
 		n.log.WithError(err).Error("reload refused, the old configuration stays")
 		return
 	}
-	if keys := config.NeedRestart(n.cfg, next); len(keys) > 0 {
+	if keys := slices.DeleteFunc(config.NeedRestart(n.cfg, next), func(k string) bool { return k == "settings" && applied }); len(keys) > 0 {
 		n.log.WithField("keys", keys).Warn("changed keys that only a restart applies")
 	}
 	n.body.Reloads.Add(1)
--- a/cmd/foldlb/operate.go
+++ b/cmd/foldlb/operate.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"foldlb.example/foldlb/internal/config"
 	"foldlb.example/foldlb/internal/control"
 	"foldlb.example/foldlb/internal/operator"
 	"foldlb.example/foldlb/internal/upgrade"
@@ -36,7 +37,7 @@
 func (s setup) operate(n *node, taken *upgrade.Taken) (end func(), err error) {
 	if s.operator.Control.Socket == "" {
 		if n.member != nil || n.auditor != nil {
-			n.configure = func() { s.configure(n) }
+			n.configure = func(cfg config.Config, err error) bool { return s.configure(n, cfg, err) }
 		}
 		return func() {}, nil
 	}
@@ -57,7 +58,8 @@
 				Since: since, Started: n.body.Started, Listen: n.cfg.Listen, PutOff: n.giver.PutOff(), Upgrade: n.giver.Last()})
 		},
 		"upgrade": func(_ json.RawMessage, say func(any) error) error {
-			s.configure(n) // what the file says now counts, as its binary does
+			cfg, err := config.Reload(os.Getenv)
+			s.configure(n, cfg, err) // what the files say now counts, as the binary does
 			n.giver.Upgrade(func(p upgrade.Progress) { say(p) })
 			return nil
 		},
@@ -71,7 +73,7 @@
 		s.announce(pid)
 	}
 	n.body.Control = server
-	n.configure = func() { s.configure(n) }
+	n.configure = func(cfg config.Config, err error) bool { return s.configure(n, cfg, err) }
 	n.begins = func() { go server.Run() }
 	if taken == nil {
 		s.announce(os.Getpid())
@@ -84,28 +86,31 @@
 	}, nil
 }
 
-// configure reads the operator file again. What it says of upgrades counts from the next one on.
-func (s setup) configure(n *node) {
+// configure reads the operator file again. What it says of upgrades counts from the next one on. Its number of a configuration counts with
+// that configuration: where there was an error with it, neither does. It tells whether the configuration's settings are in force.
+func (s setup) configure(n *node, cfg config.Config, faulty error) (settings bool) {
 	next, err := operator.Load(s.options.operator)
 	if err != nil {
 		n.log.WithError(err).Error("operator file refused, the old one stays")
-		return
+		return false
 	}
 	if next.Control != s.operator.Control || next.Log != s.operator.Log || next.Upgrade.KeepPID != s.operator.Upgrade.KeepPID {
 		n.log.WithField("file", s.options.operator).Warn("changed blocks that only a restart or an upgrade applies: control, log, keep_pid")
 	}
-	if err := n.auditor.configure(next.Audit); err != nil {
-		n.log.WithError(err).Error("operator file refused, the old one stays")
-		return
+	if faulty == nil {
+		if settings, err = n.auditor.configure(next.Audit, cfg); err != nil {
+			n.log.WithError(err).Error("operator file refused, the old one stays")
+			return false
+		}
 	}
 	if (next.Fleet == nil) != (n.member == nil) {
 		n.log.WithField("file", s.options.operator).Warn("a fleet block that is new or gone, which only a restart or an upgrade applies")
 	}
 	n.member.configure(n.cfg.Name, next.Fleet)
-	if n.giver == nil {
-		return
+	if n.giver != nil {
+		n.giver.Configure(limits(next.Upgrade), next.Upgrade.Strict)
 	}
-	n.giver.Configure(limits(next.Upgrade), next.Upgrade.Strict)
+	return settings
 }
 
 func limits(u operator.Upgrade) upgrade.Limits {
--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -102,7 +102,8 @@
 	cfg      config.Config
 	operator operator.Config
 	log      *logrus.Logger
-	trail    record // of what was acted on before the start
+	trail    record           // of what was acted on before the start
+	ahead    *core.ConfigHeld // in force before this process, and newer than what its operator file states; nil for none
 }
 
 func prepare(o options) (setup, error) {
@@ -189,7 +190,7 @@
 	if err = gate.Hold(time.Second, nil); err != nil { // nothing may act before the word to go
 		return nil, err
 	}
-	if taken, err = upgrade.Take(pipe, s.cfg.Settings, version, gate); err != nil {
+	if taken, err = upgrade.Take(pipe, s.under, version, gate); err != nil {
 		return nil, err
 	}
 	ln, err := taken.Files.Listener(taken.Parcel.Listener)
--- a/cmd/foldlb/upgrade_test.go
+++ b/cmd/foldlb/upgrade_test.go
@@ -27,7 +27,8 @@
 
 const (
 	envAsMain = "FOLDLB_TEST_AS_MAIN"
-	envHold   = "FOLDLB_TEST_HOLD" // a folder with two FIFOs, "held" and "go"
+	envHold   = "FOLDLB_TEST_HOLD"  // a folder with two FIFOs, "held" and "go"
+	envClock  = "FOLDLB_TEST_CLOCK" // a file that says by how much the machine's clock is off, now
 )
 
 func TestMain(m *testing.M) {
@@ -40,6 +41,13 @@
 			os.ReadFile(filepath.Join(dir, "go"))
 		}
 	}
+	if path := os.Getenv(envClock); path != "" {
+		wall = func() time.Time {
+			text, _ := os.ReadFile(path)
+			off, _ := time.ParseDuration(string(text))
+			return time.Now().Add(off)
+		}
+	}
 	main()
 }
 
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -47,4 +47,5 @@
 #   version = 7        # of the configuration, stated by you: raise it with each change, also with a roll-back. Read again on SIGHUP
 #   files   = 16       # that are kept
 #   file_mb = 4        # of each
+#   bring_up = true    # with a fleet: a newer configuration's shared part is taken from members that act on it
 # }
--- a/internal/audit/trail/writer.go
+++ b/internal/audit/trail/writer.go
@@ -30,6 +30,8 @@
 	Process uint64
 	Files   int   // that are kept
 	Bytes   int64 // of a file, at the most
+
+	Wall func() time.Time // the machine's clock of day, for people; nil for the system's
 }
 
 // Writer writes records to a folder, on a goroutine of its own. Nobody waits for it.
@@ -92,6 +94,13 @@
 	return w, last, nil
 }
 
+func (w *Writer) wall() int64 {
+	if w.o.Wall != nil {
+		return w.o.Wall().UnixMilli()
+	}
+	return time.Now().UnixMilli()
+}
+
 // lock keeps a second process out of a folder for as long as this one lives. Danger: two writers would each break the other's chain.
 func lock(folder string) (*os.File, error) {
 	f, err := os.OpenFile(filepath.Join(folder, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
@@ -215,7 +224,7 @@
 
 // Put hands a record over to be written. It never waits: what finds no place is counted, and said by the next that does.
 func (w *Writer) Put(clock float64, r Record) {
-	r.Wall, r.Clock = time.Now().UnixMilli(), clock
+	r.Wall, r.Clock = w.wall(), clock
 	if w.missing > 0 {
 		gap := Record{Wall: r.Wall, Clock: clock, Gap: &Gap{Missing: w.missing, Why: "the disk did not keep up"}}
 		if len(w.queue) > mostQueued-2 {
@@ -347,7 +356,7 @@
 	if len(cut) > 400 {
 		cut = cut[:400]
 	}
-	if err := w.append(Record{Wall: time.Now().UnixMilli(), Begin: &Begin{Member: w.o.Member, Process: w.o.Process, Last: w.last, Cut: cut, Held: w.held}}); err != nil {
+	if err := w.append(Record{Wall: w.wall(), Begin: &Begin{Member: w.o.Member, Process: w.o.Process, Last: w.last, Cut: cut, Held: w.held}}); err != nil {
 		if w.f != nil {
 			w.f.Close()
 			w.f = nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,8 @@
 	Limits    core.Limits
 	Known     core.RouteSet // as this dispatcher last held it; may be old
 	Settings  choice.Settings
+
+	raw []byte // the settings as they were read
 }
 
 // The defaults of what may be absent, and the least that a dispatcher runs with.
@@ -146,25 +148,16 @@
 	if len(f.Settings) == 0 {
 		return c, errors.New("settings: is missing")
 	}
-	s, err := Settings(f.Settings)
+	s, err := checked(f.Settings)
 	if err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
-	if err := checkSettings(s); err != nil {
-		return c, fmt.Errorf("settings: %w", err)
-	}
-	if s.DialTimeout == 0 {
-		s.DialTimeout = defaultDialTimeout
-	}
-	if s.ConnIdle == 0 {
-		s.ConnIdle = defaultIdleClose
-	}
 	if f.Seed != "" {
 		if s.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 			return c, fmt.Errorf("seed: %q is not a number of up to 16 hex digits", f.Seed)
 		}
 	}
-	c.Settings = s
+	c.Settings, c.raw = s, f.Settings
 	return c, nil
 }
 
--- a/internal/core/audit.go
+++ b/internal/core/audit.go
@@ -12,14 +12,14 @@
 	Config  membership.Version
 	Routes  string         // the name of the source of route sets among members; empty for its address
 	Last    audit.Versions // that the process before acted on last, where its record is known
+	Shared  []byte         `cbor:",omitempty"` // the configuration's shared part, as text
+	By      string         `cbor:",omitempty"` // the member that told it; empty for the own file
+	BringUp bool           `cbor:",omitempty"` // newer configurations are asked for at members that act on them
 }
 
 // AuditLooked says that a second has passed: spans that have lasted long enough end.
 type AuditLooked struct{}
 
-// AuditConfigured says that another configuration is in force.
-type AuditConfigured struct{ Config membership.Version }
-
 // AuditAsked asks for what is remembered of a request, which comes as AuditTold.
 type AuditAsked struct {
 	Order   OrderID
@@ -29,11 +29,10 @@
 // AuditEnded ends the account: the last span, and the sums.
 type AuditEnded struct{}
 
-func (AuditBegun) event()      {}
-func (AuditLooked) event()     {}
-func (AuditConfigured) event() {}
-func (AuditAsked) event()      {}
-func (AuditEnded) event()      {}
+func (AuditBegun) event()  {}
+func (AuditLooked) event() {}
+func (AuditAsked) event()  {}
+func (AuditEnded) event()  {}
 
 // AuditSpans are spans that have ended.
 type AuditSpans struct{ Spans []audit.Span }
@@ -72,13 +71,7 @@
 	case AuditLooked:
 		r.book.Pass(r.now)
 	case AuditConfigured:
-		r.audited.Config = ev.Config
-		r.holds()
-		if r.fleet != nil {
-			r.says.Config = ev.Config
-			r.saysOfItself()
-			r.fleetMoved()
-		}
+		r.configured(ev)
 	case AuditAsked:
 		r.emit(AuditTold{Order: ev.Order, Acts: r.book.Of(string(ev.Request)), Now: r.book.Now()})
 	case AuditEnded:
@@ -93,7 +86,12 @@
 }
 
 func (r *Reducer) auditBegun(ev AuditBegun) {
-	r.audited.Program, r.audited.Config, r.routesName = ev.Program, ev.Config, ev.Routes
+	r.audited.Program, r.routesName, r.bringsUp = ev.Program, ev.Routes, ev.BringUp
+	// Danger: what its predecessor took up in its last moments may be newer than what a successor read.
+	if held := r.audited.Config; r.book == nil || held.Source != ev.Config.Source || held.No <= ev.Config.No {
+		r.audited.Config, r.shared, r.sharedBy = ev.Config, ev.Shared, ev.By
+	}
+	r.emit(ConfigHeld{Config: r.audited.Config, Shared: r.shared, By: r.sharedBy})
 	if r.book != nil {
 		r.holds()
 		return
@@ -147,19 +145,24 @@
 	Book    audit.State
 	Held    audit.Versions
 	Acted   int64
+	Shared  []byte `cbor:",omitempty"` // the configuration's shared part, as text
+	By      string `cbor:",omitempty"` // the member that told it
+	BringUp bool   `cbor:",omitempty"`
 }
 
 func (r *Reducer) exportAudit() *AuditState {
 	if r.book == nil {
 		return nil
 	}
-	return &AuditState{Process: r.auditNo, Book: r.book.Export(), Held: r.audited, Acted: r.acted}
+	return &AuditState{Process: r.auditNo, Book: r.book.Export(), Held: r.audited, Acted: r.acted,
+		Shared: r.shared, By: r.sharedBy, BringUp: r.bringsUp}
 }
 
 func (r *Reducer) importAudit(st *AuditState) {
 	r.acted = r.version
 	if st != nil {
 		r.auditNo, r.book, r.audited, r.acted = st.Process, audit.Import(st.Book), st.Held, st.Acted
+		r.shared, r.sharedBy, r.bringsUp = st.Shared, st.By, st.BringUp
 	}
 }
 
--- /dev/null
+++ b/internal/core/bringup_test.go
@@ -0,0 +1,136 @@
+package core
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"foldlb.example/foldlb/choice"
+	"foldlb.example/foldlb/internal/membership"
+)
+
+func config(no int64, digest uint64) membership.Version {
+	return membership.Version{No: no, Digest: digest, Source: "f"}
+}
+
+// lagging is a member on configuration 1 that hears of others on others.
+func lagging(t *testing.T, others ...membership.Version) *Reducer {
+	t.Helper()
+	r := member(t, "a", "b")
+	r.Step(1, AuditBegun{Process: 1, Config: config(1, 1), Shared: []byte("1"), BringUp: true})
+	var told []membership.Record
+	var reached []uint64
+	for i, v := range others {
+		told = append(told, membership.Record{Key: membership.Key{Name: fmt.Sprint("m", i), Addr: fmt.Sprintf("10.0.1.%d:1", i+1)}, Incarnation: 1, Process: uint64(100 + i),
+			Seq: 1, State: membership.Serving, Generation: 1, Config: v})
+		reached = append(reached, uint64(100+i))
+	}
+	r.Step(1, FleetTold{Records: told})
+	r.Step(1, FleetLooked{Sight: membership.Sight{Reached: reached}})
+	return r
+}
+
+func fetches(effects []Effect) (all []FetchConfig) {
+	for _, e := range effects {
+		if f, is := e.(FetchConfig); is {
+			all = append(all, f)
+		}
+	}
+	return all
+}
+
+func held(t *testing.T, effects []Effect) ConfigHeld {
+	t.Helper()
+	for _, e := range effects {
+		if h, is := e.(ConfigHeld); is {
+			return h
+		}
+	}
+	t.Fatalf("no word of what is in force: %v", effects)
+	return ConfigHeld{}
+}
+
+// TestStragglerAsks those that act on the highest configuration that all its holders hold alike, one after the other, and not all the time.
+func TestStragglerAsks(t *testing.T) {
+	for name, c := range map[string]struct {
+		others []membership.Version
+		want   int64 // 0 for nobody
+	}{
+		"newer":                        {[]membership.Version{config(2, 2), config(2, 2), config(1, 1)}, 2},
+		"the highest":                  {[]membership.Version{config(2, 2), config(3, 3)}, 3},
+		"not one with two contents":    {[]membership.Version{config(2, 2), config(3, 3), config(3, 4)}, 2},
+		"none but one of two contents": {[]membership.Version{config(3, 3), config(3, 4)}, 0},
+		"older":                        {[]membership.Version{config(0, 9)}, 0},
+		"of another source":            {[]membership.Version{{No: 5, Digest: 5, Source: "g"}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := lagging(t, c.others...)
+			asked := map[uint64]int{}
+			for i := range 8 {
+				for _, f := range fetches(r.Step(5+float64(i)*fetchEvery/2, FleetLooked{Sight: membership.Sight{Reached: []uint64{100, 101, 102}}})) {
+					if f.Config.No != c.want {
+						t.Errorf("asks %s for %d, want %d", f.Member, f.Config.No, c.want)
+					}
+					asked[f.Process]++
+				}
+			}
+			sum := 0
+			for _, n := range asked {
+				sum += n
+			}
+			if c.want == 0 && sum > 0 || c.want > 0 && sum != 4 {
+				t.Errorf("%d questions in 4 s: %v", sum, asked)
+			}
+			if name == "newer" && (asked[100] != 2 || asked[101] != 2) {
+				t.Errorf("not in turn: %v", asked)
+			}
+		})
+	}
+}
+
+// TestConfigurationWholeOrNotAtAll: what is refused leaves everything as it was, what is taken counts for the next request.
+func TestConfigurationWholeOrNotAtAll(t *testing.T) {
+	r := lagging(t, config(5, 5))
+	under := func(classes ...string) *choice.Settings {
+		s := r.settings
+		s.Classes = nil
+		for _, name := range classes {
+			c := r.settings.Classes[0]
+			c.Name = name
+			s.Classes = append(s.Classes, c)
+		}
+		return &s
+	}
+	r.Step(2, CallArrived{Call: Call{Leg: 1, ID: "open", Class: "c", Remaining: 1, Slots: 1}})
+	for name, ev := range map[string]AuditConfigured{
+		"older":                {Config: config(0, 7), Settings: under("c", "d"), By: "m0"},
+		"other contents":       {Config: config(1, 7), Settings: under("c", "d")},
+		"two contents":         {Config: config(5, 7), Settings: under("c", "d"), By: "m0"},
+		"another source":       {Config: membership.Version{No: 9, Source: "g"}, Settings: under("c", "d"), By: "m0"},
+		"a class that is open": {Config: config(2, 2), Settings: under("d"), By: "m0"},
+	} {
+		if h := held(t, r.Step(2, ev)); h.Fault == "" || h.Config != config(1, 1) || string(h.Shared) != "1" || len(r.settings.Classes) != 1 {
+			t.Errorf("%s: %+v", name, h)
+		}
+	}
+	if h := held(t, r.Step(2, AuditConfigured{Config: config(5, 5), Settings: under("d", "c"), Shared: []byte("5"), By: "m0"})); h.Fault != "" || h.Config != config(5, 5) || h.By != "m0" {
+		t.Fatalf("%+v", h)
+	}
+	sent, answered := false, false
+	for _, e := range append(r.Step(2.5, CallArrived{Call: Call{Leg: 2, ID: "new", Class: "d", Remaining: 1, Slots: 1}}), r.Step(4, Tick{})...) {
+		_, is := e.(SendBranch)
+		sent = sent || is
+		a, is := e.(Answer)
+		answered = answered || is && a.Leg == 1
+	}
+	if !sent || !answered {
+		t.Errorf("a request of the new class is sent: %v; the one that was open has an answer at its deadline: %v", sent, answered)
+	}
+	st, err := r.Export()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, v, known := st.Shared(); !known || string(text) != "5" || v != config(5, 5) || !strings.Contains(st.Audit.By, "m0") {
+		t.Errorf("passed on: %q %v %v", text, v, known)
+	}
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -114,6 +114,10 @@
 		}
 		r.fleet = v
 	}
+	if r.book != nil { // the member that begins just now has not heard it
+		r.emit(ConfigHeld{Config: r.audited.Config, Shared: r.shared, By: r.sharedBy})
+		self.Config = r.audited.Config
+	}
 	r.says = membership.Says{Generation: self.Generation, Program: self.Program, Config: self.Config, Zone: self.Zone}
 	r.saysOfItself()
 	r.fleetMoved()
@@ -151,6 +155,7 @@
 		r.decider.Fleet(n)
 	}
 	r.fence()
+	r.bringUp()
 	news, fresh := r.fleet.News(), r.fleet.Fresh()
 	if len(news) > 0 {
 		r.emit(FleetNews{Records: news})
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -57,7 +57,7 @@
 	watching   bool              // a watch of the source was asked for and has not been refused
 	banned     map[HopID]bool    // out by hand, listed or not
 	returned   map[HopID]float64 // when a listed hop was put back by hand
-	hints      map[HopID]hint    // out by a peer\'s word, listed as active
+	hints      map[HopID]hint    // out by a peer's word, listed as active
 	recent     []HintState       // drains that were told lately, by this source or by peers
 	routesName string            // of the source, among the members of a fleet
 	draining   bool              // by hand
@@ -71,6 +71,11 @@
 	fenceUntil float64          // when it may act no longer
 	fenceWhy   string
 	audited    audit.Versions // as the book holds them
+	shared     []byte         // the configuration's shared part, as text; empty where it is not known
+	sharedBy   string         // the member that told it; empty for the own file
+	bringsUp   bool           // newer configurations are asked for at members that act on them
+	fetchAt    float64        // when the next question for one may go out
+	fetches    uint64         // questions that went out
 	acted      int64          // newest version of the source's route set that was held
 	acting     int            // members that may be acting, as last told to the decision module; 0 for the settings' number
 	timers     timerHeap
--- a/internal/gossip/form.go
+++ b/internal/gossip/form.go
@@ -30,6 +30,8 @@
 	Floors  []membership.Floor  `cbor:"4,keyasint,omitempty"`
 	Ask     *ask                `cbor:"5,keyasint,omitempty"`
 	Answer  *membership.Contact `cbor:"6,keyasint,omitempty"`
+	Want    *want               `cbor:"7,keyasint,omitempty"`
+	Given   *given              `cbor:"8,keyasint,omitempty"`
 }
 
 var reader = func() cbor.DecMode {
@@ -51,6 +53,19 @@
 	Sent    float64 `cbor:"2,keyasint"`
 }
 
+// want asks for the configuration that a member acts on.
+type want struct {
+	Process uint64             `cbor:"1,keyasint"` // that asks
+	Config  membership.Version `cbor:"2,keyasint"`
+}
+
+// given is a configuration's shared part.
+type given struct {
+	Config membership.Version `cbor:"1,keyasint"`
+	Member string             `cbor:"2,keyasint"` // that gives it
+	Text   []byte             `cbor:"3,keyasint"`
+}
+
 // packAll is everything that is told in an exchange.
 func packAll(records []membership.Record, floors []membership.Floor, hints []core.Hint) ([]byte, error) {
 	return cbor.Marshal(parcel{Form: form, Records: records, Floors: floors, Hints: hints})
@@ -60,6 +75,10 @@
 	return cbor.Marshal(parcel{Form: form, Hints: hints})
 }
 
+func packGiven(g given) ([]byte, error) {
+	return cbor.Marshal(parcel{Form: form, Given: &g})
+}
+
 // unpack reads news. Records that can't be are the view's to drop and count.
 func unpack(text []byte) (parcel, error) {
 	if len(text) > mostNews {
@@ -74,6 +93,9 @@
 			return parcel{}, fmt.Errorf("%w: hint %d is of no hop or source that can be", ErrNews, i)
 		}
 	}
+	if g := p.Given; g != nil && (len(g.Text) == 0 || len(g.Text) > core.MostShared || len(g.Member) > membership.MostName || len(g.Config.Source) > membership.MostSource) {
+		return parcel{}, fmt.Errorf("%w: a configuration of %d bytes, 1 to %d", ErrNews, len(g.Text), core.MostShared)
+	}
 	if p.Form != form {
 		return parcel{}, fmt.Errorf("%w: form %d, this program reads %d", ErrNews, p.Form, form)
 	}
--- /dev/null
+++ b/internal/gossip/give.go
@@ -0,0 +1,97 @@
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"foldlb.example/foldlb/internal/core"
+)
+
+// A configuration passes from a member that acts on it to one that asks: the question as a datagram, the answer over a connection.
+
+const (
+	givesAS  = 4 // answers a second, to whoever asks; the rest asks another member a second later
+	mostGive = 8 // that wait
+)
+
+// giving is a member's part in passing configurations on.
+type giving struct {
+	queue chan want
+	taken func(core.ConfigHeld)
+}
+
+// OnConfig has f told of configurations that were asked for and given, in no order and perhaps more than once. It must be called before Run.
+// f must not block.
+func (n *Node) OnConfig(f func(core.ConfigHeld)) { n.giving.taken = f }
+
+// fetch asks a member for the configuration that it acts on.
+func (n *Node) fetch(e core.FetchConfig) {
+	n.asking.Store(&e)
+	n.mu.Lock()
+	list := n.list
+	n.mu.Unlock()
+	if list == nil {
+		return
+	}
+	for _, m := range list.Members() {
+		if p, ok := processOf(m.Name); ok && p == e.Process {
+			n.send(m, parcel{Form: form, Want: &want{Process: n.process, Config: e.Config}})
+			return
+		}
+	}
+}
+
+// asked takes a question in. Danger: after a change hundreds may ask at once, so there is a number that is answered in a second.
+func (n *Node) asked(w want) {
+	select {
+	case n.giving.queue <- w:
+	default:
+		n.dropped.Add(1)
+	}
+}
+
+// give answers questions until the context ends.
+func (n *Node) give(ctx context.Context) {
+	t := time.NewTicker(time.Second / givesAS)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		select {
+		case w := <-n.giving.queue:
+			n.giveTo(w)
+		default:
+		}
+	}
+}
+
+func (n *Node) giveTo(w want) {
+	held := n.held.Load()
+	if held == nil || len(held.Shared) == 0 || held.Config != w.Config {
+		return // it has gone on since; the asker will hear of it
+	}
+	text, err := packGiven(given{Config: held.Config, Member: n.cfg.Load().Name, Text: held.Shared})
+	if err != nil {
+		return
+	}
+	for _, m := range n.list.Members() {
+		if p, ok := processOf(m.Name); ok && p == w.Process {
+			if err := n.list.SendReliable(m, text); err != nil {
+				n.log.WithError(err).Debug("fleet: a configuration that was asked for does not get through")
+			}
+			return
+		}
+	}
+}
+
+// given hears a configuration. Only one that was asked for counts.
+func (n *Node) given(g given) {
+	if w := n.asking.Load(); w == nil || w.Config != g.Config || n.giving.taken == nil {
+		n.dropped.Add(1)
+		return
+	}
+	n.giving.taken(core.ConfigHeld{Config: g.Config, Shared: g.Text, By: g.Member})
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -78,6 +78,10 @@
 	hints   atomic.Pointer[[]core.Hint]
 	packed  atomic.Pointer[packed] // what Told says, written down
 	foreign atomic.Uint64          // messages that can't be read
+	dropped atomic.Uint64          // questions for a configuration, and answers, that were dropped
+	held    atomic.Pointer[core.ConfigHeld]
+	asking  atomic.Pointer[core.FetchConfig] // what was asked for last
+	giving  giving
 
 	mu      sync.Mutex
 	heard   map[uint64]uint64 // digests that were told since the last look
@@ -105,7 +109,7 @@
 // New makes a member. Nothing runs yet. process is a new one's, or its predecessor's, as the sockets are.
 func New(cfg Config, s *Sockets, process uint64, taken bool, clock func() float64, post func(core.Event), log logrus.FieldLogger) *Node {
 	n := &Node{process: process, clock: clock, post: post, log: log, taken: taken, heard: map[uint64]uint64{}, doubted: map[uint64]bool{},
-		synced: map[uint64]time.Time{}, wake: make(chan struct{}, 1), sync: make(chan string, 8), left: make(chan struct{})}
+		synced: map[uint64]time.Time{}, wake: make(chan struct{}, 1), sync: make(chan string, 8), left: make(chan struct{}), giving: giving{queue: make(chan want, mostGive)}}
 	n.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: retransmit, NumNodes: func() int { return max(1, n.size()) }}
 	n.cfg.Store(&cfg)
 	n.t = newTransport(s, cfg.advertised(s), n.allowed)
@@ -192,6 +196,7 @@
 	go n.exchange(ctx)
 	go n.seek(ctx)
 	go n.ask(ctx)
+	go n.give(ctx)
 	n.look(ctx)
 	list.Shutdown()
 	return nil
@@ -228,7 +233,7 @@
 	var s membership.Sight
 	// One that is cut off from everybody would doubt the others one by one, and itself first: the library slows such a member down. But
 	// where nothing at all is heard, nobody is reached.
-	alone := time.Since(time.Unix(0, n.t.heardAt.Load())) > silentFor*n.cfg.Load().Probe
+	alone := n.t.silence() > silentFor*n.cfg.Load().Probe
 	for _, m := range n.list.Members() {
 		if p, ok := processOf(m.Name); ok && p != n.process && !alone {
 			s.Reached = append(s.Reached, p)
@@ -390,6 +395,10 @@
 				n.queue.QueueBroadcast(&news{text: text})
 			}
 		}
+	case core.ConfigHeld:
+		n.held.Store(&e)
+	case core.FetchConfig:
+		n.fetch(e)
 	case core.FleetPictured:
 		n.picture.Store(&e.Picture)
 		n.hints.Store(&e.Hints)
@@ -471,7 +480,7 @@
 func (n *Node) Counts() Counts {
 	t := n.t
 	return Counts{Sent: t.sent.Load(), SentBytes: t.sentBytes.Load(), Taken: t.taken.Load(), TakenBytes: t.takenBytes.Load(),
-		Opened: t.opened.Load(), Strangers: t.strangers.Load(), Full: t.full.Load(), Unreadable: n.foreign.Load()}
+		Opened: t.opened.Load(), Strangers: t.strangers.Load(), Full: t.full.Load(), Unreadable: n.foreign.Load(), Dropped: n.dropped.Load()}
 }
 
 // Leave says to others that this process ends in order, and acts no more.
@@ -530,6 +539,12 @@
 	if p.Answer != nil {
 		n.post(core.FleetContacted{Contact: *p.Answer})
 	}
+	if p.Want != nil {
+		n.asked(*p.Want)
+	}
+	if p.Given != nil {
+		n.given(*p.Given)
+	}
 	if len(p.Hints) > 0 && !altered.Is("deaf to drains") {
 		n.post(core.FleetHinted{Hints: p.Hints})
 	}
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -66,6 +66,7 @@
 	Strangers         uint64 // datagrams and connections from addresses that are not allowed
 	Full              uint64 // datagrams and connections dropped since a queue was full
 	Unreadable        uint64 // news of no form that is known
+	Dropped           uint64 // questions for a configuration beyond what is answered, and answers that nobody asked for
 }
 
 // transport is memberlist's way to its peers, over sockets that may have come from another process.
@@ -82,7 +83,8 @@
 	done    chan struct{}
 	once    sync.Once
 
-	heardAt atomic.Int64 // Unix nanoseconds of the last datagram that a peer may have sent
+	begun   time.Time
+	heardAt atomic.Int64 // nanoseconds from begun to the last datagram that a peer may have sent
 
 	sent, sentBytes, taken, takenBytes, opened, strangers, full atomic.Uint64
 }
@@ -91,11 +93,19 @@
 
 func newTransport(s *Sockets, advertise netip.AddrPort, allowed func(netip.Addr) bool) *transport {
 	return &transport{Sockets: s, advertise: advertise, allowed: allowed, packets: make(chan *memberlist.Packet, mostQueued),
-		streams: make(chan net.Conn), places: make(chan struct{}, mostStreams), done: make(chan struct{})}
+		streams: make(chan net.Conn), places: make(chan struct{}, mostStreams), done: make(chan struct{}), begun: time.Now()}
+}
+
+func (t *transport) heard() { t.heardAt.Store(int64(time.Since(t.begun))) }
+
+// silence is for how long no peer has said a word. Danger: it is not reckoned by the machine's clock of day. One that is set forward by an
+// hour would say that nobody was heard for an hour, and one that is set back that somebody was.
+func (t *transport) silence() time.Duration {
+	return time.Since(t.begun) - time.Duration(t.heardAt.Load())
 }
 
 func (t *transport) run() {
-	t.heardAt.Store(time.Now().UnixNano())
+	t.heard()
 	go t.read()
 	go t.accept()
 }
@@ -115,7 +125,7 @@
 			continue
 		}
 		t.taken.Add(1)
-		t.heardAt.Store(time.Now().UnixNano())
+		t.heard()
 		t.takenBytes.Add(uint64(n))
 		p := &memberlist.Packet{Buf: append([]byte(nil), buf[:n]...), From: net.UDPAddrFromAddrPort(from), Timestamp: time.Now()}
 		select {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -28,7 +28,7 @@
 
 	configAt, routesAt float64 // since when it is heard to act on its configuration and its route set
 	contact            float64 // when a question was sent that it answered holding the floors that are held here; 0 for never
-	answered           bool    // a question, at any time since this process\'s start, holding the floors that are held here
+	answered           bool    // a question, at any time since this process's start, holding the floors that are held here
 }
 
 // Change is a line of a view's history.
@@ -466,6 +466,16 @@
 // Digest is of all members that are not over. Two views with one digest hold the same.
 func (v *View) Digest() uint64 { return v.digest }
 
+// Records are those of all other members, by key.
+func (v *View) Records() (all []Record) {
+	for _, k := range v.keys() {
+		if k != v.self {
+			all = append(all, v.table[k].Record)
+		}
+	}
+	return all
+}
+
 func (v *View) keys() []Key {
 	all := make([]Key, 0, len(v.table))
 	for k := range v.table {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -37,6 +37,7 @@
 	Version int64  // of the configuration, stated by the operators; 0 for none
 	Files   int    // that are kept
 	FileMB  int    // of each
+	BringUp bool   // a newer configuration is taken from members that act on it
 }
 
 // Fleet says how the dispatcher is a member of its fleet.
@@ -105,6 +106,7 @@
 		Version *int64  `hcl:"version"`
 		Files   *int    `hcl:"files"`
 		FileMB  *int    `hcl:"file_mb"`
+		BringUp *bool   `hcl:"bring_up"`
 	} `hcl:"audit,block"`
 }
 
@@ -212,7 +214,10 @@
 		duration("fleet.probe_every", x.Probe, &c.Fleet.Probe, 50*time.Millisecond, time.Minute)
 	}
 	if x := f.Audit; x != nil {
-		c.Audit = &Audit{Files: 16, FileMB: 4}
+		c.Audit = &Audit{Files: 16, FileMB: 4, BringUp: true}
+		if x.BringUp != nil {
+			c.Audit.BringUp = *x.BringUp
+		}
 		full(x.Folder, &c.Audit.Folder)
 		if x.Version != nil {
 			if c.Audit.Version = *x.Version; c.Audit.Version < 0 || c.Audit.Version > 1<<62 {
--- a/internal/upgrade/taker.go
+++ b/internal/upgrade/taker.go
@@ -62,9 +62,12 @@
 	return t.opened.Sub(t.begun), t.imported.Sub(t.opened), time.Since(t.imported)
 }
 
-// Take rehearses with the old process and receives everything from it. settings are the new process's own; what
-// passes on gets behind the gate.
-func Take(p *Pipe, settings choice.Settings, version string, gate *hold.Gate) (*Taken, error) {
+// Settings tells under which settings a process goes on with a state.
+type Settings func(core.State) (choice.Settings, error)
+
+// Take rehearses with the old process and receives everything from it. settings are the new process's own, unless the state says that newer
+// ones are in force; what passes on gets behind the gate.
+func Take(p *Pipe, settings Settings, version string, gate *hold.Gate) (*Taken, error) {
 	if err := p.Send(Hello{Protocol: Protocol, Schema: ownSchema, Version: version, PID: os.Getpid()}); err != nil {
 		return nil, err
 	}
@@ -103,12 +106,16 @@
 	}
 }
 
-func restore(text []byte, settings choice.Settings) (*core.Reducer, error) {
+func restore(text []byte, settings Settings) (*core.Reducer, error) {
 	st, err := snapshot.Decode(text)
 	if err != nil {
 		return nil, err
 	}
-	return core.Import(settings, st)
+	under, err := settings(st)
+	if err != nil {
+		return nil, err
+	}
+	return core.Import(under, st)
 }
 
 // follow takes the old process's step and compares. After the first difference there is nothing to compare with.
@@ -149,7 +156,7 @@
 
 // open takes the rest of the descriptors and what was written down. A twin that has followed every step, and always
 // did the same, stands where the old process's reducer stands; any other is dropped for that one's state.
-func (t *Taken) open(p Parcel, twin *core.Reducer, settings choice.Settings) error {
+func (t *Taken) open(p Parcel, twin *core.Reducer, settings Settings) error {
 	t.begun = time.Now()
 	fds, err := t.pipe.ReceiveFiles(p.Files)
 	if err != nil {
@@ -172,7 +179,7 @@
 	return nil
 }
 
-func (t *Taken) askState(settings choice.Settings) (*core.Reducer, error) {
+func (t *Taken) askState(settings Settings) (*core.Reducer, error) {
 	if err := t.pipe.Send(NeedState{}); err != nil {
 		return nil, err
 	}
