Ask again in the last moment before a write whether this dispatcher may act

Cause: the reducer asks as it decides, and what it decides is written after a dial, after a giving up that is under way, or after a stop of the process. So "a pause between the last check and the write" was as long as a dial or a pause, for every branch that waited.

The reducer says from when on nothing new may be written, and whoever writes looks at the clock once the bytes are ready: a branch that is stopped there is told as not sent, and its connection stays good. Without lease and floor it is one atomic load.

Ruled out: the time in each branch's effect, which would stop branches whose lease was renewed meanwhile.

--- a/cmd/foldlb/fleet.go
+++ b/cmd/foldlb/fleet.go
@@ -68,6 +68,7 @@
 func (n *node) takePart(ctx context.Context) {
 	if n.member != nil {
 		n.body.Reducer.Lease(n.member.cfg.Lease.Seconds())
+		n.hops.Fence(n.body.Reducer.Fence())
 		go n.member.run(ctx)
 	} else if _, was := n.body.Reducer.Fleet(); was {
 		n.loop.Precede([]core.Event{core.FleetEnded{}})
@@ -277,6 +278,8 @@
 	Dropped uint64         `json:"dropped"`
 	Floors  []fleetFloor   `json:"floors,omitempty"`
 	Fenced  string         `json:"shut_out,omitempty"` // why the one that was asked may not act
+	Stopped uint64         `json:"branches_stopped"`   // that it had decided on, and did not write since it was shut out in between
+	Gap     float64        `json:"longest_write_s"`    // from its last look at the clock until a write had returned; 0 without lease or floor
 	History []fleetChange  `json:"history,omitempty"`
 }
 
@@ -340,6 +343,7 @@
 			Process: fmt.Sprintf("%x", x.Process), Seq: x.Seq, Generation: x.Generation, Program: x.Program, Config: x.Config, Routes: x.Routes, Lag: behind[i]})
 	}
 	v.Fenced = p.Fenced
+	v.Stopped, v.Gap = m.n.hops.Fenced()
 	for _, f := range p.Floors {
 		if !f.Withdrawn {
 			v.Floors = append(v.Floors, fleetFloor{Kind: f.Kind.String(), No: f.No, Source: f.Source, By: f.By, Why: f.Why, In: f.Within - f.Age - (now - p.FloorsAt)})
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -107,6 +107,8 @@
 		n.member.perform(e)
 	case core.FloorTold:
 		n.member.floorTold(e)
+	case core.Fenced:
+		n.hops.Fence(e.Until)
 	case core.FetchConfig:
 		n.member.perform(e)
 	case core.ConfigHeld:
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -96,6 +96,7 @@
 	case FleetEnded:
 		r.fleet, r.acting, r.says, r.routesName = nil, 0, membership.Says{}, ""
 		r.lease, r.fenceUntil = 0, 0 // as there is no fleet to be in touch with
+		r.emit(Fenced{Until: r.Fence()})
 		clear(r.hints)
 		r.decider.Fleet(r.settings.Dispatchers)
 		return
--- a/internal/core/floors.go
+++ b/internal/core/floors.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"foldlb.example/foldlb/internal/altered"
 	"foldlb.example/foldlb/internal/membership"
 )
 
@@ -34,6 +35,10 @@
 	Fault string
 }
 
+// Fenced says from when on nothing new may be written to next hops, on the dispatcher's clock; positive infinity for never.
+type Fenced struct{ Until float64 }
+
+func (Fenced) effect()     {}
 func (FloorsNews) effect() {}
 func (FloorTold) effect()  {}
 
@@ -56,8 +61,11 @@
 	if len(news) > 0 {
 		r.emit(FloorsNews{Floors: news})
 	}
-	was := r.fenced()
+	was, until := r.fenced(), r.fenceUntil
 	r.fenceUntil, r.fenceWhy = r.fleet.Fence(r.settings.Dispatchers, r.lease)
+	if r.fenceUntil != until {
+		r.emit(Fenced{Until: r.Fence()})
+	}
 	for _, f := range news {
 		if f.Kind == membership.OfRoutes && !f.Withdrawn && f.No > r.version && r.watching {
 			r.emit(FetchRouteSet{Source: r.source}) // a straggler brings itself up
@@ -70,13 +78,21 @@
 	}
 }
 
-// fenced tells whether nothing new may be sent. Danger: it is asked at the time of the step, and what a step asks for is written a moment
-// later; a process that is stopped in between writes when it wakes.
-func (r *Reducer) fenced() bool {
-	if r.fleet == nil {
-		return r.lease > 0 // it is to have a lease, and has not begun as a member
+// fenced tells whether nothing new may be sent, at the time of the step. Danger: what a step asks for is written later, after a dial or a stop
+// of the process, so whoever writes asks again.
+func (r *Reducer) fenced() bool { return r.now >= r.Fence() }
+
+// Fence is the time from which on nothing new may be sent; positive infinity for never.
+func (r *Reducer) Fence() float64 {
+	switch {
+	case altered.Is("ignores a floor"):
+		return math.Inf(1)
+	case r.fleet == nil && r.lease > 0: // it is to have a lease, and has not begun as a member
+		return math.Inf(-1)
+	case r.fleet == nil || r.lease == 0 && r.fenceUntil == 0:
+		return math.Inf(1)
 	}
-	return (r.lease > 0 || !math.IsInf(r.fenceUntil, 1)) && r.now >= r.fenceUntil
+	return r.fenceUntil
 }
 
 // Lease says, before the first step, for how many seconds this dispatcher may act without touch with its fleet; 0 for any time. Danger: one
--- a/internal/nexthop/conn.go
+++ b/internal/nexthop/conn.go
@@ -37,8 +37,8 @@
 // finished by another process, which gets what is left of one Write.
 var requests = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// write sends a whole request. An error means that its last byte was not written.
-func (c *conn) write(req *fasthttp.Request) error {
+// write sends a whole request, where may allows it in the last moment; nil for always. An error means that its last byte was not written.
+func (c *conn) write(req *fasthttp.Request, may func() (wrote func(), err error)) error {
 	buf := requests.Get().(*bytes.Buffer)
 	defer requests.Put(buf)
 	buf.Reset()
@@ -49,6 +49,14 @@
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("write to %s: %w", c.addr, err)
 	}
+	if may == nil {
+		return c.send(buf.Bytes())
+	}
+	wrote, err := may()
+	if err != nil {
+		return err
+	}
+	defer wrote()
 	return c.send(buf.Bytes())
 }
 
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -74,6 +74,7 @@
 	log   logrus.FieldLogger
 	slots chan struct{} // for giving up
 	sent  atomic.Uint64 // branches written whole
+	fence fence
 
 	mu        sync.Mutex
 	exchanges map[core.BranchID]*exchange
@@ -158,6 +159,10 @@
 	if err == nil {
 		err = s.write(c, b)
 	}
+	if errors.Is(err, errFenced) {
+		s.pool.giveBack(c, false)
+		return core.NotSent, true
+	}
 	if err != nil {
 		return s.unwritten(c, b, err), true
 	}
@@ -265,7 +270,7 @@
 		h.Set(headerToken, b.Message.Token)
 	}
 	req.SetBodyRaw(b.Message.Body)
-	return c.write(req)
+	return c.write(req, s.mayWrite)
 }
 
 // GiveUp ends a branch. Before the next hop's answer that is said by closing the connection, afterwards by
@@ -337,7 +342,7 @@
 	req.Header.SetRequestURI(jobPath + string(x.what.Request))
 	req.Header.SetHost(x.what.Addr)
 	s.holds(x, c)
-	if err := c.write(req); err != nil {
+	if err := c.write(req, nil); err != nil {
 		s.holds(x, nil)
 		s.pool.discard(c)
 		return err
