--- a/internal/membership/floor_test.go
+++ b/internal/membership/floor_test.go
@@ -33,7 +33,10 @@
 	testWithin = 2.0
 )
 
-func newLeased(t *rapid.T, n int, fault string) *leased {
+// failer is a test, or a drawn play of one.
+type failer interface{ Fatal(...any) }
+
+func newLeased(t failer, n int, fault string) *leased {
 	l := &leased{n: n, cut: map[[2]int]bool{}, told: map[int64]float64{}, telling: map[int64]float64{}, now: 1, fault: fault,
 		views: make([]*View, n), process: make([]uint64, n), config: make([]int64, n)}
 	for i := range n {
@@ -59,7 +62,7 @@
 	return l
 }
 
-func (l *leased) start(t *rapid.T, i int) {
+func (l *leased) start(t failer, i int) {
 	v, err := New(l.now, Record{Key: Key{Name: fmt.Sprint("m", i), Addr: fmt.Sprintf("10.0.0.%d:1", i+1)}, Process: l.process[i], Incarnation: uint64(l.now * 1000),
 		Generation: 1, Config: Version{No: l.config[i], Source: "f"}})
 	if err != nil {
@@ -78,60 +81,93 @@
 	switch rapid.IntRange(0, 11).Draw(t, "what") {
 	case 0, 1:
 		l.now += rapid.Float64Range(0.1, 2).Draw(t, "passes")
-	case 2, 3, 4: // a question, whose answer is on its way as it was when it was asked
+	case 2, 3, 4:
 		if l.meets(i, j) {
-			l.views[j].Fence(l.n, testLease)
-			l.flying = append(l.flying, answer{to: i, Contact: Contact{Process: l.process[j], Asker: l.process[i], Sent: l.now, Floors: l.views[j].FloorDigest(),
-				Established: l.views[j].Established() || l.fault == "one that has forgotten vouches"}})
+			l.asks(i, j)
 		}
 	case 5, 6: // an answer comes, in any order, or is lost
 		if len(l.flying) > 0 {
 			k := rapid.IntRange(0, len(l.flying)-1).Draw(t, "k")
-			a := l.flying[k]
-			l.flying = append(l.flying[:k:k], l.flying[k+1:]...)
-			if l.views[a.to] != nil && rapid.IntRange(0, 9).Draw(t, "lost") > 0 {
-				if l.fault == "answers count from their coming" {
-					a.Sent = l.now
-				}
-				if l.fault == "floors need not be the same" {
-					a.Floors = l.views[a.to].FloorDigest()
-				}
-				l.views[a.to].Contact(l.now, a.Contact)
-			}
+			l.comes(k, rapid.IntRange(0, 9).Draw(t, "lost") == 0)
 		}
-	case 7: // everything is exchanged
+	case 7:
 		if l.meets(i, j) {
-			l.views[i].TakeFloors(l.now, l.views[j].Floors(l.now))
-			l.views[j].TakeFloors(l.now, l.views[i].Floors(l.now))
-			l.views[i].Merge(l.now, l.views[j].Told())
-			l.views[j].Merge(l.now, l.views[i].Told())
+			l.exchange(i, j)
 		}
 	case 8:
 		l.cut[[2]int{i, j}] = !l.cut[[2]int{i, j}]
-	case 9: // a floor, at one that is up to it
-		if v := l.views[i]; v != nil && len(l.telling) < 3 {
-			no := int64(len(l.telling) + 2)
-			l.act(i, no)
-			if _, _, fault := v.TellFloor(l.now, Floor{Kind: OfConfig, No: no, Source: "f", Within: testWithin, Why: "test"}, true); fault != "" {
-				t.Fatal(fault) // numbers rise, so none as high is known
-			}
-			l.telling[no] = l.now
+	case 9:
+		if l.views[i] != nil && len(l.telling) < 3 {
+			l.tells(t, i)
 		}
 	case 10: // one is brought up
 		if l.views[i] != nil && rapid.IntRange(0, 3).Draw(t, "up") == 0 {
 			l.act(i, l.config[i]+1)
 		}
-	case 11: // one starts anew, and has forgotten everything but its configuration; the others run
-		for k, v := range l.views {
-			if k != i && v != nil && !v.Established() {
-				return
-			}
+	case 11:
+		if l.mayRestart(i) {
+			l.restart(t, i)
 		}
-		l.process[i] += 100
-		l.start(t, i)
 	}
 }
 
+// asks sends a question, whose answer is on its way as it was when it was asked.
+func (l *leased) asks(i, j int) {
+	l.views[j].Fence(l.n, testLease)
+	l.flying = append(l.flying, answer{to: i, Contact: Contact{Process: l.process[j], Asker: l.process[i], Sent: l.now, Floors: l.views[j].FloorDigest(),
+		Established: l.views[j].Established() || l.fault == "one that has forgotten vouches"}})
+}
+
+// comes lets an answer come, or get lost.
+func (l *leased) comes(k int, lost bool) {
+	a := l.flying[k]
+	l.flying = append(l.flying[:k:k], l.flying[k+1:]...)
+	if l.views[a.to] == nil || lost {
+		return
+	}
+	if l.fault == "answers count from their coming" {
+		a.Sent = l.now
+	}
+	if l.fault == "floors need not be the same" {
+		a.Floors = l.views[a.to].FloorDigest()
+	}
+	l.views[a.to].Contact(l.now, a.Contact)
+}
+
+// exchange has two members tell each other everything.
+func (l *leased) exchange(i, j int) {
+	l.views[i].TakeFloors(l.now, l.views[j].Floors(l.now))
+	l.views[j].TakeFloors(l.now, l.views[i].Floors(l.now))
+	l.views[i].Merge(l.now, l.views[j].Told())
+	l.views[j].Merge(l.now, l.views[i].Told())
+}
+
+// tells has a member that is up to it tell the next floor.
+func (l *leased) tells(t failer, i int) {
+	no := int64(len(l.telling) + 2)
+	l.act(i, no)
+	if _, _, fault := l.views[i].TellFloor(l.now, Floor{Kind: OfConfig, No: no, Source: "f", Within: testWithin, Why: "test"}, true); fault != "" {
+		t.Fatal(fault) // numbers rise, so none as high is known
+	}
+	l.telling[no] = l.now
+}
+
+// mayRestart tells whether one may start anew: one at a time, as the lease assumes.
+func (l *leased) mayRestart(i int) bool {
+	for k, v := range l.views {
+		if k != i && v != nil && !v.Established() {
+			return false
+		}
+	}
+	return true
+}
+
+// restart has a member start anew. It has forgotten everything but its configuration; the others run.
+func (l *leased) restart(t failer, i int) {
+	l.process[i] += 100
+	l.start(t, i)
+}
+
 // holdsFloor tells whether a configuration's floor is held, or a higher one.
 func (v *View) holdsFloor(no int64) bool {
 	for _, f := range v.Floors(v.now) {
