--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -48,6 +48,7 @@
 	}{{"outside upgrades", r.Outside}, {"inside upgrades", r.Inside}, {"around changes of process", r.Around}} {
 		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\n", l.name, l.Count, l.P50, l.P99, l.P999, l.Max)
 	}
+	fmt.Fprintf(w, "worth served\t%.4f of what was asked\n", r.Worth)
 	if len(r.Upgrades) > 0 {
 		fmt.Fprintf(w, "\nupgrade\tat s\ttook s\theld ms\trest+pack+send+take\topen\tdescriptors\tbytes\tpeak KB\tresult\n")
 		for _, u := range r.Upgrades {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -37,6 +37,7 @@
 	Reopened   int             `json:"connections_found_closed"`
 	Files      [2]int          `json:"open_files_first_last"` // of the dispatcher
 	Resident   [2]int          `json:"resident_kb_first_last"`
+	Worth      float64         `json:"worth_served"`               // as a share of what was asked
 	WorthPre   float64         `json:"worth_in_5s_before_changes"` // of process, as a share of what was asked
 	WorthAft   float64         `json:"worth_in_5s_after_changes"`
 
@@ -352,9 +353,10 @@
 	r.Account = l.sum(once)
 	r.samples = l.samples()
 	in, around, out := hdrhistogram.New(1, 60e6, 3), hdrhistogram.New(1, 60e6, 3), hdrhistogram.New(1, 60e6, 3)
-	var pre, aft [2]float64
+	var all, pre, aft [2]float64
 	for _, x := range r.samples {
 		us := max(1, x.took.Microseconds())
+		all[0], all[1] = all[0]+worthOf(classes[x.class], x), all[1]+classes[x.class].Worth
 		end := x.planned.Add(x.took)
 		place := out
 		for _, w := range r.windows {
@@ -377,7 +379,7 @@
 		}
 		place.RecordValue(us)
 	}
-	r.WorthPre, r.WorthAft = share(pre), share(aft)
+	r.Worth, r.WorthPre, r.WorthAft = share(all), share(pre), share(aft)
 	r.Inside, r.Around, r.Outside = latency(in), latency(around), latency(out)
 	var held []float64
 	asExpected := 0
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -181,31 +181,34 @@
 // what is held count, in any order.
 func (v *View) Merge(now float64, told []Record) {
 	v.begin(now)
+	news := false
 	for _, r := range told {
 		if r.Check() != nil {
 			v.dropped++
-			continue
+		} else if v.take(r) {
+			news = true
 		}
-		v.take(r)
 	}
-	v.end()
+	if news { // danger: each record comes a dozen times, and summing up hundreds for each would starve a large fleet
+		v.end()
+	}
 }
 
-func (v *View) take(r Record) {
+// take takes a record in, and tells whether it was news.
+func (v *View) take(r Record) bool {
 	e := v.table[r.Key]
 	switch {
 	case r.Key == v.self:
-		v.takeOwn(r)
-		return
+		return v.takeOwn(r)
 	case e == nil && len(v.table) >= MostMembers && !v.makeRoom():
 		v.dropped++
-		return
+		return false
 	case e == nil:
 		e = &entry{Record: r, since: v.now, unseen: v.now, configAt: v.now, routesAt: v.now}
 		v.table[r.Key], v.order = e, nil
 		v.noteTaken(r, "")
 	case r.compare(e.Record) <= 0 && !altered.Is("stale news wins"):
-		return
+		return false
 	default:
 		was := e.Record
 		e.Record = r
@@ -222,6 +225,7 @@
 		}
 	}
 	v.tell(r.Key)
+	return true
 }
 
 func (v *View) noteTaken(r Record, why string) {
@@ -241,10 +245,10 @@
 // takeOwn hears what others tell of this process. It is the only one that may say anything of itself, so what they have that
 // is newer is answered by something newer still: a verdict, a predecessor's record, or what the other process of a hand-over
 // said that fell back.
-func (v *View) takeOwn(r Record) {
+func (v *View) takeOwn(r Record) bool {
 	e := v.table[v.self]
 	if r.compare(e.Record) <= 0 {
-		return
+		return false
 	}
 	why := ""
 	switch {
@@ -260,6 +264,7 @@
 		v.note(v.self, "refuted", why)
 	}
 	v.tell(v.self)
+	return true
 }
 
 // makeRoom forgets the one that has been over for longest.
