--- a/internal/audit/trail/trail_test.go
+++ b/internal/audit/trail/trail_test.go
@@ -357,21 +357,30 @@
 }
 
 func BenchmarkVerify(b *testing.B) {
-	dir := b.TempDir()
-	o := options(dir)
-	o.Bytes = 64 << 20
-	w, _, err := Open(o, func(error) {})
-	if err != nil {
-		b.Fatal(err)
-	}
-	for i := range 8640 { // a day of spans of ten seconds
-		s := span(uint64(i+1), int64(i+1), 100)
-		w.write(Record{Span: &s})
-	}
-	w.Close(10 * time.Second)
-	for b.Loop() {
-		if v, err := Verify([]string{dir}, false); err != nil || len(v.Breaks) > 0 {
-			b.Fatal(v.Breaks, err)
-		}
+	for _, members := range []int{1, 80} {
+		b.Run(fmt.Sprintf("a day of %d", members), func(b *testing.B) {
+			var folders []string
+			for m := range members {
+				o := options(filepath.Join(b.TempDir(), "record"))
+				o.Bytes, o.Member, o.Process = 64<<20, fmt.Sprint("n", m), uint64(m+1)
+				w, _, err := Open(o, func(error) {})
+				if err != nil {
+					b.Fatal(err)
+				}
+				for i := range 8640 { // a day of spans of ten seconds
+					s := span(uint64(i+1), int64(i+1), 100)
+					w.write(Record{Span: &s})
+				}
+				w.Close(10 * time.Second)
+				folders = append(folders, o.Folder)
+			}
+			for b.Loop() {
+				v, err := Verify(folders, false)
+				if err != nil || len(v.Breaks) > 0 {
+					b.Fatal(v.Breaks, err)
+				}
+				b.ReportMetric(float64(v.Bytes)/float64(members), "bytes/member")
+			}
+		})
 	}
 }
--- a/internal/config/shared.go
+++ b/internal/config/shared.go
@@ -81,14 +81,16 @@
 			all[key] = v
 		}
 	}
-	if c.raw, err = json.Marshal(all); err != nil {
+	raw, err := json.Marshal(all)
+	if err != nil {
 		return c, fmt.Errorf("%w: %w", ErrShared, err)
 	}
-	seed := c.Settings.Seed
-	if c.Settings, err = checked(c.raw); err != nil {
+	s, err := checked(raw)
+	if err != nil {
 		return c, fmt.Errorf("%w: %w", ErrShared, err)
 	}
-	c.Settings.Seed = seed
+	s.Seed = c.Settings.Seed
+	c.Settings, c.raw = s, raw
 	return c, nil
 }
 
