Let scenarios share their classes by a base file

`base` names a file whose classes count where the scenario has none; a base that can't be read is named with the scenario's other faults.

--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -112,7 +112,8 @@
 		"promises=>event \"drain\" {\n at = 0\n worker = \"x\"\n}\npromises":   "no worker",
 		"promises=>event \"upgrade\" {\n at = 0\n binary = \"x\"\n}\npromises": "binary",
 		"promises=>event \"upgrade\" { at = 9 }\npromises":                     "outside",
-		"rate = 10=>speed = 10": "s.hcl:2",
+		"rate = 10=>speed = 10":                        "s.hcl:2",
+		"rate = 10=>rate = 10\nbase = \"nowhere.hcl\"": "base",
 	} {
 		from, to, _ := strings.Cut(change, "=>")
 		if _, err := ParseScenario("s.hcl", []byte(strings.Replace(good, from, to, 1))); err == nil || !strings.Contains(err.Error(), want) {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/hashicorp/hcl/v2"
@@ -15,6 +16,7 @@
 // Scenario is a lab's day: a fleet, its callers, what happens when, and what must hold. It is read from HCL.
 type Scenario struct {
 	Title       string   `hcl:"title,optional"`
+	Base        string   `hcl:"base,optional"` // a file whose classes count where this one has none; from this one's folder
 	Duration    string   `hcl:"duration"`
 	Rate        float64  `hcl:"rate"`             // requests a second, over all callers
 	Callers     int      `hcl:"callers,optional"` // connections at the most
@@ -135,7 +137,10 @@
 	}
 	var faults []error
 	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(path+": "+format, args...)) }
-	var err error
+	err := s.underlie(path)
+	if err != nil {
+		fault("base: %w", err)
+	}
 	if s.length, err = time.ParseDuration(s.Duration); err != nil || s.length <= 0 || s.length > 2*time.Hour {
 		fault("duration: %q is not a time up to 2h", s.Duration)
 	}
@@ -226,6 +231,23 @@
 	return &s, errors.Join(faults...)
 }
 
+// underlie takes from the base what the scenario itself does not say.
+func (s *Scenario) underlie(path string) error {
+	if s.Base == "" {
+		return nil
+	}
+	var base struct {
+		Classes []Class `hcl:"class,block"`
+	}
+	if err := hclsimple.DecodeFile(filepath.Join(filepath.Dir(path), s.Base), nil, &base); err != nil {
+		return err
+	}
+	if len(s.Classes) == 0 {
+		s.Classes = base.Classes
+	}
+	return nil
+}
+
 // mostDispatchers bounds a fleet: each is a process.
 const mostDispatchers = 80
 
--- a/lab/audit-floor.hcl
+++ b/lab/audit-floor.hcl
@@ -2,6 +2,7 @@
 # stands still for longer than its lease while the next is told, and one that starts again has forgotten both. Whatever they were told, nobody
 # sends below a floor after its bound, and all act again once they are up to it. CI runs this.
 title       = "floors and leases, short"
+base        = "base/two-classes.hcl"
 duration    = "38s"
 rate        = 100
 callers     = 60
@@ -9,27 +10,6 @@
 audit       = true
 lease       = "3s"
 
-class "price-trip" {
-  part       = 6
-  effect     = "idempotent"
-  aim_ms     = 200
-  deadline_s = 2
-  worth      = 1
-  late_worth = 0.4
-  work_ms    = 20
-  spread     = 0.5
-  body_bytes = 200
-}
-class "issue-policy" {
-  part         = 1
-  effect       = "at_most_once"
-  aim_ms       = 800
-  deadline_s   = 4
-  worth        = 8
-  work_ms      = 60
-  spread       = 0.6
-  body_bytes   = 900
-}
 workers "old-box" {
   count = 6
   slots = 16
--- a/lab/audit-short.hcl
+++ b/lab/audit-short.hcl
@@ -2,33 +2,13 @@
 # by a script of its own, workers drain and return, a configuration reaches four of five, one's files are rolled back, processes are
 # upgraded, killed and stopped. At the end the records are verified and held against what reached the workers. CI runs this.
 title       = "an audit of the fleet, short"
+base        = "base/two-classes.hcl"
 duration    = "34s"
 rate        = 100
 callers     = 60
 dispatchers = 5
 audit       = true
 
-class "price-trip" {
-  part       = 6
-  effect     = "idempotent"
-  aim_ms     = 200
-  deadline_s = 2
-  worth      = 1
-  late_worth = 0.4
-  work_ms    = 20
-  spread     = 0.5
-  body_bytes = 200
-}
-class "issue-policy" {
-  part         = 1
-  effect       = "at_most_once"
-  aim_ms       = 800
-  deadline_s   = 4
-  worth        = 8
-  work_ms      = 60
-  spread       = 0.6
-  body_bytes   = 900
-}
 workers "old-box" {
   count = 6
   slots = 16
--- a/lab/audit-storm.hcl
+++ b/lab/audit-storm.hcl
@@ -1,33 +1,13 @@
 # Eighty dispatchers, and fifty changes of the route set a second for half a minute at each one's discovery, with drains among them, a
 # configuration that one member is told, and a partition meanwhile.
 title       = "an audit at size"
+base        = "base/two-classes.hcl"
 duration    = "60s"
 rate        = 100
 callers     = 160
 dispatchers = 80
 audit       = true
 
-class "price-trip" {
-  part       = 6
-  effect     = "idempotent"
-  aim_ms     = 200
-  deadline_s = 2
-  worth      = 1
-  late_worth = 0.4
-  work_ms    = 20
-  spread     = 0.5
-  body_bytes = 200
-}
-class "issue-policy" {
-  part         = 1
-  effect       = "at_most_once"
-  aim_ms       = 800
-  deadline_s   = 4
-  worth        = 8
-  work_ms      = 60
-  spread       = 0.6
-  body_bytes   = 900
-}
 workers "old-box" {
   count = 6
   slots = 16
--- a/lab/audit.hcl
+++ b/lab/audit.hcl
@@ -2,6 +2,7 @@
 # change every few seconds and reach one member late, and floors told about them. At the end every record is verified, held against what reached
 # the workers, and searched for sends below a floor after its bound. The long proof.
 title       = "an audit of the fleet"
+base        = "base/two-classes.hcl"
 duration    = "10m"
 rate        = 300
 callers     = 240
@@ -9,27 +10,6 @@
 audit       = true
 lease       = "4s"
 
-class "price-trip" {
-  part       = 6
-  effect     = "idempotent"
-  aim_ms     = 200
-  deadline_s = 2
-  worth      = 1
-  late_worth = 0.4
-  work_ms    = 20
-  spread     = 0.5
-  body_bytes = 200
-}
-class "issue-policy" {
-  part         = 1
-  effect       = "at_most_once"
-  aim_ms       = 800
-  deadline_s   = 4
-  worth        = 8
-  work_ms      = 60
-  spread       = 0.6
-  body_bytes   = 900
-}
 workers "old-box" {
   count = 10
   slots = 16
--- a/lab/fleet-hard.hcl
+++ b/lab/fleet-hard.hcl
@@ -3,32 +3,12 @@
 # and started at once, words that get through one way only, a starved process, a trickle, a crash in the middle of joining, and news of one
 # name that cross.
 title       = "a view of the fleet, hard cases"
+base        = "base/two-classes.hcl"
 duration    = "342s"
 rate        = 40
 callers     = 60
 dispatchers = 5
 
-class "price-trip" {
-  part       = 6
-  effect     = "idempotent"
-  aim_ms     = 200
-  deadline_s = 2
-  worth      = 1
-  late_worth = 0.4
-  work_ms    = 20
-  spread     = 0.5
-  body_bytes = 200
-}
-class "issue-policy" {
-  part         = 1
-  effect       = "at_most_once"
-  aim_ms       = 800
-  deadline_s   = 4
-  worth        = 8
-  work_ms      = 60
-  spread       = 0.6
-  body_bytes   = 900
-}
 workers "old-box" {
   count = 6
   slots = 16
--- a/lab/fleet-loss.hcl
+++ b/lab/fleet-loss.hcl
@@ -1,32 +1,12 @@
 # Ten minutes of 20% loss, delays and disorder on every link, while one member after the other stands still for 300 ms: nobody is ever held for
 # failed. The long proof that a suspicion needs more than a bad network.
 title       = "no false failure"
+base        = "base/two-classes.hcl"
 duration    = "10m"
 rate        = 30
 callers     = 48
 dispatchers = 8
 
-class "price-trip" {
-  part       = 6
-  effect     = "idempotent"
-  aim_ms     = 200
-  deadline_s = 2
-  worth      = 1
-  late_worth = 0.4
-  work_ms    = 20
-  spread     = 0.5
-  body_bytes = 200
-}
-class "issue-policy" {
-  part         = 1
-  effect       = "at_most_once"
-  aim_ms       = 800
-  deadline_s   = 4
-  worth        = 8
-  work_ms      = 60
-  spread       = 0.6
-  body_bytes   = 900
-}
 workers "old-box" {
   count = 6
   slots = 16
--- a/lab/fleet-short.hcl
+++ b/lab/fleet-short.hcl
@@ -1,32 +1,12 @@
 # A fleet of five dispatchers that keep a view of themselves, and faults between them on a fixed schedule: a partition, a crash, a
 # restart within a second under disordered news, a pause, an upgrade, a leave. CI runs this.
 title       = "a view of the fleet, short"
+base        = "base/two-classes.hcl"
 duration    = "36s"
 rate        = 60
 callers     = 60
 dispatchers = 5
 
-class "price-trip" {
-  part       = 6
-  effect     = "idempotent"
-  aim_ms     = 200
-  deadline_s = 2
-  worth      = 1
-  late_worth = 0.4
-  work_ms    = 20
-  spread     = 0.5
-  body_bytes = 200
-}
-class "issue-policy" {
-  part         = 1
-  effect       = "at_most_once"
-  aim_ms       = 800
-  deadline_s   = 4
-  worth        = 8
-  work_ms      = 60
-  spread       = 0.6
-  body_bytes   = 900
-}
 workers "old-box" {
   count = 6
   slots = 16
--- a/lab/upgrade.hcl
+++ b/lab/upgrade.hcl
@@ -1,44 +1,12 @@
 # Twenty good upgrades and ten bad starts under 450 requests a second, with callers out of the usual, drains told and the
 # configuration read again during some of them. A long proof, kept out of CI: docs/measurements/upgrade.md has its results.
 title    = "twenty good upgrades and ten bad starts"
+base        = "base/three-classes.hcl"
 duration = "130s"
 rate     = 450
 callers  = 160
 operator = "start_within = \"2s\""
 
-class "price-trip" {
-  part       = 6
-  effect     = "idempotent"
-  aim_ms     = 200
-  deadline_s = 2
-  worth      = 1
-  late_worth = 0.4
-  work_ms    = 25
-  spread     = 0.5
-  body_bytes = 200
-}
-class "save-quote" {
-  part       = 3
-  effect     = "deduplicated"
-  aim_ms     = 300
-  deadline_s = 3
-  worth      = 2
-  late_worth = 0.4
-  work_ms    = 40
-  spread     = 0.4
-  body_bytes = 3000
-}
-class "issue-policy" {
-  part         = 1
-  effect       = "at_most_once"
-  aim_ms       = 800
-  deadline_s   = 4
-  worth        = 8
-  work_ms      = 150
-  spread       = 0.6
-  body_bytes   = 900
-  result_bytes = 60000
-}
 workers "old-box" {
   count = 6
   slots = 16
