Show the configuration in force, so that staff can bring a file up to it

Need: a member that was brought up goes on with settings that no file of its machine has, and the page asks staff to bring the file up; nothing told them what to write. `foldlb audit config` prints the shared settings in force, the member that told them and the number that the operator file states, and exits with 4 where that is older. A reload that states the number in force with other contents is named in the log instead of only warning that settings need a restart.

Tested on real processes with the straggler that is brought up.

--- a/cmd/foldlb/audit.go
+++ b/cmd/foldlb/audit.go
@@ -42,6 +42,7 @@
 	summed  chan struct{}                // closed when the account has ended
 	once    sync.Once
 	held    atomic.Pointer[core.ConfigHeld] // the configuration that is in force
+	stated  atomic.Int64                    // number of the configuration that the own file states
 	bringer bringer
 
 	asked answers[core.AuditTold]
@@ -124,6 +125,7 @@
 		return fmt.Errorf("%w: %d, and %d was acted on; state a higher number, also for a roll-back", errOlder, now.Config.No, held.Config.No)
 	}
 	x.held.Store(&now)
+	x.stated.Store(a.Version)
 	n.auditor = x
 	return nil
 }
@@ -221,6 +223,7 @@
 		return false, nil
 	}
 	held, stated := x.held.Load(), x.config(cfg, a.Version)
+	x.stated.Store(a.Version)
 	switch {
 	case altered.Is("takes an older configuration"):
 	case a.Version < held.Config.No && held.By == "":
@@ -229,8 +232,11 @@
 		x.n.log.WithFields(logrus.Fields{"stated": a.Version, "in_force": held.Config.No, "by": held.By}).
 			Warn("the files state an older configuration than the one that a peer told, which stays")
 		return false, nil
+	case stated == held.Config:
+		return true, nil
 	case a.Version == held.Config.No:
-		return stated == held.Config, nil
+		x.n.log.WithField("configuration", a.Version).Error("the files state other contents than the ones in force under this number, which stay; state a higher number")
+		return false, nil
 	}
 	x.n.loop.Post(core.AuditConfigured{Config: stated, Settings: &cfg.Settings, Shared: cfg.Shared()})
 	return true, nil
@@ -266,6 +272,12 @@
 
 func (x *auditor) handlers() map[string]control.Handler {
 	return map[string]control.Handler{
+		"audit-config": func(_ json.RawMessage, say func(any) error) error {
+			if x == nil {
+				return errNoAudit
+			}
+			return say(x.inForce())
+		},
 		"audit": func(args json.RawMessage, say func(any) error) error {
 			var a struct {
 				Request string `json:"request"`
--- a/cmd/foldlb/auditcmd.go
+++ b/cmd/foldlb/auditcmd.go
@@ -23,6 +23,7 @@
 const (
 	exitBroken  = 3
 	exitUnknown = 4
+	exitOlder   = 4 // of a configuration: the files state an older one than the one in force
 )
 
 func auditCommand() *cli.Command {
@@ -32,6 +33,8 @@
 		Usage: "ask which dispatcher acted on which version of program, configuration and route set",
 		Commands: []*cli.Command{
 			{Name: "who", Usage: "show what each member of the fleet acts on, and who lags behind whom", Flags: ask, Action: auditWho},
+			{Name: "config", Usage: "show the configuration in force, whoever told it, to bring a file up to it", Flags: ask, Action: auditConfig,
+				Description: "Prints the settings that the members share; `me` and `zone` stay the file's own. Exit code 4: the operator file states an older number."},
 			{Name: "request", Usage: "show what dispatchers did for a request, on what", ArgsUsage: "ID [SOCKET ...]", Flags: ask, Action: auditRequest,
 				Description: "Asks the dispatcher of --socket or --operator, and those at the control sockets named. Exit code 4: none remembers it."},
 			{Name: "at", Usage: "show what each member acted on at a time", ArgsUsage: "TIME FOLDER ...", Flags: []cli.Flag{jsonFlag}, Action: auditAt,
@@ -112,6 +115,35 @@
 	return out
 }
 
+// auditConfig prints the configuration in force.
+func auditConfig(_ context.Context, c *cli.Command) error {
+	path, err := socket(c)
+	if err != nil {
+		return err
+	}
+	var a configAnswer
+	if err := control.Ask(path, "audit-config", nil, func(line []byte) error { return json.Unmarshal(line, &a) }); err != nil {
+		return err
+	}
+	out, from := any(a), ""
+	if !c.Bool("json") {
+		out = a.Settings
+		if a.By != "" {
+			from = ", told by " + a.By
+		}
+		fmt.Fprintf(os.Stderr, "configuration %s of %q%s; the operator file states %d\n", versionText(a.Config), a.Config.Source, from, a.Stated)
+	}
+	text, err := json.MarshalIndent(out, "", "  ")
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(text))
+	if a.Stated < a.Config.No {
+		return cli.Exit("", exitOlder)
+	}
+	return nil
+}
+
 func auditRequest(_ context.Context, c *cli.Command) error {
 	if c.Args().Len() < 1 {
 		return errors.New("audit request: name the request's id")
--- a/cmd/foldlb/bringup.go
+++ b/cmd/foldlb/bringup.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -10,6 +11,7 @@
 
 	"foldlb.example/foldlb/choice"
 	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/membership"
 	"foldlb.example/foldlb/internal/snapshot"
 )
 
@@ -150,3 +152,22 @@
 		}
 	}()
 }
+
+// configAnswer is what `foldlb audit config` is told.
+type configAnswer struct {
+	Config   membership.Version `json:"config"`
+	By       string             `json:"by,omitempty"` // the member that told it; empty for the own file
+	Stated   int64              `json:"stated"`       // by the own file, as it was read last
+	Refused  uint64             `json:"refused"`      // of what peers told, since it could not be read or was not what the view says
+	Settings json.RawMessage    `json:"settings"`     // shared by the members
+}
+
+// inForce words the configuration in force.
+func (x *auditor) inForce() configAnswer {
+	held := x.held.Load()
+	a := configAnswer{Config: held.Config, By: held.By, Stated: x.stated.Load(), Refused: x.bringer.refused.Load(), Settings: held.Shared}
+	if len(a.Settings) == 0 {
+		a.Settings = json.RawMessage("null") // too large to pass on
+	}
+	return a
+}
--- a/cmd/foldlb/bringup_test.go
+++ b/cmd/foldlb/bringup_test.go
@@ -87,6 +87,12 @@
 		t.Errorf("brought up: %d %s", code, body)
 	}
 	syscall.Kill(straggler.pid, syscall.SIGHUP) // its own file still states the older one
+	if out, code := straggler.asks("audit", "config"); code != exitOlder || !strings.Contains(out, `"extra"`) || !strings.Contains(out, "the operator file states 1") {
+		t.Errorf("the configuration in force: %d, %s", code, out)
+	}
+	if out, code := all[0].asks("audit", "config", "--json"); code != 0 || !strings.Contains(out, `"stated": 2`) {
+		t.Errorf("the configuration in force at one that was told: %d, %s", code, out)
+	}
 	straggler.replaced(nil)
 	straggler.settles(3)
 	straggler.acts(2)
