Have a successor go on with what came into force while it followed

A configuration that came into force between that and the hand-over, from a peer or from SIGHUP, was then newer than what it held, so its audit refused it and the upgrade fell back. It asks the reducer that it takes over once more now. Settings that have not changed no longer have the decision module written down and read back for a new number. One bound for the shared part, and one place that words what is in force.

--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -193,6 +193,9 @@
 	if taken, err = upgrade.Take(pipe, s.under, version, gate); err != nil {
 		return nil, err
 	}
+	if err = s.goOn(taken.Reducer.Config()); err != nil { // what came into force while this process followed
+		return nil, err
+	}
 	ln, err := taken.Files.Listener(taken.Parcel.Listener)
 	if err != nil {
 		return nil, err
--- a/internal/config/shared.go
+++ b/internal/config/shared.go
@@ -8,11 +8,9 @@
 	"io"
 
 	"foldlb.example/foldlb/choice"
+	"foldlb.example/foldlb/internal/core"
 )
 
-// MostShared bounds the shared part's text, in bytes.
-const MostShared = 64 << 10
-
 // own are the keys of the settings that are a dispatcher's own; all others are shared by a fleet.
 var own = []string{"me", "zone"}
 
@@ -32,16 +30,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrShared, err)
 	}
-	if len(text) > MostShared {
-		return nil, fmt.Errorf("%w: %d bytes, %d at most", ErrShared, len(text), MostShared)
+	if len(text) > core.MostShared {
+		return nil, fmt.Errorf("%w: %d bytes, %d at most", ErrShared, len(text), core.MostShared)
 	}
 	return text, nil
 }
 
 // object reads a JSON object and keeps its numbers as they are written.
 func object(text []byte) (map[string]any, error) {
-	if len(text) > MostShared {
-		return nil, fmt.Errorf("%w: %d bytes, %d at most", ErrShared, len(text), MostShared)
+	if len(text) > core.MostShared {
+		return nil, fmt.Errorf("%w: %d bytes, %d at most", ErrShared, len(text), core.MostShared)
 	}
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.UseNumber()
--- a/internal/config/shared_test.go
+++ b/internal/config/shared_test.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"strings"
 	"testing"
+
+	"foldlb.example/foldlb/internal/core"
 )
 
 func parsed(t testing.TB, settings string) Config {
@@ -50,7 +52,7 @@
 	for name, text := range map[string]string{
 		"empty": "", "no object": "7", "null": "null", "cut": `{"balancers":1,`, "two": "{" + classB + "}{}", "no class": `{"balancers":1}`,
 		"a word for a number": `{"balancers":"x",` + classB + `}`, "an unknown word": `{"registry_mode":"x",` + classB + `}`,
-		"too long": `{` + classB + `,"x":"` + strings.Repeat("x", MostShared) + `"}`,
+		"too long": `{` + classB + `,"x":"` + strings.Repeat("x", core.MostShared) + `"}`,
 	} {
 		got, err := mine.With([]byte(text))
 		if !errors.Is(err, ErrShared) || !reflect.DeepEqual(got.Settings, mine.Settings) {
--- a/internal/core/audit.go
+++ b/internal/core/audit.go
@@ -91,7 +91,7 @@
 	if held := r.audited.Config; r.book == nil || held.Source != ev.Config.Source || held.No <= ev.Config.No {
 		r.audited.Config, r.shared, r.sharedBy = ev.Config, ev.Shared, ev.By
 	}
-	r.emit(ConfigHeld{Config: r.audited.Config, Shared: r.shared, By: r.sharedBy})
+	r.emit(r.Config())
 	if r.book != nil {
 		r.holds()
 		return
--- a/internal/core/bringup.go
+++ b/internal/core/bringup.go
@@ -47,8 +47,8 @@
 
 // configured puts another configuration in force, whole or not at all.
 func (r *Reducer) configured(ev AuditConfigured) {
-	held := ConfigHeld{Config: r.audited.Config, Shared: r.shared, By: r.sharedBy}
-	if held.Fault = r.refusal(ev); held.Fault == "" && ev.Settings != nil {
+	held := r.Config()
+	if held.Fault = r.refusal(ev); held.Fault == "" && ev.Settings != nil && ev.Config.Digest != held.Config.Digest {
 		if err := r.reconfigure(*ev.Settings); err != nil {
 			held.Fault = err.Error()
 		}
@@ -58,7 +58,7 @@
 		if ev.Shared != nil {
 			r.shared = ev.Shared
 		}
-		held = ConfigHeld{Config: ev.Config, Shared: r.shared, By: ev.By}
+		held = r.Config()
 		r.holds()
 		if ev.By != "" {
 			r.emit(Log{Text: fmt.Sprintf("configuration %d taken from %s", ev.Config.No, ev.By)})
@@ -72,6 +72,11 @@
 	}
 }
 
+// Config is the configuration in force.
+func (r *Reducer) Config() ConfigHeld {
+	return ConfigHeld{Config: r.audited.Config, Shared: r.shared, By: r.sharedBy}
+}
+
 // refusal tells why a configuration may not be acted on; empty where it may.
 func (r *Reducer) refusal(ev AuditConfigured) string {
 	held := r.audited.Config
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -117,7 +117,7 @@
 		r.fleet = v
 	}
 	if r.book != nil { // the member that begins just now has not heard it
-		r.emit(ConfigHeld{Config: r.audited.Config, Shared: r.shared, By: r.sharedBy})
+		r.emit(r.Config())
 		self.Config = r.audited.Config
 	}
 	r.says = membership.Says{Generation: self.Generation, Program: self.Program, Config: self.Config, Zone: self.Zone}
