Test a configuration that a peer tells while a new process follows

Two real processes: n1 is being upgraded, its new process following for 4 s, as n2 is told a configuration with a class more. The upgrade ends replaced and serves the class.

--- a/cmd/foldlb/bringup_test.go
+++ b/cmd/foldlb/bringup_test.go
@@ -197,3 +197,22 @@
 		t.Errorf("verify: %d, %s", code, out)
 	}
 }
+
+// TestBroughtUpDuringAnUpgrade: a configuration that a peer tells while the new process follows is in force at it, and no reason to fall back.
+func TestBroughtUpDuringAnUpgrade(t *testing.T) {
+	one, two := freeMember(t), freeMember(t)
+	a := launchReady(t, "n1", fleetBlock(one, two)+auditBlock(1), false, done)
+	b := launchReady(t, "n2", fleetBlock(two, one)+auditBlock(1), false, done)
+	a.settles(2)
+	b.settles(2)
+	a.operatorText = strings.Replace(a.operatorText, `probation = "20ms"`, `probation = "4s"`, 1)
+	a.write("operator.hcl", a.operatorText)
+	b.states(2, withClass("extra"))
+	syscall.Kill(b.pid, syscall.SIGHUP)
+	a.replaced(nil)
+	a.settles(2)
+	a.acts(2)
+	if code, body := a.call("00000000000000d1", "extra", "2"); code != 200 {
+		t.Errorf("after the upgrade: %d %s", code, body)
+	}
+}
