Kill a publisher half-way, and stop a member that is being brought up, in a test

Three real processes; one is told a configuration and killed as the others ask for it, another is stopped meanwhile.

--- a/cmd/foldlb/bringup_test.go
+++ b/cmd/foldlb/bringup_test.go
@@ -216,3 +216,39 @@
 		t.Errorf("after the upgrade: %d %s", code, body)
 	}
 }
+
+// TestPublisherDiesHalfWay: the one member that was told a configuration is killed as others take it, and one of those is stopped meanwhile. Whoever
+// took it took all of it; when the publisher is back all come to it.
+func TestPublisherDiesHalfWay(t *testing.T) {
+	addrs := []string{freeMember(t), freeMember(t), freeMember(t)}
+	var all []*process
+	for i := range 3 {
+		all = append(all, launchReady(t, fmt.Sprint("n", i+1), fleetBlock(addrs[i], addrs...)+auditBlock(1), false, done))
+	}
+	for _, p := range all {
+		p.settles(3)
+	}
+	publisher, stopped := all[0], all[2]
+	publisher.states(2, withClass("extra"))
+	syscall.Kill(publisher.pid, syscall.SIGHUP)
+	syscall.Kill(stopped.pid, syscall.SIGSTOP)
+	publisher.acts(2)
+	publisher.ends(syscall.SIGKILL)
+	syscall.Kill(stopped.pid, syscall.SIGCONT)
+	for i, p := range all[1:] {
+		code, body := p.call(fmt.Sprintf("00000000000000e%d", i), "extra", "2")
+		out, _ := p.asks("audit", "config")
+		if has := strings.Contains(out, `"extra"`); code != 200 && code != 400 || code == 200 && !has {
+			t.Errorf("%d %s, on %s", code, body, out)
+		}
+	}
+	if !publisher.again() {
+		t.Fatal("does not start")
+	}
+	for i, p := range all {
+		p.acts(2)
+		if code, body := p.call(fmt.Sprintf("00000000000000f%d", i), "extra", "2"); code != 200 {
+			t.Errorf("%d %s", code, body)
+		}
+	}
+}
--- a/lab/fleet-hard.hcl
+++ b/lab/fleet-hard.hcl
@@ -61,6 +61,10 @@
   dispatcher = "n3"
   for_s = 60
 }
+event "upgrade" {
+  at = 130
+  dispatcher = "n2"
+}
 event "kill" {
   at = 140
   dispatcher = "n5"
@@ -163,6 +167,10 @@
   dispatcher = "n4"
   for_s = 8
 }
+event "upgrade" {
+  at = 280
+  dispatcher = "n1"
+}
 event "links" {
   at = 292
   loss = 0.1
@@ -172,6 +180,10 @@
   at = 294
   dispatcher = "n2"
 }
+event "upgrade" {
+  at = 297
+  dispatcher = "n3"
+}
 event "heal" {
   at = 301
 }
