--- a/internal/gossip/give.go
+++ b/internal/gossip/give.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"foldlb.example/foldlb/internal/core"
@@ -17,12 +18,11 @@
 // giving is a member's part in passing configurations on.
 type giving struct {
 	queue chan want
-	taken func(core.ConfigHeld)
+	taken atomic.Pointer[func(core.ConfigHeld)]
 }
 
-// OnConfig has f told of configurations that were asked for and given, in no order and perhaps more than once. It must be called before Run.
-// f must not block.
-func (n *Node) OnConfig(f func(core.ConfigHeld)) { n.giving.taken = f }
+// OnConfig has f told of configurations that were asked for and given, in no order and perhaps more than once. f must not block.
+func (n *Node) OnConfig(f func(core.ConfigHeld)) { n.giving.taken.Store(&f) }
 
 // fetch asks a member for the configuration that it acts on.
 func (n *Node) fetch(e core.FetchConfig) {
@@ -89,9 +89,10 @@
 
 // given hears a configuration. Only one that was asked for counts.
 func (n *Node) given(g given) {
-	if w := n.asking.Load(); w == nil || w.Config != g.Config || n.giving.taken == nil {
+	taken := n.giving.taken.Load()
+	if w := n.asking.Load(); w == nil || w.Config != g.Config || taken == nil {
 		n.dropped.Add(1)
 		return
 	}
-	n.giving.taken(core.ConfigHeld{Config: g.Config, Shared: g.Text, By: g.Member})
+	(*taken)(core.ConfigHeld{Config: g.Config, Shared: g.Text, By: g.Member})
 }
