Start a whole fleet at once with stale seeds, in a test

The last hard case of the view that nothing caused by itself: six members start at the same moment, each with two seeds that are gone, its own address, and one neighbour that may not run yet; all come to hold one view.

--- a/internal/gossip/full_test.go
+++ b/internal/gossip/full_test.go
@@ -72,3 +72,40 @@
 		}
 	}
 }
+
+// TestStartsAtOnceWithStaleSeeds: a whole fleet that starts at the same moment, each with seeds that are gone, its own address, and one other
+// that may not run yet, comes to hold one view.
+func TestStartsAtOnceWithStaleSeeds(t *testing.T) {
+	const n = 6
+	var sockets []*Sockets
+	for range n {
+		s, err := Listen(config("").Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sockets = append(sockets, s)
+	}
+	var all []*body
+	var names []string
+	for i, s := range sockets {
+		name := string(rune('a' + i))
+		cfg := config(name, "127.0.0.1:1", s.Addr().String(), "127.0.0.1:2", sockets[(i+1)%n].Addr().String())
+		view, err := membership.New(seconds(), membership.Record{Key: membership.Key{Name: name, Addr: s.Addr().String()}, Incarnation: 1, Process: NewProcess(), Generation: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, member(t, cfg, s, view.Self().Process, view))
+		names = append(names, name)
+	}
+	for _, b := range all {
+		await(t, "all hold all", func() bool { return b.holds(names...) })
+	}
+	await(t, "all hold the same", func() bool {
+		for _, b := range all {
+			if b.Picture().Digest != all[0].Picture().Digest {
+				return false
+			}
+		}
+		return true
+	})
+}
