--- a/cmd/foldlb/bringup_test.go
+++ b/cmd/foldlb/bringup_test.go
@@ -61,17 +61,23 @@
 	os.Remove(p.socket)
 }
 
-// TestStragglerIsBroughtUp: a configuration with a class more reaches two of three members. The third takes it from them, whole, keeps it
-// through an upgrade, a kill -9 and a reload of its own older file, and takes nothing where one number has two contents.
-func TestStragglerIsBroughtUp(t *testing.T) {
+// threeMembers are processes n1, n2 and n3 on configuration 1, which have met.
+func threeMembers(t *testing.T) (all []*process) {
+	t.Helper()
 	addrs := []string{freeMember(t), freeMember(t), freeMember(t)}
-	var all []*process
 	for i := range 3 {
 		all = append(all, launchReady(t, fmt.Sprint("n", i+1), fleetBlock(addrs[i], addrs...)+auditBlock(1), false, done))
 	}
 	for _, p := range all {
 		p.settles(3)
 	}
+	return all
+}
+
+// TestStragglerIsBroughtUp: a configuration with a class more reaches two of three members. The third takes it from them, whole, keeps it
+// through an upgrade, a kill -9 and a reload of its own older file, and takes nothing where one number has two contents.
+func TestStragglerIsBroughtUp(t *testing.T) {
+	all := threeMembers(t)
 	straggler := all[2]
 	if code, body := straggler.call("00000000000000a0", "extra", "2"); code != 400 {
 		t.Errorf("a class that is not there yet: %d %s", code, body)
@@ -220,14 +226,7 @@
 // TestPublisherDiesHalfWay: the one member that was told a configuration is killed as others take it, and one of those is stopped meanwhile. Whoever
 // took it took all of it; when the publisher is back all come to it.
 func TestPublisherDiesHalfWay(t *testing.T) {
-	addrs := []string{freeMember(t), freeMember(t), freeMember(t)}
-	var all []*process
-	for i := range 3 {
-		all = append(all, launchReady(t, fmt.Sprint("n", i+1), fleetBlock(addrs[i], addrs...)+auditBlock(1), false, done))
-	}
-	for _, p := range all {
-		p.settles(3)
-	}
+	all := threeMembers(t)
 	publisher, stopped := all[0], all[2]
 	publisher.states(2, withClass("extra"))
 	syscall.Kill(publisher.pid, syscall.SIGHUP)
