Tell branches from answers in spans, and hold each branch to its recorded version

A send below the floor is ruled out, the workers' own record has none there.

Spans tell the times of their first and last branch (keys 8 and 9, absent in older records). The judge moves to account.go and now compares each branch that reached a worker with the span it falls into: told at that time, on a list that names the worker, not more than the span counts, on no configuration before it was stated. That was the part of the audit's proof that compared sums only.

--- a/internal/audit/book.go
+++ b/internal/audit/book.go
@@ -48,6 +48,22 @@
 	Last     float64       `cbor:"5,keyasint"`
 	Until    float64       `cbor:"6,keyasint"`
 	Counts   [Kinds]uint64 `cbor:"7,keyasint"`
+
+	// Of the branches among the acts, which alone fall under floors and lists: an answer to a request that was taken before may come
+	// after. 0 where there was none, and in records of builds that did not tell them apart.
+	FirstSent float64 `cbor:"8,keyasint,omitempty"`
+	LastSent  float64 `cbor:"9,keyasint,omitempty"`
+}
+
+// Sends is when the span's first and last branch were sent; where that is not told, when its first and last act were. No branch: false.
+func (s Span) Sends() (first, last float64, any bool) {
+	switch {
+	case s.Counts[Sent] == 0:
+		return 0, 0, false
+	case s.LastSent == 0:
+		return s.First, s.Last, true
+	}
+	return s.FirstSent, s.LastSent, true
 }
 
 // Acts is how many acts a span has.
@@ -105,6 +121,12 @@
 		b.now.First = now
 	}
 	b.now.Last = now
+	if kind == Sent {
+		if b.now.FirstSent == 0 {
+			b.now.FirstSent = now
+		}
+		b.now.LastSent = now
+	}
 	b.now.Counts[kind]++
 	a := ringAct{at: now, request: request, hop: hop, versions: b.base + len(b.held) - 1, kind: kind}
 	if len(b.ring) < ringMost {
--- a/internal/audit/book_test.go
+++ b/internal/audit/book_test.go
@@ -43,6 +43,10 @@
 			if s.No != no+1 || s.From != until || s.Until < s.From || s.Acts() > 0 && (s.First < s.From || s.Last > s.Until) {
 				t.Fatalf("span %+v after span %d, which ended at %v", s, no, until)
 			}
+			if first, last, sent := s.Sends(); sent != (s.Counts[Sent] > 0) || sent && (first < s.First || last < first || s.Last < last) ||
+				sent && s.Acts() == s.Counts[Sent] && (first != s.First || last != s.Last) {
+				t.Fatalf("span %+v has branches from %v until %v", s, first, last)
+			}
 			no, until = s.No, s.Until
 			c := got[s.Versions.Routes.No]
 			for k, n := range s.Counts {
@@ -97,3 +101,23 @@
 		book.Act(float64(i), Sent, "9b1f03aa5c7e2d41", "s-0badcafe")
 	}
 }
+
+// TestAnswersAfterTheLastBranch: what a span tells of branches does not move with what comes after them.
+func TestAnswersAfterTheLastBranch(t *testing.T) {
+	b := New(1, 1, routes(1))
+	b.Act(2, Refused, "a", "")
+	b.Act(3, Sent, "b", "w")
+	b.Act(4, Sent, "c", "w")
+	b.Act(9, Answered, "c", "")
+	s := Import(b.Export()).Now()
+	if first, last, sent := s.Sends(); !sent || first != 3 || last != 4 || s.First != 2 || s.Last != 9 {
+		t.Errorf("branches from %v until %v of %+v", first, last, s)
+	}
+	s.FirstSent, s.LastSent = 0, 0 // as a build told it that did not know them apart
+	if first, last, sent := s.Sends(); !sent || first != 2 || last != 9 {
+		t.Errorf("without its own times: from %v until %v", first, last)
+	}
+	if _, _, sent := (Span{First: 1, Last: 2, Counts: [Kinds]uint64{Answered: 1}}).Sends(); sent {
+		t.Error("an answer is taken for a branch")
+	}
+}
--- a/internal/audit/trail/verify.go
+++ b/internal/audit/trail/verify.go
@@ -303,7 +303,8 @@
 	} else if s.No > 1 {
 		l.gap = true // its first spans are in files that are no longer kept
 	}
-	if s.From > s.Until || s.Acts() > 0 && (s.First < s.From || s.Last < s.First || s.Until < s.Last) {
+	if s.From > s.Until || s.Acts() > 0 && (s.First < s.From || s.Last < s.First || s.Until < s.Last) ||
+		s.LastSent != 0 && (s.Counts[audit.Sent] == 0 || s.FirstSent < s.First || s.LastSent < s.FirstSent || s.Last < s.LastSent) {
 		v.broken(where, r, "its times are in no order: %v", s)
 	}
 	l.any, l.last = true, s
--- a/internal/core/audit.go
+++ b/internal/core/audit.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"foldlb.example/foldlb/internal/altered"
 	"foldlb.example/foldlb/internal/audit"
 	"foldlb.example/foldlb/internal/membership"
 )
@@ -118,8 +119,13 @@
 	if r.book == nil {
 		return
 	}
-	r.audited.Routes = r.routes()
-	if r.book.Hold(r.now, r.audited) {
+	was, told := r.audited.Routes, r.routes()
+	r.audited.Routes = told
+	held := r.audited
+	if altered.Is("records the version before") && was != told {
+		held.Routes = was
+	}
+	if r.book.Hold(r.now, held) {
 		r.tellHeld()
 	}
 }
@@ -129,7 +135,7 @@
 	if done := r.book.Take(); len(done) > 0 {
 		r.emit(AuditSpans{Spans: done})
 	}
-	r.emit(AuditHeld{Versions: r.audited})
+	r.emit(AuditHeld{Versions: r.book.Now().Versions})
 }
 
 // act counts an act, on the versions held now.
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -18,8 +18,6 @@
 	"syscall"
 	"time"
 
-	"foldlb.example/foldlb/internal/audit"
-	"foldlb.example/foldlb/internal/audit/trail"
 	"foldlb.example/foldlb/internal/control"
 )
 
@@ -189,11 +187,13 @@
 	turn    int
 	floors  []least
 	drains  map[string]time.Time // of workers, the last one
-	churns  time.Time            // until then the route set changes all the time, and with it what each says of itself
-	lags    []float64            // seconds for which stragglers acted on an older configuration than one that they reached
-	fenced  uint64               // branches that a fence stopped between decision and write
-	gap     float64              // longest time from the last look at the clock until a write had returned
-	untold  int                  // floors that over half were not seen to hold
+	stated  map[int64]float64    // when each configuration was first stated, Unix seconds
+	asleep  []nap
+	churns  time.Time // until then the route set changes all the time, and with it what each says of itself
+	lags    []float64 // seconds for which stragglers acted on an older configuration than one that they reached
+	fenced  uint64    // branches that a fence stopped between decision and write
+	gap     float64   // longest time from the last look at the clock until a write had returned
+	untold  int       // floors that over half were not seen to hold
 	out     FleetResult
 }
 
@@ -208,7 +208,7 @@
 		return nil, err
 	}
 	defer links.close()
-	q := &squad{s: s, links: links, drains: map[string]time.Time{}, r: &Result{Scenario: filepath.Base(path), Title: s.Title, Seed: o.Seed,
+	q := &squad{s: s, links: links, drains: map[string]time.Time{}, stated: map[int64]float64{}, r: &Result{Scenario: filepath.Base(path), Title: s.Title, Seed: o.Seed,
 		Machine: fmt.Sprintf("%d cores, %s", runtime.NumCPU(), runtime.Version())}}
 	addrs := make([]string, s.Dispatchers)
 	for i := range addrs {
@@ -348,6 +348,9 @@
 		return nil // one that was cut off is told late, and not back
 	}
 	p.version = version
+	if _, known := q.stated[version]; !known {
+		q.stated[version] = unixOf(time.Now())
+	}
 	p.blocks = p.words(q.s)
 	if err := p.setBinary(p.tools.Foldlb); err != nil {
 		return err
@@ -380,7 +383,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if err == nil && a.Told && a.Bound >= 0 {
-		q.floors = append(q.floors, least{version, float64(time.Now().UnixNano())/1e9 + a.Bound + stepSlack})
+		q.floors = append(q.floors, least{version, unixOf(time.Now()) + a.Bound + stepSlack})
 	} else {
 		q.untold++
 	}
@@ -788,6 +791,9 @@
 		q.happened(e.Kind, fmt.Sprint(e.Groups), bounds[e.Kind])
 	case "starve": // it gets a tenth of a core, in pieces
 		q.happened(e.Kind, detail, bounds[e.Kind])
+		q.mu.Lock()
+		q.asleep = append(q.asleep, nap{p.name, unixOf(time.Now()), unixOf(time.Now()) + e.For})
+		q.mu.Unlock()
 		for until := time.Now().Add(time.Duration(e.For * float64(time.Second))); time.Now().Before(until); {
 			if err := syscall.Kill(p.serving(), syscall.SIGSTOP); err != nil {
 				return err
@@ -990,8 +996,15 @@
 	p.paused = paused
 	p.down = time.Now() // what was open there may be answered late
 	p.view.at = time.Time{}
-	if !paused {
-		p.view.at = time.Now()
+	if paused {
+		q.asleep = append(q.asleep, nap{p.name, unixOf(time.Now()), math.Inf(1)})
+		return
+	}
+	p.view.at = time.Now()
+	for i := range q.asleep {
+		if x := &q.asleep[i]; x.member == p.name && math.IsInf(x.to, 1) {
+			x.to = unixOf(time.Now())
+		}
 	}
 }
 
@@ -1065,84 +1078,6 @@
 	none("runs cut short", unplayed)
 }
 
-// AuditResult is what the members' records say, beside what reached the workers.
-type AuditResult struct {
-	Records  uint64 `json:"records"`
-	Bytes    int64  `json:"bytes"`
-	Acts     uint64 `json:"acts"`
-	Missing  uint64 `json:"records_missing"`
-	Sent     uint64 `json:"sends_recorded"`
-	Reached  int    `json:"sends_that_reached_a_worker"`
-	Unheard  int    `json:"of_those_not_recorded_by_members_that_were_never_killed"`
-	Killed   int    `json:"of_those_not_recorded_by_members_that_were_killed"` // its last span was not told yet
-	VerifyMS int64  `json:"verified_in_ms"`
-	Floors   int    `json:"floors_told"`
-	Untold   int    `json:"floors_that_over_half_were_not_seen_to_hold"`
-
-	Stragglers int     `json:"stragglers_brought_up"`
-	LagP50     float64 `json:"seconds_behind_p50"`
-	LagP99     float64 `json:"seconds_behind_p99"`
-	Stopped    uint64  `json:"branches_stopped_by_a_fence"` // at the member with the most
-	GapMS      float64 `json:"longest_write_ms"`            // from the last look at the clock until a write had returned
-}
-
-// audit verifies the members' records and holds them against the workers' own.
-func (q *squad) audit(none func(string, float64)) {
-	var folders []string
-	for _, p := range q.peers {
-		folders = append(folders, filepath.Join(p.dir, "record"))
-	}
-	begin := time.Now()
-	v, err := trail.Verify(folders, true)
-	if err != nil {
-		q.out.Broken = append(q.out.Broken, err.Error())
-	}
-	a := &AuditResult{Records: v.Records, Bytes: v.Bytes, Acts: v.Acts, Missing: v.Missing, VerifyMS: time.Since(begin).Milliseconds()}
-	sent := map[string]uint64{}
-	for _, e := range v.Spans {
-		sent[e.Member] += e.Span.Counts[audit.Sent]
-		a.Sent += e.Span.Counts[audit.Sent]
-	}
-	q.f.ledger.mu.Lock()
-	for _, p := range q.peers {
-		reached := q.f.ledger.from[p.addr]
-		a.Reached += reached
-		if lost := reached - int(sent[p.name]); lost > 0 && p.killed {
-			a.Killed += lost
-		} else if lost > 0 {
-			a.Unheard += lost
-		}
-	}
-	q.f.ledger.mu.Unlock()
-	q.out.Audit = a
-	for _, b := range v.Breaks {
-		if len(q.out.Broken) < 50 {
-			q.out.Broken = append(q.out.Broken, fmt.Sprintf("record of %s: %s: %s", b.Member, b.Where, b.What))
-		}
-	}
-	below := 0
-	for _, e := range v.Spans {
-		for _, f := range q.floors {
-			if e.Span.Acts() > 0 && e.Span.Versions.Config.No < f.no && e.Span.Last > f.bound && e.Span.Counts[audit.Sent] > 0 {
-				below++
-				q.out.Broken = append(q.out.Broken, fmt.Sprintf("%s sent on configuration %d until %.1f s after the floor %d bound everybody", e.Member, e.Span.Versions.Config.No, e.Span.Last-f.bound, f.no))
-			}
-		}
-	}
-	a.Floors, a.Untold = len(q.floors), q.untold
-	a.Stopped, a.GapMS = q.fenced, math.Round(1e5*q.gap)/100
-	if n := len(q.lags); n > 0 {
-		slices.Sort(q.lags)
-		a.Stragglers, a.LagP50, a.LagP99 = n, q.lags[n/2], q.lags[n*99/100]
-	}
-	none("spans with sends below a floor after its bound", float64(below))
-	none("promises of the records broken", float64(len(v.Breaks)))
-	none("sends that reached a worker and are in no record", float64(a.Unheard))
-	if err != nil || a.Records == 0 || a.Sent == 0 {
-		none("records that could not be read", 1)
-	}
-}
-
 // Faults are drawn by seed over a run.
 type Faults struct {
 	From  float64 `hcl:"from_s"`
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -14,7 +14,7 @@
 		broken string
 	}{
 		"all well": {func(l *Ledger) {
-			l.sent("r", "", false, false)
+			l.sent("r", "", "w", false, false)
 			l.ran("r")
 			l.made("r", "x")
 			l.ended("r", Answered, "", "x")
@@ -25,8 +25,8 @@
 		"answered twice":     {func(l *Ledger) { l.made("r", "x"); l.ended("r", Answered, "", "x"); l.answeredAgain("r") }, "requests answered twice"},
 		"another's result":   {func(l *Ledger) { l.made("r", "x"); l.ended("r", Answered, "", "y") }, "answers that no worker made"},
 		"run twice":          {func(l *Ledger) { l.ran("r"); l.ran("r"); l.made("r", "x"); l.ended("r", Answered, "", "x") }, "jobs run twice that must not"},
-		"sent after a drain": {func(l *Ledger) { l.made("r", "x"); l.ended("r", Answered, "", "x"); l.sent("r", "", true, false) }, "sends to a drained worker"},
-		"an unknown id":      {func(l *Ledger) { l.made("r", "x"); l.ended("r", Answered, "", "x"); l.sent("z", "", false, false) }, "sends with an id that nobody used"},
+		"sent after a drain": {func(l *Ledger) { l.made("r", "x"); l.ended("r", Answered, "", "x"); l.sent("r", "", "w", true, false) }, "sends to a drained worker"},
+		"an unknown id":      {func(l *Ledger) { l.made("r", "x"); l.ended("r", Answered, "", "x"); l.sent("z", "", "w", false, false) }, "sends with an id that nobody used"},
 		"refused":            {func(l *Ledger) { l.ended("r", Refused, "", "") }, "requests refused"},
 		"failed":             {func(l *Ledger) { l.ended("r", Failed, "", "") }, "requests failed"},
 		"unheard":            {func(l *Ledger) { l.made("r", "x"); l.ended("r", Answered, "", "x"); l.called(10, false) }, "call-backs never acknowledged"},
--- a/internal/lab/ledger.go
+++ b/internal/lab/ledger.go
@@ -41,16 +41,16 @@
 type Ledger struct {
 	mu       sync.Mutex
 	entries  map[string]*entry
-	unknown  int            // sends of ids that no caller has used
-	from     map[string]int // sends by the dispatcher that they came from
-	drained  int            // sends to a worker that had been told to drain for longer than the rule allows
-	second   int            // sends of a request to a worker that still held it
-	repeated int            // call-backs that had to be repeated
-	unheard  int            // call-backs that were never acknowledged
+	unknown  int                // sends of ids that no caller has used
+	from     map[string][]reach // sends by the dispatcher that they came from
+	drained  int                // sends to a worker that had been told to drain for longer than the rule allows
+	second   int                // sends of a request to a worker that still held it
+	repeated int                // call-backs that had to be repeated
+	unheard  int                // call-backs that were never acknowledged
 }
 
 // NewLedger makes an empty ledger.
-func NewLedger() *Ledger { return &Ledger{entries: map[string]*entry{}, from: map[string]int{}} }
+func NewLedger() *Ledger { return &Ledger{entries: map[string]*entry{}, from: map[string][]reach{}} }
 
 func (l *Ledger) asked(id, class string, planned time.Time) {
 	l.mu.Lock()
@@ -84,11 +84,17 @@
 	}
 }
 
-func (l *Ledger) sent(id, back string, drained, held bool) {
+// reach is a branch that reached a worker.
+type reach struct {
+	at     float64 // Unix seconds
+	worker string
+}
+
+func (l *Ledger) sent(id, back, worker string, drained, held bool) {
 	l.with(id, func(e *entry) { e.sends++ })
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.from[back]++
+	l.from[back] = append(l.from[back], reach{unixOf(time.Now()), worker})
 	if drained {
 		l.drained++
 	}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -88,7 +88,7 @@
 			if a.GapMS > 0 {
 				fmt.Fprintf(w, "writes\t%.2f ms at the longest from the last look at the clock\t%d stopped there, at the member with the most\t\t\n", a.GapMS, a.Stopped)
 			}
-			fmt.Fprintf(w, "sends\t%d reached workers\t%d recorded\t%d not, of members that were killed\t\n", a.Reached, a.Sent, a.Killed)
+			fmt.Fprintf(w, "sends\t%d reached workers\t%d recorded, %d seen on their version\t%d not, of members that were killed\t\n", a.Reached, a.Sent, a.Matched, a.Killed)
 		}
 		for _, x := range f.Broken {
 			fmt.Fprintf(w, "broken\t%s\n", x)
--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -28,6 +28,13 @@
 	shown   int64                // version
 	was     map[string]string    // states
 	addrOf  func(*Worker) string // as this roster tells it; nil for the worker's own
+	past    map[string][]told    // what it has ever told of each worker, in order
+}
+
+// told is a worker's state from a version on.
+type told struct {
+	version int64
+	state   string
 }
 
 func (r *Roster) start(workers []*Worker) error {
@@ -37,8 +44,10 @@
 	}
 	r.ln, r.Addr, r.workers, r.version = ln, ln.Addr().String(), workers, 1
 	r.changed, r.state, r.began, r.news = map[string]int64{}, map[string]string{}, map[string]time.Time{}, make(chan struct{})
+	r.past = map[string][]told{}
 	for _, w := range workers {
 		r.changed[w.ID], r.state[w.ID] = 1, "active"
+		r.past[w.ID] = []told{{1, "active"}}
 	}
 	go (&fasthttp.Server{Handler: r.handle, NoDefaultServerHeader: true}).Serve(ln)
 	return nil
@@ -142,6 +151,18 @@
 	r.news = make(chan struct{})
 }
 
+// had is the state of a worker as of a version; empty where it had none.
+func (r *Roster) had(id string, version int64) (state string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.past[id] {
+		if t.version <= version {
+			state = t.state
+		}
+	}
+	return state
+}
+
 // set changes a worker's state and tells all who watch.
 func (r *Roster) set(id, state string) error {
 	r.mu.Lock()
@@ -150,6 +171,7 @@
 		if w.ID == id {
 			r.version++
 			r.changed[id], r.state[id] = r.version, state
+			r.past[id] = append(r.past[id], told{r.version, state})
 			if state == "active" {
 				w.tellDrain(time.Time{})
 			} else {
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -89,7 +89,7 @@
 	w.mu.Lock()
 	_, held := w.jobs[id]
 	late := !w.drained.IsZero() && time.Since(w.drained) > drainRule
-	w.ledger.sent(id, back, late, held)
+	w.ledger.sent(id, back, w.ID, late, held)
 	if w.heard == nil {
 		w.heard = map[string]int{}
 	}
