--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -661,16 +661,23 @@
 	Listen         string
 }
 
+var errNoSockets = errors.New("fleet: what is to be handed over are no sockets of a member")
+
 // Export lists the sockets. They need not be held still: what this process still reads or answers comes from the same member.
 func (n *Node) Export(files *hold.Files) (State, error) {
 	if n == nil {
 		return State{Packet: -1, Stream: -1}, nil
 	}
-	packet, err := files.Add(udpFile{n.t.packet})
+	pc, okPacket := n.t.packet.(*net.UDPConn)
+	ln, okStream := n.t.stream.(*net.TCPListener)
+	if !okPacket || !okStream {
+		return State{}, errNoSockets
+	}
+	packet, err := files.Add(udpFile{pc})
 	if err != nil {
 		return State{}, fmt.Errorf("fleet: %w", err)
 	}
-	stream, err := files.Add(tcpFile{n.t.stream})
+	stream, err := files.Add(tcpFile{ln})
 	return State{Packet: packet, Stream: stream, Process: n.process, Listen: n.t.Addr().String()}, err
 }
 
@@ -685,14 +692,12 @@
 		ln.Close()
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	s := &Sockets{}
-	var okPacket, okStream bool
-	s.packet, okPacket = pc.(*net.UDPConn)
-	s.stream, okStream = ln.(*net.TCPListener)
+	packet, okPacket := pc.(*net.UDPConn)
+	stream, okStream := ln.(*net.TCPListener)
 	if !okPacket || !okStream {
 		ln.Close()
 		pc.Close()
-		return nil, errors.New("fleet: what was handed over are no sockets of a member")
+		return nil, errNoSockets
 	}
-	return s, nil
+	return socketsOf(packet, stream), nil
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -86,6 +86,17 @@
 		}
 		process = NewProcess()
 	}
+	return begin(t, cfg, s, process, taken, view)
+}
+
+// memberAt starts one on sockets of its own.
+func memberAt(t *testing.T, cfg Config, s *Sockets) *body {
+	t.Helper()
+	return begin(t, cfg, s, NewProcess(), false, nil)
+}
+
+func begin(t *testing.T, cfg Config, s *Sockets, process uint64, taken bool, view *membership.View) *body {
+	t.Helper()
 	b := &body{view: view, done: make(chan struct{})}
 	b.Node = New(cfg, s, process, taken, seconds, b.post, silent())
 	if b.view == nil {
--- a/internal/gossip/many_test.go
+++ b/internal/gossip/many_test.go
@@ -29,18 +29,24 @@
 	heap            float64 // bytes
 }
 
-// many starts so many members at once, over real sockets in one process, waits until all hold one view and nobody has news to tell, and ends one
-// without a word.
-func many(t *testing.T, n int) fleetCost {
+// many starts so many members at once in one process, over real sockets or a network in memory, waits until all hold one view and nobody has
+// news to tell, and ends one without a word.
+func many(t *testing.T, n int, a *air) fleetCost {
 	cfg := config("m0")
 	cfg.Probe = 500 * time.Millisecond
 	c := fleetCost{members: n}
 	empty := heap()
-	first := member(t, cfg, nil, 0, nil)
+	add := func() *body {
+		if a != nil {
+			return memberAt(t, cfg, a.sockets())
+		}
+		return member(t, cfg, nil, 0, nil)
+	}
+	first := add()
 	all := []*body{first}
 	for i := 1; i < n; i++ {
 		cfg.Name, cfg.Seeds = fmt.Sprint("m", i), []string{first.at()}
-		all = append(all, member(t, cfg, nil, 0, nil))
+		all = append(all, add())
 	}
 	one := func() bool {
 		digest := first.Picture().Digest
@@ -94,7 +100,10 @@
 }
 
 // TestManyMembers: all of a large fleet that starts at once come to hold one view, whatever gossip lost, and a crash is known to all.
-func TestManyMembers(t *testing.T) { many(t, *large) }
+func TestManyMembers(t *testing.T) { many(t, *large, nil) }
+
+// TestManyMembersInMemory: the same over a network in memory.
+func TestManyMembersInMemory(t *testing.T) { many(t, *large, newAir()) }
 
 // TestSettlingBySize draws how long fleets of several sizes take to settle.
 func TestSettlingBySize(t *testing.T) {
@@ -105,7 +114,7 @@
 	for _, n := range []int{5, 20, 80, 160, 300} {
 		for i := range 2 {
 			t.Run(fmt.Sprintf("%d members, play %d", n, i+1), func(t *testing.T) {
-				c := many(t, n)
+				c := many(t, n, nil)
 				starts, crashes = append(starts, plotter.XY{X: float64(n), Y: c.start}), append(crashes, plotter.XY{X: float64(n), Y: c.crash})
 			})
 		}
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -25,8 +25,30 @@
 
 // Sockets are where a member listens: datagrams and connections at one address. They pass on in a hand-over.
 type Sockets struct {
-	packet *net.UDPConn
-	stream *net.TCPListener
+	packet packets
+	stream net.Listener
+	addr   netip.AddrPort
+	dial   func(addr string, most time.Duration) (net.Conn, error)
+}
+
+// packets is what datagrams go through: a UDP socket, or a network in memory.
+type packets interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (n int, err error)
+	Close() error
+}
+
+// socketsOf are those of the machine.
+func socketsOf(pc *net.UDPConn, ln *net.TCPListener) *Sockets {
+	s := &Sockets{packet: pc, stream: ln, addr: ln.Addr().(*net.TCPAddr).AddrPort()}
+	s.dial = func(addr string, most time.Duration) (net.Conn, error) {
+		d := net.Dialer{Timeout: most}
+		if own := s.addr.Addr(); !own.IsUnspecified() { // so that a peer's address set knows it
+			d.LocalAddr = &net.TCPAddr{IP: own.AsSlice()}
+		}
+		return d.Dial("tcp", addr)
+	}
+	return s
 }
 
 // Listen opens the sockets at an address.
@@ -41,11 +63,11 @@
 		ln.Close()
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	return &Sockets{pc, ln}, nil
+	return socketsOf(pc, ln), nil
 }
 
 // Addr is where they listen.
-func (s *Sockets) Addr() netip.AddrPort { return s.stream.Addr().(*net.TCPAddr).AddrPort() }
+func (s *Sockets) Addr() netip.AddrPort { return s.addr }
 
 // Close closes them.
 func (s *Sockets) Close() error { return errors.Join(s.packet.Close(), s.stream.Close()) }
@@ -138,7 +160,7 @@
 
 func (t *transport) accept() {
 	for {
-		c, err := t.stream.AcceptTCP()
+		c, err := t.stream.Accept()
 		if err != nil {
 			if t.ended() || errors.Is(err, net.ErrClosed) {
 				return
@@ -220,15 +242,10 @@
 	return t.WriteTo(b, a.Addr)
 }
 
-// DialTimeout opens a connection to a peer, from the address at which this member listens, so that a peer's address set
-// knows it.
+// DialTimeout opens a connection to a peer, from the address at which this member listens.
 func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout}
-	if own := t.Addr().Addr(); !own.IsUnspecified() {
-		d.LocalAddr = &net.TCPAddr{IP: own.AsSlice()}
-	}
 	t.opened.Add(1)
-	return d.Dial("tcp", addr)
+	return t.dial(addr, timeout)
 }
 
 // DialAddressTimeout opens a connection to a member, and takes what its machine says for evidence.
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -795,11 +796,12 @@
 		q.asleep = append(q.asleep, nap{p.name, unixOf(time.Now()), unixOf(time.Now()) + e.For})
 		q.mu.Unlock()
 		for until := time.Now().Add(time.Duration(e.For * float64(time.Second))); time.Now().Before(until); {
-			if err := syscall.Kill(p.serving(), syscall.SIGSTOP); err != nil {
+			all := p.processes()
+			if err := each(all, syscall.SIGSTOP); err != nil {
 				return err
 			}
 			time.Sleep(starveFor)
-			if err := syscall.Kill(p.serving(), syscall.SIGCONT); err != nil {
+			if err := each(all, syscall.SIGCONT); err != nil {
 				return err
 			}
 			time.Sleep(starveFor / 9)
@@ -821,10 +823,15 @@
 		u, err := p.upgrade(e.Binary)
 		q.mu.Lock()
 		p.calm = time.Now().Add(bounds["upgrade"])
-		u.At, u.Want = time.Since(q.begin).Seconds(), "replaced"
+		u.At, u.Want = time.Since(q.begin).Seconds(), cmp.Or(e.Expect, "replaced")
+		if u.Want == killed && !p.up {
+			u.Result, u.Detail, err = killed, u.Result, nil
+		}
 		q.r.Upgrades = append(q.r.Upgrades, u)
 		q.mu.Unlock()
-		q.happened(e.Kind, detail, bounds[e.Kind])
+		if u.Result != killed {
+			q.happened(e.Kind, detail, bounds[e.Kind])
+		}
 		return err
 	case "config":
 		for _, x := range q.peers {
@@ -1013,9 +1020,18 @@
 	q.mu.Lock()
 	p.killed = true
 	q.mu.Unlock()
-	if err := syscall.Kill(p.serving(), syscall.SIGKILL); err != nil {
+	all := p.processes()
+	if err := each(all, syscall.SIGKILL); err != nil {
 		return err
 	}
+	for _, pid := range all[1:] { // in the middle of an upgrade the new process dies with the old one
+		var status syscall.WaitStatus
+		for {
+			if _, err := syscall.Wait4(pid, &status, 0, nil); err != syscall.EINTR {
+				break
+			}
+		}
+	}
 	p.dispatcher.gone()
 	return q.links.runs(p.no, false)
 }
@@ -1035,6 +1051,17 @@
 	return nil
 }
 
+// processes are those of a dispatcher: the one that serves first, and one that is to take over from it.
+func (d *dispatcher) processes() []int { return append([]int{d.serving()}, children(d.serving())...) }
+
+// each sends a signal to processes. Of a child, which may have ended, it is no error.
+func each(pids []int, sig syscall.Signal) error {
+	for _, pid := range pids[1:] {
+		syscall.Kill(pid, sig)
+	}
+	return syscall.Kill(pids[0], sig)
+}
+
 // gone waits for the end of a process that was killed.
 func (d *dispatcher) gone() {
 	defer d.log.Close()
@@ -1083,6 +1110,7 @@
 	From  float64 `hcl:"from_s"`
 	Every float64 `hcl:"every_s"` // between the end of one and the next
 	Until float64 `hcl:"until_s"`
+	Renew float64 `hcl:"renew_s,optional"` // between two workers that are replaced; 0 for none
 }
 
 // draw draws faults, each with its end.
@@ -1127,17 +1155,27 @@
 	if s.Audit {
 		all = append(all, f.drawNews(s, rng)...)
 	}
+	if f.Renew > 0 {
+		workers := s.workerIDs()
+		for i, at := 0, f.From; at < f.Until-15; i, at = i+1, at+f.Renew {
+			all = append(all, Event{Kind: "renew", At: at, Worker: workers[i%len(workers)]})
+		}
+	}
 	return all
 }
 
-// drawNews draws what changes while things fail: workers that drain and return, discoveries that are late, configurations, and floors.
-func (f *Faults) drawNews(s *Scenario, rng *rand.Rand) (all []Event) {
-	var workers []string
+func (s *Scenario) workerIDs() (all []string) {
 	for _, g := range s.Workers {
 		for n := range g.Count {
-			workers = append(workers, workerID(g.Kind, n))
+			all = append(all, workerID(g.Kind, n))
 		}
 	}
+	return all
+}
+
+// drawNews draws what changes while things fail: workers that drain and return, discoveries that are late, configurations, and floors.
+func (f *Faults) drawNews(s *Scenario, rng *rand.Rand) (all []Event) {
+	workers := s.workerIDs()
 	version := int64(1)
 	for at := f.From; at < f.Until-15; at += 4 + 4*rng.Float64() {
 		w := workers[rng.IntN(len(workers)/2)] // half of them always serve
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -197,6 +197,23 @@
 	PeakKB int           `json:"peak_kb"`       // of both processes together
 }
 
+// Ends of an upgrade that a scenario may expect beside replaced and fell back.
+const (
+	either = "either" // replaced or fell back: a process that gets hardly any of its core may take longer than an upgrade has
+	killed = "killed" // all of its processes are killed in the middle, so nobody is left to say how it ended
+)
+
+// asExpected tells whether an upgrade ended as the scenario says.
+func (u UpgradeResult) asExpected() bool {
+	switch u.Want {
+	case either:
+		return u.Result == "replaced" || u.Result == "fell back"
+	case killed:
+		return u.Result == killed
+	}
+	return u.Result == u.Want
+}
+
 // upgrade asks for an upgrade and waits for its end.
 func (d *dispatcher) upgrade(binary string) (UpgradeResult, error) {
 	u := UpgradeResult{Binary: binary}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -384,7 +384,7 @@
 	var held []float64
 	asExpected := 0
 	for _, u := range r.Upgrades {
-		if u.Result == u.Want {
+		if u.asExpected() {
 			asExpected++
 		}
 		if u.Result == "replaced" {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -78,7 +78,7 @@
 	At     float64 `hcl:"at"`         // seconds from the beginning
 	Worker string  `hcl:"worker,optional"`
 	Binary string  `hcl:"binary,optional"` // of an upgrade: good, or a kind of bad start
-	Expect string  `hcl:"expect,optional"` // of an upgrade: replaced (also the default) or fell back
+	Expect string  `hcl:"expect,optional"` // of an upgrade: replaced (also the default), fell back, either, or killed
 
 	Dispatcher string     `hcl:"dispatcher,optional"` // n1, n2 ...: of a fleet, the one that it happens to
 	Version    int64      `hcl:"version,optional"`    // of config: the number that is stated; of floor: the least
@@ -113,6 +113,7 @@
 	fleetKinds = map[string]bool{"kill": true, "bounce": true, "start": true, "leave": true, "pause": true, "cut": true, "apart": true, "oneway": true, "starve": true, "late": true, "config": true, "rollback": true, "churn": true, "floor": true, "links": true, "heal": true}
 	ofOne      = map[string]bool{"kill": true, "bounce": true, "start": true, "leave": true, "pause": true, "starve": true, "late": true, "rollback": true, "upgrade": true}
 	ofWorkers  = map[string]bool{"drain": true, "return": true, "renew": true, "ban": true, "unban": true}
+	expects    = map[string]bool{"replaced": true, "fell back": true, either: true, killed: true}
 	effects    = map[string]bool{"idempotent": true, "deduplicated": true, "at_most_once": true}
 )
 
@@ -187,7 +188,7 @@
 	if s.Dispatchers < 0 || s.Dispatchers > mostDispatchers || s.Dispatchers == 1 || s.Dispatchers > 1 && s.Platform {
 		fault("dispatchers: %d, 2 to %d, and not on a platform", s.Dispatchers, mostDispatchers)
 	}
-	if f := s.Faults; f != nil && (s.Dispatchers < 3 || f.Every < 1 || f.From < 0 || f.Until > s.length.Seconds()) {
+	if f := s.Faults; f != nil && (s.Dispatchers < 3 || f.Every < 1 || f.From < 0 || f.Renew < 0 || f.Renew > 0 && f.Renew < 1 || f.Until > s.length.Seconds()) {
 		fault("faults: need 3 dispatchers or more, a second or more between them, and an end within the duration")
 	}
 	members := map[string]bool{}
@@ -224,6 +225,8 @@
 			fault("event %q at %v: there is no worker %q", e.Kind, e.At, e.Worker)
 		case (e.Kind == "upgrade" || e.Kind == "replace") && e.Binary != "" && e.Binary != "good" && !BadStarts[e.Binary]:
 			fault("event %s at %v: binary %q is neither good nor a known bad start", e.Kind, e.At, e.Binary)
+		case e.Expect != "" && !expects[e.Expect]:
+			fault("event %s at %v: expect: %q is none of replaced, fell back, either, killed", e.Kind, e.At, e.Expect)
 		case e.At < 0 || e.At > s.length.Seconds():
 			fault("event %q: at = %v is outside the duration", e.Kind, e.At)
 		}
--- a/lab/fleet-cold.hcl
+++ b/lab/fleet-cold.hcl
@@ -2,32 +2,12 @@
 # each side gets two more, and a third of the workers is replaced meanwhile; later a partition moves while others are. A cold worker that all
 # dispatchers together send more than three times what it can do falls over, and the run says how near each came to that.
 title       = "cold workers under partition"
+base        = "base/slow-classes.hcl"
 duration    = "95s"
 rate        = 280
 callers     = 240
 dispatchers = 8
 
-class "price-trip" {
-  part       = 6
-  effect     = "idempotent"
-  aim_ms     = 300
-  deadline_s = 2
-  worth      = 1
-  late_worth = 0.4
-  work_ms    = 80
-  spread     = 0.5
-  body_bytes = 200
-}
-class "issue-policy" {
-  part         = 1
-  effect       = "at_most_once"
-  aim_ms       = 800
-  deadline_s   = 4
-  worth        = 8
-  work_ms      = 120
-  spread       = 0.6
-  body_bytes   = 900
-}
 workers "old-box" {
   count = 10
   slots = 4
