--- a/cmd/foldlb/auditcmd.go
+++ b/cmd/foldlb/auditcmd.go
@@ -54,6 +54,9 @@
 		for _, m := range v.Members {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.State, versionText(m.Program), versionText(m.Config), versionText(m.Routes), m.Lag.text(), m.Lag.Why)
 		}
+		for _, x := range v.Clashes {
+			fmt.Fprintf(w, "the %s %d of %s has two contents: one at %s, another at %s\n", x.Kind, x.No, x.Source, x.A, x.B)
+		}
 		return w.Flush()
 	})
 }
--- a/cmd/foldlb/fleet.go
+++ b/cmd/foldlb/fleet.go
@@ -280,9 +280,19 @@
 	Fenced  string         `json:"shut_out,omitempty"` // why the one that was asked may not act
 	Stopped uint64         `json:"branches_stopped"`   // that it had decided on, and did not write since it was shut out in between
 	Gap     float64        `json:"longest_write_s"`    // from its last look at the clock until a write had returned; 0 without lease or floor
+	Clashes []fleetClash   `json:"clashes,omitempty"`
 	History []fleetChange  `json:"history,omitempty"`
 }
 
+// fleetClash is one number that members hold with two contents.
+type fleetClash struct {
+	Kind   string `json:"kind"`
+	No     int64  `json:"no"`
+	Source string `json:"source"`
+	A      string `json:"a"`
+	B      string `json:"b"`
+}
+
 type fleetMember struct {
 	Name        string             `json:"name"`
 	Addr        string             `json:"addr"`
@@ -349,6 +359,9 @@
 			v.Floors = append(v.Floors, fleetFloor{Kind: f.Kind.String(), No: f.No, Source: f.Source, By: f.By, Why: f.Why, In: f.Within - f.Age - (now - p.FloorsAt)})
 		}
 	}
+	for _, c := range p.Clashes {
+		v.Clashes = append(v.Clashes, fleetClash{c.Kind.String(), c.No, c.Source, c.A.String(), c.B.String()})
+	}
 	if history {
 		for _, c := range p.History {
 			v.History = append(v.History, fleetChange{Ago: now - c.At, Name: c.Key.Name, Addr: c.Key.Addr, What: c.What, Why: c.Why})
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -103,14 +103,12 @@
 		} else if n.door != nil {
 			n.door.Ordered(e)
 		}
-	case core.FleetNews, core.FleetPictured, core.HintsNews, core.FloorsNews:
+	case core.FleetNews, core.FleetPictured, core.HintsNews, core.AskHints, core.FloorsNews, core.FetchConfig:
 		n.member.perform(e)
 	case core.FloorTold:
 		n.member.floorTold(e)
 	case core.Fenced:
 		n.hops.Fence(e.Until)
-	case core.FetchConfig:
-		n.member.perform(e)
 	case core.ConfigHeld:
 		n.auditor.perform(e)
 		n.member.perform(e)
--- a/internal/core/bringup.go
+++ b/internal/core/bringup.go
@@ -93,23 +93,13 @@
 		return ""
 	}
 	if r.fleet != nil {
-		if a, b := r.twofold(ev.Config); a != "" {
-			return fmt.Sprintf("configuration %d has two contents: one at %s, another at %s", ev.Config.No, a, b)
+		if other, twofold := r.fleet.Other(membership.OfConfig, ev.Config); twofold {
+			return fmt.Sprintf("configuration %d has two contents: one was told here, another is at %s", ev.Config.No, other)
 		}
 	}
 	return ""
 }
 
-// twofold names two members that hold one number with two contents, this dispatcher's own file counted as held; empty where none do.
-func (r *Reducer) twofold(c membership.Version) (a, b string) {
-	for _, m := range r.fleet.Records() {
-		if m.Config.Source == c.Source && m.Config.No == c.No && m.Config.Digest != c.Digest {
-			return "what was told here", m.Key.String()
-		}
-	}
-	return "", ""
-}
-
 // reconfigure has the decision module go on under other settings, with all that it remembers, as after a hand-over. Danger: a class that is
 // gone while requests of it are open would leave them without an end, so such settings are refused until none is.
 func (r *Reducer) reconfigure(s choice.Settings) error {
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -47,8 +47,15 @@
 		r.emit(Watch{On: true, Source: r.source, Since: r.version})
 		return
 	}
+	if other, is := r.contest(set); is && r.takeOut(set, other) {
+		r.doubted = false
+		return
+	}
 	if set.Version < r.acted {
 		r.audited.Begun++ // by rule a source that truly goes back has begun anew, and is newer than all that it told before
+		// Danger: peers go on telling drains under its old numbers, which look newer than all that it tells for a while.
+		clear(r.hints)
+		r.recent, r.deafUntil = nil, r.now+hintMost
 	}
 	r.doubted = false
 	form := choice.ListChanges
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 
 	"foldlb.example/foldlb/internal/membership"
 )
@@ -84,6 +83,8 @@
 		r.fleet.Look(r.now, ev.Sight)
 		r.saysOfItself()
 		r.hintsPass()
+		r.contestPass()
+		r.askHints()
 	case FleetHinted:
 		r.hinted(ev.Hints)
 		return
@@ -98,6 +99,7 @@
 		r.lease, r.fenceUntil = 0, 0 // as there is no fleet to be in touch with
 		r.emit(Fenced{Until: r.Fence()})
 		clear(r.hints)
+		r.contested = 0
 		r.decider.Fleet(r.settings.Dispatchers)
 		return
 	case RemoveOrdered:
@@ -130,25 +132,10 @@
 	if r.says.Generation == 0 {
 		return // an upgrade's follower has not begun itself
 	}
-	if own := r.fleet.Self().Routes; own.No != r.version || own.Source != r.sourceName() {
-		r.says.Routes = r.routes()
-	} else {
-		r.says.Routes = own
-	}
+	r.says.Routes = r.routes()
 	r.fleet.Say(r.now, r.says, r.draining)
 }
 
-// routesDigest sums the route set up: the same list has the same digest at every dispatcher, whatever addresses it was told.
-func (r *Reducer) routesDigest() (d uint64) {
-	for _, h := range r.hops {
-		f := fnv.New64a()
-		f.Write([]byte(h.ID))
-		f.Write([]byte{byte(h.State)})
-		d += f.Sum64()
-	}
-	return d
-}
-
 // fleetMoved tells others and the decision module of what has changed. After a look, or anything else that a picture is due for, all is told.
 func (r *Reducer) fleetMoved(looked bool) {
 	// One that has met nobody yet knows no number, and the settings' stands.
@@ -167,6 +154,7 @@
 		return // danger: a picture of hundreds for each word that brings nothing new would cost more than all else
 	}
 	p := r.fleet.Picture()
+	r.sayClashes(p.Clashes)
 	p.FloorsTold = r.fleet.FloorsTold(r.settings.Dispatchers)
 	if r.fenced() {
 		p.Fenced = r.fenceWhy
@@ -183,6 +171,10 @@
 	Hints  []HintState `cbor:",omitempty"`
 	Lease  float64     `cbor:",omitempty"`
 	Until  float64     `cbor:",omitempty"` // when it may act no longer
+
+	Contested int64   `cbor:",omitempty"` // number of the list with two contents of which only what it takes out counts
+	AskAt     float64 `cbor:",omitempty"`
+	DeafUntil float64 `cbor:",omitempty"` // for hints, since the source has begun anew
 }
 
 func (r *Reducer) exportFleet() *FleetState {
@@ -190,7 +182,7 @@
 		return nil
 	}
 	return &FleetState{View: r.fleet.Export(), Says: r.says, Acting: r.acting, Routes: r.routesName, Hints: r.exportHints(),
-		Lease: r.lease, Until: r.fenceUntil}
+		Lease: r.lease, Until: r.fenceUntil, Contested: r.contested, AskAt: r.askAt, DeafUntil: r.deafUntil}
 }
 
 func (r *Reducer) importFleet(st *FleetState) (err error) {
@@ -199,11 +191,12 @@
 	}
 	r.says, r.acting, r.routesName = st.Says, st.Acting, st.Routes
 	r.lease, r.fenceUntil = st.Lease, st.Until
+	r.contested, r.askAt, r.deafUntil = max(0, st.Contested), st.AskAt, st.DeafUntil
 	for i, x := range st.Hints {
 		if _, listed := r.hops[x.Hop]; !listed || !isTime(x.At) {
 			return fmt.Errorf("hint %d (%q) is of no hop or at no time", i, x.Hop)
 		}
-		r.hints[x.Hop] = hint{x.Version, x.At}
+		r.hints[x.Hop] = hint{x.Version, x.At, x.Own}
 	}
 	r.fleet, err = membership.Import(st.View)
 	return err
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -8,6 +8,7 @@
 
 	"foldlb.example/foldlb/choice"
 	"foldlb.example/foldlb/internal/altered"
+	"foldlb.example/foldlb/internal/membership"
 )
 
 // Peers' word of drains. Discovery tells each dispatcher at its own time, and is cut off from some for a while. What it told one member of
@@ -26,12 +27,17 @@
 // HintsNews are hints to be passed on to the other members.
 type HintsNews struct{ Hints []Hint }
 
+// AskHints asks a member that holds a newer list for the drains that it knows of.
+type AskHints struct{ Process uint64 }
+
 func (FleetHinted) event() {}
 func (HintsNews) effect()  {}
+func (AskHints) effect()   {}
 
 const (
-	hintMost   = 30.0 // seconds that a hint counts without discovery's own word
-	mostRecent = 256  // hints that are kept for those that join
+	hintMost   = 30.0 // seconds that a hint counts without discovery's own word, where nobody who is reached holds so new a list
+	mostRecent = 256  // hints that are kept for those that join, or whose discovery is late
+	askEvery   = 1.0  // seconds between two questions for them
 	hintPart   = 0.5  // of the next hops that hints may take out, all together
 )
 
@@ -39,6 +45,7 @@
 type hint struct {
 	version int64
 	at      float64
+	own     bool // discovery's own word, of a list with two contents
 }
 
 // sourceName is the source of the route set as the members of a fleet name it among themselves.
@@ -60,11 +67,11 @@
 		h, listed := r.hops[x.Hop]
 		old, held := r.hints[x.Hop]
 		switch {
-		case x.Source != r.sourceName() || x.Version <= r.version || !listed || h.State != HopActive || held && old.version >= x.Version:
+		case r.now < r.deafUntil || x.Source != r.sourceName() || x.Version <= r.version || !listed || h.State != HopActive || held && old.version >= x.Version:
 		case !held && float64(len(r.hints)+1) > hintPart*float64(len(r.hops)):
 			refused++
 		default:
-			r.hints[x.Hop] = hint{x.Version, r.now}
+			r.hints[x.Hop] = hint{version: x.Version, at: r.now}
 			news = append(news, x)
 			if !held {
 				r.emit(DropHop{Addr: h.Addr})
@@ -84,7 +91,7 @@
 	}
 }
 
-// remember keeps hints for those that join, or meet again, within the time in which they count.
+// remember keeps hints for those that join, meet again, or are told late by their own discovery.
 func (r *Reducer) remember(news []Hint) {
 	for _, x := range news {
 		r.recent = append(r.recent, HintState{Hop: x.Hop, Version: x.Version, At: r.now})
@@ -94,21 +101,45 @@
 	}
 }
 
-// recentHints are those that still count, for an exchange of everything.
+// recentHints are those that still hold here: of hops that are out. One that came back is told of by its discovery only.
 func (r *Reducer) recentHints() (all []Hint) {
-	r.recent = slices.DeleteFunc(r.recent, func(x HintState) bool { return r.now-x.At >= hintMost })
+	r.recent = slices.DeleteFunc(r.recent, func(x HintState) bool {
+		h, listed := r.hops[x.Hop]
+		_, hinted := r.hints[x.Hop]
+		return listed && h.State == HopActive && !hinted
+	})
 	for _, x := range r.recent {
 		all = append(all, Hint{Hop: x.Hop, Version: x.Version, Source: r.sourceName()})
 	}
 	return all
 }
 
+// askHints asks one of those that hold a newer list, while this dispatcher's own discovery has not told it. Danger: what was told to all as a
+// drain began is lost to those that could not be reached then, and an exchange of everything comes only where views differ.
+func (r *Reducer) askHints() {
+	if r.now < r.hintsAt || r.version == VersionUnknown {
+		return
+	}
+	var ahead []membership.Record
+	for _, m := range r.fleet.Records() {
+		if m.Live() && m.Routes.Source == r.sourceName() && m.Routes.No > r.version {
+			ahead = append(ahead, m)
+		}
+	}
+	if len(ahead) == 0 {
+		return
+	}
+	r.hintsAt = r.now + askEvery
+	r.fetches++
+	r.emit(AskHints{Process: ahead[(r.fetches+r.fleet.Self().Process)%uint64(len(ahead))].Process})
+}
+
 // unhint drops hints that are answered by a version of discovery's, or too old, and returns the hops that are in service again for it.
 func (r *Reducer) unhint(version int64) (back []Hop) {
 	for _, id := range slices.Sorted(maps.Keys(r.hints)) {
 		x := r.hints[id]
 		h, listed := r.hops[id]
-		if listed && h.State == HopActive && (x.version > version || altered.Is("a peer's word beats discovery's")) && r.now-x.at < hintMost {
+		if listed && h.State == HopActive && (x.version > version || altered.Is("a peer's word beats discovery's")) && r.stands(x) {
 			continue
 		}
 		delete(r.hints, id)
@@ -119,6 +150,13 @@
 	return back
 }
 
+// stands tells whether a hint that discovery has not answered yet still counts. Danger: one that ends by time alone sends to a worker that is
+// gone, where discovery is cut off for longer than that; so it counts for as long as somebody who is reached holds so new a list.
+func (r *Reducer) stands(x hint) bool {
+	return x.own && r.contested > 0 || r.now-x.at < hintMost || r.fleet != nil && !altered.Is("a peer's word ends by time") &&
+		r.fleet.Ahead(membership.OfRoutes, r.sourceName(), x.version)
+}
+
 // hintsPass drops hints that are too old.
 func (r *Reducer) hintsPass() {
 	var list []choice.Worker
@@ -152,11 +190,12 @@
 	Hop     HopID
 	Version int64
 	At      float64
+	Own     bool `cbor:",omitempty"` // discovery's own word, of a list with two contents
 }
 
 func (r *Reducer) exportHints() (all []HintState) {
 	for id, x := range r.hints {
-		all = append(all, HintState{id, x.version, x.at})
+		all = append(all, HintState{id, x.version, x.at, x.own})
 	}
 	slices.SortFunc(all, func(a, b HintState) int { return cmp.Compare(a.Hop, b.Hop) })
 	return all
--- a/internal/core/hints_test.go
+++ b/internal/core/hints_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"foldlb.example/foldlb/choice"
+	"foldlb.example/foldlb/internal/membership"
 )
 
 // member is a reducer in a fleet, with a source that the members call "s".
@@ -127,3 +128,85 @@
 		t.Errorf("without a fleet: %v", got)
 	}
 }
+
+// TestOldBeginningsDrainsEnd: where discovery has begun anew, what it took out before, and what peers still tell under its old numbers, does
+// not count, through a hand-over too; its own word does, and later on peers' words do again.
+func TestOldBeginningsDrainsEnd(t *testing.T) {
+	r := member(t, "a", "b", "c")
+	r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 40, Full: true, Hops: states("aaa")}})
+	r.Step(2, FleetHinted{Hints: []Hint{{"a", 41, "s"}}})
+	anew := RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 1, Full: true, Hops: states("aaa")}}
+	r.Step(3, anew) // odd, and asked for again
+	r.Step(4, anew)
+	st, err := r.Export()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, err = Import(settings(choice.Idempotent), st); err != nil {
+		t.Fatal(err)
+	}
+	if got := hintsOf(r.Step(5, FleetHinted{Hints: []Hint{{"b", 42, "s"}}})); got != nil || usable(r) != "abc" || r.version != 1 {
+		t.Errorf("%q in use as of %d, passed on %v", usable(r), r.version, got)
+	}
+	r.Step(6, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 2, Hops: states("aal")[2:]}})
+	if usable(r) != "ab" {
+		t.Errorf("its own word: %q", usable(r))
+	}
+	r.Step(4+hintMost+1, FleetHinted{Hints: []Hint{{"b", 3, "s"}}})
+	if usable(r) != "a" {
+		t.Errorf("a peer's word later on: %q", usable(r))
+	}
+}
+
+// TestStragglerAsksForDrains while its own discovery lags behind a member that is reached: once a second, and not for long after.
+func TestStragglerAsksForDrains(t *testing.T) {
+	r := member(t, "a", "b")
+	asked := func(at float64) (n int) {
+		for _, e := range r.Step(at, FleetLooked{Sight: membership.Sight{Reached: []uint64{2}}}) {
+			if a, is := e.(AskHints); is {
+				if n++; a.Process != 2 {
+					t.Errorf("asks process %d", a.Process)
+				}
+			}
+		}
+		return n
+	}
+	if asked(1.5) != 0 {
+		t.Error("asks where nobody is ahead")
+	}
+	r.Step(2, FleetTold{Records: []membership.Record{peerOn(3, membership.Version{No: 5, Digest: 77, Source: "s"}, membership.Version{})}})
+	n := 0
+	for at := 2.5; at < 6.4; at += 0.5 {
+		n += asked(at)
+	}
+	if n != 4 {
+		t.Errorf("asks %d times in 4 s", n)
+	}
+	r.Step(7, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 6, Full: true, Hops: states("al")}})
+	if asked(9) != 0 {
+		t.Error("asks on though its own discovery has told")
+	}
+}
+
+// TestDrainsAreRememberedWhileTheyHold: one that lags for long is told them still, and not of those that came back.
+func TestDrainsAreRememberedWhileTheyHold(t *testing.T) {
+	r := member(t, "a", "b", "c")
+	r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 5, Full: true, Hops: states("lla")}})
+	told := func(at float64) (ids string) {
+		for _, e := range r.Step(at, FleetLooked{}) {
+			if p, is := e.(FleetPictured); is {
+				for _, h := range p.Hints {
+					ids += string(h.Hop)
+				}
+			}
+		}
+		return ids
+	}
+	if got := told(2 + 10*hintMost); got != "ab" {
+		t.Errorf("told %q", got)
+	}
+	r.Step(3+10*hintMost, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 6, Hops: states("a")}})
+	if got := told(4 + 10*hintMost); got != "b" {
+		t.Errorf("after a has come back: %q", got)
+	}
+}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -58,6 +58,8 @@
 	banned     map[HopID]bool    // out by hand, listed or not
 	returned   map[HopID]float64 // when a listed hop was put back by hand
 	hints      map[HopID]hint    // out by a peer's word, listed as active
+	hintsAt    float64           // when the next question for drains may go out
+	deafUntil  float64           // until when no hints are believed, since the source has begun anew
 	recent     []HintState       // drains that were told lately, by this source or by peers
 	routesName string            // of the source, among the members of a fleet
 	draining   bool              // by hand
@@ -70,14 +72,18 @@
 	lease      float64          // seconds that it may act without touch with the fleet; 0 for any time
 	fenceUntil float64          // when it may act no longer
 	fenceWhy   string
-	audited    audit.Versions // as the book holds them
-	shared     []byte         // the configuration's shared part, as text; empty where it is not known
-	sharedBy   string         // the member that told it; empty for the own file
-	bringsUp   bool           // newer configurations are asked for at members that act on them
-	fetchAt    float64        // when the next question for one may go out
-	fetches    uint64         // questions that went out
-	acted      int64          // newest version of the source's route set that was held
-	acting     int            // members that may be acting, as last told to the decision module; 0 for the settings' number
+	audited    audit.Versions            // as the book holds them
+	shared     []byte                    // the configuration's shared part, as text; empty where it is not known
+	sharedBy   string                    // the member that told it; empty for the own file
+	bringsUp   bool                      // newer configurations are asked for at members that act on them
+	fetchAt    float64                   // when the next question for one may go out
+	fetches    uint64                    // questions that went out
+	acted      int64                     // newest version of the source's route set that was held
+	routeSum   uint64                    // digest of the route set
+	contested  int64                     // newest number of a list with two contents of which only what it takes out counts; 0 for none
+	askAt      float64                   // when the source may be asked again for its whole list in place of one that is contested
+	clashed    map[membership.Clash]bool // numbers of which it was said
+	acting     int                       // members that may be acting, as last told to the decision module; 0 for the settings' number
 	timers     timerHeap
 	timerSeq   uint64
 	lastID     BranchID
@@ -105,7 +111,7 @@
 func empty(now float64, s choice.Settings) *Reducer {
 	r := &Reducer{now: now, settings: s, classes: map[string]int{}, tenants: map[string]int{}, requests: map[RequestID]*request{},
 		spent: map[RequestID]bool{}, legs: map[LegID]*request{}, branches: map[BranchID]*branch{}, hops: map[HopID]Hop{},
-		banned: map[HopID]bool{}, returned: map[HopID]float64{}, hints: map[HopID]hint{}}
+		banned: map[HopID]bool{}, returned: map[HopID]float64{}, hints: map[HopID]hint{}, clashed: map[membership.Clash]bool{}}
 	for i, c := range s.Classes {
 		r.classes[c.Name] = i
 	}
@@ -459,7 +465,7 @@
 		return !listed
 	})
 	r.decider.List(r.now, form, list)
-	r.acted = r.version
+	r.acted, r.routeSum, r.contested = r.version, r.routesDigest(), 0
 	r.holds()
 	if form != choice.ListRemembered {
 		r.drained(before)
@@ -475,7 +481,7 @@
 	}
 	r.source = Source{Addr: ev.Discovery, No: r.source.No + 1}
 	r.version, r.acted, r.watching, r.doubted = VersionUnknown, VersionUnknown, true, false
-	r.recent = nil
+	r.recent, r.contested = nil, 0
 	clear(r.hints) // of the old source; each hop that is still out is told by the new one
 	r.audited.Begun++
 	r.holds()
--- a/internal/gossip/form.go
+++ b/internal/gossip/form.go
@@ -32,6 +32,7 @@
 	Answer  *membership.Contact `cbor:"6,keyasint,omitempty"`
 	Want    *want               `cbor:"7,keyasint,omitempty"`
 	Given   *given              `cbor:"8,keyasint,omitempty"`
+	Behind  *behind             `cbor:"9,keyasint,omitempty"`
 }
 
 var reader = func() cbor.DecMode {
@@ -59,6 +60,11 @@
 	Config  membership.Version `cbor:"2,keyasint"`
 }
 
+// behind asks for the drains that a member with a newer list knows of.
+type behind struct {
+	Process uint64 `cbor:"1,keyasint"` // that asks
+}
+
 // given is a configuration's shared part.
 type given struct {
 	Config membership.Version `cbor:"1,keyasint"`
--- a/internal/gossip/give.go
+++ b/internal/gossip/give.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,12 +15,16 @@
 const (
 	givesAS  = 4 // answers a second, to whoever asks; the rest asks another member a second later
 	mostGive = 8 // that wait
+	hintsAS  = 8 // answers a second to those who ask for drains
 )
 
 // giving is a member's part in passing configurations on.
 type giving struct {
-	queue chan want
-	taken atomic.Pointer[func(core.ConfigHeld)]
+	mu      sync.Mutex
+	hints   float64 // answers to those who ask for drains that may be given now
+	hintsAt time.Time
+	queue   chan want
+	taken   atomic.Pointer[func(core.ConfigHeld)]
 }
 
 // OnConfig has f told of configurations that were asked for and given, in no order and perhaps more than once. f must not block.
@@ -27,17 +33,8 @@
 // fetch asks a member for the configuration that it acts on.
 func (n *Node) fetch(e core.FetchConfig) {
 	n.asking.Store(&e)
-	n.mu.Lock()
-	list := n.list
-	n.mu.Unlock()
-	if list == nil {
-		return
-	}
-	for _, m := range list.Members() {
-		if p, ok := processOf(m.Name); ok && p == e.Process {
-			n.send(m, parcel{Form: form, Want: &want{Process: n.process, Config: e.Config}})
-			return
-		}
+	if m := n.node(e.Process); m != nil {
+		n.send(m, parcel{Form: form, Want: &want{Process: n.process, Config: e.Config}})
 	}
 }
 
@@ -77,16 +74,39 @@
 	if err != nil {
 		return
 	}
-	for _, m := range n.list.Members() {
-		if p, ok := processOf(m.Name); ok && p == w.Process {
-			if err := n.list.SendReliable(m, text); err != nil {
-				n.log.WithError(err).Debug("fleet: a configuration that was asked for does not get through")
-			}
-			return
+	if m := n.node(w.Process); m != nil {
+		if err := n.list.SendReliable(m, text); err != nil {
+			n.log.WithError(err).Debug("fleet: a configuration that was asked for does not get through")
 		}
 	}
 }
 
+// giveHints tells one whose discovery is late which drains are known here. Danger: a discovery that is late for all has all of them ask, so
+// there is a number that is answered in a second; who is not asks another one.
+func (n *Node) giveHints(process uint64) {
+	told, m := n.hints.Load(), n.node(process)
+	if told == nil || len(*told) == 0 || m == nil {
+		return
+	}
+	g := &n.giving
+	g.mu.Lock()
+	now := time.Now()
+	g.hints = min(hintsAS, g.hints+now.Sub(g.hintsAt).Seconds()*hintsAS)
+	g.hintsAt = now
+	due := g.hints >= 1
+	if due {
+		g.hints--
+	}
+	g.mu.Unlock()
+	if !due {
+		n.dropped.Add(1)
+		return
+	}
+	for some := range slices.Chunk(*told, hintsEach) {
+		n.send(m, parcel{Form: form, Hints: some})
+	}
+}
+
 // given hears a configuration. Only one that was asked for counts.
 func (n *Node) given(g given) {
 	taken := n.giving.taken.Load()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -399,6 +399,10 @@
 		n.held.Store(&e)
 	case core.FetchConfig:
 		n.fetch(e)
+	case core.AskHints:
+		if m := n.node(e.Process); m != nil {
+			n.send(m, parcel{Form: form, Behind: &behind{Process: n.process}})
+		}
 	case core.FleetPictured:
 		n.picture.Store(&e.Picture)
 		n.hints.Store(&e.Hints)
@@ -453,18 +457,25 @@
 // answer says to one that asks what is held here, as of the picture: never more than the reducer holds.
 func (n *Node) answer(a ask) {
 	p := n.picture.Load()
+	if m := n.node(a.Process); m != nil && p != nil {
+		n.send(m, parcel{Form: form, Answer: &membership.Contact{Process: n.process, Asker: a.Process, Sent: a.Sent, Floors: p.FloorDigest, Established: p.Established}})
+	}
+}
+
+// node is the library's word for a process; nil where it reaches none of that number.
+func (n *Node) node(process uint64) *memberlist.Node {
 	n.mu.Lock()
 	list := n.list
 	n.mu.Unlock()
-	if p == nil || list == nil {
-		return
+	if list == nil {
+		return nil
 	}
 	for _, m := range list.Members() {
-		if process, ok := processOf(m.Name); ok && process == a.Process {
-			n.send(m, parcel{Form: form, Answer: &membership.Contact{Process: n.process, Asker: a.Process, Sent: a.Sent, Floors: p.FloorDigest, Established: p.Established}})
-			return
+		if p, ok := processOf(m.Name); ok && p == process {
+			return m
 		}
 	}
+	return nil
 }
 
 func (n *Node) send(to *memberlist.Node, p parcel) {
@@ -542,6 +553,9 @@
 	if p.Want != nil {
 		n.asked(*p.Want)
 	}
+	if p.Behind != nil {
+		n.giveHints(p.Behind.Process)
+	}
 	if p.Given != nil {
 		n.given(*p.Given)
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -26,6 +26,9 @@
 	view *membership.View
 	end  context.CancelFunc
 	done chan struct{}
+
+	hints   []core.Hint       // that it tells
+	onHints func([]core.Hint) // with mu held; nil for nothing
 }
 
 var began = time.Now()
@@ -52,6 +55,10 @@
 		b.view.TakeFloors(seconds(), ev.Floors)
 	case core.FleetContacted:
 		b.view.Contact(seconds(), ev.Contact)
+	case core.FleetHinted:
+		if b.onHints != nil {
+			b.onHints(ev.Hints)
+		}
 	case core.FleetEntered:
 		b.view.Enter(seconds(), ev.State)
 	}
@@ -67,7 +74,7 @@
 		b.Perform(core.FleetNews{Records: news})
 	}
 	if moved := b.view.Moved(); looked || moved {
-		b.Perform(core.FleetPictured{Picture: b.view.Picture(), Fresh: b.view.Fresh()})
+		b.Perform(core.FleetPictured{Picture: b.view.Picture(), Fresh: b.view.Fresh(), Hints: b.hints})
 	}
 }
 
@@ -204,6 +211,44 @@
 	await(t, "the one that was shut is met", func() bool { return a.holds("a", "b", "s") })
 }
 
+// TestDrainsAreGivenToWhomAsks: a member whose discovery is late asks another one for the drains that it knows of, and gets all of them.
+func TestDrainsAreGivenToWhomAsks(t *testing.T) {
+	a := member(t, config("a"), nil, 0, nil)
+	b := member(t, config("b", a.at()), nil, 0, nil)
+	for _, x := range []*body{a, b} {
+		await(t, "they meet", func() bool { return x.holds("a", "b") })
+	}
+	var want []core.Hint
+	for i := range 3 * hintsEach {
+		want = append(want, core.Hint{Hop: core.HopID(fmt.Sprint("w", i)), Version: 7, Source: "s"})
+	}
+	a.mu.Lock()
+	a.hints = want
+	a.tell(true)
+	a.mu.Unlock()
+	heard := map[core.Hint]bool{}
+	b.mu.Lock()
+	b.onHints = func(all []core.Hint) {
+		for _, h := range all {
+			heard[h] = true
+		}
+	}
+	b.mu.Unlock()
+	await(t, "all drains are told", func() bool {
+		b.Perform(core.AskHints{Process: a.process})
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(heard) == len(want)
+	})
+	before := a.Counts().Dropped
+	for range 3 * hintsAS {
+		a.giveHints(b.process)
+	}
+	if got := a.Counts().Dropped - before; got < hintsAS {
+		t.Errorf("%d of %d questions at once are dropped", got, 3*hintsAS)
+	}
+}
+
 // TestSocketsPassOn: a successor on the same sockets and with the same view is the same member, and nobody doubts it.
 func TestSocketsPassOn(t *testing.T) {
 	a := member(t, config("a"), nil, 0, nil)
--- a/internal/lab/account.go
+++ b/internal/lab/account.go
@@ -5,6 +5,7 @@
 	"math"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"foldlb.example/foldlb/internal/audit"
@@ -44,6 +45,7 @@
 	Stragglers int     `json:"stragglers_brought_up"`
 	LagP50     float64 `json:"seconds_behind_p50"`
 	LagP99     float64 `json:"seconds_behind_p99"`
+	Twofold    int     `json:"route_sets_with_two_contents_named_by_all"`
 	Stopped    uint64  `json:"branches_stopped_by_a_fence"` // at the member with the most
 	GapMS      float64 `json:"longest_write_ms"`            // from the last look at the clock until a write had returned
 }
@@ -77,9 +79,14 @@
 		}
 	}
 	q.out.Audit = a
-	for _, b := range v.Breaks {
-		if len(q.out.Broken) < 50 {
-			q.out.Broken = append(q.out.Broken, fmt.Sprintf("record of %s: %s: %s", b.Member, b.Where, b.What))
+	breaks := q.unexpected(v.Breaks)
+	for _, b := range breaks {
+		q.blame("record of %s: %s: %s", b.Member, b.Where, b.What)
+	}
+	q.begunLate(v.Spans)
+	for _, at := range q.twofold {
+		if at > 0 {
+			a.Twofold++
 		}
 	}
 	below := q.belowFloors(v.Spans)
@@ -96,7 +103,7 @@
 	}
 	none("spans with sends below a floor after its bound", float64(below))
 	none("sends on another version than recorded", float64(a.Strange))
-	none("promises of the records broken", float64(len(v.Breaks)))
+	none("promises of the records broken", float64(len(breaks)))
 	none("sends that reached a worker and are in no record", float64(a.Unheard))
 	if err != nil || a.Records == 0 || a.Sent == 0 || a.Matched == 0 {
 		none("records that could not be read", 1)
@@ -129,7 +136,11 @@
 // on before it was stated. It returns how many sends agree, and how many faults there are. q.mu is held.
 func (q *squad) account(p *peer, all []trail.Entry, arrived []reach) (matched, strange int) {
 	var spans []audit.Span
+	first := -1 // a member's count of beginnings at its own
 	for _, e := range all {
+		if e.Member == p.name && first < 0 {
+			first = e.Span.Versions.Begun
+		}
 		if _, _, sent := e.Span.Sends(); e.Member == p.name && sent {
 			spans = append(spans, e.Span)
 		}
@@ -145,13 +156,13 @@
 		}
 		told, within, listed := false, false, false
 		for i, s := range spans {
-			first, last, _ := s.Sends()
-			if x.at < first || x.at > last+sendSlack {
+			from, last, _ := s.Sends()
+			if x.at < from || x.at > last+sendSlack {
 				continue
 			}
 			told, within = true, within || x.at <= last
-			listed = listed || s.Versions.Routes.No < 0 || p.roster.had(x.worker, s.Versions.Routes.No) == "active"
-			if x.at >= first+sendSlack && x.at <= last {
+			listed = listed || s.Versions.Routes.No < 0 || p.roster.had(x.worker, s.Versions.Begun-first, s.Versions.Routes.No) == "active"
+			if x.at >= from+sendSlack && x.at <= last {
 				inside[i]++
 			}
 		}
@@ -169,9 +180,9 @@
 		if inside[i] > s.Counts[audit.Sent] {
 			fault("%s tells of %d branches in span %d, within which %d reached workers", p.name, s.Counts[audit.Sent], s.No, inside[i])
 		}
-		first, _, _ := s.Sends()
-		if at, stated := q.stated[s.Versions.Config.No]; stated && s.Versions.Config.No > 1 && first < at {
-			fault("%s tells of a branch on configuration %d, %.2f s before that was stated anywhere", p.name, s.Versions.Config.No, at-first)
+		from, _, _ := s.Sends()
+		if at, stated := q.stated[s.Versions.Config.No]; stated && s.Versions.Config.No > 1 && from < at {
+			fault("%s tells of a branch on configuration %d, %.2f s before that was stated anywhere", p.name, s.Versions.Config.No, at-from)
 		}
 	}
 	return matched, strange
@@ -181,3 +192,90 @@
 func (q *squad) still(member string, at float64) bool {
 	return slices.ContainsFunc(q.asleep, func(n nap) bool { return n.member == member && at >= n.from && at <= n.to+sendSlack })
 }
+
+// contents notes where the discoveries tell two contents under one number. q.rosters is held.
+func (q *squad) contents() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	seen := map[int64]string{}
+	for _, p := range q.peers {
+		no, states := p.roster.content()
+		if was, known := seen[no]; known && was != states {
+			if _, noted := q.twofold[no]; !noted {
+				q.twofold[no] = 0
+			}
+		}
+		seen[no] = states
+	}
+}
+
+// checkTwofold notes when all members that run have named a route set with two contents. q.mu is held.
+func (q *squad) checkTwofold(now time.Time) {
+	for no, at := range q.twofold {
+		if at > 0 {
+			continue
+		}
+		all := true
+		for _, p := range q.peers {
+			named := false
+			for _, c := range p.view.Clashes {
+				named = named || c.Kind == "route set" && c.No == no
+			}
+			all = all && (named || !p.up || p.paused) && now.Sub(p.view.at) <= staleAfter
+		}
+		if all {
+			q.twofold[no] = unixOf(now)
+		}
+	}
+}
+
+// unexpected are the breaks that the script did not make: two contents that the discoveries told under one number are a fault outside, which
+// must be found. q.mu is held.
+func (q *squad) unexpected(all []trail.Break) (out []trail.Break) {
+	found := map[int64]bool{}
+	for _, b := range all {
+		made := false
+		for no := range q.twofold {
+			if strings.HasPrefix(b.What, fmt.Sprintf("route set %d of ", no)) {
+				made, found[no] = true, true
+			}
+		}
+		if !made {
+			out = append(out, b)
+		}
+	}
+	named := false
+	for no, at := range q.twofold {
+		named = named || at > 0
+		if at > 0 && !found[no] {
+			q.blame("route set %d had two contents, and the records do not show it", no)
+		}
+	}
+	if len(q.twofold) > 0 && !named {
+		q.blame("no route set that had two contents was named by all members")
+	}
+	return out
+}
+
+// begunLate finds members that began to act on a route set after all had named it as one with two contents. q.mu is held.
+func (q *squad) begunLate(all []trail.Entry) {
+	type use struct {
+		member string
+		no     int64
+	}
+	begun := map[use]float64{}
+	for _, e := range all {
+		if e.Span.Versions.Begun > 0 {
+			continue // its numbers are others
+		}
+		at, first := use{e.Member, e.Span.Versions.Routes.No}, e.Span.From
+		if was, known := begun[at]; !known || first < was {
+			begun[at] = first
+		}
+	}
+	for x, first := range begun {
+		if named := q.twofold[x.no]; named > 0 && first > named+stepSlack {
+			q.blame("%s began to act on route set %d %.1f s after all had named it as one with two contents", x.member, x.no, first-named)
+		}
+	}
+}
--- a/internal/lab/account_test.go
+++ b/internal/lab/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"foldlb.example/foldlb/internal/audit"
 	"foldlb.example/foldlb/internal/audit/trail"
@@ -70,7 +71,7 @@
 		q := squadOf(1)
 		q.stated = map[int64]float64{}
 		p := q.peers[0]
-		p.roster = &Roster{past: map[string][]told{"w": {{1, "active"}}, "x": {{1, "active"}, {2, "leaving"}, {3, "active"}}}}
+		p.roster = &Roster{past: map[string][]told{"w": {{0, 1, "active"}}, "x": {{0, 1, "active"}, {0, 2, "leaving"}, {0, 3, "active"}}}}
 		spans, arrived := tc.play(q, p)
 		below := q.belowFloors(spans)
 		matched, strange := q.account(p, spans, arrived)
@@ -80,3 +81,44 @@
 		}
 	}
 }
+
+// TestTwoContentsMustBeNamed by all members, found in the records, and not begun with afterwards.
+func TestTwoContentsMustBeNamed(t *testing.T) {
+	broken := func(spoil func(q *squad) (breaks []trail.Break, spans []trail.Entry)) string {
+		q := squadOf(2)
+		q.twofold = map[int64]float64{2: 0}
+		for _, p := range q.peers {
+			p.view.Clashes = append(p.view.Clashes, struct {
+				Kind string `json:"kind"`
+				No   int64  `json:"no"`
+			}{"route set", 2})
+		}
+		breaks, spans := spoil(q)
+		q.checkTwofold(time.Now())
+		for _, b := range q.unexpected(breaks) {
+			q.blame("unexpected: %s", b.What)
+		}
+		q.begunLate(spans)
+		return strings.Join(q.out.Broken, "; ")
+	}
+	made := []trail.Break{{What: "route set 2 of lab has one content here and another at n2"}}
+	now := unixOf(time.Now())
+	for name, tc := range map[string]struct {
+		spoil func(q *squad) ([]trail.Break, []trail.Entry)
+		want  string
+	}{
+		"all well": {func(*squad) ([]trail.Break, []trail.Entry) {
+			return made, []trail.Entry{spanOf(1, now-9, 1, 2), spanOf(2, now+9, 1, 2)}
+		}, ""},
+		"not named":    {func(q *squad) ([]trail.Break, []trail.Entry) { q.peers[1].view.Clashes = nil; return made, nil }, "named by all"},
+		"not recorded": {func(*squad) ([]trail.Break, []trail.Entry) { return nil, nil }, "do not show it"},
+		"another broken": {func(*squad) ([]trail.Break, []trail.Entry) {
+			return append(made, trail.Break{What: "route set 3 of lab"}), nil
+		}, "unexpected: route set 3"},
+		"begun late": {func(*squad) ([]trail.Break, []trail.Entry) { return made, []trail.Entry{spanOf(1, now+9, 1, 2)} }, "n1 began to act on route set 2"},
+	} {
+		if got := broken(tc.spoil); tc.want == "" && got != "" || !strings.Contains(got, tc.want) {
+			t.Errorf("%s: %q, want %q", name, got, tc.want)
+		}
+	}
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -123,6 +123,10 @@
 	Counts  struct {
 		Sent, SentBytes, Taken, TakenBytes, Opened uint64
 	} `json:"counts"`
+	Clashes []struct {
+		Kind string `json:"kind"`
+		No   int64  `json:"no"`
+	} `json:"clashes"`
 	Stopped uint64  `json:"branches_stopped"`
 	Gap     float64 `json:"longest_write_s"`
 	at      time.Time
@@ -188,6 +192,7 @@
 	turn    int
 	floors  []least
 	drains  map[string]time.Time // of workers, the last one
+	twofold map[int64]float64    // route sets with two contents, and when all members had named both; 0 for not yet
 	stated  map[int64]float64    // when each configuration was first stated, Unix seconds
 	asleep  []nap
 	churns  time.Time // until then the route set changes all the time, and with it what each says of itself
@@ -209,7 +214,7 @@
 		return nil, err
 	}
 	defer links.close()
-	q := &squad{s: s, links: links, drains: map[string]time.Time{}, stated: map[int64]float64{}, r: &Result{Scenario: filepath.Base(path), Title: s.Title, Seed: o.Seed,
+	q := &squad{s: s, links: links, drains: map[string]time.Time{}, stated: map[int64]float64{}, twofold: map[int64]float64{}, r: &Result{Scenario: filepath.Base(path), Title: s.Title, Seed: o.Seed,
 		Machine: fmt.Sprintf("%d cores, %s", runtime.NumCPU(), runtime.Version())}}
 	addrs := make([]string, s.Dispatchers)
 	for i := range addrs {
@@ -302,7 +307,7 @@
 		}
 		at[w] = ln
 	}
-	p.roster = &Roster{addrOf: func(w *Worker) string { return at[w] }}
+	p.roster = &Roster{owner: addr, addrOf: func(w *Worker) string { return at[w] }}
 	if err := p.roster.start(q.f.workers); err != nil {
 		return nil, err
 	}
@@ -543,6 +548,7 @@
 		}
 	}
 	q.checkConfigs(now, group)
+	q.checkTwofold(now)
 	fault, hard := q.unsettled(now)
 	took := now.Sub(q.lastAt)
 	if fault == "" {
@@ -847,6 +853,12 @@
 		return q.churn(e, stop)
 	case "floor":
 		return q.floor(p, e.Version)
+	case "anew": // discovery is restarted, and its numbers with it
+		q.rosters.Lock()
+		for _, x := range q.peers {
+			x.roster.beginAnew()
+		}
+		q.rosters.Unlock()
 	case "late":
 		p.roster.lags(time.Duration(e.For * float64(time.Second)))
 	case "renew":
@@ -864,11 +876,15 @@
 		}
 		q.rosters.Lock()
 		for _, x := range q.peers {
+			if len(e.Groups) > 0 && !slices.Contains(e.Groups[0], x.name) {
+				continue // another discovery tells it
+			}
 			if err := x.roster.set(e.Worker, state); err != nil {
 				q.rosters.Unlock()
 				return err
 			}
 		}
+		q.contents()
 		q.rosters.Unlock()
 		if e.Kind == "return" {
 			go q.returned(e.Worker, stop)
--- a/internal/lab/ops.go
+++ b/internal/lab/ops.go
@@ -113,10 +113,10 @@
 		err = r.replace(s, d, e.Binary, &o)
 	case "ban":
 		if err = d.yes("/ops/quote-workers/down", e.Worker); err == nil {
-			f.worker(e.Worker).tellDrain(time.Now())
+			f.worker(e.Worker).tellDrain("", true)
 		}
 	case "unban":
-		f.worker(e.Worker).tellDrain(time.Time{})
+		f.worker(e.Worker).tellDrain("", false)
 		err = d.yes("/ops/quote-workers/up", e.Worker)
 	case "away":
 		err = d.away(f.callers)
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -85,6 +85,9 @@
 			if a.Stragglers > 0 {
 				fmt.Fprintf(w, "stragglers\t%d brought up\t%.1f s behind in the middle\t%.1f s at the 99th part\t\n", a.Stragglers, a.LagP50, a.LagP99)
 			}
+			if a.Twofold > 0 {
+				fmt.Fprintf(w, "two contents\t%d route sets named by all\t\t\t\n", a.Twofold)
+			}
 			if a.GapMS > 0 {
 				fmt.Fprintf(w, "writes\t%.2f ms at the longest from the last look at the clock\t%d stopped there, at the member with the most\t\t\n", a.GapMS, a.Stopped)
 			}
--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,12 +28,15 @@
 	late    time.Time            // until then it tells nothing newer than what follows
 	shown   int64                // version
 	was     map[string]string    // states
+	begun   int                  // how often it has begun anew
+	owner   string               // the dispatcher that it tells; empty for all
 	addrOf  func(*Worker) string // as this roster tells it; nil for the worker's own
 	past    map[string][]told    // what it has ever told of each worker, in order
 }
 
 // told is a worker's state from a version on.
 type told struct {
+	begun   int // how often it has begun anew
 	version int64
 	state   string
 }
@@ -47,7 +51,7 @@
 	r.past = map[string][]told{}
 	for _, w := range workers {
 		r.changed[w.ID], r.state[w.ID] = 1, "active"
-		r.past[w.ID] = []told{{1, "active"}}
+		r.past[w.ID] = []told{{0, 1, "active"}}
 	}
 	go (&fasthttp.Server{Handler: r.handle, NoDefaultServerHeader: true}).Serve(ln)
 	return nil
@@ -65,9 +69,12 @@
 	for {
 		r.mu.Lock()
 		version, _ := r.now()
-		newer, news := version > since, r.news
+		newer, news := version > since || version < since && since > 0, r.news
 		r.mu.Unlock()
 		if newer {
+			if version < since { // it knows nothing of that number
+				since = -1
+			}
 			c.SetBodyString(r.list(since))
 			return
 		}
@@ -151,18 +158,42 @@
 	r.news = make(chan struct{})
 }
 
-// had is the state of a worker as of a version; empty where it had none.
-func (r *Roster) had(id string, version int64) (state string) {
+// beginAnew forgets all numbers: it tells what holds under number 1, as a discovery does that was restarted. Its watches end.
+func (r *Roster) beginAnew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begun++
+	r.version, r.late = 1, time.Time{}
+	for id, state := range r.state {
+		r.changed[id] = 1
+		r.past[id] = append(r.past[id], told{r.begun, 1, state})
+	}
+	close(r.news)
+	r.news = make(chan struct{})
+}
+
+// had is the state of a worker as of a version, of the times that the roster has begun anew; empty where it had none.
+func (r *Roster) had(id string, begun int, version int64) (state string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range r.past[id] {
-		if t.version <= version {
+		if t.begun == begun && t.version <= version {
 			state = t.state
 		}
 	}
 	return state
 }
 
+// content is what it tells, or would if it were not late: its version, and what that says.
+func (r *Roster) content() (version int64, states string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range slices.Sorted(maps.Keys(r.state)) {
+		states += id + " " + r.state[id] + "\n"
+	}
+	return r.version, states
+}
+
 // set changes a worker's state and tells all who watch.
 func (r *Roster) set(id, state string) error {
 	r.mu.Lock()
@@ -171,12 +202,8 @@
 		if w.ID == id {
 			r.version++
 			r.changed[id], r.state[id] = r.version, state
-			r.past[id] = append(r.past[id], told{r.version, state})
-			if state == "active" {
-				w.tellDrain(time.Time{})
-			} else {
-				w.tellDrain(time.Now())
-			}
+			r.past[id] = append(r.past[id], told{r.begun, r.version, state})
+			w.tellDrain(r.owner, state != "active")
 			close(r.news)
 			r.news = make(chan struct{})
 			return nil
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -82,7 +82,7 @@
 
 	Dispatcher string     `hcl:"dispatcher,optional"` // n1, n2 ...: of a fleet, the one that it happens to
 	Version    int64      `hcl:"version,optional"`    // of config: the number that is stated; of floor: the least
-	Groups     [][]string `hcl:"groups,optional"`     // of a cut: those that reach each other still; of apart: those that don't meet; of oneway: the first's words don't reach the second
+	Groups     [][]string `hcl:"groups,optional"`     // of a cut: those that reach each other still; of apart: those that don't meet; of oneway: the first's words don't reach the second; of drain and return: those whose discoveries tell it
 	For        float64    `hcl:"for_s,optional"`      // of a pause, and of a churn
 	Rate       float64    `hcl:"rate,optional"`       // of a churn: changes of the route set a second
 	Loss       float64    `hcl:"loss,optional"`       // of links: part of the datagrams
@@ -110,7 +110,7 @@
 var (
 	eventKinds = map[string]bool{"upgrade": true, "drain": true, "return": true, "renew": true, "reload": true, "restart": true}
 	opsKinds   = map[string]bool{"replace": true, "ban": true, "unban": true, "away": true, "stay": true, "figures": true}
-	fleetKinds = map[string]bool{"kill": true, "bounce": true, "start": true, "leave": true, "pause": true, "cut": true, "apart": true, "oneway": true, "starve": true, "late": true, "config": true, "rollback": true, "churn": true, "floor": true, "links": true, "heal": true}
+	fleetKinds = map[string]bool{"kill": true, "bounce": true, "start": true, "leave": true, "pause": true, "cut": true, "apart": true, "oneway": true, "starve": true, "late": true, "anew": true, "config": true, "rollback": true, "churn": true, "floor": true, "links": true, "heal": true}
 	ofOne      = map[string]bool{"kill": true, "bounce": true, "start": true, "leave": true, "pause": true, "starve": true, "late": true, "rollback": true, "upgrade": true}
 	ofWorkers  = map[string]bool{"drain": true, "return": true, "renew": true, "ban": true, "unban": true}
 	expects    = map[string]bool{"replaced": true, "fell back": true, either: true, killed: true}
@@ -206,7 +206,7 @@
 		}
 		switch {
 		case !eventKinds[e.Kind] && !opsKinds[e.Kind] && !fleetKinds[e.Kind]:
-			fault("event %q: is none of upgrade, restart, drain, return, renew, reload, replace, ban, unban, away, stay, figures, kill, bounce, start, leave, pause, starve, late, config, rollback, churn, floor, cut, apart, oneway, links, heal", e.Kind)
+			fault("event %q: is none of upgrade, restart, drain, return, renew, reload, replace, ban, unban, away, stay, figures, kill, bounce, start, leave, pause, starve, late, anew, config, rollback, churn, floor, cut, apart, oneway, links, heal", e.Kind)
 		case s.Dispatchers == 0 && fleetKinds[e.Kind] || s.Dispatchers > 0 && (e.Kind == "restart" || e.Kind == "reload"):
 			fault("event %q at %v: does not go with dispatchers = %d", e.Kind, e.At, s.Dispatchers)
 		case s.Dispatchers > 0 && ofOne[e.Kind] && !members[e.Dispatcher]:
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -38,10 +38,10 @@
 	jobs    map[string]*job
 	queue   []*job
 	running int
-	drained time.Time      // when dispatchers were told; zero while active
-	back    time.Time      // when they were told last that it is active
-	heard   map[string]int // sends since then, by the dispatcher that they came from
-	cold    *coldness      // from a start of its own on, until it is warm; nil for one that always was
+	drained map[string]time.Time // when each dispatcher was told that it drains; "" for all; none while active
+	back    time.Time            // when they were told last that it is active
+	heard   map[string]int       // sends since then, by the dispatcher that they came from
+	cold    *coldness            // from a start of its own on, until it is warm; nil for one that always was
 }
 
 // job is one attempt that a worker holds.
@@ -88,7 +88,7 @@
 	}
 	w.mu.Lock()
 	_, held := w.jobs[id]
-	late := !w.drained.IsZero() && time.Since(w.drained) > drainRule
+	late := w.toldOut(back)
 	w.ledger.sent(id, back, w.ID, late, held)
 	if w.heard == nil {
 		w.heard = map[string]int{}
@@ -207,13 +207,29 @@
 	return time.Duration(float64(takes) / w.Pace)
 }
 
-func (w *Worker) tellDrain(at time.Time) {
+// tellDrain notes that a dispatcher was told, now, that the worker drains, or is active again; "" for all dispatchers.
+func (w *Worker) tellDrain(dispatcher string, drains bool) {
 	w.mu.Lock()
-	w.drained = at
-	if at.IsZero() {
-		w.back, w.heard = time.Now(), nil
+	defer w.mu.Unlock()
+	if drains {
+		if w.drained == nil {
+			w.drained = map[string]time.Time{}
+		}
+		w.drained[dispatcher] = time.Now()
+		return
 	}
-	w.mu.Unlock()
+	delete(w.drained, dispatcher)
+	w.back, w.heard = time.Now(), nil
+}
+
+// toldOut tells whether a dispatcher has been told of a drain for longer than it may still send. w.mu is held.
+func (w *Worker) toldOut(dispatcher string) bool {
+	for _, d := range []string{dispatcher, ""} {
+		if at, told := w.drained[d]; told && time.Since(at) > drainRule {
+			return true
+		}
+	}
+	return false
 }
 
 // since tells what each dispatcher has sent since the worker was last told to be active, and when that was.
--- a/internal/membership/floor.go
+++ b/internal/membership/floor.go
@@ -69,13 +69,10 @@
 // below tells whether a version is below the floor. Versions of another source can't be compared, and are below: what is not known to be
 // new enough may not be acted on.
 func (f Floor) below(r Record) bool {
-	v := r.Config
-	switch f.Kind {
-	case OfRoutes:
-		v = r.Routes
-	case OfProgram:
+	if f.Kind == OfProgram {
 		return r.Program.Source != f.Source
 	}
+	v := r.version(f.Kind)
 	return v.Source != f.Source || v.No < f.No
 }
 
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -37,6 +37,7 @@
 	FloorsAt    float64 // when Floors' ages were true
 	FloorsTold  bool    // over half of the members were seen to hold them
 	Fenced      string  // why this member may not act; empty where it may
+	Clashes     []Clash // numbers that members hold with two contents
 }
 
 // Told is what is told to a member that asks for everything.
@@ -54,7 +55,8 @@
 func (v *View) Picture() Picture {
 	p := Picture{Now: v.now, Self: v.self, Process: v.Self().Process, Digest: v.digest, Changed: v.changed, Acting: v.Acting(),
 		Reached: v.Reached(), Zones: map[string]int{}, Dropped: v.dropped, History: v.last(),
-		Floors: v.Floors(v.now), FloorDigest: v.FloorDigest(), Established: v.established, FloorsAt: v.now}
+		Clashes: v.Clashes(),
+		Floors:  v.Floors(v.now), FloorDigest: v.FloorDigest(), Established: v.established, FloorsAt: v.now}
 	live := make(map[string]int, len(v.table))
 	p.Members = make([]Member, 0, len(v.table))
 	for _, k := range v.keys() {
--- a/lab/fleet-handover.hcl
+++ b/lab/fleet-handover.hcl
@@ -3,7 +3,7 @@
 # one that is stopped in the middle; and of one whose fleet is killed whole, new process and all, and starts at once.
 title       = "hand-overs in the middle of faults"
 base        = "base/two-classes.hcl"
-duration    = "100s"
+duration    = "132s"
 rate        = 40
 callers     = 60
 dispatchers = 5
@@ -151,6 +151,47 @@
   dispatcher = "n4"
 }
 
+# A member flaps while two others hand over, and one is alone against four while both sides hand over.
+event "bounce" {
+  at = 98
+  dispatcher = "n3"
+}
+event "bounce" {
+  at = 100
+  dispatcher = "n3"
+}
+event "upgrade" {
+  at = 100.5
+  dispatcher = "n1"
+}
+event "upgrade" {
+  at = 101
+  dispatcher = "n5"
+}
+event "bounce" {
+  at = 102
+  dispatcher = "n3"
+}
+event "bounce" {
+  at = 104
+  dispatcher = "n3"
+}
+event "cut" {
+  at = 110
+  groups = [["n2"], ["n1", "n3", "n4", "n5"]]
+}
+event "upgrade" {
+  at = 111
+  dispatcher = "n2"
+}
+event "upgrade" {
+  at = 111.5
+  dispatcher = "n4"
+}
+event "heal" {
+  at = 118
+}
+
 # While nobody runs, nobody answers.
 promises {
   lost               = 150
