Count callers that come back in what is turned away, and over-share jobs by their worth

The part of the tries that came back (the callers mark them) over the part turned away gives how many come back; the part is raised until what is meant to stay away does. Where nobody marks a retry, as on H, nothing changes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,14 +34,14 @@
 	moveAfter             = 0.25      // part of the aim after which a job not started is tried elsewhere
 	moveShare             = 0.3       // moves for each request at most, less where waste is dear
 	moveMore              = 2.0       // or so many times the part of moves that found a worker free
-	movePrice             = 0.00075
+	movePrice             = 0.0075    // at the square of waste's price; of what is moved a tenth has begun
 	lateMemory            = 16.0      // starts or answers that the part of late ones is of
 	lateBorne             = 0.2       // part of late ones up to which nothing is turned away
 	shedGain, shedMost    = 2.0, 0.85 // part turned away, times the late part above lateBorne
 	noRoomOf              = 64.0      // outcomes that the part of connections refused at once is of
 	noRoomMost            = 0.03      // part from which idle connections are closed
 	dearMost              = 4.0       // times as many of the dearest jobs, and as few of the cheapest
-	excessShed            = 2.0       // times as many of the jobs over their tenant's share
+	backMemory, backMost  = 64.0, 0.9 // tries that the part of those that came back is of; and its bound
 	tickEvery             = 0.1
 	retryShare, retryMost = 1.2, 1.5 // tries after 'full' a request, by the square of what its aim bears
 	scanMost              = 96       // workers of a large fleet looked at where a sample finds none
@@ -301,10 +301,16 @@
 	// where they are worth nothing: their queue only takes places from those that could be in time.
 	late := max(0, d.late-lateBorne*min(1, 4*c.LateWorth))
 	shed := min(shedMost, shedGain*late*min(dearMost, max(1/dearMost, dear/d.dear)))
-	if r.excess {
-		shed *= excessShed
-	}
-	if d.rng.Float64() < min(shed, 0.95) {
+	if r.excess { // its worth is that part of the usual
+		shed *= min(dearMost, 1/max(d.s.OverShareWorth, 1e-3))
+	}
+	// Danger: where callers come back at once, a part that is turned away at each try is far less for good.
+	// It is raised until what is meant to stay away does, by the part of those turned away that came back.
+	back := min(backMost, d.back/max(d.turned, 1/backMemory))
+	shed = min(1, shed)
+	turned := d.rng.Float64() < min(shed/(1-back+shed*back), 0.95)
+	d.back, d.turned = part(d.back, q.Repeat, backMemory), part(d.turned, turned, backMemory)
+	if turned {
 		d.act.Refuse(r.ID, d.s.MaxRetryAfter)
 		return
 	}
@@ -572,12 +578,7 @@
 }
 
 // sawLate enters whether a job waited or took longer than its aim bears.
-func (d *Dispatcher) sawLate(late bool) {
-	d.late -= d.late / lateMemory
-	if late {
-		d.late += 1 / lateMemory
-	}
-}
+func (d *Dispatcher) sawLate(late bool) { d.late = part(d.late, late, lateMemory) }
 
 // Withdrawn ends a request whose client has left.
 func (d *Dispatcher) Withdrawn(_ float64, id string) {
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -26,6 +26,7 @@
 type Scalars struct {
 	Token                                                                                                uint64
 	RefreshAt, RefreshedAt, Probes, Retries, Late, PaidMoves, Found, Dear, NoRoom, Wait, Took, ListPause float64
+	Back, Turned                                                                                         float64
 	NextProbe                                                                                            int
 	Subscribed, Asked                                                                                    bool
 }
@@ -104,7 +105,7 @@
 		return Snapshot{}, fmt.Errorf("choice: random numbers: %w", err)
 	}
 	s := Snapshot{RNG: rng, Scalars: Scalars{Token: d.token, RefreshAt: d.refreshAt, RefreshedAt: d.refreshedAt,
-		Probes: d.probes, Retries: d.retries, Late: d.late, PaidMoves: d.paidMoves, Found: d.found, Dear: d.dear,
+		Probes: d.probes, Retries: d.retries, Late: d.late, Back: d.back, Turned: d.turned, PaidMoves: d.paidMoves, Found: d.found, Dear: d.dear,
 		NoRoom: d.noRoom, Wait: d.wait, Took: d.took, ListPause: d.listPause, NextProbe: d.nextProbe, Subscribed: d.subscribed, Asked: d.asked}}
 	for i := range d.classes {
 		c := &d.classes[i]
@@ -200,6 +201,7 @@
 	x := st.Scalars
 	d.token, d.refreshAt, d.refreshedAt, d.probes, d.retries = x.Token, x.RefreshAt, x.RefreshedAt, x.Probes, x.Retries
 	d.late, d.paidMoves, d.found, d.dear, d.noRoom, d.wait, d.took = x.Late, x.PaidMoves, x.Found, x.Dear, x.NoRoom, x.Wait, x.Took
+	d.back, d.turned = x.Back, x.Turned
 	d.listPause, d.nextProbe, d.subscribed, d.asked = x.ListPause, max(0, x.NextProbe%(1<<21)), x.Subscribed, x.Asked
 	r := restorer{d: d, st: &st, class: make([]int, len(st.Classes))}
 	r.scalars()
--- a/choice/state.go
+++ b/choice/state.go
@@ -22,6 +22,15 @@
 
 func (m *rate) perS(now float64) float64 { return m.sum * math.Exp((m.at-now)/rateMemory) / rateMemory }
 
+// part is the part of the last so many of something that were so, after one more.
+func part(was float64, so bool, memory float64) float64 {
+	was -= was / memory
+	if so {
+		was += 1 / memory
+	}
+	return was
+}
+
 type attempt struct {
 	req       *request
 	no        int
@@ -209,6 +218,8 @@
 	probes      float64 // that traffic has paid for
 	retries     float64
 	late        float64 // part of late starts or answers
+	back        float64 // part of the tries that came back, as their callers say
+	turned      float64 // part of the tries that were turned away at once
 	paidMoves   float64
 	found       float64 // part of further attempts that were begun at once
 	dear        float64 // mean of the work that a job takes for its worth
