--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -35,7 +35,7 @@
 func (AskHints) effect()   {}
 
 const (
-	hintMost   = 30.0 // seconds that a hint counts without discovery's own word, where nobody who is reached holds so new a list
+	hintMost   = 30.0 // seconds that a hint counts without discovery's own word, since it was last told
 	mostRecent = 256  // hints that are kept for those that join, or whose discovery is late
 	askEvery   = 1.0  // seconds between two questions for them
 	hintPart   = 0.5  // of the next hops that hints may take out, all together
@@ -67,7 +67,10 @@
 		h, listed := r.hops[x.Hop]
 		old, held := r.hints[x.Hop]
 		switch {
-		case r.now < r.deafUntil || x.Source != r.sourceName() || x.Version <= r.version || !listed || h.State != HopActive || held && old.version >= x.Version:
+		case r.now < r.deafUntil || x.Source != r.sourceName() || x.Version <= r.version || !listed || h.State != HopActive || held && old.version > x.Version:
+		case held && old.version == x.Version:
+			old.at = r.now
+			r.hints[x.Hop] = old
 		case !held && float64(len(r.hints)+1) > hintPart*float64(len(r.hops)):
 			refused++
 		default:
@@ -101,12 +104,13 @@
 	}
 }
 
-// recentHints are those that still hold here: of hops that are out. One that came back is told of by its discovery only.
+// recentHints are those that still hold here: of hops that the own list has out, and for a time of those that peers told. Danger: two that
+// lag would keep a peer's slip alive between them for ever. One that came back is told of by discovery only.
 func (r *Reducer) recentHints() (all []Hint) {
 	r.recent = slices.DeleteFunc(r.recent, func(x HintState) bool {
 		h, listed := r.hops[x.Hop]
 		_, hinted := r.hints[x.Hop]
-		return listed && h.State == HopActive && !hinted
+		return listed && h.State == HopActive && (!hinted || r.now-x.At >= hintMost)
 	})
 	for _, x := range r.recent {
 		all = append(all, Hint{Hop: x.Hop, Version: x.Version, Source: r.sourceName()})
@@ -150,12 +154,8 @@
 	return back
 }
 
-// stands tells whether a hint that discovery has not answered yet still counts. Danger: one that ends by time alone sends to a worker that is
-// gone, where discovery is cut off for longer than that; so it counts for as long as somebody who is reached holds so new a list.
-func (r *Reducer) stands(x hint) bool {
-	return x.own && r.contested > 0 || r.now-x.at < hintMost || r.fleet != nil && !altered.Is("a peer's word ends by time") &&
-		r.fleet.Ahead(membership.OfRoutes, r.sourceName(), x.version)
-}
+// stands tells whether a hint that discovery has not answered yet still counts.
+func (r *Reducer) stands(x hint) bool { return x.own && r.contested > 0 || r.now-x.at < hintMost }
 
 // hintsPass drops hints that are too old.
 func (r *Reducer) hintsPass() {
--- a/internal/membership/clash.go
+++ b/internal/membership/clash.go
@@ -64,16 +64,6 @@
 	return Key{}, false
 }
 
-// Ahead tells whether a live member, not this one, holds a version of a kind that is as new as this, or newer.
-func (v *View) Ahead(kind Kind, source string, no int64) bool {
-	for k, e := range v.table {
-		if its := e.version(kind); k != v.self && e.Live() && its.Source == source && its.No >= no {
-			return true
-		}
-	}
-	return false
-}
-
 // version is what a member acts on, of a kind.
 func (r Record) version(kind Kind) Version {
 	switch kind {
