Probe no worker where no report comes back with a probe

J's settings allow probes, its workers report nothing, and a probe costs one 2.8 to 5.6 ms of work: each dispatcher asked 12 times a second and learned nothing, as only a report of free slots is read.

H allows none.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -70,7 +70,7 @@
 		act.Timer(d.rng.Float64()*s.AskWithin/4, listToken)
 		d.listPause = s.AskWithin / 16
 	}
-	if s.CanProbe {
+	if s.CanProbe && s.FreeSlots >= 0 { // a probe costs its worker work, and without a report tells nothing
 		act.Timer(tickEvery*d.rng.Float64(), tickToken)
 	}
 	return d, nil
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 )
 
@@ -564,9 +565,25 @@
 	}
 }
 
+// TestNoProbesWithoutReports: a probe costs its worker work, and where nothing comes back with it, it tells nothing.
+func TestNoProbesWithoutReports(t *testing.T) {
+	for free, want := range map[int]bool{-1: false, 0: true} {
+		s := plain(Idempotent)
+		s.CanProbe, s.FreeSlots = true, free
+		h := &host{}
+		if _, err := New(1, s, h); err != nil {
+			t.Fatal(err)
+		}
+		probes := slices.ContainsFunc(h.log, func(a sent) bool { return a.what == "timer" && a.token == tickToken })
+		if probes != want {
+			t.Errorf("free slots at %d: probes %v", free, probes)
+		}
+	}
+}
+
 func TestProbesFollowTraffic(t *testing.T) {
 	s := plain(Idempotent)
-	s.CanProbe = true
+	s.CanProbe, s.FreeSlots = true, 0
 	var ids []string
 	for i := range 500 {
 		ids = append(ids, fmt.Sprint("w", i))
