Watch the agent that lists are pushed to, which was never asked

The reducer now begins watching where lists are pushed (internal/core/reducer.go, New), and an agent that refuses is asked again after the same growing pause as elsewhere: that pause was 0 there, a loop without end. An ask_within_s of 0 counts as the default.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -66,9 +66,9 @@
 	for _, t := range s.Tenants {
 		d.tenants = append(d.tenants, tenant{Tenant: t})
 	}
+	d.listPause = s.AskWithin / 16
 	if s.ListOnRequest { // all dispatchers may start at once: spread their first calls
 		act.Timer(d.rng.Float64()*s.AskWithin/4, listToken)
-		d.listPause = s.AskWithin / 16
 	}
 	if s.CanProbe && s.FreeSlots >= 0 { // a probe costs its worker work, and without a report tells nothing
 		act.Timer(tickEvery*d.rng.Float64(), tickToken)
@@ -85,7 +85,7 @@
 		d.listPause = min(d.listPause*2, d.s.AskWithin/2)
 		return
 	}
-	if form != ListRemembered && d.s.ListOnRequest && d.asked {
+	if form != ListRemembered && d.asked {
 		d.subscribed, d.listPause = true, d.s.AskWithin/16
 	}
 	if form != ListChanges {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -86,18 +86,24 @@
 		"zone": choice.GroupZone, "cell": choice.GroupCell}
 )
 
+// defaultAskWithin is within how many seconds a list must be asked for, where the settings name no time.
+const defaultAskWithin = 10
+
 // Settings reads the settings object. Absent keys take the defaults set here.
 func Settings(text []byte) (choice.Settings, error) {
 	c := conf{Balancers: 1}
 	c.Allowed.MaxAttempts = 1
 	c.Allowed.MaxRetryAfter = 1
-	c.Contract.AskWithin = 10
+	c.Contract.AskWithin = defaultAskWithin
 	c.Contract.OverloadFactor = 1
 	c.Contract.TipAfter = 1
 	var s choice.Settings
 	if err := decode(text, &c); err != nil {
 		return s, fmt.Errorf("not a settings object: %w", err)
 	}
+	if c.Contract.AskWithin <= 0 { // danger: pauses between calls to discovery are parts of it, and none would be a storm
+		c.Contract.AskWithin = defaultAskWithin
+	}
 	s = choice.Settings{
 		Self: c.Me, Dispatchers: c.Balancers, Zone: c.Zone,
 		Prices: choice.Prices{CrossZone: c.Prices.CrossZone, Waste: c.Prices.Waste,
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -92,7 +92,7 @@
 }
 
 // New starts a reducer from the route set that the dispatcher last held, with discovery's address. The first
-// effects come with the first Step.
+// effects come with Resume, where lists are pushed, and with the first Step.
 func New(now float64, s choice.Settings, known RouteSet, discovery string) (*Reducer, error) {
 	r := empty(now, s)
 	r.source = Source{Addr: discovery}
@@ -104,6 +104,8 @@
 	r.decider = d
 	known.Full = true
 	r.applyRouteSet(known, choice.ListRemembered)
+	// Danger: where lists are pushed the module asks for nothing, but the agent that they are pushed to speaks only when it is watched.
+	r.watching = !s.ListOnRequest
 	return r, nil
 }
 
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -233,8 +233,8 @@
 	return nil
 }
 
-// Resume returns the effects that a successor performs before its first step: its predecessor's watch does not
-// pass on. What was told meanwhile is told again from the version held.
+// Resume returns the effects that are performed before the first step. A predecessor's watch does not pass on: what
+// was told meanwhile is told again from the version held. And where lists are pushed, nobody asks for the first watch.
 func (r *Reducer) Resume() []Effect {
 	if !r.watching {
 		return nil
