--- a/internal/gossip/air_test.go
+++ b/internal/gossip/air_test.go
@@ -36,12 +36,15 @@
 
 func newAir() *air { return &air{ports: map[netip.AddrPort]*airPort{}, next: 1000} }
 
+// airBacklog is how many connections wait to be accepted, as a kernel has it.
+const airBacklog = 128
+
 // sockets are a new member's.
 func (a *air) sockets() *Sockets {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.next++
-	p := &airPort{a: a, at: netip.AddrPortFrom(netip.MustParseAddr("127.1.0.1"), a.next), grams: make(chan airGram, 4*mostQueued), conns: make(chan net.Conn, mostStreams), done: make(chan struct{})}
+	p := &airPort{a: a, at: netip.AddrPortFrom(netip.MustParseAddr("127.1.0.1"), a.next), grams: make(chan airGram, 4*mostQueued), conns: make(chan net.Conn, airBacklog), done: make(chan struct{})}
 	a.ports[p.at] = p
 	return &Sockets{packet: p, stream: airListener{p}, addr: p.at, dial: p.dial}
 }
