--- a/internal/membership/clash.go
+++ b/internal/membership/clash.go
@@ -16,9 +16,9 @@
 // mostClashes bounds what is told of; more say nothing new.
 const mostClashes = 16
 
-// Clashes finds the numbers that members of the view hold with two contents, also members that are out of reach: what they acted on counts.
+// findClashes finds the numbers that members of the view hold with two contents, also members that are out of reach: what they acted on counts.
 // The lowest of them come first.
-func (v *View) Clashes() (all []Clash) {
+func (v *View) findClashes() (all []Clash) {
 	type number struct {
 		kind   Kind
 		no     int64
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -37,7 +37,7 @@
 	FloorsAt    float64 // when Floors' ages were true
 	FloorsTold  bool    // over half of the members were seen to hold them
 	Fenced      string  // why this member may not act; empty where it may
-	Clashes     []Clash // numbers that members hold with two contents
+	Clashes     []Clash // numbers that members hold with two contents, as of the last look
 }
 
 // Told is what is told to a member that asks for everything.
@@ -55,7 +55,7 @@
 func (v *View) Picture() Picture {
 	p := Picture{Now: v.now, Self: v.self, Process: v.Self().Process, Digest: v.digest, Changed: v.changed, Acting: v.Acting(),
 		Reached: v.Reached(), Zones: map[string]int{}, Dropped: v.dropped, History: v.last(),
-		Clashes: v.Clashes(),
+		Clashes: v.clashes,
 		Floors:  v.Floors(v.now), FloorDigest: v.FloorDigest(), Established: v.established, FloorsAt: v.now}
 	live := make(map[string]int, len(v.table))
 	p.Members = make([]Member, 0, len(v.table))
@@ -103,13 +103,14 @@
 	News        []Key        `cbor:"10,keyasint"`
 	Floors      []FloorState `cbor:"11,keyasint,omitempty"`
 	Established bool         `cbor:"12,keyasint,omitempty"`
+	Clashes     []Clash      `cbor:"13,keyasint,omitempty"`
 }
 
 // Export returns all that the view remembers. What Fresh and News would return is kept by both.
 func (v *View) Export() ViewState {
 	s := ViewState{Self: v.self, Now: v.now, Looked: v.looked, Begun: v.begun, Awake: v.awake, Changed: v.changed,
 		History: slices.Clone(v.last()), Dropped: v.dropped}
-	s.Established = v.established
+	s.Established, s.Clashes = v.established, slices.Clone(v.clashes)
 	for _, f := range v.heldFloors() {
 		s.Floors = append(s.Floors, FloorState{Floor: f.Floor, At: f.at, Took: f.took})
 	}
@@ -155,7 +156,7 @@
 	for _, k := range s.News {
 		v.news[k] = true
 	}
-	v.established = s.Established
+	v.established, v.clashes = s.Established, s.Clashes[:min(len(s.Clashes), mostClashes)]
 	for i, f := range s.Floors {
 		if err := f.Floor.Check(); err != nil {
 			return nil, fmt.Errorf("floor %d: %w", i, err)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -57,8 +57,9 @@
 	news        map[Key]bool
 	floors      map[Kind]*floors
 	floorNews   bool
-	established bool   // this process has learned of the floors since its start
-	dropped     uint64 // records refused for want of a place, or of a form that can't be
+	clashes     []Clash // as of the last look
+	established bool    // this process has learned of the floors since its start
+	dropped     uint64  // records refused for want of a place, or of a form that can't be
 }
 
 // New begins a view with this process's own record, which must pass Check.
@@ -313,6 +314,7 @@
 		}
 	}
 	v.looked = v.now
+	v.clashes = v.findClashes() // danger: for each record that comes, hundreds of members would have no time for anything else
 	in, doubted := set(s.Reached), set(s.Doubted)
 	digests := make(map[uint64]uint64, len(s.Heard))
 	for _, h := range s.Heard {
