Keep discovery's own drain of a contested list where a peer tells a later one

Read once more: a peer's later word on a hop that the own discovery had taken out, by a list with two contents, took the place of that word, and would have ended with it after 30 s, though the drain was told here. The word stays discovery's own. The reducer's test fails without it.

--- a/internal/core/contest_test.go
+++ b/internal/core/contest_test.go
@@ -71,6 +71,7 @@
 	if usable(r) != "bd" || r.version != 1 {
 		t.Fatalf("after changes: %q as of %d", usable(r), r.version)
 	}
+	r.Step(3.2, FleetHinted{Hints: []Hint{{"a", 7, "s"}}}) // a peer says the same of a, later; what discovery told here stays its own word
 	st, err := r.Export()
 	if err != nil {
 		t.Fatal(err)
@@ -85,8 +86,8 @@
 	if usable(r) != "bd" {
 		t.Errorf("discovery's own drains end by time: %q", usable(r))
 	}
-	r.Step(3+hintMost+6, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 6, Full: true, Hops: states("lalaa")}})
-	if usable(r) != "bde" || r.version != 6 || r.contested != 0 {
+	r.Step(3+hintMost+6, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 7, Full: true, Hops: states("lalaa")}})
+	if usable(r) != "bde" || r.version != 7 || r.contested != 0 {
 		t.Errorf("a number that all agree on: %q as of %d", usable(r), r.version)
 	}
 }
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -74,7 +74,7 @@
 		case !held && float64(len(r.hints)+1) > hintPart*float64(len(r.hops)):
 			refused++
 		default:
-			r.hints[x.Hop] = hint{version: x.Version, at: r.now}
+			r.hints[x.Hop] = hint{version: x.Version, at: r.now, own: old.own}
 			news = append(news, x)
 			if !held {
 				r.emit(DropHop{Addr: h.Addr})
