--- a/internal/core/audit.go
+++ b/internal/core/audit.go
@@ -111,7 +111,7 @@
 
 // routes is the version of the route set that is held.
 func (r *Reducer) routes() membership.Version {
-	return membership.Version{No: r.version, Digest: r.routeSum, Source: r.sourceName()}
+	return membership.Version{No: r.version, Digest: r.routesDigest(), Source: r.sourceName()}
 }
 
 // holds says to the account which versions are held from now on.
--- a/internal/core/contest.go
+++ b/internal/core/contest.go
@@ -26,18 +26,22 @@
 	return f.Sum64()
 }
 
-// routesDigest sums the route set up: the same list has the same digest at every dispatcher, whatever addresses it was told.
-func (r *Reducer) routesDigest() (d uint64) {
-	for _, h := range r.hops {
-		d += hopSum(h)
+// routesDigest sums the route set up: the same list has the same digest at every dispatcher, whatever addresses it was told. It is worked out once
+// for each list, and only where somebody asks.
+func (r *Reducer) routesDigest() uint64 {
+	if !r.summed {
+		r.summed, r.routeSum = true, 0
+		for _, h := range r.hops {
+			r.routeSum += hopSum(h)
+		}
 	}
-	return d
+	return r.routeSum
 }
 
 // digestAfter is the digest that the route set would have with a source's news in it.
 func (r *Reducer) digestAfter(set RouteSet) (d uint64) {
 	if !set.Full {
-		d = r.routeSum
+		d = r.routesDigest()
 	}
 	for _, h := range set.Hops {
 		if old, listed := r.hops[h.ID]; listed && !set.Full {
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -72,14 +72,15 @@
 	lease      float64          // seconds that it may act without touch with the fleet; 0 for any time
 	fenceUntil float64          // when it may act no longer
 	fenceWhy   string
-	audited    audit.Versions            // as the book holds them
-	shared     []byte                    // the configuration's shared part, as text; empty where it is not known
-	sharedBy   string                    // the member that told it; empty for the own file
-	bringsUp   bool                      // newer configurations are asked for at members that act on them
-	fetchAt    float64                   // when the next question for one may go out
-	fetches    uint64                    // questions that went out
-	acted      int64                     // newest version of the source's route set that was held
-	routeSum   uint64                    // digest of the route set
+	audited    audit.Versions // as the book holds them
+	shared     []byte         // the configuration's shared part, as text; empty where it is not known
+	sharedBy   string         // the member that told it; empty for the own file
+	bringsUp   bool           // newer configurations are asked for at members that act on them
+	fetchAt    float64        // when the next question for one may go out
+	fetches    uint64         // questions that went out
+	acted      int64          // newest version of the source's route set that was held
+	routeSum   uint64         // digest of the route set, where it is summed up
+	summed     bool
 	contested  int64                     // newest number of a list with two contents of which only what it takes out counts; 0 for none
 	askAt      float64                   // when the source may be asked again for its whole list in place of one that is contested
 	clashed    map[membership.Clash]bool // numbers of which it was said
@@ -467,7 +468,7 @@
 		return !listed
 	})
 	r.decider.List(r.now, form, list)
-	r.acted, r.routeSum, r.contested = r.version, r.routesDigest(), 0
+	r.acted, r.summed, r.contested = r.version, false, 0
 	r.holds()
 	if form != choice.ListRemembered {
 		r.drained(before)
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -149,7 +149,6 @@
 		}
 		r.hops[h.ID] = h
 	}
-	r.routeSum = r.routesDigest()
 	if len(st.Banned) > mostBans {
 		return nil, fmt.Errorf("%w: %d hops are out by hand, %d at most", ErrState, len(st.Banned), mostBans)
 	}
