--- a/choice/api.go
+++ b/choice/api.go
@@ -152,10 +152,13 @@
 	Skipped        // never sent
 	Cut            // the connection came up and broke before the job was written: never ran
 	Stale          // a kept connection had ended: may have run, and says nothing of the worker
+	Returned       // taken and handed back unstarted, as the worker said later: never ran
 )
 
 // NeverRan reports whether the code proves that the attempt did not run.
-func (c Code) NeverRan() bool { return c == Busy || c == NoConnect || c == Skipped || c == Cut }
+func (c Code) NeverRan() bool {
+	return c == Busy || c == NoConnect || c == Skipped || c == Cut || c == Returned
+}
 
 // Outcome is the end of one attempt.
 type Outcome struct {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -444,7 +444,7 @@
 		return false
 	}
 	for _, a := range r.attempts {
-		if a.w == w && (!a.ended || free || now < w.fullTill) {
+		if a.w == w && (!a.ended || a.once || free || now < w.fullTill) {
 			return false
 		}
 	}
@@ -509,6 +509,7 @@
 	a := r.attempts[o.Attempt]
 	w := a.w
 	a.ended, a.neverRan = true, o.Code.NeverRan()
+	a.once = !a.neverRan || o.Code == Returned // danger: its worker may tell it again, as of a later one
 	r.out--
 	w.out = slices.DeleteFunc(w.out, func(x *attempt) bool { return x == a })
 	w.n[r.Class]--
@@ -553,7 +554,7 @@
 		}
 		w.profiles[r.Class].add(took, cost)
 		d.reshare(now, r.Class, w)
-	case Busy, Cancelled:
+	case Busy, Returned, Cancelled:
 		if o.Code == Cancelled && !a.started && d.s.TellsStart {
 			d.waited(now, w, max(2*o.Latency, d.queue(now, w)))
 		}
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -86,6 +86,7 @@
 	Worker                                  int // place in Snapshot.Workers; -1-n for place n in Snapshot.Gone
 	Sent, StartedAt, HeardAt                float64
 	Started, Taken, Spared, Ended, NeverRan bool
+	Once                                    bool `cbor:",omitempty"`
 	Listen                                  uint64
 }
 
@@ -166,7 +167,7 @@
 			place[a.w] = at
 		}
 		q.Attempts = append(q.Attempts, AttemptState{Worker: at, Sent: a.sent, StartedAt: a.startedAt, HeardAt: a.heardAt,
-			Started: a.started, Taken: a.taken, Spared: a.spared, Ended: a.ended, NeverRan: a.neverRan, Listen: a.listen})
+			Started: a.started, Taken: a.taken, Spared: a.spared, Ended: a.ended, NeverRan: a.neverRan, Once: a.once, Listen: a.listen})
 	}
 	return q
 }
@@ -336,7 +337,7 @@
 			}
 			to.attempts = append(to.attempts, &attempt{req: to, no: no, w: w, sent: a.Sent, started: a.Started,
 				startedAt: a.StartedAt, taken: a.Taken, heardAt: a.HeardAt, listen: a.Listen, spared: a.Spared,
-				ended: a.Ended, neverRan: a.NeverRan})
+				ended: a.Ended, neverRan: a.NeverRan, once: a.Once || a.Ended && !a.NeverRan})
 			if !a.Ended {
 				to.out++
 			}
--- a/choice/state.go
+++ b/choice/state.go
@@ -44,6 +44,7 @@
 	spared    bool   // from a move, once, as its connection may not have come up yet
 	ended     bool
 	neverRan  bool
+	once      bool // its worker gets the request no more
 }
 
 type request struct {
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -62,6 +62,7 @@
 		DialTimeout: time.Duration(cfg.Settings.DialTimeout * secondsToNanos),
 		IdleClose:   time.Duration(cfg.Settings.ConnIdle * secondsToNanos),
 		MostConns:   forHops,
+		Present:     n.legs.Present,
 	}, n.gate, clock.Now, n.loop.Post, log)
 	n.routes = routeset.NewClient(n.gate, n.loop.Post, log)
 	n.body = &upgrade.Body{Loop: n.loop, Reducer: reducer, Gate: n.gate, Clock: clock, Generation: 1, Started: time.Now(),
--- a/cmd/foldlb/serve_test.go
+++ b/cmd/foldlb/serve_test.go
@@ -170,10 +170,14 @@
 	return resp.StatusCode(), string(resp.Body())
 }
 
-// jobs counts the jobs that have reached the next hops.
+// jobs takes what has reached the next hops and counts the jobs in it. It may be called once.
 func (w *world) jobs() (n int) {
 	for _, h := range w.hops {
-		n += len(h.got)
+		for range len(h.got) {
+			if strings.HasPrefix(<-h.got, "POST ") {
+				n++
+			}
+		}
 	}
 	return n
 }
@@ -229,8 +233,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			w := start(t, active, tc.plays...)
 			status, _ := w.call("r", tc.class, "5")
-			if status != tc.status || tc.jobs > 0 && w.jobs() != tc.jobs {
-				t.Errorf("answered %d after %d jobs, want %d after %d", status, w.jobs(), tc.status, tc.jobs)
+			if jobs := w.jobs(); status != tc.status || tc.jobs > 0 && jobs != tc.jobs {
+				t.Errorf("answered %d after %d jobs, want %d after %d", status, jobs, tc.status, tc.jobs)
 			}
 		})
 	}
--- a/cmd/foldlb/upgrade_test.go
+++ b/cmd/foldlb/upgrade_test.go
@@ -307,14 +307,20 @@
 
 // takes waits until a next hop has been sent a job.
 func (p *process) takes(h *hop, id string) {
+	p.t.Helper()
+	p.gets(h, "POST "+id+"/api")
+}
+
+// gets waits until a next hop has been sent something.
+func (p *process) gets(h *hop, want string) {
 	p.t.Helper()
 	select {
 	case got := <-h.got:
-		if got != "POST "+id+"/api" {
-			p.t.Fatalf("next hop %s got %q, want job %s", h.id, got, id)
+		if got != want {
+			p.t.Fatalf("next hop %s got %q, want %q", h.id, got, want)
 		}
 	case <-time.After(patience):
-		p.t.Fatalf("job %s does not reach next hop %s", id, h.id)
+		p.t.Fatalf("%q does not reach next hop %s", want, h.id)
 	}
 }
 
@@ -454,13 +460,14 @@
 	p.nothingAt(p.hops[0])
 }
 
-// TestUpgradeCallerLeaves: a caller that goes away during the hold is noticed, and its late result reaches nobody.
+// TestUpgradeCallerLeaves: a caller that goes away during the hold is noticed, its job is given up, and its late result reaches nobody.
 func TestUpgradeCallerLeaves(t *testing.T) {
 	p := launch(t, false, take)
 	c, other := p.dial(), p.dial()
 	c.say(job("r1", "once", 5))
 	p.takes(p.hops[0], "r1")
 	p.replaced(func() { c.Close() })
+	p.gets(p.hops[0], "DELETE /jobs/r1")
 	p.callBack(`{"id":"r1","from":"a","state":"done","result":"one"}`)
 	other.say(job("r2", "once", 5))
 	p.takes(p.hops[0], "r2")
--- a/internal/callerleg/server.go
+++ b/internal/callerleg/server.go
@@ -286,6 +286,15 @@
 	return l.answer, l.answered
 }
 
+// Present tells whether a leg waits for its answer and its caller has not closed the connection, as far as the kernel knows. It reads nothing.
+func (s *Server) Present(id core.LegID) bool {
+	s.mu.Lock()
+	l := s.legs[id]
+	waits := l != nil && !l.answered
+	s.mu.Unlock()
+	return waits && !l.conn.Ended()
+}
+
 // Answer hands a final answer to its caller leg. It does not block.
 func (s *Server) Answer(a core.Answer) {
 	s.mu.Lock()
--- a/internal/callerleg/server_test.go
+++ b/internal/callerleg/server_test.go
@@ -131,6 +131,63 @@
 	}
 }
 
+// TestCallerLeavesBehindBytes: a caller that has sent more behind its request has gone all the same when it closes or resets its connection,
+// and bytes beyond what is read ahead do not hide that.
+func TestCallerLeavesBehindBytes(t *testing.T) {
+	for _, more := range []int{0, 1, 300, 20 << 10, 200 << 10} {
+		for _, reset := range []bool{false, true} {
+			f := serve(t, 16)
+			c := f.dial()
+			c.send(ask, "hi")
+			leg := f.event().(core.CallArrived).Call.Leg
+			if !f.s.Present(leg) {
+				t.Fatalf("%d bytes: gone before it left", more)
+			}
+			if _, err := io.WriteString(c, strings.Repeat("x", more)); err != nil {
+				t.Fatal(err)
+			}
+			if more > 100<<10 && !reset {
+				continue // its end stands behind bytes that the kernel has no room for, and can't arrive
+			}
+			if reset {
+				c.Conn.(*net.TCPConn).SetLinger(0)
+			}
+			c.Close()
+			if e := f.event(); e != (core.CallerLeft{Leg: leg}) {
+				t.Errorf("%d bytes, reset %v: event %+v, want that the caller left", more, reset, e)
+			}
+			if f.s.Present(leg) {
+				t.Errorf("%d bytes, reset %v: present after it left", more, reset)
+			}
+		}
+	}
+}
+
+// TestPresentAsksTheKernel: a close counts from when the machine knows, not from when somebody has read it.
+func TestPresentAsksTheKernel(t *testing.T) {
+	f := serve(t, 16)
+	for _, more := range []string{"", "POST"} {
+		c := f.dial()
+		c.send(ask, "hi")
+		leg := f.event().(core.CallArrived).Call.Leg
+		if err := f.s.gate.Hold(patience, nil); err != nil { // nobody reads
+			t.Fatal(err)
+		}
+		io.WriteString(c, more)
+		c.Close()
+		for limit := time.Now().Add(patience); f.s.Present(leg); runtime.Gosched() {
+			if time.Now().After(limit) {
+				t.Fatalf("behind %q: still present", more)
+			}
+		}
+		if len(f.events) > 0 {
+			t.Fatalf("event %+v while held", <-f.events)
+		}
+		f.s.gate.Release()
+		f.event()
+	}
+}
+
 // TestNextRequestReadAhead: what a caller sends behind a request that waits belongs to the next one.
 func TestNextRequestReadAhead(t *testing.T) {
 	f := serve(t, 16)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -11,7 +11,7 @@
 
 func settings(effect choice.Effect) choice.Settings {
 	return choice.Settings{Dispatchers: 1, MaxAttempts: 3, FreeSlots: -1, FreeMem: -1, ErrorsPerS: -1,
-		ServiceMillis: -1, RetryAfter: true, MaxRetryAfter: 2, CanCancel: true, TellsStart: true,
+		ServiceMillis: -1, RetryAfter: true, MaxRetryAfter: 2, CanCancel: true, SecondCopies: true, TellsStart: true,
 		Prices: choice.Prices{Waste: 0.01}, OverloadFactor: 3,
 		Classes: []choice.Class{{Name: "c", Effect: effect, Aim: 0.2, Stretch: 2, Deadline: 5, Worth: 1}}}
 }
@@ -73,8 +73,8 @@
 		{"done", choice.AtMostOnce, report(JobDone), []string{served}},
 		{"failed", choice.AtMostOnce, report(JobFailed), []string{failed}},
 		{"lost", choice.AtMostOnce, report(JobLost), []string{failed}},
-		{"broken after writing", choice.AtMostOnce, BranchFailed{1, Broken}, []string{failed}},
-		{"a kept connection broke", choice.AtMostOnce, BranchFailed{1, Stale}, []string{failed}},
+		{"broken after writing", choice.AtMostOnce, BranchFailed{1, Broken}, []string{"give up a", failed}},
+		{"a kept connection broke", choice.AtMostOnce, BranchFailed{1, Stale}, []string{"give up a", failed}},
 		{"errored", choice.AtMostOnce, BranchFailed{1, Errored}, []string{failed}},
 		{"no connection", choice.AtMostOnce, BranchFailed{1, NoConnect}, []string{busy}},
 		{"error of what may be repeated", choice.Idempotent, report(JobFailed), []string{busy}},
@@ -83,7 +83,8 @@
 		{"report from another hop", choice.AtMostOnce, JobReported{Request: "r", From: "b", State: JobDone}, nil},
 		{"report on another request", choice.AtMostOnce, JobReported{Request: "q", From: "a", State: JobDone}, nil},
 		{"fault of another branch", choice.AtMostOnce, BranchFailed{9, Broken}, nil},
-		{"caller left", choice.AtMostOnce, CallerLeft{7}, nil},
+		{"caller left", choice.AtMostOnce, CallerLeft{7}, []string{"give up a"}},
+		{"caller left, of what may be repeated", choice.Idempotent, CallerLeft{7}, []string{"give up a"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := start(t, tc.effect, "a")
@@ -119,7 +120,7 @@
 		choice.Idempotent: Busy} {
 		r := start(t, effect, "a")
 		r.Step(2, call("r"))
-		expect(t, r.Step(3, Stopping{}), "give up a", fmt.Sprint("answer ", verdict, " "))
+		expect(t, r.Step(3, Stopping{}), fmt.Sprint("answer ", verdict, " "), "give up a")
 		expect(t, r.Step(4, Stopping{}))
 	}
 }
@@ -194,13 +195,13 @@
 	r = start(t, choice.AtMostOnce, "a")
 	r.Step(2, call("r"))
 	expect(t, r.Step(2.1, BranchFailed{1, Broken}))
-	expect(t, r.Step(2.1+2*doubtTime, Tick{}), failed)
+	expect(t, r.Step(2.1+2*doubtTime, Tick{}), "give up a", failed)
 
 	r = start(t, choice.Idempotent, "a", "b")
 	r.Step(2, call("r"))
 	from := r.branches[1].hop
-	if got := brief(r.Step(2.1, BranchFailed{1, Broken})); len(got) != 1 || got[0] == "send "+string(from) {
-		t.Fatalf("effects %q, want another branch", got)
+	if got := brief(r.Step(2.1, BranchFailed{1, Broken})); len(got) != 2 || got[0] != "give up "+string(from) || got[1] == "send "+string(from) {
+		t.Fatalf("effects %q, want that one given up and another branch", got)
 	}
 	got := brief(r.Step(2.2, JobReported{Request: "r", From: from, State: JobDone, Result: []byte("x")}))
 	if len(got) != 2 || got[0] != served || got[1][:7] != "give up" {
@@ -224,19 +225,19 @@
 		{"a leaving hop is skipped", func(h host) { h.Assign("r", "gone", 0) }, nil},
 		{"an unknown request is logged", func(h host) { h.Assign("q", "b", 0) }, []string{"core.Log"}},
 		{"cancel ends once", func(h host) { h.Cancel("r", 0); h.Cancel("r", 7) }, []string{"give up a"}},
-		{"one answer", func(h host) { h.Refuse("r", 9); h.Fail("r") }, []string{fmt.Sprint("answer ", Busy, " ")}},
+		{"one answer", func(h host) { h.Refuse("r", 9); h.Fail("r") }, []string{fmt.Sprint("answer ", Busy, " "), "give up a"}},
 		{"watch", func(h host) { h.Subscribe(true) }, []string{"core.Watch"}},
 		{"fetch", func(h host) { h.ListAll() }, []string{"core.FetchRouteSet"}},
 		{"close idle", func(h host) { h.CloseIdle("b") }, []string{"core.CloseIdle"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			r := start(t, choice.AtMostOnce, "a", "b")
+			r := start(t, choice.Idempotent, "a", "b")
 			r.hops["gone"] = Hop{ID: "gone", Addr: "gone:1", State: HopLeaving}
 			for { // until the request is at a
 				if brief(r.Step(2, call("r")))[0] == "send a" {
 					break
 				}
-				r = start(t, choice.AtMostOnce, "a")
+				r = start(t, choice.Idempotent, "a")
 				r.hops["b"] = Hop{ID: "b", Addr: "b:1"}
 				r.hops["gone"] = Hop{ID: "gone", Addr: "gone:1", State: HopLeaving}
 			}
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -116,6 +116,12 @@
 // BranchTaken says that a branch's next hop has taken the job.
 type BranchTaken struct{ Branch BranchID }
 
+// BranchReleased says that the giving up of a branch that may have been written is over: its next hop has confirmed that, or can't be told.
+type BranchReleased struct {
+	Branch BranchID
+	Told   bool
+}
+
 // JobState is what a next hop reports of a job that it took.
 type JobState int
 
@@ -166,6 +172,7 @@
 func (HealthAsked) event()     {}
 func (BranchFailed) event()    {}
 func (BranchTaken) event()     {}
+func (BranchReleased) event()  {}
 func (JobReported) event()     {}
 func (RouteSetTold) event()    {}
 func (RouteSetRefused) event() {}
@@ -204,6 +211,9 @@
 	Hop     HopID
 	Addr    string
 	Until   float64 // when the branch is given up
+	Leg     LegID   `cbor:",omitempty"` // whose caller waits for it; 0 for one that nobody need ask for
+	Before  float64 `cbor:",omitempty"` // when its first byte must be written, since its class allows a repeat for so long; 0 for no such time
+	Once    bool    `cbor:",omitempty"` // what a next hop says of it must be beyond doubt, as a repeat may do harm
 	Message Message
 }
 
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -24,27 +24,52 @@
 	if until == 0 || until > q.deadline {
 		until = q.deadline
 	}
+	hop, known := r.hops[HopID(worker)]
+	before, allowed := r.mayRepeat(q, hop)
 	r.lastID++
-	b := &branch{id: r.lastID, no: len(q.branches), req: q, hop: HopID(worker), sent: r.now}
+	b := &branch{id: r.lastID, no: len(q.branches), req: q, hop: HopID(worker), sent: r.now, zone: hop.Zone, cell: hop.Cell}
 	q.branches = append(q.branches, b)
 	q.open++
 	r.branches[b.id] = b
-	hop, known := r.hops[b.hop]
 	// A hop that drains, is out by hand or has gone gets nothing new, whatever the decider still thinks of it.
-	if q.over || r.fenced() || !known || !r.usable(hop) || until <= r.now || b.no >= r.settings.MaxAttempts {
+	if q.over || r.fenced() || !known || !r.usable(hop) || !allowed || until <= r.now || b.no >= r.settings.MaxAttempts {
 		r.later = append(r.later, func() { r.endBranch(b, choice.Skipped, nil) })
 		return
 	}
 	b.addr = hop.Addr
 	r.tally.Branches++
 	r.act(audit.Sent, q, b.hop)
-	r.emit(SendBranch{Branch: b.id, Request: q.call.ID, Hop: b.hop, Addr: b.addr, Until: until,
-		Message: q.call.Message})
+	r.emit(SendBranch{Branch: b.id, Request: q.call.ID, Hop: b.hop, Addr: b.addr, Until: until, Leg: q.call.Leg, Before: before,
+		Once: r.effect(q) != choice.Idempotent, Message: q.call.Message})
 	if until < q.deadline {
 		r.after(until, timer{kind: timerBranch, branch: b.id})
 	}
 }
 
+// mayRepeat tells whether the request's class allows a further branch at a hop after those that it has had, whatever the decider thinks,
+// and until when its first byte may be written; 0 for no such time. A hop gets a request a second time only where the first never
+// reached it, or was turned away on its own connection. Danger: call-backs are told again until they are answered, so one that ended an
+// earlier branch there may come once more, and would end the later one, which runs.
+func (r *Reducer) mayRepeat(q *request, hop Hop) (before float64, ok bool) {
+	class := &r.settings.Classes[r.classes[q.call.Class]]
+	for _, b := range q.branches {
+		again := b.ended && b.code.NeverRan()
+		switch {
+		case b.hop == hop.ID && (!again || b.code == choice.Returned), !b.released && !r.settings.SecondCopies:
+			return 0, false
+		case again || class.Effect == choice.Idempotent:
+			continue
+		case class.Effect == choice.AtMostOnce,
+			class.Group == choice.GroupZone && b.zone != hop.Zone, class.Group == choice.GroupCell && b.cell != hop.Cell:
+			return 0, false
+		}
+		if end := b.sent + class.Window; before == 0 || end < before {
+			before = end
+		}
+	}
+	return before, before == 0 || r.now <= before
+}
+
 func (h host) Refuse(id string, pause float64) {
 	if !h.r.settings.RetryAfter || pause < 0 || math.IsNaN(pause) {
 		pause = 0
@@ -66,10 +91,10 @@
 	if q == nil || attempt < 0 || attempt >= len(q.branches) || q.branches[attempt].ended {
 		return
 	}
-	b := q.branches[attempt]
-	h.r.tally.Moves++
-	h.r.giveUp(b)
-	h.r.later = append(h.r.later, func() { h.r.endBranch(b, choice.Cancelled, nil) })
+	if b := q.branches[attempt]; !b.givenUp {
+		h.r.tally.Moves++
+		h.r.later = append(h.r.later, h.r.release(b, choice.Cancelled))
+	}
 }
 
 func (h host) Timer(delay float64, token uint64) {
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -34,9 +34,17 @@
 	hop   HopID
 	addr  string
 	sent  float64
-	ended bool
+	zone  string // of the hop, as it was told then
+	cell  int
 	begun bool // its start has been passed on
 
+	// An attempt is open, given up (its next hop is being told, and code is what it will end as), or ended. released says that nothing of it
+	// runs, or may yet, as far as its next hop or this machine can know.
+	givenUp  bool
+	ended    bool
+	code     choice.Code
+	released bool
+
 	inDoubt bool // its connection broke, and a report of its start is still waited for
 }
 
@@ -159,6 +167,11 @@
 		if b := r.branches[ev.Branch]; b != nil && !b.begun {
 			r.decider.Note(r.now, choice.Note{Request: string(b.req.call.ID), Worker: string(b.hop), Attempt: b.no, Taken: true})
 		}
+	case BranchReleased:
+		if b := r.branches[ev.Branch]; b != nil && b.givenUp {
+			b.released = ev.Told
+			r.endBranch(b, b.code, nil)
+		}
 	case JobReported:
 		if ev.Leg != 0 {
 			a := Answer{Leg: ev.Leg, Verdict: Served}
@@ -219,8 +232,9 @@
 // well; taken for an error of its own, a few bad requests would bar it from all others.
 func (r *Reducer) branchFailed(b *branch, f Fault) {
 	switch {
-	case f == Unfit && !b.req.over:
-		r.answer(b.req, Answer{Verdict: Rejected, Reason: "no next hop can use the request"})
+	case f == Unfit:
+		r.endBranch(b, faultCodes[f], &Answer{Verdict: Rejected, Reason: "no next hop can use the request"})
+		return
 	case f == Broken && b.begun:
 		return // the job runs: its end will be reported, or it ends at the deadline
 	case f == Broken && r.effect(b.req) == choice.AtMostOnce && !b.inDoubt:
@@ -229,10 +243,29 @@
 		b.inDoubt = true
 		r.after(r.now+doubtTime, timer{kind: timerDoubt, branch: b.id, fault: f})
 		return
+	case b.begun && faultCodes[f].NeverRan():
+		f = Errored // danger: the hop has told that it began, so what says that it never ran is another one's word, or a mistake
+	case b.givenUp && (f == Broken || f == Stale):
+		return // this machine closed the connection, and the hop is being told
+	case f == Broken || f == Stale:
+		// Danger: the hop may have taken the job and said so just as the connection broke.
+		r.release(b, faultCodes[f])()
+		return
 	}
+	b.released = f == Errored
 	r.endBranch(b, faultCodes[f], nil)
 }
 
+// release gives a branch up, and returns what ends it. Where copies are not allowed and its class may be repeated, that is to wait for the word of its next hop: until
+// then it counts as out. Danger: a repeat elsewhere would be a second copy.
+func (r *Reducer) release(b *branch, code choice.Code) (end func()) {
+	r.giveUp(b)
+	if b.code = code; !r.settings.SecondCopies && r.effect(b.req) != choice.AtMostOnce && !b.req.over {
+		return func() {}
+	}
+	return func() { r.endBranch(b, code, nil) }
+}
+
 func (r *Reducer) callArrived(c Call) {
 	class, known := r.classes[c.Class]
 	tenant, hasTenant := r.tenants[c.Tenant]
@@ -272,6 +305,7 @@
 func (r *Reducer) callerLeft(leg LegID) {
 	if q := r.legs[leg]; q != nil {
 		r.finish(q)
+		r.settle()
 		r.decider.Withdrawn(r.now, string(q.call.ID))
 	}
 }
@@ -306,11 +340,6 @@
 		if len(q.branches) > 0 && r.effect(q) != choice.Idempotent {
 			a.Verdict = Failed
 		}
-		for _, b := range q.branches {
-			if !b.ended {
-				r.giveUp(b)
-			}
-		}
 		r.answer(q, a)
 	}
 }
@@ -327,15 +356,22 @@
 	case a.Verdict == Failed:
 		r.tally.Failed++
 	}
-	r.finish(q)
 	r.emit(a)
+	r.finish(q)
 }
 
-// finish marks that nothing more is owed to the caller.
+// finish marks that nothing more is owed to the caller, and gives up what is still out for it. Danger: an attempt whose connection is
+// still being opened would be sent when that comes up, long after its caller has gone or was answered.
 func (r *Reducer) finish(q *request) {
 	q.over = true
 	q.call.Message = Message{}
 	delete(r.legs, q.call.Leg)
+	for _, b := range q.branches {
+		if !b.ended {
+			r.giveUp(b)
+			r.later = append(r.later, func() { r.endBranch(b, choice.TimedOut, nil) }) // it tells nothing of its next hop
+		}
+	}
 	r.forget(q)
 }
 
@@ -349,17 +385,18 @@
 	}
 }
 
-// endBranch passes the one outcome of a branch on; the first Done also answers the caller.
-func (r *Reducer) endBranch(b *branch, code choice.Code, result []byte) {
+// endBranch passes the one outcome of a branch on. Where that decides the request it brings the final answer; the first one counts.
+func (r *Reducer) endBranch(b *branch, code choice.Code, final *Answer) {
 	if b.ended {
 		return
 	}
-	b.ended = true
+	b.ended, b.code = true, code
+	b.released = b.released || code.NeverRan() || code == choice.Done
 	delete(r.branches, b.id)
 	q := b.req
 	q.open--
-	if code == choice.Done && !q.over {
-		r.answer(q, Answer{Verdict: Served, Body: result})
+	if final != nil && !q.over {
+		r.answer(q, *final)
 	}
 	r.forget(q)
 	r.decider.Outcome(r.now, choice.Outcome{Request: string(q.call.ID), Attempt: b.no, Worker: string(b.hop),
@@ -369,7 +406,12 @@
 // actOf is how the account counts an answer.
 var actOf = map[Verdict]audit.Kind{Served: audit.Answered, Busy: audit.Refused, Failed: audit.Failed, Rejected: audit.Failed, Unowned: audit.Failed}
 
+// giveUp has a branch's next hop told that nobody waits for it any more, once.
 func (r *Reducer) giveUp(b *branch) {
+	if b.givenUp {
+		return
+	}
+	b.givenUp = true
 	r.act(audit.GivenUp, b.req, b.hop)
 	r.emit(GiveUpBranch{Branch: b.id, Request: b.req.call.ID, Hop: b.hop, Addr: b.addr})
 }
@@ -406,12 +448,18 @@
 		r.decider.Note(r.now, choice.Note{Request: string(q.call.ID), Worker: string(b.hop), Attempt: b.no,
 			Started: ev.State == JobStarted, Share: ev.Share})
 	case JobDone:
-		r.endBranch(b, choice.Done, ev.Result)
+		r.endBranch(b, choice.Done, &Answer{Verdict: Served, Body: ev.Result})
 	case JobFailed:
+		b.released = true
 		r.endBranch(b, choice.Errored, nil)
 	case JobReturned:
-		r.endBranch(b, choice.Busy, nil)
+		code := choice.Returned
+		if b.begun {
+			code = choice.Errored // danger: what has begun was not handed back unstarted, whoever says so
+		}
+		r.endBranch(b, code, nil)
 	case JobLost:
+		b.released = true
 		r.endBranch(b, choice.Reset, nil)
 	}
 }
@@ -419,12 +467,7 @@
 // doneAfterAll serves a request with the result of a branch that was taken for lost, and ends the others.
 func (r *Reducer) doneAfterAll(q *request, result []byte) {
 	r.answer(q, Answer{Verdict: Served, Body: result})
-	for _, b := range q.branches {
-		if !b.ended {
-			r.giveUp(b)
-			r.endBranch(b, choice.Cancelled, nil)
-		}
-	}
+	r.settle()
 	r.decider.Withdrawn(r.now, string(q.call.ID))
 }
 
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -67,6 +67,12 @@
 	Ended   bool
 	Begun   bool
 	InDoubt bool
+	Zone    string `cbor:",omitempty"`
+	Cell    int    `cbor:",omitempty"`
+	// How it ended, or will once it is released; an older program's is Done, which may have run.
+	Code     choice.Code `cbor:",omitempty"`
+	GivenUp  bool        `cbor:",omitempty"`
+	Released bool        `cbor:",omitempty"`
 }
 
 // ErrState says that a state can't be taken up. Import's errors wrap it and name what does not fit.
@@ -109,7 +115,8 @@
 		out := RequestState{Call: q.call, Deadline: q.deadline, Over: q.over}
 		for _, b := range q.branches {
 			out.Branches = append(out.Branches, BranchState{ID: b.id, Hop: b.hop, Addr: b.addr, Sent: b.sent, Ended: b.ended,
-				Begun: b.begun, InDoubt: b.inDoubt})
+				Begun: b.begun, InDoubt: b.inDoubt, Zone: b.zone, Cell: b.cell, Code: b.code,
+				GivenUp: b.givenUp, Released: b.released})
 		}
 		s.Requests = append(s.Requests, out)
 	}
@@ -215,7 +222,7 @@
 			return fmt.Errorf("%w: branch %d is there twice or not given out yet", ErrState, b.ID)
 		}
 		own := &branch{id: b.ID, no: no, req: to, hop: b.Hop, addr: b.Addr, sent: b.Sent, ended: b.Ended, begun: b.Begun,
-			inDoubt: b.InDoubt}
+			inDoubt: b.InDoubt, zone: b.Zone, cell: b.Cell, code: b.Code, givenUp: b.GivenUp, released: b.Released}
 		to.branches = append(to.branches, own)
 		if !b.Ended {
 			to.open++
--- a/internal/hold/conn.go
+++ b/internal/hold/conn.go
@@ -21,7 +21,6 @@
 	nowhere place = iota
 	inRead
 	inWrite
-	inAwait // with a byte ahead, so that only Interrupt ends the wait
 )
 
 // Conn is a connection that can be held. One goroutine at a time may read and write it; Interrupt, the deadlines
@@ -44,6 +43,7 @@
 	ahead       []byte // to be read before anything from the kernel
 	taken       []byte // read since the last Mark
 	rest        []byte // not written yet, while parked in a Write
+	begun       bool   // part of what that Write was given is written
 	readUntil   time.Time
 	writeUntil  time.Time
 
@@ -142,6 +142,15 @@
 		c.waiting = false
 	}
 	for {
+		if len(c.into) == 0 {
+			if tcp.HungUp(int(fd)) {
+				c.fault = io.EOF
+				return true
+			}
+			c.waiting = true // the kernel tells of whatever else comes, too
+			c.gate.Rest()
+			return false
+		}
 		n, err := syscall.Read(int(fd), c.into)
 		switch {
 		case err == syscall.EINTR:
@@ -215,17 +224,26 @@
 	c.cond.Broadcast()
 }
 
-// Write writes all of p. An error may leave part of it written.
-func (c *Conn) Write(p []byte) (int, error) {
+// Write writes all of p. An error may leave part of it written, and means that the kernel has not taken all of it.
+func (c *Conn) Write(p []byte) (int, error) { return c.WriteIf(p, nil) }
+
+// WriteIf writes all of p, where may allows it; nil for always. It is asked in the last moment before the first byte, anew where the gate was
+// held in between, and its error is returned as it is.
+func (c *Conn) WriteIf(p []byte, may func() error) (int, error) {
 	done := 0
 	for {
+		if done == 0 && may != nil {
+			if err := may(); err != nil {
+				return 0, err
+			}
+		}
 		n, err := c.writeKernel(p[done:])
 		done += n
 		if done == len(p) {
 			return done, nil
 		}
 		c.mu.Lock()
-		c.rest = p[done:]
+		c.rest, c.begun = p[done:], done > 0
 		c.mu.Unlock()
 		on := timedOut(err) && c.park(inWrite)
 		c.mu.Lock()
@@ -237,6 +255,13 @@
 	}
 }
 
+// Untouched tells whether a Write is parked of which the kernel has not taken a byte. The gate must be held.
+func (c *Conn) Untouched() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rest != nil && !c.begun
+}
+
 // firstBytes is how much First reads at once: a usual request whole, without much memory for silent connections.
 const firstBytes = 512
 
@@ -265,27 +290,30 @@
 	}
 }
 
+// mostAhead bounds the bytes that an Await reads ahead; what comes beyond that stays in the kernel, whose buffer bounds it.
+const mostAhead = 16 << 10
+
+// awaitBytes is how much an Await reads at once. Connections that wait are many, and nearly all say nothing.
+const awaitBytes = 64
+
 // Await reads ahead until Interrupt is called (nil), or the connection ends (its error). Bytes that come meanwhile
-// stay ahead for the next Read. A read deadline ends it as a Read.
+// stay ahead for the next Read, mostAhead of them at the most. A read deadline ends it as a Read. Danger: the end stands behind all
+// bytes that came before it, so a wait that stopped at the first byte would never see the other side leave.
 func (c *Conn) Await() error {
-	var b [1]byte
+	var b [awaitBytes]byte
 	for {
 		c.mu.Lock()
-		if !c.interrupted && len(c.ahead) > 0 {
-			c.waitAt(inAwait)
-		}
 		if c.interrupted {
 			c.interrupted = false
 			c.setRead()
 			c.mu.Unlock()
 			return nil
 		}
+		room := min(awaitBytes, mostAhead-len(c.ahead))
 		c.mu.Unlock()
-		n, err := c.readKernel(b[:])
+		n, err := c.readKernel(b[:max(0, room)]) // without room it waits for the end alone
 		c.mu.Lock()
-		if n > 0 {
-			c.ahead = append(c.ahead, b[0])
-		}
+		c.ahead = append(c.ahead, b[:n]...)
 		interrupted := c.interrupted
 		c.mu.Unlock()
 		if n == 0 && !interrupted && (!timedOut(err) || !c.park(inRead)) {
@@ -299,7 +327,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.interrupted = true
-	if c.parked == inRead || c.parked == inAwait {
+	if c.parked == inRead {
 		c.wake()
 		return
 	}
@@ -338,6 +366,9 @@
 	return !ahead && tcp.Silent(c.Conn)
 }
 
+// Ended tells whether the other side has closed its end or reset the connection, whatever it sent before and nobody has read.
+func (c *Conn) Ended() bool { return tcp.Ended(c.Conn) }
+
 // SetDeadline sets both deadlines.
 func (c *Conn) SetDeadline(t time.Time) error {
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
--- a/internal/nexthop/conn.go
+++ b/internal/nexthop/conn.go
@@ -18,9 +18,10 @@
 type conn struct {
 	*hold.Conn
 	addr  string
-	r     *bufio.Reader // while it reads, or holds bytes that nobody asked for; nil otherwise
-	since time.Time     // when it became idle
-	age   time.Duration // for how long it was idle before it was taken; 0 for a new one
+	r     *bufio.Reader      // while it reads; nil otherwise
+	resp  *fasthttp.Response // whose head has been read; nil for none
+	since time.Time          // when it became idle
+	age   time.Duration      // for how long it was idle before it was taken; 0 for a new one
 }
 
 // kept tells whether the connection has carried an exchange before this one.
@@ -50,48 +51,79 @@
 		return fmt.Errorf("write to %s: %w", c.addr, err)
 	}
 	if may == nil {
-		return c.send(buf.Bytes())
+		return c.send(buf.Bytes(), nil)
 	}
-	wrote, err := may()
-	if err != nil {
+	wrote := nothing
+	defer func() { wrote() }()
+	return c.send(buf.Bytes(), func() (err error) {
+		var after func()
+		if after, err = may(); err == nil {
+			wrote = after
+		}
 		return err
-	}
-	defer wrote()
-	return c.send(buf.Bytes())
+	})
 }
 
-// send writes what is left of a request.
-func (c *conn) send(rest []byte) error {
-	if _, err := c.Write(rest); err != nil {
+// send writes what is left of a request, where may allows it.
+func (c *conn) send(rest []byte, may func() error) error {
+	if _, err := c.WriteIf(rest, may); err != nil {
 		return fmt.Errorf("write to %s: %w", c.addr, err)
 	}
 	return nil
 }
 
-// answer is what a next hop says on an exchange.
+// answer is the head of what a next hop says on an exchange.
 type answer struct {
 	status     int
 	turnedAway bool
-	closes     bool // the connection carries nothing further
 }
 
+const (
+	restWait  = time.Second // for what follows an answer's head
+	mostHeads = 8           // of answers that only announce another one
+)
+
+// read reads the head of the answer. Danger: its body may never end, and the job's fate must not wait for that: see rest.
 func (c *conn) read() (answer, error) {
 	if c.r == nil {
 		c.r = readers.Get().(*bufio.Reader)
 		c.r.Reset(c.Conn)
 	}
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	if err := resp.ReadLimitBody(c.r, mostAnswer); err != nil {
-		return answer{}, fmt.Errorf("read from %s: %w", c.addr, err)
+	c.resp = fasthttp.AcquireResponse()
+	for range mostHeads {
+		if err := c.resp.Header.Read(c.r); err != nil {
+			return answer{}, fmt.Errorf("read from %s: %w", c.addr, err)
+		}
+		if code := c.resp.StatusCode(); code >= fasthttp.StatusOK || code == fasthttp.StatusSwitchingProtocols {
+			return answer{status: code, turnedAway: string(c.resp.Header.Peek(headerTurnedAway)) == "1"}, nil
+		}
+	}
+	return answer{}, fmt.Errorf("read from %s: over %d answers that announce another", c.addr, mostHeads)
+}
+
+// whole tells whether all of the last answer has been read from the kernel.
+func (c *conn) whole() bool {
+	n := c.resp.Header.ContentLength()
+	return n >= 0 && n <= c.r.Buffered()
+}
+
+// rest reads what follows the head of the last answer, and tells whether the connection can carry a next exchange.
+func (c *conn) rest() bool {
+	if c.resp == nil || c.resp.ConnectionClose() || c.SetDeadline(time.Now().Add(restWait)) != nil {
+		return false
+	}
+	if err := c.resp.ReadBody(c.r, mostAnswer); err != nil {
+		return false
 	}
-	c.Mark(c.r.Buffered())
-	if c.r.Buffered() == 0 {
-		readers.Put(c.r)
-		c.r = nil
+	fasthttp.ReleaseResponse(c.resp)
+	c.resp = nil
+	if c.r.Buffered() > 0 { // danger: a second answer would be taken for the next request's
+		return false
 	}
-	return answer{status: resp.StatusCode(), turnedAway: string(resp.Header.Peek(headerTurnedAway)) == "1",
-		closes: resp.ConnectionClose()}, nil
+	c.Mark(0)
+	readers.Put(c.r)
+	c.r = nil
+	return true
 }
 
 // fresh reports whether an idle connection is still open and silent. A request written to one that the
--- a/internal/nexthop/fence.go
+++ b/internal/nexthop/fence.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 )
 
-// errFenced says that this dispatcher may send nothing new any more.
-var errFenced = errors.New("shut out before the request was written")
+// errCalledOff says that a branch must not be written any more: no byte of it was.
+var errCalledOff = errors.New("called off before the request was written")
 
 // fence is the time from which on nothing new may be written. The reducer asks as it decides; a dial, or a stop of the process, may lie
 // between that and the write.
@@ -34,18 +34,30 @@
 
 func nothing() {}
 
-// mayWrite is asked in the last moment before a write. Danger: a process that is stopped after this look writes when it wakes; there is no later
-// moment to look at.
-func (s *Sender) mayWrite() (wrote func(), err error) {
+// lastWord is asked in the last moment before a branch's first byte, and is the only place that lets one be written. What forbids it: the
+// branch was given up or dropped (its request answered, its next hop out or draining, this process stopping); its time, or the time within which its
+// class allows a repeat, is over; its caller has closed the connection, whether or not the reducer has heard; this dispatcher is shut out.
+// Where it allows, the branch counts as written: it may have run from here on. wrote must be called when the write has returned.
+// Danger: a process that is stopped after this look writes when it wakes; there is no later moment to look at.
+func (s *Sender) lastWord(x *exchange) (wrote func(), err error) {
+	now := s.clock()
+	if before := x.branch.Before; now >= x.branch.Until || before > 0 && now > before || x.branch.Leg != 0 && !s.asks(x.branch.Leg) {
+		return nil, errCalledOff
+	}
 	bits := s.fence.until.Load()
+	if bits != 0 && now >= math.Float64frombits(bits) {
+		s.fence.stopped.Add(1)
+		return nil, errCalledOff
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if x.over {
+		return nil, errCalledOff
+	}
+	x.written = true
 	if bits == 0 {
 		return nothing, nil
 	}
-	now := s.clock()
-	if now >= math.Float64frombits(bits) {
-		s.fence.stopped.Add(1)
-		return nil, errFenced
-	}
 	return func() {
 		took := math.Float64bits(s.clock() - now) // of numbers that are not negative, the bits have the same order
 		for {
--- a/internal/nexthop/fence_test.go
+++ b/internal/nexthop/fence_test.go
@@ -18,12 +18,14 @@
 	now.Store(5)
 	s.clock = func() float64 { return float64(now.Load()) }
 	s.Fence(10)
-	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Addr: p.addr()})
+	dial := s.pool.dial
+	up, on := heldDials(s)
+	s.Send(branch(2, p.addr()))
+	<-up
 	l := p.accept()
-	l.request()
-	s.Send(branch(2, p.addr())) // waits for the DELETE's answer
-	now.Store(10)               // as after a stop of the process
-	l.say("204 Gone")
+	now.Store(10) // as after a stop of the process
+	on <- struct{}{}
+	s.pool.dial = dial
 	wantFault(t, events, 2, core.NotSent)
 	if n, _ := s.Fenced(); n != 1 {
 		t.Errorf("%d branches stopped by the fence, want 1", n)
--- a/internal/nexthop/handover_test.go
+++ b/internal/nexthop/handover_test.go
@@ -1,6 +1,7 @@
 package nexthop
 
 import (
+	"context"
 	"io"
 	"net"
 	"strings"
@@ -159,7 +160,7 @@
 	}
 }
 
-// TestHandOverOfAGivingUp: a DELETE that is under way is confirmed to the new process, and what must wait for it waits.
+// TestHandOverOfAGivingUp: a DELETE that is under way is confirmed to the new process, which tells so.
 func TestHandOverOfAGivingUp(t *testing.T) {
 	hop, old := script(t), side()
 	old.sender.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Hop: "a", Addr: hop.addr()})
@@ -168,9 +169,15 @@
 	if len(st.GivingUp) != 1 || st.GivingUp[0].Link == nil {
 		t.Fatalf("handed over as %+v", st)
 	}
-	next.sender.Send(jobAs(2, hop.addr()))
+	if len(next.events) > 0 {
+		t.Fatalf("%+v before the answer", <-next.events)
+	}
 	says(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-	hop.readsOn(c, "job") // only now, on the connection that has become free
+	if e := next.event(t); e != (core.BranchReleased{Branch: 1, Told: true}) {
+		t.Fatalf("%+v", e)
+	}
+	next.sender.Send(jobAs(2, hop.addr()))
+	hop.readsOn(c, "job") // on the connection that has become free
 	says(c, accepted)
 	if e := next.event(t); e != (core.BranchTaken{Branch: 2}) {
 		t.Fatalf("%+v", e)
@@ -181,17 +188,19 @@
 // comes to nothing that the next hop could take for a job.
 func TestHandOverWhileDialling(t *testing.T) {
 	hop, old := script(t), side()
-	// A giving up that is not confirmed keeps the branch from dialling.
-	old.sender.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Hop: "a", Addr: hop.addr()})
-	c := hop.reads("DELETE /jobs/r")
+	dialling := make(chan struct{})
+	old.sender.pool.dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		close(dialling)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	old.sender.Send(jobAs(2, hop.addr()))
+	<-dialling
 	next, st := old.handOver(t)
 	if len(st.Unsent) != 1 || string(st.Unsent[0].Message.Body) != "job" {
 		t.Fatalf("handed over as %+v", st)
 	}
-	says(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-	hop.readsOn(c, "job")
-	says(c, accepted)
+	says(hop.reads("job"), accepted)
 	if e := next.event(t); e != (core.BranchTaken{Branch: 2}) {
 		t.Fatalf("%+v", e)
 	}
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -40,14 +40,17 @@
 	DialTimeout time.Duration
 	IdleClose   time.Duration // after which a next hop closes an idle connection
 	MostConns   int           // over all next hops
+	// Present tells whether a leg's caller still waits, as far as this machine knows; nil for always.
+	Present func(core.LegID) bool
 }
 
-// exchange is a branch whose next hop has not answered yet.
+// exchange is a branch whose next hop has not answered yet. Its states, all under Sender.mu: waiting (for a giving up, a place or a dial),
+// connected (conn is set), written (past its point of no return); over may come at any time, and ends the first two without a byte.
 type exchange struct {
 	addr    string
 	cancel  context.CancelFunc // ends a dial
 	conn    *conn              // once it is open
-	written bool               // writing has begun
+	written bool               // the first byte may be on the wire
 	branch  core.SendBranch
 	over    bool // given up or dropped: its connection is closed by whoever holds it
 }
@@ -55,8 +58,7 @@
 // giving is a giving up that its next hop has not confirmed yet.
 type giving struct {
 	what core.GiveUpBranch
-	conn *conn         // once it is open
-	told chan struct{} // closed at the end
+	conn *conn // once it is open
 }
 
 // job names a request at one next hop.
@@ -75,6 +77,7 @@
 	slots chan struct{} // for giving up
 	sent  atomic.Uint64 // branches written whole
 	fence fence
+	asks  func(core.LegID) bool // Options.Present
 
 	mu        sync.Mutex
 	exchanges map[core.BranchID]*exchange
@@ -84,7 +87,10 @@
 // NewSender makes a sender that reports through post, with all its connections behind the gate.
 func NewSender(o Options, gate *hold.Gate, clock func() float64, post func(core.Event), log logrus.FieldLogger) *Sender {
 	idleFor := time.Duration(float64(o.IdleClose) * idlePart)
-	return &Sender{gate: gate, pool: newPool(gate, o.DialTimeout, idleFor, o.MostConns), clock: clock, post: post, log: log,
+	if o.Present == nil {
+		o.Present = func(core.LegID) bool { return true }
+	}
+	return &Sender{asks: o.Present, gate: gate, pool: newPool(gate, o.DialTimeout, idleFor, o.MostConns), clock: clock, post: post, log: log,
 		slots: make(chan struct{}, mostGiveUps), exchanges: map[core.BranchID]*exchange{},
 		givingUp: map[job]*giving{}}
 }
@@ -111,36 +117,35 @@
 	x := &exchange{addr: b.Addr, cancel: cancel, branch: b}
 	s.mu.Lock()
 	s.exchanges[b.Branch] = x
-	earlier := s.givingUp[job{b.Addr, b.Request}]
 	s.mu.Unlock()
 	s.gate.Go(func() {
 		defer cancel()
-		if earlier != nil {
-			// A next hop takes one attempt of a request at a time: it must first hear that the last is over.
-			s.gate.Rest()
-			select {
-			case <-earlier.told:
-			case <-ctx.Done():
-			}
-			s.gate.Wake()
-		}
-		s.report(b.Branch, func() (core.Fault, bool) { return s.exchange(ctx, x, b) })
+		s.report(x, func() (core.Fault, bool) { return s.exchange(ctx, x) })
 	})
 }
 
-// report posts how an exchange ended.
-func (s *Sender) report(id core.BranchID, exchange func() (core.Fault, bool)) {
-	if fault, failed := exchange(); failed {
-		s.post(core.BranchFailed{Branch: id, Fault: fault})
+// report runs an exchange, posts how it ended, and lets go of its connection.
+func (s *Sender) report(x *exchange, exchange func() (core.Fault, bool)) {
+	fault, failed := exchange()
+	c := s.forget(x)
+	if c != nil && c.whole() { // nothing to wait for
+		s.pool.giveBack(c, !c.rest())
+		c = nil
+	}
+	if failed {
+		s.post(core.BranchFailed{Branch: x.branch.Branch, Fault: fault})
 	} else {
-		s.post(core.BranchTaken{Branch: id})
+		s.post(core.BranchTaken{Branch: x.branch.Branch})
+	}
+	if c != nil {
+		s.pool.giveBack(c, !c.rest())
 	}
 }
 
 // exchange runs a branch up to the next hop's answer, and tells its fault if the job was not taken.
-func (s *Sender) exchange(ctx context.Context, x *exchange, b core.SendBranch) (core.Fault, bool) {
-	defer s.forget(b.Branch)
-	c, err := s.pool.get(ctx, b.Addr)
+func (s *Sender) exchange(ctx context.Context, x *exchange) (core.Fault, bool) {
+	b := x.branch
+	c, err := s.pool.get(ctx, b.Addr, b.Once)
 	if err != nil {
 		s.log.WithError(err).WithField("hop", b.Hop).Debug("no connection")
 		// Danger: a shortage of our own descriptors, or a dial that was called off, says nothing of the next hop.
@@ -149,7 +154,7 @@
 		}
 		return core.NoConnect, true
 	}
-	if !s.begin(x, c) {
+	if !s.connected(x, c) {
 		s.pool.giveBack(c, false)
 		return core.NotSent, true
 	}
@@ -157,23 +162,25 @@
 	left := time.Duration((b.Until - s.clock()) * float64(time.Second))
 	err = c.SetDeadline(time.Now().Add(left + answerGrace))
 	if err == nil {
-		err = s.write(c, b)
+		err = s.write(c, x)
 	}
-	if errors.Is(err, errFenced) {
-		s.pool.giveBack(c, false)
+	switch {
+	case errors.Is(err, errCalledOff):
+		s.disconnect(x)
+		s.pool.giveBack(c, s.ended(x))
 		return core.NotSent, true
-	}
-	if err != nil {
-		return s.unwritten(c, b, err), true
+	case err != nil:
+		return s.unwritten(x, err), true
 	}
 	s.sent.Add(1)
-	return s.hear(x, c, b)
+	return s.hear(x)
 }
 
 // unwritten ends an exchange whose request was not written to its end.
-func (s *Sender) unwritten(c *conn, b core.SendBranch, err error) core.Fault {
+func (s *Sender) unwritten(x *exchange, err error) core.Fault {
+	c := s.disconnect(x)
 	s.pool.discard(c)
-	s.log.WithError(err).WithField("hop", b.Hop).Debug("request not written")
+	s.log.WithError(err).WithField("hop", x.branch.Hop).Debug("request not written")
 	if c.kept() {
 		s.pool.tried(c, true)
 		return core.NotSent
@@ -181,13 +188,14 @@
 	return core.Cut
 }
 
-// hear reads the next hop's answer to a request that was written.
-func (s *Sender) hear(x *exchange, c *conn, b core.SendBranch) (core.Fault, bool) {
-	written := time.Now()
+// hear reads the next hop's answer to a request that was written. It leaves the connection to the exchange, for what follows the head.
+func (s *Sender) hear(x *exchange) (core.Fault, bool) {
+	written, c := time.Now(), x.conn
 	a, err := c.read()
 	if err != nil {
+		s.disconnect(x)
 		s.pool.discard(c)
-		s.log.WithError(err).WithFields(logrus.Fields{"hop": b.Hop, "idle": c.age, "after": time.Since(written)}).Debug("no answer")
+		s.log.WithError(err).WithFields(logrus.Fields{"hop": x.branch.Hop, "idle": c.age, "after": time.Since(written)}).Debug("no answer")
 		if c.kept() && !errors.Is(err, os.ErrDeadlineExceeded) && !s.ended(x) {
 			s.pool.tried(c, true)
 			return core.Stale, true
@@ -195,20 +203,17 @@
 		return core.Broken, true
 	}
 	s.pool.tried(c, false)
-	s.finish(x, c, a, b)
 	return verdict(a)
 }
 
-// finish lets go of an exchange's connection. Danger: a branch that was given up just after its 202 had been
-// read has had its connection closed, which no longer tells the next hop anything.
-func (s *Sender) finish(x *exchange, c *conn, a answer, b core.SendBranch) {
+// forget ends an exchange, and returns the connection that it leaves behind; nil for none.
+func (s *Sender) forget(x *exchange) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.exchanges, x.branch.Branch)
+	c := x.conn
 	x.conn = nil
-	s.pool.giveBack(c, x.over || a.closes)
-	if x.over && a.status == fasthttp.StatusAccepted {
-		s.tell(core.GiveUpBranch{Branch: b.Branch, Request: b.Request, Hop: b.Hop, Addr: b.Addr})
-	}
+	return c
 }
 
 // verdict reads a next hop's answer. Anything not known to prove the contrary may have run.
@@ -225,17 +230,26 @@
 	}
 }
 
-// begin marks that writing begins, unless the branch was ended while its connection was being opened.
-func (s *Sender) begin(x *exchange, c *conn) bool {
+// connected gives an exchange its connection, unless it was ended while that was being opened.
+func (s *Sender) connected(x *exchange, c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if x.over {
 		return false
 	}
-	x.conn, x.written = c, true
+	x.conn = c
 	return true
 }
 
+// disconnect takes an exchange's connection from it: nobody may close it any more but the caller.
+func (s *Sender) disconnect(x *exchange) *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := x.conn
+	x.conn = nil
+	return c
+}
+
 // ended tells whether an exchange was given up or dropped, so that its connection was closed from here.
 func (s *Sender) ended(x *exchange) bool {
 	s.mu.Lock()
@@ -251,13 +265,9 @@
 	return s.pool.dialled.Load(), s.pool.refused.Load()
 }
 
-func (s *Sender) forget(id core.BranchID) {
-	s.mu.Lock()
-	delete(s.exchanges, id)
-	s.mu.Unlock()
-}
-
-func (s *Sender) write(c *conn, b core.SendBranch) error {
+// write writes a branch's request, with the last question before its first byte.
+func (s *Sender) write(c *conn, x *exchange) error {
+	b := x.branch
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	h := &req.Header
@@ -270,28 +280,32 @@
 		h.Set(headerToken, b.Message.Token)
 	}
 	req.SetBodyRaw(b.Message.Body)
-	return c.write(req, s.mayWrite)
+	return c.write(req, func() (func(), error) { return s.lastWord(x) })
 }
 
 // GiveUp ends a branch. Before the next hop's answer that is said by closing the connection, afterwards by
-// a DELETE.
+// a DELETE. Danger: an answer may be on its way to a connection that is being closed, and that close then tells nothing; so what may
+// have been written is told by a DELETE whatever came back.
 func (s *Sender) GiveUp(g core.GiveUpBranch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if x := s.exchanges[g.Branch]; x != nil && (x.conn != nil || !x.written) {
+	if x := s.exchanges[g.Branch]; x != nil {
 		s.abandon(x)
-		return
+		if !x.written {
+			return
+		}
 	}
 	s.tell(g)
 }
 
-// tell sends a DELETE for a job, unless one is under way; s.mu is held.
+// tell sends a DELETE for a job and posts how that ended, at once where one is under way or too many wait; s.mu is held.
 func (s *Sender) tell(g core.GiveUpBranch) {
 	key := job{g.Addr, g.Request}
 	if s.givingUp[key] != nil || len(s.givingUp) >= mostWaiting {
+		s.gate.Go(func() { s.post(core.BranchReleased{Branch: g.Branch}) })
 		return
 	}
-	x := &giving{what: g, told: make(chan struct{})}
+	x := &giving{what: g}
 	s.givingUp[key] = x
 	s.gate.Go(func() {
 		s.gate.Rest()
@@ -313,7 +327,7 @@
 	s.mu.Lock()
 	delete(s.givingUp, job{x.what.Addr, x.what.Request})
 	s.mu.Unlock()
-	close(x.told)
+	s.post(core.BranchReleased{Branch: x.what.Branch, Told: err == nil})
 }
 
 // abandon ends an exchange; s.mu is held.
@@ -328,7 +342,7 @@
 func (s *Sender) delete(x *giving) error {
 	ctx, cancel := context.WithTimeout(context.Background(), giveUpWait)
 	defer cancel()
-	c, err := s.pool.get(ctx, x.what.Addr)
+	c, err := s.pool.get(ctx, x.what.Addr, false)
 	if err != nil {
 		return err
 	}
@@ -352,10 +366,10 @@
 
 // confirmed reads the next hop's answer to a giving up.
 func (s *Sender) confirmed(x *giving, c *conn) error {
-	a, err := c.read()
+	_, err := c.read()
 	s.holds(x, nil)
 	s.pool.tried(c, err != nil)
-	s.pool.giveBack(c, err != nil || a.closes)
+	s.pool.giveBack(c, err != nil || !c.rest())
 	return err
 }
 
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/nexthop/nexthop_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,6 +87,7 @@
 	l := p.accept()
 	l.request()
 	l.say("202 Accepted")
+	wantEvent(p.t, told(s), core.BranchTaken{Branch: id})
 	untilIdle(p.t, s)
 	return l
 }
@@ -98,11 +102,60 @@
 	if o.MostConns == 0 {
 		o.MostConns = 8
 	}
-	return NewSender(o, hold.NewGate(), func() float64 { return 0 }, func(e core.Event) {
-		if _, taken := e.(core.BranchTaken); !taken { // a fixture's connections tell those themselves
+	others := make(chan core.Event, 64)
+	s := NewSender(o, hold.NewGate(), func() float64 { return 0 }, func(e core.Event) {
+		if _, failed := e.(core.BranchFailed); failed {
 			events <- e
+		} else {
+			others <- e
 		}
-	}, log), events
+	}, log)
+	news.Store(s, others)
+	return s, events
+}
+
+// heldDials has a sender's dials wait: each sends on the first channel when it has come up, and goes on with a word on the second.
+func heldDials(s *Sender) (up chan struct{}, on chan struct{}) {
+	up, on = make(chan struct{}), make(chan struct{})
+	dial := s.pool.dial
+	s.pool.dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := dial(ctx, addr)
+		up <- struct{}{}
+		<-on
+		return c, err
+	}
+	return up, on
+}
+
+// news are, by sender, the channels of what fixtures' senders post, but for faults.
+var news sync.Map
+
+func told(s *Sender) chan core.Event {
+	c, _ := news.Load(s)
+	return c.(chan core.Event)
+}
+
+func wantEvent(t *testing.T, events chan core.Event, want core.Event) {
+	t.Helper()
+	select {
+	case e := <-events:
+		if e != want {
+			t.Fatalf("event %+v, want %+v", e, want)
+		}
+	case <-time.After(patience):
+		t.Fatalf("no event, want %+v", want)
+	}
+}
+
+// hasNothing checks that nothing was written on connections.
+func (p *peer) hasNothing(links ...*link) {
+	p.t.Helper()
+	for _, l := range links {
+		l.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		if b, err := l.r.ReadByte(); err == nil {
+			p.t.Errorf("byte %q came", b)
+		}
+	}
 }
 
 func branch(id core.BranchID, addr string) core.SendBranch {
@@ -178,38 +231,50 @@
 	}
 }
 
-// TestTakenThenGivenUp: after the 202 a giving up is a DELETE, on the same idle connection, and a further
-// branch of the request to that next hop waits for its answer.
+// TestTakenThenGivenUp: after the 202 a giving up is a DELETE, on the same idle connection, and its end is told: confirmed with the
+// answer, and not before.
 func TestTakenThenGivenUp(t *testing.T) {
 	p := listen(t)
 	s, events := sender(Options{IdleClose: time.Minute})
 	l := p.takes(s, 1)
+	news := told(s)
 	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Hop: "s", Addr: p.addr()})
 	if got := l.request(); !strings.HasPrefix(got, "DELETE /jobs/r HTTP/1.1\r\n") {
 		t.Fatalf("request %q", got)
 	}
-	s.Send(branch(2, p.addr()))
-	s.Send(core.SendBranch{Branch: 3, Request: "other", Addr: p.addr(), Until: 30, Message: core.Message{Verb: "POST", Target: "/"}})
-	other := p.accept() // the other request has not waited, and the held one has not come
-	if got := other.request(); !strings.Contains(got, "X-Txn: other\r\n") {
-		t.Fatalf("request %q", got)
+	if len(news) > 0 {
+		t.Fatalf("told %+v before the answer", <-news)
 	}
 	l.say("204 Gone")
-	if got := l.request(); !strings.Contains(got, "X-Txn: r\r\n") {
-		t.Fatalf("request %q", got)
-	}
+	wantEvent(t, news, core.BranchReleased{Branch: 1, Told: true})
 	if len(events) > 0 {
 		t.Errorf("event %+v", <-events)
 	}
 }
 
-// untilIdle waits until the exchange has handed its connection back.
+// TestGivingUpThatCannotBeTold: it is told that it was not.
+func TestGivingUpThatCannotBeTold(t *testing.T) {
+	p := listen(t)
+	p.ln.Close()
+	s, _ := sender(Options{IdleClose: time.Minute})
+	news := told(s)
+	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Hop: "s", Addr: p.addr()})
+	wantEvent(t, news, core.BranchReleased{Branch: 1})
+}
+
+// untilIdle waits until all exchanges have handed their connections back.
 func untilIdle(t *testing.T, s *Sender) {
 	t.Helper()
 	for limit := time.Now().Add(patience); ; {
 		s.mu.Lock()
 		running := len(s.exchanges)
 		s.mu.Unlock()
+		s.pool.mu.Lock()
+		running += s.pool.open
+		for _, idle := range s.pool.idle {
+			running -= len(idle)
+		}
+		s.pool.mu.Unlock()
 		if running == 0 {
 			return
 		}
@@ -220,9 +285,11 @@
 	}
 }
 
+// TestGivenUpBeforeTheAnswerClosesTheConnection: and, as the answer may be on its way by then, a DELETE says so too.
 func TestGivenUpBeforeTheAnswerClosesTheConnection(t *testing.T) {
 	p := listen(t)
 	s, _ := sender(Options{IdleClose: time.Minute})
+	news := told(s)
 	s.Send(branch(1, p.addr()))
 	l := p.accept()
 	l.request()
@@ -230,35 +297,143 @@
 	if b, err := l.r.ReadByte(); err == nil {
 		t.Fatalf("byte %q after the giving up, want the end", b)
 	}
+	again := p.accept()
+	if got := again.request(); !strings.HasPrefix(got, "DELETE /jobs/r HTTP/1.1\r\n") {
+		t.Errorf("request %q", got)
+	}
+	again.say("404 Not Found")
+	wantEvent(t, news, core.BranchReleased{Branch: 1, Told: true})
 }
 
-// TestGivenUpJustAfterTheAnswer: with the 202 read, the closed connection tells nothing; a DELETE must.
-func TestGivenUpJustAfterTheAnswer(t *testing.T) {
+// TestLastWord: what comes while a connection is being opened, or after that, keeps the first byte back. The connection stays good.
+func TestLastWord(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		come func(s *Sender, now *atomic.Int64, gone *atomic.Bool, p *peer)
+	}{
+		{"the branch is given up", func(s *Sender, _ *atomic.Int64, _ *atomic.Bool, p *peer) {
+			s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Addr: p.addr()})
+		}},
+		{"its next hop drains", func(s *Sender, _ *atomic.Int64, _ *atomic.Bool, p *peer) { s.Drop(p.addr()) }},
+		{"its caller goes, and nobody has told", func(_ *Sender, _ *atomic.Int64, gone *atomic.Bool, _ *peer) { gone.Store(true) }},
+		{"its time is over", func(_ *Sender, now *atomic.Int64, _ *atomic.Bool, _ *peer) { now.Store(30) }},
+		{"the time for a repeat is over", func(_ *Sender, now *atomic.Int64, _ *atomic.Bool, _ *peer) { now.Store(8) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := listen(t)
+			var now atomic.Int64 // seconds
+			var gone atomic.Bool
+			s, events := sender(Options{IdleClose: time.Minute, Present: func(leg core.LegID) bool { return leg == 5 && !gone.Load() }})
+			s.clock = func() float64 { return float64(now.Load()) }
+			up, on := heldDials(s)
+			b := branch(1, p.addr())
+			b.Leg, b.Before = 5, 7
+			s.Send(b)
+			<-up
+			l := p.accept()
+			tc.come(s, &now, &gone, p)
+			on <- struct{}{}
+			wantFault(t, events, 1, core.NotSent)
+			p.hasNothing(l)
+			if n := s.Sent(); n != 0 {
+				t.Errorf("%d branches count as sent", n)
+			}
+			if s.pool.mu.Lock(); s.pool.open != 1 || len(s.pool.idle[p.addr()]) != 1 {
+				t.Errorf("%d connections are open, %d of them idle", s.pool.open, len(s.pool.idle[p.addr()]))
+			}
+			s.pool.mu.Unlock()
+		})
+	}
+}
+
+// TestRemainingIsOfTheWrite: what a branch tells its next hop is what is left when it is written, however long the connection took.
+func TestRemainingIsOfTheWrite(t *testing.T) {
 	p := listen(t)
 	s, _ := sender(Options{IdleClose: time.Minute})
-	p.takes(s, 1)
-	c := s.pool.takeIdle(p.addr())
-	x := &exchange{addr: p.addr(), cancel: func() {}, conn: c, written: true}
-	s.exchanges[1] = x
-	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Addr: p.addr()})
-	s.finish(x, c, answer{status: 202}, branch(1, p.addr()))
-	if got := p.accept().request(); !strings.HasPrefix(got, "DELETE /jobs/r HTTP/1.1\r\n") {
+	var now atomic.Int64
+	s.clock = func() float64 { return float64(now.Load()) }
+	up, on := heldDials(s)
+	s.Send(branch(1, p.addr()))
+	<-up
+	l := p.accept()
+	now.Store(12)
+	on <- struct{}{}
+	if got := l.request(); !strings.Contains(got, "X-Remaining: 18.000000\r\n") {
 		t.Errorf("request %q", got)
 	}
 }
 
-// TestDropEndsWhatIsNotWritten: a branch that waits must not be written after a drain was told.
-func TestDropEndsWhatIsNotWritten(t *testing.T) {
+// TestAnswerThatNeverEnds: the head of an answer tells what it has to; what follows holds nobody up, and its connection carries nothing else.
+func TestAnswerThatNeverEnds(t *testing.T) {
 	p := listen(t)
 	s, events := sender(Options{IdleClose: time.Minute})
-	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Addr: p.addr()})
+	news := told(s)
+	s.Send(branch(1, p.addr()))
 	l := p.accept()
 	l.request()
-	s.Send(branch(2, p.addr())) // waits for the DELETE's answer
+	if _, err := io.WriteString(l, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\nhalf"); err != nil {
+		t.Fatal(err)
+	}
+	wantEvent(t, news, core.BranchTaken{Branch: 1})
+	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Addr: p.addr()}) // by a DELETE: a close would tell nothing
+	if got := p.accept().request(); !strings.HasPrefix(got, "DELETE /jobs/r HTTP/1.1\r\n") {
+		t.Errorf("request %q", got)
+	}
+	if _, err := l.r.ReadByte(); err != io.EOF {
+		t.Errorf("the connection ends with %v, want its close", err)
+	}
+	if len(events) > 0 {
+		t.Errorf("event %+v", <-events)
+	}
+}
+
+// TestSecondAnswer: a next hop answers twice. Where the second answer is there already, or comes before the next request, the connection
+// carries nothing further; and until it could have come, nothing that must not be sent twice.
+func TestSecondAnswer(t *testing.T) {
+	const twice = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
+	next := func(t *testing.T, s *Sender, p *peer, once bool) *link {
+		b := branch(2, p.addr())
+		b.Request, b.Once = "q", once
+		s.Send(b)
+		return p.accept()
+	}
+	t.Run("at once", func(t *testing.T) {
+		p := listen(t)
+		s, _ := sender(Options{IdleClose: time.Minute})
+		news := told(s)
+		s.Send(branch(1, p.addr()))
+		l := p.accept()
+		l.request()
+		io.WriteString(l, twice)
+		wantEvent(t, news, core.BranchTaken{Branch: 1})
+		if _, err := l.r.ReadByte(); err == nil {
+			t.Error("the connection is kept")
+		}
+		next(t, s, p, false).request()
+	})
+	t.Run("late", func(t *testing.T) {
+		p := listen(t)
+		s, _ := sender(Options{IdleClose: time.Minute})
+		l := p.takes(s, 1)
+		s.pool.mu.Lock()
+		s.pool.idle[p.addr()][0].since = time.Now().Add(time.Minute) // it has only just become idle, however slow this test is
+		s.pool.mu.Unlock()
+		next(t, s, p, true).request() // over another connection
+		p.hasNothing(l)
+	})
+}
+
+// TestDropEndsWhatIsNotWritten: a branch that waits must not be written after a drain was told, and nobody is connected to for it.
+func TestDropEndsWhatIsNotWritten(t *testing.T) {
+	p := listen(t)
+	s, events := sender(Options{IdleClose: time.Minute})
+	s.pool.dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	s.Send(branch(2, p.addr()))
 	s.Drop(p.addr())
 	wantFault(t, events, 2, core.NotSent)
-	l.say("204 Gone")
-	l.Close()
 	p.ln.(*net.TCPListener).SetDeadline(time.Now())
 	if c, err := p.ln.Accept(); err == nil {
 		c.Close()
--- a/internal/nexthop/pool.go
+++ b/internal/nexthop/pool.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/bits"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,9 +40,9 @@
 
 // pool keeps the idle connections and counts all of them.
 type pool struct {
-	gate        *hold.Gate
-	dialTimeout time.Duration
-	idleFor     time.Duration // an idle connection is closed after this at the latest
+	gate    *hold.Gate
+	dial    func(ctx context.Context, addr string) (net.Conn, error)
+	idleFor time.Duration // an idle connection is closed after this at the latest
 
 	dialled, refused atomic.Uint64
 
@@ -54,7 +55,9 @@
 }
 
 func newPool(gate *hold.Gate, dialTimeout, idleFor time.Duration, most int) *pool {
-	return &pool{gate: gate, dialTimeout: dialTimeout, idleFor: idleFor, limit: idleFor, most: most, idle: map[string][]*conn{}}
+	d := net.Dialer{Timeout: dialTimeout}
+	dial := func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+	return &pool{gate: gate, dial: dial, idleFor: idleFor, limit: idleFor, most: most, idle: map[string][]*conn{}}
 }
 
 // tried learns from how a kept connection fared at its next request. Danger: a machine may forget connections
@@ -88,10 +91,20 @@
 	}
 }
 
-// get returns an idle connection or dials a new one. Its errors mean that nothing was sent.
-func (p *pool) get(ctx context.Context, addr string) (*conn, error) {
+// settled is for how long a connection must have been silent after an answer before it carries what must not be sent twice. Danger: a
+// next hop may answer a second time some milliseconds late. Taken for the next request's, such an answer may say that a job never ran
+// which has just begun.
+const settled = 50 * time.Millisecond
+
+// get returns an idle connection or dials a new one. once says that it is for what must not be sent twice. Its errors mean that nothing
+// was sent.
+func (p *pool) get(ctx context.Context, addr string, once bool) (*conn, error) {
+	least := time.Duration(0)
+	if once {
+		least = settled
+	}
 	for {
-		c := p.takeIdle(addr)
+		c := p.takeIdle(addr, least)
 		if c == nil {
 			break
 		}
@@ -103,10 +116,9 @@
 	if !p.reserve() {
 		return nil, errBudget
 	}
-	d := net.Dialer{Timeout: p.dialTimeout}
 	// While it dials it rests: nothing has been sent, and where the gate is held the other process dials anew.
 	p.gate.Rest()
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := p.dial(ctx, addr)
 	p.gate.Wake()
 	if err != nil {
 		if ctx.Err() == nil {
@@ -119,19 +131,22 @@
 	return newConn(p.gate.Wrap(nc), addr), nil
 }
 
-func (p *pool) takeIdle(addr string) *conn {
+// takeIdle takes the connection that was used last of those that have been idle for least; nil for none.
+func (p *pool) takeIdle(addr string, least time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	if c.age = time.Since(c.since); c.age > p.limit {
-		return nil // the others have been idle for longer; retire closes them
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if c.age = time.Since(c.since); c.age > p.limit {
+			return nil // the others have been idle for longer; retire closes them
+		}
+		if c.age >= least {
+			p.setIdle(addr, slices.Delete(list, i, i+1))
+			return c
+		}
 	}
-	p.setIdle(addr, list[:len(list)-1])
-	return c
+	return nil
 }
 
 func (p *pool) setIdle(addr string, list []*conn) {
--- a/internal/nexthop/state.go
+++ b/internal/nexthop/state.go
@@ -69,7 +69,7 @@
 	var st State
 	for _, id := range slices.Sorted(maps.Keys(s.exchanges)) {
 		switch x := s.exchanges[id]; {
-		case x.conn != nil:
+		case x.conn != nil && !x.conn.Untouched():
 			l, err := linkOf(x.conn, files)
 			if err != nil {
 				return st, fmt.Errorf("nexthop: branch %d: %w", id, err)
@@ -150,7 +150,7 @@
 		if err != nil {
 			return err
 		}
-		x := &giving{what: g.What, conn: c, told: make(chan struct{})}
+		x := &giving{what: g.What, conn: c}
 		s.givingUp[job{g.What.Addr, g.What.Request}] = x
 		rest := g.Link.Conn.Rest
 		s.gate.Go(func() {
@@ -170,7 +170,7 @@
 		s.exchanges[b.Branch.Branch] = x
 		s.gate.Go(func() {
 			defer cancel()
-			s.report(b.Branch.Branch, func() (core.Fault, bool) { return s.goOn(x, c, b.Link.Conn.Rest) })
+			s.report(x, func() (core.Fault, bool) { return s.goOn(x, b.Link.Conn.Rest) })
 		})
 	}
 	for _, id := range st.Dropped {
@@ -183,20 +183,19 @@
 }
 
 // goOn carries on an exchange that was taken up, from where it stood.
-func (s *Sender) goOn(x *exchange, c *conn, rest []byte) (core.Fault, bool) {
-	defer s.forget(x.branch.Branch)
+func (s *Sender) goOn(x *exchange, rest []byte) (core.Fault, bool) {
 	if len(rest) > 0 {
-		if err := c.send(rest); err != nil {
-			return s.unwritten(c, x.branch, err), true
+		if err := x.conn.send(rest, nil); err != nil {
+			return s.unwritten(x, err), true
 		}
 		s.sent.Add(1)
 	}
-	return s.hear(x, c, x.branch)
+	return s.hear(x)
 }
 
 func (s *Sender) finishTelling(x *giving, c *conn, rest []byte) error {
 	if len(rest) > 0 {
-		if err := c.send(rest); err != nil {
+		if err := c.send(rest, nil); err != nil {
 			s.holds(x, nil)
 			s.pool.discard(c)
 			return err
--- a/internal/snapshot/events.go
+++ b/internal/snapshot/events.go
@@ -38,6 +38,7 @@
 	FleetFloored    *core.FleetFloored    `cbor:"27,keyasint,omitempty"`
 	FleetContacted  *core.FleetContacted  `cbor:"28,keyasint,omitempty"`
 	FloorOrdered    *core.FloorOrdered    `cbor:"29,keyasint,omitempty"`
+	BranchReleased  *core.BranchReleased  `cbor:"30,keyasint,omitempty"`
 }
 
 // Pack puts an event into its carrier. An event of a type that is not known here is an error.
@@ -53,6 +54,8 @@
 		return Event{BranchFailed: &ev}, nil
 	case core.BranchTaken:
 		return Event{BranchTaken: &ev}, nil
+	case core.BranchReleased:
+		return Event{BranchReleased: &ev}, nil
 	case core.JobReported:
 		return Event{JobReported: &ev}, nil
 	case core.RouteSetTold:
@@ -120,6 +123,8 @@
 		return *e.BranchFailed, nil
 	case e.BranchTaken != nil:
 		return *e.BranchTaken, nil
+	case e.BranchReleased != nil:
+		return *e.BranchReleased, nil
 	case e.JobReported != nil:
 		return *e.JobReported, nil
 	case e.RouteSetTold != nil:
--- a/internal/snapshot/twin_test.go
+++ b/internal/snapshot/twin_test.go
@@ -267,7 +267,7 @@
 // TestEveryEventIsCarried: what Pack takes Unpack gives back.
 func TestEveryEventIsCarried(t *testing.T) {
 	for _, ev := range []core.Event{core.CallArrived{Call: core.Call{ID: "x", Message: core.Message{Body: []byte("b")}}}, core.CallerLeft{Leg: 3},
-		core.HealthAsked{Leg: 4}, core.BranchFailed{Branch: 1, Fault: core.Cut}, core.BranchTaken{Branch: 2},
+		core.HealthAsked{Leg: 4}, core.BranchFailed{Branch: 1, Fault: core.Cut}, core.BranchTaken{Branch: 2}, core.BranchReleased{Branch: 3, Told: true},
 		core.JobReported{Request: "r", From: "h", State: core.JobDone, Result: []byte("x")}, core.RouteSetTold{RouteSet: core.RouteSet{Version: 4}},
 		core.RouteSetRefused{}, core.Reloaded{Discovery: "d"}, core.Stopping{}, core.Tick{}} {
 		packed, err := Pack(ev)
