--- a/choice/choice.go
+++ b/choice/choice.go
@@ -509,7 +509,7 @@
 	a := r.attempts[o.Attempt]
 	w := a.w
 	a.ended, a.neverRan = true, o.Code.NeverRan()
-	a.once = !a.neverRan || o.Code == Returned // danger: its worker may tell it again, as of a later one
+	a.once = !a.neverRan && o.Code != Cancelled || o.Code == Returned // danger: its worker may tell it again
 	r.out--
 	w.out = slices.DeleteFunc(w.out, func(x *attempt) bool { return x == a })
 	w.n[r.Class]--
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -337,7 +337,7 @@
 			}
 			to.attempts = append(to.attempts, &attempt{req: to, no: no, w: w, sent: a.Sent, started: a.Started,
 				startedAt: a.StartedAt, taken: a.Taken, heardAt: a.HeardAt, listen: a.Listen, spared: a.Spared,
-				ended: a.Ended, neverRan: a.NeverRan, once: a.Once || a.Ended && !a.NeverRan})
+				ended: a.Ended, neverRan: a.NeverRan, once: a.Once})
 			if !a.Ended {
 				to.out++
 			}
--- a/internal/core/attempts_test.go
+++ b/internal/core/attempts_test.go
@@ -39,6 +39,8 @@
 		{"once, it is out", once, true, branch{hop: "a"}, at("b", "x", 1), 0, false},
 		{"free, it may have run", free, true, ended(choice.Reset), at("b", "y", 2), 0, true},
 		{"free, it may have run there", free, true, ended(choice.Errored), at("a", "x", 1), 0, false},
+		{"free, called off there and confirmed", free, true, told, at("a", "x", 1), 0, true},
+		{"free, called off there and not confirmed", free, true, ended(choice.Cancelled), at("a", "x", 1), 0, false},
 		{"free, it is out there", free, true, branch{hop: "a"}, at("a", "x", 1), 0, false},
 		{"free, it is out", free, true, branch{hop: "a"}, at("b", "x", 1), 0, true},
 		{"free, it is out, without copies", free, false, branch{hop: "a"}, at("b", "x", 1), 0, false},
@@ -110,9 +112,9 @@
 		word  Event  // that it then says
 		want  string // the effect; "send" for one to another hop
 	}{
-		{"broken, confirmed", BranchFailed{1, Broken}, true, BranchReleased{1, true}, "send"},
-		{"a kept connection broke, confirmed", BranchFailed{1, Stale}, true, BranchReleased{1, true}, "send"},
-		{"broken, can't be told", BranchFailed{1, Broken}, true, BranchReleased{1, false}, busy},
+		{"broken, confirmed", BranchFailed{1, Broken}, true, BranchReleased{1, "r", true}, "send"},
+		{"a kept connection broke, confirmed", BranchFailed{1, Stale}, true, BranchReleased{1, "r", true}, "send"},
+		{"broken, can't be told", BranchFailed{1, Broken}, true, BranchReleased{1, "r", false}, busy},
 		{"broken, closed by us, and confirmed late", BranchFailed{1, Broken}, true, BranchFailed{1, Broken}, ""},
 		{"broken, and done after all", BranchFailed{1, Broken}, true, JobReported{Request: "r", From: "?", State: JobDone, Result: []byte("x")}, "answer 0 x"},
 		{"turned away", BranchFailed{1, TurnedAway}, false, Tick{}, "send"},
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -118,8 +118,9 @@
 
 // BranchReleased says that the giving up of a branch that may have been written is over: its next hop has confirmed that, or can't be told.
 type BranchReleased struct {
-	Branch BranchID
-	Told   bool
+	Branch  BranchID
+	Request RequestID
+	Told    bool
 }
 
 // JobState is what a next hop reports of a job that it took.
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -48,14 +48,15 @@
 
 // mayRepeat tells whether the request's class allows a further branch at a hop after those that it has had, whatever the decider thinks,
 // and until when its first byte may be written; 0 for no such time. A hop gets a request a second time only where the first never
-// reached it, or was turned away on its own connection. Danger: call-backs are told again until they are answered, so one that ended an
+// reached it, was turned away on its own connection, or was called off and the hop has confirmed that. Danger: call-backs are told again until they are answered, so one that ended an
 // earlier branch there may come once more, and would end the later one, which runs.
 func (r *Reducer) mayRepeat(q *request, hop Hop) (before float64, ok bool) {
 	class := &r.settings.Classes[r.classes[q.call.Class]]
 	for _, b := range q.branches {
 		again := b.ended && b.code.NeverRan()
+		calledOff := b.ended && b.code == choice.Cancelled && b.released
 		switch {
-		case b.hop == hop.ID && (!again || b.code == choice.Returned), !b.released && !r.settings.SecondCopies:
+		case b.hop == hop.ID && (!again && !calledOff || b.code == choice.Returned), !b.released && !r.settings.SecondCopies:
 			return 0, false
 		case again || class.Effect == choice.Idempotent:
 			continue
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -168,10 +168,7 @@
 			r.decider.Note(r.now, choice.Note{Request: string(b.req.call.ID), Worker: string(b.hop), Attempt: b.no, Taken: true})
 		}
 	case BranchReleased:
-		if b := r.branches[ev.Branch]; b != nil && b.givenUp {
-			b.released = ev.Told
-			r.endBranch(b, b.code, nil)
-		}
+		r.released(ev)
 	case JobReported:
 		if ev.Leg != 0 {
 			a := Answer{Leg: ev.Leg, Verdict: Served}
@@ -385,6 +382,20 @@
 	}
 }
 
+// released enters that the giving up of a branch is over, and ends the branch where that was waited for.
+func (r *Reducer) released(ev BranchReleased) {
+	q := r.requests[ev.Request]
+	if q == nil {
+		return
+	}
+	for _, b := range q.branches {
+		if b.id == ev.Branch && b.givenUp {
+			b.released = b.released || ev.Told
+			r.endBranch(b, b.code, nil)
+		}
+	}
+}
+
 // endBranch passes the one outcome of a branch on. Where that decides the request it brings the final answer; the first one counts.
 func (r *Reducer) endBranch(b *branch, code choice.Code, final *Answer) {
 	if b.ended {
--- a/internal/nexthop/handover_test.go
+++ b/internal/nexthop/handover_test.go
@@ -173,7 +173,7 @@
 		t.Fatalf("%+v before the answer", <-next.events)
 	}
 	says(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-	if e := next.event(t); e != (core.BranchReleased{Branch: 1, Told: true}) {
+	if e := next.event(t); e != (core.BranchReleased{Branch: 1, Request: "r", Told: true}) {
 		t.Fatalf("%+v", e)
 	}
 	next.sender.Send(jobAs(2, hop.addr()))
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -302,7 +302,7 @@
 func (s *Sender) tell(g core.GiveUpBranch) {
 	key := job{g.Addr, g.Request}
 	if s.givingUp[key] != nil || len(s.givingUp) >= mostWaiting {
-		s.gate.Go(func() { s.post(core.BranchReleased{Branch: g.Branch}) })
+		s.gate.Go(func() { s.post(core.BranchReleased{Branch: g.Branch, Request: g.Request}) })
 		return
 	}
 	x := &giving{what: g}
@@ -327,7 +327,7 @@
 	s.mu.Lock()
 	delete(s.givingUp, job{x.what.Addr, x.what.Request})
 	s.mu.Unlock()
-	s.post(core.BranchReleased{Branch: x.what.Branch, Told: err == nil})
+	s.post(core.BranchReleased{Branch: x.what.Branch, Request: x.what.Request, Told: err == nil})
 }
 
 // abandon ends an exchange; s.mu is held.
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/nexthop/nexthop_test.go
@@ -246,7 +246,7 @@
 		t.Fatalf("told %+v before the answer", <-news)
 	}
 	l.say("204 Gone")
-	wantEvent(t, news, core.BranchReleased{Branch: 1, Told: true})
+	wantEvent(t, news, core.BranchReleased{Branch: 1, Request: "r", Told: true})
 	if len(events) > 0 {
 		t.Errorf("event %+v", <-events)
 	}
@@ -259,7 +259,7 @@
 	s, _ := sender(Options{IdleClose: time.Minute})
 	news := told(s)
 	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Hop: "s", Addr: p.addr()})
-	wantEvent(t, news, core.BranchReleased{Branch: 1})
+	wantEvent(t, news, core.BranchReleased{Branch: 1, Request: "r"})
 }
 
 // untilIdle waits until all exchanges have handed their connections back.
@@ -302,7 +302,7 @@
 		t.Errorf("request %q", got)
 	}
 	again.say("404 Not Found")
-	wantEvent(t, news, core.BranchReleased{Branch: 1, Told: true})
+	wantEvent(t, news, core.BranchReleased{Branch: 1, Request: "r", Told: true})
 }
 
 // TestLastWord: what comes while a connection is being opened, or after that, keeps the first byte back. The connection stays good.
