Watch discovery from the first moment, and open a broken watch anew at once

Such a process asked discovery for the first time up to ask_within/4 (2.5 s) after its start, and said that it was ready at once; all that changed while it was away counts as told from its first moment.

A new process now opens its watch at once (Resume), whose first call waits 50 ms only, so that what is new, or that nothing is, is told then; /healthz says no until discovery has told or refused something, 3 s at the most. A watch that breaks or falls silent after it has told something is opened anew at once rather than after a pause of 0.3 to 0.9 s; it asks for 4 s rather than 20 and is taken for lost 1 s later, so that from the moment of silence on news are known within the 6 s after which they count; pauses after refusals end at 2.4 s (7.5 s before) for the same reason. Drains in a list that is doubted and asked for anew are kept to meanwhile.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,7 @@
 	dearMost              = 4.0       // times as many of the dearest jobs, and as few of the cheapest
 	backMemory, backMost  = 64.0, 0.9 // tries that the part of those that came back is of; and its bound
 	tickEvery             = 0.1
+	listMost              = 1.6      // seconds between failed calls: discovery's news count 6 s after its return
 	retryShare, retryMost = 1.2, 1.5 // tries after 'full' a request, by the square of what its aim bears
 	scanMost              = 96       // workers of a large fleet looked at where a sample finds none
 	retryPause            = 0.02     // seconds before a further try where no worker is known to be free
@@ -66,7 +67,7 @@
 	for _, t := range s.Tenants {
 		d.tenants = append(d.tenants, tenant{Tenant: t})
 	}
-	d.listPause = s.AskWithin / 16
+	d.listPause = min(s.AskWithin/16, listMost)
 	if s.ListOnRequest { // all dispatchers may start at once: spread their first calls
 		act.Timer(d.rng.Float64()*s.AskWithin/4, listToken)
 	}
@@ -82,11 +83,11 @@
 		// Danger: many dispatchers asking again at once keep discovery jammed.
 		d.subscribed, d.asked = false, false
 		d.act.Timer(d.listPause*(0.5+d.rng.Float64()), listToken)
-		d.listPause = min(d.listPause*2, d.s.AskWithin/2)
+		d.listPause = min(d.listPause*2, d.s.AskWithin/2, listMost)
 		return
 	}
 	if form != ListRemembered && d.asked {
-		d.subscribed, d.listPause = true, d.s.AskWithin/16
+		d.subscribed, d.listPause = true, min(d.s.AskWithin/16, listMost)
 	}
 	if form != ListChanges {
 		for _, w := range d.workers {
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -43,6 +43,7 @@
 	if why := r.doubt(set); why != "" && !r.doubted {
 		r.tally.ListsDoubted++
 		r.doubted, r.watching, r.version = true, true, VersionUnknown
+		r.takeDrains(set)
 		r.emit(Log{Text: "the route set is kept and asked for anew: " + why})
 		r.emit(Watch{On: true, Source: r.source, Since: r.version})
 		return
@@ -75,3 +76,19 @@
 	}
 	return ""
 }
+
+// takeDrains keeps to the drains of a list that is not believed otherwise. Danger: they count as told, and the list that is asked for in its
+// place may come late.
+func (r *Reducer) takeDrains(set RouteSet) {
+	var list []choice.Worker
+	for _, x := range set.Hops {
+		if h, listed := r.hops[x.ID]; listed && r.usable(h) && x.State != HopActive {
+			r.hints[h.ID] = hint{version: set.Version, at: r.now, own: true}
+			r.emit(DropHop{Addr: h.Addr})
+			list = append(list, r.worker(h))
+		}
+	}
+	if len(list) > 0 {
+		r.decider.List(r.now, choice.ListChanges, list)
+	}
+}
--- a/internal/core/figures_test.go
+++ b/internal/core/figures_test.go
@@ -50,6 +50,26 @@
 	}
 }
 
+// TestDrainsOfAnOddListAreKept: they count as told, though the list is asked for anew. That one's word is the last.
+func TestDrainsOfAnOddListAreKept(t *testing.T) {
+	r, err := New(1, settings(choice.Idempotent), RouteSet{Version: 41, Hops: hops("a", "b")}, "d:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaving := hops("a")
+	leaving[0].State = HopLeaving
+	if got := brief(r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 40, Hops: leaving}})); !slices.Contains(got, "core.DropHop") {
+		t.Fatalf("effects %v", got)
+	}
+	for i := range 8 {
+		expect(t, r.Step(2.1, CallArrived{Call{Leg: LegID(20 + i), ID: RequestID(rune('A' + i)), Class: "c", Remaining: 5}}), "send b")
+	}
+	r.Step(2.2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 40, Full: true, Hops: hops("a")}})
+	if got := brief(r.Step(2.3, call("r"))); !slices.Contains(got, "send a") {
+		t.Errorf("effects %v", got)
+	}
+}
+
 // TestNewSourceIsDoubtedForItself: what the old source was asked again for says nothing of a new one.
 func TestNewSourceIsDoubtedForItself(t *testing.T) {
 	r, err := New(1, settings(choice.Idempotent), RouteSet{Version: 41, Hops: hops("a")}, "d:1")
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -109,6 +109,9 @@
 }
 
 func (h host) Subscribe(on bool) {
+	if on && h.r.watching {
+		return // danger: a watch that runs would be opened anew, and what it was about to tell be lost with its connection
+	}
 	h.r.watching = on
 	h.r.emit(Watch{On: on, Source: h.r.source, Since: h.r.version})
 }
--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -59,6 +59,7 @@
 func TestDrainByHand(t *testing.T) {
 	r := start(t, choice.Idempotent, "a")
 	yes, no := fmt.Sprint("answer ", Served, " ready\n"), fmt.Sprint("answer ", Busy, " ")
+	r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 1}})
 	expect(t, r.Step(2, DrainOrdered{End: true}), "core.Ordered")
 	expect(t, r.Step(2, HealthAsked{Leg: 1}), yes)
 	expect(t, r.Step(2, DrainOrdered{}), "core.SendAway", "core.Ordered")
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -14,6 +14,10 @@
 	"foldlb.example/foldlb/internal/membership"
 )
 
+// mostUninformed is for how long at the most a new process says that it is not ready since discovery has not answered, in seconds. Danger: who
+// is given requests before that sends them to next hops that have long gone; and where discovery is down, nobody would ever be ready.
+const mostUninformed = 3.0
+
 // doubtTime is how long a job in doubt may take to report its start, in seconds.
 const doubtTime = 0.15
 
@@ -63,6 +67,7 @@
 	source     Source
 	version    int64             // of the list that the source told
 	watching   bool              // a watch of the source was asked for and has not been refused
+	readyAt    float64           // when it is ready whatever discovery says; 0 once that has told or refused something
 	banned     map[HopID]bool    // out by hand, listed or not
 	returned   map[HopID]float64 // when a listed hop was put back by hand
 	hints      map[HopID]hint    // out by a peer's word, listed as active
@@ -113,8 +118,9 @@
 	r.decider = d
 	known.Full = true
 	r.applyRouteSet(known, choice.ListRemembered)
-	// Danger: where lists are pushed the module asks for nothing, but the agent that they are pushed to speaks only when it is watched.
-	r.watching = !s.ListOnRequest
+	// Danger: what is remembered may be old, and all that has changed since counts as told from the first moment; and where lists are pushed
+	// the module asks for nothing, but the agent that they are pushed to speaks only when it is watched. So a new process watches at once.
+	r.watching, r.readyAt = true, now+mostUninformed
 	return r, nil
 }
 
@@ -156,6 +162,8 @@
 			r.emit(Answer{Leg: ev.Leg, Verdict: Busy, Reason: "draining"})
 		} else if r.fenced() {
 			r.emit(Answer{Leg: ev.Leg, Verdict: Busy, Reason: "shut out"})
+		} else if r.now < r.readyAt {
+			r.emit(Answer{Leg: ev.Leg, Verdict: Busy, Reason: "discovery has not answered yet"})
 		} else {
 			r.emit(Answer{Leg: ev.Leg, Verdict: Served, Body: []byte("ready\n")})
 		}
@@ -182,10 +190,11 @@
 		if ev.Source != r.source {
 			break // danger: an old source's list may be older than what the new one has told
 		}
+		r.readyAt = 0
 		r.routeSetTold(ev.RouteSet)
 	case RouteSetRefused:
 		if ev.Source == r.source {
-			r.watching = false
+			r.watching, r.readyAt = false, 0
 			r.decider.List(r.now, choice.ListRefused, nil)
 		}
 	case Reloaded:
--- a/internal/routeset/watch.go
+++ b/internal/routeset/watch.go
@@ -19,17 +19,34 @@
 	"foldlb.example/foldlb/internal/hold"
 )
 
+// When news count as told, whether they came or not: told within so long after discovery had them and could be reached, whatever became of
+// the calls before.
+const newsWithin = 6 * time.Second
+
+// How long calls may take. Danger: a watch may fall silent at any moment and say nothing of that. From a change on that it does not tell, it goes
+// unnoticed for watchWait + watchGrace, and is opened anew at once: that has to be over within newsWithin.
+const (
+	watchWait  = 4 * time.Second         // that a watch asks discovery to wait for news
+	watchGrace = time.Second             // beyond that, for an answer on its way and a discovery that handles calls in turn
+	firstWait  = 50 * time.Millisecond   // that the first call of a watch asks it to wait: what is new already is told at once, and that nothing is
+	answerWait = 2500 * time.Millisecond // for a call that does not wait: discovery gives a call up after 2 s
+	dialWait   = time.Second             // for a connection to it
+)
+
 const (
-	watchWait  = 20 * time.Second        // how long a watch may wait for news
-	answerWait = 2500 * time.Millisecond // for a call that does not wait, and for dialling: discovery gives a call up after 2 s
-	// Danger: 2 s after a watch's wait its news count as told, whether they came or not. A watch that has fallen
-	// silent must be noticed early enough to ask again before that.
-	watchGrace  = time.Second
 	mostList    = 8 << 20 // bytes of a list
 	listPath    = "/v1/servers"
 	serviceHost = "discovery"
 )
 
+// noticed tells after what time a call is taken for lost that asks discovery to wait so long for news; 0 for one that does not wait.
+func noticed(wait time.Duration) time.Duration {
+	if wait <= firstWait {
+		return wait + answerWait
+	}
+	return wait + watchGrace
+}
+
 // Client reads and watches the lists of the sources that it is given. Its news go to post as events, with
 // the source that told them.
 type Client struct {
@@ -70,7 +87,7 @@
 		ctx, stop := context.WithCancel(context.Background())
 		c.stop = stop
 		c.gate.Go(func() {
-			link, err := c.ask(ctx, nil, w.Source, w.Since)
+			link, err := c.ask(ctx, nil, w.Source, w.Since, firstWait)
 			c.follow(ctx, link, err, w.Source, w.Since)
 		})
 	}
@@ -79,7 +96,7 @@
 // Fetch asks a source for the whole list, once. It does not block.
 func (c *Client) Fetch(f core.FetchRouteSet) {
 	c.gate.Go(func() {
-		link, err := c.ask(context.Background(), nil, f.Source, core.VersionUnknown)
+		link, err := c.ask(context.Background(), nil, f.Source, core.VersionUnknown, 0)
 		if err == nil {
 			defer link.Close()
 			var set core.RouteSet
@@ -103,8 +120,27 @@
 
 // follow reads the answers of a watch and asks again and again, on one connection of its own. The next call is
 // written before the last answer is passed on: discovery takes a watch that is not renewed within 200 ms for a new
-// one.
+// one. A watch that breaks or falls silent after it has told something is opened anew at once, since what it misses counts as told soon; one
+// that tells nothing at all is refused, and asked for again when the decision module says so.
 func (c *Client) follow(ctx context.Context, link *conn, err error, from core.Source, since int64) {
+	for {
+		var told bool
+		told, since, err = c.hear(ctx, link, err, from, since)
+		if !told || ctx.Err() != nil {
+			break
+		}
+		c.failed.Add(1)
+		c.log.WithError(err).WithField("discovery", from.Addr).Warn("watch of discovery broken, opened anew")
+		link, err = c.ask(ctx, nil, from, since, firstWait)
+	}
+	c.waits(ctx, nil)
+	if ctx.Err() == nil {
+		c.refused(from, err)
+	}
+}
+
+// hear reads the answers of a watch until one fails, and returns whether there was one and the version that is held then.
+func (c *Client) hear(ctx context.Context, link *conn, err error, from core.Source, since int64) (told bool, _ int64, _ error) {
 	for err == nil {
 		c.waits(ctx, &watch{link, from, since})
 		var set core.RouteSet
@@ -112,14 +148,11 @@
 			link.Close()
 			break
 		}
-		since = set.Version
-		link, err = c.ask(ctx, link, from, since)
+		told, since = true, set.Version
+		link, err = c.ask(ctx, link, from, since, c.wait)
 		c.post(core.RouteSetTold{Source: from, RouteSet: set})
 	}
-	c.waits(ctx, nil)
-	if ctx.Err() == nil {
-		c.refused(from, err)
-	}
+	return told, since, err
 }
 
 // waits notes the call that a watch waits on, unless another watch has taken its place.
@@ -131,8 +164,8 @@
 	c.mu.Unlock()
 }
 
-// ask writes the next call, on a new connection where discovery has closed the last one.
-func (c *Client) ask(ctx context.Context, link *conn, from core.Source, since int64) (*conn, error) {
+// ask writes the next call, on a new connection where discovery has closed the last one. From an unknown version on it does not wait for news.
+func (c *Client) ask(ctx context.Context, link *conn, from core.Source, since int64, wait time.Duration) (*conn, error) {
 	if link == nil || link.closes {
 		if link != nil {
 			link.Close()
@@ -143,11 +176,13 @@
 		}
 		context.AfterFunc(ctx, func() { link.Close() })
 	}
-	target, wait := listPath, answerWait
+	target := listPath
 	if since != core.VersionUnknown {
-		target, wait = watchTarget(since, c.wait), c.wait+watchGrace
+		target = watchTarget(since, wait)
+	} else {
+		wait = 0
 	}
-	if err := link.ask(target, wait); err != nil {
+	if err := link.ask(target, noticed(wait)); err != nil {
 		link.Close()
 		return nil, err
 	}
@@ -168,7 +203,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{Timeout: answerWait}
+	d := net.Dialer{Timeout: dialWait}
 	c.gate.Rest() // nothing is asked yet: where the gate is held the other process dials anew
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	c.gate.Wake()
