Count what a dispatcher carried less by its scatter, so that cold budgets add up

Cause: choice.refresh keeps the most work a second that each unit was seen to carry. With thirty dispatchers each serves some ten jobs of a kind in the 8 s that are averaged over; the largest of such estimates over half a minute is far over the mean, and every dispatcher keeps its own largest. The model in virtual time shows it: the most that a cold next hop is sent is 0.41 of N with 3 dispatchers, 0.82 with 30, 0.98 with 100, 1.28 with 300 (a first play of 300 falls).

What was carried now counts less by 1.5 times its own scatter (the root of the sum of squares of the work served, halved for the exponential window): 0.37 with 3, 0.46 with 30, 0.52 with 100, 0.50 with 300. In the model, 1 times leaves 0.74 with 100 dispatchers at full load. The reason lies in the protocol's budget, which is the fleet's: a sum of estimates that each err upwards is no estimate of the sum.

TestFleetsSumSparesColdHops plays 1 to 300 dispatchers of uneven traffic under a burst and fails without this; the model counts falls by the rule's N + 2 root N + 2 now.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,7 @@
 	unsafeBar             = 3.0       // times as long for jobs that a failure loses
 	badMemory, badMost    = 12.0, 0.3 // attempts that the part of failed ones is of; part that bars in full
 	probeShare            = 0.5       // probes for each request
+	surely                = 1.5       // times its own scatter that what is carried counts less
 	coldMargin            = 0.6       // part of the overload factor that all dispatchers together may use
 	coldSaved             = 0.3       // seconds of its budget that a cold worker saves up at the most
 	coldJob               = 0.3       // largest job for a cold worker, as a part of what tips it
@@ -43,7 +44,7 @@
 	dearMost              = 4.0       // times as many of the dearest jobs, and as few of the cheapest
 	backMemory, backMost  = 64.0, 0.9 // tries that the part of those that came back is of; and its bound
 	tickEvery             = 0.1
-	listMost              = 1.6      // seconds between failed calls: discovery's news count 6 s after its return
+	listMost              = 1.6      // seconds between failed calls: back, its news count after 6 s
 	retryShare, retryMost = 1.2, 1.5 // tries after 'full' a request, by the square of what its aim bears
 	scanMost              = 96       // workers of a large fleet looked at where a sample finds none
 	retryPause            = 0.02     // seconds before a further try where no worker is known to be free
@@ -125,7 +126,7 @@
 func (d *Dispatcher) Fleet(dispatchers int) {
 	if part := float64(d.s.Dispatchers) / float64(dispatchers); part < 1 {
 		for _, k := range d.kindList {
-			k.carried, k.work.sum = k.carried*part, k.work.sum*part
+			k.carried, k.work.sum, k.squares.sum = k.carried*part, k.work.sum*part, k.squares.sum*part
 		}
 	}
 	d.s.Dispatchers = max(1, dispatchers)
@@ -155,7 +156,10 @@
 		// Danger: what is carried now is no measure where the budget itself keeps it low, as when a release
 		// has made a whole kind cold: the budget would only ever shrink.
 		k.unitTime.add(now, k.units*since)
-		k.carried = max(k.carried*carriedKeep, k.work.perS(now)/max(k.unitTime.perS(now), 1e-9))
+		// Danger: of many dispatchers each carries little, what it saw is chance for a good part, and the
+		// most that each saw adds up to far more than all carried. So it counts less by its own scatter.
+		sure := k.work.perS(now) - surely*math.Sqrt(k.squares.perS(now)/(2*rateMemory))
+		k.carried = max(k.carried*carriedKeep, sure/max(k.unitTime.perS(now), 1e-9))
 	}
 	for _, r := range d.reqs {
 		// Danger: a job in a long queue tells so only as it starts, when the queue has grown for as long.
@@ -548,7 +552,7 @@
 			d.sawLate(o.Latency > c.Aim+c.Stretch*own)
 		}
 		d.took += (o.Latency - d.took) / (4 * memory)
-		w.kind.work.add(now, cost*w.kind.medians[r.Class])
+		w.kind.did(now, cost*w.kind.medians[r.Class])
 		took := o.Latency
 		if a.startedAt > 0 {
 			took = now - a.startedAt
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -51,6 +51,7 @@
 	Name                          string
 	Medians                       []float64 // by class
 	Work, UnitTime                RateState
+	Squares                       RateState `cbor:",omitempty"`
 	Free, Reports, Carried, Units float64
 }
 
@@ -122,7 +123,7 @@
 	}
 	for _, k := range d.kindList {
 		s.Kinds = append(s.Kinds, KindState{Name: names[k], Medians: slices.Clone(k.medians), Work: k.work.export(),
-			UnitTime: k.unitTime.export(), Free: k.free, Reports: k.reports, Carried: k.carried, Units: k.units})
+			UnitTime: k.unitTime.export(), Squares: k.squares.export(), Free: k.free, Reports: k.reports, Carried: k.carried, Units: k.units})
 	}
 	place := make(map[*worker]int, len(d.workers))
 	for i, w := range d.workers {
@@ -261,6 +262,7 @@
 				to.medians[n] = m
 			}
 		}
+		to.squares = rate{k.Squares.Sum, k.Squares.At}
 		to.work, to.unitTime = rate{k.Work.Sum, k.Work.At}, rate{k.UnitTime.Sum, k.UnitTime.At}
 		to.free, to.reports, to.carried, to.units = k.Free, k.Reports, k.Carried, k.Units
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -170,6 +170,7 @@
 type kind struct {
 	medians  []float64 // of the response times seen, by class
 	work     rate      // seconds of work served
+	squares  rate      // and its squares
 	free     float64   // mean of the free slots reported
 	reports  float64   // that it is a mean of
 	unitTime rate      // seconds that its units were there to work
@@ -177,6 +178,12 @@
 	units    float64   // workers, each counted by the part of its capacity it has
 }
 
+// did enters work that was served, in seconds.
+func (k *kind) did(now, work float64) {
+	k.work.add(now, work)
+	k.squares.add(now, work*work)
+}
+
 // class is a type of jobs with its candidates.
 type class struct {
 	Class
--- a/internal/virtual/model.go
+++ b/internal/virtual/model.go
@@ -40,6 +40,8 @@
 	Plan        []Happening
 	Told        bool // dispatchers keep a view, and tell their modules how many may be acting
 	Behind      int  // of those that join, so many are behind a partition, and not in the view
+	Uneven      bool // dispatchers' parts of the traffic differ, some being several times the mean
+	Burst       Burst
 	Site        *Site
 
 	// To show that a promise can be broken: what changes the settings that a dispatcher is told, what stands between a
@@ -68,6 +70,12 @@
 	Join        int     // dispatchers that join
 }
 
+// Burst is a time in which more is asked.
+type Burst struct {
+	At, For float64
+	Times   float64 // as much as before and after
+}
+
 // Count is what was counted over the whole fleet.
 type Count struct {
 	Requests   int
@@ -81,6 +89,7 @@
 	Refusals   int     // of connections
 	ConnsMost  int     // at the next hop that held most
 	Cold       float64 // most work sent to a cold next hop within the rule's window, by those who knew, over what it bears
+	Fell       float64 // most jobs of mean work sent to one so, over what it falls under: N + 2 root N + 2, for N that it bears
 	Least      float64 // work of the warm next hop that did least, over the mean of its kind and zone
 	Trace      uint64  // of all that happened, in order
 	Overlaps   int     // attempts that began while another of the same request was out
@@ -126,6 +135,7 @@
 	count       Count
 	nextID      int
 	work, mix   []float64 // of the site
+	mean        float64   // of a request's work
 }
 
 func (w *world) after(delay float64, do func()) {
@@ -187,16 +197,15 @@
 		w.dispatchers = append(w.dispatchers, d)
 		d.start()
 	}
-	mean := 0.0
 	for i, x := range w.work {
-		mean += x * w.mix[i]
+		w.mean += x * w.mix[i]
 	}
-	gap := mean / (capacity * c.Load)
+	gap := w.mean / (capacity * c.Load)
 	var arrive func()
 	arrive = func() {
 		if w.now < c.Length {
 			w.call()
-			w.after(w.rng.ExpFloat64()*gap, arrive)
+			w.after(w.rng.ExpFloat64()*gap/w.burst(), arrive)
 		}
 	}
 	w.after(0.1, arrive)
@@ -214,11 +223,29 @@
 
 func zoneOf(i int) string { return []string{"a", "b"}[i%2] }
 
+// burst is how many times the usual is asked now.
+func (w *world) burst() float64 {
+	if b := w.Burst; w.now >= b.At && w.now < b.At+b.For {
+		return b.Times
+	}
+	return 1
+}
+
+// drawn is the place of a dispatcher that callers may be led to. Where traffic is uneven the parts fall as a geometric row, so that the first of
+// many has some four times the mean and the last a tenth of it.
+func (w *world) drawn() int {
+	n := len(w.dispatchers)
+	if !w.Uneven {
+		return w.rng.IntN(n)
+	}
+	return min(n-1, int(w.rng.ExpFloat64()*float64(n)/4))
+}
+
 // call brings a request to a dispatcher that callers are led to.
 func (w *world) call() {
 	var d *dispatcher
 	for range 20 {
-		d = w.dispatchers[w.rng.IntN(len(w.dispatchers))]
+		d = w.dispatchers[w.drawn()]
 		if d.alive {
 			break
 		}
--- a/internal/virtual/model_test.go
+++ b/internal/virtual/model_test.go
@@ -164,7 +164,7 @@
 			}
 		}},
 		{"no cold next hop is sent more than it bears", func(c *Config) {
-			c.Alter = func(s *choice.Settings) { s.WarmWithin = 0 }
+			c.Alter = warmFromTheStart
 		}},
 		{"no warm next hop starves", func(c *Config) { c.Wrap = shuns }},
 		{"calls fit into what discovery can do", func(c *Config) { c.Wrap = wrap(altered{storms: true}) }},
--- a/internal/virtual/worker.go
+++ b/internal/virtual/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 
 	"foldlb.example/foldlb/choice"
@@ -157,7 +158,11 @@
 	for _, e := range x.sent {
 		sum += e.work
 	}
-	x.w.count.Cold = max(x.w.count.Cold, sum/(s.OverloadFactor*s.TipAfter*x.capacity()*slots))
+	bears := s.OverloadFactor * s.TipAfter * x.capacity() * slots // seconds of work
+	x.w.count.Cold = max(x.w.count.Cold, sum/bears)
+	job := x.w.mean / x.speed
+	n := bears / job
+	x.w.count.Fell = max(x.w.count.Fell, sum/job/(n+2*math.Sqrt(n)+2))
 }
 
 // next starts what its slots allow.
