End client connections in order: claim, write-shutdown, read to the end, then close

Found by reading for races, each forced by a test on real sockets: - closeIdle, Shed and the flood's eviction asked whether a connection rests and closed it afterwards; a request read in between was handed to the reducer and sent on, though its client saw the close and sends it again elsewhere. claim() asks and takes the connection in one step under its lock; enter() refuses a claimed one, so what comes later is read and left alone (TestRequestInTheMomentOfTheClose). - A connection was closed over unread bytes, which resets it and takes the last answer along. It ends by write-shutdown and is read to the other side's end, for 0.5 s and 256 KiB at most (TestAnswerSurvivesWhatNobodyReads, TestLingeringIsBounded); meanwhile it gives its place first (TestLingeringGivesItsPlace). - Drain kept connections open for 1.7 s whatever the longest deadline; with one under 1.3 s the process ended first and cut them off. It is half of a shorter drain now (TestShortDrain). At its end it closes the listener and serves what that had accepted (TestAcceptedAtTheVeryEnd); what is read after everything was answered is refused, not sent on (TestStoppingAnswersAll). - An address that is still in use for a moment ended the process; it is waited for, 6 s at most, in 20 ms steps, as the kernel tells nobody (TestListen).

--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -202,9 +202,10 @@
 	n.log.Info("draining")
 	n.ending.Store(true)
 	n.loop.Post(core.FleetEntered{State: membership.Stopping})
-	n.legs.Drain(stopAfter(n.cfg.Settings), func() { n.loop.Post(core.Stopping{}) })
-	if err := held.Close(); err != nil {
-		return fmt.Errorf("close listener: %w", err)
+	var closed error
+	n.legs.Drain(stopAfter(n.cfg.Settings), func() { closed = held.Close() }, func() { n.loop.Post(core.Stopping{}) })
+	if closed != nil {
+		return fmt.Errorf("close listener: %w", closed)
 	}
 	n.member.leave()
 	n.auditor.end()
--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"foldlb.example/foldlb/choice"
+	"foldlb.example/foldlb/internal/callerleg"
 	"foldlb.example/foldlb/internal/config"
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/hold"
@@ -89,9 +90,9 @@
 	if held != nil {
 		return s.beside(ctx, held, door, reload)
 	}
-	ln, err := net.Listen("tcp", s.cfg.Listen)
+	ln, err := callerleg.Listen(ctx, s.cfg.Listen, callerleg.ListenWait, s.log)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
 	return s.begin(ctx, ln, door, reload)
 }
--- a/internal/callerleg/conn.go
+++ b/internal/callerleg/conn.go
@@ -49,17 +49,77 @@
 	head      bool       // it is a HEAD
 	ends      bool       // its answer is the last
 	continued bool       // a 100 Continue was written for the request being read
+	shut      bool       // nothing that comes from now on is taken: its answers are over, or it was claimed
 	closed    bool
 }
 
-// enter begins a phase.
-func (c *legConn) enter(p phase) {
+// enter begins a phase, unless the connection was claimed.
+func (c *legConn) enter(p phase) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut {
+		return false
+	}
 	if c.proven && c.phase != p {
 		c.since = time.Now()
 	}
 	c.phase = p
+	return true
+}
+
+// claim takes a connection from its reader, for its end: only while it waits for a request of which nothing has come, or for the rest of a
+// first one. Danger: what its reader gets a moment later must not be taken; its client sees the end, and sends it again elsewhere.
+func (c *legConn) claim() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut || c.closed || !(c.phase == waiting && c.Silent() || c.phase == reading && !c.proven) {
+		return false
+	}
+	c.shut = true
+	return true
+}
+
+// How a connection ends whose other side may still be writing. Danger: a close over bytes that nobody has read resets the connection, and what
+// was written last goes with it; so this side says that it is over, and reads on to the other's end, within bounds.
+const (
+	lingerWait = 500 * time.Millisecond
+	lingerMost = 256 << 10 // bytes
+)
+
+// linger ends what this side says on the connection, and reads what still comes until the other side ends too.
+func (c *legConn) linger() {
+	c.mu.Lock()
+	claimed, closed := c.shut, c.closed
+	c.shut = true
 	c.mu.Unlock()
+	if closed {
+		return
+	}
+	if !claimed {
+		c.end()
+	}
+	var b [512]byte
+	for n := 0; n < lingerMost; {
+		m, err := c.Read(b[:])
+		if err != nil {
+			return
+		}
+		n += m
+		c.Mark(0)
+	}
+}
+
+// end says that nothing more will be said on the connection, and bounds how long what comes is read.
+func (c *legConn) end() {
+	c.CloseWrite()
+	c.SetReadDeadline(time.Now().Add(lingerWait))
+}
+
+// lingers tells whether the connection only waits for the other side's end.
+func (c *legConn) lingers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shut
 }
 
 // prove marks that a well-formed request has come, and from whom.
@@ -89,16 +149,6 @@
 	return err
 }
 
-// closeUnread closes the connection if it is still idle. Danger: it may have begun to read a request since it was chosen,
-// and its caller would have to ask again.
-func (c *legConn) closeUnread(idle func() bool) bool {
-	if !idle() {
-		return false
-	}
-	c.Close()
-	return true
-}
-
 // rank orders connections by how soon they give up their places.
 type rank int
 
@@ -106,7 +156,7 @@
 	stays     rank = iota // it is at work
 	keptIdle              // well-formed requests have come on it, and it waits for the next
 	mayProve              // new; its first request may still be on its way
-	yieldsNow             // new, and overdue with its first request
+	yieldsNow             // new, and overdue with its first request; or over, but for the other side's end
 )
 
 // rank tells how soon the connection gives up its place, and from when on it has held it. Danger: closing one
@@ -116,6 +166,8 @@
 	defer c.mu.Unlock()
 	held := now.Sub(c.since)
 	switch {
+	case c.shut && !c.closed:
+		return yieldsNow, c.since
 	case c.closed || c.phase >= serving || c.proven && c.phase == reading:
 		return stays, c.since
 	case c.phase == waiting && !c.Silent():
@@ -134,7 +186,7 @@
 func (c *legConn) idleFor(now time.Time, of side) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if of != unknown && c.side != of || c.closed || c.phase != waiting || !c.Silent() {
+	if of != unknown && c.side != of || c.closed || c.shut || c.phase != waiting || !c.Silent() {
 		return 0
 	}
 	return now.Sub(c.since)
--- a/internal/callerleg/drain.go
+++ b/internal/callerleg/drain.go
@@ -9,28 +9,32 @@
 // Danger: where dispatchers restart one after the other, the last one may still be away, and callers whose
 // connections close early find nobody.
 const (
-	drainServe = 1700 * time.Millisecond // callers' connections stay open for so long
-	drainLeast = time.Second             // and the listener for at least so long
+	drainServe = 1700 * time.Millisecond // callers' connections stay open for so long, but for half of a shorter drain
 	drainIdle  = 50 * time.Millisecond   // then those are closed that have waited for so long
 	drainQuiet = 100 * time.Millisecond  // without a new request, before the end
 	drainPoll  = 10 * time.Millisecond
 )
 
-// Drain goes on taking and answering requests and returns when nothing taken is unanswered. After most it has
-// all that still waits answered by giveUp, and returns soon after.
-func (s *Server) Drain(most time.Duration, giveUp func()) {
+// Drain goes on taking and answering requests and returns when nothing taken is unanswered. Its steps: serving as before; from drainServe on every
+// answer ends its connection and idle ones are ended; when nothing is left, refuse closes the listener, and what it had accepted by then is served;
+// after most, all that still waits is answered by giveUp, and what comes later by a refusal, until the end soon after.
+func (s *Server) Drain(most time.Duration, refuse, giveUp func()) {
 	s.draining.Store(true)
 	begin := time.Now()
 	t := time.NewTicker(drainPoll)
 	defer t.Stop()
-	gaveUp := false
+	gaveUp, refused := false, false
 	for now := range t.C {
 		passed := now.Sub(begin)
-		if passed >= drainServe {
+		if passed >= min(drainServe, most/2) {
 			s.closing.Store(true)
 			s.closeIdle(now, unknown)
-			if passed >= drainLeast && s.quiet(now) {
-				return
+			if s.quiet(now) {
+				if refused {
+					return
+				}
+				refused = true
+				refuse()
 			}
 		}
 		if passed >= most && !gaveUp {
@@ -38,6 +42,9 @@
 			giveUp()
 		}
 		if passed >= most+drainQuiet {
+			if !refused {
+				refuse()
+			}
 			return
 		}
 	}
@@ -55,7 +62,9 @@
 	}
 	s.mu.Unlock()
 	for _, c := range idle {
-		c.closeUnread(func() bool { return c.idleFor(now, of) >= drainIdle })
+		if c.claim() {
+			c.end() // its reader closes it
+		}
 	}
 }
 
@@ -79,11 +88,8 @@
 		if n <= 0 {
 			return
 		}
-		idle := func() bool {
-			r, _ := w.c.rank(now)
-			return r == keptIdle
-		}
-		if w.c.closeUnread(idle) {
+		if w.c.claim() {
+			w.c.Close()
 			n--
 		}
 	}
--- /dev/null
+++ b/internal/callerleg/listen_test.go
@@ -0,0 +1,55 @@
+package callerleg
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+)
+
+// TestListen: an address that somebody holds is waited for, not for ever; one that can't be had is an error at once.
+func TestListen(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := held.Addr().String()
+	log, hook := test.NewNullLogger()
+	if _, err := Listen(context.Background(), addr, 3*listenPause, log); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("held for ever: %v", err)
+	}
+	if len(hook.Entries) != 1 {
+		t.Errorf("%d lines in the log, want one for the whole wait", len(hook.Entries))
+	}
+	hook.Reset()
+	log.AddHook(freeing{held}) // the line says that it waits
+	ln, err := Listen(context.Background(), addr, patience, log)
+	if err != nil {
+		t.Fatalf("freed: %v", err)
+	}
+	ln.Close()
+	begin := time.Now()
+	if _, err := Listen(context.Background(), "192.0.2.1:1", patience, log); err == nil || errors.Is(err, syscall.EADDRINUSE) || time.Since(begin) > patience/2 {
+		t.Errorf("an address of another machine: %v", err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	if ln, err = net.Listen("tcp", addr); err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if _, err := Listen(ctx, addr, time.Hour, logrus.New()); err == nil {
+		t.Error("SIGTERM does not end the wait")
+	}
+}
+
+// freeing closes a listener at the first line of a log.
+type freeing struct{ net.Listener }
+
+func (f freeing) Levels() []logrus.Level     { return logrus.AllLevels }
+func (f freeing) Fire(_ *logrus.Entry) error { f.Close(); return nil }
--- a/internal/callerleg/serve.go
+++ b/internal/callerleg/serve.go
@@ -55,6 +55,7 @@
 	defer c.Close()
 	for s.next(c) {
 	}
+	c.linger()
 }
 
 // next reads one request and answers it, and tells whether the connection goes on.
@@ -68,7 +69,9 @@
 	again, later := c.phase == reading, c.later // again: taken up from another process with part of a request
 	c.mu.Unlock()
 	if !again {
-		c.enter(reading)
+		if !c.enter(reading) {
+			return false
+		}
 		if later {
 			c.SetReadDeadline(time.Now().Add(readWait))
 		}
@@ -78,7 +81,10 @@
 	c.mu.Lock()
 	c.old, c.head, c.ends, c.continued = !req.Header.IsHTTP11(), req.Header.IsHead(), req.Header.ConnectionClose(), false
 	c.mu.Unlock()
-	c.enter(serving)
+	if !c.enter(serving) { // the last place where a request may still be left alone: from here on it is taken
+		fasthttp.ReleaseRequest(req)
+		return false
+	}
 	var a answer
 	var waits bool
 	if err != nil {
--- a/internal/callerleg/server.go
+++ b/internal/callerleg/server.go
@@ -140,6 +140,10 @@
 			return false
 		}
 	}
+	if out != nil && !out.lingers() && !out.claim() {
+		s.mu.Unlock()
+		return false // something has just come on it
+	}
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	if out != nil {
--- a/internal/callerleg/server_test.go
+++ b/internal/callerleg/server_test.go
@@ -264,7 +264,7 @@
 	f := serve(t, 16)
 	over := make(chan struct{})
 	go func() {
-		f.s.Drain(patience, func() { t.Error("given up") })
+		f.s.Drain(patience, func() {}, func() { t.Error("given up") })
 		close(over)
 	}()
 	pace := time.NewTicker(drainPoll)
@@ -392,7 +392,7 @@
 	leg := f.event().(core.CallArrived).Call.Leg
 	over := make(chan struct{})
 	go func() {
-		f.s.Drain(2*drainLeast, func() { f.s.Answer(core.Answer{Leg: leg, Verdict: core.Busy}) })
+		f.s.Drain(2*time.Second, func() {}, func() { f.s.Answer(core.Answer{Leg: leg, Verdict: core.Busy}) })
 		close(over)
 	}()
 	for !f.s.draining.Load() {
--- a/internal/callerleg/state.go
+++ b/internal/callerleg/state.go
@@ -46,6 +46,9 @@
 	}
 	slices.SortFunc(all, func(a, b *legConn) int { return a.since.Compare(b.since) })
 	for _, c := range all {
+		if c.lingers() {
+			continue // nothing that comes on it is taken, here or elsewhere
+		}
 		file, err := files.Add(c)
 		if err != nil {
 			continue // it was closed, and its goroutine will find that
@@ -103,4 +106,5 @@
 	for on {
 		on = s.next(c)
 	}
+	c.linger()
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -122,6 +122,7 @@
 		r.Step(2, call("r"))
 		expect(t, r.Step(3, Stopping{}), fmt.Sprint("answer ", verdict, " "), "give up a")
 		expect(t, r.Step(4, Stopping{}))
+		expect(t, r.Step(4.1, call("late")), fmt.Sprint("answer ", Busy, " ")) // nothing that comes then is sent on
 	}
 }
 
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -76,6 +76,7 @@
 	recent     []HintState       // drains that were told lately, by this source or by peers
 	routesName string            // of the source, among the members of a fleet
 	draining   bool              // by hand
+	stopping   bool              // all that was taken has been answered, and the process ends
 	doubted    bool              // the source was asked for its whole list, since what it told was odd
 	tally      Tally
 	fleet      *membership.View // nil where this dispatcher keeps none
@@ -292,6 +293,9 @@
 	case r.fenced():
 		r.emit(Answer{Leg: c.Leg, Verdict: Busy, Reason: "shut out"}) // asking elsewhere is harmless
 		return
+	case r.stopping:
+		r.emit(Answer{Leg: c.Leg, Verdict: Busy, Reason: "stopping"}) // danger: the process ends before an attempt could
+		return
 	case r.settings.OpenCap > 0 && len(r.legs) >= r.settings.OpenCap:
 		r.emit(Answer{Leg: c.Leg, Verdict: Busy, Reason: "too many open requests"})
 		return
@@ -340,6 +344,7 @@
 // stop answers all that callers wait for, since nothing will answer it later. Busy is a promise that asking
 // again is harmless, so only what never ran, or may be repeated freely, is told that.
 func (r *Reducer) stop() {
+	r.stopping = true
 	for _, leg := range slices.Sorted(maps.Keys(r.legs)) { // in order, so that twins do alike
 		q := r.legs[leg]
 		a := Answer{Verdict: Busy, Reason: "stopping"}
--- a/internal/hold/conn.go
+++ b/internal/hold/conn.go
@@ -428,6 +428,14 @@
 	}
 }
 
+// CloseWrite ends what this side says; the other side's may still be read.
+func (c *Conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.gate.drop(c)
