Give cold budgets back what a fleet's sum may err by, up to all that was carried

The sum may be a third over what was carried, as the margin of 0.6 is of more than that; so the sure part counts 1.3 times, never over all that was seen.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,7 +25,7 @@
 	unsafeBar             = 3.0       // times as long for jobs that a failure loses
 	badMemory, badMost    = 12.0, 0.3 // attempts that the part of failed ones is of; part that bars in full
 	probeShare            = 0.5       // probes for each request
-	surely                = 1.5       // times its own scatter that what is carried counts less
+	surely, sureOver      = 1.5, 1.3  // scatters that what is carried counts less; times the rest, at most all
 	coldMargin            = 0.6       // part of the overload factor that all dispatchers together may use
 	coldSaved             = 0.3       // seconds of its budget that a cold worker saves up at the most
 	coldJob               = 0.3       // largest job for a cold worker, as a part of what tips it
@@ -158,8 +158,9 @@
 		k.unitTime.add(now, k.units*since)
 		// Danger: of many dispatchers each carries little, what it saw is chance for a good part, and the
 		// most that each saw adds up to far more than all carried. So it counts less by its own scatter.
-		sure := k.work.perS(now) - surely*math.Sqrt(k.squares.perS(now)/(2*rateMemory))
-		k.carried = max(k.carried*carriedKeep, sure/max(k.unitTime.perS(now), 1e-9))
+		seen := k.work.perS(now)
+		seen = min(seen, sureOver*(seen-surely*math.Sqrt(k.squares.perS(now)/(2*rateMemory))))
+		k.carried = max(k.carried*carriedKeep, seen/max(k.unitTime.perS(now), 1e-9))
 	}
 	for _, r := range d.reqs {
 		// Danger: a job in a long queue tells so only as it starts, when the queue has grown for as long.
