--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,7 +25,7 @@
 	unsafeBar             = 3.0       // times as long for jobs that a failure loses
 	badMemory, badMost    = 12.0, 0.3 // attempts that the part of failed ones is of; part that bars in full
 	probeShare            = 0.5       // probes for each request
-	surely, sureOver      = 1.5, 1.3  // scatters that what is carried counts less; times the rest, at most all
+	surely, sureOver      = 1.5, 1.3  // scatters less that what is carried counts; times the rest
 	coldMargin            = 0.6       // part of the overload factor that all dispatchers together may use
 	coldSaved             = 0.3       // seconds of its budget that a cold worker saves up at the most
 	coldJob               = 0.3       // largest job for a cold worker, as a part of what tips it
