Call a branch off, not cut, where its connection was closed here before the first byte

A branch that was given up between getting its connection and its first byte ended as Cut, since the deadline or the write failed on a connection that this machine had closed; Cut bars the worker, which has done nothing. It is NotSent now (TestGivenUpOnceConnected, at each look at the clock between the two). Taking guards out one by one found two more that no test missed: the time limit of a lingering connection (TestLingeringIsBounded begins with one on which no other limit is in force) and the module's own bar on a worker at which an attempt may have run (TestNoWorkerTwiceWhereItMayHaveRun).

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1138,3 +1138,18 @@
 		}
 	}
 }
+
+// TestNoWorkerTwiceWhereItMayHaveRun: a worker gets a request again where it was never reached, or turned it away unseen, and not where it may have
+// run there or the worker handed it back by a message, which may come again.
+func TestNoWorkerTwiceWhereItMayHaveRun(t *testing.T) {
+	for code, again := range map[Code]bool{NoConnect: true, Busy: true, Errored: false, Reset: false, Stale: false, Returned: false} {
+		d, _ := start(t, plain(Idempotent), fleet("a"))
+		d.Request(1, ask("r", 1))
+		r, w := d.reqs["r"], d.byID["a"]
+		d.Outcome(1.01, Outcome{Request: "r", Worker: "a", Code: code, Latency: 0.01})
+		w.barTill, w.unsafeTil, w.fullTill = 0, 0, 0 // as if that were long ago
+		if got := d.usable(1.1, r, &d.classes[0], r.bound(), w, false); got != again {
+			t.Errorf("code %v: usable again: %v, want %v", code, got, again)
+		}
+	}
+}
--- a/internal/callerleg/end_test.go
+++ b/internal/callerleg/end_test.go
@@ -149,10 +149,9 @@
 	f := serve(t, 16)
 	silent, loud := f.dial(), f.dial()
 	for _, c := range []*caller{silent, loud} {
-		c.send("GET /api HTTP/1.1\r\nHost: h", "")
-		if status := c.answer().StatusCode(); status != 405 {
-			t.Fatalf("answered %d", status)
-		}
+		c.send(ask+"\r\nConnection: close", "hi") // no time limit is in force on it while it is served
+		f.s.Answer(core.Answer{Leg: f.event().(core.CallArrived).Call.Leg})
+		c.answer()
 	}
 	var err error
 	for part := bytes.Repeat([]byte("x"), 64<<10); err == nil; _, err = loud.Write(part) {
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -165,7 +165,7 @@
 		err = s.write(c, x)
 	}
 	switch {
-	case errors.Is(err, errCalledOff):
+	case errors.Is(err, errCalledOff), err != nil && !s.reached(x): // danger: a connection that was closed here says nothing of the next hop
 		s.disconnect(x)
 		s.pool.giveBack(c, s.ended(x))
 		return core.NotSent, true
@@ -250,6 +250,13 @@
 	return c
 }
 
+// reached tells whether an exchange is past its point of no return.
+func (s *Sender) reached(x *exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return x.written
+}
+
 // ended tells whether an exchange was given up or dropped, so that its connection was closed from here.
 func (s *Sender) ended(x *exchange) bool {
 	s.mu.Lock()
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/nexthop/nexthop_test.go
@@ -346,6 +346,26 @@
 	}
 }
 
+// TestGivenUpOnceConnected: the giving up comes after the branch has its connection and before its first byte, between any two lines that look at
+// the clock. That says nothing of the next hop, though its connection is closed by then.
+func TestGivenUpOnceConnected(t *testing.T) {
+	for look := int64(1); look <= 3; look++ {
+		p := listen(t)
+		s, events := sender(Options{IdleClose: time.Minute})
+		var looks atomic.Int64
+		s.clock = func() float64 {
+			if looks.Add(1) == look {
+				s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Addr: p.addr()})
+			}
+			return 0
+		}
+		s.Send(branch(1, p.addr()))
+		l := p.accept()
+		wantFault(t, events, 1, core.NotSent)
+		p.hasNothing(l)
+	}
+}
+
 // TestRemainingIsOfTheWrite: what a branch tells its next hop is what is left when it is written, however long the connection took.
 func TestRemainingIsOfTheWrite(t *testing.T) {
 	p := listen(t)
