Repeat nothing without copies that has begun and is said to have ended

Where copies are not allowed, an attempt that had told its start and was then turned away or failed on its connection counted as ended there; the answer may be another one's (a second answer that comes late). It is not repeated now: the client is refused at once. Seen by reading the change once more; TestNoCopyBeforeTheFirstIsGivenUp has the row and fails without it.

--- a/internal/core/attempts_test.go
+++ b/internal/core/attempts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"foldlb.example/foldlb/choice"
@@ -119,6 +120,7 @@
 		{"broken, and done after all", BranchFailed{1, Broken}, true, JobReported{Request: "r", From: "?", State: JobDone, Result: []byte("x")}, "answer 0 x"},
 		{"turned away", BranchFailed{1, TurnedAway}, false, Tick{}, "send"},
 		{"errored", BranchFailed{1, Errored}, false, Tick{}, "send"},
+		{"turned away, though it has begun", BranchFailed{1, TurnedAway}, false, Tick{}, busy},
 		{"lost", JobReported{Request: "r", From: "?", State: JobLost}, false, Tick{}, "send"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -137,6 +139,9 @@
 				}
 				return ev
 			}
+			if strings.Contains(tc.name, "has begun") {
+				r.Step(2.04, JobReported{Request: "r", From: first, State: JobStarted})
+			}
 			got := r.Step(2.05, from(tc.ends))
 			if tc.waits {
 				expect(t, got, "give up "+string(first))
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -259,12 +259,12 @@
 		r.release(b, faultCodes[f])()
 		return
 	}
-	b.released = f == Errored
+	b.released = f == Errored && !b.begun // where it has begun, whoever says that it ended may mean another one
 	r.endBranch(b, faultCodes[f], nil)
 }
 
-// release gives a branch up, and returns what ends it. Where copies are not allowed and its class may be repeated, that is to wait for the word of its next hop: until
-// then it counts as out. Danger: a repeat elsewhere would be a second copy.
+// release gives a branch up, and returns what ends it. Where copies are not allowed and its class may be repeated, that is to wait for the word
+// of its next hop: until then it counts as out. Danger: a repeat elsewhere would be a second copy.
 func (r *Reducer) release(b *branch, code choice.Code) (end func()) {
 	r.giveUp(b)
 	if b.code = code; !r.settings.SecondCopies && r.effect(b.req) != choice.AtMostOnce && !b.req.over {
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -44,7 +44,7 @@
 	Present func(core.LegID) bool
 }
 
-// exchange is a branch whose next hop has not answered yet. Its states, all under Sender.mu: waiting (for a giving up, a place or a dial),
+// exchange is a branch whose next hop has not answered yet. Its states, all under Sender.mu: waiting (for a place or a dial),
 // connected (conn is set), written (past its point of no return); over may come at any time, and ends the first two without a byte.
 type exchange struct {
 	addr    string
