--- /dev/null
+++ b/internal/catalog/table.go
@@ -0,0 +1,99 @@
+package catalog
+
+import (
+	"sort"
+	"strings"
+)
+
+// Table finds routes and services of one configuration. It is immutable and safe for concurrent use.
+type Table struct {
+	config   *Config
+	hosts    map[string]*hostRoutes
+	routes   map[string]*Route
+	services map[string]*Service
+}
+
+// hostRoutes holds the routes of one host.
+type hostRoutes struct {
+	prefixes map[string]*Route
+	lengths  []int // the lengths of prefixes that occur, longest first
+}
+
+// NewTable indexes a configuration, which must not be changed afterwards.
+func NewTable(config *Config) *Table {
+	table := &Table{
+		config:   config,
+		hosts:    map[string]*hostRoutes{},
+		routes:   make(map[string]*Route, len(config.Routes)),
+		services: make(map[string]*Service, len(config.Services)),
+	}
+	for i := range config.Services {
+		service := &config.Services[i]
+		table.services[service.Name] = service
+	}
+	for i := range config.Routes {
+		table.addRoute(&config.Routes[i])
+	}
+	for _, host := range table.hosts {
+		host.indexLengths()
+	}
+	return table
+}
+
+func (t *Table) addRoute(route *Route) {
+	t.routes[route.Name] = route
+	name := strings.ToLower(route.Hostname)
+	host := t.hosts[name]
+	if host == nil {
+		host = &hostRoutes{prefixes: map[string]*Route{}}
+		t.hosts[name] = host
+	}
+	host.prefixes[route.PathPrefix] = route
+}
+
+func (h *hostRoutes) indexLengths() {
+	seen := map[int]bool{}
+	for path := range h.prefixes {
+		if !seen[len(path)] {
+			seen[len(path)] = true
+			h.lengths = append(h.lengths, len(path))
+		}
+	}
+	sort.Sort(sort.Reverse(sort.IntSlice(h.lengths)))
+}
+
+// Match returns the route with the longest prefix that the path begins with, among those of the host,
+// and its service. The host is compared without its port and without regard to case. The path is the one
+// in the request line, without the query.
+func (t *Table) Match(host, path string) (*Route, *Service, bool) {
+	routes := t.hosts[normalHost(host)]
+	if routes == nil {
+		return nil, nil, false
+	}
+	for _, length := range routes.lengths {
+		if length > len(path) {
+			continue
+		}
+		if route := routes.prefixes[path[:length]]; route != nil {
+			return route, t.services[route.Service], true
+		}
+	}
+	return nil, nil, false
+}
+
+// Route returns the route of a name, or nil.
+func (t *Table) Route(name string) *Route { return t.routes[name] }
+
+// Service returns the service of a name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Config returns the configuration that the table indexes.
+func (t *Table) Config() *Config { return t.config }
+
+// normalHost cuts the port off and lowers the case.
+func normalHost(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -8,6 +8,8 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+
+	source []byte // the JSON it was parsed from
 }
 
 // Route says which service runs the messages of a host and path prefix, and how.
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -3,6 +3,9 @@
 
 // Settings is all that a process is told when it starts. Unknown keys of the file are ignored.
 type Settings struct {
+	// Path is the file that the settings were read from, so that a change of it can be seen.
+	Path string `yaml:"-"`
+
 	Node            string            `yaml:"node"`
 	Role            string            `yaml:"role"`
 	MachineClass    string            `yaml:"machineClass"`
