--- /dev/null
+++ b/internal/cluster/follow.go
@@ -0,0 +1,104 @@
+package cluster
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"foldlb.example/foldlb/coord/watch"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// watchPath is where control processes serve the stream of updates.
+const watchPath = "/internal/watch"
+
+// followLoop follows the leader's stream, and connects anew when it ends or another process leads.
+func (c *Client) followLoop(ctx context.Context) {
+	client := &watch.Client{HTTP: watch.NewHTTPClient()}
+	defer client.HTTP.CloseIdleConnections()
+	for ctx.Err() == nil {
+		address := c.book.candidate()
+		if address != "" && c.follow(ctx, client, address) {
+			continue
+		}
+		sleep(ctx, noCandidateDelay)
+	}
+}
+
+// follow reads the stream of one process until it ends. It reports whether to connect anew at once.
+func (c *Client) follow(ctx context.Context, client *watch.Client, address string) bool {
+	following, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := c.cancelWhenMoved(following, cancel, address)
+	defer stop()
+	err := client.Follow(following, "http://"+address+watchPath, c.onFrame)
+	if ctx.Err() != nil || following.Err() != nil {
+		return true
+	}
+	refusal := &watch.NotStreamingError{}
+	if errors.As(err, &refusal) {
+		return c.book.redirect(address, refusal.Leader)
+	}
+	c.options.Log.V(1).Info("stream of updates ended", "address", address, "cause", err.Error())
+	c.book.fail(address)
+	return false
+}
+
+// cancelWhenMoved ends a stream once another address than its own answers as leader. The function returned
+// ends the wait.
+func (c *Client) cancelWhenMoved(ctx context.Context, cancel context.CancelFunc, address string) func() {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			leader, moved := c.book.leaderMoved()
+			if leader != "" && leader != address && c.book.candidate() != address {
+				cancel()
+				return
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-moved:
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+// onFrame applies one frame of the stream. An empty one is a sign of life.
+func (c *Client) onFrame(frame []byte) error {
+	if len(frame) == 0 {
+		return nil
+	}
+	update := &rpc.View{}
+	if err := proto.Unmarshal(frame, update); err != nil {
+		return errors.Wrap(err, "read an update: connect anew")
+	}
+	return c.apply(update)
+}
+
+// apply puts the newer parts of an update in force. It refuses an update of a leader that was replaced.
+func (c *Client) apply(update *rpc.View) error {
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	held := c.view.Load()
+	if update.LeaderEpoch < held.LeaderEpoch {
+		return &StaleLeaderError{Epoch: update.LeaderEpoch, Seen: held.LeaderEpoch}
+	}
+	c.book.learn(update.ControlAddresses)
+	next, changed, err := held.merge(update)
+	if err != nil {
+		c.options.Log.Error(err, "a configuration was not applied", "version", update.Config.GetVersion())
+	}
+	if !changed && next.LeaderEpoch == held.LeaderEpoch {
+		return nil
+	}
+	c.view.Store(next)
+	close(held.superseded)
+	return nil
+}
--- /dev/null
+++ b/internal/cluster/options.go
@@ -0,0 +1,52 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"foldlb.example/foldlb/internal/rpc"
+	"foldlb.example/foldlb/internal/settings"
+)
+
+// Roles of a data-plane process.
+const (
+	RoleStore      = "store"
+	RoleDispatcher = "dispatcher"
+)
+
+// Intervals and bounds of the exchange with the control plane.
+const (
+	storeRenewInterval = 400 * time.Millisecond
+	renewTimeout       = 400 * time.Millisecond
+	releaseTimeout     = 400 * time.Millisecond
+	leaseMargin        = 50 * time.Millisecond // taken off each lease against late timers
+	refusedRetryDelay  = 200 * time.Millisecond
+	candidateDelay     = 20 * time.Millisecond // before the next control address is tried
+	noCandidateDelay   = 100 * time.Millisecond
+	minRenewGap        = 50 * time.Millisecond
+	settingsInterval   = 2 * time.Second
+)
+
+// Options describe the process to the control plane.
+type Options struct {
+	Settings    *settings.Settings
+	Role        string // RoleStore or RoleDispatcher
+	Disk        string // identity of the disk; stores only
+	Address     string // host:port of the Store service; stores only
+	Incarnation string // drawn at every start of the process
+	FreshDisk   bool   // the disk was empty at this start
+	Log         logr.Logger
+
+	// Status completes each renewal, if it is set: partitions that are ready, backlog, leaving. It is called
+	// from one goroutine.
+	Status func(*rpc.RenewRequest)
+}
+
+// renewInterval is the time between two renewals.
+func (o *Options) renewInterval() time.Duration {
+	if o.Role == RoleStore || o.Settings.HeartbeatMs <= 0 {
+		return storeRenewInterval
+	}
+	return time.Duration(o.Settings.HeartbeatMs) * time.Millisecond
+}
