--- /dev/null
+++ b/internal/message/entry.go
@@ -0,0 +1,114 @@
+// Package message is the state machine of the messages that a store keeps: which are queued, which may run now, and what
+// became of each. It does no I/O and reads no clock: the caller passes the time, a duration since the start of the process.
+package message
+
+import (
+	"time"
+
+	"foldlb.example/foldlb/coord/applog"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// Entry is one message. Its fields are the table's; callers read them on the goroutine that owns the table.
+type Entry struct {
+	Name        string
+	Partition   uint32
+	Route       string
+	Method      string
+	Path        string
+	Host        string
+	RequestID   string
+	OrderKey    string
+	ContentType string
+	Epoch       uint64 // epoch under which an owner numbered it
+	Seq         uint64 // 0 where no owner has numbered it
+	Arrived     time.Duration
+	Due         time.Duration // before this it may not run
+	Attempts    uint32        // answers of 500
+	State       rpc.State
+	Stamp       string
+	EndedAt     time.Duration
+	BodyBytes   int
+	Body        []byte // cached; nil where it must be read from the log
+	Stored      bool   // this store's log holds the message with its body
+	Record      applog.Position
+	Holders     []string // disks of other stores that hold a copy, as far as the owner knows
+	Running     bool
+	ScrubAt     time.Duration // when a holder next asks the owner about it
+	Retries     int           // attempts of any outcome since this store owned it
+
+	scheduled bool // in the timer heap or in a route's queue
+	index     int
+}
+
+// Ended reports whether nothing more is owed for the message.
+func (e *Entry) Ended() bool { return e.State != rpc.State_QUEUED }
+
+// before orders messages of one key.
+func (e *Entry) before(other *Entry) bool {
+	if e.Epoch != other.Epoch {
+		return e.Epoch < other.Epoch
+	}
+	return e.Seq < other.Seq
+}
+
+// AddHolder notes that the store with this disk holds a copy.
+func (e *Entry) AddHolder(disk string) {
+	for _, known := range e.Holders {
+		if known == disk {
+			return
+		}
+	}
+	e.Holders = append(e.Holders, disk)
+}
+
+// Copies counts the copies on disks that alive accepts, this store's included.
+func (e *Entry) Copies(alive func(disk string) bool) int {
+	count := 0
+	if e.Stored {
+		count++
+	}
+	for _, disk := range e.Holders {
+		if alive(disk) {
+			count++
+		}
+	}
+	return count
+}
+
+// FromMessage makes an entry of a message that was received now.
+func FromMessage(m *rpc.Message, now time.Duration) *Entry {
+	e := &Entry{
+		Name: m.Name, Partition: m.Partition, Route: m.Route, Method: m.Method, Path: m.Path, Host: m.Host,
+		RequestID: m.RequestId, OrderKey: m.OrderKey, ContentType: m.ContentType, Epoch: m.Epoch, Seq: m.Seq,
+		Arrived:  now - time.Duration(m.AgeMs)*time.Millisecond,
+		Due:      now + time.Duration(m.DelayLeftMs)*time.Millisecond,
+		Attempts: m.Attempts, State: m.State, Stamp: m.Stamp, Body: m.Body, BodyBytes: len(m.Body),
+	}
+	if m.BodyBytes > 0 {
+		e.BodyBytes = int(m.BodyBytes)
+	}
+	if e.Ended() {
+		e.EndedAt = now - time.Duration(m.EndedMsAgo)*time.Millisecond
+	}
+	return e
+}
+
+// Message returns the entry in the form that travels, without its body.
+func (e *Entry) Message(now time.Duration) *rpc.Message {
+	m := &rpc.Message{
+		Name: e.Name, Partition: e.Partition, Route: e.Route, Method: e.Method, Path: e.Path, Host: e.Host,
+		RequestId: e.RequestID, OrderKey: e.OrderKey, ContentType: e.ContentType, Epoch: e.Epoch, Seq: e.Seq,
+		AgeMs: (now - e.Arrived).Milliseconds(), DelayLeftMs: max(0, (e.Due - now).Milliseconds()),
+		Attempts: e.Attempts, State: e.State, Stamp: e.Stamp, BodyBytes: uint64(e.BodyBytes),
+	}
+	if e.Ended() {
+		m.EndedMsAgo = (now - e.EndedAt).Milliseconds()
+	}
+	return m
+}
+
+// Fate returns what became of the message.
+func (e *Entry) Fate() *rpc.Fate {
+	return &rpc.Fate{Name: e.Name, Partition: e.Partition, State: e.State, Stamp: e.Stamp, Attempts: e.Attempts}
+}
--- /dev/null
+++ b/internal/storenode/accept.go
@@ -0,0 +1,260 @@
+package storenode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"foldlb.example/foldlb/coord/applog"
+	"foldlb.example/foldlb/internal/message"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	hedgeAfter   = 25 * time.Millisecond  // without an answer from a holder, another one is asked as well
+	acceptWithin = 900 * time.Millisecond // after that the outcome is told as unknown
+	readyWithin  = 900 * time.Millisecond // that a message waits for its partition to be taken over
+	cachedDelay  = 1500 * time.Millisecond
+	cachedBytes  = 16 << 20 // bodies kept in memory
+	mostMessages = 400_000
+)
+
+// Put implements rpc.Store.
+func (n *Node) Put(ctx context.Context, request *rpc.PutRequest) (*rpc.PutReply, error) {
+	if request.Mode == rpc.PutMode_HOLDER {
+		return n.hold(request)
+	}
+	reply := &rpc.PutReply{Statuses: make([]rpc.PutStatus, len(request.Messages))}
+	var waits sync.WaitGroup
+	for i, m := range request.Messages {
+		waits.Add(1)
+		one := func() {
+			defer waits.Done()
+			reply.Statuses[i] = n.accept(ctx, m, request.Epochs[i], request.ConfigVersion)
+		}
+		if len(request.Messages) == 1 {
+			one()
+			continue
+		}
+		go one()
+	}
+	waits.Wait()
+	return reply, nil
+}
+
+// acceptance follows one message until enough copies are synced.
+type acceptance struct {
+	node    *Node
+	message *rpc.Message
+	entry   *message.Entry
+	epoch   uint64
+	result  chan rpc.PutStatus
+
+	mutex   sync.Mutex
+	synced  int
+	pending int
+	needed  int
+	tried   map[string]bool
+	over    bool
+}
+
+// accept numbers a message in an owned partition, and answers when it is synced on as many stores as may not be lost.
+func (n *Node) accept(ctx context.Context, m *rpc.Message, epoch, configVersion uint64) rpc.PutStatus {
+	deadline := time.Now().Add(readyWithin)
+	for {
+		var status rpc.PutStatus
+		var work *acceptance
+		wait := false
+		if !n.do(func() { status, work, wait = n.begin(m, epoch, configVersion) }) {
+			return rpc.PutStatus_NOT_OWNER
+		}
+		if work != nil {
+			return work.run(ctx)
+		}
+		if !wait || time.Now().After(deadline) || ctx.Err() != nil {
+			return status
+		}
+		select { // the partition is being taken over
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return status
+		}
+	}
+}
+
+// begin enters the message on the owner goroutine.
+func (n *Node) begin(m *rpc.Message, epoch, configVersion uint64) (rpc.PutStatus, *acceptance, bool) {
+	owned := n.table.OwnedEpoch(m.Partition)
+	if owned == 0 {
+		return rpc.PutStatus_NOT_OWNER, nil, false
+	}
+	if epoch < owned || n.table.Fence(m.Partition) > owned {
+		return rpc.PutStatus_STALE_EPOCH, nil, false
+	}
+	if epoch > owned || !n.cluster.LeaseValid() {
+		return rpc.PutStatus_NOT_OWNER, nil, false
+	}
+	if !n.table.IsReady(m.Partition) {
+		return rpc.PutStatus_NOT_OWNER, nil, true
+	}
+	n.needs = max(n.needs, configVersion)
+	entry := n.table.Get(m.Name)
+	if entry != nil && entry.Ended() {
+		return rpc.PutStatus_STORED, nil, false
+	}
+	if entry == nil {
+		if n.table.Queued() >= mostMessages {
+			return rpc.PutStatus_FULL, nil, false
+		}
+		entry = message.FromMessage(m, n.now())
+		n.table.Number(entry)
+		m.Epoch, m.Seq = entry.Epoch, entry.Seq
+		if status := n.write(entry, m); status != rpc.PutStatus_STORED {
+			return status, nil, false
+		}
+		if entry.Due-entry.Arrived > cachedDelay || n.table.LiveBytes() > cachedBytes {
+			entry.Body = nil
+		}
+		n.table.Add(entry, n.now())
+		n.pumpDue = true
+	}
+	m.Epoch, m.Seq = entry.Epoch, entry.Seq
+	work := &acceptance{node: n, message: m, entry: entry, epoch: owned, needed: n.tolerance + 1,
+		result: make(chan rpc.PutStatus, 1), tried: map[string]bool{}}
+	return rpc.PutStatus_STORED, work, false
+}
+
+// write appends a message to the log.
+func (n *Node) write(entry *message.Entry, m *rpc.Message) rpc.PutStatus {
+	data, err := encodeRecord(recordMessage, time.Now(), m)
+	if err != nil {
+		return rpc.PutStatus_FAILED
+	}
+	at, err := n.file.Append(data)
+	if err != nil {
+		if errors.Is(err, applog.ErrFull) {
+			return rpc.PutStatus_FULL
+		}
+		return rpc.PutStatus_FAILED
+	}
+	entry.Stored, entry.Record = true, at
+	return rpc.PutStatus_STORED
+}
+
+// run syncs the message here and on other stores.
+func (a *acceptance) run(ctx context.Context) rpc.PutStatus {
+	a.pending = 1
+	a.node.file.Sync(func(err error) { a.outcome("", err == nil) })
+	for range a.needed - 1 {
+		a.another()
+	}
+	hedge := time.NewTimer(hedgeAfter)
+	defer hedge.Stop()
+	limit := time.NewTimer(acceptWithin)
+	defer limit.Stop()
+	for {
+		select {
+		case status := <-a.result:
+			return status
+		case <-hedge.C:
+			if a.another() {
+				hedge.Reset(hedgeAfter)
+			}
+		case <-limit.C:
+			return rpc.PutStatus_FAILED
+		case <-ctx.Done():
+			return rpc.PutStatus_FAILED
+		}
+	}
+}
+
+// another sends the message to one more store. It reports whether there was one.
+func (a *acceptance) another() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.over {
+		return false
+	}
+	peer := a.node.peers.choose(a.tried)
+	if peer == nil {
+		return false
+	}
+	a.tried[peer.disk] = true
+	a.pending++
+	peer.put(&copyItem{message: a.message, epoch: a.epoch, done: func(status rpc.PutStatus) {
+		a.outcome(peer.disk, status == rpc.PutStatus_STORED)
+	}})
+	return true
+}
+
+// outcome counts one copy that was synced, or failed.
+func (a *acceptance) outcome(disk string, ok bool) {
+	if ok && disk != "" {
+		a.node.post(func() { a.entry.AddHolder(disk) })
+	}
+	a.mutex.Lock()
+	a.pending--
+	if ok {
+		a.synced++
+	}
+	finished := a.synced >= a.needed && !a.over
+	failed := !ok && !a.over
+	if finished {
+		a.over = true
+	}
+	a.mutex.Unlock()
+	if finished {
+		a.result <- rpc.PutStatus_STORED
+	}
+	if failed {
+		a.another()
+	}
+}
+
+// hold stores copies of messages that other stores own.
+func (n *Node) hold(request *rpc.PutRequest) (*rpc.PutReply, error) {
+	reply := &rpc.PutReply{Statuses: make([]rpc.PutStatus, len(request.Messages))}
+	if !n.do(func() {
+		for i, m := range request.Messages {
+			reply.Statuses[i] = n.holdOne(m, request.Epochs[i])
+		}
+	}) {
+		return nil, errClosed
+	}
+	if err := n.file.Wait(); err != nil {
+		for i := range reply.Statuses {
+			reply.Statuses[i] = rpc.PutStatus_FAILED
+		}
+	}
+	return reply, nil
+}
+
+func (n *Node) holdOne(m *rpc.Message, epoch uint64) rpc.PutStatus {
+	if epoch < n.table.Fence(m.Partition) {
+		return rpc.PutStatus_STALE_EPOCH
+	}
+	known := n.table.Get(m.Name)
+	if known != nil && (known.Stored || known.State == rpc.State_COMPLETED) {
+		n.table.Add(message.FromMessage(m, n.now()), n.now())
+		return rpc.PutStatus_STORED
+	}
+	if known == nil && n.table.Queued() >= mostMessages {
+		return rpc.PutStatus_FULL
+	}
+	entry := message.FromMessage(m, n.now())
+	if status := n.write(entry, m); status != rpc.PutStatus_STORED {
+		return status
+	}
+	if known != nil {
+		known.Stored, known.Record = true, entry.Record
+	}
+	entry.Body = nil
+	entry.ScrubAt = n.now() + scrubFirst
+	entry = n.table.Add(entry, n.now())
+	if n.table.IsReady(m.Partition) { // it was sent here by a dispatcher that could not reach this store as the owner
+		n.pumpDue = true
+	}
+	return rpc.PutStatus_STORED
+}
--- /dev/null
+++ b/internal/storenode/deliver.go
@@ -0,0 +1,302 @@
+package storenode
+
+import (
+	"context"
+	"time"
+
+	"foldlb.example/foldlb/coord/applog"
+	"foldlb.example/foldlb/internal/catalog"
+	"foldlb.example/foldlb/internal/delivery"
+	"foldlb.example/foldlb/internal/message"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	failedPause    = 100 * time.Millisecond // after an attempt that the worker failed
+	unknownPause   = 30 * time.Millisecond  // after an attempt whose outcome is not known, growing with each
+	unknownMost    = 500 * time.Millisecond
+	notRunPause    = 20 * time.Millisecond // after an attempt that did not run
+	bodyPause      = 100 * time.Millisecond
+	defaultAim     = 500 * time.Millisecond
+	defaultRetries = 3
+)
+
+// pump begins attempts for messages that are due, as many as the limits of their routes allow, and sets the timer for the next.
+func (n *Node) pump() {
+	if n.view == nil || n.view.Config == nil || n.view.ConfigVersion < n.needs || !n.cluster.LeaseValid() {
+		n.setTimer(n.now() + 50*time.Millisecond)
+		return
+	}
+	now := n.now()
+	n.table.Advance(now)
+	n.table.Routes(func(name string, waiting, running int) {
+		route := n.routeNamed(name)
+		limit, aim := 1, defaultAim
+		if route != nil {
+			limit, aim = n.limits[route.Name], time.Duration(route.ScheduleTargetMs)*time.Millisecond
+		}
+		for ; running < limit; running++ {
+			entry := n.table.Start(name, aim, now)
+			if entry == nil {
+				return
+			}
+			n.attempt(entry, route)
+		}
+	})
+	if due, ok := n.table.NextDue(); ok {
+		n.setTimer(due)
+	}
+}
+
+// setTimer has pump called at the given time at the latest.
+func (n *Node) setTimer(at time.Duration) {
+	if n.timerAt != 0 && n.timerAt <= at {
+		return
+	}
+	n.timerAt = at
+	n.timer.Reset(max(time.Millisecond, at-n.now()))
+}
+
+// routeNamed returns the route of this name, or nil where the configuration has dropped it.
+func (n *Node) routeNamed(name string) *catalog.Route {
+	route, ok := n.view.Table.Route(name)
+	if !ok {
+		return nil
+	}
+	return route
+}
+
+// attempt begins one attempt of a message that was started in the table.
+func (n *Node) attempt(entry *message.Entry, route *catalog.Route) {
+	if route == nil {
+		n.finish(entry, rpc.State_DEAD, "")
+		return
+	}
+	if entry.Body != nil || entry.BodyBytes == 0 {
+		n.submit(entry, entry.Body)
+		return
+	}
+	go n.loadBody(entry, entry.Record, entry.Stored, append([]string(nil), entry.Holders...))
+}
+
+// loadBody reads the body from the log, or from another store that holds it, then sends the message.
+func (n *Node) loadBody(entry *message.Entry, at applog.Position, stored bool, holders []string) {
+	var body []byte
+	found := false
+	if stored {
+		if data, err := n.file.Read(at); err == nil {
+			if m, err := decodeMessage(data); err == nil && m.Name == entry.Name {
+				body, found = m.Body, true
+			}
+		}
+	}
+	var fetched *rpc.Message
+	if !found {
+		if fetched = n.fetch(entry.Name, holders); fetched != nil {
+			body, found = fetched.Body, true
+		}
+	}
+	n.post(func() {
+		if fetched != nil && !entry.Ended() {
+			n.keepFetched(entry, fetched)
+		}
+		if !found {
+			n.table.Stop(entry, n.now()+bodyPause, n.now())
+			n.stopped(entry)
+			return
+		}
+		n.submit(entry, body)
+	})
+}
+
+// fetch asks the holders of a message for it.
+func (n *Node) fetch(name string, holders []string) *rpc.Message {
+	for _, disk := range holders {
+		one := n.peers.get(disk)
+		if one == nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), putWithin)
+		reply, err := n.cluster.Store(one.address).Fetch(ctx, &rpc.FetchRequest{Names: []string{name}})
+		cancel()
+		if err == nil && len(reply.Messages) == 1 && reply.Messages[0].Name == name {
+			return reply.Messages[0]
+		}
+	}
+	return nil
+}
+
+// keepFetched writes a message that another store holds to this store's log.
+func (n *Node) keepFetched(entry *message.Entry, m *rpc.Message) {
+	if entry.Stored {
+		return
+	}
+	now := n.now()
+	whole := entry.Message(now)
+	whole.Body, whole.BodyBytes = m.Body, 0
+	n.write(entry, whole)
+}
+
+// Fetch implements rpc.Store.
+func (n *Node) Fetch(_ context.Context, request *rpc.FetchRequest) (*rpc.FetchReply, error) {
+	reply := &rpc.FetchReply{}
+	for _, name := range request.Names {
+		if m := n.stored(name); m != nil {
+			reply.Messages = append(reply.Messages, m)
+		}
+	}
+	return reply, nil
+}
+
+// stored reads a whole message from this store's log; nil where it holds none.
+func (n *Node) stored(name string) *rpc.Message {
+	var at applog.Position
+	var current *rpc.Message
+	n.do(func() {
+		if entry := n.table.Get(name); entry != nil && entry.Stored {
+			at = entry.Record
+			current = entry.Message(n.now())
+		}
+	})
+	if current == nil {
+		return nil
+	}
+	data, err := n.file.Read(at)
+	if err != nil {
+		return nil
+	}
+	m, err := decodeMessage(data)
+	if err != nil || m.Name != name {
+		return nil
+	}
+	current.Body, current.BodyBytes = m.Body, 0
+	return current
+}
+
+// submit hands an attempt to the delivery engine.
+func (n *Node) submit(entry *message.Entry, body []byte) {
+	epoch := n.table.OwnedEpoch(entry.Partition)
+	job := &delivery.Job{Name: entry.Name, Route: entry.Route, Method: entry.Method, Path: entry.Path, Host: entry.Host,
+		RequestID: entry.RequestID, OrderKey: entry.OrderKey, ContentType: entry.ContentType, Body: body}
+	guard := func() bool {
+		return epoch > 0 && n.owned[entry.Partition].Load() == epoch && n.cluster.LeaseValid()
+	}
+	n.engine.Submit(job, guard, func(outcome delivery.Outcome) {
+		n.post(func() { n.outcome(entry, outcome) })
+	})
+}
+
+// outcome takes the end of an attempt.
+func (n *Node) outcome(entry *message.Entry, outcome delivery.Outcome) {
+	now := n.now()
+	switch outcome.Kind {
+	case delivery.Succeeded:
+		n.finish(entry, rpc.State_COMPLETED, outcome.Stamp)
+		return
+	case delivery.Rejected:
+		n.finish(entry, rpc.State_DEAD, "")
+		return
+	case delivery.FailedAttempt:
+		entry.Attempts++
+		if int(entry.Attempts) >= n.retries(entry) {
+			n.finish(entry, rpc.State_DEAD, "")
+			return
+		}
+		n.table.Stop(entry, now+failedPause, now)
+		n.tell(entry)
+	case delivery.NotRun:
+		n.table.Stop(entry, now+max(notRunPause, outcome.RetryAfter), now)
+	default:
+		entry.Retries++
+		pause := min(unknownPause<<min(entry.Retries, 5), unknownMost)
+		n.table.Stop(entry, now+pause, now)
+	}
+	if entry.Due-now > cachedDelay || n.table.LiveBytes() > cachedBytes {
+		entry.Body = nil
+	}
+	n.stopped(entry)
+}
+
+func (n *Node) retries(entry *message.Entry) int {
+	if n.view != nil && n.view.Table != nil {
+		if route, ok := n.view.Table.Route(entry.Route); ok && route.Retries > 0 {
+			return route.Retries
+		}
+	}
+	return defaultRetries
+}
+
+// stopped looks for what may run now that an attempt is over.
+func (n *Node) stopped(entry *message.Entry) {
+	n.pumpDue = true
+	if n.owned[entry.Partition].Load() == 0 {
+		n.releasePaused()
+	}
+}
+
+// finish ends a message after an attempt, and tells the stores that hold it.
+func (n *Node) finish(entry *message.Entry, state rpc.State, stamp string) {
+	n.table.Finish(entry, state, stamp, n.now())
+	n.tell(entry)
+	n.stopped(entry)
+}
+
+// tell writes what became of a message to the log, and reports it to the stores that hold a copy and to the partition's owner.
+func (n *Node) tell(entry *message.Entry) {
+	n.appendFate(entry)
+	fate := entry.Fate()
+	for _, disk := range entry.Holders {
+		if one := n.peers.get(disk); one != nil {
+			one.report(fate)
+		}
+	}
+	if n.table.OwnedEpoch(entry.Partition) > 0 || n.view == nil {
+		return
+	}
+	if owner, _, ok := n.view.Owner(entry.Partition); ok && owner.Disk != n.disk {
+		if one := n.peers.get(owner.Disk); one != nil {
+			one.report(fate)
+		}
+	}
+}
+
+// appendFate writes what became of a message, and has it synced together with what else is written.
+func (n *Node) appendFate(entry *message.Entry) {
+	data, err := encodeRecord(recordFate, time.Now(), entry.Fate())
+	if err != nil {
+		return
+	}
+	if _, err := n.file.Append(data); err != nil {
+		n.log.Error(err, "fate not written", "message", entry.Name)
+		return
+	}
+	n.file.Sync(func(error) {})
+}
+
+// Report implements rpc.Store: it takes what became of messages that this store holds.
+func (n *Node) Report(_ context.Context, request *rpc.ReportRequest) (*rpc.ReportReply, error) {
+	if !n.do(func() {
+		for _, fate := range request.Fates {
+			n.applyFate(fate)
+		}
+	}) {
+		return nil, errClosed
+	}
+	return &rpc.ReportReply{}, nil
+}
+
+func (n *Node) applyFate(fate *rpc.Fate) {
+	entry := n.table.Get(fate.Name)
+	if entry == nil {
+		return
+	}
+	changed := fate.Attempts > entry.Attempts
+	entry.Attempts = max(entry.Attempts, fate.Attempts)
+	if fate.State != rpc.State_QUEUED {
+		changed = n.table.End(entry, fate.State, fate.Stamp, n.now()) || changed
+	}
+	if changed {
+		n.appendFate(entry)
+		n.pumpDue = true
+	}
+}
--- /dev/null
+++ b/internal/storenode/lookup.go
@@ -0,0 +1,40 @@
+package storenode
+
+import (
+	"context"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// Lookup implements rpc.Store: it answers a client's question for a message's state or body.
+func (n *Node) Lookup(_ context.Context, request *rpc.LookupRequest) (*rpc.LookupReply, error) {
+	reply := &rpc.LookupReply{}
+	var holders []string
+	stored := false
+	if !n.do(func() {
+		entry := n.table.Get(request.Name)
+		if entry == nil {
+			return
+		}
+		reply.Found, reply.State, reply.Stamp = true, entry.State, entry.Stamp
+		reply.Owner = n.table.IsReady(entry.Partition)
+		stored = entry.Stored
+		holders = append(holders, entry.Holders...)
+	}) {
+		return nil, errClosed
+	}
+	if !reply.Found || !request.Body || reply.State == rpc.State_COMPLETED {
+		return reply, nil
+	}
+	var m *rpc.Message
+	if stored {
+		m = n.stored(request.Name)
+	}
+	if m == nil {
+		m = n.fetch(request.Name, holders)
+	}
+	if m != nil {
+		reply.Body, reply.HasBody = m.Body, true
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/storenode/peers.go
@@ -0,0 +1,272 @@
+package storenode
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// errClosed is returned to callers while the process ends.
+var errClosed = errors.New("storenode: this store is closing; ask another one")
+
+const (
+	putWithin     = 600 * time.Millisecond
+	reportWithin  = time.Second
+	reportPause   = 10 * time.Millisecond // fates are collected for so long
+	suspectFirst  = 200 * time.Millisecond
+	suspectMost   = 1500 * time.Millisecond
+	batchMessages = 64
+	batchFates    = 500
+	queuedCopies  = 4096
+	queuedFates   = 50_000
+	sendersMost   = 4 // batches of copies under way at one store
+)
+
+// peers are the other stores.
+type peers struct {
+	node  *Node
+	mutex sync.Mutex
+	byKey map[string]*peer // by disk
+	list  []*peer
+}
+
+func newPeers(n *Node) *peers { return &peers{node: n, byKey: map[string]*peer{}} }
+
+// update takes the members of a new map.
+func (p *peers) update(members []*rpc.StoreMember) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known := map[string]*peer{}
+	p.list = p.list[:0]
+	for _, member := range members {
+		if member.Disk == p.node.disk {
+			continue
+		}
+		one := p.byKey[member.Disk]
+		if one == nil || one.address != member.Address {
+			one = &peer{node: p.node, disk: member.Disk, address: member.Address}
+		}
+		one.name, one.zone, one.leaving = member.Node, member.Zone, member.Leaving
+		known[member.Disk] = one
+		p.list = append(p.list, one)
+	}
+	p.byKey = known
+}
+
+// all returns the other stores.
+func (p *peers) all() []*peer {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return append([]*peer(nil), p.list...)
+}
+
+// get returns the store with this disk, or nil.
+func (p *peers) get(disk string) *peer {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.byKey[disk]
+}
+
+// byName returns the store on this machine, or nil.
+func (p *peers) byName(name string) *peer {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, one := range p.list {
+		if one.name == name {
+			return one
+		}
+	}
+	return nil
+}
+
+// choose draws a store for a copy that is not in tried: first healthy ones of other zones, then healthy ones, then any.
+func (p *peers) choose(tried map[string]bool) *peer {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var best *peer
+	bestRank, same := 0, 0
+	now := time.Now()
+	for _, one := range p.list {
+		if tried[one.disk] {
+			continue
+		}
+		rank := one.rank(now, p.node.settings.Zone)
+		switch {
+		case best == nil || rank < bestRank:
+			best, bestRank, same = one, rank, 1
+		case rank == bestRank:
+			same++
+			if rand.IntN(same) == 0 {
+				best = one
+			}
+		}
+	}
+	return best
+}
+
+// copyItem is a message on its way to a holder.
+type copyItem struct {
+	message *rpc.Message
+	epoch   uint64
+	done    func(rpc.PutStatus)
+}
+
+// peer is one other store.
+type peer struct {
+	node    *Node
+	disk    string
+	address string
+	name    string
+	zone    string
+	leaving bool
+
+	mutex        sync.Mutex
+	copies       []*copyItem
+	senders      int
+	fates        []*rpc.Fate
+	reporting    bool
+	suspectUntil time.Time
+	suspectFor   time.Duration
+}
+
+func (one *peer) rank(now time.Time, zone string) int {
+	rank := 0
+	if one.leaving {
+		rank += 4
+	}
+	one.mutex.Lock()
+	if now.Before(one.suspectUntil) {
+		rank += 8
+	}
+	one.mutex.Unlock()
+	if one.zone == zone {
+		rank++
+	}
+	return rank
+}
+
+func (one *peer) failed() {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	one.suspectFor = min(max(suspectFirst, 2*one.suspectFor), suspectMost)
+	one.suspectUntil = time.Now().Add(one.suspectFor)
+}
+
+func (one *peer) answered() {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	one.suspectFor, one.suspectUntil = 0, time.Time{}
+}
+
+// put queues a copy. What is queued while others are under way travels together.
+func (one *peer) put(item *copyItem) {
+	one.mutex.Lock()
+	if len(one.copies) >= queuedCopies {
+		one.mutex.Unlock()
+		item.done(rpc.PutStatus_FAILED)
+		return
+	}
+	one.copies = append(one.copies, item)
+	start := one.senders < sendersMost
+	if start {
+		one.senders++
+	}
+	one.mutex.Unlock()
+	if start {
+		go one.sendCopies()
+	}
+}
+
+func (one *peer) sendCopies() {
+	for {
+		one.mutex.Lock()
+		if len(one.copies) == 0 {
+			one.senders--
+			one.mutex.Unlock()
+			return
+		}
+		count := min(batchMessages, len(one.copies))
+		batch := one.copies[:count:count]
+		one.copies = one.copies[count:]
+		one.mutex.Unlock()
+		one.sendBatch(batch)
+	}
+}
+
+func (one *peer) sendBatch(batch []*copyItem) {
+	request := &rpc.PutRequest{Mode: rpc.PutMode_HOLDER}
+	for _, item := range batch {
+		request.Messages = append(request.Messages, item.message)
+		request.Epochs = append(request.Epochs, item.epoch)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), putWithin)
+	defer cancel()
+	reply, err := one.node.cluster.Store(one.address).Put(ctx, request)
+	if err != nil || len(reply.Statuses) != len(batch) {
+		one.failed()
+		for _, item := range batch {
+			item.done(rpc.PutStatus_FAILED)
+		}
+		return
+	}
+	one.answered()
+	for i, item := range batch {
+		item.done(reply.Statuses[i])
+	}
+}
+
+// report queues what became of a message for this store.
+func (one *peer) report(fate *rpc.Fate) {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	if len(one.fates) >= queuedFates {
+		return // the scrub will ask for it
+	}
+	one.fates = append(one.fates, fate)
+	if !one.reporting {
+		one.reporting = true
+		time.AfterFunc(reportPause, one.sendFates)
+	}
+}
+
+func (one *peer) sendFates() {
+	failures := 0
+	for {
+		one.mutex.Lock()
+		if len(one.fates) == 0 {
+			one.reporting = false
+			one.mutex.Unlock()
+			return
+		}
+		count := min(batchFates, len(one.fates))
+		batch := append([]*rpc.Fate(nil), one.fates[:count]...)
+		one.mutex.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), reportWithin)
+		_, err := one.node.cluster.Store(one.address).Report(ctx, &rpc.ReportRequest{Fates: batch})
+		cancel()
+		one.mutex.Lock()
+		if err == nil {
+			failures = 0
+			one.fates = one.fates[count:]
+		} else if failures++; failures > 20 {
+			one.fates = nil // the scrub will ask for them
+		}
+		one.mutex.Unlock()
+		if err != nil {
+			one.failed()
+			time.Sleep(min(time.Duration(failures)*50*time.Millisecond, 500*time.Millisecond))
+		}
+	}
+}
+
+// idle reports whether all fates were handed over.
+func (one *peer) idle() bool {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	return !one.reporting || time.Now().Before(one.suspectUntil)
+}
--- /dev/null
+++ b/internal/storenode/takeover.go
@@ -0,0 +1,319 @@
+package storenode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"foldlb.example/foldlb/internal/message"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	gatherWithin = time.Second            // for one store's answer
+	gatherGrace  = 300 * time.Millisecond // that missing stores are waited for once enough have answered
+	gatherPause  = 50 * time.Millisecond  // between tries at one store
+	gatherMost   = 20 * time.Second       // that missing stores are asked on in the background
+)
+
+// applyMap takes over, pauses, resumes and gives up partitions as the table of the control plane says.
+func (n *Node) applyMap(view *rpc.MapView) {
+	var taken []*rpc.PartitionEpoch
+	for id, ownership := range view.Partitions {
+		partition := uint32(id)
+		owned := n.table.OwnedEpoch(partition)
+		mine := ownership.Node == n.settings.Node && ownership.Incarnation == n.incarnation
+		switch {
+		case mine && ownership.Epoch > owned:
+			n.own(partition, ownership.Epoch)
+			taken = append(taken, &rpc.PartitionEpoch{Partition: partition, Epoch: ownership.Epoch})
+		case !mine && owned > 0:
+			n.disown(partition)
+		}
+		if mine && ownership.Releasing {
+			n.pause(partition)
+		} else if mine {
+			n.resume(partition)
+		}
+	}
+	if len(taken) > 0 {
+		go n.gather(taken, view)
+	}
+	n.releasePaused()
+}
+
+func (n *Node) own(partition uint32, epoch uint64) {
+	if n.table.Fence(partition) > epoch {
+		return // a newer owner has been here; a newer map follows
+	}
+	n.table.Own(partition, epoch)
+	n.appendFence(partition, epoch)
+	n.owned[partition].Store(0)
+	delete(n.releases, partition)
+}
+
+func (n *Node) disown(partition uint32) {
+	n.owned[partition].Store(0)
+	n.table.Disown(partition)
+	delete(n.releases, partition)
+	soon := n.now() + scrubFirst
+	n.table.Partition(partition, func(e *message.Entry) { e.ScrubAt = soon })
+}
+
+// pause begins no further attempts of a partition that is to be released.
+func (n *Node) pause(partition uint32) {
+	n.owned[partition].Store(0)
+	n.table.Pause(partition)
+}
+
+func (n *Node) resume(partition uint32) {
+	epoch := n.table.OwnedEpoch(partition)
+	if !n.table.IsReady(partition) || n.table.Fence(partition) > epoch {
+		return
+	}
+	n.table.Resume(partition, n.now())
+	n.owned[partition].Store(epoch)
+}
+
+// releasePaused gives up the partitions that are to be released and have no attempt under way.
+func (n *Node) releasePaused() {
+	if n.view == nil || n.view.Map == nil {
+		return
+	}
+	var done []*rpc.PartitionEpoch
+	for id, ownership := range n.view.Map.Partitions {
+		partition := uint32(id)
+		epoch := n.table.OwnedEpoch(partition)
+		if !ownership.Releasing || epoch == 0 || epoch != ownership.Epoch || n.releases[partition] == epoch {
+			continue
+		}
+		if n.table.Running(partition) > 0 || !n.table.IsReady(partition) {
+			continue
+		}
+		n.releases[partition] = epoch
+		done = append(done, &rpc.PartitionEpoch{Partition: partition, Epoch: epoch})
+	}
+	if len(done) > 0 {
+		go n.release(done)
+	}
+}
+
+func (n *Node) release(partitions []*rpc.PartitionEpoch) {
+	ctx, cancel := context.WithTimeout(context.Background(), gatherWithin)
+	defer cancel()
+	if err := n.cluster.Release(ctx, partitions); err == nil {
+		return
+	}
+	n.post(func() { // asked for again at the next housekeeping
+		for _, p := range partitions {
+			if n.releases[p.Partition] == p.Epoch {
+				delete(n.releases, p.Partition)
+			}
+		}
+	})
+}
+
+func (n *Node) appendFence(partition uint32, epoch uint64) {
+	data, err := encodeRecord(recordFence, time.Now(), &rpc.PartitionEpoch{Partition: partition, Epoch: epoch})
+	if err != nil {
+		return
+	}
+	if _, err := n.file.Append(data); err != nil {
+		n.log.Error(err, "fence not written", "partition", partition, "epoch", epoch)
+	}
+}
+
+// Gather implements rpc.Store: it raises the epochs durably, and lists what this store holds of the partitions.
+func (n *Node) Gather(_ context.Context, request *rpc.GatherRequest) (*rpc.GatherReply, error) {
+	reply := &rpc.GatherReply{Store: n.disk}
+	if !n.do(func() {
+		for _, p := range request.Partitions {
+			if p.Epoch < n.table.Fence(p.Partition) {
+				reply.Stale = true
+				return
+			}
+		}
+		for _, p := range request.Partitions {
+			n.raiseFence(p)
+		}
+	}) {
+		return nil, errClosed
+	}
+	if reply.Stale {
+		return reply, nil
+	}
+	if err := n.file.Wait(); err != nil {
+		return nil, err
+	}
+	n.do(func() { reply.Messages = n.list(request.Partitions) })
+	reply.Whole = true
+	return reply, nil
+}
+
+// raiseFence refuses writes of older epochs. An ownership under one of them begins no further attempts.
+func (n *Node) raiseFence(p *rpc.PartitionEpoch) {
+	if !n.table.RaiseFence(p.Partition, p.Epoch) {
+		return
+	}
+	n.appendFence(p.Partition, p.Epoch)
+	if n.table.OwnedEpoch(p.Partition) > 0 {
+		n.owned[p.Partition].Store(0)
+		n.table.Pause(p.Partition)
+	}
+}
+
+// list returns the messages of partitions, without bodies. Those that this store only knows by name are left out.
+func (n *Node) list(partitions []*rpc.PartitionEpoch) []*rpc.Message {
+	now := n.now()
+	var messages []*rpc.Message
+	for _, p := range partitions {
+		n.table.Partition(p.Partition, func(e *message.Entry) {
+			if e.Ended() && e.State == rpc.State_COMPLETED {
+				messages = append(messages, &rpc.Message{Name: e.Name, Partition: e.Partition, State: e.State,
+					Stamp: e.Stamp, EndedMsAgo: (now - e.EndedAt).Milliseconds()})
+				return
+			}
+			if e.Stored {
+				messages = append(messages, e.Message(now))
+			}
+		})
+	}
+	return messages
+}
+
+// gathering collects the answers of the other stores for partitions that were taken over together.
+type gathering struct {
+	mutex    sync.Mutex
+	answered map[string]bool
+	changed  chan struct{}
+}
+
+// gather learns what other stores hold of partitions, then lets them run.
+func (n *Node) gather(partitions []*rpc.PartitionEpoch, view *rpc.MapView) {
+	if err := n.file.Wait(); err != nil { // the fences of this store
+		n.log.Error(err, "fences not synced")
+		return
+	}
+	g := &gathering{answered: map[string]bool{}, changed: make(chan struct{}, 1)}
+	request := &rpc.GatherRequest{Caller: n.settings.Node, Partitions: partitions}
+	ctx, cancel := context.WithTimeout(context.Background(), gatherMost)
+	var asked sync.WaitGroup
+	for _, one := range n.peers.all() {
+		asked.Add(1)
+		go func() {
+			defer asked.Done()
+			n.gatherFrom(ctx, one, request, g)
+		}()
+	}
+	go func() { asked.Wait(); cancel() }()
+	n.awaitGathered(g, partitions, view)
+}
+
+// gatherFrom asks one store until it answers.
+func (n *Node) gatherFrom(ctx context.Context, one *peer, request *rpc.GatherRequest, g *gathering) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, gatherWithin)
+		reply, err := n.cluster.Store(one.address).Gather(call, request)
+		cancel()
+		if err == nil && reply.Stale {
+			return // a newer owner exists; the map that says so is under way
+		}
+		if err == nil {
+			one.answered()
+			n.do(func() { n.merge(one.disk, reply.Messages, request.Partitions) })
+			g.mutex.Lock()
+			g.answered[one.disk] = true
+			g.mutex.Unlock()
+			select {
+			case g.changed <- struct{}{}:
+			default:
+			}
+			return
+		}
+		select {
+		case <-time.After(gatherPause):
+		case <-ctx.Done():
+		case <-n.closed:
+			return
+		}
+	}
+}
+
+// merge enters what another store holds of partitions that are still owned under the epochs asked for.
+func (n *Node) merge(disk string, messages []*rpc.Message, partitions []*rpc.PartitionEpoch) {
+	current := map[uint32]bool{}
+	for _, p := range partitions {
+		current[p.Partition] = n.table.OwnedEpoch(p.Partition) == p.Epoch
+	}
+	now := n.now()
+	for _, m := range messages {
+		if !current[m.Partition] {
+			continue
+		}
+		known := n.table.Get(m.Name)
+		wasEnded := known != nil && known.Ended()
+		entry := n.table.Add(message.FromMessage(m, now), now)
+		entry.AddHolder(disk)
+		if known != nil && !wasEnded && entry.Ended() {
+			n.appendFate(entry)
+		}
+	}
+	n.pumpDue = true
+}
+
+// awaitGathered makes the partitions ready once all stores have answered, or enough have and the rest stayed silent for a
+// moment. Enough is all but as many as may be lost, counted without those whose disks are not whole.
+func (n *Node) awaitGathered(g *gathering, partitions []*rpc.PartitionEpoch, view *rpc.MapView) {
+	var graceOver <-chan time.Time
+	for {
+		all, enough := n.gathered(g, view)
+		if all {
+			break
+		}
+		if enough && graceOver == nil {
+			timer := time.NewTimer(gatherGrace)
+			defer timer.Stop()
+			graceOver = timer.C
+		}
+		select {
+		case <-g.changed:
+			continue
+		case <-graceOver:
+		case <-n.closed:
+			return
+		}
+		break
+	}
+	n.do(func() { n.begun(partitions) })
+}
+
+func (n *Node) gathered(g *gathering, view *rpc.MapView) (all, enough bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	whole, missing := 0, 0
+	for _, member := range view.Stores {
+		switch {
+		case member.Disk != n.disk && !g.answered[member.Disk]:
+			missing++
+		case member.Whole:
+			whole++
+		}
+	}
+	return missing == 0, whole >= len(view.Stores)-n.tolerance
+}
+
+// begun lets partitions run whose state is known.
+func (n *Node) begun(partitions []*rpc.PartitionEpoch) {
+	now := n.now()
+	for _, p := range partitions {
+		if n.table.OwnedEpoch(p.Partition) != p.Epoch {
+			continue
+		}
+		n.table.Ready(p.Partition, now)
+		n.owned[p.Partition].Store(p.Epoch)
+	}
+	n.pumpDue = true
+	if n.view != nil && n.view.Map != nil { // what was asked for while the partitions were taken over
+		n.applyMap(n.view.Map)
+	}
+}
--- /dev/null
+++ b/internal/storenode/upkeep.go
@@ -0,0 +1,330 @@
+package storenode
+
+import (
+	"context"
+	"time"
+
+	"foldlb.example/foldlb/coord/applog"
+	"foldlb.example/foldlb/internal/message"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	scrubFirst     = 1500 * time.Millisecond // after a copy came, its holder asks the owner what became of it
+	scrubAgain     = 4 * time.Second
+	scrubBatch     = 500
+	scrubWithin    = time.Second
+	repairBatch    = 200 // copies restored at a time
+	statusSlack    = 30 * time.Second
+	retentionSlack = 2 * time.Second
+	rewriteLeast   = 24 << 20 // a log below this is not rewritten
+	rewriteRecord  = 400      // bytes that a record costs beside its body, roughly
+)
+
+// housekeep runs once a second on the owner goroutine.
+func (n *Node) housekeep() {
+	now := n.now()
+	n.backlog.Store(uint64(n.table.Queued()))
+	n.table.Forget(n.keepEnded(), now)
+	if n.view == nil || n.view.Map == nil {
+		return
+	}
+	n.releasePaused()
+	n.upkeep(now)
+	n.maybeRewrite()
+	n.pumpDue = true
+}
+
+// keepEnded is how long the state of a message is kept after its end.
+func (n *Node) keepEnded() time.Duration {
+	return time.Duration(n.settings.Bounds.StatusS*float64(time.Second)) + statusSlack
+}
+
+// upkeep looks at every queued message: those past their retention end, copies that are missing are restored, and owners are
+// asked about copies that are held for them.
+func (n *Node) upkeep(now time.Duration) {
+	alive := n.aliveDisks()
+	wanted := min(n.tolerance+1, len(alive))
+	var expired, missing []*message.Entry
+	ask := map[string][]*rpc.Fate{}
+	n.table.Each(func(e *message.Entry) {
+		if e.State == rpc.State_COMPLETED {
+			return
+		}
+		if n.table.OwnedEpoch(e.Partition) == 0 {
+			n.collectScrub(e, now, ask)
+			return
+		}
+		if !e.Ended() && !e.Running && n.expired(e, now) {
+			expired = append(expired, e)
+			return
+		}
+		if n.table.IsReady(e.Partition) && e.Copies(func(disk string) bool { return alive[disk] }) < wanted {
+			missing = append(missing, e)
+		}
+	})
+	for _, e := range expired {
+		n.table.End(e, rpc.State_DEAD, "", now)
+		n.tell(e)
+	}
+	n.underCopied.Store(uint64(len(missing)))
+	for i, e := range missing {
+		if i == repairBatch {
+			break
+		}
+		n.repair(e, alive)
+	}
+	for disk, fates := range ask {
+		if one := n.peers.get(disk); one != nil {
+			go n.scrub(one, fates)
+		}
+	}
+}
+
+// aliveDisks returns the disks that are members and are not being emptied, this store's included.
+func (n *Node) aliveDisks() map[string]bool {
+	alive := make(map[string]bool, len(n.view.Map.Stores))
+	for _, member := range n.view.Map.Stores {
+		if !member.Leaving {
+			alive[member.Disk] = true
+		}
+	}
+	return alive
+}
+
+// expired reports whether a message's route is gone or its retention has passed.
+func (n *Node) expired(e *message.Entry, now time.Duration) bool {
+	if n.view.Config == nil || n.view.ConfigVersion < n.needs {
+		return false
+	}
+	route := n.routeNamed(e.Route)
+	if route == nil {
+		return true
+	}
+	return route.RetentionS > 0 && now-e.Arrived > time.Duration(route.RetentionS*float64(time.Second))+retentionSlack
+}
+
+// repair restores one copy of a message that has too few.
+func (n *Node) repair(e *message.Entry, alive map[string]bool) {
+	if !e.Stored {
+		name, holders := e.Name, append([]string(nil), e.Holders...)
+		go func() {
+			if m := n.fetch(name, holders); m != nil {
+				n.post(func() { n.keepFetched(e, m) })
+			}
+		}()
+		return
+	}
+	tried := map[string]bool{}
+	for _, disk := range e.Holders {
+		if alive[disk] {
+			tried[disk] = true
+		}
+	}
+	one := n.peers.choose(tried)
+	if one == nil {
+		return
+	}
+	epoch := n.table.OwnedEpoch(e.Partition)
+	at := e.Record
+	current := e.Message(n.now())
+	go func() {
+		data, err := n.file.Read(at)
+		if err != nil {
+			return
+		}
+		m, err := decodeMessage(data)
+		if err != nil || m.Name != current.Name {
+			return
+		}
+		current.Body, current.BodyBytes = m.Body, 0
+		one.put(&copyItem{message: current, epoch: epoch, done: func(status rpc.PutStatus) {
+			if status == rpc.PutStatus_STORED {
+				n.post(func() { e.AddHolder(one.disk) })
+			}
+		}})
+	}()
+}
+
+// collectScrub adds a copy that is held for another store to what its owner is asked about.
+func (n *Node) collectScrub(e *message.Entry, now time.Duration, ask map[string][]*rpc.Fate) {
+	if e.Ended() || now < e.ScrubAt || n.expired(e, now) {
+		return
+	}
+	owner, _, ok := n.view.Owner(e.Partition)
+	if !ok || owner.Disk == n.disk || len(ask[owner.Disk]) >= scrubBatch {
+		return
+	}
+	e.ScrubAt = now + scrubAgain
+	ask[owner.Disk] = append(ask[owner.Disk], e.Fate())
+}
+
+// scrub asks an owner what became of copies, and offers it those that it does not know.
+func (n *Node) scrub(owner *peer, fates []*rpc.Fate) {
+	ctx, cancel := context.WithTimeout(context.Background(), scrubWithin)
+	defer cancel()
+	reply, err := n.cluster.Store(owner.address).Scrub(ctx, &rpc.ScrubRequest{Caller: n.disk, Fates: fates})
+	if err != nil {
+		return
+	}
+	n.do(func() {
+		for _, fate := range reply.Fates {
+			n.applyFate(fate)
+		}
+	})
+}
+
+// Scrub implements rpc.Store: it answers a holder, and takes messages that this owner does not know.
+func (n *Node) Scrub(_ context.Context, request *rpc.ScrubRequest) (*rpc.ScrubReply, error) {
+	reply := &rpc.ScrubReply{}
+	if !n.do(func() {
+		for _, fate := range request.Fates {
+			n.scrubOne(request.Caller, fate, reply)
+		}
+	}) {
+		return nil, errClosed
+	}
+	if len(reply.Unknown) > 0 {
+		go n.take(request.Caller, reply.Unknown)
+	}
+	return reply, nil
+}
+
+func (n *Node) scrubOne(caller string, fate *rpc.Fate, reply *rpc.ScrubReply) {
+	entry := n.table.Get(fate.Name)
+	if entry == nil {
+		if n.table.IsReady(fate.Partition) {
+			reply.Unknown = append(reply.Unknown, fate.Name)
+		}
+		return
+	}
+	if entry.Ended() {
+		reply.Fates = append(reply.Fates, entry.Fate())
+		return
+	}
+	entry.AddHolder(caller)
+}
+
+// take fetches messages that a holder has for a partition owned here.
+func (n *Node) take(holder string, names []string) {
+	one := n.peers.get(holder)
+	if one == nil {
+		return
+	}
+	for len(names) > 0 {
+		count := min(batchMessages, len(names))
+		ctx, cancel := context.WithTimeout(context.Background(), scrubWithin)
+		reply, err := n.cluster.Store(one.address).Fetch(ctx, &rpc.FetchRequest{Names: names[:count]})
+		cancel()
+		if err != nil {
+			return
+		}
+		names = names[count:]
+		n.do(func() {
+			for _, m := range reply.Messages {
+				n.takeOne(holder, m)
+			}
+		})
+	}
+}
+
+func (n *Node) takeOne(holder string, m *rpc.Message) {
+	if n.table.Get(m.Name) != nil || !n.table.IsReady(m.Partition) {
+		return
+	}
+	entry := message.FromMessage(m, n.now())
+	if entry.OrderKey != "" && entry.Seq == 0 {
+		n.table.Number(entry)
+	}
+	if n.write(entry, m) != rpc.PutStatus_STORED {
+		return
+	}
+	entry.Body = nil
+	n.table.Add(entry, n.now()).AddHolder(holder)
+	n.pumpDue = true
+}
+
+// maybeRewrite rewrites the log when most of it is no longer needed.
+func (n *Node) maybeRewrite() {
+	size := n.file.Size()
+	live := int64(n.table.LiveBytes() + rewriteRecord*n.table.Len())
+	full := size > n.logBytes()*9/10
+	if size < rewriteLeast && !full || live > size/2 {
+		return
+	}
+	if err := n.rewrite(); err != nil {
+		n.log.Error(err, "log not rewritten")
+	}
+}
+
+// place is where a record stands in the rewritten log.
+type place struct {
+	entry *message.Entry
+	at    applog.Position
+}
+
+func (n *Node) rewrite() error {
+	var places []place
+	err := n.file.Rewrite(func(write func([]byte) (applog.Position, error)) error {
+		if _, err := write(encodeIdentity(time.Now(), n.disk)); err != nil {
+			return err
+		}
+		for id, epoch := range n.table.Fences() {
+			data, err := encodeRecord(recordFence, time.Now(), &rpc.PartitionEpoch{Partition: id, Epoch: epoch})
+			if err != nil {
+				return err
+			}
+			if _, err := write(data); err != nil {
+				return err
+			}
+		}
+		var failed error
+		n.table.Each(func(e *message.Entry) {
+			if failed == nil {
+				failed = n.rewriteEntry(e, write, &places)
+			}
+		})
+		return failed
+	})
+	if err != nil {
+		return err
+	}
+	for _, p := range places {
+		p.entry.Record = p.at
+	}
+	return nil
+}
+
+func (n *Node) rewriteEntry(e *message.Entry, write func([]byte) (applog.Position, error), places *[]place) error {
+	now := n.now()
+	if e.State == rpc.State_COMPLETED || !e.Stored {
+		if !e.Ended() {
+			return nil
+		}
+		data, err := encodeRecord(recordFate, time.Now().Add(e.EndedAt-now), e.Fate())
+		if err != nil {
+			return err
+		}
+		_, err = write(data)
+		return err
+	}
+	old, err := n.file.Read(e.Record)
+	if err != nil {
+		e.Stored = false // lost here; the copies are on other stores
+		return nil
+	}
+	m, err := decodeMessage(old)
+	if err != nil {
+		e.Stored = false
+		return nil
+	}
+	current := e.Message(now)
+	current.Body, current.BodyBytes = m.Body, 0
+	data, err := encodeRecord(recordMessage, time.Now(), current)
+	if err != nil {
+		return err
+	}
+	at, err := write(data)
+	*places = append(*places, place{entry: e, at: at})
+	return err
+}
