Add failover: leader election and replication of one versioned state

Votes and acknowledgements wait for the sync; the leader serves only under a lease and stops by a margin before the grants end; members change one at a time.

--- /dev/null
+++ b/coord/failover/election.go
@@ -0,0 +1,143 @@
+package failover
+
+import "time"
+
+// campaign is this member's candidacy. It asks first whether a majority would vote for it (pre-vote), so that a
+// member that was cut off does not raise the epoch of a group that has a leader.
+type campaign struct {
+	epoch         uint64
+	askOnly       bool
+	granted       map[string]bool // by identity
+	ownGeneration uint64          // the own vote counts once this has been synced
+}
+
+// startCampaign asks whether a majority would vote for this member.
+func (machine *machine) startCampaign(now time.Duration) {
+	machine.electionAt = now + machine.config.timing.CampaignTimeout + machine.spread()
+	machine.campaign = &campaign{
+		epoch:   max(machine.record.VotedEpoch, machine.highestEpoch) + 1,
+		askOnly: true,
+		granted: map[string]bool{machine.record.Identity: true},
+	}
+	machine.askForVotes()
+	machine.countVotes(now)
+}
+
+// startVote votes for this member itself and asks for the votes of the others.
+func (machine *machine) startVote(now time.Duration) {
+	machine.electionAt = now + machine.config.timing.CampaignTimeout + machine.spread()
+	machine.record.VotedEpoch = machine.campaign.epoch
+	machine.record.VotedFor = machine.record.Identity
+	machine.changeRecord()
+	machine.campaign.askOnly = false
+	machine.campaign.granted = make(map[string]bool)
+	machine.campaign.ownGeneration = machine.generation
+	machine.askForVotes()
+}
+
+func (machine *machine) askForVotes() {
+	for _, member := range machine.record.Contents.Members {
+		if member.ID == machine.record.Identity {
+			continue
+		}
+		request := VoteRequest{
+			Member:     member.ID,
+			Candidate:  machine.record.Identity,
+			Epoch:      machine.campaign.epoch,
+			StateEpoch: machine.record.Version.Epoch,
+			StateSeq:   machine.record.Version.Seq,
+			AskOnly:    machine.campaign.askOnly,
+		}
+		machine.emit(sendVote{address: member.Address, request: request})
+	}
+}
+
+func (machine *machine) handleVoteResult(now time.Duration, result voteResult) {
+	if result.failed {
+		return
+	}
+	machine.highestEpoch = max(machine.highestEpoch, result.reply.Epoch)
+	current := machine.campaign
+	if current == nil || current.epoch != result.request.Epoch || current.askOnly != result.request.AskOnly {
+		return
+	}
+	if !result.reply.Granted {
+		return
+	}
+	current.granted[result.request.Member] = true
+	machine.countVotes(now)
+}
+
+// countOwnVote counts the candidate's own vote once it has been synced.
+func (machine *machine) countOwnVote(now time.Duration) {
+	current := machine.campaign
+	if current == nil || current.askOnly || current.ownGeneration > machine.saved.generation {
+		return
+	}
+	current.granted[machine.record.Identity] = true
+	machine.countVotes(now)
+}
+
+func (machine *machine) countVotes(now time.Duration) {
+	isGranted := func(identity string) bool { return machine.campaign.granted[identity] }
+	if !isMajority(machine.record.Contents.Members, isGranted) {
+		return
+	}
+	if machine.campaign.askOnly {
+		machine.startVote(now)
+		return
+	}
+	machine.startLeadership(now)
+}
+
+// handleVote is the witness.
+func (machine *machine) handleVote(now time.Duration, asked voteCall) {
+	request := asked.request
+	if request.Member != machine.record.Identity {
+		reply := VoteReply{Epoch: machine.record.VotedEpoch, NotMember: true}
+		machine.emit(answerVote{call: asked.call, reply: reply})
+		return
+	}
+	granted := machine.mayVote(now, request)
+	if granted && !request.AskOnly {
+		machine.vote(now, request)
+	}
+	reply := VoteReply{Granted: granted, Epoch: machine.record.VotedEpoch}
+	if !granted || request.AskOnly {
+		machine.emit(answerVote{call: asked.call, reply: reply})
+		return
+	}
+	machine.answerOnceSaved(func() effect { return answerVote{call: asked.call, reply: reply} })
+}
+
+// mayVote reports whether the vote can be given without breaking a promise to another leader or candidate, or losing
+// a committed version.
+func (machine *machine) mayVote(now time.Duration, request VoteRequest) bool {
+	candidateVersion := Version{Epoch: request.StateEpoch, Seq: request.StateSeq}
+	switch {
+	case now < machine.voteAfter:
+		return false
+	case machine.leadership != nil:
+		return false
+	case now < machine.grant.ends && machine.grant.leader != request.Candidate:
+		return false
+	case candidateVersion.Less(machine.record.Version):
+		return false
+	case request.Epoch > machine.record.VotedEpoch:
+		return true
+	}
+	isRepeated := request.Epoch == machine.record.VotedEpoch && request.Candidate == machine.record.VotedFor
+	return isRepeated && !request.AskOnly
+}
+
+// vote records the vote. A campaign of this member's own ends.
+func (machine *machine) vote(now time.Duration, request VoteRequest) {
+	if request.Epoch == machine.record.VotedEpoch {
+		return
+	}
+	machine.campaign = nil
+	machine.electionAt = now + machine.config.timing.CampaignTimeout + machine.spread()
+	machine.record.VotedEpoch = request.Epoch
+	machine.record.VotedFor = request.Candidate
+	machine.changeRecord()
+}
--- /dev/null
+++ b/coord/failover/follower.go
@@ -0,0 +1,109 @@
+package failover
+
+import "time"
+
+// handleReplicate is the follower: it grants the leader its lease and takes its version.
+func (machine *machine) handleReplicate(now time.Duration, asked replicateCall) {
+	request := asked.request
+	if request.Member != machine.record.Identity {
+		reply := ReplicateReply{Epoch: machine.record.VotedEpoch, NotMember: true}
+		machine.emit(answerReplicate{call: asked.call, reply: reply})
+		return
+	}
+	if !machine.mayFollow(now, request) {
+		reply := ReplicateReply{Epoch: machine.record.VotedEpoch}
+		machine.emit(answerReplicate{call: asked.call, reply: reply})
+		return
+	}
+	if request.Resign {
+		machine.handleLeaderResigned(now, asked)
+		return
+	}
+	if machine.leadership != nil {
+		machine.stepDown(now, "another member leads a newer epoch")
+	}
+	machine.follow(now, request)
+	isVersionTaken := machine.takeVersion(request)
+	machine.learnCommitted(request)
+	finish := func() effect {
+		return answerReplicate{call: asked.call, reply: machine.replicateReply()}
+	}
+	mustWait := isVersionTaken || request.Contents != nil
+	if !mustWait && machine.saved.votedEpoch >= request.Epoch {
+		machine.emit(finish())
+		return
+	}
+	machine.answerOnceSaved(finish)
+}
+
+// mayFollow reports whether the request is of a leader that this member has not moved on from.
+func (machine *machine) mayFollow(now time.Duration, request ReplicateRequest) bool {
+	if now < machine.ackAfter {
+		return false
+	}
+	if machine.leadership != nil && request.Epoch == machine.leadership.epoch {
+		return false
+	}
+	return request.Epoch >= machine.record.VotedEpoch
+}
+
+// follow grants the lease, from now on.
+func (machine *machine) follow(now time.Duration, request ReplicateRequest) {
+	machine.campaign = nil
+	machine.grant = grant{
+		leader:  request.Leader,
+		address: request.LeaderAddress,
+		ends:    now + machine.config.timing.Lease,
+	}
+	machine.electionAt = machine.grant.ends + machine.spread()
+	if request.Epoch > machine.record.VotedEpoch {
+		machine.record.VotedEpoch = request.Epoch
+		machine.record.VotedFor = request.Leader
+		machine.changeRecord()
+	}
+}
+
+// takeVersion takes the version of the request if it is newer and its contents are at hand.
+func (machine *machine) takeVersion(request ReplicateRequest) bool {
+	offered := Version{Epoch: request.StateEpoch, Seq: request.StateSeq}
+	if !machine.record.Version.Less(offered) {
+		return false
+	}
+	same := Version{Epoch: request.SameEpoch, Seq: request.SameSeq}
+	isSame := same != Version{} && same == machine.record.Version
+	if request.Contents == nil && !isSame {
+		return false
+	}
+	if request.Contents != nil {
+		machine.record.Contents = *request.Contents
+	}
+	machine.record.Version = offered
+	machine.changeRecord()
+	return true
+}
+
+func (machine *machine) learnCommitted(request ReplicateRequest) {
+	held := machine.record.Version
+	if held.Epoch == request.Epoch && held.Seq <= request.CommittedSeq {
+		machine.setCommitted(held, machine.record.Contents)
+	}
+}
+
+// handleLeaderResigned drops the grant, so that this member may vote and be elected at once.
+func (machine *machine) handleLeaderResigned(now time.Duration, asked replicateCall) {
+	if machine.grant.leader == asked.request.Leader && machine.record.VotedEpoch == asked.request.Epoch {
+		machine.grant = grant{}
+		machine.electionAt = max(now, machine.voteAfter) + machine.spread()
+	}
+	machine.emit(answerReplicate{call: asked.call, reply: machine.replicateReply()})
+}
+
+// replicateReply tells what has been synced.
+func (machine *machine) replicateReply() ReplicateReply {
+	return ReplicateReply{
+		Ok:         true,
+		Epoch:      machine.record.VotedEpoch,
+		StateEpoch: machine.saved.version.Epoch,
+		StateSeq:   machine.saved.version.Seq,
+	}
+}
--- /dev/null
+++ b/coord/failover/leader.go
@@ -0,0 +1,273 @@
+package failover
+
+import "time"
+
+// peer is what the leader knows of another member.
+type peer struct {
+	isKnown         bool // it has answered in this epoch
+	version         Version
+	hasGranted      bool
+	grantedSentAt   time.Duration // when the newest heartbeat that it answered was sent
+	contentsRetryAt time.Duration // contents are on their way until then; 0 for none
+}
+
+// leadership is the state of a leader. It serves once the version that it inherited is committed under its epoch.
+type leadership struct {
+	epoch       uint64
+	electedAt   time.Duration
+	heartbeatAt time.Duration
+	peers       map[string]*peer // by identity
+	same        Version          // an older version with the contents of the record
+	oldMembers  []Member         // while a change of members is under way
+	isServing   bool
+	inFlight    *propose
+	queue       []propose
+}
+
+// startLeadership writes the inherited version anew under the own epoch.
+func (machine *machine) startLeadership(now time.Duration) {
+	machine.leadership = &leadership{
+		epoch:     machine.campaign.epoch,
+		electedAt: now,
+		peers:     make(map[string]*peer),
+		same:      machine.record.Version,
+	}
+	machine.campaign = nil
+	machine.grant = grant{}
+	machine.record.Version = Version{Epoch: machine.leadership.epoch, Seq: machine.record.Version.Seq + 1}
+	machine.changeRecord()
+	machine.broadcast(now)
+}
+
+// broadcast sends a heartbeat to every other member, with the contents where they are known to be missing.
+func (machine *machine) broadcast(now time.Duration) {
+	machine.leadership.heartbeatAt = now + machine.config.timing.Heartbeat
+	for _, member := range machine.audience() {
+		machine.replicate(now, member)
+	}
+}
+
+// audience lists the members of the old and the new list, without this one.
+func (machine *machine) audience() []Member {
+	var audience []Member
+	for _, member := range machine.record.Contents.Members {
+		if member.ID != machine.record.Identity {
+			audience = append(audience, member)
+		}
+	}
+	for _, member := range machine.leadership.oldMembers {
+		if member.ID != machine.record.Identity && !hasMember(audience, member.ID) {
+			audience = append(audience, member)
+		}
+	}
+	return audience
+}
+
+func (machine *machine) replicate(now time.Duration, member Member) {
+	request := machine.replicateRequest(member.ID)
+	known := machine.peer(member.ID)
+	isMissing := known.isKnown && known.version.Less(machine.record.Version)
+	if isMissing && now >= known.contentsRetryAt {
+		known.contentsRetryAt = now + machine.config.timing.ContentsTimeout
+		contents := machine.record.Contents
+		request.Contents = &contents
+	}
+	machine.emit(sendReplicate{address: member.Address, request: request, sentAt: now})
+}
+
+func (machine *machine) replicateRequest(identity string) ReplicateRequest {
+	request := ReplicateRequest{
+		Member:        identity,
+		Leader:        machine.record.Identity,
+		LeaderAddress: machine.config.address,
+		Epoch:         machine.leadership.epoch,
+		StateEpoch:    machine.record.Version.Epoch,
+		StateSeq:      machine.record.Version.Seq,
+		SameEpoch:     machine.leadership.same.Epoch,
+		SameSeq:       machine.leadership.same.Seq,
+	}
+	if machine.leadership.isServing {
+		request.CommittedSeq = machine.committedVersion.Seq
+	}
+	return request
+}
+
+func (machine *machine) peer(identity string) *peer {
+	known := machine.leadership.peers[identity]
+	if known == nil {
+		known = &peer{}
+		machine.leadership.peers[identity] = known
+	}
+	return known
+}
+
+func (machine *machine) handleReplicateResult(now time.Duration, result replicateResult) {
+	if machine.leadership == nil || machine.leadership.epoch != result.epoch {
+		return
+	}
+	known := machine.peer(result.member)
+	if result.withContents {
+		known.contentsRetryAt = 0
+	}
+	if result.failed || result.reply.NotMember {
+		return
+	}
+	if result.reply.Epoch > result.epoch {
+		machine.highestEpoch = max(machine.highestEpoch, result.reply.Epoch)
+		machine.stepDown(now, "a member has voted in a newer epoch")
+		return
+	}
+	if !result.reply.Ok {
+		return
+	}
+	known.isKnown = true
+	known.hasGranted = true
+	known.grantedSentAt = max(known.grantedSentAt, result.sentAt)
+	version := Version{Epoch: result.reply.StateEpoch, Seq: result.reply.StateSeq}
+	if known.version.Less(version) {
+		known.version = version
+	}
+	machine.sendMissing(now, result.member)
+	machine.advanceCommit(now)
+}
+
+// sendMissing sends the contents at once to a member that has turned out to lack them.
+func (machine *machine) sendMissing(now time.Duration, identity string) {
+	known := machine.peer(identity)
+	if !known.version.Less(machine.record.Version) || now < known.contentsRetryAt {
+		return
+	}
+	for _, member := range machine.audience() {
+		if member.ID == identity {
+			machine.replicate(now, member)
+		}
+	}
+}
+
+// advanceCommit commits the newest version once a majority has synced it.
+func (machine *machine) advanceCommit(now time.Duration) {
+	lead := machine.leadership
+	if lead == nil || !machine.committedVersion.Less(machine.record.Version) {
+		return
+	}
+	if !machine.isQuorum(machine.hasSynced) {
+		return
+	}
+	lead.oldMembers = nil
+	machine.setCommitted(machine.record.Version, machine.record.Contents)
+	if !lead.isServing {
+		lead.isServing = true
+		machine.emit(becameLeader{epoch: lead.epoch})
+	}
+	if lead.inFlight != nil {
+		machine.emit(proposalDone{proposal: lead.inFlight.proposal})
+		lead.inFlight = nil
+	}
+	if !machine.isVoter() {
+		machine.handleResign(now)
+		return
+	}
+	machine.startProposal(now)
+}
+
+// hasSynced reports whether a member has synced the newest version.
+func (machine *machine) hasSynced(identity string) bool {
+	if identity == machine.record.Identity {
+		return machine.saved.version == machine.record.Version
+	}
+	known := machine.leadership.peers[identity]
+	return known != nil && known.version == machine.record.Version
+}
+
+// isQuorum reports whether holds is true of a majority, of the old list as well while members are changed.
+func (machine *machine) isQuorum(holds func(identity string) bool) bool {
+	if !isMajority(machine.record.Contents.Members, holds) {
+		return false
+	}
+	old := machine.leadership.oldMembers
+	return old == nil || isMajority(old, holds)
+}
+
+// leaseEnds returns when the leader must have stopped.
+func (machine *machine) leaseEnds(now time.Duration) time.Duration {
+	start := machine.leadership.electedAt
+	if granted, isGranted := machine.newestQuorumGrant(now); isGranted {
+		start = granted
+	}
+	return start + machine.config.timing.Lease - machine.config.timing.Margin
+}
+
+// newestQuorumGrant returns the latest moment since which a majority has answered heartbeats that were sent then or
+// later.
+func (machine *machine) newestQuorumGrant(now time.Duration) (time.Duration, bool) {
+	newest, isFound := time.Duration(0), false
+	consider := func(moment time.Duration) {
+		hasGranted := func(identity string) bool { return machine.hasGrantedSince(identity, moment) }
+		if (!isFound || moment > newest) && machine.isQuorum(hasGranted) {
+			newest, isFound = moment, true
+		}
+	}
+	consider(now)
+	for _, known := range machine.leadership.peers {
+		if known.hasGranted {
+			consider(known.grantedSentAt)
+		}
+	}
+	return newest, isFound
+}
+
+func (machine *machine) hasGrantedSince(identity string, moment time.Duration) bool {
+	if identity == machine.record.Identity {
+		return true
+	}
+	known := machine.leadership.peers[identity]
+	return known != nil && known.hasGranted && known.grantedSentAt >= moment
+}
+
+// servesUntil returns when the lease of a leader that serves ends; 0 where this member does not serve.
+func (machine *machine) servesUntil(now time.Duration) time.Duration {
+	if machine.leadership == nil || !machine.leadership.isServing {
+		return 0
+	}
+	return machine.leaseEnds(now)
+}
+
+// endLostLeadership steps down before anything else is done with a lease that has ended.
+func (machine *machine) endLostLeadership(now time.Duration) {
+	if machine.leadership != nil && now >= machine.leaseEnds(now) {
+		machine.stepDown(now, "the lease has ended")
+	}
+}
+
+// handleResign steps down and tells the others that they may elect another leader at once.
+func (machine *machine) handleResign(now time.Duration) {
+	if machine.leadership == nil {
+		return
+	}
+	audience := machine.audience()
+	requests := make([]ReplicateRequest, 0, len(audience))
+	for _, member := range audience {
+		request := machine.replicateRequest(member.ID)
+		request.Resign = true
+		requests = append(requests, request)
+	}
+	machine.stepDown(now, "resigned")
+	machine.electionAt = now + machine.config.timing.Lease + machine.spread()
+	for position, member := range audience {
+		machine.emit(sendReplicate{address: member.Address, request: requests[position], sentAt: now})
+	}
+}
+
+// stepDown ends the leadership. The proposal under way may or may not come into force; those that wait do not.
+func (machine *machine) stepDown(now time.Duration, reason string) {
+	lead := machine.leadership
+	machine.leadership = nil
+	machine.electionAt = now + machine.spread()
+	if lead.inFlight != nil {
+		machine.emit(proposalDone{proposal: lead.inFlight.proposal, err: OutcomeUnknown{Reason: reason}})
+	}
+	for _, waiting := range lead.queue {
+		machine.emit(proposalDone{proposal: waiting.proposal, err: NotLeader{}})
+	}
+	machine.emit(steppedDown{epoch: lead.epoch, reason: reason})
+}
--- /dev/null
+++ b/coord/failover/timing.go
@@ -0,0 +1,40 @@
+package failover
+
+import "time"
+
+// Timing holds the durations of the protocol. All members must use the same. The zero value of a field stands for
+// its default.
+type Timing struct {
+	Lease           time.Duration // a grant, from the moment a heartbeat arrived; default 1 s
+	Margin          time.Duration // by how much the leader stops earlier; bounds the drift of clocks; default 150 ms
+	Heartbeat       time.Duration // between heartbeats; default 250 ms
+	ElectionSpread  time.Duration // bound of the random wait before a campaign; default 200 ms
+	CampaignTimeout time.Duration // a campaign without a majority begins anew after it; default 300 ms
+	ContentsTimeout time.Duration // contents not answered are sent again after it; default 2 s
+}
+
+// Defaults of Timing.
+const (
+	defaultLease           = time.Second
+	defaultMargin          = 150 * time.Millisecond
+	defaultHeartbeat       = 250 * time.Millisecond
+	defaultElectionSpread  = 200 * time.Millisecond
+	defaultCampaignTimeout = 300 * time.Millisecond
+	defaultContentsTimeout = 2 * time.Second
+)
+
+func (timing Timing) withDefaults() Timing {
+	setDefault(&timing.Lease, defaultLease)
+	setDefault(&timing.Margin, defaultMargin)
+	setDefault(&timing.Heartbeat, defaultHeartbeat)
+	setDefault(&timing.ElectionSpread, defaultElectionSpread)
+	setDefault(&timing.CampaignTimeout, defaultCampaignTimeout)
+	setDefault(&timing.ContentsTimeout, defaultContentsTimeout)
+	return timing
+}
+
+func setDefault(duration *time.Duration, value time.Duration) {
+	if *duration == 0 {
+		*duration = value
+	}
+}
