--- /dev/null
+++ b/internal/delivery/standin_test.go
@@ -0,0 +1,172 @@
+package delivery
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foldlb.example/foldlb/internal/catalog"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	testRoute   = "r-1"
+	testService = "s-1"
+	testStamp   = "stamp.1"
+	patience    = 10 * time.Second // for what must happen; no test waits for it in vain
+)
+
+// standIn is a worker: it reads requests and has its behave function write to the connection.
+type standIn struct {
+	listener    net.Listener
+	behave      func(conn net.Conn, request *http.Request)
+	connections atomic.Int64
+	requests    atomic.Int64
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// startStandIn starts a worker that ends with the test.
+func startStandIn(t testing.TB, behave func(net.Conn, *http.Request)) *standIn {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := &standIn{listener: listener, behave: behave}
+	go s.serve()
+	t.Cleanup(s.close)
+	return s
+}
+
+func (s *standIn) address() string { return s.listener.Addr().String() }
+
+func (s *standIn) serve() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.connections.Add(1)
+		s.mu.Lock()
+		s.conns = append(s.conns, conn)
+		s.mu.Unlock()
+		go s.handle(conn)
+	}
+}
+
+func (s *standIn) handle(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			_ = conn.Close()
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			_ = conn.Close()
+			return
+		}
+		request.Body = io.NopCloser(strings.NewReader(string(body)))
+		s.requests.Add(1)
+		s.behave(conn, request)
+	}
+}
+
+func (s *standIn) close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+// say writes an answer that repeats the request's id.
+func say(conn net.Conn, request *http.Request, status int, fields ...string) {
+	sayAs(conn, request.Header.Get(headerRequestID), status, fields...)
+}
+
+// sayAs writes an answer to the request of that id.
+func sayAs(conn net.Conn, id string, status int, fields ...string) {
+	_, _ = io.WriteString(conn, answerText(id, status, fields...))
+}
+
+func answerText(id string, status int, fields ...string) string {
+	head := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nContent-Length: 4\r\n", status, id)
+	for _, field := range fields {
+		head += field + "\r\n"
+	}
+	return head + "\r\nbody"
+}
+
+func succeed(conn net.Conn, request *http.Request) {
+	say(conn, request, 200, headerStamp+": "+testStamp)
+}
+
+func reset(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+func testConfig() *catalog.Config {
+	return &catalog.Config{
+		Version:  1,
+		Routes:   []catalog.Route{{Name: testRoute, Hostname: "h.example", PathPrefix: "/", TimeoutMs: 300, Service: testService}},
+		Services: []catalog.Service{{Name: testService, MaxConns: 100}},
+	}
+}
+
+func listOf(workers ...*standIn) []*rpc.Worker {
+	list := make([]*rpc.Worker, 0, len(workers))
+	for i, w := range workers {
+		list = append(list, &rpc.Worker{Id: fmt.Sprintf("i-%d", i), Service: testService, Address: w.address(), Zone: "a", Capacity: 4})
+	}
+	return list
+}
+
+func startEngine(t testing.TB, config *catalog.Config, workers ...*standIn) *Engine {
+	t.Helper()
+	e := New(Options{Zone: "a"})
+	e.SetCatalog(config.Version, config)
+	e.SetWorkers(listOf(workers...))
+	t.Cleanup(e.Close)
+	return e
+}
+
+var jobNumber atomic.Int64
+
+func newJob() *Job {
+	id := fmt.Sprintf("request-%d", jobNumber.Add(1))
+	return &Job{Name: id, Route: testRoute, Method: "POST", Path: "/p?q=1", Host: "h.example", RequestID: id,
+		OrderKey: "key", ContentType: "text/plain", Body: []byte("hello")}
+}
+
+func allow() bool { return true }
+
+// submit submits a job and returns where its outcome comes.
+func submit(e *Engine, job *Job) <-chan Outcome {
+	outcomes := make(chan Outcome, 2) // room for a second one, which would be a fault
+	e.Submit(job, allow, func(o Outcome) { outcomes <- o })
+	return outcomes
+}
+
+func await(t testing.TB, outcomes <-chan Outcome) Outcome {
+	t.Helper()
+	select {
+	case o := <-outcomes:
+		return o
+	case <-time.After(patience):
+		must.Unreachable(t, must.Sprint("no outcome"))
+		return Outcome{}
+	}
+}
