--- /dev/null
+++ b/internal/ingest/holders.go
@@ -0,0 +1,115 @@
+package ingest
+
+import (
+	"slices"
+
+	"foldlb.example/foldlb/internal/cluster"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// minCopies is the least number of stores that keep a message, whatever the map says.
+const minCopies = 1
+
+// holderWrite is a message's way round a silent owner: f + 1 other stores keep it under the owner's epoch.
+type holderWrite struct {
+	begun      bool
+	ended      bool // a store knows a newer epoch, or there are too few stores
+	epoch      uint64
+	candidates []*rpc.StoreMember // not asked yet, best first
+	needed     int
+	stored     int
+	pending    int
+}
+
+// goRoundOwner begins the write to holders where the message needs neither an order nor a rate. It begins once
+// for each epoch of the partition.
+func (a *acceptance) goRoundOwner() {
+	if a.message.pinnedTo != "" || a.holders.begun && a.owner.epoch <= a.holders.epoch {
+		return
+	}
+	a.beginHolders()
+}
+
+// beginHolders prepares the write to other stores than the owner.
+func (a *acceptance) beginHolders() {
+	copies := max(int(a.view.Map.GetCopies()), minCopies)
+	if a.holders.pending > 0 {
+		a.maybeStored = true // those of the epoch before are not waited for
+	}
+	a.holders = holderWrite{
+		begun:      true,
+		epoch:      a.owner.epoch,
+		needed:     copies,
+		candidates: a.dispatcher.holderCandidates(a.view, a.owner.store),
+	}
+}
+
+// sendToHolders asks as many stores as are still needed.
+func (a *acceptance) sendToHolders() {
+	holders := &a.holders
+	for !holders.ended && holders.pending+holders.stored < holders.needed {
+		if len(holders.candidates) == 0 || a.sent >= maxPuts {
+			holders.ended = true
+			return
+		}
+		store := holders.candidates[0]
+		holders.candidates = holders.candidates[1:]
+		holders.pending++
+		a.send(target{store: store, epoch: holders.epoch, mode: rpc.PutMode_HOLDER})
+	}
+}
+
+// onHolder takes the outcome of a Put to a holder. It reports whether enough holders have stored.
+func (a *acceptance) onHolder(outcome putOutcome) bool {
+	holders := &a.holders
+	if outcome.target.epoch != holders.epoch {
+		return false
+	}
+	holders.pending--
+	switch outcome.result {
+	case putStored:
+		a.maybeStored = true
+		holders.stored++
+	case putStale:
+		holders.ended = true
+		a.dispatcher.cluster.Kick()
+	case putUnknown:
+		a.maybeStored = true
+	}
+	return holders.stored >= holders.needed
+}
+
+// holderCandidates lists the stores other than the owner: those that answer first, and among them those of
+// other zones than the owner's.
+func (d *dispatcher) holderCandidates(view *cluster.View, owner *rpc.StoreMember) []*rpc.StoreMember {
+	candidates := make([]*rpc.StoreMember, 0, len(view.Stores()))
+	for _, store := range view.Stores() {
+		if store.Node != owner.Node {
+			candidates = append(candidates, store)
+		}
+	}
+	start := int(d.turn.Load() % uint64(max(len(candidates), 1)))
+	candidates = append(candidates[start:len(candidates):len(candidates)], candidates[:start]...)
+	rank := make(map[*rpc.StoreMember]int, len(candidates))
+	for _, store := range candidates {
+		rank[store] = d.holderRank(store, owner)
+	}
+	slices.SortStableFunc(candidates, func(one, other *rpc.StoreMember) int { return rank[one] - rank[other] })
+	return candidates
+}
+
+// holderRank is lower for better holders.
+func (d *dispatcher) holderRank(store, owner *rpc.StoreMember) int {
+	const slowPenalty, leavingPenalty, sameZonePenalty = 4, 2, 1
+	rank := 0
+	if d.health.slow(store.Address) {
+		rank += slowPenalty
+	}
+	if store.Leaving {
+		rank += leavingPenalty
+	}
+	if store.Zone == owner.Zone {
+		rank += sameZonePenalty
+	}
+	return rank
+}
