--- a/cmd/foldlb/main.go
+++ b/cmd/foldlb/main.go
@@ -23,7 +23,7 @@
 	app := &cli.Command{
 		Name:  "foldlb",
 		Usage: "place callers' jobs at quote workers, by inverse response times",
-		Commands: []*cli.Command{
+		Commands: append(roleCommands(), []*cli.Command{
 			{
 				Name:  "serve",
 				Usage: "run one dispatcher as NODE_CONFIG says",
@@ -51,7 +51,7 @@
 					return nil
 				},
 			},
-		},
+		}...),
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // said below, once
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
