--- a/cmd/foldlb/roles.go
+++ b/cmd/foldlb/roles.go
@@ -15,6 +15,7 @@
 
 	"foldlb.example/foldlb/internal/ingest"
 	"foldlb.example/foldlb/internal/settings"
+	"foldlb.example/foldlb/internal/storenode"
 )
 
 const (
@@ -31,6 +32,7 @@
 func roleCommands() []*cli.Command {
 	return []*cli.Command{
 		roleCommand("dispatcher", "take messages in and have the stores keep them", ingest.Run),
+		roleCommand("store", "keep messages and deliver them to workers", storenode.Run),
 		{
 			Name:  "check-settings",
 			Usage: "read the settings file that a role would run with, and name what is wrong",
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -81,11 +81,17 @@
 	return nil, nil, false
 }
 
-// Route returns the route of a name, or nil.
-func (t *Table) Route(name string) *Route { return t.routes[name] }
+// Route returns the route of a name.
+func (t *Table) Route(name string) (*Route, bool) {
+	route, ok := t.routes[name]
+	return route, ok
+}
 
-// Service returns the service of a name, or nil.
-func (t *Table) Service(name string) *Service { return t.services[name] }
+// Service returns the service of a name.
+func (t *Table) Service(name string) (*Service, bool) {
+	service, ok := t.services[name]
+	return service, ok
+}
 
 // Config returns the configuration that the table indexes.
 func (t *Table) Config() *Config { return t.config }
--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -24,7 +24,8 @@
 	view      atomic.Pointer[View]
 	inForce   atomic.Pointer[View] // the newest view that all callbacks have seen
 	applying  sync.Mutex           // held while the view is replaced
-	callbacks callbackList
+	callbacks *callbackList
+	first     *View // the empty view of the start
 	running   sync.WaitGroup
 }
 
@@ -36,10 +37,13 @@
 		clients: newClients(),
 		lease:   newLease(),
 		kicks:   make(chan struct{}, 1),
+		first:   newView(),
+
+		callbacks: newCallbackList(),
 	}
 	client.settings.Store(options.Settings)
-	client.view.Store(newView())
-	client.inForce.Store(client.view.Load())
+	client.view.Store(client.first)
+	client.inForce.Store(client.first)
 	client.run(ctx, client.renewLoop)
 	client.run(ctx, client.followLoop)
 	client.run(ctx, client.notifyLoop)
