--- /dev/null
+++ b/cmd/foldlb-control/control.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/urfave/cli/v3"
+
+	"foldlb.example/foldlb/internal/controlplane"
+	"foldlb.example/foldlb/internal/settings"
+)
+
+const (
+	defaultSettingsPath = "/etc/foldlb/settings.yaml"
+	gcPercent           = 50
+	memoryShare         = 0.6 // of the machine's memory, as a soft limit
+	bytesPerMb          = 1 << 20
+)
+
+// settingsFlag names the settings file.
+func settingsFlag() *cli.StringFlag {
+	return &cli.StringFlag{
+		Name:    "settings",
+		Usage:   "path of the settings file",
+		Value:   defaultSettingsPath,
+		Sources: cli.EnvVars("FOLDLB_SETTINGS"),
+	}
+}
+
+func controlCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "control",
+		Usage: "run the control role until SIGTERM",
+		Flags: []cli.Flag{
+			settingsFlag(),
+			&cli.IntFlag{Name: "verbosity", Usage: "0 logs changes of state and faults, 1 details too"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return runControl(ctx, command.String("settings"), newLogger(command.Int("verbosity")))
+		},
+	}
+}
+
+// newLogger writes one JSON object a line to standard error.
+func newLogger(verbosity int) logr.Logger {
+	write := func(line string) { fmt.Fprintln(os.Stderr, line) }
+	return funcr.NewJSON(write, funcr.Options{LogTimestamp: true, Verbosity: verbosity})
+}
+
+func runControl(ctx context.Context, path string, log logr.Logger) error {
+	loaded, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	limitMemory(loaded.Limits.MemoryMb)
+	running, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	server, err := controlplane.New(controlplane.Options{Settings: loaded, Log: log})
+	if err != nil {
+		return err
+	}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go watchSettings(running, path, reloads, server.Reload, log)
+	return server.Run(running)
+}
+
+// limitMemory trades processor time for a small heap: memory at its peak is priced.
+func limitMemory(machineMb int) {
+	debug.SetGCPercent(gcPercent)
+	if machineMb > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(machineMb) * bytesPerMb))
+	}
+}
--- /dev/null
+++ b/internal/controlplane/discovery.go
@@ -0,0 +1,216 @@
+package controlplane
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	discoveryPeriod  = 700 * time.Millisecond // between two readings of the whole list
+	discoveryTimeout = time.Second            // of one call
+	discoveryBackoff = 2 * time.Second        // largest pause after a failure
+	maxPages         = 200
+	maxPageBytes     = 4 << 20
+	rateReserve      = 2 // share of the platform's rate that is used is 1 / rateReserve
+)
+
+// instance is one entry of the platform's list.
+type instance struct {
+	ID              string  `json:"id"`
+	Service         string  `json:"service"`
+	Address         string  `json:"address"`
+	Zone            string  `json:"zone"`
+	Capacity        float64 `json:"capacity"`
+	State           string  `json:"state"`
+	ColdRemainingMs float64 `json:"coldRemainingMs"`
+}
+
+// page is one answer of the platform.
+type page struct {
+	Instances []instance `json:"instances"`
+	NextToken *string    `json:"nextToken"`
+}
+
+// PlatformError reports an answer of the platform that is not a list.
+type PlatformError struct {
+	Status int // of HTTP
+}
+
+func (e *PlatformError) Error() string {
+	return fmt.Sprintf("the platform answered %d for its list of workers: wait and ask again", e.Status)
+}
+
+// discovery reads the platform's list of workers while this process leads. It belongs to one goroutine.
+type discovery struct {
+	address  string // host:port of the platform
+	interval time.Duration
+	client   *http.Client
+	log      logr.Logger
+	lastCall time.Time
+}
+
+func newDiscovery(address string, ratePerS float64, log logr.Logger) *discovery {
+	dialer := &net.Dialer{Timeout: discoveryTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 1, DisableCompression: true}
+	interval := time.Duration(0)
+	if ratePerS > 0 {
+		interval = time.Duration(rateReserve * float64(time.Second) / ratePerS)
+	}
+	return &discovery{
+		address:  address,
+		interval: interval,
+		client:   &http.Client{Transport: transport, Timeout: discoveryTimeout},
+		log:      log,
+	}
+}
+
+// run reads the list until the context ends, and hands on each that differs from the one before.
+func (d *discovery) run(ctx context.Context, publish func([]*rpc.Worker)) {
+	defer d.client.CloseIdleConnections()
+	var last []*rpc.Worker
+	published := false
+	pause := discoveryPeriod
+	for {
+		workers, err := d.readAll(ctx)
+		if err != nil {
+			d.log.V(1).Info("the list of workers was not read", "error", err.Error())
+			pause = min(2*pause, discoveryBackoff)
+		} else {
+			pause = discoveryPeriod
+			if !published || !sameWorkers(last, workers) {
+				publish(workers)
+				last = workers
+				published = true
+			}
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+// readAll reads all pages. It returns the whole list or an error, never a part.
+func (d *discovery) readAll(ctx context.Context) ([]*rpc.Worker, error) {
+	var workers []*rpc.Worker
+	token := ""
+	for range maxPages {
+		if !sleep(ctx, d.interval-time.Since(d.lastCall)) {
+			return nil, ctx.Err()
+		}
+		d.lastCall = time.Now()
+		next, err := d.readPage(ctx, token)
+		if err != nil {
+			return nil, err
+		}
+		for _, entry := range next.Instances {
+			workers = append(workers, entry.worker())
+		}
+		if next.NextToken == nil || *next.NextToken == "" {
+			return sortedWorkers(workers), nil
+		}
+		token = *next.NextToken
+	}
+	return nil, errors.Errorf("the list of workers has more than %d pages: raise the bound", maxPages)
+}
+
+func (d *discovery) readPage(ctx context.Context, token string) (*page, error) {
+	target := url.URL{Scheme: "http", Host: d.address, Path: "/instances"}
+	if token != "" {
+		target.RawQuery = url.Values{"pageToken": {token}}.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "correct cloud.address in the settings")
+	}
+	response, err := d.client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask the platform again")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, &PlatformError{Status: response.StatusCode}
+	}
+	answer := &page{}
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxPageBytes))
+	if err := decoder.Decode(answer); err != nil {
+		return nil, errors.Wrap(err, "the platform's list can't be read: ask again")
+	}
+	return answer, nil
+}
+
+// sortedWorkers sorts a list by id. Of entries that moved between pages while they were read, one is kept, a
+// draining one where there is one.
+func sortedWorkers(workers []*rpc.Worker) []*rpc.Worker {
+	slices.SortFunc(workers, func(left, right *rpc.Worker) int {
+		if order := cmp.Compare(left.Id, right.Id); order != 0 || left.Draining == right.Draining {
+			return order
+		}
+		if left.Draining {
+			return -1
+		}
+		return 1
+	})
+	return slices.CompactFunc(workers, func(left, right *rpc.Worker) bool { return left.Id == right.Id })
+}
+
+// worker translates an entry of the platform's list.
+func (i *instance) worker() *rpc.Worker {
+	return &rpc.Worker{
+		Id:       i.ID,
+		Service:  i.Service,
+		Address:  i.Address,
+		Zone:     i.Zone,
+		Capacity: uint32(max(i.Capacity, 0)),
+		Draining: i.State != "ready",
+		ColdMs:   int64(i.ColdRemainingMs),
+	}
+}
+
+// sameWorkers compares two sorted lists, leaving aside the time that workers stay cold.
+func sameWorkers(left, right []*rpc.Worker) bool {
+	if len(left) != len(right) {
+		return false
+	}
+	for index := range left {
+		if !sameWorker(left[index], right[index]) {
+			return false
+		}
+	}
+	return true
+}
+
+func sameWorker(left, right *rpc.Worker) bool {
+	cold := left.ColdMs
+	left.ColdMs = right.ColdMs
+	same := proto.Equal(left, right)
+	left.ColdMs = cold
+	return same
+}
+
+// sleep waits, and reports false if the context ended.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	if pause <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/controlplane/join.go
@@ -0,0 +1,112 @@
+package controlplane
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	joinPeriod  = 2 * time.Second
+	joinRetry   = 500 * time.Millisecond // while no leader is known
+	joinTimeout = 700 * time.Millisecond
+	hintExpiry  = 5 * time.Second // of the leader's address as another process told it
+)
+
+// leaderHint is the leader's address as another process told it.
+type leaderHint struct {
+	address string
+	at      time.Time
+}
+
+// runJoin announces this process to the leader until the context ends.
+func (s *Server) runJoin(ctx context.Context) {
+	for turn := 0; ctx.Err() == nil; turn++ {
+		pause := joinPeriod
+		if !s.state.leading() && !s.announce(ctx, turn) {
+			pause = joinRetry
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+// announce sends one Join and reports whether it reached the leader.
+func (s *Server) announce(ctx context.Context, turn int) bool {
+	target := s.otherLeader()
+	seeds := s.settings().Seeds
+	if target == "" && len(seeds) > 0 {
+		target = seeds[turn%len(seeds)]
+	}
+	if target == "" || target == s.address {
+		return false
+	}
+	calling, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	request := &rpc.JoinRequest{Id: s.identity(), Address: s.address, Zone: s.zone, Disk: s.hasDisk}
+	reply, err := s.client(target).Join(calling, request)
+	if err != nil {
+		s.forgetLeader(target)
+		return false
+	}
+	if reply.Leader {
+		s.learnLeader(target)
+		return true
+	}
+	if reply.LeaderAddress != s.address {
+		s.learnLeader(reply.LeaderAddress)
+	}
+	return false
+}
+
+func (s *Server) learnLeader(address string) {
+	if address == "" {
+		return
+	}
+	s.hint.Store(&leaderHint{address: address, at: time.Now()})
+}
+
+// forgetLeader drops what was told of a leader that doesn't answer.
+func (s *Server) forgetLeader(address string) {
+	if hint := s.hint.Load(); hint != nil && hint.address == address {
+		s.hint.CompareAndSwap(hint, nil)
+	}
+}
+
+// otherLeader returns the address of the leader if it is known and another process, else empty.
+func (s *Server) otherLeader() string {
+	address := s.node.Status().LeaderAddress
+	if address == "" {
+		if hint := s.hint.Load(); hint != nil && time.Since(hint.at) < hintExpiry {
+			address = hint.address
+		}
+	}
+	if address == s.address {
+		return ""
+	}
+	return address
+}
+
+// leaderAddress returns the address of the leader, this process included; empty where it isn't known.
+func (s *Server) leaderAddress() string {
+	if s.state.leading() {
+		return s.address
+	}
+	return s.otherLeader()
+}
+
+// controlAddresses lists the control processes that callers may turn to, in rising order.
+func (s *Server) controlAddresses() []string {
+	addresses := []string{s.address}
+	for _, member := range s.node.Status().Members {
+		addresses = append(addresses, member.Address)
+	}
+	for _, known := range s.peers.heard(time.Now()) {
+		addresses = append(addresses, known.address)
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
--- /dev/null
+++ b/internal/controlplane/leadership.go
@@ -0,0 +1,154 @@
+package controlplane
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// leadPeriod is the most time between two looks at the leader's lease: its end comes without an event.
+const leadPeriod = 200 * time.Millisecond
+
+// wakeLeadership has the state looked at now.
+func (s *Server) wakeLeadership() {
+	select {
+	case s.leadershipWake <- struct{}{}:
+	default:
+	}
+}
+
+// runLeadership begins and ends terms and publishes what is committed, until the context ends.
+func (s *Server) runLeadership(ctx context.Context) {
+	timer := time.NewTimer(leadPeriod)
+	defer timer.Stop()
+	for {
+		s.checkLeadership()
+		timer.Reset(leadPeriod)
+		select {
+		case <-timer.C:
+		case <-s.leadershipWake:
+		case <-ctx.Done():
+			s.endTerm()
+			return
+		}
+	}
+}
+
+func (s *Server) checkLeadership() {
+	status := s.node.Status()
+	current := s.currentTerm()
+	if current != nil && (!status.Leader || status.Epoch != current.epoch) {
+		s.endTerm()
+		current = nil
+	}
+	if status.Leader && current == nil {
+		current = s.beginTerm(status.Epoch)
+	}
+	if current != nil {
+		s.publishState()
+	}
+}
+
+// currentTerm returns the term of this process, nil while it doesn't lead.
+func (s *Server) currentTerm() *term {
+	return s.term.Load()
+}
+
+// beginTerm publishes the committed state under the new epoch before anyone can subscribe.
+func (s *Server) beginTerm(epoch uint64) *term {
+	begun := newTerm(epoch, s.state.committed(), time.Now())
+	s.published = publishedVersions{}
+	s.hub.Publish(headerPart(epoch), workersPart(epoch, 0, nil))
+	s.publishState()
+	s.term.Store(begun)
+	s.log.Info("leads", "epoch", epoch)
+	s.startTermWork(begun)
+	return begun
+}
+
+// startTermWork starts what runs only at the leader. All of it ends with the term.
+func (s *Server) startTermWork(begun *term) {
+	s.working.Add(2)
+	go func() {
+		defer s.working.Done()
+		s.runPlanner(begun)
+	}()
+	go func() {
+		defer s.working.Done()
+		s.runMembership(begun)
+	}()
+	if s.settings().Cloud.Address == "" {
+		return
+	}
+	s.working.Add(1)
+	go func() {
+		defer s.working.Done()
+		s.runDiscovery(begun)
+	}()
+}
+
+// endTerm ends all streams and what runs at the leader.
+func (s *Server) endTerm() {
+	ended := s.term.Swap(nil)
+	if ended == nil {
+		return
+	}
+	ended.cancel()
+	s.hub.Disconnect()
+	s.log.Info("leads no more", "epoch", ended.epoch)
+}
+
+// runDiscovery streams the platform's list of workers until the term ends.
+func (s *Server) runDiscovery(t *term) {
+	cloud := s.settings().Cloud
+	reader := newDiscovery(cloud.Address, cloud.RatePerS, s.log)
+	reader.run(t.context, func(workers []*rpc.Worker) {
+		t.mutex.Lock()
+		t.listVersion++
+		version := t.listVersion
+		t.mutex.Unlock()
+		if t.context.Err() == nil {
+			s.hub.Publish(workersPart(t.epoch, version, workers))
+		}
+	})
+}
+
+// publishedVersions tells what was streamed last. It belongs to the goroutine of runLeadership.
+type publishedVersions struct {
+	any       bool
+	config    uint64
+	table     uint64
+	addresses []string
+}
+
+// publishState streams the parts of the committed state that have changed.
+func (s *Server) publishState() {
+	state := s.state.committed()
+	last := &s.published
+	if !last.any || last.config != state.ConfigVersion {
+		s.hub.Publish(configPart(state))
+		last.config = state.ConfigVersion
+	}
+	if !last.any || last.table != state.MapVersion {
+		s.hub.Publish(mapPart(state, s.copies()))
+		last.table = state.MapVersion
+	}
+	addresses := s.controlAddresses()
+	if !last.any || !slices.Equal(last.addresses, addresses) {
+		s.hub.Publish(addressesPart(addresses))
+		last.addresses = addresses
+	}
+	last.any = true
+}
+
+// handleWatch streams the View to dispatchers and stores.
+func (s *Server) handleWatch(writer http.ResponseWriter, request *http.Request) {
+	if s.currentTerm() == nil || !s.state.leading() {
+		s.sendToLeader(writer, request)
+		return
+	}
+	s.hub.ServeHTTP(writer, request)
+}
--- /dev/null
+++ b/internal/controlplane/leases.go
@@ -0,0 +1,40 @@
+package controlplane
+
+import (
+	"time"
+
+	"foldlb.example/foldlb/coord/lease"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// storeLeases holds the leases of the stores on the clock of a term. An incarnation may renew after its lease
+// has ended: the term sees to it that it knows the newest table first.
+type storeLeases struct {
+	started time.Time
+	table   *lease.Table
+}
+
+// newStoreLeases takes every recorded store for one that may hold a lease of an earlier leader.
+func newStoreLeases(state *rpc.ControlState, now time.Time) *storeLeases {
+	table := lease.New(lease.Options{Length: leaseDuration, Margin: leaseMargin, Reusable: true})
+	for _, store := range state.Stores {
+		table.Restore(store.Node, store.Incarnation)
+	}
+	return &storeLeases{started: now, table: table}
+}
+
+// grant extends the lease of a store that renewed it now. It reports false for an incarnation that is known to
+// have ended.
+func (l *storeLeases) grant(node, incarnation string, now time.Time) bool {
+	return l.table.Renew(node, incarnation, now.Sub(l.started)) == nil
+}
+
+// alive reports whether the store's lease is valid.
+func (l *storeLeases) alive(node, incarnation string, now time.Time) bool {
+	return l.table.Alive(node, incarnation, now.Sub(l.started))
+}
+
+// ended reports whether the store certainly holds no lease.
+func (l *storeLeases) ended(node, incarnation string, now time.Time) bool {
+	return l.table.Ended(node, incarnation, now.Sub(l.started))
+}
--- /dev/null
+++ b/internal/controlplane/membership.go
@@ -0,0 +1,171 @@
+package controlplane
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"foldlb.example/foldlb/coord/failover"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	membershipPeriod = time.Second
+	minVoters        = 3
+)
+
+// voterChange exchanges, adds or removes one voter. The zero value changes nothing.
+type voterChange struct {
+	add      *failover.Member
+	removeID string
+}
+
+func (c voterChange) isEmpty() bool {
+	return c.add == nil && c.removeID == ""
+}
+
+// runMembership keeps the number of voters until the term ends, one change at a time.
+func (s *Server) runMembership(t *term) {
+	for sleep(t.context, membershipPeriod) {
+		now := time.Now()
+		if now.Sub(t.started) < 2*membershipPeriod {
+			continue
+		}
+		s.noteSelf(now)
+		status := s.node.Status()
+		change := planVoters(status.Members, status.Identity, s.peers.heard(now), s.wantedVoters(), now.Sub(t.started))
+		if change.isEmpty() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(t.context, proposeTimeout)
+		err := s.node.ProposeMembers(ctx, change.add, change.removeID)
+		cancel()
+		s.log.Info("voters change", "add", change.add, "remove", change.removeID, "error", errorTextOrNone(err))
+	}
+}
+
+// noteSelf lists this process among those that were heard.
+func (s *Server) noteSelf(now time.Time) {
+	s.peers.note(&rpc.JoinRequest{Id: s.identity(), Address: s.address, Zone: s.zone, Disk: s.hasDisk}, now)
+}
+
+func errorTextOrNone(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// wantedVoters is the number of voters to keep.
+func (s *Server) wantedVoters() int {
+	return max(minVoters, 2*s.settings().FaultTolerance.Machines+1)
+}
+
+// planVoters returns the next change of the voters. leaderID is this process, which stays; heard are those that
+// joined lately; ledFor is how long this process has led.
+func planVoters(voters []failover.Member, leaderID string, heard []peer, wanted int, ledFor time.Duration) voterChange {
+	if change := replaceReborn(voters, leaderID, heard); !change.isEmpty() {
+		return change
+	}
+	standby := bestStandby(voters, heard)
+	if len(voters) > wanted {
+		return voterChange{removeID: removableVoter(voters, leaderID, heard)}
+	}
+	if standby == nil {
+		return voterChange{}
+	}
+	if len(voters) < wanted {
+		return voterChange{add: standby}
+	}
+	if ledFor < peerExpiry {
+		return voterChange{}
+	}
+	if silent := silentVoter(voters, leaderID, heard); silent != "" {
+		return voterChange{add: standby, removeID: silent}
+	}
+	return voterChange{}
+}
+
+// replaceReborn exchanges a voter whose disk was lost for the identity that lives at its address now.
+func replaceReborn(voters []failover.Member, leaderID string, heard []peer) voterChange {
+	for _, voter := range voters {
+		index := slices.IndexFunc(heard, func(p peer) bool { return p.address == voter.Address })
+		if index < 0 || voter.ID == leaderID {
+			continue
+		}
+		reborn := heard[index]
+		if reborn.id != voter.ID && reborn.disk && !isVoter(voters, reborn.id) {
+			return voterChange{add: reborn.member(), removeID: voter.ID}
+		}
+	}
+	return voterChange{}
+}
+
+// bestStandby returns the process with a disk to make a voter next: of a zone with the fewest voters.
+func bestStandby(voters []failover.Member, heard []peer) *failover.Member {
+	var best *failover.Member
+	fewest := 0
+	for _, candidate := range heard {
+		if !candidate.disk || isVoter(voters, candidate.id) {
+			continue
+		}
+		inZone := votersIn(voters, heard, candidate.zone)
+		if best == nil || inZone < fewest {
+			best = candidate.member()
+			fewest = inZone
+		}
+	}
+	return best
+}
+
+// votersIn counts the voters of a zone. The first voters carry none: theirs is known once they joined.
+func votersIn(voters []failover.Member, heard []peer, zone string) int {
+	count := 0
+	for _, voter := range voters {
+		voterZone := voter.Zone
+		for _, known := range heard {
+			if known.id == voter.ID {
+				voterZone = known.zone
+			}
+		}
+		if voterZone == zone {
+			count++
+		}
+	}
+	return count
+}
+
+// silentVoter returns a voter that was not heard for peerExpiry, empty if there is none.
+func silentVoter(voters []failover.Member, leaderID string, heard []peer) string {
+	for _, voter := range voters {
+		if voter.ID != leaderID && !isHeard(heard, voter.ID) {
+			return voter.ID
+		}
+	}
+	return ""
+}
+
+// removableVoter returns the voter to do without: a silent one if there is one.
+func removableVoter(voters []failover.Member, leaderID string, heard []peer) string {
+	if silent := silentVoter(voters, leaderID, heard); silent != "" {
+		return silent
+	}
+	for _, voter := range slices.Backward(voters) {
+		if voter.ID != leaderID {
+			return voter.ID
+		}
+	}
+	return ""
+}
+
+func isVoter(voters []failover.Member, id string) bool {
+	return slices.ContainsFunc(voters, func(voter failover.Member) bool { return voter.ID == id })
+}
+
+func isHeard(heard []peer, id string) bool {
+	return slices.ContainsFunc(heard, func(p peer) bool { return p.id == id })
+}
+
+func (p peer) member() *failover.Member {
+	return &failover.Member{ID: p.id, Address: p.address, Zone: p.zone}
+}
--- /dev/null
+++ b/internal/controlplane/operator.go
@@ -0,0 +1,116 @@
+package controlplane
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	headerIfVersion = "X-If-Version"
+	proposeTimeout  = 2500 * time.Millisecond // of one order; callers move on after about a second
+	maxOrders       = 16                      // orders served at a time
+)
+
+// handleReplace takes a whole configuration.
+func (s *Server) handleReplace(writer http.ResponseWriter, request *http.Request) {
+	s.handleConfigOrder(orderReplace, writer, request)
+}
+
+// handleUpdate takes changes of named items.
+func (s *Server) handleUpdate(writer http.ResponseWriter, request *http.Request) {
+	s.handleConfigOrder(orderUpdate, writer, request)
+}
+
+func (s *Server) handleConfigOrder(kind orderKind, writer http.ResponseWriter, request *http.Request) {
+	select {
+	case s.orderSlots <- struct{}{}:
+		defer func() { <-s.orderSlots }()
+	default:
+		writeFault(writer, http.StatusServiceUnavailable, "too many orders at a time: send this one again later")
+		return
+	}
+	order, err := readConfigOrder(kind, writer, request)
+	if err != nil {
+		s.answer(writer, err, nil)
+		return
+	}
+	err = s.takeOrder(order)
+	s.answer(writer, err, okAnswer{})
+}
+
+// readConfigOrder reads the head and body of an order.
+func readConfigOrder(kind orderKind, writer http.ResponseWriter, request *http.Request) (configOrder, error) {
+	body, err := readBody(writer, request)
+	if err != nil {
+		return configOrder{}, err
+	}
+	ifVersion, err := strconv.ParseUint(strings.TrimSpace(request.Header.Get(headerIfVersion)), 10, 64)
+	if err != nil {
+		return configOrder{}, refuse(http.StatusBadRequest,
+			"%s is missing or no number: give the version that the order builds on, 0 for the first", headerIfVersion)
+	}
+	return newConfigOrder(kind, ifVersion, body), nil
+}
+
+func readBody(writer http.ResponseWriter, request *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxBodyBytes))
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the body is above %d bytes: send less", tooLarge.Limit)
+	}
+	return nil, errors.Wrap(err, "the body didn't come whole: send the order again")
+}
+
+// takeOrder commits an order. It returns nil if the order is part of the committed state, a Refusal if it
+// is refused, and any other error where the outcome is not known.
+func (s *Server) takeOrder(order configOrder) error {
+	prepared, err := order.prepare(s.state.committed())
+	if err == nil {
+		err = s.changeState(prepared.apply)
+	}
+	if errors.Is(err, errTakenBefore) {
+		return s.confirmTaken(order)
+	}
+	return err
+}
+
+// changeState commits a change within the time that callers wait. It doesn't end with the caller, who may
+// send the order again.
+func (s *Server) changeState(change func(*rpc.ControlState) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	return s.state.change(ctx, change)
+}
+
+// confirmTaken checks that a repeated order is part of the committed state, not only of a proposed one.
+func (s *Server) confirmTaken(order configOrder) error {
+	if wasTaken(s.state.committed(), order.digest) {
+		return nil
+	}
+	return errors.New("the order was proposed and is not committed yet: send it again")
+}
+
+// handleRead answers with the newest configuration.
+func (s *Server) handleRead(writer http.ResponseWriter, request *http.Request) {
+	state := s.state.committed()
+	if !s.state.leading() {
+		s.sendToLeader(writer, request)
+		return
+	}
+	if state.ConfigVersion == 0 {
+		writeFault(writer, http.StatusNotFound, "there is no configuration yet: send one with X-If-Version: 0")
+		return
+	}
+	writeRaw(writer, http.StatusOK, state.Config)
+}
--- /dev/null
+++ b/internal/controlplane/retire.go
@@ -0,0 +1,79 @@
+package controlplane
+
+import (
+	"net/http"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// Words of the operator's API for the progress of a retirement.
+const (
+	retirementRunning   = "running"
+	retirementCompleted = "completed"
+)
+
+// retirementAnswer tells how far the emptying of a machine is.
+type retirementAnswer struct {
+	State string `json:"state"`
+}
+
+// handleRetireStart takes the order to empty a store machine. A repeated order is acknowledged again.
+func (s *Server) handleRetireStart(writer http.ResponseWriter, request *http.Request) {
+	if _, err := readBody(writer, request); err != nil {
+		s.answer(writer, err, nil)
+		return
+	}
+	node := request.PathValue("node")
+	if findRetirement(s.state.committed().Retirements, node) != nil {
+		s.answer(writer, nil, okAnswer{})
+		return
+	}
+	err := s.changeState(func(state *rpc.ControlState) error {
+		return startRetirement(state, node, s.copies())
+	})
+	s.wakePlanner()
+	s.answer(writer, err, okAnswer{})
+}
+
+// startRetirement marks a store as leaving: its partitions move, and its copies count as missing.
+func startRetirement(state *rpc.ControlState, node string, copies int) error {
+	if findRetirement(state.Retirements, node) != nil {
+		return nil
+	}
+	store := findStore(state.Stores, node)
+	if store == nil {
+		return refuse(http.StatusNotFound, "no store machine is called %q: give the name of one that takes part", node)
+	}
+	left := 0
+	for _, other := range activeStores(state) {
+		if other.Node != node && other.Whole && !other.Leaving {
+			left++
+		}
+	}
+	if left < copies {
+		return refuse(http.StatusConflict,
+			"%d whole stores would be left and %d are needed: add store machines first", left, copies)
+	}
+	store.Leaving = true
+	state.Retirements = append(state.Retirements, &rpc.Retirement{Node: node})
+	state.MapVersion++
+	return nil
+}
+
+// handleRetireRead tells how far the emptying of a machine is.
+func (s *Server) handleRetireRead(writer http.ResponseWriter, request *http.Request) {
+	node := request.PathValue("node")
+	retirement := findRetirement(s.state.committed().Retirements, node)
+	if retirement == nil {
+		s.answer(writer, refuse(http.StatusNotFound, "%q was never asked to retire: start it first", node), nil)
+		return
+	}
+	s.answer(writer, nil, retirementAnswer{State: retirementState(retirement)})
+}
+
+func retirementState(retirement *rpc.Retirement) string {
+	if retirement.Completed {
+		return retirementCompleted
+	}
+	return retirementRunning
+}
--- /dev/null
+++ b/internal/controlplane/service.go
@@ -0,0 +1,124 @@
+package controlplane
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// Roles of members, as renewals name them.
+const (
+	roleStore      = "store"
+	roleDispatcher = "dispatcher"
+)
+
+// releaseTimeout bounds the wait of a caller for the new table.
+const releaseTimeout = time.Second
+
+// service is the Control service of this process.
+type service struct {
+	server *Server
+}
+
+// Vote implements rpc.Control.
+func (s *service) Vote(ctx context.Context, request *rpc.VoteRequest) (*rpc.VoteReply, error) {
+	reply, err := s.server.node.HandleVote(ctx, voteFromWire(request))
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &rpc.VoteReply{Granted: reply.Granted, Epoch: reply.Epoch, NotMember: reply.NotMember}, nil
+}
+
+// Replicate implements rpc.Control.
+func (s *service) Replicate(ctx context.Context, request *rpc.ReplicateRequest) (*rpc.ReplicateReply, error) {
+	decoded, err := replicateFromWire(request)
+	if err != nil {
+		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
+	}
+	reply, err := s.server.node.HandleReplicate(ctx, decoded)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &rpc.ReplicateReply{
+		Ok:         reply.Ok,
+		Epoch:      reply.Epoch,
+		StateEpoch: reply.StateEpoch,
+		StateSeq:   reply.StateSeq,
+		NotMember:  reply.NotMember,
+	}, nil
+}
+
+// Join implements rpc.Control.
+func (s *service) Join(_ context.Context, request *rpc.JoinRequest) (*rpc.JoinReply, error) {
+	leading := s.server.state.leading()
+	if leading {
+		s.server.peers.note(request, time.Now())
+	}
+	return &rpc.JoinReply{
+		Leader:        leading,
+		LeaderAddress: s.server.leaderAddress(),
+		Members:       membersToWire(s.server.node.Status().Members),
+	}, nil
+}
+
+// Renew implements rpc.Control.
+func (s *service) Renew(_ context.Context, request *rpc.RenewRequest) (*rpc.RenewReply, error) {
+	server := s.server
+	term := server.currentTerm()
+	granted := false
+	if term != nil && server.state.leading() {
+		granted = server.renew(term, request)
+	}
+	// The lease is looked at again after the grant was counted: a later leader begins after it has ended.
+	leading := term != nil && server.currentTerm() == term && server.state.leading()
+	reply := &rpc.RenewReply{
+		Granted:          granted && leading,
+		Leader:           leading,
+		LeaderAddress:    server.leaderAddress(),
+		ControlAddresses: server.controlAddresses(),
+	}
+	if reply.Granted {
+		reply.LeaseMs = leaseDuration.Milliseconds()
+	}
+	return reply, nil
+}
+
+func (s *Server) renew(t *term, request *rpc.RenewRequest) bool {
+	now := time.Now()
+	switch request.Role {
+	case roleStore:
+		outcome := t.renewStore(s.state.committed(), request, now)
+		if outcome.wake {
+			s.wakePlanner()
+		}
+		return outcome.granted
+	case roleDispatcher:
+		t.renewDispatcher(request, now)
+		return true
+	default:
+		return false
+	}
+}
+
+// Release implements rpc.Control. It answers once the new table is committed.
+func (s *service) Release(ctx context.Context, request *rpc.ReleaseRequest) (*rpc.ReleaseReply, error) {
+	term := s.server.currentTerm()
+	if term == nil || !s.server.state.leading() {
+		return &rpc.ReleaseReply{}, nil
+	}
+	queued := term.addRelease(request)
+	s.server.wakePlanner()
+	waiting, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	select {
+	case <-queued.done:
+		return &rpc.ReleaseReply{Ok: true}, nil
+	case <-term.context.Done():
+		return &rpc.ReleaseReply{}, nil
+	case <-waiting.Done():
+		return &rpc.ReleaseReply{}, nil
+	}
+}
--- /dev/null
+++ b/internal/controlplane/state.go
@@ -0,0 +1,117 @@
+package controlplane
+
+import (
+	"bytes"
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"foldlb.example/foldlb/coord/failover"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// maxTaken is how many digests of taken orders the state keeps.
+const maxTaken = 512
+
+// replica is what this package uses of failover.Node.
+type replica interface {
+	Propose(ctx context.Context, change func(old []byte) ([]byte, error)) error
+	Status() failover.Status
+	LeaseValid() bool
+}
+
+// replicatedState gives typed access to the replicated state.
+type replicatedState struct {
+	replica replica
+
+	mutex    sync.Mutex
+	epoch    uint64 // version of the state that is decoded
+	sequence uint64
+	decoded  *rpc.ControlState
+}
+
+func newReplicatedState(replica replica) *replicatedState {
+	return &replicatedState{replica: replica, decoded: &rpc.ControlState{}}
+}
+
+// committed returns the newest committed state that this process knows. The caller must not change it. It is
+// the newest of all only if leading reports true afterwards.
+func (s *replicatedState) committed() *rpc.ControlState {
+	status := s.replica.Status()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if status.StateEpoch == s.epoch && status.StateSeq == s.sequence {
+		return s.decoded
+	}
+	decoded := &rpc.ControlState{}
+	if err := proto.Unmarshal(status.State, decoded); err != nil {
+		panic(errors.Wrap(err, "the committed state can't be read: restore the data folder of this process"))
+	}
+	s.epoch = status.StateEpoch
+	s.sequence = status.StateSeq
+	s.decoded = decoded
+	return decoded
+}
+
+// leading reports whether this process holds the leader's lease at this moment.
+func (s *replicatedState) leading() bool {
+	return s.replica.LeaseValid()
+}
+
+// change commits a change of the state. The change gets a copy of its own; an error of it stops the proposal
+// and is returned. It may run while others read the committed state, and must not block.
+func (s *replicatedState) change(ctx context.Context, change func(*rpc.ControlState) error) error {
+	return s.replica.Propose(ctx, func(old []byte) ([]byte, error) {
+		state := &rpc.ControlState{}
+		if err := proto.Unmarshal(old, state); err != nil {
+			return nil, errors.Wrap(err, "read the state: restore the data folder of this process")
+		}
+		before := checkedFigures(state)
+		if err := change(state); err != nil {
+			return nil, err
+		}
+		before.check(state)
+		return proto.Marshal(state)
+	})
+}
+
+// figures are the versions of a state that may only rise.
+type figures struct {
+	config uint64
+	table  uint64
+}
+
+func checkedFigures(state *rpc.ControlState) figures {
+	return figures{config: state.ConfigVersion, table: state.MapVersion}
+}
+
+// check panics where a change broke an invariant of the state.
+func (f figures) check(state *rpc.ControlState) {
+	if state.ConfigVersion < f.config || state.MapVersion < f.table {
+		panic(errors.Errorf("a change lowered a version (config %d to %d, map %d to %d): report this as a defect",
+			f.config, state.ConfigVersion, f.table, state.MapVersion))
+	}
+	if len(state.Taken) > maxTaken {
+		panic(errors.New("more digests are kept than allowed: report this as a defect"))
+	}
+}
+
+// wasTaken reports whether an order with this digest has been taken.
+func wasTaken(state *rpc.ControlState, digest []byte) bool {
+	for _, taken := range state.Taken {
+		if bytes.Equal(taken.Digest, digest) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordTaken adds a digest and drops the oldest above the bound.
+func recordTaken(state *rpc.ControlState, digest []byte) {
+	state.Taken = append(state.Taken, &rpc.Taken{Digest: digest, Version: state.ConfigVersion})
+	if excess := len(state.Taken) - maxTaken; excess > 0 {
+		state.Taken = state.Taken[excess:]
+	}
+}
--- /dev/null
+++ b/internal/controlplane/status.go
@@ -0,0 +1,159 @@
+package controlplane
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Status is what GET /internal/status answers.
+type Status struct {
+	Address          string             `json:"address"`
+	Identity         string             `json:"identity"`
+	Leader           bool               `json:"leader"`
+	LeaderAddress    string             `json:"leaderAddress"`
+	Epoch            uint64             `json:"epoch"`
+	Voter            bool               `json:"voter"`
+	ConfigVersion    uint64             `json:"configVersion"`
+	MapVersion       uint64             `json:"mapVersion"`
+	Streams          int                `json:"streams"`
+	Voters           []string           `json:"voters"`
+	ControlAddresses []string           `json:"controlAddresses"`
+	Stores           []StoreStatus      `json:"stores"`
+	Dispatchers      []DispatcherStatus `json:"dispatchers"`
+	Partitions       map[string]int     `json:"partitions"` // number owned by each machine
+	Retirements      map[string]string  `json:"retirements"`
+}
+
+// StoreStatus is what the leader knows of a store. AgeMs is the time since its newest renewal, -1 for never.
+type StoreStatus struct {
+	Node          string `json:"node"`
+	Zone          string `json:"zone"`
+	Address       string `json:"address"`
+	Incarnation   string `json:"incarnation"`
+	Whole         bool   `json:"whole"`
+	Leaving       bool   `json:"leaving"`
+	Lease         bool   `json:"lease"`
+	AgeMs         int64  `json:"ageMs"`
+	MapVersion    uint64 `json:"mapVersion"`
+	ConfigVersion uint64 `json:"configVersion"`
+	ListVersion   uint64 `json:"listVersion"`
+	Ready         int    `json:"ready"`
+	Backlog       uint64 `json:"backlog"`
+	UnderCopied   uint64 `json:"underCopied"`
+}
+
+// DispatcherStatus is what the leader knows of a dispatcher.
+type DispatcherStatus struct {
+	Node          string `json:"node"`
+	Zone          string `json:"zone"`
+	AgeMs         int64  `json:"ageMs"`
+	MapVersion    uint64 `json:"mapVersion"`
+	ConfigVersion uint64 `json:"configVersion"`
+	ListVersion   uint64 `json:"listVersion"`
+}
+
+func (s *Server) handleStatus(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, s.Status())
+}
+
+// Status describes this process and, at the leader, the members of the system.
+func (s *Server) Status() Status {
+	known := s.node.Status()
+	state := s.state.committed()
+	status := Status{
+		Address:          s.address,
+		Identity:         known.Identity,
+		Leader:           known.Leader,
+		LeaderAddress:    s.leaderAddress(),
+		Epoch:            known.Epoch,
+		Voter:            known.Voter,
+		ConfigVersion:    state.ConfigVersion,
+		MapVersion:       state.MapVersion,
+		Streams:          s.hub.Subscribers(),
+		ControlAddresses: s.controlAddresses(),
+		Partitions:       make(map[string]int),
+		Retirements:      make(map[string]string),
+	}
+	for _, member := range known.Members {
+		status.Voters = append(status.Voters, member.Address)
+	}
+	for _, ownership := range state.Partitions {
+		status.Partitions[ownership.Node]++
+	}
+	for _, retirement := range state.Retirements {
+		status.Retirements[retirement.Node] = retirementState(retirement)
+	}
+	for _, store := range state.Stores {
+		status.Stores = append(status.Stores, StoreStatus{
+			Node:        store.Node,
+			Zone:        store.Zone,
+			Address:     store.Address,
+			Incarnation: store.Incarnation,
+			Whole:       store.Whole,
+			Leaving:     store.Leaving,
+			AgeMs:       -1,
+		})
+	}
+	if current := s.currentTerm(); current != nil {
+		current.describe(&status, time.Now())
+	}
+	return status
+}
+
+// describe adds what only the leader knows.
+func (t *term) describe(status *Status, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for index := range status.Stores {
+		store := &status.Stores[index]
+		known := t.stores[store.Node]
+		if known == nil || known.incarnation != store.Incarnation {
+			continue
+		}
+		store.Lease = t.leases.alive(store.Node, store.Incarnation, now)
+		store.AgeMs = now.Sub(known.renewedAt).Milliseconds()
+		store.Leaving = store.Leaving || known.leaving
+		store.MapVersion = known.mapVersion
+		store.ConfigVersion = known.configVersion
+		store.ListVersion = known.listVersion
+		store.Ready = known.readyCount
+		store.Backlog = known.backlog
+		store.UnderCopied = known.underCopied
+	}
+	for node, known := range t.dispatchers {
+		status.Dispatchers = append(status.Dispatchers, DispatcherStatus{
+			Node:          node,
+			Zone:          known.zone,
+			AgeMs:         now.Sub(known.renewedAt).Milliseconds(),
+			MapVersion:    known.mapVersion,
+			ConfigVersion: known.configVersion,
+			ListVersion:   known.listVersion,
+		})
+	}
+	sort.Slice(status.Dispatchers, func(i, j int) bool {
+		return status.Dispatchers[i].Node < status.Dispatchers[j].Node
+	})
+}
+
+// handleMetrics answers with plain figures, one a line.
+func (s *Server) handleMetrics(writer http.ResponseWriter, _ *http.Request) {
+	status := s.Status()
+	leader := 0
+	if status.Leader {
+		leader = 1
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "foldlb_control_leader %d\n", leader)
+	fmt.Fprintf(&text, "foldlb_control_epoch %d\n", status.Epoch)
+	fmt.Fprintf(&text, "foldlb_control_config_version %d\n", status.ConfigVersion)
+	fmt.Fprintf(&text, "foldlb_control_map_version %d\n", status.MapVersion)
+	fmt.Fprintf(&text, "foldlb_control_voters %d\n", len(status.Voters))
+	fmt.Fprintf(&text, "foldlb_control_stores %d\n", len(status.Stores))
+	fmt.Fprintf(&text, "foldlb_control_dispatchers %d\n", len(status.Dispatchers))
+	fmt.Fprintf(&text, "foldlb_control_streams %d\n", status.Streams)
+	writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = writer.Write([]byte(text.String()))
+}
--- /dev/null
+++ b/internal/controlplane/table.go
@@ -0,0 +1,147 @@
+package controlplane
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// partitionCount is the number of partitions that messages are spread over.
+const partitionCount = 64
+
+// table is the part of the state that the planner changes: stores, owners and retirements.
+type table struct {
+	stores      []*rpc.StoreMember
+	partitions  []*rpc.Ownership
+	retirements []*rpc.Retirement
+}
+
+// copyTable returns a copy of a state's table that may be changed.
+func copyTable(state *rpc.ControlState) *table {
+	copied := proto.CloneOf(&rpc.ControlState{
+		Stores:      state.Stores,
+		Partitions:  state.Partitions,
+		Retirements: state.Retirements,
+	})
+	return &table{stores: copied.Stores, partitions: copied.Partitions, retirements: copied.Retirements}
+}
+
+// equals reports whether a state has this very table.
+func (t *table) equals(state *rpc.ControlState) bool {
+	ours := &rpc.ControlState{Stores: t.stores, Partitions: t.partitions, Retirements: t.retirements}
+	theirs := &rpc.ControlState{Stores: state.Stores, Partitions: state.Partitions, Retirements: state.Retirements}
+	return proto.Equal(ours, theirs)
+}
+
+// put replaces the table of a state and raises its version.
+func (t *table) put(state *rpc.ControlState) {
+	state.Stores = t.stores
+	state.Partitions = t.partitions
+	state.Retirements = t.retirements
+	state.MapVersion++
+}
+
+// findStore returns the member on a machine, nil if there is none.
+func findStore(stores []*rpc.StoreMember, node string) *rpc.StoreMember {
+	for _, store := range stores {
+		if store.Node == node {
+			return store
+		}
+	}
+	return nil
+}
+
+// findRetirement returns the order to empty a machine, nil if there is none.
+func findRetirement(retirements []*rpc.Retirement, node string) *rpc.Retirement {
+	for _, retirement := range retirements {
+		if retirement.Node == node {
+			return retirement
+		}
+	}
+	return nil
+}
+
+// isRetired reports whether a machine has been emptied. Its member stays in the table, so that its disk is
+// known and can't join again, but takes no part any more.
+func isRetired(retirements []*rpc.Retirement, node string) bool {
+	retirement := findRetirement(retirements, node)
+	return retirement != nil && retirement.Completed
+}
+
+// activeStores returns the stores that take part: all but those that have been emptied.
+func activeStores(state *rpc.ControlState) []*rpc.StoreMember {
+	return takingPart(state.Stores, state.Retirements)
+}
+
+func takingPart(stores []*rpc.StoreMember, retirements []*rpc.Retirement) []*rpc.StoreMember {
+	active := make([]*rpc.StoreMember, 0, len(stores))
+	for _, store := range stores {
+		if !isRetired(retirements, store.Node) {
+			active = append(active, store)
+		}
+	}
+	return active
+}
+
+// admission tells what a renewal asks of the table.
+type admission int
+
+const (
+	admissionKnown   admission = iota // the incarnation is the one recorded
+	admissionNew                      // the table has to record it first
+	admissionRetired                  // the machine was emptied; its disk can't join again
+)
+
+// admissionOf compares a store with what is recorded of its machine.
+func admissionOf(state *rpc.ControlState, status *storeStatus) admission {
+	member := findStore(state.Stores, status.node)
+	switch {
+	case member == nil || member.Disk != status.disk:
+		return admissionNew
+	case isRetired(state.Retirements, status.node):
+		return admissionRetired
+	case member.Incarnation != status.incarnation:
+		return admissionNew
+	default:
+		return admissionKnown
+	}
+}
+
+// admit records a store. A new disk is whole only as long as no partition ever had an owner: before that
+// nothing can have been lost. A new disk takes the place of the machine's old one.
+func (t *table) admit(status *storeStatus) {
+	member := findStore(t.stores, status.node)
+	if member == nil {
+		member = &rpc.StoreMember{Node: status.node}
+		t.stores = append(t.stores, member)
+	}
+	if member.Disk != status.disk {
+		member.Disk = status.disk
+		member.Whole = len(t.partitions) == 0
+		member.Leaving = false
+		t.forgetRetirement(status.node)
+	}
+	member.Address = status.address
+	member.Zone = status.zone
+	member.Incarnation = status.incarnation
+}
+
+func (t *table) forgetRetirement(node string) {
+	kept := t.retirements[:0]
+	for _, retirement := range t.retirements {
+		if retirement.Node != node {
+			kept = append(kept, retirement)
+		}
+	}
+	t.retirements = kept
+}
+
+// ownsAny reports whether a machine owns a partition.
+func (t *table) ownsAny(node string) bool {
+	for _, ownership := range t.partitions {
+		if ownership.Node == node {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/controlplane/term.go
@@ -0,0 +1,245 @@
+package controlplane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// Timing of leases and members.
+const (
+	leaseDuration = 2000 * time.Millisecond // of a store or dispatcher, from the moment it sent the renewal
+	leaseMargin   = 300 * time.Millisecond  // by which the leader waits longer; bounds the drift of clocks
+	// supersedeAfter is how long an incarnation must have been silent before another of the same machine
+	// takes its place: a renewal of an ended process that was held up on its way is no newer incarnation.
+	supersedeAfter = 900 * time.Millisecond
+	settleTime     = time.Second             // for which a good report must have held
+	assignAfter    = 1500 * time.Millisecond // from the first store to the first assignment
+	assignAtLatest = 3 * time.Second         // the first assignment waits for more stores until then
+)
+
+// storeStatus is what the newest renewals of a store have told. It belongs to its term.
+type storeStatus struct {
+	node        string
+	incarnation string
+	disk        string
+	address     string
+	zone        string
+
+	renewedAt     time.Time
+	admittedAt    time.Time // when its incarnation was recorded in this term, so that no older table names it
+	granted       bool      // it was granted a lease in this term
+	leaving       bool
+	whole         bool
+	mapVersion    uint64
+	configVersion uint64
+	listVersion   uint64
+	readyCount    int // partitions that it has taken over
+	backlog       uint64
+	underCopied   uint64
+	cleanSince    time.Time // since when it has reported no message with too few copies; zero if it has some
+}
+
+// dispatcherStatus is what the newest renewal of a dispatcher has told.
+type dispatcherStatus struct {
+	incarnation   string
+	zone          string
+	renewedAt     time.Time
+	mapVersion    uint64
+	configVersion uint64
+	listVersion   uint64
+}
+
+// release is the giving up of partitions by their owner.
+type release struct {
+	node        string
+	incarnation string
+	epochs      map[uint32]uint64 // by partition
+	done        chan struct{}     // closed once the planner has taken it up
+}
+
+// term is what a leader knows besides the replicated state. It begins with the leader's lease and is dropped
+// when the lease ends.
+type term struct {
+	epoch   uint64
+	started time.Time
+	context context.Context // ends with the term
+	cancel  context.CancelFunc
+
+	mutex       sync.Mutex
+	stores      map[string]*storeStatus      // by machine
+	dispatchers map[string]*dispatcherStatus // by machine
+	leases      *storeLeases
+	fences      map[string]uint64    // by machine: the map version it must know to be granted a lease
+	firstStore  time.Time            // when the first store renewed
+	joined      map[string]time.Time // by disk: since when a disk that is not whole has been known
+	emptySince  map[string]time.Time // by machine that retires: since when it has owned nothing
+	releases    []*release
+	listVersion uint64 // of the list of workers
+}
+
+func newTerm(epoch uint64, state *rpc.ControlState, now time.Time) *term {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &term{
+		epoch:       epoch,
+		started:     now,
+		context:     ctx,
+		cancel:      cancel,
+		stores:      make(map[string]*storeStatus),
+		dispatchers: make(map[string]*dispatcherStatus),
+		leases:      newStoreLeases(state, now),
+		fences:      make(map[string]uint64),
+		joined:      make(map[string]time.Time),
+		emptySince:  make(map[string]time.Time),
+	}
+}
+
+// renewal is the outcome of a renewal.
+type renewal struct {
+	granted bool
+	wake    bool // the planner has something to do
+}
+
+// renewStore takes the renewal of a store. A lease is granted to the recorded incarnation alone, and only
+// while the store can't act on a table that is out of date.
+func (t *term) renewStore(state *rpc.ControlState, request *rpc.RenewRequest, now time.Time) renewal {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	status, changed := t.noteStore(state, request, now)
+	if status == nil {
+		return renewal{}
+	}
+	if admission := admissionOf(state, status); admission != admissionKnown {
+		return renewal{wake: admission == admissionNew}
+	}
+	if !t.mayGrant(state, status, now) {
+		return renewal{wake: changed}
+	}
+	if !t.leases.grant(status.node, status.incarnation, now) {
+		return renewal{}
+	}
+	status.granted = true
+	return renewal{granted: true, wake: changed}
+}
+
+// noteStore records what a store tells. It returns nil for an incarnation that can't be the newest.
+func (t *term) noteStore(state *rpc.ControlState, request *rpc.RenewRequest, now time.Time) (*storeStatus, bool) {
+	status := t.stores[request.Node]
+	isNew := status == nil || status.incarnation != request.Incarnation
+	if isNew {
+		if now.Sub(t.lastSign(state, request)) < supersedeAfter {
+			return nil, false
+		}
+		status = &storeStatus{node: request.Node, incarnation: request.Incarnation}
+		t.stores[request.Node] = status
+	}
+	if t.firstStore.IsZero() {
+		t.firstStore = now
+	}
+	return status, status.note(request, now) || isNew
+}
+
+// lastSign returns when another incarnation of the machine was last known to live; zero for never.
+func (t *term) lastSign(state *rpc.ControlState, request *rpc.RenewRequest) time.Time {
+	if status := t.stores[request.Node]; status != nil {
+		return status.renewedAt
+	}
+	member := findStore(state.Stores, request.Node)
+	if member != nil && member.Incarnation != request.Incarnation {
+		return t.started
+	}
+	return time.Time{}
+}
+
+// note records a renewal and reports whether it tells anything that the planner acts on.
+func (s *storeStatus) note(request *rpc.RenewRequest, now time.Time) bool {
+	changed := s.leaving != request.Leaving || s.whole != request.Whole
+	s.disk = request.Disk
+	s.address = request.Address
+	s.zone = request.Zone
+	s.renewedAt = now
+	s.leaving = request.Leaving
+	s.whole = request.Whole
+	s.mapVersion = request.MapVersion
+	s.configVersion = request.ConfigVersion
+	s.listVersion = request.ListVersion
+	s.backlog = request.Backlog
+	s.underCopied = request.UnderCopied
+	s.readyCount = len(request.Ready)
+	if request.UnderCopied > 0 {
+		s.cleanSince = time.Time{}
+	} else if s.cleanSince.IsZero() {
+		s.cleanSince = now
+	}
+	return changed
+}
+
+// mayGrant reports whether a lease can't make the store act for a partition that was given to another. A
+// store whose lease went on all the time knows what it owns, and one that was recorded in this term is named by
+// no older table. Any other must know the newest table.
+func (t *term) mayGrant(state *rpc.ControlState, status *storeStatus, now time.Time) bool {
+	if status.mapVersion < t.fences[status.node] {
+		return false
+	}
+	if status.granted && !t.leases.ended(status.node, status.incarnation, now) {
+		return true
+	}
+	return status.awaitsFirstLease() || status.mapVersion >= state.MapVersion
+}
+
+// awaitsFirstLease reports whether the store was recorded in this term and has held no lease yet.
+func (s *storeStatus) awaitsFirstLease() bool {
+	return !s.admittedAt.IsZero() && !s.granted
+}
+
+// isAlive reports whether a recorded incarnation may be given partitions: it holds a lease, or it was recorded
+// just now and is about to.
+func (t *term) isAlive(member *rpc.StoreMember, now time.Time) bool {
+	if t.leases.alive(member.Node, member.Incarnation, now) {
+		return true
+	}
+	status := t.stores[member.Node]
+	if status == nil || status.incarnation != member.Incarnation {
+		return false
+	}
+	return status.awaitsFirstLease() && now.Sub(status.admittedAt) < leaseDuration
+}
+
+// renewDispatcher takes the renewal of a dispatcher. Nothing depends on its lease but what is shown.
+func (t *term) renewDispatcher(request *rpc.RenewRequest, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	status := t.dispatchers[request.Node]
+	if status == nil {
+		status = &dispatcherStatus{}
+		t.dispatchers[request.Node] = status
+	}
+	*status = dispatcherStatus{
+		incarnation:   request.Incarnation,
+		zone:          request.Zone,
+		renewedAt:     now,
+		mapVersion:    request.MapVersion,
+		configVersion: request.ConfigVersion,
+		listVersion:   request.ListVersion,
+	}
+}
+
+// addRelease queues a release for the planner.
+func (t *term) addRelease(request *rpc.ReleaseRequest) *release {
+	epochs := make(map[uint32]uint64, len(request.Partitions))
+	for _, partition := range request.Partitions {
+		epochs[partition.Partition] = partition.Epoch
+	}
+	queued := &release{
+		node:        request.Node,
+		incarnation: request.Incarnation,
+		epochs:      epochs,
+		done:        make(chan struct{}),
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.releases = append(t.releases, queued)
+	return queued
+}
--- /dev/null
+++ b/internal/controlplane/transport.go
@@ -0,0 +1,185 @@
+package controlplane
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"foldlb.example/foldlb/coord/failover"
+	"foldlb.example/foldlb/coord/watch"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	peerDialTimeout = 400 * time.Millisecond
+	peerUserTimeout = 2 * time.Second // after which a connection ends whose peer acknowledges nothing
+	idleConnections = 2               // kept to each control process
+)
+
+// clients holds one client for each control process that is called.
+type clients struct {
+	http *http.Client
+
+	mutex     sync.Mutex
+	byAddress map[string]rpc.Control
+}
+
+func newClients() *clients {
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dialer.DialContext(ctx, network, address)
+		if err == nil {
+			watch.BoundUnacknowledged(connection, peerUserTimeout)
+		}
+		return connection, err
+	}
+	transport := &http.Transport{
+		DialContext:         dial,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
+	}
+	return &clients{http: &http.Client{Transport: transport}, byAddress: make(map[string]rpc.Control)}
+}
+
+// get returns the client of the process at host:port.
+func (c *clients) get(address string) rpc.Control {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	client := c.byAddress[address]
+	if client == nil {
+		client = rpc.NewControlProtobufClient("http://"+address, c.http)
+		c.byAddress[address] = client
+	}
+	return client
+}
+
+// close ends idle connections.
+func (c *clients) close() {
+	c.http.CloseIdleConnections()
+}
+
+// transport carries the calls of failover.Node. It implements failover.Transport.
+type transport struct {
+	clients *clients
+}
+
+// Vote implements failover.Transport.
+func (t *transport) Vote(ctx context.Context, address string, request failover.VoteRequest) (failover.VoteReply, error) {
+	reply, err := t.clients.get(address).Vote(ctx, voteToWire(request))
+	if err != nil {
+		return failover.VoteReply{}, err
+	}
+	return failover.VoteReply{Granted: reply.Granted, Epoch: reply.Epoch, NotMember: reply.NotMember}, nil
+}
+
+// Replicate implements failover.Transport.
+func (t *transport) Replicate(ctx context.Context, address string, request failover.ReplicateRequest) (failover.ReplicateReply, error) {
+	encoded, err := replicateToWire(request)
+	if err != nil {
+		return failover.ReplicateReply{}, err
+	}
+	reply, err := t.clients.get(address).Replicate(ctx, encoded)
+	if err != nil {
+		return failover.ReplicateReply{}, err
+	}
+	return failover.ReplicateReply{
+		Ok:         reply.Ok,
+		Epoch:      reply.Epoch,
+		StateEpoch: reply.StateEpoch,
+		StateSeq:   reply.StateSeq,
+		NotMember:  reply.NotMember,
+	}, nil
+}
+
+func voteToWire(request failover.VoteRequest) *rpc.VoteRequest {
+	return &rpc.VoteRequest{
+		Member:     request.Member,
+		Candidate:  request.Candidate,
+		Epoch:      request.Epoch,
+		StateEpoch: request.StateEpoch,
+		StateSeq:   request.StateSeq,
+		AskOnly:    request.AskOnly,
+	}
+}
+
+func voteFromWire(request *rpc.VoteRequest) failover.VoteRequest {
+	return failover.VoteRequest{
+		Member:     request.Member,
+		Candidate:  request.Candidate,
+		Epoch:      request.Epoch,
+		StateEpoch: request.StateEpoch,
+		StateSeq:   request.StateSeq,
+		AskOnly:    request.AskOnly,
+	}
+}
+
+// replicateToWire leaves SameEpoch and SameSeq out: the receiver is then sent the contents.
+func replicateToWire(request failover.ReplicateRequest) (*rpc.ReplicateRequest, error) {
+	encoded := &rpc.ReplicateRequest{
+		Member:        request.Member,
+		Leader:        request.Leader,
+		LeaderAddress: request.LeaderAddress,
+		Epoch:         request.Epoch,
+		StateEpoch:    request.StateEpoch,
+		StateSeq:      request.StateSeq,
+		Resign:        request.Resign,
+		CommittedSeq:  request.CommittedSeq,
+	}
+	if request.Contents == nil {
+		return encoded, nil
+	}
+	state := &rpc.ControlState{}
+	if err := proto.Unmarshal(request.Contents.State, state); err != nil {
+		return nil, errors.Wrap(err, "the state to send can't be read: restore the data folder of this process")
+	}
+	state.Members = membersToWire(request.Contents.Members)
+	encoded.State = state
+	return encoded, nil
+}
+
+func replicateFromWire(request *rpc.ReplicateRequest) (failover.ReplicateRequest, error) {
+	decoded := failover.ReplicateRequest{
+		Member:        request.Member,
+		Leader:        request.Leader,
+		LeaderAddress: request.LeaderAddress,
+		Epoch:         request.Epoch,
+		StateEpoch:    request.StateEpoch,
+		StateSeq:      request.StateSeq,
+		Resign:        request.Resign,
+		CommittedSeq:  request.CommittedSeq,
+	}
+	if request.State == nil {
+		return decoded, nil
+	}
+	contents := &failover.Contents{Members: membersFromWire(request.State.Members)}
+	request.State.Members = nil
+	encoded, err := proto.Marshal(request.State)
+	if err != nil {
+		return decoded, errors.Wrap(err, "the state that came can't be kept: have the leader send it again")
+	}
+	contents.State = encoded
+	decoded.Contents = contents
+	return decoded, nil
+}
+
+func membersToWire(members []failover.Member) []*rpc.Member {
+	encoded := make([]*rpc.Member, 0, len(members))
+	for _, member := range members {
+		encoded = append(encoded, &rpc.Member{Id: member.ID, Address: member.Address, Zone: member.Zone})
+	}
+	return encoded
+}
+
+func membersFromWire(members []*rpc.Member) []failover.Member {
+	decoded := make([]failover.Member, 0, len(members))
+	for _, member := range members {
+		decoded = append(decoded, failover.Member{ID: member.Id, Address: member.Address, Zone: member.Zone})
+	}
+	return decoded
+}
--- /dev/null
+++ b/internal/controlplane/view.go
@@ -0,0 +1,65 @@
+package controlplane
+
+import (
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"foldlb.example/foldlb/coord/watch"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// Parts of the stream. Each is the encoding of a View with the fields of that part alone: encodings of
+// protobuf messages may be concatenated, so a frame decodes as one View.
+const (
+	partHeader = iota // the leader's epoch
+	partConfig
+	partMap
+	partWorkers
+	partAddresses
+	partCount
+)
+
+// encodeView encodes one part of the stream.
+func encodeView(part int, view *rpc.View) watch.Part {
+	encoded, err := proto.Marshal(view)
+	if err != nil {
+		panic(errors.Wrap(err, "a part of the stream can't be encoded: report this as a defect"))
+	}
+	return watch.Part{Index: part, Data: encoded}
+}
+
+// headerPart names the epoch of the leader that streams.
+func headerPart(epoch uint64) watch.Part {
+	return encodeView(partHeader, &rpc.View{LeaderEpoch: epoch})
+}
+
+// configPart is the configuration in force. It has no content before the first one was taken.
+func configPart(state *rpc.ControlState) watch.Part {
+	if state.ConfigVersion == 0 {
+		return watch.Part{Index: partConfig}
+	}
+	view := &rpc.ConfigView{Version: state.ConfigVersion, Config: state.Config}
+	return encodeView(partConfig, &rpc.View{Config: view})
+}
+
+// mapPart holds the stores that take part and the owners of the partitions.
+func mapPart(state *rpc.ControlState, copies int) watch.Part {
+	view := &rpc.MapView{
+		Version:    state.MapVersion,
+		Stores:     activeStores(state),
+		Partitions: state.Partitions,
+		Copies:     uint32(copies),
+	}
+	return encodeView(partMap, &rpc.View{Map: view})
+}
+
+// workersPart is the platform's list.
+func workersPart(epoch, version uint64, workers []*rpc.Worker) watch.Part {
+	list := &rpc.WorkerList{Epoch: epoch, Version: version, Workers: workers}
+	return encodeView(partWorkers, &rpc.View{Workers: list})
+}
+
+// addressesPart names the control processes.
+func addressesPart(addresses []string) watch.Part {
+	return encodeView(partAddresses, &rpc.View{ControlAddresses: addresses})
+}
