--- a/internal/delivery/answer.go
+++ b/internal/delivery/answer.go
@@ -126,7 +126,7 @@
 			continue
 		}
 		seconds, err := strconv.ParseFloat(value, 64)
-		if err != nil || seconds < 0 || seconds > time.Hour.Seconds() {
+		if err != nil || !(seconds >= 0 && seconds <= time.Hour.Seconds()) { // no number fails both
 			return otherwise
 		}
 		return time.Duration(seconds * keptPart * float64(time.Second))
--- a/internal/delivery/engine.go
+++ b/internal/delivery/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	"foldlb.example/foldlb/internal/catalog"
 	"foldlb.example/foldlb/internal/rpc"
@@ -47,8 +48,12 @@
 	actions     []action
 	ended       []ending
 	sweepSet    bool
+	broken      uint64 // invariants found broken
 }
 
+// errInvariant is logged for a fault of this package.
+var errInvariant = errors.New("an invariant of the delivery engine is broken")
+
 // ending is an outcome that is to be told once the lock is free.
 type ending struct {
 	done    func(Outcome)
@@ -359,6 +364,15 @@
 	d.route.lane.left(e.now(), d)
 }
 
+// expect reports a broken invariant: a fault of this package, which it lives on with.
+func (e *Engine) expect(holds bool, invariant string) {
+	if holds {
+		return
+	}
+	e.broken++
+	e.options.Log.Error(errInvariant, "report this with the log", "invariant", invariant)
+}
+
 // makeRoom tells whether one more connection may be opened, and closes an idle one if that is needed for it.
 func (e *Engine) makeRoom() bool {
 	if e.open < e.options.MaxSockets {
--- /dev/null
+++ b/internal/delivery/engine_test.go
@@ -0,0 +1,355 @@
+package delivery
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foldlb.example/foldlb/internal/catalog"
+)
+
+func TestGuardForbids(t *testing.T) {
+	worker := startStandIn(t, succeed)
+	e := startEngine(t, testConfig(), worker)
+	outcomes := make(chan Outcome, 2)
+	e.Submit(newJob(), func() bool { return false }, func(o Outcome) { outcomes <- o })
+	must.Eq(t, NotRun, await(t, outcomes).Kind)
+	must.Eq(t, Succeeded, await(t, submit(e, newJob())).Kind)
+	must.Eq(t, 1, worker.requests.Load()) // the second job's, on the same connection
+	must.Eq(t, 1, worker.connections.Load())
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	worker := startStandIn(t, succeed)
+	e := startEngine(t, testConfig(), worker)
+	for range 20 {
+		must.Eq(t, Succeeded, await(t, submit(e, newJob())).Kind)
+	}
+	must.Eq(t, 1, worker.connections.Load())
+}
+
+func TestKeepAliveTime(t *testing.T) {
+	const otherwise = 3 * time.Second
+	must.Eq(t, 4*time.Second, keepTime("timeout=5, max=100", otherwise))
+	must.Eq(t, 400*time.Millisecond, keepTime("max=2,timeout=0.5", otherwise))
+	for _, field := range []string{"", "max=5", "timeout=x", "timeout=-1", "timeout=1e30", "timeout=NaN"} {
+		must.Eq(t, otherwise, keepTime(field, otherwise))
+	}
+}
+
+func TestConnectionClosedWhileIdle(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	worker := startStandIn(t, func(c net.Conn, r *http.Request) {
+		succeed(c, r)
+		_ = c.Close()
+		closed <- struct{}{}
+	})
+	e := startEngine(t, testConfig(), worker)
+	for range 10 {
+		must.Eq(t, Succeeded, await(t, submit(e, newJob())).Kind)
+		<-closed // loopback delivers the end at once
+	}
+	must.Eq(t, 10, worker.connections.Load())
+}
+
+// A second answer never counts for the next request, whether it comes before that is sent or after.
+func TestDoubledAnswer(t *testing.T) {
+	t.Run("at once", func(t *testing.T) {
+		worker := startStandIn(t, func(c net.Conn, r *http.Request) {
+			text := answerText(r.Header.Get(headerRequestID), 200, headerStamp+": "+r.Header.Get(headerRequestID))
+			_, _ = c.Write([]byte(text + text))
+		})
+		e := startEngine(t, testConfig(), worker)
+		for range 10 {
+			job := newJob()
+			must.Eq(t, Outcome{Kind: Succeeded, Stamp: job.RequestID}, await(t, submit(e, job)))
+		}
+	})
+	t.Run("with the next request", func(t *testing.T) {
+		var before atomic.Value
+		worker := startStandIn(t, func(c net.Conn, r *http.Request) {
+			id := r.Header.Get(headerRequestID)
+			if previous, ok := before.Swap(id).(string); ok {
+				sayAs(c, previous, 200, headerStamp+": "+previous)
+			}
+			say(c, r, 200, headerStamp+": "+id)
+		})
+		e := startEngine(t, testConfig(), worker)
+		first, second := newJob(), newJob()
+		must.Eq(t, Outcome{Kind: Succeeded, Stamp: first.RequestID}, await(t, submit(e, first)))
+		must.Eq(t, Outcome{Kind: Succeeded, Stamp: second.RequestID}, await(t, submit(e, second)))
+		must.Eq(t, Unknown, await(t, submit(e, newJob())).Kind) // on a new connection, whose first answer is foreign
+		must.Eq(t, 2, worker.connections.Load())
+	})
+}
+
+// A message that failed goes out on another connection than before, where no late second answer can meet it.
+func TestRepeatAvoidsConnectionOfFailure(t *testing.T) {
+	worker := startStandIn(t, func(c net.Conn, r *http.Request) { say(c, r, 500) })
+	e := startEngine(t, testConfig(), worker)
+	job := newJob()
+	must.Eq(t, FailedAttempt, await(t, submit(e, job)).Kind)
+	must.Eq(t, FailedAttempt, await(t, submit(e, newJob())).Kind)
+	must.Eq(t, 1, worker.connections.Load())
+	must.Eq(t, FailedAttempt, await(t, submit(e, job)).Kind)
+	must.Eq(t, 2, worker.connections.Load())
+}
+
+func TestOtherWorkerWhereNothingRan(t *testing.T) {
+	turnAway := map[string]func(net.Conn, *http.Request){
+		"full":           func(c net.Conn, r *http.Request) { say(c, r, 503, "X-Not-Executed: 1") },
+		"another worker": func(c net.Conn, r *http.Request) { say(c, r, 421) },
+	}
+	for name, behave := range turnAway {
+		t.Run(name, func(t *testing.T) {
+			e := startEngine(t, testConfig(), startStandIn(t, behave), startStandIn(t, succeed))
+			for range 20 {
+				must.Eq(t, Succeeded, await(t, submit(e, newJob())).Kind)
+			}
+		})
+	}
+	t.Run("down", func(t *testing.T) {
+		gone := startStandIn(t, succeed)
+		gone.close()
+		e := startEngine(t, testConfig(), gone, startStandIn(t, succeed))
+		for range 20 {
+			must.Eq(t, Succeeded, await(t, submit(e, newJob())).Kind)
+		}
+	})
+}
+
+func TestMisdirectedBarredUntilNextList(t *testing.T) {
+	worker := startStandIn(t, func(c net.Conn, r *http.Request) { say(c, r, 421) })
+	e := startEngine(t, testConfig(), worker)
+	for range 3 {
+		must.Eq(t, NotRun, await(t, submit(e, newJob())).Kind)
+	}
+	must.Eq(t, 1, worker.requests.Load())
+	e.SetWorkers(listOf(worker))
+	must.Eq(t, NotRun, await(t, submit(e, newJob())).Kind)
+	must.Eq(t, 2, worker.requests.Load())
+}
+
+// Nothing is sent to a worker after a list that has it draining, or no longer has it.
+func TestDrainStopsAtOnce(t *testing.T) {
+	leaving, staying := startStandIn(t, succeed), startStandIn(t, succeed)
+	e := startEngine(t, testConfig(), leaving, staying)
+	var outcomes []<-chan Outcome
+	for range 50 {
+		outcomes = append(outcomes, submit(e, newJob()))
+	}
+	list := listOf(leaving, staying)
+	list[0].Draining = true
+	e.SetWorkers(list)
+	for _, o := range outcomes {
+		must.Eq(t, Succeeded, await(t, o).Kind)
+	}
+	before := leaving.requests.Load()
+	for range 50 {
+		must.Eq(t, Succeeded, await(t, submit(e, newJob())).Kind)
+	}
+	e.SetWorkers(list[1:])
+	must.Eq(t, Succeeded, await(t, submit(e, newJob())).Kind)
+	must.Eq(t, before, leaving.requests.Load())
+}
+
+// A worker that begins to drain while a connection to it is being opened, or right before the write, gets nothing.
+func TestDrainBeforeWrite(t *testing.T) {
+	worker := startStandIn(t, succeed)
+	e := startEngine(t, testConfig(), worker)
+	a := &attempt{target: e.targets["i-0"], delivery: &delivery{route: &route{}}}
+	must.True(t, e.maySend(a))
+	list := listOf(worker)
+	list[0].Draining = true
+	e.SetWorkers(list)
+	must.False(t, e.maySend(a))
+}
+
+func TestRouteWithoutWorkers(t *testing.T) {
+	e := startEngine(t, testConfig())
+	must.Eq(t, NotRun, await(t, submit(e, newJob())).Kind)
+	worker := startStandIn(t, succeed)
+	e.SetWorkers(listOf(worker))
+	must.Eq(t, Succeeded, await(t, submit(e, newJob())).Kind)
+}
+
+func TestConfigurationMovesRoute(t *testing.T) {
+	worker, moved := startStandIn(t, succeed), startStandIn(t, succeed)
+	e := startEngine(t, testConfig(), worker)
+	must.Eq(t, Succeeded, await(t, submit(e, newJob())).Kind)
+
+	config := testConfig()
+	config.Version = 2
+	config.Services = append(config.Services, catalog.Service{Name: "s-2", MaxConns: 10})
+	config.Routes[0].Service = "s-2"
+	list := listOf(worker, moved)
+	list[1].Service = "s-2"
+	e.SetWorkers(list)
+	e.SetCatalog(config.Version, config)
+	e.SetCatalog(1, testConfig()) // an older one changes nothing
+	must.Eq(t, Succeeded, await(t, submit(e, newJob())).Kind)
+	must.Eq(t, 1, worker.requests.Load())
+	must.Eq(t, 1, moved.requests.Load())
+
+	e.SetCatalog(3, &catalog.Config{Version: 3})
+	must.Eq(t, NotRun, await(t, submit(e, newJob())).Kind)
+	must.MapEmpty(t, e.routes)
+	must.MapEmpty(t, e.targets)
+	must.Eq(t, 0, e.open)
+}
+
+func TestConnectionLimit(t *testing.T) {
+	var now, most atomic.Int64
+	release := make(chan struct{})
+	worker := startStandIn(t, func(c net.Conn, r *http.Request) {
+		if n := now.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		<-release
+		now.Add(-1)
+		succeed(c, r)
+	})
+	config := testConfig()
+	config.Services[0].MaxConns = 12 // 0.9 of which, among 2, are 5
+	config.Routes[0].TimeoutMs = 10000
+	e := startEngine(t, config, worker)
+	e.SetDispatchers(2)
+	var outcomes []<-chan Outcome
+	for range 30 {
+		outcomes = append(outcomes, submit(e, newJob()))
+	}
+	must.Eq(t, NotRun, await(t, outcomes[len(outcomes)-1]).Kind) // waits no longer than a lane lets it
+	close(release)
+	kinds := map[OutcomeKind]int{}
+	for _, o := range outcomes[:len(outcomes)-1] {
+		kinds[await(t, o).Kind]++
+	}
+	must.Eq(t, 5, most.Load())
+	must.Eq(t, 5, worker.connections.Load())
+	must.GreaterEq(t, 5, kinds[Succeeded])
+	must.Eq(t, 29, kinds[Succeeded]+kinds[NotRun])
+}
+
+func TestCloseEndsAll(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	worker := startStandIn(t, func(net.Conn, *http.Request) { arrived <- struct{}{} })
+	config := testConfig()
+	config.Routes[0].TimeoutMs = 60000
+	e := startEngine(t, config, worker)
+	running := submit(e, newJob())
+	<-arrived
+	e.Close()
+	must.Eq(t, Unknown, await(t, running).Kind)
+	must.Eq(t, NotRun, await(t, submit(e, newJob())).Kind)
+	must.Eq(t, 1, worker.requests.Load())
+}
+
+// Under random load at random workers, with lists and configurations changing, each job ends once and all that was taken is
+// given back.
+func TestRandomLoad(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	behave := func(c net.Conn, r *http.Request) {
+		mu.Lock()
+		pick := random.IntN(20)
+		mu.Unlock()
+		switch pick {
+		case 0:
+			say(c, r, 500)
+		case 1:
+			say(c, r, 422)
+		case 2, 3, 4:
+			say(c, r, 503, "X-Not-Executed: 1")
+		case 5:
+			reset(c)
+		case 6:
+			cut(c, answerText(r.Header.Get(headerRequestID), 200, headerStamp+": s"))
+		case 7:
+			succeed(c, r)
+			_ = c.Close()
+		case 8:
+			say(c, r, 421)
+		default:
+			succeed(c, r)
+		}
+	}
+	var workers []*standIn
+	for range 6 {
+		workers = append(workers, startStandIn(t, behave))
+	}
+	e := startEngine(t, testConfig(), workers...)
+	const jobs = 2000
+	var told [jobs]atomic.Int64
+	var kinds [NotRun + 1]atomic.Int64
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, 40)
+	for i := range jobs {
+		slots <- struct{}{}
+		wait.Add(1)
+		e.Submit(newJob(), func() bool { return i%50 != 0 }, func(o Outcome) {
+			told[i].Add(1)
+			kinds[o.Kind].Add(1)
+			<-slots
+			wait.Done()
+		})
+		if i%100 == 99 {
+			list := listOf(workers...)
+			list[i/100%len(list)].Draining = true
+			e.SetWorkers(list)
+			config := testConfig()
+			config.Version = uint64(i)
+			config.Routes[0].TimeoutMs = 300 + float64(i)
+			e.SetCatalog(config.Version, config)
+			e.SetDispatchers(1 + i/100%3)
+		}
+	}
+	wait.Wait()
+	for i := range told {
+		must.Eq(t, 1, told[i].Load(), must.Sprint(fmt.Sprintf("job %d", i)))
+	}
+	must.Greater(t, jobs/4, kinds[Succeeded].Load())
+	e.Close()
+	e.locked(func(time.Duration) {
+		must.Eq(t, 0, e.open)
+		must.MapEmpty(t, e.attempts)
+		for _, l := range e.lanes {
+			must.Eq(t, 0, l.inFlight)
+			must.Eq(t, 0, l.queue.len())
+		}
+		must.Eq(t, 0, e.broken)
+	})
+}
+
+// Of two workers, the one that answers faster carries more at a time, by the inverse of their response times.
+func TestSharesFollowInverseResponseTime(t *testing.T) {
+	const fast, slow, inFlight, jobs = 10 * time.Millisecond, 40 * time.Millisecond, 10, 1500
+	after := func(pause time.Duration) func(net.Conn, *http.Request) {
+		return func(c net.Conn, r *http.Request) {
+			answered := make(chan struct{})
+			time.AfterFunc(pause, func() {
+				succeed(c, r)
+				close(answered)
+			})
+			<-answered
+		}
+	}
+	first, second := startStandIn(t, after(fast)), startStandIn(t, after(slow))
+	e := startEngine(t, testConfig(), first, second)
+	slots := make(chan struct{}, inFlight)
+	for range jobs {
+		slots <- struct{}{}
+		e.Submit(newJob(), allow, func(Outcome) { <-slots })
+	}
+	// What a worker carries on average is how many it was sent times how long each took.
+	carriedFast := float64(first.requests.Load()) * fast.Seconds()
+	carriedSlow := float64(second.requests.Load()) * slow.Seconds()
+	ratio, want := carriedFast/carriedSlow, slow.Seconds()/fast.Seconds()
+	must.Between(t, want/2, ratio, want*2)
+}
--- a/internal/delivery/exchange.go
+++ b/internal/delivery/exchange.go
@@ -97,8 +97,7 @@
 	defer e.mu.Unlock()
 	a.conn = a.target.takeIdle(e.now(), a.delivery.job)
 	if a.conn != nil { // it brings its own place
-		a.target.open--
-		e.open--
+		a.target.forget()
 	}
 	return a.conn
 }
--- a/internal/delivery/lane.go
+++ b/internal/delivery/lane.go
@@ -203,6 +203,7 @@
 // left is called once for each delivery that was released, when its outcome is known.
 func (l *lane) left(now time.Duration, d *delivery) {
 	l.inFlight--
+	l.engine.expect(l.inFlight >= 0, "each delivery leaves its lane once")
 	if d.probe {
 		l.probing = false
 	}
--- a/internal/delivery/target.go
+++ b/internal/delivery/target.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"slices"
 	"time"
 
 	"foldlb.example/foldlb/internal/rpc"
@@ -59,7 +60,7 @@
 		if now >= c.closeAt || c.carriedBefore(job.RequestID) {
 			continue
 		}
-		t.idle = append(t.idle[:i], t.idle[i+1:]...)
+		t.idle = slices.Delete(t.idle, i, i+1)
 		return c
 	}
 	return nil
@@ -71,7 +72,7 @@
 		return false
 	}
 	t.idle[0].close()
-	t.idle = t.idle[1:]
+	t.idle = slices.Delete(t.idle, 0, 1)
 	return true
 }
 
@@ -81,28 +82,34 @@
 		if c != nil {
 			c.close()
 		}
-		t.open--
-		t.lane.engine.open--
+		t.forget()
 		return
 	}
 	t.idle = append(t.idle, c)
 	t.lane.engine.sweepSoon()
 }
 
+// forget gives up the place of a connection that was closed or not opened.
+func (t *target) forget() {
+	t.open--
+	t.lane.engine.open--
+	t.lane.engine.expect(t.open >= len(t.idle), "each connection gives up its place once")
+}
+
 // closeIdle closes the idle connections that match.
 func (t *target) closeIdle(match func(*conn) bool) {
-	kept := t.idle[:0]
-	for _, c := range t.idle {
+	closed := 0
+	t.idle = slices.DeleteFunc(t.idle, func(c *conn) bool {
 		if !match(c) {
-			kept = append(kept, c)
-			continue
+			return false
 		}
 		c.close()
-		t.open--
-		t.lane.engine.open--
+		closed++
+		return true
+	})
+	for range closed {
+		t.forget()
 	}
-	clear(t.idle[len(kept):])
-	t.idle = kept
 }
 
 // answered enters whether an answer was a failure, and tells whether the worker is to be blamed for it. Messages that fail
