--- a/coord/failover/machine.go
+++ b/coord/failover/machine.go
@@ -125,6 +125,9 @@
 	if machine.isVoter() {
 		return machine.electionAt
 	}
+	if now < machine.grant.ends {
+		return machine.grant.ends
+	}
 	return never
 }
 
@@ -185,12 +188,12 @@
 	return hasMember(machine.record.Contents.Members, machine.record.Identity)
 }
 
-// leaderAddress returns the address of the leader that this member follows, or its own where it serves.
+// leaderAddress returns the address of the leader that this member follows, or its own where it serves, or nothing.
 func (machine *machine) leaderAddress(now time.Duration) string {
-	if machine.leadership != nil {
+	switch {
+	case machine.leadership != nil && machine.leadership.isServing:
 		return machine.config.address
-	}
-	if now < machine.grant.ends {
+	case now < machine.grant.ends:
 		return machine.grant.address
 	}
 	return ""
--- /dev/null
+++ b/coord/failover/machine_test.go
@@ -0,0 +1,297 @@
+package failover
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	selfAddress  = "a:1"
+	otherAddress = "b:1"
+	thirdAddress = "c:1"
+)
+
+var (
+	selfID  = seedIdentity(selfAddress)
+	otherID = seedIdentity(otherAddress)
+	thirdID = seedIdentity(thirdAddress)
+)
+
+// bench drives one machine by hand. Saves are confirmed by confirm only.
+type bench struct {
+	t       *testing.T
+	machine *machine
+	now     time.Duration
+	effects []effect // of the last input
+	newest  *persist
+}
+
+func newBench(t *testing.T, record Record, kind startKind) *bench {
+	config := machineConfig{address: selfAddress, queueLimit: 2, random: func(int64) int64 { return 0 }}
+	created, effects := newMachine(config, record, kind, 0)
+	driven := &bench{t: t, machine: created}
+	driven.take(effects)
+	driven.confirm()
+	return driven
+}
+
+func newSeedBench(t *testing.T) *bench {
+	record := bootstrapRecord(Config{Address: selfAddress, Seeds: testSeeds, State: []byte("first")})
+	return newBench(t, record, startBootstrap)
+}
+
+func (bench *bench) take(effects []effect) {
+	bench.effects = effects
+	for _, wanted := range effects {
+		if save, isSave := wanted.(persist); isSave {
+			bench.newest = &save
+		}
+	}
+}
+
+func (bench *bench) step(taken input) []effect {
+	bench.take(bench.machine.step(bench.now, taken))
+	return bench.effects
+}
+
+func (bench *bench) confirm() []effect {
+	if bench.newest == nil {
+		return nil
+	}
+	point := bench.newest.point
+	bench.newest = nil
+	return bench.step(persisted{point: point})
+}
+
+func only[Wanted effect](effects []effect) []Wanted {
+	var found []Wanted
+	for _, one := range effects {
+		if wanted, isWanted := one.(Wanted); isWanted {
+			found = append(found, wanted)
+		}
+	}
+	return found
+}
+
+// lead makes the machine the leader of epoch 1, with the grant and the sync of the other member.
+func (bench *bench) lead() {
+	for _, askOnly := range []bool{true, false} {
+		if askOnly {
+			bench.step(tick{})
+		}
+		request := VoteRequest{Member: otherID, Epoch: 1, AskOnly: askOnly}
+		bench.step(voteResult{request: request, reply: VoteReply{Granted: true}})
+	}
+	bench.confirm()
+	bench.confirm()
+	bench.acknowledge(otherID, bench.now)
+	must.Positive(bench.t, bench.machine.servesUntil(bench.now))
+}
+
+// acknowledge tells that a member has synced the newest version.
+func (bench *bench) acknowledge(identity string, sentAt time.Duration) []effect {
+	version := bench.machine.record.Version
+	return bench.step(replicateResult{
+		member: identity,
+		epoch:  bench.machine.leadership.epoch,
+		sentAt: sentAt,
+		reply:  ReplicateReply{Ok: true, Epoch: version.Epoch, StateEpoch: version.Epoch, StateSeq: version.Seq},
+	})
+}
+
+func (bench *bench) heartbeat(epoch uint64) []effect {
+	request := ReplicateRequest{
+		Member:     selfID,
+		Leader:     otherID,
+		Epoch:      epoch,
+		StateEpoch: epoch,
+		StateSeq:   2,
+		SameSeq:    bootstrapVersion.Seq,
+	}
+	return bench.step(replicateCall{request: request})
+}
+
+func (bench *bench) ask(request VoteRequest) []effect {
+	request.Candidate = thirdID
+	if request.StateEpoch == 0 {
+		request.StateEpoch = 9
+	}
+	return bench.step(voteCall{request: request})
+}
+
+func TestVoteWaitsForSync(t *testing.T) {
+	bench := newSeedBench(t)
+	must.SliceEmpty(t, only[answerVote](bench.ask(VoteRequest{Member: selfID, Epoch: 1})))
+	answers := only[answerVote](bench.confirm())
+	must.SliceLen(t, 1, answers)
+	must.True(t, answers[0].reply.Granted)
+}
+
+func TestVoteOncePerEpoch(t *testing.T) {
+	bench := newSeedBench(t)
+	bench.ask(VoteRequest{Member: selfID, Epoch: 1})
+	bench.confirm()
+	request := VoteRequest{Member: selfID, Candidate: otherID, Epoch: 1, StateEpoch: 9}
+	must.False(t, only[answerVote](bench.step(voteCall{request: request}))[0].reply.Granted)
+}
+
+func TestAskOnlyRecordsNothing(t *testing.T) {
+	bench := newSeedBench(t)
+	answers := only[answerVote](bench.ask(VoteRequest{Member: selfID, Epoch: 7, AskOnly: true}))
+	must.True(t, answers[0].reply.Granted)
+	must.Zero(t, bench.machine.record.VotedEpoch)
+	must.Nil(t, bench.newest)
+}
+
+func TestVoteForAnotherIdentity(t *testing.T) {
+	bench := newSeedBench(t)
+	reply := only[answerVote](bench.ask(VoteRequest{Member: selfAddress + "#old", Epoch: 1}))[0].reply
+	must.True(t, reply.NotMember)
+	must.False(t, reply.Granted)
+}
+
+func TestNoVoteDuringGrant(t *testing.T) {
+	bench := newSeedBench(t)
+	bench.heartbeat(1)
+	bench.confirm()
+	bench.now = defaultLease - 1
+	must.False(t, only[answerVote](bench.ask(VoteRequest{Member: selfID, Epoch: 2}))[0].reply.Granted)
+	bench.now = defaultLease
+	bench.ask(VoteRequest{Member: selfID, Epoch: 2})
+	must.True(t, only[answerVote](bench.confirm())[0].reply.Granted)
+}
+
+func TestNoVoteAfterRestart(t *testing.T) {
+	record := Record{Identity: selfID, VotedEpoch: 3, Version: Version{Epoch: 3, Seq: 5}}
+	bench := newBench(t, record, startRestarted)
+	bench.now = defaultLease - 1
+	must.False(t, only[answerVote](bench.ask(VoteRequest{Member: selfID, Epoch: 4}))[0].reply.Granted)
+	bench.now = defaultLease
+	bench.ask(VoteRequest{Member: selfID, Epoch: 4})
+	must.True(t, only[answerVote](bench.confirm())[0].reply.Granted)
+}
+
+func TestNoVoteForOlderVersion(t *testing.T) {
+	record := Record{Identity: selfID, VotedEpoch: 3, Version: Version{Epoch: 3, Seq: 5}}
+	bench := newBench(t, record, startRestarted)
+	bench.now = defaultLease
+	request := VoteRequest{Member: selfID, Epoch: 4, StateEpoch: 3, StateSeq: 4}
+	must.False(t, only[answerVote](bench.ask(request))[0].reply.Granted)
+}
+
+func TestJoiningWaitsBeforeItAcknowledges(t *testing.T) {
+	bench := newBench(t, Record{Identity: selfID}, startJoining)
+	must.False(t, only[answerReplicate](bench.heartbeat(1))[0].reply.Ok)
+	bench.now = defaultLease
+	must.SliceEmpty(t, only[answerReplicate](bench.heartbeat(1)))
+	must.True(t, only[answerReplicate](bench.confirm())[0].reply.Ok)
+}
+
+func TestAcknowledgementWaitsForSync(t *testing.T) {
+	bench := newSeedBench(t)
+	must.SliceEmpty(t, only[answerReplicate](bench.heartbeat(1)))
+	reply := only[answerReplicate](bench.confirm())[0].reply
+	must.Eq(t, ReplicateReply{Ok: true, Epoch: 1, StateEpoch: 1, StateSeq: 2}, reply)
+}
+
+func TestLowerEpochIsRefused(t *testing.T) {
+	bench := newSeedBench(t)
+	bench.heartbeat(2)
+	bench.confirm()
+	reply := only[answerReplicate](bench.heartbeat(1))[0].reply
+	must.False(t, reply.Ok)
+	must.EqOp(t, 2, reply.Epoch)
+}
+
+func TestLeaderStopsBeforeGrantsEnd(t *testing.T) {
+	bench := newSeedBench(t)
+	bench.lead()
+	bench.step(propose{proposal: 1, change: replaceBy("second")})
+	bench.step(propose{proposal: 2, change: replaceBy("third")})
+	bench.now = defaultLease - defaultMargin
+	effects := bench.step(tick{})
+	must.SliceLen(t, 1, only[steppedDown](effects))
+	done := only[proposalDone](effects)
+	must.SliceLen(t, 2, done)
+	must.True(t, errors.As(done[0].err, &OutcomeUnknown{}))
+	must.True(t, errors.As(done[1].err, &NotLeader{}))
+}
+
+func TestLeaseRunsFromSending(t *testing.T) {
+	bench := newSeedBench(t)
+	bench.lead()
+	bench.now = 400 * time.Millisecond
+	bench.acknowledge(thirdID, 250*time.Millisecond)
+	must.EqOp(t, 250*time.Millisecond+defaultLease-defaultMargin, bench.machine.servesUntil(bench.now))
+}
+
+func TestCommitWithoutOwnSync(t *testing.T) {
+	bench := newSeedBench(t)
+	bench.lead()
+	bench.step(propose{proposal: 1, change: replaceBy("second")})
+	must.SliceEmpty(t, only[proposalDone](bench.acknowledge(otherID, 0)))
+	done := only[proposalDone](bench.acknowledge(thirdID, 0))
+	must.SliceLen(t, 1, done)
+	must.NoError(t, done[0].err)
+}
+
+func TestRemovalNeedsOldMajority(t *testing.T) {
+	bench := newSeedBench(t)
+	bench.lead()
+	bench.step(propose{proposal: 1, members: &memberChange{removeID: thirdID}})
+	must.SliceEmpty(t, only[proposalDone](bench.confirm()))
+	must.SliceLen(t, 1, only[proposalDone](bench.acknowledge(otherID, 0)))
+	must.SliceLen(t, 2, bench.machine.committedContents.Members)
+}
+
+func TestLastMemberStays(t *testing.T) {
+	_, err := memberChange{removeID: selfID}.apply([]Member{{ID: selfID, Address: selfAddress}})
+	must.True(t, errors.As(err, &InvalidMembers{}))
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	bench := newSeedBench(t)
+	bench.lead()
+	for proposal := range uint64(3) {
+		must.SliceEmpty(t, only[proposalDone](bench.step(propose{proposal: proposal, change: replaceBy("second")})))
+	}
+	done := only[proposalDone](bench.step(propose{proposal: 3, change: replaceBy("third")}))
+	must.Eq(t, []proposalDone{{proposal: 3, err: Overloaded{Limit: 2}}}, done)
+}
+
+func TestAbandonedWhileWaiting(t *testing.T) {
+	bench := newSeedBench(t)
+	bench.lead()
+	bench.step(propose{proposal: 1, change: replaceBy("second")})
+	bench.step(propose{proposal: 2, change: replaceBy("third")})
+	cause := errors.New("given up")
+	must.Eq(t, []proposalDone{{proposal: 2, err: cause}}, only[proposalDone](bench.step(abandon{proposal: 2, cause: cause})))
+	begun := only[proposalDone](bench.step(abandon{proposal: 1, cause: cause}))
+	must.True(t, errors.As(begun[0].err, &OutcomeUnknown{}))
+}
+
+func TestContentsTravelOnlyWhereMissing(t *testing.T) {
+	bench := newSeedBench(t)
+	bench.lead()
+	bench.now = defaultHeartbeat
+	for _, sent := range only[sendReplicate](bench.step(tick{})) {
+		must.Nil(t, sent.request.Contents)
+	}
+	reply := ReplicateReply{Ok: true, Epoch: 1}
+	sent := only[sendReplicate](bench.step(replicateResult{member: thirdID, epoch: 1, sentAt: bench.now, reply: reply}))
+	must.SliceLen(t, 1, sent)
+	must.EqOp(t, thirdID, sent[0].request.Member)
+	must.NotNil(t, sent[0].request.Contents)
+}
+
+func TestResignedLeaderFreesVotes(t *testing.T) {
+	bench := newSeedBench(t)
+	bench.heartbeat(1)
+	bench.confirm()
+	resigned := ReplicateRequest{Member: selfID, Leader: otherID, Epoch: 1, Resign: true}
+	bench.step(replicateCall{request: resigned})
+	must.True(t, only[answerVote](bench.ask(VoteRequest{Member: selfID, Epoch: 2, AskOnly: true}))[0].reply.Granted)
+}
--- a/coord/failover/node.go
+++ b/coord/failover/node.go
@@ -217,7 +217,8 @@
 
 // ProposeMembers adds a voter, removes the one with the identity removeID, or exchanges one for the other (by two
 // versions: removed first). A nil add and an empty removeID stand for nothing. Adding a voter that is in the list and
-// removing one that is not are done already. Errors are those of Propose and InvalidMembers.
+// removing one that is not are done already, so an exchange that failed half-way is repeated as it was. Errors are
+// those of Propose and InvalidMembers.
 func (node *Node) ProposeMembers(ctx context.Context, add *Member, removeID string) error {
 	if removeID != "" {
 		err := node.propose(ctx, propose{members: &memberChange{removeID: removeID}})
--- a/coord/failover/node_test.go
+++ b/coord/failover/node_test.go
@@ -248,3 +248,108 @@
 	}
 	must.EqOp(t, "kept", string(group.awaitLeader().Status().State))
 }
+
+// stuckStore is a Storage whose saves wait while it is stuck.
+type stuckStore struct {
+	memoryStore
+	gate sync.Mutex
+}
+
+func (store *stuckStore) Save(record []byte) error {
+	store.gate.Lock()
+	defer store.gate.Unlock()
+	return store.memoryStore.Save(record)
+}
+
+func TestNodeLeadsOnWithStuckDisk(t *testing.T) {
+	group := newTestGroup(t)
+	stores := make(map[string]*stuckStore)
+	for _, address := range testSeeds {
+		stores[address] = &stuckStore{}
+		group.start(address, true, stores[address])
+	}
+	leader := group.awaitLeader()
+	before := leader.Status()
+	gate := &stores[before.LeaderAddress].gate
+	gate.Lock()
+	defer gate.Unlock()
+	ended := time.Now().Add(3 * testTiming.Lease)
+	for time.Now().Before(ended) {
+		must.NoError(t, leader.Propose(t.Context(), replaceBy(time.Now().String())))
+	}
+	must.EqOp(t, before.Epoch, leader.Status().Epoch)
+	must.True(t, leader.LeaseValid())
+}
+
+func TestNodeProposalWithoutMajority(t *testing.T) {
+	group := newTestGroup(t)
+	group.startAll()
+	leader := group.awaitLeader()
+	for _, address := range testSeeds {
+		if address != leader.Status().LeaderAddress {
+			group.stop(address)
+		}
+	}
+	err := leader.Propose(t.Context(), replaceBy("lonely"))
+	must.True(t, errors.As(err, &OutcomeUnknown{}))
+	must.False(t, leader.LeaseValid())
+}
+
+func TestNodeProposalGivenUp(t *testing.T) {
+	group := newTestGroup(t)
+	group.startAll()
+	leader := group.awaitLeader()
+	for _, address := range testSeeds {
+		if address != leader.Status().LeaderAddress {
+			group.stop(address)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testTiming.Lease/10)
+	defer cancel()
+	err := leader.Propose(ctx, replaceBy("lonely"))
+	must.True(t, errors.As(err, &OutcomeUnknown{}))
+}
+
+func TestNodeClosed(t *testing.T) {
+	group := newTestGroup(t)
+	group.startAll()
+	leader := group.awaitLeader()
+	group.stop(leader.Status().LeaderAddress)
+	must.True(t, errors.As(leader.Propose(t.Context(), replaceBy("late")), &Closed{}))
+	_, err := leader.HandleVote(t.Context(), VoteRequest{})
+	must.True(t, errors.As(err, &Closed{}))
+	must.False(t, leader.Status().Leader)
+}
+
+func TestNodeReadsFileStore(t *testing.T) {
+	folder := t.TempDir()
+	config := Config{
+		Address:   "a:1",
+		Bootstrap: true,
+		Seeds:     []string{"a:1"},
+		Timing:    testTiming,
+		Transport: memoryTransport{group: newTestGroup(t)},
+	}
+	for _, state := range []string{"first", "second"} {
+		config.Storage = openStore(t, folder)
+		group := newTestGroup(t)
+		config.OnChange = func(Status) {
+			group.mutex.Lock()
+			group.changed.Broadcast()
+			group.mutex.Unlock()
+		}
+		node, err := New(config)
+		must.NoError(t, err)
+		group.nodes[config.Address] = node
+		before := string(group.awaitLeader().Status().State)
+		must.NoError(t, node.Propose(t.Context(), replaceBy(before+state)))
+		must.EqOp(t, before+state, string(node.Status().State))
+		group.close()
+		config.Bootstrap = false
+	}
+	encoded, err := openStore(t, folder).Load()
+	must.NoError(t, err)
+	record, err := DecodeRecord(encoded)
+	must.NoError(t, err)
+	must.EqOp(t, "firstsecond", string(record.Contents.State))
+}
--- a/coord/failover/proposal.go
+++ b/coord/failover/proposal.go
@@ -9,10 +9,7 @@
 func (machine *machine) handlePropose(now time.Duration, wanted propose) {
 	lead := machine.leadership
 	if lead == nil || !lead.isServing {
-		err := NotLeader{}
-		if lead == nil {
-			err.LeaderAddress = machine.leaderAddress(now)
-		}
+		err := NotLeader{LeaderAddress: machine.leaderAddress(now)}
 		machine.emit(proposalDone{proposal: wanted.proposal, err: err})
 		return
 	}
--- /dev/null
+++ b/coord/failover/simulation_test.go
@@ -0,0 +1,337 @@
+package failover
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	troubledTime = 40 * time.Second
+	calmTime     = 15 * time.Second
+)
+
+// walkSeeds can be raised for a long search.
+var walkSeeds = flag.Uint64("walks", 60, "random walks of each kind")
+
+// walk plays one seed: trouble, then calm, in which the group must come back.
+func walk(seed uint64, members int, mutation mutation) *world {
+	simulated := newWorld(seed, members, mutation)
+	simulated.repeat(20*time.Millisecond, 120*time.Millisecond, simulated.proposeSomewhere)
+	simulated.repeat(500*time.Millisecond, 4*time.Second, func() { simulated.isQuiet = !simulated.isQuiet })
+	simulated.repeat(200*time.Millisecond, 400*time.Millisecond, simulated.exchangeMembers)
+	simulated.repeat(100*time.Millisecond, 1200*time.Millisecond, func() {
+		if simulated.now < troubledTime {
+			simulated.causeTrouble()
+		}
+	})
+	simulated.run(troubledTime)
+	simulated.heal()
+	before := len(simulated.checker.succeeded)
+	simulated.run(troubledTime + calmTime)
+	simulated.checker.checkEnd()
+	if len(simulated.checker.succeeded) == before {
+		simulated.checker.violate("nothing was committed after the trouble")
+	}
+	simulated.checkMembersAreCurrent()
+	return simulated
+}
+
+// repeat lets something happen again and again, with random pauses.
+func (world *world) repeat(from, below time.Duration, happen func()) {
+	world.after(world.duration(from, below), func() {
+		happen()
+		world.repeat(from, below, happen)
+	})
+}
+
+// proposeSomewhere proposes mostly at a leader, and now and then gives the proposal up early.
+func (world *world) proposeSomewhere() {
+	if world.isQuiet && world.now < troubledTime {
+		return
+	}
+	target := world.processes[world.random.IntN(len(world.processes))]
+	for _, process := range world.processes {
+		if process.isLeading() && world.chance(0.8) {
+			target = process
+		}
+	}
+	if target.machine == nil || target.frozen {
+		return
+	}
+	world.lastCall++
+	proposal := world.lastCall
+	name := fmt.Sprintf("p%d", proposal)
+	world.checker.names[proposal] = name
+	change := func(old []byte) ([]byte, error) { return append(slices.Clone(old), name+","...), nil }
+	target.step(propose{proposal: proposal, change: change})
+	if world.chance(0.1) && target.machine != nil {
+		target.step(abandon{proposal: proposal, cause: fmt.Errorf("given up")})
+	}
+}
+
+// exchangeMembers does what the owner of the group does: at the leader, it removes identities that are gone for good
+// and adds processes that are not members.
+func (world *world) exchangeMembers() {
+	for _, leader := range world.processes {
+		if leader.frozen || !leader.isLeading() {
+			continue
+		}
+		if change, isWanted := world.wantedChange(leader.machine.record.Contents.Members); isWanted {
+			world.lastCall++
+			leader.step(propose{proposal: world.lastCall, members: &change})
+		}
+	}
+}
+
+func (world *world) wantedChange(members []Member) (memberChange, bool) {
+	for _, process := range world.processes {
+		if process.identity == "" || hasMember(members, process.identity) {
+			continue
+		}
+		for _, member := range members {
+			if member.Address == process.address {
+				return memberChange{removeID: member.ID}, true
+			}
+		}
+		return memberChange{add: &Member{ID: process.identity, Address: process.address}}, true
+	}
+	return memberChange{}, false
+}
+
+// causeTrouble begins one random fault.
+func (world *world) causeTrouble() {
+	world.faults++
+	troubled := world.processes[world.random.IntN(len(world.processes))]
+	for _, process := range world.processes {
+		if process.isLeading() && world.chance(0.3) {
+			troubled = process
+		}
+	}
+	switch world.random.IntN(14) {
+	case 0, 1:
+		world.kill(troubled)
+	case 2:
+		for _, process := range world.processes {
+			world.kill(process)
+		}
+	case 3, 4:
+		world.freeze(troubled)
+	case 5:
+		world.cutRandomLinks()
+	case 6:
+		world.cutOff(troubled)
+	case 7, 8:
+		clear(world.cuts)
+		world.lossRate = 0
+	case 9:
+		world.lossRate = world.random.Float64() / 3
+	case 10:
+		troubled.slowDisk = !troubled.slowDisk
+		if troubled.machine != nil && !troubled.frozen {
+			troubled.step(resign{})
+		}
+	case 11:
+		world.loseDisk(troubled)
+	case 12, 13:
+		world.cutBetween(troubled)
+	}
+}
+
+// kill ends a process and starts it again with its disk.
+func (world *world) kill(killed *process) {
+	if killed.machine == nil {
+		return
+	}
+	killed.stop()
+	incarnation := killed.incarnation
+	world.after(world.restartDelay(), func() {
+		if killed.incarnation == incarnation {
+			killed.start(false)
+		}
+	})
+}
+
+func (world *world) restartDelay() time.Duration {
+	if world.chance(0.5) {
+		return world.duration(10*time.Millisecond, 200*time.Millisecond)
+	}
+	return world.duration(200*time.Millisecond, 3*time.Second)
+}
+
+func (world *world) freeze(troubled *process) {
+	if troubled.machine == nil || troubled.frozen {
+		return
+	}
+	troubled.frozen = true
+	incarnation := troubled.incarnation
+	world.after(world.duration(100*time.Millisecond, 3*time.Second), func() {
+		if troubled.incarnation == incarnation {
+			troubled.thaw()
+		}
+	})
+}
+
+// cutRandomLinks cuts single directions.
+func (world *world) cutRandomLinks() {
+	for _, from := range world.processes {
+		for _, to := range world.processes {
+			if from != to && world.chance(0.3) {
+				world.cuts[link{from.address, to.address}] = true
+			}
+		}
+	}
+}
+
+func (world *world) cutOff(troubled *process) {
+	for _, other := range world.processes {
+		if other != troubled {
+			world.cuts[link{troubled.address, other.address}] = true
+			world.cuts[link{other.address, troubled.address}] = true
+		}
+	}
+}
+
+// cutBetween cuts a process off from one other, and may kill the third, which comes back soon.
+func (world *world) cutBetween(troubled *process) {
+	position := slices.Index(world.processes, troubled)
+	other := world.processes[(position+1)%len(world.processes)]
+	third := world.processes[(position+2)%len(world.processes)]
+	world.cuts[link{troubled.address, other.address}] = true
+	world.cuts[link{other.address, troubled.address}] = true
+	if world.chance(0.5) {
+		world.after(world.duration(0, 1200*time.Millisecond), func() { world.kill(third) })
+	}
+}
+
+// loseDisk loses one disk at a time: only where the members are the processes that are there.
+func (world *world) loseDisk(troubled *process) {
+	if !world.areMembersCurrent() {
+		return
+	}
+	world.kill(troubled)
+	troubled.disk = nil
+	troubled.diskLosses++
+	troubled.identity = ""
+}
+
+func (world *world) areMembersCurrent() bool {
+	members := world.checker.newest.contents.Members
+	if len(members) != len(world.processes) {
+		return false
+	}
+	for _, process := range world.processes {
+		if !hasMember(members, process.identity) {
+			return false
+		}
+	}
+	return true
+}
+
+// heal ends all trouble; processes that are down come back as planned.
+func (world *world) heal() {
+	clear(world.cuts)
+	world.lossRate = 0
+	for _, process := range world.processes {
+		process.slowDisk = false
+		process.thaw()
+	}
+}
+
+func (world *world) checkMembersAreCurrent() {
+	if !world.areMembersCurrent() {
+		world.checker.violate("the members are not those that run: %v", world.checker.newest.contents.Members)
+	}
+}
+
+// hasty lets candidates begin soon, so that the end of a lease and the next election come close.
+var hasty = Timing{ElectionSpread: 20 * time.Millisecond}
+
+func TestWalk(t *testing.T) {
+	checkWalks(t, 3, Timing{})
+	checkWalks(t, 4, Timing{})
+	checkWalks(t, 3, hasty)
+}
+
+func checkWalks(t *testing.T, members int, timing Timing) {
+	committed, unknown, losses := 0, 0, 0
+	for seed := range *walkSeeds {
+		simulated := walk(seed, members, mutation{timing: timing})
+		must.EqOp(t, "", simulated.checker.violation, must.Sprintf("members %d, seed %d", members, seed))
+		committed += len(simulated.checker.succeeded)
+		unknown += simulated.checker.unknown
+		for _, process := range simulated.processes {
+			losses += process.diskLosses
+		}
+	}
+	t.Logf("%d members: %d acknowledged, %d unknown, %d disks lost", members, committed, unknown, losses)
+	must.Positive(t, committed)
+	must.Positive(t, losses)
+}
+
+// TestWalkCatchesMutations shows that the checks notice a protocol that lacks one of its rules.
+func TestWalkCatchesMutations(t *testing.T) {
+	cases := []struct {
+		name     string
+		mutation mutation
+	}{
+		{"a witness votes at once after a restart", mutation{
+			afterStart: func(process *process) {
+				process.machine.voteAfter = 0
+				process.machine.electionAt = process.clock()
+			},
+		}},
+		{"a witness forgets its grant", mutation{beforeStep: forgetGrant}},
+		{"the leader ignores the margin", mutation{
+			timing: Timing{Margin: time.Nanosecond, ElectionSpread: hasty.ElectionSpread},
+		}},
+		{"a witness does not compare versions", mutation{beforeStep: pretendNewestVersion}},
+		{"votes and acknowledgements do not wait for the sync", mutation{unsynced: true}},
+		{"a process without its disk keeps its identity", mutation{keepIdentity: true}},
+		{"a version counts once a single member has it", mutation{beforeStep: pretendSynced}},
+	}
+	for _, altered := range cases {
+		t.Run(altered.name, func(t *testing.T) {
+			const maxSeeds = 300
+			for seed := range uint64(maxSeeds) {
+				violation := walk(seed, 3, altered.mutation).checker.violation
+				if violation != "" {
+					t.Logf("seed %d: %s", seed, violation)
+					return
+				}
+			}
+			t.Fatalf("not noticed in %d walks", maxSeeds)
+		})
+	}
+}
+
+func forgetGrant(process *process, taken input) input {
+	if _, isVote := taken.(voteCall); isVote {
+		process.machine.grant = grant{}
+	}
+	return taken
+}
+
+func pretendNewestVersion(_ *process, taken input) input {
+	asked, isVote := taken.(voteCall)
+	if !isVote {
+		return taken
+	}
+	asked.request.StateEpoch = math.MaxUint64
+	return asked
+}
+
+func pretendSynced(process *process, taken input) input {
+	if process.machine.leadership == nil {
+		return taken
+	}
+	for _, member := range process.machine.audience() {
+		process.machine.peer(member.ID).version = process.machine.record.Version
+	}
+	return taken
+}
--- a/internal/controlplane/answers.go
+++ b/internal/controlplane/answers.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"foldlb.example/foldlb/coord/failover"
 	"foldlb.example/foldlb/coord/watch"
 )
 
@@ -76,9 +77,12 @@
 
 // answer gives the outcome of an order. Only a leader whose lease is valid now, after the state was looked
 // at, may give a clear one: another leader may know better.
-func (s *Server) answer(writer http.ResponseWriter, outcome error, success any) {
+func (s *Server) answer(writer http.ResponseWriter, request *http.Request, outcome error, success any) {
 	var refusal *Refusal
+	var notLeader failover.NotLeader
 	switch {
+	case errors.As(outcome, &notLeader):
+		s.sendToLeader(writer, request)
 	case outcome == nil && s.state.leading():
 		writeJSON(writer, http.StatusOK, success)
 	case errors.As(outcome, &refusal) && s.state.leading():
--- a/internal/controlplane/leadership.go
+++ b/internal/controlplane/leadership.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"foldlb.example/foldlb/coord/watch"
 	"foldlb.example/foldlb/internal/rpc"
 )
 
@@ -57,11 +58,12 @@
 	return s.term.Load()
 }
 
-// beginTerm publishes the committed state under the new epoch before anyone can subscribe.
+// beginTerm publishes the committed state under the new epoch before anyone can subscribe. The part of the
+// workers is left out until they were read: subscribers keep the list that they have.
 func (s *Server) beginTerm(epoch uint64) *term {
 	begun := newTerm(epoch, s.state.committed(), time.Now())
 	s.published = publishedVersions{}
-	s.hub.Publish(headerPart(epoch), workersPart(epoch, 0, nil))
+	s.hub.Publish(headerPart(epoch), watch.Part{Index: partWorkers})
 	s.publishState()
 	s.term.Store(begun)
 	s.log.Info("leads", "epoch", epoch)
--- /dev/null
+++ b/internal/controlplane/model_test.go
@@ -0,0 +1,291 @@
+package controlplane
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	modelStep   = 50 * time.Millisecond
+	modelCopies = 2
+	renewEvery  = 8 // steps
+	roundTrip   = 1 // steps that a commit may take
+)
+
+// modelStore is a store process on a virtual clock. It acts for a partition while its lease is valid and the
+// table that it knows names its incarnation.
+type modelStore struct {
+	node     string
+	run      int // counts the starts
+	running  bool
+	cut      bool // nothing reaches it
+	leaving  bool
+	known    *rpc.ControlState
+	leaseEnd time.Time
+	released map[uint32]uint64 // epochs under which it stopped to act
+	renewIn  int               // steps
+	streamIn int               // steps until the newest table reaches it; 0 where it has it
+}
+
+func (s *modelStore) incarnation() string {
+	return fmt.Sprintf("%s/%d", s.node, s.run)
+}
+
+// acts reports whether the store would act for a partition now.
+func (s *modelStore) acts(partition int, now time.Time) bool {
+	if !s.running || !now.Before(s.leaseEnd) || partition >= len(s.known.Partitions) {
+		return false
+	}
+	ownership := s.known.Partitions[partition]
+	mine := ownership.Node == s.node && ownership.Incarnation == s.incarnation()
+	return mine && s.released[uint32(partition)] != ownership.Epoch
+}
+
+func (s *modelStore) request() *rpc.RenewRequest {
+	return &rpc.RenewRequest{
+		Node: s.node, Incarnation: s.incarnation(), Zone: s.node, Role: roleStore,
+		Disk: "disk-" + s.node, Leaving: s.leaving, MapVersion: s.known.MapVersion,
+	}
+}
+
+// modelWorld is one leader after the other, their committed state, and stores.
+type modelWorld struct {
+	now       time.Time
+	epoch     uint64
+	term      *term
+	committed *rpc.ControlState
+	stores    []*modelStore
+	proposed  *table // a plan on its way to a majority; nil for none
+	base      uint64 // map version that it was made on
+	releases  []*release
+	commitIn  int // steps
+}
+
+func newModelWorld(size int) *modelWorld {
+	w := &modelWorld{now: time.Now(), committed: &rpc.ControlState{}}
+	for index := range size {
+		w.stores = append(w.stores, &modelStore{
+			node: fmt.Sprintf("s%d", index), run: 1, running: true,
+			known: &rpc.ControlState{}, released: make(map[uint32]uint64),
+		})
+	}
+	w.changeLeader()
+	return w
+}
+
+// changeLeader begins a new term. What its predecessor had proposed may have been committed or not.
+func (w *modelWorld) changeLeader() {
+	w.epoch++
+	w.proposed = nil
+	w.term = newTerm(w.epoch, w.committed, w.now)
+}
+
+func (w *modelWorld) step(t *rapid.T, draw func(below int) int) {
+	w.now = w.now.Add(modelStep)
+	w.plan(draw)
+	for _, store := range w.stores {
+		w.stepStore(store, draw)
+	}
+	w.checkOneOwner(t)
+}
+
+func (w *modelWorld) plan(draw func(int) int) {
+	if w.proposed != nil {
+		w.commitIn--
+		if w.commitIn <= 0 {
+			w.commit()
+		}
+		return
+	}
+	next, released, err := w.term.plan(w.committed, modelCopies, w.now)
+	if err != nil {
+		panic(err)
+	}
+	w.proposed, w.base, w.releases = next, w.committed.MapVersion, released
+	w.commitIn = draw(roundTrip + 1)
+	if next.equals(w.committed) {
+		w.proposed = nil
+	}
+}
+
+func (w *modelWorld) commit() {
+	if w.committed.MapVersion == w.base {
+		next := proto.CloneOf(w.committed)
+		w.proposed.put(next)
+		w.committed = next
+		for _, store := range w.stores {
+			store.streamIn = max(store.streamIn, 1)
+		}
+	}
+	w.proposed = nil
+}
+
+func (w *modelWorld) stepStore(store *modelStore, draw func(int) int) {
+	if !store.running || store.cut {
+		return
+	}
+	if store.streamIn > 0 {
+		store.streamIn = draw(4)
+		if store.streamIn == 0 {
+			store.known = w.committed
+			store.renewIn = 0
+		}
+	}
+	w.release(store)
+	store.renewIn--
+	if store.renewIn > 0 {
+		return
+	}
+	store.renewIn = renewEvery
+	outcome := w.term.renewStore(w.committed, store.request(), w.now)
+	isAnswerLost := draw(5) == 0
+	if outcome.granted && !isAnswerLost {
+		store.leaseEnd = w.now.Add(leaseDuration)
+	}
+}
+
+// release gives up what the store is asked for.
+func (w *modelWorld) release(store *modelStore) {
+	for partition, ownership := range store.known.Partitions {
+		mine := ownership.Node == store.node && ownership.Incarnation == store.incarnation()
+		if !mine || !ownership.Releasing {
+			continue
+		}
+		store.released[uint32(partition)] = ownership.Epoch
+		w.term.addRelease(&rpc.ReleaseRequest{
+			Node: store.node, Incarnation: store.incarnation(),
+			Partitions: []*rpc.PartitionEpoch{{Partition: uint32(partition), Epoch: ownership.Epoch}},
+		})
+	}
+}
+
+// checkOneOwner is the invariant: no two processes act for a partition at a time.
+func (w *modelWorld) checkOneOwner(t *rapid.T) {
+	for partition := range partitionCount {
+		acting := ""
+		for _, store := range w.stores {
+			if !store.acts(partition, w.now) {
+				continue
+			}
+			if acting != "" {
+				t.Fatalf("%s and %s act for partition %d", acting, store.incarnation(), partition)
+			}
+			acting = store.incarnation()
+		}
+	}
+}
+
+// disturb changes the fortune of one store, or of the leader.
+func (w *modelWorld) disturb(draw func(int) int) {
+	store := w.stores[draw(len(w.stores))]
+	switch draw(7) {
+	case 0:
+		store.running = false
+	case 1:
+		store.start()
+	case 2:
+		store.cut = true
+	case 3:
+		store.cut = false
+	case 4:
+		store.leaving = !store.leaving
+	case 5:
+		w.changeLeader()
+	case 6:
+		w.retire(store)
+	}
+}
+
+func (s *modelStore) start() {
+	if s.running {
+		return
+	}
+	s.running = true
+	s.run++
+	s.leaving = false
+	s.known = &rpc.ControlState{}
+	s.leaseEnd = time.Time{}
+	s.released = make(map[uint32]uint64)
+	s.streamIn = 1
+}
+
+func (w *modelWorld) retire(store *modelStore) {
+	if len(w.committed.Retirements) > 0 {
+		return
+	}
+	next := proto.CloneOf(w.committed)
+	if startRetirement(next, store.node, modelCopies) == nil {
+		w.committed = next
+		for _, each := range w.stores {
+			each.streamIn = max(each.streamIn, 1)
+		}
+	}
+}
+
+// settle ends all trouble and waits for balance.
+func (w *modelWorld) settle(t *rapid.T, draw func(int) int) {
+	for _, store := range w.stores {
+		store.start()
+		store.cut = false
+		store.leaving = false
+	}
+	const enough = 600 // steps
+	for range enough {
+		w.step(t, draw)
+	}
+	owned := make(map[string]int)
+	for _, ownership := range w.committed.Partitions {
+		owned[ownership.Node]++
+	}
+	acting := 0
+	for _, store := range w.stores {
+		for partition := range partitionCount {
+			if store.acts(partition, w.now) {
+				acting++
+			}
+		}
+	}
+	must.EqOp(t, partitionCount, acting)
+	must.LessEq(t, 1, spreadOf(w.committed, owned))
+	for _, retirement := range w.committed.Retirements {
+		must.True(t, retirement.Completed)
+		must.EqOp(t, 0, owned[retirement.Node])
+	}
+	for _, store := range activeStores(w.committed) {
+		must.True(t, store.Whole)
+	}
+}
+
+// spreadOf is the difference between the stores with the most and the fewest partitions.
+func spreadOf(state *rpc.ControlState, owned map[string]int) int {
+	fewest, most := partitionCount, 0
+	for _, store := range activeStores(state) {
+		if !store.Leaving {
+			fewest = min(fewest, owned[store.Node])
+			most = max(most, owned[store.Node])
+		}
+	}
+	return most - fewest
+}
+
+func TestNoTwoStoresActForAPartition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		draw := drawsOf(seed)
+		w := newModelWorld(rapid.IntRange(2, 5).Draw(t, "stores"))
+		for range rapid.IntRange(0, 400).Draw(t, "steps") {
+			if draw(12) == 0 {
+				w.disturb(draw)
+			}
+			w.step(t, draw)
+		}
+		w.settle(t, draw)
+	})
+}
--- a/internal/controlplane/operator.go
+++ b/internal/controlplane/operator.go
@@ -39,11 +39,11 @@
 	}
 	order, err := readConfigOrder(kind, writer, request)
 	if err != nil {
-		s.answer(writer, err, nil)
+		s.answer(writer, request, err, nil)
 		return
 	}
 	err = s.takeOrder(order)
-	s.answer(writer, err, okAnswer{})
+	s.answer(writer, request, err, okAnswer{})
 }
 
 // readConfigOrder reads the head and body of an order.
--- a/internal/controlplane/planner.go
+++ b/internal/controlplane/planner.go
@@ -13,7 +13,7 @@
 const (
 	planPause  = 50 * time.Millisecond  // least time between two plans
 	planPeriod = 250 * time.Millisecond // most time between two plans: leases end without an event
-	maxMoves   = 16                     // partitions that are being handed over at a time
+	maxMoves   = 32                     // partitions that are being handed over at a time
 )
 
 // errTableChanged reports that the table was changed since a plan was made.
@@ -86,7 +86,7 @@
 	released := t.releases
 	t.releases = nil
 	t.admitStores(state, next, now)
-	t.restoreWhole(next, now)
+	t.restoreWhole(state, next, now)
 	if err := t.placePartitions(next, released, copies, now); err != nil {
 		return nil, nil, err
 	}
--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -6,9 +6,16 @@
 	"foldlb.example/foldlb/internal/rpc"
 )
 
-// restoreWhole marks the stores whole whose lost copies have been restored: each says so itself, or all others
-// have reported since it joined that no message has too few copies.
-func (t *term) restoreWhole(next *table, now time.Time) {
+// Times for which all owners must have reported enough copies of every message. A store takes over within a
+// second and a half, looks at its copies each second and reports at most 400 ms later.
+const (
+	wholeSettle  = 2 * time.Second // before a disk that was lost counts as whole again
+	retireSettle = 3 * time.Second // before a machine that owns nothing may be taken away
+)
+
+// restoreWhole marks the stores whole whose lost copies have been restored: each says so itself, or all owners
+// have reported for wholeSettle since it joined that no message has too few copies.
+func (t *term) restoreWhole(state *rpc.ControlState, next *table, now time.Time) {
 	for _, member := range takingPart(next.stores, next.retirements) {
 		if member.Whole {
 			delete(t.joined, member.Disk)
@@ -23,32 +30,13 @@
 			since = now
 			t.joined[member.Disk] = now
 		}
-		if status.whole || t.othersClean(next, member.Node, since) {
+		if status.whole || t.ownersSettled(state, next, since, wholeSettle) {
 			member.Whole = true
 		}
 	}
 }
 
-// othersClean reports whether all other stores have had enough copies of every message at some time after
-// since plus settleTime. A store that owns nothing and doesn't renew has nothing to say.
-func (t *term) othersClean(next *table, node string, since time.Time) bool {
-	for _, other := range takingPart(next.stores, next.retirements) {
-		if other.Node == node {
-			continue
-		}
-		status := t.stores[other.Node]
-		speaks := status != nil && status.incarnation == other.Incarnation && status.renewedAt.Sub(since) >= settleTime
-		if !speaks && !next.ownsAny(other.Node) {
-			continue
-		}
-		if !speaks || status.cleanSince.IsZero() {
-			return false
-		}
-	}
-	return true
-}
-
-// completeRetirements ends the retirement of the stores that own nothing while all others have restored the
+// completeRetirements ends the retirement of the stores that own nothing while the owners have restored the
 // copies that they held.
 func (t *term) completeRetirements(state *rpc.ControlState, next *table, now time.Time) {
 	for _, retirement := range next.retirements {
@@ -64,30 +52,40 @@
 			since = now
 			t.emptySince[retirement.Node] = now
 		}
-		if t.othersSettled(state, next, retirement.Node, since) {
+		if t.ownersSettled(state, next, since, retireSettle) {
 			retirement.Completed = true
 		}
 	}
 }
 
-// othersSettled reports whether the other stores know the table and have had enough copies of every message for
-// settleTime since a machine owned nothing.
-func (t *term) othersSettled(state *rpc.ControlState, next *table, node string, since time.Time) bool {
-	for _, other := range takingPart(next.stores, next.retirements) {
-		if other.Node == node || !next.ownsAny(other.Node) {
-			continue
-		}
-		status := t.stores[other.Node]
-		if status == nil || status.incarnation != other.Incarnation || status.cleanSince.IsZero() {
+// ownersSettled reports whether every partition has an owner, and all owners know the newest table and have
+// reported for so long since a moment that no message has too few copies.
+func (t *term) ownersSettled(state *rpc.ControlState, next *table, since time.Time, settle time.Duration) bool {
+	for _, ownership := range next.partitions {
+		owner := findStore(next.stores, ownership.Node)
+		if owner == nil || owner.Incarnation != ownership.Incarnation {
 			return false
 		}
-		from := since
-		if status.cleanSince.After(from) {
-			from = status.cleanSince
+		status := t.stores[ownership.Node]
+		if status == nil || status.incarnation != ownership.Incarnation {
+			return false
 		}
-		if status.mapVersion < state.MapVersion || status.renewedAt.Sub(from) < settleTime {
+		if status.mapVersion < state.MapVersion || !status.cleanFor(since, settle) {
 			return false
 		}
 	}
 	return true
 }
+
+// cleanFor reports whether the store has reported for so long since a moment that it has enough copies of every
+// message.
+func (s *storeStatus) cleanFor(since time.Time, settle time.Duration) bool {
+	if s.cleanSince.IsZero() {
+		return false
+	}
+	from := since
+	if s.cleanSince.After(from) {
+		from = s.cleanSince
+	}
+	return s.renewedAt.Sub(from) >= settle
+}
--- a/internal/controlplane/retire.go
+++ b/internal/controlplane/retire.go
@@ -20,19 +20,19 @@
 // handleRetireStart takes the order to empty a store machine. A repeated order is acknowledged again.
 func (s *Server) handleRetireStart(writer http.ResponseWriter, request *http.Request) {
 	if _, err := readBody(writer, request); err != nil {
-		s.answer(writer, err, nil)
+		s.answer(writer, request, err, nil)
 		return
 	}
 	node := request.PathValue("node")
 	if findRetirement(s.state.committed().Retirements, node) != nil {
-		s.answer(writer, nil, okAnswer{})
+		s.answer(writer, request, nil, okAnswer{})
 		return
 	}
 	err := s.changeState(func(state *rpc.ControlState) error {
 		return startRetirement(state, node, s.copies())
 	})
 	s.wakePlanner()
-	s.answer(writer, err, okAnswer{})
+	s.answer(writer, request, err, okAnswer{})
 }
 
 // startRetirement marks a store as leaving: its partitions move, and its copies count as missing.
@@ -65,10 +65,10 @@
 	node := request.PathValue("node")
 	retirement := findRetirement(s.state.committed().Retirements, node)
 	if retirement == nil {
-		s.answer(writer, refuse(http.StatusNotFound, "%q was never asked to retire: start it first", node), nil)
+		s.answer(writer, request, refuse(http.StatusNotFound, "%q was never asked to retire: start it first", node), nil)
 		return
 	}
-	s.answer(writer, nil, retirementAnswer{State: retirementState(retirement)})
+	s.answer(writer, request, nil, retirementAnswer{State: retirementState(retirement)})
 }
 
 func retirementState(retirement *rpc.Retirement) string {
--- a/internal/controlplane/table.go
+++ b/internal/controlplane/table.go
@@ -108,7 +108,8 @@
 }
 
 // admit records a store. A new disk is whole only as long as no partition ever had an owner: before that
-// nothing can have been lost. A new disk takes the place of the machine's old one.
+// nothing can have been lost. A new disk takes the place of the machine's old one. A machine that is being
+// emptied goes on being so; one that was emptied and comes back with a new disk is a new one.
 func (t *table) admit(status *storeStatus) {
 	member := findStore(t.stores, status.node)
 	if member == nil {
@@ -118,8 +119,10 @@
 	if member.Disk != status.disk {
 		member.Disk = status.disk
 		member.Whole = len(t.partitions) == 0
-		member.Leaving = false
-		t.forgetRetirement(status.node)
+		if isRetired(t.retirements, status.node) {
+			member.Leaving = false
+			t.forgetRetirement(status.node)
+		}
 	}
 	member.Address = status.address
 	member.Zone = status.zone
--- a/internal/controlplane/term.go
+++ b/internal/controlplane/term.go
@@ -15,7 +15,6 @@
 	// supersedeAfter is how long an incarnation must have been silent before another of the same machine
 	// takes its place: a renewal of an ended process that was held up on its way is no newer incarnation.
 	supersedeAfter = 900 * time.Millisecond
-	settleTime     = time.Second             // for which a good report must have held
 	assignAfter    = 1500 * time.Millisecond // from the first store to the first assignment
 	assignAtLatest = 3 * time.Second         // the first assignment waits for more stores until then
 )
--- a/internal/delivery/engine.go
+++ b/internal/delivery/engine.go
@@ -403,7 +403,7 @@
 		e.sweepSet = false
 		idle := 0
 		for _, t := range e.targets {
-			t.closeIdle(func(c *conn) bool { return now+sweepEvery > c.closeAt })
+			t.closeIdle(func(c *conn) bool { return now >= c.closeAt })
 			idle += len(t.idle)
 		}
 		if idle > 0 {
--- a/internal/delivery/engine_test.go
+++ b/internal/delivery/engine_test.go
@@ -259,7 +259,12 @@
 	behave := func(c net.Conn, r *http.Request) {
 		mu.Lock()
 		pick := random.IntN(20)
+		misdirected := random.IntN(100) == 0
 		mu.Unlock()
+		if misdirected {
+			say(c, r, 421)
+			return
+		}
 		switch pick {
 		case 0:
 			say(c, r, 500)
@@ -274,8 +279,6 @@
 		case 7:
 			succeed(c, r)
 			_ = c.Close()
-		case 8:
-			say(c, r, 421)
 		default:
 			succeed(c, r)
 		}
--- a/internal/delivery/lane.go
+++ b/internal/delivery/lane.go
@@ -11,6 +11,9 @@
 	queueWait  = 2 * time.Second // for which a delivery waits in a lane at most
 	sweepPause = 250 * time.Millisecond
 
+	overflowPauseLeast = 200 * time.Millisecond // after the queue was full
+	overflowPauseMost  = time.Second
+
 	fullPauseFirst = 20 * time.Millisecond // after no worker had a slot free
 	fullPauseStep  = 10 * time.Millisecond
 	fullPauseMost  = 50 * time.Millisecond
@@ -109,9 +112,15 @@
 	l.pump(now)
 }
 
-// overflowPause is what a delivery waits that found no place in the queue.
+// overflowPause is what a delivery waits that found no place in the queue, or none in time. Where there is a rate it is the
+// time after which half of the queue has passed.
 func (l *lane) overflowPause() time.Duration {
-	return max(l.downPause, 2*fullPauseMost)
+	pause := overflowPauseLeast
+	if l.bucket != nil {
+		halfPassed := time.Duration(queueLimit / 2 / l.service.RatePerS * float64(time.Second))
+		pause = min(max(pause, halfPassed), overflowPauseMost)
+	}
+	return max(l.downPause, pause)
 }
 
 // pump releases what may pass now, and sets the timer for the rest.
@@ -136,7 +145,8 @@
 // heldBack tells whether the next delivery must wait, and for how long if nothing else happens. Otherwise what the delivery
 // needs to pass has been taken.
 func (l *lane) heldBack(now time.Duration) (wait time.Duration, held bool) {
-	if now < l.pausedUntil {
+	freed := l.endpoint == nil && l.credits > 0 // slots that were seen to become free during a pause for want of them
+	if now < l.pausedUntil && !freed {
 		return l.pausedUntil - now, true
 	}
 	if l.probing {
