Bound the writes round late owners, and test the rest of ingest

Under load every message would have cost two more writes at 40 ms; now a tenth may, and any after 200 ms.

--- a/internal/cluster/transport.go
+++ b/internal/cluster/transport.go
@@ -19,6 +19,7 @@
 	idleConnTimeout     = 30 * time.Second
 	maxIdleConns        = 256
 	maxIdleConnsPerHost = 32
+	maxConnsPerHost     = 256
 	connBufferSize      = 4 << 10
 )
 
@@ -33,6 +34,7 @@
 		DisableCompression:  true,
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+		MaxConnsPerHost:     maxConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		ReadBufferSize:      connBufferSize,
 		WriteBufferSize:     connBufferSize,
--- a/internal/ingest/accept.go
+++ b/internal/ingest/accept.go
@@ -19,8 +19,8 @@
 
 const (
 	maxPuts       = 24                     // of one message, over all stores
-	ownerPatience = 40 * time.Millisecond  // after it a silent owner is gone round, where the message allows it
-	silenceBound  = 200 * time.Millisecond // after it a silent owner counts as unreachable
+	ownerPatience = 40 * time.Millisecond  // after it a silent owner is gone round, within the hedge budget
+	silenceBound  = 200 * time.Millisecond // after it a silent owner is gone round in any case, and counts as unreachable
 	repeatDelay   = 100 * time.Millisecond // before a repeat at an owner that failed
 	staleDelay    = 25 * time.Millisecond  // before a repeat at an owner that disowned the partition
 )
@@ -139,11 +139,14 @@
 	if silence >= ownerPatience && !a.lateNoted {
 		a.lateNoted = true
 		a.dispatcher.health.late(a.owner.store.Address)
-		a.goRoundOwner()
+		if a.mayGoRound() && a.dispatcher.hedges.spend() {
+			a.goRoundOwner()
+		}
 	}
 	if silence >= silenceBound && !a.silentNoted {
 		a.silentNoted = true
 		a.dispatcher.health.silent(a.owner.store.Address)
+		a.goRoundOwner()
 	}
 }
 
@@ -197,7 +200,7 @@
 	if !now.Before(end) {
 		return now, refused
 	}
-	a.dispatcher.cluster.Kick()
+	a.dispatcher.kick()
 	return a.atMost(end), undecided
 }
 
@@ -246,6 +249,7 @@
 	}
 	switch outcome.result {
 	case putStored:
+		a.dispatcher.hedges.earn()
 		return accepted
 	case putStale:
 		a.onStale(outcome)
@@ -263,7 +267,7 @@
 
 // onStale waits for a newer map, or moves where the message may.
 func (a *acceptance) onStale(outcome putOutcome) {
-	a.dispatcher.cluster.Kick()
+	a.dispatcher.kick()
 	if sameOwner(a.owner, outcome.target) {
 		a.nextTry = time.Now().Add(staleDelay)
 	}
--- a/internal/ingest/accept_test.go
+++ b/internal/ingest/accept_test.go
@@ -239,3 +239,14 @@
 	must.Eq(t, fasthttp.StatusGatewayTimeout, w.send("POST", "/free/x", "x", "X-Deadline-Ms", "300").status)
 	must.Less(t, 2*time.Second, time.Since(began))
 }
+
+func TestLateOwnerIsGoneRoundWithoutBudgetOnceItIsSilent(t *testing.T) {
+	w := newWorld(t)
+	for w.dispatcher.hedges.spend() {
+	}
+	w.stores[0].onPut(w.stores[0].silence)
+	began := time.Now()
+	must.Eq(t, fasthttp.StatusAccepted, w.send("POST", "/free/x", "x", "X-Deadline-Ms", "9000").status)
+	must.GreaterEq(t, silenceBound, time.Since(began))
+	must.Eq(t, 2, w.puts(rpc.PutMode_HOLDER))
+}
--- a/internal/ingest/dispatcher.go
+++ b/internal/ingest/dispatcher.go
@@ -1,6 +1,8 @@
 package ingest
 
 import (
+	"time"
+
 	"go.uber.org/atomic"
 
 	"foldlb.example/foldlb/internal/cluster"
@@ -21,6 +23,9 @@
 	cluster  members
 	health   *health
 	load     *load
+	hedges   *hedgeBudget
+	kicked   atomic.Int64 // when control was last asked out of turn, nanoseconds since started
+	started  time.Time
 	turn     atomic.Uint64 // counts messages, to spread them over partitions
 	stopping atomic.Bool   // no new connections are wanted
 	closing  atomic.Bool   // connections end with their next answer
@@ -32,5 +37,19 @@
 		cluster:  cluster,
 		health:   newHealth(),
 		load:     newLoad(settings.Limits.MemoryMb),
+		hedges:   newHedgeBudget(),
+		started:  time.Now(),
+	}
+}
+
+// kickInterval is the least time between two renewals out of turn: many messages may wait for one new map.
+const kickInterval = 250 * time.Millisecond
+
+// kick asks for a renewal, which finds out soon whether control has another leader.
+func (d *dispatcher) kick() {
+	now := int64(time.Since(d.started))
+	last := d.kicked.Load()
+	if now-last >= int64(kickInterval) && d.kicked.CompareAndSwap(last, now) {
+		d.cluster.Kick()
 	}
 }
--- a/internal/ingest/holders.go
+++ b/internal/ingest/holders.go
@@ -24,10 +24,14 @@
 // goRoundOwner begins the write to holders where the message needs neither an order nor a rate. It begins once
 // for each epoch of the partition.
 func (a *acceptance) goRoundOwner() {
-	if a.message.pinnedTo != "" || a.holders.begun && a.owner.epoch <= a.holders.epoch {
-		return
+	if a.mayGoRound() {
+		a.beginHolders()
 	}
-	a.beginHolders()
+}
+
+// mayGoRound reports whether a write to holders is of use and has not begun under the owner's epoch.
+func (a *acceptance) mayGoRound() bool {
+	return a.message.pinnedTo == "" && (!a.holders.begun || a.owner.epoch > a.holders.epoch)
 }
 
 // beginHolders prepares the write to other stores than the owner.
@@ -72,7 +76,7 @@
 		holders.stored++
 	case putStale:
 		holders.ended = true
-		a.dispatcher.cluster.Kick()
+		a.dispatcher.kick()
 	case putUnknown:
 		a.maybeStored = true
 	}
--- a/internal/ingest/load.go
+++ b/internal/ingest/load.go
@@ -7,7 +7,6 @@
 	memoryShare     = 4 // bodies under way may take this fraction of the memory
 	maxInFlight     = 1024
 	reservedFds     = 200 // for files, by the platform
-	outgoingFds     = 500 // for connections to stores and control, and for those being closed
 	minConnections  = 64
 	bytesInMegabyte = 1 << 20
 )
@@ -49,7 +48,8 @@
 	}
 }
 
-// maxConnections is the number of client connections that the descriptors allow.
+// maxConnections is the number of client connections that the descriptors allow: two thirds of them, the others
+// being for connections to stores and control.
 func maxConnections(maxFds int) int {
-	return max(maxFds-reservedFds-outgoingFds, minConnections)
+	return max((maxFds-reservedFds)*2/3, minConnections)
 }
--- a/internal/ingest/server_test.go
+++ b/internal/ingest/server_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -58,7 +57,8 @@
 	w := newWorld(t)
 	must.Eq(t, fasthttp.StatusAccepted, w.send("POST", "/free/x", strings.Repeat("a", 1000)).status)
 	must.Eq(t, fasthttp.StatusRequestEntityTooLarge, w.send("POST", "/free/x", strings.Repeat("a", 1001)).status)
-	must.Eq(t, fasthttp.StatusRequestEntityTooLarge, w.send("POST", "/free/x", strings.Repeat("a", 1000+bodySlack+1)).status)
+	answer := w.sendRaw(fmt.Sprintf("POST /free/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n\r\n", 1000+bodySlack+1))
+	must.StrHasPrefix(t, "HTTP/1.1 413 ", answer)
 	must.Eq(t, 1, w.puts(rpc.PutMode_OWNER))
 }
 
@@ -79,7 +79,7 @@
 	w.dispatcher.closing.Store(true)
 	answer := exchange(t, connection, newRequest(t, "POST", "/free/x", "last"))
 	must.Eq(t, fasthttp.StatusAccepted, answer.status)
-	must.Eq(t, "close", answer.header.Get("Connection"))
+	must.True(t, answer.close)
 	_, err = connection.Read(make([]byte, 1))
 	must.ErrorIs(t, err, io.EOF)
 }
@@ -230,14 +230,38 @@
 
 func TestUnreadableRequestsAreRefused(t *testing.T) {
 	w := newWorld(t)
+	answer := w.sendRaw("POST /free/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab")
+	must.StrHasPrefix(t, "HTTP/1.1 400 ", answer)
+	must.Eq(t, 0, w.puts(rpc.PutMode_OWNER))
+}
+
+// sendRaw sends bytes and returns all that comes until the connection is closed.
+func (w *world) sendRaw(request string) string {
+	w.t.Helper()
 	connection, err := w.listener.Dial()
-	must.NoError(t, err)
+	must.NoError(w.t, err)
 	defer connection.Close()
-	_, err = connection.Write([]byte("POST /free/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"))
-	must.NoError(t, err)
-	answer := &bytes.Buffer{}
-	_, err = answer.ReadFrom(connection)
-	must.NoError(t, err)
-	must.StrHasPrefix(t, "HTTP/1.1 400 ", answer.String())
-	must.Eq(t, 0, w.puts(rpc.PutMode_OWNER))
+	_, err = connection.Write([]byte(request))
+	must.NoError(w.t, err)
+	answer, err := io.ReadAll(connection)
+	must.NoError(w.t, err)
+	return string(answer)
+}
+
+func TestHedgesAreBounded(t *testing.T) {
+	budget := newHedgeBudget()
+	for range hedgeBurst {
+		must.True(t, budget.spend())
+	}
+	must.False(t, budget.spend())
+	for range 11 {
+		budget.earn()
+	}
+	must.True(t, budget.spend())
+	must.False(t, budget.spend())
+}
+
+func TestDescriptorsAreShared(t *testing.T) {
+	must.Eq(t, 2600, maxConnections(4100))
+	must.Eq(t, minConnections, maxConnections(0))
 }
--- a/internal/ingest/world_test.go
+++ b/internal/ingest/world_test.go
@@ -259,6 +259,7 @@
 	status int
 	header http.Header
 	body   string
+	close  bool // the server closes the connection
 }
 
 // send sends a request as a client does.
@@ -292,7 +293,7 @@
 	body := &bytes.Buffer{}
 	_, err = body.ReadFrom(response.Body)
 	must.NoError(t, err)
-	return reply{status: response.StatusCode, header: response.Header, body: body.String()}
+	return reply{status: response.StatusCode, header: response.Header, body: body.String(), close: response.Close}
 }
 
 // sendAsync sends a request and hands its answer over later.
