--- a/internal/ingest/dispatcher.go
+++ b/internal/ingest/dispatcher.go
@@ -27,6 +27,7 @@
 	kicked   atomic.Int64 // when control was last asked out of turn, nanoseconds since started
 	started  time.Time
 	turn     atomic.Uint64 // counts messages, to spread them over partitions
+	serving  atomic.Bool   // the front address is listened on
 	stopping atomic.Bool   // no new connections are wanted
 	closing  atomic.Bool   // connections end with their next answer
 }
--- a/internal/ingest/ready.go
+++ b/internal/ingest/ready.go
@@ -22,7 +22,7 @@
 // ready reports whether a message that comes now is likely to be accepted.
 func (r *readiness) ready() bool {
 	d := r.dispatcher
-	if d.stopping.Load() || !serviceable(d.cluster.View()) || d.health.failing() {
+	if !d.serving.Load() || d.stopping.Load() || !serviceable(d.cluster.View()) || d.health.failing() {
 		return false
 	}
 	return !(r.control.ControlReachable() > controlSilence && d.health.failed())
--- a/internal/ingest/run.go
+++ b/internal/ingest/run.go
@@ -61,6 +61,7 @@
 	if err := p.serve(front, listen.Front); err != nil {
 		return err
 	}
+	p.dispatcher.serving.Store(true)
 	p.log.Info("dispatcher serves", "front", listen.Front, "configuration", view.ConfigVersion)
 	select {
 	case err := <-p.failures:
--- a/internal/ingest/server_test.go
+++ b/internal/ingest/server_test.go
@@ -116,9 +116,14 @@
 	must.False(t, readiness.ready())
 	w.publishConfig(1)
 	must.False(t, readiness.ready())
+	w.dispatcher.serving.Store(true)
+	must.False(t, readiness.ready())
 	w.stores = append(w.stores, newStore(t, "n0", "z1"))
 	w.publishMap(1, func(int) *standInStore { return w.stores[0] })
 	must.True(t, readiness.ready())
+	w.dispatcher.serving.Store(false)
+	must.False(t, readiness.ready())
+	w.dispatcher.serving.Store(true)
 
 	health := w.dispatcher.health
 	health.refused("a")
@@ -171,7 +176,7 @@
 // while it still accepts, and ends within its time.
 func TestRunServesUntilItsEnd(t *testing.T) {
 	w := newWorld(t)
-	front, ready := freeAddress(t), freeAddress(t)
+	front, ready := freeAddresses(t)
 	settings := &settings.Settings{Node: "d2", Zone: "z1", Seeds: []string{w.control.address()}, HeartbeatMs: 60000,
 		Listen: settings.Listen{Front: front, Ready: ready}, Bounds: settings.Bounds{GraceS: 3.5},
 		Limits: settings.Limits{MemoryMb: 100, MaxFds: 2000}}
@@ -220,12 +225,16 @@
 	t.Fatalf("status %d did not come", status)
 }
 
-func freeAddress(t *testing.T) string {
+// freeAddresses returns two different addresses that nobody listens on.
+func freeAddresses(t *testing.T) (one, other string) {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	first, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer first.Close()
+	second, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	defer second.Close()
+	return first.Addr().String(), second.Addr().String()
 }
 
 func TestUnreadableRequestsAreRefused(t *testing.T) {
