Count a gathered answer only for the disk that gave it

A new, empty disk at the address of a lost one answered Gather, and was counted as the whole disk that the map still named: a partition began without the copies of a frozen store, and a later message of a key ran first.

--- a/internal/storenode/takeover.go
+++ b/internal/storenode/takeover.go
@@ -37,6 +37,7 @@
 		}
 	}
 	if len(taken) > 0 {
+		n.log.Info("partitions assigned", "map", view.Version, "partitions", len(taken))
 		go n.gather(taken, view)
 	}
 	n.releasePaused()
@@ -53,6 +54,7 @@
 }
 
 func (n *Node) disown(partition uint32) {
+	n.log.V(1).Info("partition given up", "partition", partition)
 	n.owned[partition].Store(0)
 	n.table.Disown(partition)
 	delete(n.releases, partition)
@@ -218,6 +220,9 @@
 		if err == nil && reply.Stale {
 			return // a newer owner exists; the map that says so is under way
 		}
+		if err == nil && reply.Store != one.disk {
+			return // the disk asked for is gone, and what it held with it; the map that says so is under way
+		}
 		if err == nil {
 			one.answered()
 			n.do(func() { n.merge(one.disk, reply.Messages, request.Partitions) })
@@ -312,6 +317,7 @@
 		n.table.Ready(p.Partition, now)
 		n.owned[p.Partition].Store(p.Epoch)
 	}
+	n.log.Info("partitions taken over", "partitions", len(partitions), "queued", n.table.Queued())
 	n.pumpDue = true
 	if n.view != nil && n.view.Map != nil { // what was asked for while the partitions were taken over
 		n.applyMap(n.view.Map)
