Settle expired copies that their owner does not know

A holder never asked about a copy whose retention had passed or whose route was dropped, so one that only holders had stayed queued for ever. It now asks; the owner takes it as a dead letter without running it.

--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -148,7 +148,7 @@
 
 // collectScrub adds a copy that is held for another store to what its owner is asked about.
 func (n *Node) collectScrub(e *message.Entry, now time.Duration, ask map[string][]*rpc.Fate) {
-	if e.Ended() || now < e.ScrubAt || n.expired(e, now) {
+	if e.Ended() || now < e.ScrubAt {
 		return
 	}
 	owner, _, ok := n.view.Owner(e.Partition)
@@ -232,7 +232,8 @@
 	if n.table.Get(m.Name) != nil || !n.table.IsReady(m.Partition) {
 		return
 	}
-	entry := message.FromMessage(m, n.now())
+	now := n.now()
+	entry := message.FromMessage(m, now)
 	if entry.OrderKey != "" && entry.Seq == 0 {
 		n.table.Number(entry)
 	}
@@ -240,7 +241,12 @@
 		return
 	}
 	entry.Body = nil
-	n.table.Add(entry, n.now()).AddHolder(holder)
+	entry = n.table.Add(entry, now)
+	entry.AddHolder(holder)
+	if !entry.Ended() && n.expired(entry, now) { // the holder can't tell whether it was run, so it is never begun here
+		n.table.End(entry, rpc.State_DEAD, "", now)
+		n.tell(entry)
+	}
 	n.pumpDue = true
 }
 
