--- /dev/null
+++ b/internal/storenode/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package storenode
+
+const raceEnabled = false
--- /dev/null
+++ b/internal/storenode/sim_control_test.go
@@ -0,0 +1,463 @@
+package storenode
+
+import (
+	"context"
+	"reflect"
+	"slices"
+	"sync"
+	"time"
+
+	"foldlb.example/foldlb/coord/lease"
+	"foldlb.example/foldlb/coord/placement"
+	"foldlb.example/foldlb/internal/catalog"
+	"foldlb.example/foldlb/internal/cluster"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	simLease       = 2 * time.Second
+	simLeaseMargin = 300 * time.Millisecond // by which the control plane waits longer
+	simHolderSlack = 100 * time.Millisecond // by which a store stops earlier
+	simRenew       = 400 * time.Millisecond
+	simPlan        = 100 * time.Millisecond
+	simSettle      = 3 * time.Second // for which the others have reported enough copies before a new disk is whole
+	simMoves       = 4
+)
+
+// controlPlane is one process that never fails: it plays internal/controlplane with the same leases and placement.
+type controlPlane struct {
+	world *world
+
+	mutex      sync.Mutex
+	leases     *lease.Table
+	stores     []*rpc.StoreMember
+	partitions []placement.Partition
+	statuses   map[string]*storeStatus // by node
+	fences     map[string]uint64
+	joined     map[string]time.Time // by disk
+	version    uint64
+	config     *catalog.Config
+	view       *cluster.View
+	changed    chan struct{} // closed when view is replaced
+}
+
+// storeStatus is what a store told last.
+type storeStatus struct {
+	request    *rpc.RenewRequest
+	renewedAt  time.Time
+	cleanSince time.Time
+	granted    bool
+	admittedAt time.Time
+}
+
+func newControlPlane(w *world) *controlPlane {
+	c := &controlPlane{world: w, leases: lease.New(lease.Options{Length: simLease, Margin: simLeaseMargin, Reusable: true}),
+		statuses: map[string]*storeStatus{}, fences: map[string]uint64{}, joined: map[string]time.Time{},
+		partitions: make([]placement.Partition, w.scale.partitions), changed: make(chan struct{}), config: simConfig(1)}
+	c.publish()
+	go c.run()
+	return c
+}
+
+// simConfig returns a configuration; the second has lost a route.
+func simConfig(version uint64) *catalog.Config {
+	config := &catalog.Config{Version: version, Services: []catalog.Service{{Name: "s", MaxConns: 100}}}
+	for _, name := range []string{"plain", "fifo", "short", "dropped"} {
+		if name == "dropped" && version > 1 {
+			continue
+		}
+		route := catalog.Route{Name: name, Hostname: "h", PathPrefix: "/" + name, Service: "s", Retries: simRetries,
+			FIFO: name == "fifo", RetentionS: simRetention.Seconds(), ScheduleTargetMs: 500, TimeoutMs: 1200}
+		if name == "short" {
+			route.RetentionS = simShortRetention.Seconds()
+		}
+		config.Routes = append(config.Routes, route)
+	}
+	return config
+}
+
+func (c *controlPlane) run() {
+	for {
+		select {
+		case <-time.After(simPlan):
+			c.mutex.Lock()
+			c.plan()
+			c.mutex.Unlock()
+		case <-c.world.ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *controlPlane) now() time.Duration { return time.Since(c.world.started) }
+
+// dropRoute puts the second configuration in force.
+func (c *controlPlane) dropRoute() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.config = simConfig(2)
+	c.publish()
+}
+
+// publish makes a view of what is in force now.
+func (c *controlPlane) publish() {
+	c.version++
+	view := &cluster.View{Config: c.config, Table: catalog.NewTable(c.config), ConfigVersion: c.config.Version,
+		Map: &rpc.MapView{Version: c.version, Copies: uint32(c.world.scale.tolerance + 1)},
+		Workers: &rpc.WorkerList{Epoch: 1, Version: 1,
+			Workers: []*rpc.Worker{{Id: "w", Service: "s", Capacity: 200}}}}
+	for _, store := range c.stores {
+		view.Map.Stores = append(view.Map.Stores, &rpc.StoreMember{Node: store.Node, Disk: store.Disk, Address: store.Address,
+			Zone: store.Zone, Incarnation: store.Incarnation, Whole: store.Whole, Leaving: store.Leaving})
+	}
+	owners := make([]int, len(c.partitions))
+	for i, p := range c.partitions {
+		view.Map.Partitions = append(view.Map.Partitions, &rpc.Ownership{Node: p.Owner, Incarnation: p.Incarnation,
+			Epoch: p.Epoch, Releasing: p.Releasing, Successor: p.Successor})
+		owners[i] = slices.IndexFunc(c.stores, func(store *rpc.StoreMember) bool {
+			return store.Node == p.Owner && store.Incarnation == p.Incarnation
+		})
+	}
+	// Package cluster derives this index where it merges updates, and has no other way to make a view.
+	field := reflect.ValueOf(view).Elem().FieldByName("owners")
+	reflect.NewAt(field.Type(), field.Addr().UnsafePointer()).Elem().Set(reflect.ValueOf(owners))
+	c.view = view
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *controlPlane) current() (*cluster.View, <-chan struct{}) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.view, c.changed
+}
+
+func (c *controlPlane) member(node string) *rpc.StoreMember {
+	for _, store := range c.stores {
+		if store.Node == node {
+			return store
+		}
+	}
+	return nil
+}
+
+// renew takes a renewal and reports whether a lease is granted.
+func (c *controlPlane) renew(request *rpc.RenewRequest) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := time.Now()
+	status := c.statuses[request.Node]
+	if status == nil || status.request.Incarnation != request.Incarnation {
+		if status != nil && now.Sub(status.renewedAt) < 900*time.Millisecond {
+			return false
+		}
+		status = &storeStatus{}
+		c.statuses[request.Node] = status
+	}
+	status.request, status.renewedAt = request, now
+	if request.UnderCopied > 0 {
+		status.cleanSince = time.Time{}
+	} else if status.cleanSince.IsZero() {
+		status.cleanSince = now
+	}
+	member := c.member(request.Node)
+	if member == nil || member.Disk != request.Disk || member.Incarnation != request.Incarnation {
+		c.admit(status)
+		return false
+	}
+	if !c.mayGrant(status) {
+		return false
+	}
+	if c.leases.Renew(request.Node, request.Incarnation, c.now()) != nil {
+		return false
+	}
+	status.granted = true
+	return true
+}
+
+func (c *controlPlane) mayGrant(status *storeStatus) bool {
+	request := status.request
+	if request.MapVersion < c.fences[request.Node] {
+		return false
+	}
+	if status.granted && !c.leases.Ended(request.Node, request.Incarnation, c.now()) {
+		return true
+	}
+	return !status.granted || request.MapVersion >= c.version
+}
+
+// admit records a new disk or incarnation.
+func (c *controlPlane) admit(status *storeStatus) {
+	request := status.request
+	member := c.member(request.Node)
+	if member == nil {
+		member = &rpc.StoreMember{Node: request.Node}
+		c.stores = append(c.stores, member)
+	}
+	if member.Disk != request.Disk {
+		member.Disk = request.Disk
+		member.Whole = c.partitions[0].Epoch == 0
+		if !member.Whole {
+			c.joined[member.Disk] = time.Now()
+		}
+	}
+	member.Address, member.Zone, member.Incarnation = request.Address, request.Zone, request.Incarnation
+	status.admittedAt = time.Now()
+	c.publish()
+}
+
+// plan moves partitions and marks disks whole.
+func (c *controlPlane) plan() {
+	changed := false
+	for _, store := range c.stores {
+		if !store.Whole && c.othersClean(store) {
+			store.Whole = true
+			changed = true
+		}
+	}
+	if len(c.stores) < c.world.scale.stores {
+		return // the first assignment waits for all
+	}
+	before := c.partitions
+	next, moved, err := placement.Plan(c.members(), before, simMoves)
+	if err != nil {
+		panic(err)
+	}
+	c.fenceLosers(before, next)
+	c.partitions = next
+	if changed || moved {
+		c.publish()
+	}
+}
+
+func (c *controlPlane) othersClean(store *rpc.StoreMember) bool {
+	for _, other := range c.stores {
+		if other == store {
+			continue
+		}
+		status := c.statuses[other.Node]
+		speaks := status != nil && status.request.Incarnation == other.Incarnation &&
+			status.renewedAt.Sub(c.joined[store.Disk]) >= simSettle
+		owns := slices.ContainsFunc(c.partitions, func(p placement.Partition) bool { return p.Owner == other.Node })
+		if !speaks && !owns {
+			continue
+		}
+		if !speaks || status.cleanSince.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *controlPlane) members() []placement.Member {
+	var members []placement.Member
+	for _, store := range c.stores {
+		status := c.statuses[store.Node]
+		alive := c.leases.Alive(store.Node, store.Incarnation, c.now())
+		waits := status != nil && status.request.Incarnation == store.Incarnation && !status.granted &&
+			time.Since(status.admittedAt) < simLease
+		alive = alive || waits
+		members = append(members, placement.Member{Node: store.Node, Incarnation: store.Incarnation, Zone: store.Zone,
+			Alive: alive, Ended: !alive && c.leases.Ended(store.Node, store.Incarnation, c.now()),
+			Leaving:  status != nil && status.request.Incarnation == store.Incarnation && status.request.Leaving,
+			Eligible: true})
+	}
+	seen := map[string]bool{}
+	for _, p := range c.partitions {
+		member := c.member(p.Owner)
+		if p.Owner == "" || member != nil && member.Incarnation == p.Incarnation || seen[p.Incarnation] {
+			continue
+		}
+		seen[p.Incarnation] = true
+		members = append(members, placement.Member{Node: p.Owner, Incarnation: p.Incarnation, Ended: true})
+	}
+	return members
+}
+
+func (c *controlPlane) fenceLosers(before, next []placement.Partition) {
+	for i, p := range before {
+		if p.Epoch == next[i].Epoch || p.Owner == "" {
+			continue
+		}
+		member := c.member(p.Owner)
+		if member.Incarnation == p.Incarnation && c.leases.Ended(p.Owner, p.Incarnation, c.now()) {
+			c.fences[p.Owner] = c.version + 1
+		}
+	}
+}
+
+// release takes partitions back.
+func (c *controlPlane) release(node, incarnation string, partitions []*rpc.PartitionEpoch) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, p := range partitions {
+		current := c.partitions[p.Partition]
+		if current.Owner != node || current.Incarnation != incarnation {
+			continue
+		}
+		next, err := placement.Release(c.members(), c.partitions, int(p.Partition), p.Epoch)
+		if err == nil {
+			c.partitions = next
+		}
+	}
+	c.publish()
+}
+
+// allWhole reports whether every store is a member whose disk is whole.
+func (c *controlPlane) allWhole() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, store := range c.stores {
+		if !store.Whole {
+			return false
+		}
+	}
+	return true
+}
+
+// fakeCluster is the coordinator of one process.
+type fakeCluster struct {
+	process *process
+	kicks   chan struct{}
+
+	mutex    sync.Mutex
+	view     *cluster.View
+	inForce  uint64 // map version that the callback has seen
+	callback func(*cluster.View)
+	leaseEnd time.Time
+}
+
+func newFakeCluster(p *process) *fakeCluster {
+	return &fakeCluster{process: p, view: &cluster.View{}, kicks: make(chan struct{}, 1)}
+}
+
+func (f *fakeCluster) run() {
+	go f.follow()
+	go f.renewLoop()
+}
+
+// View implements coordinator.
+func (f *fakeCluster) View() *cluster.View {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.view
+}
+
+// OnChange implements coordinator.
+func (f *fakeCluster) OnChange(callback func(*cluster.View)) { f.callback = callback }
+
+// LeaseValid implements coordinator.
+func (f *fakeCluster) LeaseValid() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return time.Now().Before(f.leaseEnd)
+}
+
+// Kick implements coordinator.
+func (f *fakeCluster) Kick() {
+	select {
+	case f.kicks <- struct{}{}:
+	default:
+	}
+}
+
+// Store implements coordinator.
+func (f *fakeCluster) Store(address string) rpc.Store {
+	return &storeClient{world: f.process.world, from: f.process.machine.name, caller: f.process, address: address}
+}
+
+// Release implements coordinator.
+func (f *fakeCluster) Release(ctx context.Context, partitions []*rpc.PartitionEpoch) error {
+	p := f.process
+	_, ok := askControl(p, "release", func(c *controlPlane) bool {
+		c.release(p.machine.name, p.node.incarnation, partitions)
+		return true
+	})
+	if !ok {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+// askControl carries a call to the control plane out. It reports false where no answer comes.
+func askControl(p *process, method string, ask func(*controlPlane) bool) (granted, ok bool) {
+	w, name := p.world, p.machine.name
+	if !p.awaitThaw() {
+		return false, false
+	}
+	time.Sleep(w.latency(name, controlName, method))
+	if w.isCut(name, controlName) || w.losesCall(name, controlName, method) || p.isDead() {
+		return false, false
+	}
+	granted = ask(w.control)
+	time.Sleep(w.latency(controlName, name, method))
+	if w.isCut(controlName, name) || w.losesCall(controlName, name, method) || !p.awaitThaw() {
+		return false, false
+	}
+	return granted, true
+}
+
+// follow calls the callback with each newer view.
+func (f *fakeCluster) follow() {
+	p := f.process
+	w := p.world
+	for p.awaitThaw() {
+		view, changed := w.control.current()
+		if view == f.View() {
+			select {
+			case <-changed:
+			case <-p.dead:
+				return
+			}
+			time.Sleep(w.latency(controlName, p.machine.name, "view"))
+			continue
+		}
+		if w.isCut(controlName, p.machine.name) {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		f.mutex.Lock()
+		f.view = view
+		f.mutex.Unlock()
+		f.callback(view)
+		f.mutex.Lock()
+		f.inForce = view.Map.Version
+		f.mutex.Unlock()
+		f.Kick()
+	}
+}
+
+func (f *fakeCluster) renewLoop() {
+	p := f.process
+	for p.awaitThaw() {
+		f.renew()
+		select {
+		case <-f.kicks:
+			time.Sleep(50 * time.Millisecond)
+		case <-time.After(simRenew):
+		case <-p.dead:
+			return
+		}
+	}
+}
+
+func (f *fakeCluster) renew() {
+	p := f.process
+	f.mutex.Lock()
+	version := f.inForce
+	f.mutex.Unlock()
+	request := &rpc.RenewRequest{Node: p.machine.name, Incarnation: p.node.incarnation, Zone: p.machine.zone,
+		Disk: p.node.disk, Address: p.machine.address, MapVersion: version}
+	p.node.status(request)
+	sent := time.Now()
+	granted, ok := askControl(p, "renew", func(c *controlPlane) bool { return c.renew(request) })
+	if !ok || !granted {
+		return
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if end := sent.Add(simLease - simHolderSlack); end.After(f.leaseEnd) {
+		f.leaseEnd = end
+	}
+}
--- /dev/null
+++ b/internal/storenode/sim_dispatcher_test.go
@@ -0,0 +1,181 @@
+package storenode
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"foldlb.example/foldlb/internal/cluster"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	simPatience = 40 * time.Millisecond // after which a silent owner is gone round
+	simDeadline = 2500 * time.Millisecond
+)
+
+// dispatch is the course of one message from its client to the answer, as internal/ingest plays it.
+type dispatch struct {
+	world       *world
+	message     *sent
+	maybeStored bool
+	pending     int
+	outcomes    chan putAnswer
+	goneRound   uint64 // epoch for which it was written to holders
+	holders     int    // that have stored it under that epoch
+}
+
+// putAnswer is the end of one Put.
+type putAnswer struct {
+	mode   rpc.PutMode
+	epoch  uint64
+	status rpc.PutStatus
+	err    error
+}
+
+// run sends the message until there is an answer.
+func (d *dispatch) run() {
+	w := d.world
+	ctx, cancel := context.WithTimeout(w.ctx, simDeadline)
+	defer cancel()
+	d.outcomes = make(chan putAnswer, 64)
+	var asked uint64
+	var askedAt time.Time
+	for ctx.Err() == nil {
+		view, _ := w.control.current()
+		owner, epoch, ok := view.Owner(d.message.partition)
+		if ok && (epoch > asked || d.pending == 0 && time.Since(askedAt) > 100*time.Millisecond) {
+			asked, askedAt = epoch, time.Now()
+			d.put(ctx, owner.Address, rpc.PutMode_OWNER, epoch, view.ConfigVersion)
+		}
+		if ok && d.pending > 0 && time.Since(askedAt) >= simPatience && d.message.key == "" && d.goneRound < epoch {
+			d.goRound(ctx, view, owner, epoch)
+		}
+		select {
+		case outcome := <-d.outcomes:
+			if d.take(outcome) {
+				w.ledger.accept(d.message.name)
+				return
+			}
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	if !d.maybeStored && d.pending == 0 {
+		w.ledger.refuse(d.message.name)
+	}
+}
+
+// goRound writes the message to other stores than the owner.
+func (d *dispatch) goRound(ctx context.Context, view *cluster.View, owner *rpc.StoreMember, epoch uint64) {
+	d.goneRound, d.holders = epoch, 0
+	stores := slices.Clone(view.Stores())
+	start := int(d.world.draw(d.message.name, "holders") * float64(len(stores)))
+	count := 0
+	for i := range stores {
+		store := stores[(start+i)%len(stores)]
+		if store.Node == owner.Node || count > d.world.scale.tolerance {
+			continue
+		}
+		count++
+		d.put(ctx, store.Address, rpc.PutMode_HOLDER, epoch, view.ConfigVersion)
+	}
+}
+
+func (d *dispatch) put(ctx context.Context, address string, mode rpc.PutMode, epoch, version uint64) {
+	m := d.message
+	request := &rpc.PutRequest{Mode: mode, ConfigVersion: version, Epochs: []uint64{epoch}, Messages: []*rpc.Message{{
+		Name: m.name, Partition: m.partition, Route: m.route, Method: "POST", Path: "/" + m.route, Host: "h",
+		RequestId: m.name, OrderKey: m.key, Body: m.body, Epoch: epoch, AgeMs: time.Since(m.first).Milliseconds(),
+		DelayLeftMs: max(0, (m.delay-time.Since(m.first)).Milliseconds()+1)}}}
+	if mode == rpc.PutMode_OWNER && m.delay == 0 || m.delay == 0 {
+		request.Messages[0].DelayLeftMs = 0
+	}
+	d.pending++
+	client := &storeClient{world: d.world, from: clientName, address: address}
+	go func() {
+		answer := putAnswer{mode: mode, epoch: epoch}
+		reply, err := client.Put(ctx, request)
+		answer.err = err
+		if err == nil {
+			answer.status = reply.Statuses[0]
+		}
+		d.outcomes <- answer
+	}()
+}
+
+// take counts the end of a Put. It reports whether the message is accepted.
+func (d *dispatch) take(answer putAnswer) bool {
+	d.pending--
+	if answer.err != nil {
+		d.maybeStored = d.maybeStored || answer.err != errRefused
+		return false
+	}
+	switch answer.status {
+	case rpc.PutStatus_STORED:
+		d.maybeStored = true
+		if answer.mode == rpc.PutMode_OWNER {
+			return true
+		}
+		if answer.epoch == d.goneRound {
+			d.holders++
+		}
+		return d.holders > d.world.scale.tolerance
+	case rpc.PutStatus_FAILED:
+		d.maybeStored = true
+	}
+	return false
+}
+
+// send begins one message of the load.
+func (w *world) send(number int) {
+	m := &sent{name: fmt.Sprintf("m%d", number), first: time.Now(), nature: w.random.Float64(), route: "plain"}
+	m.body = make([]byte, 30+w.random.IntN(900))
+	for i := range m.body {
+		m.body[i] = byte(w.random.Uint32())
+	}
+	m.partition = uint32(w.random.IntN(w.scale.partitions))
+	switch x := w.random.Float64(); {
+	case x < 0.5:
+		key := w.random.IntN(12)
+		m.route, m.key, m.partition = "fifo", fmt.Sprintf("k%d", key), uint32(key*5%w.scale.partitions)
+	case x < 0.55:
+		m.route = "short"
+	case x < 0.6:
+		m.route = "dropped"
+	case x < 0.7:
+		m.delay = time.Duration(w.random.IntN(4000)) * time.Millisecond
+	}
+	if m.route == "dropped" && !w.ledger.dropAt.IsZero() {
+		m.route = "plain"
+	}
+	w.ledger.add(m)
+	go (&dispatch{world: w, message: m}).run()
+}
+
+// lookup asks the owner of a message, then all other stores, as a dispatcher does.
+func (w *world) lookup(m *sent, body bool) *rpc.LookupReply {
+	ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
+	defer cancel()
+	best := &rpc.LookupReply{}
+	view, _ := w.control.current()
+	stores := slices.Clone(view.Stores())
+	if owner, _, ok := view.Owner(m.partition); ok {
+		stores = slices.Insert(stores, 0, owner)
+	}
+	for _, store := range stores {
+		client := &storeClient{world: w, from: clientName, address: store.Address}
+		reply, err := client.Lookup(ctx, &rpc.LookupRequest{Name: m.name, Body: body})
+		if err != nil || !reply.Found {
+			continue
+		}
+		if !best.Found || !best.HasBody && reply.HasBody || best.State == rpc.State_QUEUED && reply.State != rpc.State_QUEUED {
+			best = reply
+		}
+		if best.State != rpc.State_QUEUED || body && best.HasBody || !body && best.Owner {
+			break
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/storenode/sim_faults_test.go
@@ -0,0 +1,217 @@
+package storenode
+
+import (
+	"time"
+
+	"foldlb.example/foldlb/internal/message"
+)
+
+// messageEntry is short for the entries of the table.
+type messageEntry = message.Entry
+
+// faults draws what goes wrong, and ends it again. It belongs to the driver goroutine.
+type faults struct {
+	world *world
+	next  time.Time
+	open  []*openFault
+}
+
+// openFault is one that is under way.
+type openFault struct {
+	until time.Time
+	heal  func()
+	done  func() // tells the ledger
+	busy  string // machine that has it
+}
+
+func newFaults(w *world) *faults {
+	return &faults{world: w, next: time.Now().Add(2 * time.Second)}
+}
+
+// step ends what is due to end, and may begin something.
+func (f *faults) step() {
+	now := time.Now()
+	kept := f.open[:0]
+	for _, each := range f.open {
+		if now.Before(each.until) {
+			kept = append(kept, each)
+			continue
+		}
+		each.heal()
+		each.done()
+	}
+	f.open = kept
+	if now.Before(f.next) {
+		return
+	}
+	f.begin()
+	f.next = now.Add(200*time.Millisecond + time.Duration(f.world.random.Int64N(int64(3*time.Second))))
+	if f.world.random.IntN(6) == 0 {
+		f.next = f.next.Add(6 * time.Second) // a calm time, in which nothing may run twice
+	}
+}
+
+func (f *faults) endAll() {
+	for _, each := range f.open {
+		each.heal()
+		each.done()
+	}
+	f.open = nil
+}
+
+func (f *faults) isBusy(name string) bool {
+	for _, each := range f.open {
+		if each.busy == name {
+			return true
+		}
+	}
+	return false
+}
+
+// begin draws one fault at one machine.
+func (f *faults) begin() {
+	w := f.world
+	m := w.machines[w.random.IntN(len(w.machines))]
+	if f.isBusy(m.name) || m.running() == nil {
+		return
+	}
+	switch w.random.IntN(12) {
+	case 0, 1:
+		f.down(m, end{}, 200, 1500)
+	case 2, 3:
+		f.down(m, end{off: true}, 300, 5000)
+	case 4:
+		f.loseDisk(m)
+	case 5, 6:
+		f.freeze(m)
+	case 7:
+		f.cutLinks(m, false)
+	case 8:
+		f.cutLinks(m, true)
+	case 9:
+		f.handOver(m)
+	case 10:
+		f.lossy()
+	case 11:
+		f.slow(m)
+	}
+}
+
+// between draws a time from least to most milliseconds.
+func (f *faults) between(least, most int) time.Duration {
+	return time.Duration(least+f.world.random.IntN(most-least)) * time.Millisecond
+}
+
+// during keeps a fault open for a time.
+func (f *faults) during(m *machine, length time.Duration, heal func()) {
+	f.open = append(f.open, &openFault{until: time.Now().Add(length), heal: heal, busy: m.name,
+		done: f.world.ledger.faultBegins()})
+}
+
+func (f *faults) down(m *machine, how end, least, most int) {
+	length := f.between(least, most)
+	m.stop(how)
+	f.during(m, length, m.start)
+}
+
+// loseDisk takes a disk away while all others are whole and enough of them run.
+func (f *faults) loseDisk(m *machine) {
+	if !f.world.control.allWhole() {
+		return
+	}
+	for _, other := range f.world.machines {
+		if other.running() == nil {
+			return
+		}
+	}
+	f.down(m, end{off: true, loseDisk: true}, 300, 4000)
+}
+
+func (f *faults) freeze(m *machine) {
+	p := m.running()
+	length := f.between(300, 6000)
+	f.world.note("%s freezes for %s", m.name, length)
+	p.freeze()
+	f.during(m, length, p.thaw)
+}
+
+// cutLinks cuts some or all links of a machine, in one direction or both.
+func (f *faults) cutLinks(m *machine, all bool) {
+	w := f.world
+	ends := []string{controlName, workersName, clientName}
+	for _, other := range w.machines {
+		if other != m {
+			ends = append(ends, other.name)
+		}
+	}
+	var heals []func()
+	cut := ""
+	for _, name := range ends {
+		if !all && w.random.IntN(3) > 0 {
+			continue
+		}
+		both := w.random.IntN(2) == 0
+		outward := w.random.IntN(2) == 0
+		if all || both || outward {
+			heals = append(heals, w.cut(m.name, name))
+			cut += " >" + name
+		}
+		if all || both || !outward {
+			heals = append(heals, w.cut(name, m.name))
+			cut += " <" + name
+		}
+	}
+	length := f.between(300, 5000)
+	w.note("%s is cut off for %s:%s", m.name, length, cut)
+	f.during(m, length, func() {
+		for _, heal := range heals {
+			heal()
+		}
+	})
+}
+
+// handOver ends a process as planned, which is no trouble, and starts it again.
+func (f *faults) handOver(m *machine) {
+	p := m.running()
+	f.world.note("%s leaves", m.name)
+	finished := make(chan struct{})
+	go func() { p.node.handOver(); close(finished) }()
+	f.open = append(f.open, &openFault{until: time.Now().Add(6 * time.Second), busy: m.name, done: func() {}, heal: func() {
+		select {
+		case <-finished:
+		default:
+			f.world.note("%s is killed while it leaves", m.name)
+			f.world.ledger.faultBegins()()
+		}
+		if m.running() == p {
+			m.stop(end{})
+		}
+		m.start()
+	}})
+}
+
+func (f *faults) lossy() {
+	w := f.world
+	w.mutex.Lock()
+	w.lossy = 0.02 + 0.2*w.random.Float64()
+	w.mutex.Unlock()
+	w.note("calls are lost")
+	f.during(w.machines[0], f.between(300, 4000), func() {
+		w.mutex.Lock()
+		w.lossy = 0
+		w.mutex.Unlock()
+	})
+}
+
+func (f *faults) slow(m *machine) {
+	w := f.world
+	w.mutex.Lock()
+	w.slow = m.name
+	w.mutex.Unlock()
+	w.note("%s is slow", m.name)
+	f.during(m, f.between(300, 4000), func() {
+		w.mutex.Lock()
+		w.slow = ""
+		w.mutex.Unlock()
+	})
+}
