--- a/internal/controlplane/cluster_test.go
+++ b/internal/controlplane/cluster_test.go
@@ -166,12 +166,14 @@
 
 // testStore renews as a store process does.
 type testStore struct {
+	t       *testing.T
 	request *rpc.RenewRequest
 	control func() rpc.Control
 }
 
 func newTestStore(c *cluster, index int) *testStore {
 	return &testStore{
+		t: c.t,
 		control: func() rpc.Control {
 			return rpc.NewControlProtobufClient("http://"+c.leader().address, c.caller)
 		},
--- a/internal/controlplane/discovery.go
+++ b/internal/controlplane/discovery.go
@@ -80,8 +80,7 @@
 // run reads the list until the context ends, and hands on each that differs from the one before.
 func (d *discovery) run(ctx context.Context, publish func([]*rpc.Worker)) {
 	defer d.client.CloseIdleConnections()
-	var last []*rpc.Worker
-	published := false
+	var filter listFilter
 	pause := discoveryPeriod
 	for {
 		workers, err := d.readAll(ctx)
@@ -90,10 +89,8 @@
 			pause = min(2*pause, discoveryBackoff)
 		} else {
 			pause = discoveryPeriod
-			if !published || !sameWorkers(last, workers) {
+			if filter.isNew(workers) {
 				publish(workers)
-				last = workers
-				published = true
 			}
 		}
 		if !sleep(ctx, pause) {
@@ -102,6 +99,22 @@
 	}
 }
 
+// listFilter leaves out lists that tell nothing new.
+type listFilter struct {
+	any  bool
+	last []*rpc.Worker
+}
+
+// isNew reports whether a sorted list differs from the one before, and keeps it if it does.
+func (f *listFilter) isNew(workers []*rpc.Worker) bool {
+	if f.any && sameWorkers(f.last, workers) {
+		return false
+	}
+	f.any = true
+	f.last = workers
+	return true
+}
+
 // readAll reads all pages. It returns the whole list or an error, never a part.
 func (d *discovery) readAll(ctx context.Context) ([]*rpc.Worker, error) {
 	var workers []*rpc.Worker
--- /dev/null
+++ b/internal/controlplane/membership_test.go
@@ -0,0 +1,102 @@
+package controlplane
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"foldlb.example/foldlb/coord/failover"
+)
+
+func votersOf(ids ...string) []failover.Member {
+	var voters []failover.Member
+	for _, id := range ids {
+		voters = append(voters, failover.Member{ID: id, Address: "address-" + id[:1], Zone: "zone-" + id[:1]})
+	}
+	return voters
+}
+
+func heardOf(ids ...string) []peer {
+	var heard []peer
+	for _, id := range ids {
+		heard = append(heard, peer{id: id, address: "address-" + id[:1], zone: "zone-" + id[:1], disk: true})
+	}
+	return heard
+}
+
+func TestVotersStayWhileAllAreHeard(t *testing.T) {
+	change := planVoters(votersOf("a", "b", "c"), "a", heardOf("a", "b", "c", "d"), 3, time.Hour)
+	must.True(t, change.isEmpty())
+}
+
+func TestRebornVoterIsExchangedAtOnce(t *testing.T) {
+	change := planVoters(votersOf("a", "b", "c"), "a", heardOf("a", "b2", "c", "d"), 3, 0)
+	must.EqOp(t, "b", change.removeID)
+	must.EqOp(t, "b2", change.add.ID)
+}
+
+func TestSilentVoterIsExchangedForAStandby(t *testing.T) {
+	heard := heardOf("a", "c", "d")
+	must.True(t, planVoters(votersOf("a", "b", "c"), "a", heard, 3, peerExpiry-1).isEmpty())
+	change := planVoters(votersOf("a", "b", "c"), "a", heard, 3, peerExpiry)
+	must.EqOp(t, "b", change.removeID)
+	must.EqOp(t, "d", change.add.ID)
+	must.True(t, planVoters(votersOf("a", "b", "c"), "a", heardOf("a", "c"), 3, time.Hour).isEmpty())
+}
+
+func TestProcessWithoutADiskIsNoVoter(t *testing.T) {
+	heard := heardOf("a", "b", "c")
+	heard[2].disk = false
+	must.True(t, planVoters(votersOf("a", "b"), "a", heard, 3, time.Hour).isEmpty())
+}
+
+func TestZoneWithFewestVotersIsChosen(t *testing.T) {
+	heard := heardOf("a", "b", "c", "d")
+	heard[2].zone = "zone-a"
+	change := planVoters(votersOf("a", "b"), "a", heard, 3, 0)
+	must.EqOp(t, "d", change.add.ID)
+	must.EqOp(t, "", change.removeID)
+}
+
+func TestVotersSettleOnThoseThatAreHeard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const wanted = 3
+		var voters []failover.Member
+		var heard []peer
+		processes := rapid.IntRange(wanted, 7).Draw(t, "processes")
+		for index := range processes {
+			id := fmt.Sprintf("%c", 'a'+index)
+			if index == 0 || rapid.Bool().Draw(t, "is a voter") {
+				voters = append(voters, votersOf(id)...)
+			}
+			if index < wanted || rapid.Bool().Draw(t, "is heard") {
+				heard = append(heard, heardOf(id)...)
+			}
+		}
+		for range 2*processes + wanted {
+			change := planVoters(voters, "a", heard, wanted, time.Hour)
+			must.False(t, change.removeID == "a")
+			voters = applyChange(voters, change)
+		}
+		must.Len(t, wanted, voters)
+		for _, voter := range voters {
+			must.True(t, isHeard(heard, voter.ID))
+		}
+	})
+}
+
+func applyChange(voters []failover.Member, change voterChange) []failover.Member {
+	var next []failover.Member
+	for _, voter := range voters {
+		if voter.ID != change.removeID {
+			next = append(next, voter)
+		}
+	}
+	if change.add != nil {
+		next = append(next, *change.add)
+	}
+	return next
+}
--- a/internal/message/table.go
+++ b/internal/message/table.go
@@ -332,7 +332,11 @@
 		return
 	}
 	e.Due = max(e.Due, due)
-	t.schedule(t.partition(e.Partition), e, now)
+	p := t.partition(e.Partition)
+	if e.OrderKey != "" { // one that goes before it may have been learnt meanwhile
+		e = p.keys[e.OrderKey][0]
+	}
+	t.schedule(p, e, now)
 }
 
 func (t *Table) stopRunning(e *Entry) {
--- a/internal/message/table_test.go
+++ b/internal/message/table_test.go
@@ -255,3 +255,20 @@
 	must.Eq(w.t, w.added, w.ended)
 	must.Eq(w.t, 0, w.table.LiveBytes())
 }
+
+// A message that was learnt late goes before one of its key that is under way; it must run when that one stops.
+func TestLateMessageRunsAfterTheAttemptThatItFoundUnderWay(t *testing.T) {
+	table := ownedTable(0)
+	second := queued("second", "r", "key", 0, 0)
+	second.Epoch, second.Seq = 1, 2
+	table.Add(second, 0)
+	must.Eq(t, second, table.Start("r", aim, 0))
+	first := queued("first", "r", "key", 0, 0)
+	first.Epoch, first.Seq = 1, 1
+	table.Add(first, 0)
+	must.Nil(t, table.Start("r", aim, 0))
+	table.Stop(second, 0, 0)
+	must.Eq(t, first, table.Start("r", aim, 0))
+	table.Finish(first, rpc.State_COMPLETED, "s", 0)
+	must.Eq(t, second, table.Start("r", aim, 0))
+}
--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -19,6 +19,7 @@
 	cachedDelay  = 1500 * time.Millisecond
 	cachedBytes  = 16 << 20 // bodies kept in memory
 	mostMessages = 400_000
+	reservePart  = 20 // one part in so many of the log is for what becomes of messages
 )
 
 // Put implements rpc.Store.
@@ -121,6 +122,11 @@
 		n.pumpDue = true
 	}
 	m.Epoch, m.Seq = entry.Epoch, entry.Seq
+	if !entry.Stored { // known from another store alone: the sync that is waited for must cover a copy here
+		if status := n.write(entry, m); status != rpc.PutStatus_STORED {
+			return status, nil, false
+		}
+	}
 	work := &acceptance{node: n, message: m, entry: entry, epoch: owned, needed: n.tolerance + 1,
 		result: make(chan rpc.PutStatus, 1), tried: map[string]bool{}}
 	return rpc.PutStatus_STORED, work, false
@@ -132,6 +138,9 @@
 	if err != nil {
 		return rpc.PutStatus_FAILED
 	}
+	if bound := n.logBytes(); bound > 0 && n.file.Size()+int64(len(data)) > bound-bound/reservePart {
+		return rpc.PutStatus_FULL
+	}
 	at, err := n.file.Append(data)
 	if err != nil {
 		if errors.Is(err, applog.ErrFull) {
@@ -192,7 +201,7 @@
 // outcome counts one copy that was synced, or failed.
 func (a *acceptance) outcome(disk string, ok bool) {
 	if ok && disk != "" {
-		a.node.post(func() { a.entry.AddHolder(disk) })
+		a.node.post(func() { a.node.addHolder(a.entry, disk) })
 	}
 	a.mutex.Lock()
 	a.pending--
@@ -213,6 +222,17 @@
 	}
 }
 
+// addHolder notes that another store holds a copy, and tells it what became of the message where that came first.
+func (n *Node) addHolder(entry *message.Entry, disk string) {
+	entry.AddHolder(disk)
+	if !entry.Ended() && entry.Attempts == 0 {
+		return
+	}
+	if one := n.peers.get(disk); one != nil {
+		one.report(entry.Fate())
+	}
+}
+
 // hold stores copies of messages that other stores own.
 func (n *Node) hold(request *rpc.PutRequest) (*rpc.PutReply, error) {
 	reply := &rpc.PutReply{Statuses: make([]rpc.PutStatus, len(request.Messages))}
--- a/internal/storenode/handover.go
+++ b/internal/storenode/handover.go
@@ -30,14 +30,18 @@
 	}
 }
 
-// handedOver reports whether nothing is owned and no attempt is under way.
+// handedOver reports whether nothing is owned, no attempt is under way, and the new owners have asked what this store holds.
 func (n *Node) handedOver() bool {
 	free := true
 	n.do(func() {
 		if n.view == nil || n.view.Map == nil {
 			return
 		}
-		for id := range n.view.Map.Partitions {
+		for id, ownership := range n.view.Map.Partitions {
+			if ownership.Node != n.settings.Node && ownership.Epoch > n.table.Fence(uint32(id)) {
+				free = false // its new owner has not gathered here yet
+				return
+			}
 			if n.table.OwnedEpoch(uint32(id)) > 0 || n.table.Running(uint32(id)) > 0 {
 				free = false
 				return
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -236,7 +236,8 @@
 	n.peers = newPeers(n)
 	n.stopping.Add(1)
 	go n.loop()
-	n.cluster.OnChange(func(view *cluster.View) { n.post(func() { n.changed(view) }) })
+	// The version is acknowledged when the callback returns, and a lease may be granted for that: by then it is in force.
+	n.cluster.OnChange(func(view *cluster.View) { n.do(func() { n.changed(view) }) })
 }
 
 // status adds what the control plane wants to know to a renewal of the lease.
--- a/internal/storenode/takeover.go
+++ b/internal/storenode/takeover.go
@@ -14,6 +14,7 @@
 	gatherGrace  = 300 * time.Millisecond // that missing stores are waited for once enough have answered
 	gatherPause  = 50 * time.Millisecond  // between tries at one store
 	gatherMost   = 20 * time.Second       // that missing stores are asked on in the background
+	gatherCheck  = 500 * time.Millisecond // between looks for stores that came, and for a newer owner
 )
 
 // applyMap takes over, pauses, resumes and gives up partitions as the table of the control plane says.
@@ -38,7 +39,7 @@
 	}
 	if len(taken) > 0 {
 		n.log.Info("partitions assigned", "map", view.Version, "partitions", len(taken))
-		go n.gather(taken, view)
+		go n.gather(taken)
 	}
 	n.releasePaused()
 }
@@ -185,37 +186,49 @@
 
 // gathering collects the answers of the other stores for partitions that were taken over together.
 type gathering struct {
+	request  *rpc.GatherRequest
 	mutex    sync.Mutex
-	answered map[string]bool
+	answered map[string]bool // by disk
+	asked    map[string]bool // by disk: being asked
 	changed  chan struct{}
 }
 
 // gather learns what other stores hold of partitions, then lets them run.
-func (n *Node) gather(partitions []*rpc.PartitionEpoch, view *rpc.MapView) {
+func (n *Node) gather(partitions []*rpc.PartitionEpoch) {
 	if err := n.file.Wait(); err != nil { // the fences of this store
 		n.log.Error(err, "fences not synced")
 		return
 	}
-	g := &gathering{answered: map[string]bool{}, changed: make(chan struct{}, 1)}
-	request := &rpc.GatherRequest{Caller: n.settings.Node, Partitions: partitions}
-	ctx, cancel := context.WithTimeout(context.Background(), gatherMost)
-	var asked sync.WaitGroup
+	g := &gathering{request: &rpc.GatherRequest{Caller: n.settings.Node, Partitions: partitions},
+		answered: map[string]bool{}, asked: map[string]bool{}, changed: make(chan struct{}, 1)}
+	n.awaitGathered(g)
+}
+
+// askMissing asks the stores that have not answered and are not being asked.
+func (n *Node) askMissing(g *gathering) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	for _, one := range n.peers.all() {
-		asked.Add(1)
-		go func() {
-			defer asked.Done()
-			n.gatherFrom(ctx, one, request, g)
-		}()
+		if g.answered[one.disk] || g.asked[one.disk] {
+			continue
+		}
+		g.asked[one.disk] = true
+		go n.gatherFrom(one, g)
 	}
-	go func() { asked.Wait(); cancel() }()
-	n.awaitGathered(g, partitions, view)
 }
 
-// gatherFrom asks one store until it answers.
-func (n *Node) gatherFrom(ctx context.Context, one *peer, request *rpc.GatherRequest, g *gathering) {
+// gatherFrom asks one store until it answers, for a time.
+func (n *Node) gatherFrom(one *peer, g *gathering) {
+	ctx, cancel := context.WithTimeout(context.Background(), gatherMost)
+	defer cancel()
+	defer func() {
+		g.mutex.Lock()
+		delete(g.asked, one.disk)
+		g.mutex.Unlock()
+	}()
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, gatherWithin)
-		reply, err := n.cluster.Store(one.address).Gather(call, request)
+		reply, err := n.cluster.Store(one.address).Gather(call, g.request)
 		cancel()
 		if err == nil && reply.Stale {
 			return // a newer owner exists; the map that says so is under way
@@ -225,7 +238,7 @@
 		}
 		if err == nil {
 			one.answered()
-			n.do(func() { n.merge(one.disk, reply.Messages, request.Partitions) })
+			n.do(func() { n.merge(one.disk, reply.Messages, g.request.Partitions) })
 			g.mutex.Lock()
 			g.answered[one.disk] = true
 			g.mutex.Unlock()
@@ -268,10 +281,13 @@
 
 // awaitGathered makes the partitions ready once all stores have answered, or enough have and the rest stayed silent for a
 // moment. Enough is all but as many as may be lost, counted without those whose disks are not whole.
-func (n *Node) awaitGathered(g *gathering, partitions []*rpc.PartitionEpoch, view *rpc.MapView) {
+func (n *Node) awaitGathered(g *gathering) {
+	check := time.NewTicker(gatherCheck)
+	defer check.Stop()
 	var graceOver <-chan time.Time
+	n.askMissing(g)
 	for {
-		all, enough := n.gathered(g, view)
+		all, enough := n.gathered(g, n.cluster.View().Map)
 		if all {
 			break
 		}
@@ -283,13 +299,30 @@
 		select {
 		case <-g.changed:
 			continue
+		case <-check.C:
+			if !n.ownsAny(g.request.Partitions) {
+				return
+			}
+			n.askMissing(g)
+			continue
 		case <-graceOver:
 		case <-n.closed:
 			return
 		}
 		break
 	}
-	n.do(func() { n.begun(partitions) })
+	n.do(func() { n.begun(g.request.Partitions) })
+}
+
+// ownsAny reports whether any of the partitions is still owned under its epoch.
+func (n *Node) ownsAny(partitions []*rpc.PartitionEpoch) bool {
+	owns := false
+	n.do(func() {
+		for _, p := range partitions {
+			owns = owns || n.table.OwnedEpoch(p.Partition) == p.Epoch
+		}
+	})
+	return owns
 }
 
 func (n *Node) gathered(g *gathering, view *rpc.MapView) (all, enough bool) {
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -67,7 +67,7 @@
 		n.table.End(e, rpc.State_DEAD, "", now)
 		n.tell(e)
 	}
-	n.underCopied.Store(uint64(len(missing)))
+	n.underCopied.Store(uint64(len(missing) + n.beingTakenOver()))
 	for i, e := range missing {
 		if i == repairBatch {
 			break
@@ -81,6 +81,18 @@
 	}
 }
 
+// beingTakenOver counts the owned partitions of which it is not yet known what other stores hold: each may have a message
+// with too few copies.
+func (n *Node) beingTakenOver() int {
+	count := 0
+	for id := range n.view.Map.Partitions {
+		if n.table.OwnedEpoch(uint32(id)) > 0 && !n.table.IsReady(uint32(id)) {
+			count++
+		}
+	}
+	return count
+}
+
 // aliveDisks returns the disks that are members and are not being emptied, this store's included.
 func (n *Node) aliveDisks() map[string]bool {
 	alive := make(map[string]bool, len(n.view.Map.Stores))
@@ -140,7 +152,7 @@
 		current.Body, current.BodyBytes = m.Body, 0
 		one.put(&copyItem{message: current, epoch: epoch, done: func(status rpc.PutStatus) {
 			if status == rpc.PutStatus_STORED {
-				n.post(func() { e.AddHolder(one.disk) })
+				n.post(func() { n.addHolder(e, one.disk) })
 			}
 		}})
 	}()
