--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -57,7 +58,8 @@
 	settings    *settings.Settings
 	log         logr.Logger
 	disk        string // identity of the disk
-	incarnation string // identity of this start
+	incarnation string // identity of this start; a later one of the same disk sorts higher
+	starts      uint64 // of the process with this disk
 	address     string
 	started     time.Time
 	tolerance   int
@@ -115,7 +117,7 @@
 		return nil, errors.New("storenode: portRange is empty; name the first and the last port")
 	}
 	n := &Node{
-		settings: s, log: log, started: time.Now(), incarnation: newIdentity(),
+		settings: s, log: log, started: time.Now(),
 		address:   net.JoinHostPort(s.IP, strconv.Itoa(s.PortRange[0])),
 		tolerance: max(s.FaultTolerance.Machines, s.FaultTolerance.Zones, s.FaultTolerance.Regions),
 		commands:  make(chan func(), commandBuffer), table: message.NewTable(), limits: map[string]int{},
@@ -148,16 +150,23 @@
 		return errors.Wrap(err, "storenode: log")
 	}
 	n.file = file
-	if n.disk != "" {
-		return nil
+	if n.disk == "" {
+		n.disk = newIdentity()
+		if _, err := file.Append(encodeText(recordIdentity, time.Now(), n.disk)); err != nil {
+			return errors.Wrap(err, "storenode: identity")
+		}
 	}
-	n.disk = newIdentity()
-	if _, err := file.Append(encodeIdentity(time.Now(), n.disk)); err != nil {
-		return errors.Wrap(err, "storenode: identity")
+	n.starts++
+	n.incarnation = n.startNumber() + "-" + newIdentity()[:8]
+	if _, err := file.Append(encodeText(recordStart, time.Now(), n.startNumber())); err != nil {
+		return errors.Wrap(err, "storenode: start")
 	}
-	return errors.Wrap(file.Wait(), "storenode: identity")
+	return errors.Wrap(file.Wait(), "storenode: start")
 }
 
+// startNumber is the number of this start, in a form that sorts.
+func (n *Node) startNumber() string { return fmt.Sprintf("%08x", n.starts) }
+
 // logBytes is the size that the log may reach; the rest of the disk is for its rewriting.
 func (n *Node) logBytes() int64 { return int64(n.settings.Limits.DiskMb) << 20 * 6 / 10 }
 
@@ -171,6 +180,10 @@
 	switch r.kind {
 	case recordIdentity:
 		n.disk = string(r.payload)
+	case recordStart:
+		if n.starts, err = strconv.ParseUint(string(r.payload), 16, 64); err != nil {
+			return errors.Wrap(err, "storenode: start record")
+		}
 	case recordMessage:
 		m := &rpc.Message{}
 		if err := proto.Unmarshal(r.payload, m); err != nil {
--- a/internal/storenode/records.go
+++ b/internal/storenode/records.go
@@ -17,6 +17,7 @@
 	recordFate     = 2 // rpc.Fate
 	recordFence    = 3 // rpc.PartitionEpoch
 	recordIdentity = 4 // the disk's identity
+	recordStart    = 5 // the number of a start of the process
 	recordHeader   = 9 // bytes before the payload
 )
 
@@ -34,11 +35,12 @@
 	return proto.MarshalOptions{}.MarshalAppend(header, payload)
 }
 
-func encodeIdentity(now time.Time, identity string) []byte {
-	header := make([]byte, recordHeader, recordHeader+len(identity))
-	header[0] = recordIdentity
+// encodeText returns a record whose payload is plain text: the disk's identity, or a start.
+func encodeText(kind byte, now time.Time, text string) []byte {
+	header := make([]byte, recordHeader, recordHeader+len(text))
+	header[0] = kind
 	binary.LittleEndian.PutUint64(header[1:], uint64(now.UnixMilli()))
-	return append(header, identity...)
+	return append(header, text...)
 }
 
 func decodeRecord(data []byte) (record, error) {
--- a/internal/storenode/records_test.go
+++ b/internal/storenode/records_test.go
@@ -30,7 +30,7 @@
 }
 
 func TestIdentityRecord(t *testing.T) {
-	r, err := decodeRecord(encodeIdentity(time.UnixMilli(7), "disk"))
+	r, err := decodeRecord(encodeText(recordIdentity, time.UnixMilli(7), "disk"))
 	must.NoError(t, err)
 	must.Eq(t, recordIdentity, int(r.kind))
 	must.Eq(t, "disk", string(r.payload))
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -284,7 +284,10 @@
 func (n *Node) rewrite() error {
 	var places []place
 	err := n.file.Rewrite(func(write func([]byte) (applog.Position, error)) error {
-		if _, err := write(encodeIdentity(time.Now(), n.disk)); err != nil {
+		if _, err := write(encodeText(recordIdentity, time.Now(), n.disk)); err != nil {
+			return err
+		}
+		if _, err := write(encodeText(recordStart, time.Now(), n.startNumber())); err != nil {
 			return err
 		}
 		for id, epoch := range n.table.Fences() {
