Ask for longer pauses while no worker can be had

Cause: in a trial of 4 s without workers at 300 jobs a second, jobs that found the queue full came back each 200 ms, and their number grew with the backlog. The pause now grows to 600 ms until a worker serves again. Not measured again.

--- a/internal/delivery/lane.go
+++ b/internal/delivery/lane.go
@@ -12,7 +12,9 @@
 	sweepPause = 250 * time.Millisecond
 
 	overflowPauseLeast = 200 * time.Millisecond // after the queue was full
-	overflowPauseMost  = time.Second
+	overflowPauseStep  = 20 * time.Millisecond  // longer for each refusal since the last success
+	overflowPauseFull  = 600 * time.Millisecond
+	overflowPauseMost  = time.Second // where there is a rate
 
 	fullPauseFirst = 20 * time.Millisecond // after no worker had a slot free
 	fullPauseStep  = 10 * time.Millisecond
@@ -38,6 +40,7 @@
 
 	pausedUntil time.Duration
 	fullPause   time.Duration // the last pause for want of a slot; 0 after a success
+	refusals    int           // since the last success
 	congested   bool          // workers were full: only credits let deliveries pass
 	credits     int
 	release     int // credits to add at the next look
@@ -115,7 +118,7 @@
 // overflowPause is what a delivery waits that found no place in the queue, or none in time. Where there is a rate it is the
 // time after which half of the queue has passed.
 func (l *lane) overflowPause() time.Duration {
-	pause := overflowPauseLeast
+	pause := min(overflowPauseLeast+time.Duration(l.refusals)*overflowPauseStep, overflowPauseFull)
 	if l.bucket != nil {
 		halfPassed := time.Duration(queueLimit / 2 / l.service.RatePerS * float64(time.Second))
 		pause = min(max(pause, halfPassed), overflowPauseMost)
@@ -225,7 +228,7 @@
 
 // served says that a worker took a delivery and answered it, so that it has a slot free again.
 func (l *lane) served() {
-	l.fullPause = 0
+	l.fullPause, l.refusals = 0, 0
 	if l.congested {
 		l.credits++
 	}
@@ -238,6 +241,7 @@
 	} else {
 		l.fullPause = min(l.fullPause+fullPauseStep, fullPauseMost)
 	}
+	l.refusals++
 	l.congested, l.credits, l.release = true, 0, 1
 	l.pausedUntil = max(l.pausedUntil, now+l.fullPause)
 	return l.fullPause
