Start with a full log, and rewrite one that had no room for a fate

A store whose log was full ended itself at its start, as the number of the start could not be written (TestStoreWithoutAnyRoomRewritesItsLogAndStartsAgain panicked before); what became of a message was dropped when the log was full.

--- a/internal/storenode/deliver.go
+++ b/internal/storenode/deliver.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"foldlb.example/foldlb/coord/applog"
 	"foldlb.example/foldlb/internal/catalog"
 	"foldlb.example/foldlb/internal/delivery"
@@ -266,7 +268,12 @@
 	if err != nil {
 		return
 	}
-	if _, err := n.file.Append(data); err != nil {
+	_, err = n.file.Append(data)
+	if errors.Is(err, applog.ErrFull) {
+		n.unwritten = true
+		return
+	}
+	if err != nil {
 		n.log.Error(err, "fate not written", "message", entry.Name)
 		return
 	}
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -78,6 +78,8 @@
 	timerAt  time.Duration
 	releases map[uint32]uint64 // epoch under which a release was asked for
 
+	unwritten bool // the log had no room for a fate or a fence: it is to be rewritten
+
 	peers   *peers
 	owned   []atomic.Uint64 // epoch under which attempts of a partition may begin; 0 for none
 	leaving atomic.Bool
@@ -158,10 +160,19 @@
 	}
 	n.starts++
 	n.incarnation = n.startNumber() + "-" + newIdentity()[:8]
-	if _, err := file.Append(encodeText(recordStart, time.Now(), n.startNumber())); err != nil {
-		return errors.Wrap(err, "storenode: start")
+	return errors.Wrap(n.recordStart(), "storenode: start")
+}
+
+// recordStart makes the number of this start durable. A log without room for it is rewritten, which writes it too.
+func (n *Node) recordStart() error {
+	_, err := n.file.Append(encodeText(recordStart, time.Now(), n.startNumber()))
+	if errors.Is(err, applog.ErrFull) {
+		return n.rewrite()
+	}
+	if err != nil {
+		return err
 	}
-	return errors.Wrap(file.Wait(), "storenode: start")
+	return n.file.Wait()
 }
 
 // startNumber is the number of this start, in a form that sorts.
--- a/internal/storenode/scenario_test.go
+++ b/internal/storenode/scenario_test.go
@@ -206,6 +206,52 @@
 	})
 }
 
+// A log without room even for what became of messages is rewritten, and its store starts again.
+func TestStoreWithoutAnyRoomRewritesItsLogAndStartsAgain(t *testing.T) {
+	size := smallScale
+	size.diskMb = 1
+	simulated(t, size, func(t *testing.T, w *world) {
+		owner, epoch := w.owner(0)
+		count := 0
+		for status := rpc.PutStatus_STORED; status == rpc.PutStatus_STORED; count++ {
+			status = w.put(owner, rpc.PutMode_OWNER, epoch, w.idle(fmt.Sprint("m", count), ""))
+		}
+		count--
+		p := owner.running()
+		must.True(t, p.node.do(func() {
+			for i := range count {
+				e := p.node.table.Get(fmt.Sprint("m", i))
+				e.Attempts = 1
+				p.node.appendFate(e)
+			}
+			for i := range count {
+				e := p.node.table.Get(fmt.Sprint("m", i))
+				p.node.table.End(e, rpc.State_COMPLETED, "stamp", p.node.now())
+				p.node.appendFate(e)
+			}
+			fill(t, p)
+		}))
+		time.Sleep(2 * time.Second)
+		must.True(t, p.node.do(func() { fill(t, p) }))
+		must.NoError(t, p.node.file.Wait())
+		owner.stop(end{})
+		owner.start()
+		table := tableOf(owner.running())
+		for i := range count {
+			must.Eq(t, rpc.State_COMPLETED, table[fmt.Sprint("m", i)].State)
+		}
+	})
+}
+
+// fill appends records until the log takes no more.
+func fill(t *testing.T, p *process) {
+	data, err := encodeRecord(recordFence, time.Now(), &rpc.PartitionEpoch{})
+	must.NoError(t, err)
+	for err == nil {
+		_, err = p.node.file.Append(data)
+	}
+}
+
 // kept is what must survive of an entry.
 type kept struct {
 	State    rpc.State
@@ -247,6 +293,7 @@
 	simulated(t, size, func(t *testing.T, w *world) {
 		owner, epoch := w.owner(0)
 		var accepted []string
+		lengths := map[string]int{}
 		for _, length := range []int{8 << 10, 1 << 10, 0} { // to the brim
 			status := rpc.PutStatus_STORED
 			for i := 0; i < 1000 && status == rpc.PutStatus_STORED; i++ {
@@ -254,6 +301,7 @@
 				m.Body = make([]byte, length)
 				if status = w.put(owner, rpc.PutMode_OWNER, epoch, m); status == rpc.PutStatus_STORED {
 					accepted = append(accepted, m.Name)
+					lengths[m.Name] = length
 					continue
 				}
 				must.Eq(t, rpc.PutStatus_FULL, status)
@@ -280,7 +328,7 @@
 				continue
 			}
 			must.Eq(t, rpc.State_QUEUED, table[name].State)
-			must.Eq(t, i < 60, len(table[name].Body) == 8<<10)
+			must.Eq(t, lengths[name], len(table[name].Body))
 		}
 	})
 }
--- a/internal/storenode/takeover.go
+++ b/internal/storenode/takeover.go
@@ -122,6 +122,7 @@
 		return
 	}
 	if _, err := n.file.Append(data); err != nil {
+		n.unwritten = true
 		n.log.Error(err, "fence not written", "partition", partition, "epoch", epoch)
 	}
 }
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -262,17 +262,19 @@
 	n.pumpDue = true
 }
 
-// maybeRewrite rewrites the log when most of it is no longer needed.
+// maybeRewrite rewrites the log when most of it is no longer needed, or had no room for what became of a message.
 func (n *Node) maybeRewrite() {
 	size := n.file.Size()
 	live := int64(n.table.LiveBytes() + rewriteRecord*n.table.Len())
 	full := size > n.logBytes()*9/10
-	if size < rewriteLeast && !full || live > size/2 {
+	if !n.unwritten && (size < rewriteLeast && !full || live > size/2) {
 		return
 	}
 	if err := n.rewrite(); err != nil {
 		n.log.Error(err, "log not rewritten")
+		return
 	}
+	n.unwritten = false
 }
 
 // place is where a record stands in the rewritten log.
