Carry the version with the same contents in ReplicateRequest

A new leader writes the inherited contents under its own version. The wire left out which older version has the same contents, so that every leader change sent the whole state to every voter.

--- a/internal/controlplane/transport.go
+++ b/internal/controlplane/transport.go
@@ -119,7 +119,6 @@
 	}
 }
 
-// replicateToWire leaves SameEpoch and SameSeq out: the receiver is then sent the contents.
 func replicateToWire(request failover.ReplicateRequest) (*rpc.ReplicateRequest, error) {
 	encoded := &rpc.ReplicateRequest{
 		Member:        request.Member,
@@ -128,6 +127,8 @@
 		Epoch:         request.Epoch,
 		StateEpoch:    request.StateEpoch,
 		StateSeq:      request.StateSeq,
+		SameEpoch:     request.SameEpoch,
+		SameSeq:       request.SameSeq,
 		Resign:        request.Resign,
 		CommittedSeq:  request.CommittedSeq,
 	}
@@ -151,6 +152,8 @@
 		Epoch:         request.Epoch,
 		StateEpoch:    request.StateEpoch,
 		StateSeq:      request.StateSeq,
+		SameEpoch:     request.SameEpoch,
+		SameSeq:       request.SameSeq,
 		Resign:        request.Resign,
 		CommittedSeq:  request.CommittedSeq,
 	}
