Join under a new identity where the control record is broken on disk

A control process whose two record files are both broken failed to start, and with it one voter was gone until an operator cleared the folder. It now starts as a learner: an identity drawn anew, no vote, no founding of a group; the leader exchanges the lost identity as after the loss of a disk. The log names what was lost. Other errors of the folder still end the start.

--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return errors.Wrap(err, "open the data folder: check dataDir in the settings")
 	}
-	node, err := failover.New(failover.Config{
+	node, err := startNode(failover.Config{
 		Address:   s.address,
 		Bootstrap: wanted.Bootstrap,
 		Seeds:     wanted.Seeds,
