Drop messages that a store neither owns nor holds

What a former owner knew by name alone stayed queued for ever once its only holder had lost its disk, as a scrub could not offer the body.

--- a/internal/message/table.go
+++ b/internal/message/table.go
@@ -404,6 +404,19 @@
 	}
 }
 
+// Drop forgets a queued message that this store neither owns nor holds: others do. No attempt of it may be under way.
+func (t *Table) Drop(e *Entry) {
+	if e.Ended() || e.Running || e.Stored || t.OwnedEpoch(e.Partition) > 0 {
+		panic("message: dropped while it is needed")
+	}
+	t.unschedule(e)
+	t.partition(e.Partition).removeKey(e)
+	delete(t.partition(e.Partition).members, e.Name)
+	delete(t.entries, e.Name)
+	t.queued--
+	t.liveBytes -= e.BodyBytes
+}
+
 // Forget drops messages that ended longer than keep ago. It returns how many.
 func (t *Table) Forget(keep, now time.Duration) int {
 	count := 0
--- a/internal/message/table_test.go
+++ b/internal/message/table_test.go
@@ -272,3 +272,20 @@
 	table.Finish(first, rpc.State_COMPLETED, "s", 0)
 	must.Eq(t, second, table.Start("r", aim, 0))
 }
+
+func TestDropForgetsAMessageThatOthersHold(t *testing.T) {
+	table := ownedTable(0)
+	first, second := queued("first", "r", "key", 0, 0), queued("second", "r", "key", 0, 0)
+	table.Number(first)
+	table.Number(second)
+	table.Add(first, 0)
+	table.Add(second, 0)
+	table.Disown(0)
+	table.Drop(first)
+	must.Nil(t, table.Get("first"))
+	must.Eq(t, 1, table.Queued())
+	must.Eq(t, second.BodyBytes, table.LiveBytes())
+	table.Own(0, 2)
+	table.Ready(0, 0)
+	must.Eq(t, second, table.Start("r", aim, 0))
+}
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -45,13 +45,17 @@
 func (n *Node) upkeep(now time.Duration) {
 	alive := n.aliveDisks()
 	wanted := min(n.tolerance+1, len(alive))
-	var expired, missing []*message.Entry
+	var expired, missing, unheld []*message.Entry
 	ask := map[string][]*rpc.Fate{}
 	n.table.Each(func(e *message.Entry) {
 		if e.State == rpc.State_COMPLETED {
 			return
 		}
 		if n.table.OwnedEpoch(e.Partition) == 0 {
+			if !e.Stored && !e.Ended() && !e.Running { // known from the time when this store owned it
+				unheld = append(unheld, e)
+				return
+			}
 			n.collectScrub(e, now, ask)
 			return
 		}
@@ -67,6 +71,9 @@
 		n.table.End(e, rpc.State_DEAD, "", now)
 		n.tell(e)
 	}
+	for _, e := range unheld {
+		n.table.Drop(e)
+	}
 	n.underCopied.Store(uint64(len(missing) + n.beingTakenOver()))
 	for i, e := range missing {
 		if i == repairBatch {
