--- a/internal/storenode/deliver.go
+++ b/internal/storenode/deliver.go
@@ -136,7 +136,9 @@
 	now := n.now()
 	whole := entry.Message(now)
 	whole.Body, whole.BodyBytes = m.Body, 0
-	n.write(entry, whole)
+	if n.write(entry, whole) == rpc.PutStatus_STORED {
+		n.file.Sync(func(error) {})
+	}
 }
 
 // Fetch implements rpc.Store.
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -68,7 +69,8 @@
 	cluster coordinator
 	engine  engine
 
-	commands chan func() // run by the owner goroutine, which alone touches the fields below
+	draw     func(n int) int // a random number in [0, n)
+	commands chan func()     // run by the owner goroutine, which alone touches the fields below
 	table    *message.Table
 	view     *cluster.View
 	needs    uint64 // configuration that a sender acted on: nothing older is used
@@ -119,12 +121,13 @@
 		return nil, errors.New("storenode: portRange is empty; name the first and the last port")
 	}
 	n := &Node{
-		settings: s, log: log, started: time.Now(),
+		settings: s, log: log, started: time.Now(), draw: mathrand.IntN,
 		address:   net.JoinHostPort(s.IP, strconv.Itoa(s.PortRange[0])),
 		tolerance: max(s.FaultTolerance.Machines, s.FaultTolerance.Zones, s.FaultTolerance.Regions),
 		commands:  make(chan func(), commandBuffer), table: message.NewTable(), limits: map[string]int{},
 		releases: map[uint32]uint64{}, owned: make([]atomic.Uint64, maxPartitions), closed: make(chan struct{}),
 	}
+	n.underCopied.Store(1) // not known before upkeep has counted
 	if err := n.openLog(); err != nil {
 		return nil, err
 	}
--- a/internal/storenode/peers.go
+++ b/internal/storenode/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -101,7 +100,7 @@
 			best, bestRank, same = one, rank, 1
 		case rank == bestRank:
 			same++
-			if rand.IntN(same) == 0 {
+			if p.node.draw(same) == 0 {
 				best = one
 			}
 		}
