--- a/internal/storenode/scenario_test.go
+++ b/internal/storenode/scenario_test.go
@@ -332,3 +332,23 @@
 		}
 	})
 }
+
+// A new disk is not whole while messages of its own partitions have too few copies.
+func TestNewDiskIsNotWholeBeforeItsOwnPartitionsAreCopied(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		owner, epoch := w.owner(0)
+		const count = 1500
+		for i := range count {
+			m := w.idle(fmt.Sprint("m", i), "")
+			must.Eq(t, rpc.PutStatus_STORED, w.put(owner, rpc.PutMode_OWNER, epoch, m))
+		}
+		owner.stop(end{off: true, loseDisk: true})
+		owner.start()
+		for !w.control.allWhole() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for i := range count {
+			must.GreaterEq(t, 2, w.copies(fmt.Sprint("m", i)))
+		}
+	})
+}
--- a/internal/storenode/sim_control_test.go
+++ b/internal/storenode/sim_control_test.go
@@ -20,7 +20,7 @@
 	simHolderSlack = 100 * time.Millisecond // by which a store stops earlier
 	simRenew       = 400 * time.Millisecond
 	simPlan        = 100 * time.Millisecond
-	simSettle      = 3 * time.Second // for which the others have reported enough copies before a new disk is whole
+	simSettle      = 2 * time.Second // for which the owners have reported enough copies before a new disk is whole
 	simMoves       = 4
 )
 
@@ -210,7 +210,7 @@
 func (c *controlPlane) plan() {
 	changed := false
 	for _, store := range c.stores {
-		if !store.Whole && c.othersClean(store) {
+		if !store.Whole && c.ownersSettled(store) {
 			store.Whole = true
 			changed = true
 		}
@@ -230,19 +230,22 @@
 	}
 }
 
-func (c *controlPlane) othersClean(store *rpc.StoreMember) bool {
-	for _, other := range c.stores {
-		if other == store {
-			continue
+// ownersSettled reports whether every partition has an owner, and all owners know the newest map and have reported for
+// long enough since the disk joined that no message has too few copies.
+func (c *controlPlane) ownersSettled(store *rpc.StoreMember) bool {
+	for _, p := range c.partitions {
+		owner, status := c.member(p.Owner), c.statuses[p.Owner]
+		if owner == nil || owner.Incarnation != p.Incarnation || status.request.Incarnation != p.Incarnation {
+			return false
 		}
-		status := c.statuses[other.Node]
-		speaks := status != nil && status.request.Incarnation == other.Incarnation &&
-			status.renewedAt.Sub(c.joined[store.Disk]) >= simSettle
-		owns := slices.ContainsFunc(c.partitions, func(p placement.Partition) bool { return p.Owner == other.Node })
-		if !speaks && !owns {
-			continue
+		if status.request.MapVersion < c.version || status.cleanSince.IsZero() {
+			return false
+		}
+		from := c.joined[store.Disk]
+		if status.cleanSince.After(from) {
+			from = status.cleanSince
 		}
-		if !speaks || status.cleanSince.IsZero() {
+		if status.renewedAt.Sub(from) < simSettle {
 			return false
 		}
 	}
@@ -303,12 +306,13 @@
 	c.publish()
 }
 
-// allWhole reports whether every store is a member whose disk is whole.
+// allWhole reports whether every store runs and is a member whose present disk is whole.
 func (c *controlPlane) allWhole() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, store := range c.stores {
-		if !store.Whole {
+		p := c.world.machineAt(store.Address).running()
+		if !store.Whole || p == nil || p.node.disk != store.Disk {
 			return false
 		}
 	}
--- a/internal/storenode/sim_dispatcher_test.go
+++ b/internal/storenode/sim_dispatcher_test.go
@@ -62,7 +62,13 @@
 		case <-ctx.Done():
 		}
 	}
-	if !d.maybeStored && d.pending == 0 {
+	for d.pending > 0 && w.ctx.Err() == nil {
+		if d.take(<-d.outcomes) {
+			w.ledger.accept(d.message.name)
+			return
+		}
+	}
+	if !d.maybeStored {
 		w.ledger.refuse(d.message.name)
 	}
 }
--- a/internal/storenode/sim_faults_test.go
+++ b/internal/storenode/sim_faults_test.go
@@ -13,6 +13,7 @@
 type faults struct {
 	world *world
 	next  time.Time
+	pause time.Duration // between two faults at most
 	open  []*openFault
 }
 
@@ -25,7 +26,8 @@
 }
 
 func newFaults(w *world) *faults {
-	return &faults{world: w, next: time.Now().Add(2 * time.Second)}
+	pauses := []time.Duration{3 * time.Second, time.Second, 300 * time.Millisecond}
+	return &faults{world: w, next: time.Now().Add(2 * time.Second), pause: pauses[w.random.IntN(len(pauses))]}
 }
 
 // step ends what is due to end, and may begin something.
@@ -45,7 +47,7 @@
 		return
 	}
 	f.begin()
-	f.next = now.Add(200*time.Millisecond + time.Duration(f.world.random.Int64N(int64(3*time.Second))))
+	f.next = now.Add(200*time.Millisecond + time.Duration(f.world.random.Int64N(int64(f.pause))))
 	if f.world.random.IntN(6) == 0 {
 		f.next = f.next.Add(6 * time.Second) // a calm time, in which nothing may run twice
 	}
@@ -75,7 +77,7 @@
 	if f.isBusy(m.name) || m.running() == nil {
 		return
 	}
-	switch w.random.IntN(12) {
+	switch w.random.IntN(16) {
 	case 0, 1:
 		f.down(m, end{}, 200, 1500)
 	case 2, 3:
@@ -94,6 +96,10 @@
 		f.lossy()
 	case 11:
 		f.slow(m)
+	case 12, 13, 14:
+		f.afterAccept()
+	case 15:
+		f.blackout()
 	}
 }
 
@@ -114,19 +120,54 @@
 	f.during(m, length, m.start)
 }
 
-// loseDisk takes a disk away while all others are whole and enough of them run.
+// loseDisk takes a disk away while all stores run and are whole.
 func (f *faults) loseDisk(m *machine) {
 	if !f.world.control.allWhole() {
 		return
 	}
-	for _, other := range f.world.machines {
-		if other.running() == nil {
-			return
-		}
-	}
 	f.down(m, end{off: true, loseDisk: true}, 300, 4000)
 }
 
+// afterAccept takes the power or the disk of a message's owner or of another store right after its 202.
+func (f *faults) afterAccept() {
+	w := f.world
+	select {
+	case <-w.ledger.acceptances:
+	default:
+	}
+	var accepted *sent
+	select {
+	case accepted = <-w.ledger.acceptances:
+	case <-time.After(200 * time.Millisecond):
+		return
+	}
+	m, _ := w.owner(accepted.partition)
+	if m == nil || w.random.IntN(2) == 0 {
+		m = w.machines[w.random.IntN(len(w.machines))]
+	}
+	if f.isBusy(m.name) || m.running() == nil {
+		return
+	}
+	w.note("right after the 202 of %s:", accepted.name)
+	if w.random.IntN(2) == 0 {
+		f.loseDisk(m)
+		return
+	}
+	f.down(m, end{off: w.random.IntN(3) > 0}, 200, 3000)
+}
+
+// blackout takes the power of all stores at once.
+func (f *faults) blackout() {
+	if len(f.open) > 0 {
+		return
+	}
+	length := f.between(300, 2500)
+	for _, m := range f.world.machines {
+		m.stop(end{off: true})
+		f.during(m, length+f.between(0, 1500), m.start)
+	}
+}
+
 func (f *faults) freeze(m *machine) {
 	p := m.running()
 	length := f.between(300, 6000)
--- a/internal/storenode/sim_ledger_test.go
+++ b/internal/storenode/sim_ledger_test.go
@@ -39,6 +39,8 @@
 type ledger struct {
 	world *world
 
+	acceptances chan *sent // holds one message that was just accepted
+
 	mutex      sync.Mutex
 	messages   map[string]*sent
 	byKey      map[string][]*sent // accepted ones
@@ -49,7 +51,7 @@
 }
 
 func newLedger(w *world) *ledger {
-	return &ledger{world: w, messages: map[string]*sent{}, byKey: map[string][]*sent{}}
+	return &ledger{world: w, acceptances: make(chan *sent, 1), messages: map[string]*sent{}, byKey: map[string][]*sent{}}
 }
 
 // violate notes that a rule was broken. The mutex is held.
@@ -71,6 +73,10 @@
 	defer l.mutex.Unlock()
 	m := l.messages[name]
 	m.acceptedAt = time.Now()
+	select {
+	case l.acceptances <- m:
+	default:
+	}
 	if m.key != "" {
 		l.byKey[m.key] = append(l.byKey[m.key], m)
 	}
--- a/internal/storenode/sim_test.go
+++ b/internal/storenode/sim_test.go
@@ -192,22 +192,21 @@
 // checkTables checks that no store still holds a message that it believes queued.
 func (w *world) checkTables() {
 	for _, each := range w.machines {
-		p := each.process
-		p.node.do(func() {
-			if p.node.table.Queued() == 0 {
-				return
-			}
-			names := 0
-			p.node.table.Each(func(e *messageEntry) {
-				if !e.Ended() && names < 3 {
-					names++
-					w.ledger.mutex.Lock()
-					m := w.ledger.messages[e.Name]
-					w.ledger.violate("FORGOTTEN", m, "%s holds it as queued, ended %t, refused %t", each.name, w.ledger.hasEnded(m), m.refused)
-					w.ledger.mutex.Unlock()
+		var names []string
+		each.process.node.do(func() {
+			each.process.node.table.Each(func(e *messageEntry) {
+				if !e.Ended() && len(names) < 3 {
+					names = append(names, e.Name)
 				}
 			})
 		})
+		for _, name := range names {
+			w.ledger.mutex.Lock()
+			m := w.ledger.messages[name]
+			w.ledger.violate("FORGOTTEN", m, "%s holds it as queued after %d runs, ended %t: %s", each.name, m.starts,
+				w.ledger.hasEnded(m), w.where(m))
+			w.ledger.mutex.Unlock()
+		}
 	}
 }
 
--- a/internal/storenode/sim_world_test.go
+++ b/internal/storenode/sim_world_test.go
@@ -290,6 +290,7 @@
 	}
 	p := &process{world: w, machine: m, node: node, dead: make(chan struct{})}
 	p.synced = node.file.Size()
+	node.draw = func(n int) int { return int(w.draw(m.name, "draw", n) * float64(n)) }
 	p.cluster = newFakeCluster(p)
 	w.mutex.Lock()
 	m.process, m.off = p, false
