Elect the former leader at once when it restarts

After a restart nobody voted for one lease, since grants are not on disk. But the record names the member that they can have been given to: a restarted member now assumes a grant to that member, votes for it at once, and for others one lease later (argument in grant.go). A member whose record names itself campaigns at once and tells the others that its old epoch is over, so that they drop their grants even where another one must be elected because it holds a newer version.

Mended on the way: the leader of a heartbeat was not recorded where another candidate had been voted for in the same epoch; and a member that had voted for the leader of its running grant could campaign itself before that grant ended. A candidate within a grant is now an invariant of the machine.

The mutant of the early vote after a restart clears the assumed grant, as there is no voteAfter any longer.

--- a/coord/failover/election.go
+++ b/coord/failover/election.go
@@ -11,9 +11,15 @@
 	ownGeneration uint64          // the own vote counts once this has been synced
 }
 
+// planElection sets the next campaign. None begins before the grant has ended, since a candidate votes for itself.
+func (machine *machine) planElection(earliest, spread time.Duration) {
+	machine.electionAt = max(earliest, machine.grant.ends) + spread
+}
+
 // startCampaign asks whether a majority would vote for this member.
 func (machine *machine) startCampaign(now time.Duration) {
-	machine.electionAt = now + machine.config.timing.CampaignTimeout + machine.spread()
+	machine.planElection(now+machine.config.timing.CampaignTimeout, machine.spread())
+	machine.continueFormerTerm(now)
 	machine.campaign = &campaign{
 		epoch:   max(machine.record.VotedEpoch, machine.highestEpoch) + 1,
 		askOnly: true,
@@ -25,7 +31,7 @@
 
 // startVote votes for this member itself and asks for the votes of the others.
 func (machine *machine) startVote(now time.Duration) {
-	machine.electionAt = now + machine.config.timing.CampaignTimeout + machine.spread()
+	machine.planElection(now+machine.config.timing.CampaignTimeout, machine.spread())
 	machine.record.VotedEpoch = machine.campaign.epoch
 	machine.record.VotedFor = machine.record.Identity
 	machine.changeRecord()
@@ -115,8 +121,6 @@
 func (machine *machine) mayVote(now time.Duration, request VoteRequest) bool {
 	candidateVersion := Version{Epoch: request.StateEpoch, Seq: request.StateSeq}
 	switch {
-	case now < machine.voteAfter:
-		return false
 	case machine.leadership != nil:
 		return false
 	case now < machine.grant.ends && machine.grant.leader != request.Candidate:
@@ -130,13 +134,14 @@
 	return isRepeated && !request.AskOnly
 }
 
-// vote records the vote. A campaign of this member's own ends.
+// vote records the vote. A campaign of this member's own ends. A grant stays as it is, also where the vote is for the
+// leader that has it: the request may be older than the grant.
 func (machine *machine) vote(now time.Duration, request VoteRequest) {
 	if request.Epoch == machine.record.VotedEpoch {
 		return
 	}
 	machine.campaign = nil
-	machine.electionAt = now + machine.config.timing.CampaignTimeout + machine.spread()
+	machine.planElection(now+machine.config.timing.CampaignTimeout, machine.spread())
 	machine.record.VotedEpoch = request.Epoch
 	machine.record.VotedFor = request.Candidate
 	machine.changeRecord()
--- a/coord/failover/failover.go
+++ b/coord/failover/failover.go
@@ -9,7 +9,9 @@
 // A leader serves only while it holds a lease: it runs from the moment it sent the newest heartbeat that a majority
 // answered, and ends by a margin before the grants of those that answered it. A voter votes for another candidate
 // only after its grant has ended on its own monotonic clock, for a newer epoch than it ever voted in, and only if the
-// candidate's version is at least its own.
+// candidate's version is at least its own. A member that restarts has forgotten its grants, but not whom they were
+// given to: it votes for that member at once, and for others one lease later (see grant). A leader that restarts
+// campaigns at once.
 //
 // A process has an identity that is written to its disk. A process whose disk was lost comes back with another
 // identity, so what its predecessor voted and stored is not mistaken for its own; the leader exchanges the old
--- a/coord/failover/follower.go
+++ b/coord/failover/follower.go
@@ -29,7 +29,7 @@
 		return answerReplicate{call: asked.call, reply: machine.replicateReply()}
 	}
 	mustWait := isVersionTaken || request.Contents != nil
-	if !mustWait && machine.saved.votedEpoch >= request.Epoch {
+	if !mustWait && machine.hasSavedLeader(request) {
 		machine.emit(finish())
 		return
 	}
@@ -55,12 +55,18 @@
 		address: request.LeaderAddress,
 		ends:    now + machine.config.timing.Lease,
 	}
-	machine.electionAt = machine.grant.ends + machine.spread()
-	if request.Epoch > machine.record.VotedEpoch {
-		machine.record.VotedEpoch = request.Epoch
-		machine.record.VotedFor = request.Leader
-		machine.changeRecord()
+	machine.planElection(now, machine.spread())
+	if request.Epoch == machine.record.VotedEpoch && request.Leader == machine.record.VotedFor {
+		return
 	}
+	machine.record.VotedEpoch = request.Epoch
+	machine.record.VotedFor = request.Leader
+	machine.changeRecord()
+}
+
+// hasSavedLeader reports whether the disk names the leader of the request, as it must before any acknowledgement.
+func (machine *machine) hasSavedLeader(request ReplicateRequest) bool {
+	return machine.saved.votedEpoch == request.Epoch && machine.saved.votedFor == request.Leader
 }
 
 // takeVersion takes the version of the request if it is newer and its contents are at hand.
@@ -89,11 +95,13 @@
 	}
 }
 
-// handleLeaderResigned drops the grant, so that this member may vote and be elected at once.
+// handleLeaderResigned drops the grant, so that this member may vote and be elected at once. The sender will lead
+// neither the epoch of the request nor an older one again, and mayFollow has seen that this member has accepted none
+// that is newer: so the grant is to what is over.
 func (machine *machine) handleLeaderResigned(now time.Duration, asked replicateCall) {
-	if machine.grant.leader == asked.request.Leader && machine.record.VotedEpoch == asked.request.Epoch {
+	if now < machine.grant.ends && machine.grant.leader == asked.request.Leader {
 		machine.grant = grant{}
-		machine.electionAt = max(now, machine.voteAfter) + machine.spread()
+		machine.planElection(now, machine.spread())
 	}
 	machine.emit(answerReplicate{call: asked.call, reply: machine.replicateReply()})
 }
--- a/coord/failover/leader.go
+++ b/coord/failover/leader.go
@@ -252,7 +252,7 @@
 		requests = append(requests, request)
 	}
 	machine.stepDown(now, "resigned")
-	machine.electionAt = now + machine.config.timing.Lease + machine.spread()
+	machine.planElection(now+machine.config.timing.Lease, machine.spread())
 	for position, member := range audience {
 		machine.emit(sendReplicate{address: member.Address, request: requests[position], sentAt: now})
 	}
@@ -262,7 +262,7 @@
 func (machine *machine) stepDown(now time.Duration, reason string) {
 	lead := machine.leadership
 	machine.leadership = nil
-	machine.electionAt = now + machine.spread()
+	machine.planElection(now, machine.spread())
 	if lead.inFlight != nil {
 		machine.emit(proposalDone{proposal: lead.inFlight.proposal, err: OutcomeUnknown{Reason: reason}})
 	}
--- a/coord/failover/machine.go
+++ b/coord/failover/machine.go
@@ -20,6 +20,7 @@
 type savePoint struct {
 	generation uint64 // rises with every change of the record
 	votedEpoch uint64
+	votedFor   string
 	version    Version
 }
 
@@ -29,13 +30,6 @@
 	finish     func() effect
 }
 
-// grant is the lease that this member has given to a leader.
-type grant struct {
-	leader  string
-	address string
-	ends    time.Duration
-}
-
 // machine is the reducer of one member: step takes the time and an input, and returns effects. Time is monotonic and
 // counts from any moment. It is not safe for concurrent use.
 type machine struct {
@@ -46,11 +40,11 @@
 	waiting    []waitingAnswer
 	effects    []effect
 
-	voteAfter    time.Duration // no vote before: grants from before the start are forgotten
 	ackAfter     time.Duration // no acknowledgement before; only for a disk that was empty
-	grant        grant
-	electionAt   time.Duration
-	highestEpoch uint64 // seen in replies; not a promise
+	grant        grant         // the newest
+	formerTerm   *formerTerm   // nil where the record names another leader, or none
+	electionAt   time.Duration // of the next campaign
+	highestEpoch uint64        // seen in replies; not a promise
 	campaign     *campaign
 	leadership   *leadership
 
@@ -71,16 +65,14 @@
 func newMachine(config machineConfig, record Record, kind startKind, now time.Duration) (*machine, []effect) {
 	config.timing = config.timing.withDefaults()
 	created := &machine{config: config, record: record}
-	hasPromised := record.VotedEpoch > 0 || record.Version.Epoch > 0
-	if hasPromised || kind == startJoining {
-		created.voteAfter = now + config.timing.Lease
-	}
 	if kind == startJoining {
 		created.ackAfter = now + config.timing.Lease
 	}
-	created.electionAt = max(now, created.voteAfter) + created.spread()
+	created.assumeGrant(now, kind)
+	created.planElection(now, created.spread())
 	if kind == startRestarted {
-		created.saved = savePoint{votedEpoch: record.VotedEpoch, version: record.Version}
+		created.startFormerTerm(now)
+		created.saved = savePoint{votedEpoch: record.VotedEpoch, votedFor: record.VotedFor, version: record.Version}
 	} else {
 		created.changeRecord()
 	}
@@ -113,7 +105,7 @@
 	default:
 		panic(fmt.Sprintf("failover: unknown input %T", taken))
 	}
-	machine.checkInvariants(votedBefore, versionBefore)
+	machine.checkInvariants(now, votedBefore, versionBefore)
 	return machine.takeEffects()
 }
 
@@ -169,6 +161,7 @@
 	point := savePoint{
 		generation: machine.generation,
 		votedEpoch: machine.record.VotedEpoch,
+		votedFor:   machine.record.VotedFor,
 		version:    machine.record.Version,
 	}
 	machine.emit(persist{point: point, record: machine.record})
@@ -222,7 +215,7 @@
 }
 
 // checkInvariants panics where a promise would be broken, since going on could lose what was acknowledged.
-func (machine *machine) checkInvariants(votedBefore uint64, versionBefore Version) {
+func (machine *machine) checkInvariants(now time.Duration, votedBefore uint64, versionBefore Version) {
 	switch {
 	case machine.record.VotedEpoch < votedBefore:
 		panic("failover: the voted epoch went back")
@@ -236,5 +229,7 @@
 		panic("failover: the leader accepted another epoch")
 	case machine.leadership != nil && machine.campaign != nil:
 		panic("failover: the leader is a candidate")
+	case machine.campaign != nil && now < machine.grant.ends:
+		panic("failover: a candidate has granted a lease to another member")
 	}
 }
--- a/coord/failover/record.go
+++ b/coord/failover/record.go
@@ -9,7 +9,7 @@
 type Record struct {
 	Identity   string
 	VotedEpoch uint64 // newest epoch voted in, or accepted from a leader
-	VotedFor   string // identity of that candidate or leader
+	VotedFor   string // identity of the leader accepted in it, else of the candidate voted for
 	Version    Version
 	Contents   Contents
 }
--- a/coord/failover/simulation_test.go
+++ b/coord/failover/simulation_test.go
@@ -21,15 +21,16 @@
 
 // walk plays one seed: trouble, then calm, in which the group must come back.
 func walk(seed uint64, members int, mutation mutation) *world {
+	return walkTroubledBy(seed, members, mutation, (*world).causeMixedTrouble)
+}
+
+// walkTroubledBy is walk with trouble of one kind.
+func walkTroubledBy(seed uint64, members int, mutation mutation, begin func(*world)) *world {
 	simulated := newWorld(seed, members, mutation)
 	simulated.repeat(20*time.Millisecond, 120*time.Millisecond, simulated.proposeSomewhere)
 	simulated.repeat(500*time.Millisecond, 4*time.Second, func() { simulated.isQuiet = !simulated.isQuiet })
 	simulated.repeat(200*time.Millisecond, 400*time.Millisecond, simulated.exchangeMembers)
-	simulated.repeat(100*time.Millisecond, 1200*time.Millisecond, func() {
-		if simulated.now < troubledTime {
-			simulated.causeTrouble()
-		}
-	})
+	begin(simulated)
 	simulated.run(troubledTime)
 	simulated.heal()
 	before := len(simulated.checker.succeeded)
@@ -104,6 +105,15 @@
 	return memberChange{}, false
 }
 
+// causeMixedTrouble begins random faults until the calm.
+func (world *world) causeMixedTrouble() {
+	world.repeat(100*time.Millisecond, 1200*time.Millisecond, func() {
+		if world.now < troubledTime {
+			world.causeTrouble()
+		}
+	})
+}
+
 // causeTrouble begins one random fault.
 func (world *world) causeTrouble() {
 	world.faults++
@@ -282,7 +292,7 @@
 	}{
 		{"a witness votes at once after a restart", mutation{
 			afterStart: func(process *process) {
-				process.machine.voteAfter = 0
+				process.machine.grant = grant{}
 				process.machine.electionAt = process.clock()
 			},
 		}},
--- a/coord/failover/world_test.go
+++ b/coord/failover/world_test.go
@@ -29,6 +29,7 @@
 	timing       Timing
 	beforeStep   func(process *process, taken input) input
 	afterStart   func(process *process)
+	beforeSave   func(process *process, record Record) Record
 	unsynced     bool // saves are confirmed before they are synced
 	keepIdentity bool // a process whose disk was lost comes back under its old name
 }
@@ -300,6 +301,9 @@
 	case answerReplicate:
 		world.calls[wanted.call](wanted)
 	case persist:
+		if world.mutation.beforeSave != nil {
+			wanted.record = world.mutation.beforeSave(process, wanted.record)
+		}
 		process.save(wanted)
 	case committed:
 		world.checker.commit(wanted)
