Put the own campaign off while another member's pre-vote succeeds

Two members that campaigned at the same time split the votes and lost a CampaignTimeout. A member that grants a pre-vote now waits for a moment; of two that ask at once, the lower identity goes on. The pause is shorter than that between two campaigns, so a candidate whose answers are lost holds up nobody for good.

--- a/coord/failover/election.go
+++ b/coord/failover/election.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// yieldDivisor is how many pauses of yieldTo last as long as a CampaignTimeout.
+const yieldDivisor = 4
+
 // campaign is this member's candidacy. It asks first whether a majority would vote for it (pre-vote), so that a
 // member that was cut off does not raise the epoch of a group that has a leader.
 type campaign struct {
@@ -105,7 +108,10 @@
 		return
 	}
 	granted := machine.mayVote(now, request)
-	if granted && !request.AskOnly {
+	switch {
+	case granted && request.AskOnly:
+		machine.yieldTo(now, request.Candidate)
+	case granted:
 		machine.vote(now, request)
 	}
 	reply := VoteReply{Granted: granted, Epoch: machine.record.VotedEpoch}
@@ -134,6 +140,20 @@
 	return isRepeated && !request.AskOnly
 }
 
+// yieldTo puts the own campaign off for a moment where another member's may succeed, so that votes are seldom split.
+// Where both ask at the same time, the one with the lower identity goes on. The pause is shorter than that between two
+// campaigns of the other, whose answers may all be lost.
+func (machine *machine) yieldTo(now time.Duration, candidate string) {
+	if machine.campaign != nil {
+		if machine.campaign.askOnly && candidate < machine.record.Identity {
+			machine.campaign = nil
+		}
+		return
+	}
+	pause := machine.config.timing.CampaignTimeout / yieldDivisor
+	machine.electionAt = max(machine.electionAt, now+pause)
+}
+
 // vote records the vote. A campaign of this member's own ends. A grant stays as it is, also where the vote is for the
 // leader that has it: the request may be older than the grant.
 func (machine *machine) vote(now time.Duration, request VoteRequest) {
