--- a/internal/storenode/scenario_test.go
+++ b/internal/storenode/scenario_test.go
@@ -352,3 +352,26 @@
 		}
 	})
 }
+
+// A store that has answered a newer owner refuses the writes of older ones, also after its power was lost.
+func TestGatheredStoreRefusesOlderEpochs(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		_, epoch := w.owner(0)
+		holder := w.others(0)[0]
+		must.Eq(t, rpc.PutStatus_STORED, w.put(holder, rpc.PutMode_HOLDER, epoch, w.idle("before", "")))
+		client := &storeClient{world: w, from: clientName, address: holder.address}
+		ctx, cancel := context.WithTimeout(w.ctx, time.Second)
+		defer cancel()
+		reply, err := client.Gather(ctx, &rpc.GatherRequest{Partitions: []*rpc.PartitionEpoch{{Partition: 0, Epoch: epoch + 5}}})
+		must.NoError(t, err)
+		must.False(t, reply.Stale)
+		must.Len(t, 1, reply.Messages)
+		must.Eq(t, rpc.PutStatus_STALE_EPOCH, w.put(holder, rpc.PutMode_HOLDER, epoch, w.idle("after", "")))
+		holder.stop(end{off: true})
+		holder.start()
+		must.Eq(t, rpc.PutStatus_STALE_EPOCH, w.put(holder, rpc.PutMode_HOLDER, epoch, w.idle("later", "")))
+		reply, err = client.Gather(ctx, &rpc.GatherRequest{Partitions: []*rpc.PartitionEpoch{{Partition: 0, Epoch: epoch + 4}}})
+		must.NoError(t, err)
+		must.True(t, reply.Stale)
+	})
+}
--- a/internal/storenode/sim_control_test.go
+++ b/internal/storenode/sim_control_test.go
@@ -132,6 +132,12 @@
 	return c.view, c.changed
 }
 
+func (c *controlPlane) owner(partition uint32) placement.Partition {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.partitions[partition]
+}
+
 func (c *controlPlane) member(node string) *rpc.StoreMember {
 	for _, store := range c.stores {
 		if store.Node == node {
--- a/internal/storenode/sim_faults_test.go
+++ b/internal/storenode/sim_faults_test.go
@@ -149,20 +149,26 @@
 		return
 	}
 	w.note("right after the 202 of %s:", accepted.name)
-	if w.random.IntN(2) == 0 {
+	switch w.random.IntN(4) {
+	case 0:
 		f.loseDisk(m)
 		return
+	case 1: // one disk at the same moment as the power of all others
+		if f.loseDisk(m); m.running() == nil {
+			f.blackout()
+		}
+		return
 	}
 	f.down(m, end{off: w.random.IntN(3) > 0}, 200, 3000)
 }
 
 // blackout takes the power of all stores at once.
 func (f *faults) blackout() {
-	if len(f.open) > 0 {
-		return
-	}
 	length := f.between(300, 2500)
 	for _, m := range f.world.machines {
+		if f.isBusy(m.name) || m.running() == nil {
+			continue
+		}
 		m.stop(end{off: true})
 		f.during(m, length+f.between(0, 1500), m.start)
 	}
--- a/internal/storenode/sim_ledger_test.go
+++ b/internal/storenode/sim_ledger_test.go
@@ -161,6 +161,16 @@
 	return m.starts
 }
 
+// checkOwner checks that the control plane has given the partition to nobody else when a message is sent to a worker.
+func (l *ledger) checkOwner(job *delivery.Job, p *process) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	m := l.messages[job.Name]
+	if owner := l.world.control.owner(m.partition); owner.Incarnation != p.node.incarnation {
+		l.violate("LEASE", m, "%s sends it, but %s owns the partition under epoch %d", p.machine.name, owner.Owner, owner.Epoch)
+	}
+}
+
 func (l *ledger) checkJob(m *sent, job *delivery.Job) {
 	if !bytes.Equal(job.Body, m.body) || job.Route != m.route || job.OrderKey != m.key || job.RequestID != m.name {
 		l.violate("UNASKED", m, "the job differs: %d bytes, route %s, key %q", len(job.Body), job.Route, job.OrderKey)
--- a/internal/storenode/sim_worker_test.go
+++ b/internal/storenode/sim_worker_test.go
@@ -60,6 +60,7 @@
 		time.Sleep(simTimeout)
 		return delivery.Outcome{}
 	}
+	w.ledger.checkOwner(job, p)
 	outcome := w.ledger.work(job, name)
 	if p.awaitThaw() && w.isCut(workersName, name) {
 		time.Sleep(simTimeout)
