Know later incarnations at once, and give up stores that stay away

A store killed with its disk waited 0.9 s for its old incarnation's silence; starts are numbered now, so a later one takes its place at once and a held-up renewal of an earlier one is refused. A store that was replaced for good kept counting, so that a take-over after the next loss would wait for it: after 20 s without a lease its copies count as missing, and once the owners have restored them it is taken out of the map, while enough whole stores are left. It stays in the state, so that its incarnation is known when it comes back. Ruled out: removing it, by the model (a store that came back acted on an old table). A new leader that has not begun its term says that it leads, in place of naming itself as another one. Control processes that do not lead look at their lease each 2 s.

--- a/internal/controlplane/leadership.go
+++ b/internal/controlplane/leadership.go
@@ -10,8 +10,11 @@
 	"foldlb.example/foldlb/internal/rpc"
 )
 
-// leadPeriod is the most time between two looks at the leader's lease: its end comes without an event.
-const leadPeriod = 200 * time.Millisecond
+// Most time between two looks at the leader's lease. Its end comes without an event, its beginning with one.
+const (
+	leadPeriod   = 200 * time.Millisecond
+	followPeriod = 2 * time.Second
+)
 
 // wakeLeadership has the state looked at now.
 func (s *Server) wakeLeadership() {
@@ -23,11 +26,15 @@
 
 // runLeadership begins and ends terms and publishes what is committed, until the context ends.
 func (s *Server) runLeadership(ctx context.Context) {
-	timer := time.NewTimer(leadPeriod)
+	timer := time.NewTimer(followPeriod)
 	defer timer.Stop()
 	for {
 		s.checkLeadership()
-		timer.Reset(leadPeriod)
+		if s.currentTerm() == nil {
+			timer.Reset(followPeriod)
+		} else {
+			timer.Reset(leadPeriod)
+		}
 		select {
 		case <-timer.C:
 		case <-s.leadershipWake:
@@ -66,7 +73,6 @@
 	s.hub.Publish(headerPart(epoch), watch.Part{Index: partWorkers})
 	s.publishState()
 	s.term.Store(begun)
-	s.log.Info("leads", "epoch", epoch)
 	s.startTermWork(begun)
 	return begun
 }
@@ -100,7 +106,6 @@
 	}
 	ended.cancel()
 	s.hub.Disconnect()
-	s.log.Info("leads no more", "epoch", ended.epoch)
 }
 
 // runDiscovery streams the platform's list of workers until the term ends.
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	membershipPeriod = time.Second
+	membershipPeriod = 500 * time.Millisecond
 	minVoters        = 3
 )
 
@@ -28,9 +28,6 @@
 func (s *Server) runMembership(t *term) {
 	for sleep(t.context, membershipPeriod) {
 		now := time.Now()
-		if now.Sub(t.started) < 2*membershipPeriod {
-			continue
-		}
 		s.noteSelf(now)
 		status := s.node.Status()
 		change := planVoters(status.Members, status.Identity, s.peers.heard(now), s.wantedVoters(), now.Sub(t.started))
@@ -68,18 +65,18 @@
 		return change
 	}
 	standby := bestStandby(voters, heard)
+	if len(voters) < wanted && standby != nil {
+		return voterChange{add: standby}
+	}
+	if ledFor < peerExpiry {
+		return voterChange{} // the others may not have joined here yet
+	}
 	if len(voters) > wanted {
 		return voterChange{removeID: removableVoter(voters, leaderID, heard)}
 	}
 	if standby == nil {
 		return voterChange{}
 	}
-	if len(voters) < wanted {
-		return voterChange{add: standby}
-	}
-	if ledFor < peerExpiry {
-		return voterChange{}
-	}
 	if silent := silentVoter(voters, leaderID, heard); silent != "" {
 		return voterChange{add: standby, removeID: silent}
 	}
--- a/internal/controlplane/model_test.go
+++ b/internal/controlplane/model_test.go
@@ -15,8 +15,9 @@
 const (
 	modelStep   = 50 * time.Millisecond
 	modelCopies = 2
-	renewEvery  = 8  // steps
-	commitMost  = 6  // steps that a commit may take
+	renewEvery  = 8 // steps
+	commitMost  = 6 // steps that a commit may take
+	eventKinds  = 7
 	streamMost  = 12 // one in so many steps carries the newest table to a store
 )
 
@@ -32,11 +33,12 @@
 	leaseEnd time.Time
 	released map[uint32]uint64 // epochs under which it stopped to act
 	renewIn  int               // steps
+	lost     *rpc.RenewRequest // of an earlier run, held up on its way
 	streamIn int               // steps until the newest table reaches it; 0 where it has it
 }
 
 func (s *modelStore) incarnation() string {
-	return fmt.Sprintf("%s/%d", s.node, s.run)
+	return fmt.Sprintf("%08x-%s", s.run, s.node)
 }
 
 // acts reports whether the store would act for a partition now.
@@ -52,7 +54,7 @@
 func (s *modelStore) request() *rpc.RenewRequest {
 	return &rpc.RenewRequest{
 		Node: s.node, Incarnation: s.incarnation(), Zone: s.node, Role: roleStore,
-		Disk: "disk-" + s.node, Leaving: s.leaving, MapVersion: s.known.MapVersion,
+		Disk: "disk-" + s.node, Address: s.node, Leaving: s.leaving, MapVersion: s.known.MapVersion,
 	}
 }
 
@@ -67,6 +69,7 @@
 	base      uint64 // map version that it was made on
 	releases  []*release
 	commitIn  int // steps
+	settling  bool
 }
 
 func newModelWorld(size int) *modelWorld {
@@ -89,12 +92,19 @@
 }
 
 func (w *modelWorld) step(t *rapid.T, draw func(below int) int) {
+	w.advance(draw)
+	if double := w.doubleOwner(); double != "" {
+		t.Fatal(double)
+	}
+}
+
+// advance lets one step of time pass.
+func (w *modelWorld) advance(draw func(below int) int) {
 	w.now = w.now.Add(modelStep)
 	w.plan(draw)
 	for _, store := range w.stores {
 		w.stepStore(store, draw)
 	}
-	w.checkOneOwner(t)
 }
 
 func (w *modelWorld) plan(draw func(int) int) {
@@ -129,6 +139,9 @@
 }
 
 func (w *modelWorld) stepStore(store *modelStore, draw func(int) int) {
+	if store.lost != nil && draw(streamMost) == 0 {
+		w.term.renewStore(w.committed, store.lost, w.now)
+	}
 	if !store.running || store.cut {
 		return
 	}
@@ -146,7 +159,7 @@
 	}
 	store.renewIn = renewEvery
 	outcome := w.term.renewStore(w.committed, store.request(), w.now)
-	isAnswerLost := draw(5) == 0
+	isAnswerLost := !w.settling && draw(5) == 0
 	if outcome.granted && !isAnswerLost {
 		store.leaseEnd = w.now.Add(leaseDuration)
 	}
@@ -167,8 +180,8 @@
 	}
 }
 
-// checkOneOwner is the invariant: no two processes act for a partition at a time.
-func (w *modelWorld) checkOneOwner(t *rapid.T) {
+// doubleOwner is the invariant: no two processes act for a partition at a time. It is empty where that holds.
+func (w *modelWorld) doubleOwner() string {
 	for partition := range partitionCount {
 		acting := ""
 		for _, store := range w.stores {
@@ -176,17 +189,18 @@
 				continue
 			}
 			if acting != "" {
-				t.Fatalf("%s and %s act for partition %d", acting, store.incarnation(), partition)
+				return fmt.Sprintf("%s and %s act for partition %d", acting, store.incarnation(), partition)
 			}
 			acting = store.incarnation()
 		}
 	}
+	return ""
 }
 
-// disturb changes the fortune of one store, or of the leader.
-func (w *modelWorld) disturb(draw func(int) int) {
+// disturb changes the fortune of one store, or of the leader. Only the first kinds of events happen.
+func (w *modelWorld) disturb(draw func(int) int, kinds int) {
 	store := w.stores[draw(len(w.stores))]
-	switch draw(7) {
+	switch draw(kinds) {
 	case 0:
 		store.running = false
 	case 1:
@@ -198,9 +212,9 @@
 	case 4:
 		store.leaving = !store.leaving
 	case 5:
-		w.changeLeader()
-	case 6:
 		w.retire(store)
+	case 6:
+		w.changeLeader()
 	}
 }
 
@@ -209,6 +223,7 @@
 		return
 	}
 	s.running = true
+	s.lost = s.request()
 	s.run++
 	s.leaving = false
 	s.known = &rpc.ControlState{}
@@ -232,6 +247,7 @@
 
 // settle ends all trouble and waits for balance.
 func (w *modelWorld) settle(t *rapid.T, draw func(int) int) {
+	w.settling = true
 	for _, store := range w.stores {
 		store.start()
 		store.cut = false
@@ -280,13 +296,64 @@
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64Range(0, 1<<20).Draw(t, "seed")
 		draw := drawsOf(seed)
+		calm := rapid.IntRange(5, 200).Draw(t, "steps between events")
+		kinds := rapid.IntRange(4, eventKinds).Draw(t, "kinds of events")
 		w := newModelWorld(rapid.IntRange(2, 5).Draw(t, "stores"))
-		for range rapid.IntRange(0, 400).Draw(t, "steps") {
-			if draw(8) == 0 {
-				w.disturb(draw)
+		for range rapid.IntRange(0, 1200).Draw(t, "steps") {
+			if draw(calm) == 0 {
+				w.disturb(draw, kinds)
 			}
 			w.step(t, draw)
 		}
 		w.settle(t, draw)
 	})
 }
+
+// run plays a model without events.
+func run(t *testing.T, w *modelWorld, steps int, draw func(int) int) {
+	t.Helper()
+	for range steps {
+		w.advance(draw)
+		must.EqOp(t, "", w.doubleOwner())
+	}
+}
+
+func TestStoreThatStaysAwayIsGivenUpUntilItComesBack(t *testing.T) {
+	for seed := range uint64(10) {
+		loseAndRegainStore(t, drawsOf(seed))
+	}
+}
+
+func loseAndRegainStore(t *testing.T, draw func(int) int) {
+	t.Helper()
+	const second = int(time.Second / modelStep)
+	w := newModelWorld(4)
+	run(t, w, 10*second, draw)
+	lost := w.stores[0]
+	lost.cut = true
+	run(t, w, 15*second, draw)
+	must.Len(t, 4, activeStores(w.committed))
+	must.False(t, findStore(w.committed.Stores, lost.node).Leaving)
+	run(t, w, 15*second, draw)
+	must.Len(t, 3, activeStores(w.committed))
+	must.True(t, isGone(findStore(w.committed.Stores, lost.node)))
+
+	w.changeLeader()
+	run(t, w, 5*second, draw)
+	lost.cut = false
+	run(t, w, 10*second, draw)
+	back := findStore(w.committed.Stores, lost.node)
+	must.Len(t, 4, activeStores(w.committed))
+	must.True(t, back.Whole)
+	must.False(t, back.Leaving)
+}
+
+func TestStoreIsNotGivenUpWhereTooFewWouldBeLeft(t *testing.T) {
+	draw := drawsOf(1)
+	w := newModelWorld(2)
+	run(t, w, 200, draw)
+	w.stores[0].cut = true
+	run(t, w, 1000, draw)
+	must.Len(t, 2, activeStores(w.committed))
+	must.False(t, findStore(w.committed.Stores, w.stores[0].node).Leaving)
+}
--- a/internal/controlplane/planner.go
+++ b/internal/controlplane/planner.go
@@ -91,6 +91,7 @@
 		return nil, nil, err
 	}
 	t.completeRetirements(state, next, now)
+	t.giveUpSilent(state, next, copies, now)
 	t.fenceLosers(state, next, now)
 	return next, released, nil
 }
@@ -102,12 +103,14 @@
 	t.releases = append(released, t.releases...)
 }
 
-// admitStores records the stores and incarnations that have come.
+// admitStores records the stores and incarnations that have come and are still there.
 func (t *term) admitStores(state *rpc.ControlState, next *table, now time.Time) {
 	for _, status := range t.stores {
-		if admissionOf(state, status) == admissionNew {
-			next.admit(status)
-			status.admittedAt = now
+		isThere := now.Sub(status.renewedAt) < leaseDuration
+		if isThere && admissionOf(state, status) == admissionNew {
+			if next.admit(status) {
+				status.admittedAt = now
+			}
 		}
 	}
 }
@@ -161,7 +164,7 @@
 			Alive:       alive,
 			Ended:       !alive && t.leases.ended(store.Node, store.Incarnation, now),
 			Leaving:     store.Leaving || leaves,
-			Eligible:    !retired,
+			Eligible:    !retired && !isGone(store),
 		})
 	}
 	return append(members, formerOwners(next)...)
--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -13,6 +13,9 @@
 	retireSettle = 3 * time.Second // before a machine that owns nothing may be taken away
 )
 
+// goneAfter is how long a store must have been without a lease until its copies count as missing.
+const goneAfter = 20 * time.Second
+
 // restoreWhole marks the stores whole whose lost copies have been restored: each says so itself, or all owners
 // have reported for wholeSettle since it joined that no message has too few copies.
 func (t *term) restoreWhole(state *rpc.ControlState, next *table, now time.Time) {
@@ -58,6 +61,50 @@
 	}
 }
 
+// giveUpSilent has the copies of stores restored elsewhere that have been away for long, and gives the stores
+// up once that is done: while they count, another machine may not be lost. Enough stores must be left. One that
+// comes back before counts again.
+func (t *term) giveUpSilent(state *rpc.ControlState, next *table, copies int, now time.Time) {
+	for _, member := range takingPart(next.stores, next.retirements) {
+		if findRetirement(next.retirements, member.Node) != nil {
+			continue
+		}
+		if !t.leases.ended(member.Node, member.Incarnation, now) || t.isAlive(member, now) {
+			delete(t.silentSince, member.Node)
+			member.Leaving = false
+			continue
+		}
+		since, known := t.silentSince[member.Node]
+		if !known {
+			since = now
+			t.silentSince[member.Node] = now
+		}
+		if now.Sub(since) < goneAfter || next.ownsAny(member.Node) || !t.enoughWithout(next, member.Node, copies, now) {
+			continue
+		}
+		if !member.Leaving {
+			member.Leaving = true
+			continue
+		}
+		if t.ownersSettled(state, next, since.Add(goneAfter), retireSettle) {
+			giveUp(member)
+			delete(t.silentSince, member.Node)
+		}
+	}
+}
+
+// enoughWithout reports whether enough whole stores hold a lease beside one.
+func (t *term) enoughWithout(next *table, node string, copies int, now time.Time) bool {
+	left := 0
+	for _, other := range takingPart(next.stores, next.retirements) {
+		alive := t.leases.alive(other.Node, other.Incarnation, now)
+		if other.Node != node && other.Whole && !other.Leaving && alive {
+			left++
+		}
+	}
+	return left >= copies
+}
+
 // ownersSettled reports whether every partition has an owner, and all owners know the newest table and have
 // reported for so long since a moment that no message has too few copies.
 func (t *term) ownersSettled(state *rpc.ControlState, next *table, since time.Time, settle time.Duration) bool {
--- a/internal/controlplane/retire.go
+++ b/internal/controlplane/retire.go
@@ -41,7 +41,7 @@
 		return nil
 	}
 	store := findStore(state.Stores, node)
-	if store == nil {
+	if store == nil || isGone(store) {
 		return refuse(http.StatusNotFound, "no store machine is called %q: give the name of one that takes part", node)
 	}
 	left := 0
--- a/internal/controlplane/service.go
+++ b/internal/controlplane/service.go
@@ -73,9 +73,9 @@
 		granted = server.renew(term, request)
 	}
 	// The lease is looked at again after the grant was counted: a later leader begins after it has ended.
-	leading := term != nil && server.currentTerm() == term && server.state.leading()
+	leading := server.state.leading()
 	reply := &rpc.RenewReply{
-		Granted:          granted && leading,
+		Granted:          granted && leading && server.currentTerm() == term,
 		Leader:           leading,
 		LeaderAddress:    server.leaderAddress(),
 		ControlAddresses: server.controlAddresses(),
--- a/internal/controlplane/table.go
+++ b/internal/controlplane/table.go
@@ -68,7 +68,21 @@
 	return retirement != nil && retirement.Completed
 }
 
-// activeStores returns the stores that take part: all but those that have been emptied.
+// isGone reports whether a store was given up after it had been away for long and its copies had been restored
+// elsewhere. It stays in the table without an address, so that its disk and incarnation are known when it comes
+// back.
+func isGone(store *rpc.StoreMember) bool {
+	return store.Leaving && store.Address == ""
+}
+
+// giveUp makes a store one that is gone.
+func giveUp(store *rpc.StoreMember) {
+	store.Leaving = true
+	store.Whole = false
+	store.Address = ""
+}
+
+// activeStores returns the stores that take part: all but those that have been emptied or are gone.
 func activeStores(state *rpc.ControlState) []*rpc.StoreMember {
 	return takingPart(state.Stores, state.Retirements)
 }
@@ -76,7 +90,7 @@
 func takingPart(stores []*rpc.StoreMember, retirements []*rpc.Retirement) []*rpc.StoreMember {
 	active := make([]*rpc.StoreMember, 0, len(stores))
 	for _, store := range stores {
-		if !isRetired(retirements, store.Node) {
+		if !isRetired(retirements, store.Node) && !isGone(store) {
 			active = append(active, store)
 		}
 	}
@@ -100,22 +114,26 @@
 		return admissionNew
 	case isRetired(state.Retirements, status.node):
 		return admissionRetired
-	case member.Incarnation != status.incarnation:
+	case member.Incarnation != status.incarnation || isGone(member):
 		return admissionNew
 	default:
 		return admissionKnown
 	}
 }
 
-// admit records a store. A new disk is whole only as long as no partition ever had an owner: before that
-// nothing can have been lost. A new disk takes the place of the machine's old one. A machine that is being
-// emptied goes on being so; one that was emptied and comes back with a new disk is a new one.
-func (t *table) admit(status *storeStatus) {
+// admit records a store, and reports whether its incarnation was never recorded before. A new disk is whole only
+// as long as no partition ever had an owner: before that nothing can have been lost. A new disk takes the place
+// of the machine's old one. A machine that is being emptied goes on being so; one that was emptied and comes
+// back with a new disk is a new one.
+func (t *table) admit(status *storeStatus) bool {
 	member := findStore(t.stores, status.node)
 	if member == nil {
 		member = &rpc.StoreMember{Node: status.node}
 		t.stores = append(t.stores, member)
 	}
+	if isGone(member) {
+		member.Leaving = false
+	}
 	if member.Disk != status.disk {
 		member.Disk = status.disk
 		member.Whole = len(t.partitions) == 0
@@ -124,9 +142,11 @@
 			t.forgetRetirement(status.node)
 		}
 	}
+	isNew := member.Incarnation != status.incarnation
 	member.Address = status.address
 	member.Zone = status.zone
 	member.Incarnation = status.incarnation
+	return isNew
 }
 
 func (t *table) forgetRetirement(node string) {
--- a/internal/controlplane/term.go
+++ b/internal/controlplane/term.go
@@ -12,8 +12,8 @@
 const (
 	leaseDuration = 2000 * time.Millisecond // of a store or dispatcher, from the moment it sent the renewal
 	leaseMargin   = 300 * time.Millisecond  // by which the leader waits longer; bounds the drift of clocks
-	// supersedeAfter is how long an incarnation must have been silent before another of the same machine
-	// takes its place: a renewal of an ended process that was held up on its way is no newer incarnation.
+	// supersedeAfter is how long a disk must have been silent before another of the same machine takes its
+	// place: a renewal of an ended process that was held up on its way tells of no newer disk.
 	supersedeAfter = 900 * time.Millisecond
 	assignAfter    = 1500 * time.Millisecond // from the first store to the first assignment
 	assignAtLatest = 3 * time.Second         // the first assignment waits for more stores until then
@@ -75,6 +75,7 @@
 	firstStore  time.Time            // when the first store renewed
 	joined      map[string]time.Time // by disk: since when a disk that is not whole has been known
 	emptySince  map[string]time.Time // by machine that retires: since when it has owned nothing
+	silentSince map[string]time.Time // by machine: since when its store has held no lease
 	releases    []*release
 	listVersion uint64 // of the list of workers
 }
@@ -92,6 +93,7 @@
 		fences:      make(map[string]uint64),
 		joined:      make(map[string]time.Time),
 		emptySince:  make(map[string]time.Time),
+		silentSince: make(map[string]time.Time),
 	}
 }
 
@@ -128,7 +130,7 @@
 	status := t.stores[request.Node]
 	isNew := status == nil || status.incarnation != request.Incarnation
 	if isNew {
-		if now.Sub(t.lastSign(state, request)) < supersedeAfter {
+		if !t.mayBeNewest(state, request, now) {
 			return nil, false
 		}
 		status = &storeStatus{node: request.Node, incarnation: request.Incarnation}
@@ -140,16 +142,25 @@
 	return status, status.note(request, now) || isNew
 }
 
-// lastSign returns when another incarnation of the machine was last known to live; zero for never.
-func (t *term) lastSign(state *rpc.ControlState, request *rpc.RenewRequest) time.Time {
+// mayBeNewest reports whether an incarnation may take the place of those known of its machine. Incarnations of
+// one disk are in order. Those of different disks are not: the older one must have been silent for a while.
+func (t *term) mayBeNewest(state *rpc.ControlState, request *rpc.RenewRequest, now time.Time) bool {
 	if status := t.stores[request.Node]; status != nil {
-		return status.renewedAt
+		if status.disk == request.Disk {
+			return request.Incarnation > status.incarnation
+		}
+		if now.Sub(status.renewedAt) < supersedeAfter {
+			return false
+		}
 	}
 	member := findStore(state.Stores, request.Node)
-	if member != nil && member.Incarnation != request.Incarnation {
-		return t.started
+	if member == nil || member.Incarnation == request.Incarnation {
+		return true
+	}
+	if member.Disk == request.Disk {
+		return request.Incarnation > member.Incarnation
 	}
-	return time.Time{}
+	return now.Sub(t.started) >= supersedeAfter
 }
 
 // note records a renewal and reports whether it tells anything that the planner acts on.
