--- a/internal/controlplane/join.go
+++ b/internal/controlplane/join.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	joinPeriod  = 2 * time.Second
+	joinPeriod  = time.Second
 	joinRetry   = 500 * time.Millisecond // while no leader is known
 	joinTimeout = 700 * time.Millisecond
 	hintExpiry  = 5 * time.Second // of the leader's address as another process told it
