--- a/internal/controlplane/planner.go
+++ b/internal/controlplane/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -126,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	partitions, _, err = placement.Plan(members, partitions, maxMoves)
+	partitions, err = planGroups(members, partitions)
 	if err != nil {
 		return err
 	}
@@ -136,6 +137,29 @@
 	return nil
 }
 
+// partitionGroups is the number of groups of partitions, by remainder: pinned messages go to even partitions and free ones to
+// odd ones, so each group is balanced for itself.
+const partitionGroups = 2
+
+// planGroups plans each group of partitions.
+func planGroups(members []placement.Member, partitions []placement.Partition) ([]placement.Partition, error) {
+	planned := slices.Clone(partitions)
+	for group := range partitionGroups {
+		var part []placement.Partition
+		for index := group; index < len(partitions); index += partitionGroups {
+			part = append(part, partitions[index])
+		}
+		next, _, err := placement.Plan(members, part, maxMoves)
+		if err != nil {
+			return partitions, err
+		}
+		for index, partition := range next {
+			planned[index*partitionGroups+group] = partition
+		}
+	}
+	return planned, nil
+}
+
 // mayAssignFirst reports whether enough stores have come for the first assignment, so that each gets its share
 // at once.
 func (t *term) mayAssignFirst(copies int, now time.Time) bool {
--- a/internal/ingest/name.go
+++ b/internal/ingest/name.go
@@ -45,9 +45,16 @@
 // randomName draws the random part of a name.
 func randomName() uint64 { return rand.Uint64() }
 
-// hashPartition maps a key to one of so many partitions. All dispatchers must agree on it.
+// Even partitions are for messages that a key or a rate pins to one owner, odd ones for those that may go to any. So a
+// partition with an order is not held up by long runs of messages without one when it is handed over.
+
+// hashPartition maps a key to one of the even partitions of so many. All dispatchers must agree on it.
 func hashPartition(key string, partitions uint32) uint32 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(key))
-	return uint32(hash.Sum64() % uint64(partitions))
+	pairs := max(1, uint64(partitions)/2)
+	return uint32(hash.Sum64() % pairs * 2)
 }
+
+// isFree reports whether a partition is for messages that may go to any.
+func isFree(partition uint32) bool { return partition%2 == 1 }
--- a/internal/ingest/partition.go
+++ b/internal/ingest/partition.go
@@ -14,7 +14,7 @@
 	near := view.PartitionsOwnedInZone(d.settings.Zone)
 	for i := range near {
 		candidate := near[(turn+uint64(i))%uint64(len(near))]
-		if d.healthyOwner(view, candidate, avoid) {
+		if isFree(candidate) && d.healthyOwner(view, candidate, avoid) {
 			return candidate, true
 		}
 	}
@@ -29,12 +29,12 @@
 	})
 }
 
-// anyPartition returns the first partition, counted from turn, that is suitable.
+// anyPartition returns the first free partition, counted from turn, that is suitable.
 func anyPartition(view *cluster.View, turn uint64, suitable func(uint32) bool) (uint32, bool) {
 	count := uint64(view.Partitions())
 	for i := range count {
 		candidate := uint32((turn + i) % count)
-		if suitable(candidate) {
+		if isFree(candidate) && suitable(candidate) {
 			return candidate, true
 		}
 	}
--- a/internal/ingest/world_test.go
+++ b/internal/ingest/world_test.go
@@ -181,7 +181,7 @@
 	for i := range 4 {
 		w.stores = append(w.stores, newStore(t, fmt.Sprint("n", i), fmt.Sprint("z", i+1)))
 	}
-	w.publishMap(10, func(partition int) *standInStore { return w.stores[partition%len(w.stores)] })
+	w.publishMap(10, w.ownerAtFirst)
 	w.publishConfig(1)
 	return w
 }
@@ -321,14 +321,17 @@
 	w.t.Helper()
 	partition, ok := partitionOf(name)
 	must.True(w.t, ok)
-	return w.stores[int(partition)%len(w.stores)]
+	return w.ownerAtFirst(int(partition))
 }
 
+// ownerAtFirst gives each store an even partition, for pinned messages, and an odd one, for free ones.
+func (w *world) ownerAtFirst(partition int) *standInStore { return w.stores[partition/2%len(w.stores)] }
+
 // keyOwnedBy finds an order key whose partition a store owns.
 func (w *world) keyOwnedBy(store *standInStore) string {
 	for i := 0; ; i++ {
 		key := fmt.Sprint("key", i)
-		if w.stores[int(hashPartition(key, testPartitions))%len(w.stores)] == store {
+		if w.ownerAtFirst(int(hashPartition(key, testPartitions))) == store {
 			return key
 		}
 	}
