--- a/internal/storenode/scenario_test.go
+++ b/internal/storenode/scenario_test.go
@@ -353,25 +353,54 @@
 	})
 }
 
-// A store that has answered a newer owner refuses the writes of older ones, also after its power was lost.
+// A store that has answered a newer owner refuses the writes of older ones, also where its power is lost right then.
 func TestGatheredStoreRefusesOlderEpochs(t *testing.T) {
+	for _, powerLost := range []bool{false, true} {
+		simulated(t, smallScale, func(t *testing.T, w *world) {
+			_, epoch := w.owner(0)
+			holder := w.others(0)[0]
+			must.Eq(t, rpc.PutStatus_STORED, w.put(holder, rpc.PutMode_HOLDER, epoch, w.idle("before", "")))
+			reply := w.gather(holder, epoch+5)
+			must.False(t, reply.Stale)
+			must.Len(t, 1, reply.Messages)
+			if powerLost {
+				holder.stop(end{off: true})
+				holder.start()
+			}
+			must.Eq(t, rpc.PutStatus_STALE_EPOCH, w.put(holder, rpc.PutMode_HOLDER, epoch, w.idle("after", "")))
+			must.True(t, w.gather(holder, epoch+4).Stale)
+		})
+	}
+}
+
+// gather asks a store what it holds of the first partition.
+func (w *world) gather(m *machine, epoch uint64) *rpc.GatherReply {
+	ctx, cancel := context.WithTimeout(w.ctx, time.Second)
+	defer cancel()
+	client := &storeClient{world: w, from: clientName, address: m.address}
+	reply, err := client.Gather(ctx, &rpc.GatherRequest{Partitions: []*rpc.PartitionEpoch{{Partition: 0, Epoch: epoch}}})
+	must.NoError(w.t, err)
+	return reply
+}
+
+// The answer of a new, empty disk does not stand for that of the lost one at the same address.
+func TestGatherDoesNotCountANewDiskForALostOne(t *testing.T) {
 	simulated(t, smallScale, func(t *testing.T, w *world) {
-		_, epoch := w.owner(0)
-		holder := w.others(0)[0]
-		must.Eq(t, rpc.PutStatus_STORED, w.put(holder, rpc.PutMode_HOLDER, epoch, w.idle("before", "")))
-		client := &storeClient{world: w, from: clientName, address: holder.address}
-		ctx, cancel := context.WithTimeout(w.ctx, time.Second)
-		defer cancel()
-		reply, err := client.Gather(ctx, &rpc.GatherRequest{Partitions: []*rpc.PartitionEpoch{{Partition: 0, Epoch: epoch + 5}}})
-		must.NoError(t, err)
-		must.False(t, reply.Stale)
-		must.Len(t, 1, reply.Messages)
-		must.Eq(t, rpc.PutStatus_STALE_EPOCH, w.put(holder, rpc.PutMode_HOLDER, epoch, w.idle("after", "")))
-		holder.stop(end{off: true})
-		holder.start()
-		must.Eq(t, rpc.PutStatus_STALE_EPOCH, w.put(holder, rpc.PutMode_HOLDER, epoch, w.idle("later", "")))
-		reply, err = client.Gather(ctx, &rpc.GatherRequest{Partitions: []*rpc.PartitionEpoch{{Partition: 0, Epoch: epoch + 4}}})
-		must.NoError(t, err)
-		must.True(t, reply.Stale)
+		owner, _ := w.owner(0)
+		w.cut(owner.name, controlName)
+		w.cut(controlName, owner.name)
+		owner.stop(end{off: true, loseDisk: true})
+		owner.start() // the control plane does not learn of it
+		time.Sleep(1500 * time.Millisecond)
+		absent := w.others(0)[0]
+		absent.stop(end{off: true})
+		time.Sleep(3 * time.Second)
+		next, _ := w.owner(0)
+		must.True(t, next != nil && next != owner && next != absent)
+		must.False(t, isReady(next.running()))
+		absent.start()
+		time.Sleep(3 * time.Second)
+		next, _ = w.owner(0)
+		must.True(t, isReady(next.running()))
 	})
 }
