--- a/internal/audit/trail/verify.go
+++ b/internal/audit/trail/verify.go
@@ -80,7 +80,6 @@
 
 type origin struct {
 	kind, source string
-	begun        int
 	no           int64
 }
 
--- a/internal/callerleg/away_test.go
+++ b/internal/callerleg/away_test.go
@@ -65,8 +65,13 @@
 	}
 	f.s.SendAway(false)
 	again := f.dial()
-	if answer(again, job(again)) || answer(again, job(again)) || hop.callBack(t) {
-		t.Error("closed after the drain")
+	for i := range 2 {
+		if answer(again, job(again)) {
+			t.Errorf("job %d after the drain: its connection is closed", i)
+		}
+	}
+	if hop.callBack(t) {
+		t.Error("a call-back's connection is closed after the drain")
 	}
 	f.event()
 }
--- a/internal/core/contest_test.go
+++ b/internal/core/contest_test.go
@@ -71,6 +71,9 @@
 	if usable(r) != "bd" || r.version != 1 {
 		t.Fatalf("after changes: %q as of %d", usable(r), r.version)
 	}
+	if got := hintsOf(said); !reflect.DeepEqual(got, []Hint{{"c", 6, "s"}}) {
+		t.Errorf("passed on of the changes: %v", got)
+	}
 	r.Step(3.2, FleetHinted{Hints: []Hint{{"a", 7, "s"}}}) // a peer says the same of a, later; what discovery told here stays its own word
 	st, err := r.Export()
 	if err != nil {
--- a/internal/lab/links.go
+++ b/internal/lab/links.go
@@ -50,7 +50,7 @@
 // piped is a connection from one member to another.
 type piped struct {
 	from, to int
-	a, b     net.Conn
+	a        net.Conn
 }
 
 const (
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -56,7 +56,7 @@
 func (w *Worker) start(back func() string) error {
 	w.jobs = map[string]*job{}
 	w.caller = &fasthttp.Client{MaxConnsPerHost: 64, MaxIdleConnDuration: 3 * time.Second, ReadTimeout: callWait, WriteTimeout: callWait,
-		NoDefaultUserAgentHeader: true, RetryIf: func(*fasthttp.Request) bool { return false }}
+		NoDefaultUserAgentHeader: true, RetryIfErr: func(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }}
 	var err error
 	w.Addr, err = w.listen(back)
 	return err
--- a/internal/membership/floor_test.go
+++ b/internal/membership/floor_test.go
@@ -246,9 +246,11 @@
 
 // TestFloors: which of two that cross wins, safety, withdrawal, and who is below.
 func TestFloors(t *testing.T) {
-	a, b := watcher(t, "a"), watcher(t, "b")
-	one, _ := New(1, Record{Key: Key{Name: "a", Addr: "10.0.0.1:1"}, Incarnation: 1, Process: 1, Generation: 1, Zone: "z", Config: Version{No: 3, Source: "f"}})
-	a = one
+	b := watcher(t, "b")
+	a, err := New(1, Record{Key: Key{Name: "a", Addr: "10.0.0.1:1"}, Incarnation: 1, Process: 1, Generation: 1, Zone: "z", Config: Version{No: 3, Source: "f"}})
+	if err != nil {
+		t.Fatal(err)
+	}
 	peer := Record{Key: Key{Name: "c", Addr: "10.0.0.3:1"}, Incarnation: 1, Process: 3, Seq: 1, State: Serving, Generation: 1, Zone: "z", Config: Version{No: 2, Source: "f"}}
 	far := peer
 	far.Key, far.Process = Key{Name: "d", Addr: "10.0.0.4:1"}, 4
