Play the whole service on loopback: foldlab service

One command starts 3 control processes, 4 stores, 3 dispatchers, a stand-in platform and workers, kills a store and a dispatcher, and accounts for every message: end, stamp, reason, order, rate, delay, repeats.

--- a/cmd/foldlab/main.go
+++ b/cmd/foldlab/main.go
@@ -68,6 +68,7 @@
 					return play(ctx, c, "demo", s)
 				},
 			},
+			serviceCommand(seed),
 			{
 				Name: "bad", Hidden: true, Usage: "play a new process that starts badly",
 				Action: func(_ context.Context, c *cli.Command) error { return lab.StartBadly(c.Args().First()) },
