--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -90,7 +90,7 @@
 		n.hops.GiveUp(e)
 	case core.CloseIdle:
 		n.hops.CloseIdle(e.Addr)
-	case core.DropHop:
+	case core.DropWorker:
 		n.hops.Drop(e.Addr)
 	case core.Watch:
 		n.routes.Watch(e)
@@ -189,7 +189,7 @@
 		go n.giver.Run()
 		n.begins()
 	}
-	n.log.WithFields(logrus.Fields{"name": n.cfg.Name, "listen": n.cfg.Listen, "hops": len(n.cfg.Known.Hops)}).Info("serving")
+	n.log.WithFields(logrus.Fields{"name": n.cfg.Name, "listen": n.cfg.Listen, "hops": len(n.cfg.Known.Workers)}).Info("serving")
 
 	select {
 	case err := <-served:
--- a/internal/callerleg/away_test.go
+++ b/internal/callerleg/away_test.go
@@ -30,12 +30,12 @@
 // then; call-backs' connections stay. After the end connections are kept again.
 func TestSendAway(t *testing.T) {
 	f := serve(t, 16)
-	job := func(c *caller) core.LegID {
+	job := func(c *caller) core.ExchangeID {
 		c.send(ask, "hi")
-		return f.event().(core.CallArrived).Call.Leg
+		return f.event().(core.CallArrived).Call.Exchange
 	}
-	answer := func(c *caller, leg core.LegID) (closes bool) {
-		f.s.Answer(core.Answer{Leg: leg, Verdict: core.Served, Body: []byte("ok")})
+	answer := func(c *caller, leg core.ExchangeID) (closes bool) {
+		f.s.Answer(core.Answer{Exchange: leg, Verdict: core.Served, Body: []byte("ok")})
 		resp := c.answer()
 		if string(resp.Body()) != "ok" {
 			t.Errorf("answered %s", resp)
@@ -88,12 +88,12 @@
 			c = f.dial()
 		}
 		c.send(ask, "hi")
-		leg := f.event().(core.CallArrived).Call.Leg
+		leg := f.event().(core.CallArrived).Call.Exchange
 		if n := f.s.InFlight(); n != 1 {
 			t.Errorf("%d in flight", n)
 		}
-		f.s.Answer(core.Answer{Leg: leg, Verdict: v})
-		f.s.Answer(core.Answer{Leg: leg, Verdict: core.Failed}) // a second one ends nothing
+		f.s.Answer(core.Answer{Exchange: leg, Verdict: v})
+		f.s.Answer(core.Answer{Exchange: leg, Verdict: core.Failed}) // a second one ends nothing
 		c.answer()
 		switch v {
 		case core.Served:
@@ -110,11 +110,11 @@
 	c.answer()
 	h := f.dial()
 	h.send("GET /healthz HTTP/1.1\r\nHost: h", "")
-	leg := f.event().(core.HealthAsked).Leg
+	leg := f.event().(core.HealthAsked).Exchange
 	if n := f.s.InFlight(); n != 0 {
 		t.Errorf("a health check counts as %d in flight", n)
 	}
-	f.s.Answer(core.Answer{Leg: leg})
+	f.s.Answer(core.Answer{Exchange: leg})
 	h.answer()
 	want["c"] = tally
 	if got := f.s.Tallies(); len(got) != 2 || got["c"] != want["c"] || got["d"] != want["d"] {
--- a/internal/callerleg/conn.go
+++ b/internal/callerleg/conn.go
@@ -44,7 +44,7 @@
 	side      side
 	later     bool       // an answer has been written: what comes next is not its first request
 	since     time.Time  // when it was opened; once proven, when its phase began
-	leg       core.LegID // while a request waits for the reducer's answer
+	leg       core.ExchangeID // while a request waits for the reducer's answer
 	old       bool       // the request being served is of HTTP/1.0
 	head      bool       // it is a HEAD
 	ends      bool       // its answer is the last
@@ -130,7 +130,7 @@
 }
 
 // serves marks which request of the reducer's the connection waits with.
-func (c *legConn) serves(leg core.LegID) {
+func (c *legConn) serves(leg core.ExchangeID) {
 	c.mu.Lock()
 	c.leg = leg
 	c.mu.Unlock()
--- a/internal/callerleg/end_test.go
+++ b/internal/callerleg/end_test.go
@@ -57,7 +57,7 @@
 	f := serve(t, 16)
 	c := f.dial()
 	c.send(ask, "hi")
-	f.s.Answer(core.Answer{Leg: f.event().(core.CallArrived).Call.Leg, Body: []byte("ok")})
+	f.s.Answer(core.Answer{Exchange: f.event().(core.CallArrived).Call.Exchange, Body: []byte("ok")})
 	c.answer()
 	conn := f.only()
 	for limit := time.Now().Add(patience); !conn.claim(); runtime.Gosched() { // once it rests
@@ -88,12 +88,12 @@
 	f := serve(t, 16)
 	c := f.dial()
 	c.send(ask, "hi")
-	leg := f.event().(core.CallArrived).Call.Leg
+	leg := f.event().(core.CallArrived).Call.Exchange
 	conn := f.only()
 	if conn.claim() {
 		t.Fatal("claimed while its request is served")
 	}
-	f.s.Answer(core.Answer{Leg: leg, Body: []byte("ok")})
+	f.s.Answer(core.Answer{Exchange: leg, Body: []byte("ok")})
 	c.answer()
 	if err := f.s.gate.Hold(patience, nil); err != nil { // nobody reads
 		t.Fatal(err)
@@ -119,9 +119,9 @@
 	f := serve(t, 16)
 	c := f.dial()
 	c.send(ask+"\r\nConnection: close", "hi")
-	leg := f.event().(core.CallArrived).Call.Leg
+	leg := f.event().(core.CallArrived).Call.Exchange
 	c.Write(bytes.Repeat([]byte("x"), 60<<10))
-	f.s.Answer(core.Answer{Leg: leg, Body: []byte("ok")})
+	f.s.Answer(core.Answer{Exchange: leg, Body: []byte("ok")})
 	conn := f.only()
 	for limit := time.Now().Add(patience); !conn.lingers(); runtime.Gosched() {
 		if time.Now().After(limit) {
@@ -150,7 +150,7 @@
 	silent, loud := f.dial(), f.dial()
 	for _, c := range []*caller{silent, loud} {
 		c.send(ask+"\r\nConnection: close", "hi") // no time limit is in force on it while it is served
-		f.s.Answer(core.Answer{Leg: f.event().(core.CallArrived).Call.Leg})
+		f.s.Answer(core.Answer{Exchange: f.event().(core.CallArrived).Call.Exchange})
 		c.answer()
 	}
 	var err error
@@ -181,7 +181,7 @@
 	f := serve(t, 16)
 	c := f.dial()
 	c.send(ask, "hi")
-	f.s.Answer(core.Answer{Leg: f.event().(core.CallArrived).Call.Leg, Body: []byte("ok")})
+	f.s.Answer(core.Answer{Exchange: f.event().(core.CallArrived).Call.Exchange, Body: []byte("ok")})
 	c.answer()
 	over := make(chan struct{})
 	go func() {
@@ -212,13 +212,13 @@
 		close(over)
 	}()
 	<-refused
-	leg := f.event().(core.CallArrived).Call.Leg
+	leg := f.event().(core.CallArrived).Call.Exchange
 	select {
 	case <-over:
 		t.Fatal("over with a request taken")
 	default:
 	}
-	f.s.Answer(core.Answer{Leg: leg, Body: []byte("ok")})
+	f.s.Answer(core.Answer{Exchange: leg, Body: []byte("ok")})
 	if resp := last.answer(); string(resp.Body()) != "ok" || !resp.ConnectionClose() {
 		t.Errorf("answered %s", resp)
 	}
--- a/internal/callerleg/handover_test.go
+++ b/internal/callerleg/handover_test.go
@@ -84,12 +84,12 @@
 	c := f.dial()
 	c.Conn.(*net.TCPConn).SetReadBuffer(4096)
 	c.send(ask, "hi")
-	leg := f.event().(core.CallArrived).Call.Leg
+	leg := f.event().(core.CallArrived).Call.Exchange
 	var body strings.Builder
 	for i := range 1 << 14 {
 		fmt.Fprintf(&body, "%07d ", i)
 	}
-	f.s.Answer(core.Answer{Leg: leg, Verdict: core.Served, Body: []byte(body.String())})
+	f.s.Answer(core.Answer{Exchange: leg, Verdict: core.Served, Body: []byte(body.String())})
 	if _, err := c.r.Peek(1); err != nil {
 		t.Fatal(err)
 	}
@@ -102,10 +102,10 @@
 	}
 	c.send(ask, "ho")
 	call := f.event().(core.CallArrived).Call
-	if call.Leg <= leg || string(call.Message.Body) != "ho" {
+	if call.Exchange <= leg || string(call.Message.Body) != "ho" {
 		t.Fatalf("the next request is %+v; the last leg was %d", call, leg)
 	}
-	next.Answer(core.Answer{Leg: call.Leg, Verdict: core.Served, Body: []byte("ok")})
+	next.Answer(core.Answer{Exchange: call.Exchange, Verdict: core.Served, Body: []byte("ok")})
 	if got := string(c.answer().Body()); got != "ok" {
 		t.Fatalf("answered %q", got)
 	}
--- a/internal/callerleg/parse.go
+++ b/internal/callerleg/parse.go
@@ -197,7 +197,7 @@
 		return core.JobReported{}, fmt.Errorf("not a call-back: %w", err)
 	}
 	state, ok := jobStates[c.State]
-	r := core.JobReported{Request: core.RequestID(c.ID), From: core.HopID(c.From), State: state, Share: c.Share}
+	r := core.JobReported{Request: core.RequestID(c.ID), From: core.WorkerID(c.From), State: state, Share: c.Share}
 	switch {
 	case c.ID == "":
 		return r, errors.New("id: is missing")
--- a/internal/callerleg/serve.go
+++ b/internal/callerleg/serve.go
@@ -128,7 +128,7 @@
 	c.mu.Unlock()
 	if err := c.Await(); err != nil {
 		if _, answered := s.close(leg); !answered {
-			s.post(core.CallerLeft{Leg: leg})
+			s.post(core.CallerLeft{Exchange: leg})
 		}
 		return false
 	}
--- a/internal/callerleg/server.go
+++ b/internal/callerleg/server.go
@@ -63,7 +63,7 @@
 	most    int // open connections
 	conns   map[*legConn]struct{}
 	pending *legConn // accepted, and waits for a place
-	legs    map[core.LegID]*leg
+	legs    map[core.ExchangeID]*leg
 	last    time.Time     // when the last request came
 	awayEnd chan struct{} // closed at the end of a drain by hand; nil where there is none
 
@@ -74,7 +74,7 @@
 // NewServer makes a server that holds at most so many connections, all behind the gate.
 func NewServer(mostConns int, gate *hold.Gate, post func(core.Event), log logrus.FieldLogger) *Server {
 	return &Server{post: post, log: log, gate: gate, most: mostConns, freed: make(chan struct{}, 1),
-		conns: map[*legConn]struct{}{}, legs: map[core.LegID]*leg{}}
+		conns: map[*legConn]struct{}{}, legs: map[core.ExchangeID]*leg{}}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -213,7 +213,7 @@
 	c.prove(ofHops)
 	shared := time.Now().UnixNano() < s.shares.Load()
 	if shared {
-		report.Leg = s.open(c, "")
+		report.Exchange = s.open(c, "")
 		c.SetReadDeadline(time.Time{})
 	}
 	s.post(report)
@@ -230,7 +230,7 @@
 	c.ends = true
 	c.mu.Unlock()
 	id := s.open(c, "")
-	s.post(core.HealthAsked{Leg: id})
+	s.post(core.HealthAsked{Exchange: id})
 	c.SetReadDeadline(time.Now().Add(healthWait))
 	err := c.Await()
 	if a, answered := s.close(id); answered {
@@ -258,15 +258,15 @@
 		s.count(call.Class, a.status)
 		return a, false
 	}
-	call.Leg = s.open(c, call.Class)
+	call.Exchange = s.open(c, call.Class)
 	// Danger: the time limit for reading the request still runs; reaching it would look as if the caller had left.
 	c.SetReadDeadline(time.Time{})
 	s.post(core.CallArrived{Call: call})
 	return answer{}, true
 }
 
-func (s *Server) open(c *legConn, class string) core.LegID {
-	id := core.LegID(s.lastID.Add(1))
+func (s *Server) open(c *legConn, class string) core.ExchangeID {
+	id := core.ExchangeID(s.lastID.Add(1))
 	c.serves(id)
 	s.mu.Lock()
 	s.legs[id] = &leg{conn: c, class: class}
@@ -276,7 +276,7 @@
 }
 
 // close ends a leg, and tells its answer if it has got one. A job's end is counted here.
-func (s *Server) close(id core.LegID) (core.Answer, bool) {
+func (s *Server) close(id core.ExchangeID) (core.Answer, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.legs[id]
@@ -291,7 +291,7 @@
 }
 
 // Present tells whether a leg waits for its answer and its caller has not closed the connection, as far as the kernel knows. It reads nothing.
-func (s *Server) Present(id core.LegID) bool {
+func (s *Server) Present(id core.ExchangeID) bool {
 	s.mu.Lock()
 	l := s.legs[id]
 	waits := l != nil && !l.answered
@@ -302,7 +302,7 @@
 // Answer hands a final answer to its caller leg. It does not block.
 func (s *Server) Answer(a core.Answer) {
 	s.mu.Lock()
-	l := s.legs[a.Leg]
+	l := s.legs[a.Exchange]
 	if l == nil || l.answered {
 		s.mu.Unlock()
 		return
--- a/internal/callerleg/server_test.go
+++ b/internal/callerleg/server_test.go
@@ -108,9 +108,9 @@
 		if got.ID != "9b1f" || string(got.Message.Body) != "hi" {
 			t.Fatalf("taken as %+v", got)
 		}
-		tc.answer.Leg = got.Leg
+		tc.answer.Exchange = got.Exchange
 		f.s.Answer(tc.answer)
-		f.s.Answer(core.Answer{Leg: got.Leg, Verdict: core.Failed}) // a second one goes nowhere
+		f.s.Answer(core.Answer{Exchange: got.Exchange, Verdict: core.Failed}) // a second one goes nowhere
 		resp := c.answer()
 		if resp.StatusCode() != tc.status || string(resp.Body()) != tc.body ||
 			string(resp.Header.Peek("Retry-After")) != tc.retry {
@@ -124,9 +124,9 @@
 	f := serve(t, 16)
 	c := f.dial()
 	c.send(ask, "hi")
-	leg := f.event().(core.CallArrived).Call.Leg
+	leg := f.event().(core.CallArrived).Call.Exchange
 	c.Close()
-	if e := f.event(); e != (core.CallerLeft{Leg: leg}) {
+	if e := f.event(); e != (core.CallerLeft{Exchange: leg}) {
 		t.Errorf("event %+v, want that the caller left", e)
 	}
 }
@@ -139,7 +139,7 @@
 			f := serve(t, 16)
 			c := f.dial()
 			c.send(ask, "hi")
-			leg := f.event().(core.CallArrived).Call.Leg
+			leg := f.event().(core.CallArrived).Call.Exchange
 			if !f.s.Present(leg) {
 				t.Fatalf("%d bytes: gone before it left", more)
 			}
@@ -153,7 +153,7 @@
 				c.Conn.(*net.TCPConn).SetLinger(0)
 			}
 			c.Close()
-			if e := f.event(); e != (core.CallerLeft{Leg: leg}) {
+			if e := f.event(); e != (core.CallerLeft{Exchange: leg}) {
 				t.Errorf("%d bytes, reset %v: event %+v, want that the caller left", more, reset, e)
 			}
 			if f.s.Present(leg) {
@@ -169,7 +169,7 @@
 	for _, more := range []string{"", "POST"} {
 		c := f.dial()
 		c.send(ask, "hi")
-		leg := f.event().(core.CallArrived).Call.Leg
+		leg := f.event().(core.CallArrived).Call.Exchange
 		if err := f.s.gate.Hold(patience, nil); err != nil { // nobody reads
 			t.Fatal(err)
 		}
@@ -194,12 +194,12 @@
 	c := f.dial()
 	for _, at := range []int{1, 30, len(ask) + 5} { // so much of the next request comes early
 		c.send(ask, "hi")
-		leg := f.event().(core.CallArrived).Call.Leg
+		leg := f.event().(core.CallArrived).Call.Exchange
 		next := ask + "\r\n\r\nho"
 		if _, err := io.WriteString(c, next[:at]); err != nil {
 			t.Fatal(err)
 		}
-		f.s.Answer(core.Answer{Leg: leg, Verdict: core.Served, Body: []byte("one")})
+		f.s.Answer(core.Answer{Exchange: leg, Verdict: core.Served, Body: []byte("one")})
 		if resp := c.answer(); string(resp.Body()) != "one" {
 			t.Fatalf("answered %s", resp)
 		}
@@ -210,7 +210,7 @@
 		if string(call.Message.Body) != "ho" {
 			t.Fatalf("read as %+v", call)
 		}
-		f.s.Answer(core.Answer{Leg: call.Leg, Verdict: core.Served, Body: []byte("two")})
+		f.s.Answer(core.Answer{Exchange: call.Exchange, Verdict: core.Served, Body: []byte("two")})
 		if resp := c.answer(); string(resp.Body()) != "two" {
 			t.Fatalf("answered %s", resp)
 		}
@@ -287,7 +287,7 @@
 	f := serve(t, 16)
 	waits := f.dial()
 	waits.send(ask, "hi")
-	leg := f.event().(core.CallArrived).Call.Leg
+	leg := f.event().(core.CallArrived).Call.Exchange
 	silent, trickle := f.dial(), f.dial()
 	pace := time.NewTicker(readWait / 20)
 	defer pace.Stop()
@@ -305,7 +305,7 @@
 		t.Errorf("answered %d", status)
 	}
 	waits.Close() // long after its request's time limit: that must be noticed all the same
-	if e := f.event(); e != (core.CallerLeft{Leg: leg}) {
+	if e := f.event(); e != (core.CallerLeft{Exchange: leg}) {
 		t.Errorf("event %+v, want that the caller left", e)
 	}
 }
@@ -318,7 +318,7 @@
 	serveOne := func(c *caller) {
 		t.Helper()
 		c.send(ask, "hi")
-		f.s.Answer(core.Answer{Leg: f.event().(core.CallArrived).Call.Leg})
+		f.s.Answer(core.Answer{Exchange: f.event().(core.CallArrived).Call.Exchange})
 		if status := c.answer().StatusCode(); status != 200 {
 			t.Fatalf("answered %d", status)
 		}
@@ -332,7 +332,7 @@
 	for range 3 {
 		c := f.dial()
 		c.send("GET /healthz HTTP/1.1\r\nHost: h", "")
-		f.s.Answer(core.Answer{Leg: f.event().(core.HealthAsked).Leg})
+		f.s.Answer(core.Answer{Exchange: f.event().(core.HealthAsked).Exchange})
 		if !c.answer().ConnectionClose() {
 			t.Error("who asks for health may stay")
 		}
@@ -351,7 +351,7 @@
 		t.Errorf("call-back answered %d", status)
 	}
 	c.send("GET /healthz HTTP/1.1\r\nHost: h", "")
-	f.s.Answer(core.Answer{Leg: f.event().(core.HealthAsked).Leg})
+	f.s.Answer(core.Answer{Exchange: f.event().(core.HealthAsked).Exchange})
 	if status := c.answer().StatusCode(); status != 200 {
 		t.Errorf("health answered %d", status)
 	}
@@ -389,10 +389,10 @@
 	f := serve(t, 16)
 	waiting := f.dial()
 	waiting.send(ask, "hi")
-	leg := f.event().(core.CallArrived).Call.Leg
+	leg := f.event().(core.CallArrived).Call.Exchange
 	over := make(chan struct{})
 	go func() {
-		f.s.Drain(2*time.Second, func() {}, func() { f.s.Answer(core.Answer{Leg: leg, Verdict: core.Busy}) })
+		f.s.Drain(2*time.Second, func() {}, func() { f.s.Answer(core.Answer{Exchange: leg, Verdict: core.Busy}) })
 		close(over)
 	}()
 	for !f.s.draining.Load() {
@@ -406,7 +406,7 @@
 	late := f.dial()
 	for range 2 { // on one connection
 		late.send(ask, "hi")
-		f.s.Answer(core.Answer{Leg: f.event().(core.CallArrived).Call.Leg, Body: []byte("late")})
+		f.s.Answer(core.Answer{Exchange: f.event().(core.CallArrived).Call.Exchange, Body: []byte("late")})
 		if resp := late.answer(); resp.StatusCode() != 200 {
 			t.Errorf("answered %s", resp)
 		}
--- a/internal/callerleg/state.go
+++ b/internal/callerleg/state.go
@@ -11,7 +11,7 @@
 
 // State is what a held server's successor needs to go on with its connections.
 type State struct {
-	LastLeg core.LegID
+	LastLeg core.ExchangeID
 	Conns   []ConnState
 }
 
@@ -27,7 +27,7 @@
 	Old       bool
 	Ends      bool
 	Held      float64 // seconds since `since`
-	Leg       core.LegID
+	Leg       core.ExchangeID
 	Side      uint8
 	Class     string // of the job that waits for its answer
 }
@@ -36,7 +36,7 @@
 func (s *Server) Export(files *hold.Files) (State, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := State{LastLeg: core.LegID(s.lastID.Load())}
+	st := State{LastLeg: core.ExchangeID(s.lastID.Load())}
 	all := make([]*legConn, 0, len(s.conns)+1)
 	for c := range s.conns {
 		all = append(all, c)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -24,7 +24,7 @@
 	}
 	if c.Name != "n9" || c.Listen != "127.0.0.1:8443" || c.Limits != (core.Limits{Cores: 0.5, MemoryMB: 96, Sockets: 512}) ||
 		c.Settings.Seed != 0x8c1f30d27a5be964 || c.Settings.Self != 1 || len(c.Settings.Classes) != 1 ||
-		c.Known.Version != 41 || len(c.Known.Hops) != 1 || c.Known.Hops[0].Started != 1.5 {
+		c.Known.Version != 41 || len(c.Known.Workers) != 1 || c.Known.Workers[0].Started != 1.5 {
 		t.Errorf("read as %+v", c)
 	}
 	if c.Settings.DialTimeout != defaultDialTimeout || c.Settings.ConnIdle != defaultIdleClose {
--- a/internal/core/attempts_test.go
+++ b/internal/core/attempts_test.go
@@ -10,15 +10,15 @@
 
 // TestMayRepeat: what a class allows after the branches that a request has had, asked of the host whatever the decision module thinks.
 func TestMayRepeat(t *testing.T) {
-	at := func(id, zone string, cell int) Hop {
-		return Hop{ID: HopID(id), Addr: id + ":1", Zone: zone, Cell: cell, Weight: 1}
+	at := func(id, zone string, cell int) Worker {
+		return Worker{ID: WorkerID(id), Addr: id + ":1", Zone: zone, Cell: cell, Weight: 1}
 	}
 	keyed := func(g choice.Group) choice.Class {
 		return choice.Class{Effect: choice.Deduplicated, Group: g, Window: 2}
 	}
 	free, once := choice.Class{}, choice.Class{Effect: choice.AtMostOnce}
 	ended := func(code choice.Code) branch {
-		return branch{hop: "a", zone: "x", cell: 1, sent: 3, ended: true, code: code, released: code.NeverRan()}
+		return branch{worker: "a", zone: "x", cell: 1, sent: 3, ended: true, code: code, released: code.NeverRan()}
 	}
 	told := ended(choice.Cancelled)
 	told.released = true
@@ -27,24 +27,24 @@
 		class  choice.Class
 		copies bool // allowed
 		was    branch
-		to     Hop
+		to     Worker
 		before float64
 		ok     bool
 	}{
 		{"once, nothing ran", once, true, ended(choice.NoConnect), at("b", "x", 1), 0, true},
-		{"once, the same hop was not reached", once, true, ended(choice.NoConnect), at("a", "x", 1), 0, true},
-		{"once, the same hop turned it away", once, true, ended(choice.Busy), at("a", "x", 1), 0, true},
+		{"once, the same worker was not reached", once, true, ended(choice.NoConnect), at("a", "x", 1), 0, true},
+		{"once, the same worker turned it away", once, true, ended(choice.Busy), at("a", "x", 1), 0, true},
 		{"once, handed back by a call-back", once, true, ended(choice.Returned), at("b", "x", 1), 0, true},
-		{"once, the same hop handed it back, and may say so again", once, true, ended(choice.Returned), at("a", "x", 1), 0, false},
+		{"once, the same worker handed it back, and may say so again", once, true, ended(choice.Returned), at("a", "x", 1), 0, false},
 		{"once, it may have run", once, true, ended(choice.Reset), at("b", "x", 1), 0, false},
-		{"once, it is out", once, true, branch{hop: "a"}, at("b", "x", 1), 0, false},
+		{"once, it is out", once, true, branch{worker: "a"}, at("b", "x", 1), 0, false},
 		{"free, it may have run", free, true, ended(choice.Reset), at("b", "y", 2), 0, true},
 		{"free, it may have run there", free, true, ended(choice.Errored), at("a", "x", 1), 0, false},
 		{"free, called off there and confirmed", free, true, told, at("a", "x", 1), 0, true},
 		{"free, called off there and not confirmed", free, true, ended(choice.Cancelled), at("a", "x", 1), 0, false},
-		{"free, it is out there", free, true, branch{hop: "a"}, at("a", "x", 1), 0, false},
-		{"free, it is out", free, true, branch{hop: "a"}, at("b", "x", 1), 0, true},
-		{"free, it is out, without copies", free, false, branch{hop: "a"}, at("b", "x", 1), 0, false},
+		{"free, it is out there", free, true, branch{worker: "a"}, at("a", "x", 1), 0, false},
+		{"free, it is out", free, true, branch{worker: "a"}, at("b", "x", 1), 0, true},
+		{"free, it is out, without copies", free, false, branch{worker: "a"}, at("b", "x", 1), 0, false},
 		{"free, ended unconfirmed, without copies", free, false, ended(choice.Cancelled), at("b", "x", 1), 0, false},
 		{"free, ended and confirmed, without copies", free, false, told, at("b", "x", 1), 0, true},
 		{"free, never ran, without copies", free, false, ended(choice.Busy), at("b", "x", 1), 0, true},
@@ -70,18 +70,18 @@
 	}
 }
 
-// TestCallBackTellsOfAnEarlierBranch: a hop tells until it is answered that it has handed a job back. What comes again when the job runs
+// TestCallBackTellsOfAnEarlierBranch: a worker tells until it is answered that it has handed a job back. What comes again when the job runs
 // elsewhere, or has begun, must not have it sent once more.
 func TestCallBackTellsOfAnEarlierBranch(t *testing.T) {
 	for _, begun := range []bool{false, true} {
 		r := start(t, choice.AtMostOnce, "a", "b")
 		r.Step(2, call("r"))
-		first := r.branches[1].hop
+		first := r.branches[1].worker
 		back := JobReported{Request: "r", From: first, State: JobReturned}
-		var second HopID
+		var second WorkerID
 		for _, e := range r.Step(2.1, back) {
 			if s, is := e.(SendBranch); is {
-				second = s.Hop
+				second = s.Worker
 			}
 		}
 		if second == "" || second == first {
@@ -102,16 +102,16 @@
 	}
 }
 
-// TestNoCopyBeforeTheFirstIsGivenUp: where copies are not allowed, what takes a branch's place waits until its next hop has confirmed that it
+// TestNoCopyBeforeTheFirstIsGivenUp: where copies are not allowed, what takes a branch's place waits until its worker has confirmed that it
 // is given up, or never had it. What can't be told is not repeated: the caller hears so at once.
 func TestNoCopyBeforeTheFirstIsGivenUp(t *testing.T) {
 	busy := fmt.Sprint("answer ", Busy, " ")
 	for _, tc := range []struct {
 		name  string
 		ends  Event  // of the first branch
-		waits bool   // for the word of its next hop
+		waits bool   // for the word of its worker
 		word  Event  // that it then says
-		want  string // the effect; "send" for one to another hop
+		want  string // the effect; "send" for one to another worker
 	}{
 		{"broken, confirmed", BranchFailed{1, Broken}, true, BranchReleased{1, "r", true}, "send"},
 		{"a kept connection broke, confirmed", BranchFailed{1, Stale}, true, BranchReleased{1, "r", true}, "send"},
@@ -126,12 +126,12 @@
 		t.Run(tc.name, func(t *testing.T) {
 			s := settings(choice.Idempotent)
 			s.SecondCopies = false
-			r, err := New(1, s, RouteSet{Version: 1, Hops: hops("a", "b", "c")}, "")
+			r, err := New(1, s, RouteSet{Version: 1, Workers: workers("a", "b", "c")}, "")
 			if err != nil {
 				t.Fatal(err)
 			}
 			r.Step(2, call("r"))
-			first := r.branches[1].hop
+			first := r.branches[1].worker
 			from := func(ev Event) Event {
 				if j, is := ev.(JobReported); is {
 					j.From = first
@@ -163,14 +163,14 @@
 		for _, effect := range []choice.Effect{choice.Idempotent, choice.Deduplicated, choice.AtMostOnce} {
 			s := settings(effect)
 			s.SecondCopies = copies
-			r, err := New(1, s, RouteSet{Version: 1, Hops: hops("a", "b")}, "")
+			r, err := New(1, s, RouteSet{Version: 1, Workers: workers("a", "b")}, "")
 			if err != nil {
 				t.Fatal(err)
 			}
 			r.Step(2, call("r"))
-			hop := r.branches[1].hop
-			expect(t, r.Step(2.05, CallerLeft{7}), "give up "+string(hop))
-			if n := len(r.requests) + len(r.branches) + len(r.legs); n != 0 {
+			worker := r.branches[1].worker
+			expect(t, r.Step(2.05, CallerLeft{7}), "give up "+string(worker))
+			if n := len(r.requests) + len(r.branches) + len(r.exchanges); n != 0 {
 				t.Errorf("effect %v: %d things are kept", effect, n)
 			}
 			expect(t, append(r.Step(2.1, BranchFailed{1, NoConnect}), r.Step(6, Tick{})...)) // its dial ends
--- a/internal/core/audit.go
+++ b/internal/core/audit.go
@@ -139,9 +139,9 @@
 }
 
 // act counts an act, on the versions held now.
-func (r *Reducer) act(kind audit.Kind, q *request, hop HopID) {
+func (r *Reducer) act(kind audit.Kind, q *request, worker WorkerID) {
 	if r.book != nil {
-		r.book.Act(r.now, kind, string(q.call.ID), string(hop))
+		r.book.Act(r.now, kind, string(q.call.ID), string(worker))
 	}
 }
 
--- a/internal/core/bringup_test.go
+++ b/internal/core/bringup_test.go
@@ -101,7 +101,7 @@
 		}
 		return &s
 	}
-	r.Step(2, CallArrived{Call: Call{Leg: 1, ID: "open", Class: "c", Remaining: 1, Slots: 1}})
+	r.Step(2, CallArrived{Call: Call{Exchange: 1, ID: "open", Class: "c", Remaining: 1, Slots: 1}})
 	for name, ev := range map[string]AuditConfigured{
 		"older":                {Config: config(0, 7), Settings: under("c", "d"), By: "m0"},
 		"other contents":       {Config: config(1, 7), Settings: under("c", "d")},
@@ -117,11 +117,11 @@
 		t.Fatalf("%+v", h)
 	}
 	sent, answered := false, false
-	for _, e := range append(r.Step(2.5, CallArrived{Call: Call{Leg: 2, ID: "new", Class: "d", Remaining: 1, Slots: 1}}), r.Step(4, Tick{})...) {
+	for _, e := range append(r.Step(2.5, CallArrived{Call: Call{Exchange: 2, ID: "new", Class: "d", Remaining: 1, Slots: 1}}), r.Step(4, Tick{})...) {
 		_, is := e.(SendBranch)
 		sent = sent || is
 		a, is := e.(Answer)
-		answered = answered || is && a.Leg == 1
+		answered = answered || is && a.Exchange == 1
 	}
 	if !sent || !answered {
 		t.Errorf("a request of the new class is sent: %v; the one that was open has an answer at its deadline: %v", sent, answered)
--- a/internal/core/contest.go
+++ b/internal/core/contest.go
@@ -18,8 +18,8 @@
 	mostClashed  = 64  // numbers with two contents that are remembered as said
 )
 
-// hopSum is a next hop's part of the route set's digest.
-func hopSum(h Hop) uint64 {
+// workerSum is a worker's part of the route set's digest.
+func workerSum(h Worker) uint64 {
 	f := fnv.New64a()
 	f.Write([]byte(h.ID))
 	f.Write([]byte{byte(h.State)})
@@ -31,8 +31,8 @@
 func (r *Reducer) routesDigest() uint64 {
 	if !r.summed {
 		r.summed, r.routeSum = true, 0
-		for _, h := range r.hops {
-			r.routeSum += hopSum(h)
+		for _, h := range r.workers {
+			r.routeSum += workerSum(h)
 		}
 	}
 	return r.routeSum
@@ -43,12 +43,12 @@
 	if !set.Full {
 		d = r.routesDigest()
 	}
-	for _, h := range set.Hops {
-		if old, listed := r.hops[h.ID]; listed && !set.Full {
-			d -= hopSum(old)
+	for _, h := range set.Workers {
+		if old, listed := r.workers[h.ID]; listed && !set.Full {
+			d -= workerSum(old)
 		}
-		if h.State != HopLeft {
-			d += hopSum(h)
+		if h.State != WorkerLeft {
+			d += workerSum(h)
 		}
 	}
 	return d
@@ -67,24 +67,24 @@
 }
 
 // takeOut keeps to what a contested list takes out, and to nothing else of it; false where that would leave less than half of the next
-// hops in use, or none are. Danger: a list that can't be acted on for long would take out one after the other, until nobody is left to send
+// workers in use, or none are. Danger: a list that can't be acted on for long would take out one after the other, until nobody is left to send
 // to; and one that has just started has nothing else to act on.
 func (r *Reducer) takeOut(set RouteSet, other membership.Key) bool {
-	listed := map[HopID]Hop{}
-	for _, h := range set.Hops {
+	listed := map[WorkerID]Worker{}
+	for _, h := range set.Workers {
 		listed[h.ID] = h
 	}
-	var out []Hop
+	var out []Worker
 	active, stay := 0, 0
-	for id, h := range r.hops {
-		if h.State != HopActive || r.banned[id] {
+	for id, h := range r.workers {
+		if h.State != WorkerActive || r.banned[id] {
 			continue
 		}
 		active++
 		now, told := listed[id]
 		switch {
 		case !r.usable(h):
-		case told && now.State != HopActive || !told && set.Full:
+		case told && now.State != WorkerActive || !told && set.Full:
 			out = append(out, h)
 		default:
 			stay++
@@ -106,9 +106,9 @@
 	var list []choice.Worker
 	for _, h := range out {
 		r.hints[h.ID] = hint{version: set.Version, at: r.now, own: true}
-		r.emit(DropHop{Addr: h.Addr})
+		r.emit(DropWorker{Addr: h.Addr})
 		list = append(list, r.worker(h))
-		news = append(news, Hint{Hop: h.ID, Version: set.Version, Source: r.sourceName()})
+		news = append(news, Hint{Worker: h.ID, Version: set.Version, Source: r.sourceName()})
 	}
 	r.decider.List(r.now, choice.ListChanges, list)
 	if len(news) > 0 {
--- a/internal/core/contest_test.go
+++ b/internal/core/contest_test.go
@@ -16,12 +16,12 @@
 	return m
 }
 
-// states is a list of hops in the states named: a active, l leaving.
-func states(all string) (list []Hop) {
+// states is a list of workers in the states named: a active, l leaving.
+func states(all string) (list []Worker) {
 	for i, s := range all {
-		h := hops(string(rune('a' + i)))[0]
+		h := workers(string(rune('a' + i)))[0]
 		if s == 'l' {
-			h.State = HopLeaving
+			h.State = WorkerLeaving
 		}
 		list = append(list, h)
 	}
@@ -30,7 +30,7 @@
 
 func usable(r *Reducer) (ids string) {
 	for id := 'a'; id <= 'z'; id++ {
-		if h, listed := r.hops[HopID(id)]; listed && r.usable(h) {
+		if h, listed := r.workers[WorkerID(id)]; listed && r.usable(h) {
 			ids += string(id)
 		}
 	}
@@ -60,14 +60,14 @@
 func TestContestedListOnlyTakesOut(t *testing.T) {
 	r := member(t, "a", "b", "c", "d") // version 1
 	r.Step(2, FleetTold{Records: []membership.Record{peerOn(3, membership.Version{No: 5, Digest: 77, Source: "s"}, membership.Version{})}})
-	said := r.Step(3, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 5, Full: true, Hops: states("laaaa")}}) // a drains, e arrives
+	said := r.Step(3, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 5, Full: true, Workers: states("laaaa")}}) // a drains, e arrives
 	if usable(r) != "bcd" || r.version != 1 || !strings.Contains(logged(said), "two contents") {
 		t.Fatalf("acts on %q as of %d: %s", usable(r), r.version, logged(said))
 	}
 	if got := hintsOf(said); !reflect.DeepEqual(got, []Hint{{"a", 5, "s"}}) {
 		t.Errorf("passed on %v", got)
 	}
-	said = r.Step(3.1, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 6, Hops: states("aal")[2:]}}) // changes upon what is not held
+	said = r.Step(3.1, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 6, Workers: states("aal")[2:]}}) // changes upon what is not held
 	if usable(r) != "bd" || r.version != 1 {
 		t.Fatalf("after changes: %q as of %d", usable(r), r.version)
 	}
@@ -89,7 +89,7 @@
 	if usable(r) != "bd" {
 		t.Errorf("discovery's own drains end by time: %q", usable(r))
 	}
-	r.Step(3+hintMost+6, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 7, Full: true, Hops: states("lalaa")}})
+	r.Step(3+hintMost+6, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 7, Full: true, Workers: states("lalaa")}})
 	if usable(r) != "bde" || r.version != 7 || r.contested != 0 {
 		t.Errorf("a number that all agree on: %q as of %d", usable(r), r.version)
 	}
@@ -98,7 +98,7 @@
 // TestContestedListIsActedOn by one that does already, one that holds nothing else, and one that would lose over half; and where the
 // peer's is of another source or says the same.
 func TestContestedListIsActedOn(t *testing.T) {
-	list := RouteSet{Version: 5, Full: true, Hops: states("aaala")}
+	list := RouteSet{Version: 5, Full: true, Workers: states("aaala")}
 	for name, tc := range map[string]struct {
 		ids    string
 		list   RouteSet
@@ -106,13 +106,13 @@
 		digest uint64
 		want   string
 	}{
-		"acted on already":     {"aaaa", RouteSet{Version: 1, Hops: states("l")}, "s", 77, "bcd"},
+		"acted on already":     {"aaaa", RouteSet{Version: 1, Workers: states("l")}, "s", 77, "bcd"},
 		"nothing else is held": {"", list, "s", 77, "abce"},
-		"over half would go":   {"aaaa", RouteSet{Version: 5, Full: true, Hops: states("llla")}, "s", 77, "d"},
+		"over half would go":   {"aaaa", RouteSet{Version: 5, Full: true, Workers: states("llla")}, "s", 77, "d"},
 		"another source":       {"aaaa", list, "other", 77, "abce"},
 		"the same content": {"aaaa", list, "s", func() (d uint64) {
-			for _, h := range list.Hops {
-				d += hopSum(h)
+			for _, h := range list.Workers {
+				d += workerSum(h)
 			}
 			return d
 		}(), "abce"},
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -16,16 +16,16 @@
 		Classes: []choice.Class{{Name: "c", Effect: effect, Aim: 0.2, Stretch: 2, Deadline: 5, Worth: 1}}}
 }
 
-func hops(ids ...string) (list []Hop) {
+func workers(ids ...string) (list []Worker) {
 	for _, id := range ids {
-		list = append(list, Hop{ID: HopID(id), Addr: id + ":1", Zone: "a", Kind: "k", Weight: 1})
+		list = append(list, Worker{ID: WorkerID(id), Addr: id + ":1", Zone: "a", Kind: "k", Weight: 1})
 	}
 	return list
 }
 
 func start(t *testing.T, effect choice.Effect, ids ...string) *Reducer {
 	t.Helper()
-	r, err := New(1, settings(effect), RouteSet{Version: 1, Hops: hops(ids...)}, "")
+	r, err := New(1, settings(effect), RouteSet{Version: 1, Workers: workers(ids...)}, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,19 +33,19 @@
 }
 
 func call(id string) Event {
-	return CallArrived{Call: Call{Leg: 7, ID: RequestID(id), Class: "c", Remaining: 5, Slots: 1}}
+	return CallArrived{Call: Call{Exchange: 7, ID: RequestID(id), Class: "c", Remaining: 5, Slots: 1}}
 }
 
-// brief names effects: answers by verdict, the others by type and next hop.
+// brief names effects: answers by verdict, the others by type and worker.
 func brief(effects []Effect) (out []string) {
 	for _, e := range effects {
 		switch e := e.(type) {
 		case Answer:
 			out = append(out, fmt.Sprint("answer ", e.Verdict, " ", string(e.Body)))
 		case SendBranch:
-			out = append(out, fmt.Sprint("send ", e.Hop))
+			out = append(out, fmt.Sprint("send ", e.Worker))
 		case GiveUpBranch:
-			out = append(out, fmt.Sprint("give up ", e.Hop))
+			out = append(out, fmt.Sprint("give up ", e.Worker))
 		default:
 			out = append(out, fmt.Sprintf("%T", e))
 		}
@@ -60,7 +60,7 @@
 	}
 }
 
-// TestOutcomes plays one request at one next hop and what comes back, by class effect.
+// TestOutcomes plays one request at one worker and what comes back, by class effect.
 func TestOutcomes(t *testing.T) {
 	report := func(s JobState) Event { return JobReported{Request: "r", From: "a", State: s, Result: []byte("x")} }
 	served, busy, failed := fmt.Sprint("answer ", Served, " x"), fmt.Sprint("answer ", Busy, " "), fmt.Sprint("answer ", Failed, " ")
@@ -80,7 +80,7 @@
 		{"error of what may be repeated", choice.Idempotent, report(JobFailed), []string{busy}},
 		{"unfit", choice.Idempotent, BranchFailed{1, Unfit}, []string{fmt.Sprint("answer ", Rejected, " ")}},
 		{"started", choice.AtMostOnce, report(JobStarted), nil},
-		{"report from another hop", choice.AtMostOnce, JobReported{Request: "r", From: "b", State: JobDone}, nil},
+		{"report from another worker", choice.AtMostOnce, JobReported{Request: "r", From: "b", State: JobDone}, nil},
 		{"report on another request", choice.AtMostOnce, JobReported{Request: "q", From: "a", State: JobDone}, nil},
 		{"fault of another branch", choice.AtMostOnce, BranchFailed{9, Broken}, nil},
 		{"caller left", choice.AtMostOnce, CallerLeft{7}, []string{"give up a"}},
@@ -108,8 +108,8 @@
 		expect(t, r.Step(6.99, Tick{}))
 		expect(t, r.Step(7, Tick{}), "give up a", fmt.Sprint("answer ", verdict, " "))
 		expect(t, r.Step(7.1, JobReported{Request: "r", From: "a", State: JobDone}))
-		if len(r.requests)+len(r.legs)+len(r.branches) != 0 {
-			t.Errorf("kept: %v %v %v", r.requests, r.legs, r.branches)
+		if len(r.requests)+len(r.exchanges)+len(r.branches) != 0 {
+			t.Errorf("kept: %v %v %v", r.requests, r.exchanges, r.branches)
 		}
 	}
 }
@@ -138,14 +138,14 @@
 		} {
 			s := settings(choice.Idempotent)
 			s.ListOnRequest, s.AskWithin = asked, 10
-			r, err := New(1, s, RouteSet{Version: 1, Hops: hops("a")}, "d:1")
+			r, err := New(1, s, RouteSet{Version: 1, Workers: workers("a")}, "d:1")
 			if err != nil {
 				t.Fatal(err)
 			}
 			if w := r.Resume(); len(w) != 1 || w[0] != (Watch{On: true, Source: r.source, Since: 1}) {
 				t.Errorf("%s, asked %v: begins with %+v", name, asked, w)
 			}
-			health := func(at float64) []Effect { return r.Step(at, HealthAsked{Leg: 1}) }
+			health := func(at float64) []Effect { return r.Step(at, HealthAsked{Exchange: 1}) }
 			expect(t, health(1.1), no)
 			if got := brief(r.Step(1.2, call("r"))); len(got) != 1 || got[0] != "send a" {
 				t.Errorf("%s: effects %q", name, got)
@@ -177,9 +177,9 @@
 // TestUnansweredRequestFailsAtTheDeadline hides a request from the decider, so that the reducer must answer.
 func TestUnansweredRequestFailsAtTheDeadline(t *testing.T) {
 	r := start(t, choice.Idempotent, "a")
-	q := &request{call: Call{Leg: 3, ID: "r"}, deadline: 4}
-	r.requests["r"], r.legs[3] = q, q
-	r.after(q.deadline, timer{kind: timerExpire, request: "r", leg: 3})
+	q := &request{call: Call{Exchange: 3, ID: "r"}, deadline: 4}
+	r.requests["r"], r.exchanges[3] = q, q
+	r.after(q.deadline, timer{kind: timerExpire, request: "r", exchange: 3})
 	expect(t, r.Step(4, Tick{}), fmt.Sprint("answer ", Failed, " "))
 }
 
@@ -199,9 +199,9 @@
 	}
 }
 
-// TestBadRequestsLeaveHopsAlone: what a next hop can't use, or what was never sent to it, must not make the
+// TestBadRequestsLeaveWorkersAlone: what a worker can't use, or what was never sent to it, must not make the
 // decider shun it, and a used id stays used until its deadline.
-func TestBadRequestsLeaveHopsAlone(t *testing.T) {
+func TestBadRequestsLeaveWorkersAlone(t *testing.T) {
 	r := start(t, choice.AtMostOnce, "a")
 	for i := range 5 {
 		id := fmt.Sprint("bad", i)
@@ -239,7 +239,7 @@
 
 	r = start(t, choice.Idempotent, "a", "b")
 	r.Step(2, call("r"))
-	from := r.branches[1].hop
+	from := r.branches[1].worker
 	if got := brief(r.Step(2.1, BranchFailed{1, Broken})); len(got) != 2 || got[0] != "give up "+string(from) || got[1] == "send "+string(from) {
 		t.Fatalf("effects %q, want that one given up and another branch", got)
 	}
@@ -247,8 +247,8 @@
 	if len(got) != 2 || got[0] != served || got[1][:7] != "give up" {
 		t.Errorf("effects %q, want the late result served and the other branch given up", got)
 	}
-	if len(r.requests)+len(r.branches)+len(r.legs) != 0 {
-		t.Errorf("kept: %v %v %v", r.requests, r.branches, r.legs)
+	if len(r.requests)+len(r.branches)+len(r.exchanges) != 0 {
+		t.Errorf("kept: %v %v %v", r.requests, r.branches, r.exchanges)
 	}
 }
 
@@ -261,8 +261,8 @@
 	}{
 		{"until is clamped to the deadline", func(h host) { h.Assign("r", "b", 99) }, []string{"send b"}},
 		{"a time past is skipped", func(h host) { h.Assign("r", "b", 1) }, nil},
-		{"an unlisted hop is skipped", func(h host) { h.Assign("r", "z", 0) }, nil},
-		{"a leaving hop is skipped", func(h host) { h.Assign("r", "gone", 0) }, nil},
+		{"an unlisted worker is skipped", func(h host) { h.Assign("r", "z", 0) }, nil},
+		{"a leaving worker is skipped", func(h host) { h.Assign("r", "gone", 0) }, nil},
 		{"an unknown request is logged", func(h host) { h.Assign("q", "b", 0) }, []string{"core.Log"}},
 		{"cancel ends once", func(h host) { h.Cancel("r", 0); h.Cancel("r", 7) }, []string{"give up a"}},
 		{"one answer", func(h host) { h.Refuse("r", 9); h.Fail("r") }, []string{fmt.Sprint("answer ", Busy, " "), "give up a"}},
@@ -273,14 +273,14 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := start(t, choice.Idempotent, "a", "b")
-			r.hops["gone"] = Hop{ID: "gone", Addr: "gone:1", State: HopLeaving}
+			r.workers["gone"] = Worker{ID: "gone", Addr: "gone:1", State: WorkerLeaving}
 			for { // until the request is at a
 				if brief(r.Step(2, call("r")))[0] == "send a" {
 					break
 				}
 				r = start(t, choice.Idempotent, "a")
-				r.hops["b"] = Hop{ID: "b", Addr: "b:1"}
-				r.hops["gone"] = Hop{ID: "gone", Addr: "gone:1", State: HopLeaving}
+				r.workers["b"] = Worker{ID: "b", Addr: "b:1"}
+				r.workers["gone"] = Worker{ID: "gone", Addr: "gone:1", State: WorkerLeaving}
 			}
 			tc.act(host{r})
 			expect(t, r.effects, tc.want...)
@@ -305,13 +305,13 @@
 // TestDrainComesBeforeLaterBranches guards the drain rule inside the reducer.
 func TestDrainComesBeforeLaterBranches(t *testing.T) {
 	r := start(t, choice.Idempotent, "a", "b")
-	leaving := hops("a")
-	leaving[0].State = HopLeaving
-	expect(t, r.Step(2, RouteSetTold{RouteSet: RouteSet{Version: 2, Hops: leaving}}), "core.DropHop")
+	leaving := workers("a")
+	leaving[0].State = WorkerLeaving
+	expect(t, r.Step(2, RouteSetTold{RouteSet: RouteSet{Version: 2, Workers: leaving}}), "core.DropWorker")
 	for i := range 20 {
-		expect(t, r.Step(2, CallArrived{Call{Leg: LegID(i), ID: RequestID(fmt.Sprint(i)), Class: "c", Remaining: 5}}), "send b")
+		expect(t, r.Step(2, CallArrived{Call{Exchange: ExchangeID(i), ID: RequestID(fmt.Sprint(i)), Class: "c", Remaining: 5}}), "send b")
 	}
-	expect(t, r.Step(2, RouteSetTold{RouteSet: RouteSet{Version: 3, Full: true, Hops: hops("c")}}), "core.DropHop")
+	expect(t, r.Step(2, RouteSetTold{RouteSet: RouteSet{Version: 3, Full: true, Workers: workers("c")}}), "core.DropWorker")
 	expect(t, r.Step(2, call("last")), "send c")
 }
 
@@ -326,27 +326,27 @@
 	if w := effects[1].(Watch); !w.On || w.Source.Addr != "d:2" || w.Since != VersionUnknown {
 		t.Errorf("watches as %+v", w)
 	}
-	expect(t, r.Step(4, RouteSetTold{Source: old, RouteSet: RouteSet{Version: 90, Full: true, Hops: hops("b")}}))
+	expect(t, r.Step(4, RouteSetTold{Source: old, RouteSet: RouteSet{Version: 90, Full: true, Workers: workers("b")}}))
 	expect(t, r.Step(4, RouteSetRefused{Source: old}))
 	if timers := len(r.timers); r.version != VersionUnknown || timers != 0 {
 		t.Errorf("version %d and %d timers after the old source's word", r.version, timers)
 	}
-	expect(t, r.Step(5, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 1, Full: true, Hops: hops("c")}}), "core.DropHop")
+	expect(t, r.Step(5, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 1, Full: true, Workers: workers("c")}}), "core.DropWorker")
 	expect(t, r.Step(5, call("r")), "send c")
 	r.Step(6, Reloaded{Discovery: old.Addr, Limits: limits}) // back at the first address, which starts anew
-	expect(t, r.Step(7, RouteSetTold{Source: old, RouteSet: RouteSet{Version: 91, Full: true, Hops: hops("b")}}))
+	expect(t, r.Step(7, RouteSetTold{Source: old, RouteSet: RouteSet{Version: 91, Full: true, Workers: workers("b")}}))
 }
 
 // TestTimersComeAfterTheEvent: what an event tells counts for the timers that are due by then.
 func TestTimersComeAfterTheEvent(t *testing.T) {
 	r := start(t, choice.Idempotent, "a", "b")
-	gone := hops("a", "b")
-	gone[0].State, gone[1].State = HopLeaving, HopLeft
+	gone := workers("a", "b")
+	gone[0].State, gone[1].State = WorkerLeaving, WorkerLeft
 	r.Step(2, call("r"))
 	r.Step(2.99, BranchFailed{1, TurnedAway})
 	r.Step(2.991, BranchFailed{2, TurnedAway}) // both were full: a timer tries again soon
-	expect(t, r.Step(3.1, RouteSetTold{RouteSet: RouteSet{Version: 2, Hops: gone}}), "core.DropHop", "core.DropHop")
-	expect(t, r.Step(4, RouteSetTold{RouteSet: RouteSet{Version: 3, Hops: gone[:1]}})) // what left before is not dropped again
+	expect(t, r.Step(3.1, RouteSetTold{RouteSet: RouteSet{Version: 2, Workers: gone}}), "core.DropWorker", "core.DropWorker")
+	expect(t, r.Step(4, RouteSetTold{RouteSet: RouteSet{Version: 3, Workers: gone[:1]}})) // what left before is not dropped again
 
 	r = start(t, choice.AtMostOnce, "a")
 	r.Step(2, call("late"))
@@ -360,10 +360,10 @@
 	got := make(chan Effect, 8)
 	l := NewLoop(r, func() float64 { return 2 }, func(e Effect) { got <- e })
 	l.Post(call("r"))
-	l.Post(RouteSetTold{RouteSet: RouteSet{Version: 2, Full: true, Hops: hops("b")}})
+	l.Post(RouteSetTold{RouteSet: RouteSet{Version: 2, Full: true, Workers: workers("b")}})
 	ctx, stop := context.WithCancel(context.Background())
 	go l.Run(ctx)
-	expect(t, []Effect{<-got, <-got}, "core.DropHop", "send b")
+	expect(t, []Effect{<-got, <-got}, "core.DropWorker", "send b")
 	stop()
 	<-l.done
 	l.Post(Tick{}) // after the end it must not block
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -3,16 +3,16 @@
 // RequestID names a caller's request. Callers never use one twice.
 type RequestID string
 
-// HopID names a next hop, the same at every dispatcher.
-type HopID string
+// WorkerID names a worker, the same at every dispatcher.
+type WorkerID string
 
-// LegID names a caller leg: one request of one caller, for as long as the caller waits.
-type LegID uint64
+// ExchangeID names an HTTP exchange with a client: one request, for as long as the client waits for its answer.
+type ExchangeID uint64
 
-// BranchID names a branch: one attempt of a request at one next hop.
+// BranchID names a branch: one attempt of a request at one worker.
 type BranchID uint64
 
-// Message is what a caller asks for, handed to the next hops unread.
+// Message is what a caller asks for, handed to the workers unread.
 type Message struct {
 	Verb   string
 	Target string
@@ -22,7 +22,7 @@
 
 // Call is a request as its front took it.
 type Call struct {
-	Leg       LegID
+	Exchange  ExchangeID `cbor:"Leg"`
 	ID        RequestID
 	Class     string
 	Tenant    string
@@ -37,24 +37,24 @@
 	Message   Message
 }
 
-// HopState is what discovery says of a next hop.
-type HopState int
+// WorkerState is what discovery says of a worker.
+type WorkerState int
 
-// The states of a next hop.
+// The states of a worker.
 const (
-	HopActive HopState = iota
-	HopLeaving
-	HopLeft
+	WorkerActive WorkerState = iota
+	WorkerLeaving
+	WorkerLeft
 )
 
-// Hop is one entry of a route set.
-type Hop struct {
-	ID      HopID
+// Worker is one entry of a route set.
+type Worker struct {
+	ID      WorkerID
 	Addr    string
 	Zone    string
 	Kind    string
 	Cell    int
-	State   HopState
+	State   WorkerState
 	Weight  float64
 	Started float64 // Unix seconds; 0 for long ago
 }
@@ -63,7 +63,7 @@
 type RouteSet struct {
 	Version int64
 	Full    bool
-	Hops    []Hop
+	Workers []Worker `cbor:"Hops"`
 }
 
 // Limits is what a dispatcher may use of its machine.
@@ -86,44 +86,48 @@
 // CallArrived brings a request whose last byte has been read.
 type CallArrived struct{ Call Call }
 
-// CallerLeft says that a caller closed its leg before the answer.
-type CallerLeft struct{ Leg LegID }
+// CallerLeft says that a caller closed its exchange before the answer.
+type CallerLeft struct {
+	Exchange ExchangeID `cbor:"Leg"`
+}
 
 // HealthAsked is a question whether this dispatcher is ready.
-type HealthAsked struct{ Leg LegID }
+type HealthAsked struct {
+	Exchange ExchangeID `cbor:"Leg"`
+}
 
-// Fault is how an exchange with a next hop ended, where it did not take the job.
+// Fault is how an exchange with a worker ended, where it did not take the job.
 type Fault int
 
 // The faults of a branch.
 const (
 	NoConnect  Fault = iota // no connection came up: it never ran
 	Cut                     // a connection came up and broke before the last byte: it never ran
-	TurnedAway              // the next hop gave a busy answer: it never ran
+	TurnedAway              // the worker gave a busy answer: it never ran
 	Broken                  // the connection broke after the last byte: it may have run
 	Stale                   // a kept connection broke under the request: it may have run
-	Errored                 // the next hop answered with an error: it may have run
-	Unfit                   // the next hop can't use the request, whoever is asked: it never ran
-	NotSent                 // this dispatcher had no place for it, or called it off: the next hop knows nothing
+	Errored                 // the worker answered with an error: it may have run
+	Unfit                   // the worker can't use the request, whoever is asked: it never ran
+	NotSent                 // this dispatcher had no place for it, or called it off: the worker knows nothing
 )
 
-// BranchFailed says that a branch's exchange ended without the next hop taking the job.
+// BranchFailed says that a branch's exchange ended without the worker taking the job.
 type BranchFailed struct {
 	Branch BranchID
 	Fault  Fault
 }
 
-// BranchTaken says that a branch's next hop has taken the job.
+// BranchTaken says that a branch's worker has taken the job.
 type BranchTaken struct{ Branch BranchID }
 
-// BranchReleased says that the giving up of a branch that may have been written is over: its next hop has confirmed that, or can't be told.
+// BranchReleased says that the giving up of a branch that may have been written is over: its worker has confirmed that, or can't be told.
 type BranchReleased struct {
 	Branch  BranchID
 	Request RequestID
 	Told    bool
 }
 
-// JobState is what a next hop reports of a job that it took.
+// JobState is what a worker reports of a job that it took.
 type JobState int
 
 // The states of a job.
@@ -136,15 +140,15 @@
 	JobLost
 )
 
-// JobReported is a next hop's call-back. Where it has a leg it is answered there: Served where this dispatcher knows
+// JobReported is a worker's call-back. Where it has an exchange it is answered there: Served where this dispatcher knows
 // the request or its id is used, Unowned where another one's request it may be.
 type JobReported struct {
-	Leg     LegID `cbor:",omitempty"` // 0 for none
-	Request RequestID
-	From    HopID
-	State   JobState
-	Share   float64 // part done, while running
-	Result  []byte
+	Exchange ExchangeID `cbor:"Leg,omitempty"` // 0 for none
+	Request  RequestID
+	From     WorkerID
+	State    JobState
+	Share    float64 // part done, while running
+	Result   []byte
 }
 
 // RouteSetTold brings discovery's news.
@@ -196,41 +200,41 @@
 	Unowned          // nothing is said: another process may be the one to ask
 )
 
-// Answer is the one final answer on a caller leg.
+// Answer is the one final answer on an exchange.
 type Answer struct {
-	Leg     LegID
-	Verdict Verdict
-	Pause   float64 // seconds after which a busy caller should come back; 0 for no word
-	Body    []byte
-	Reason  string // for people
+	Exchange ExchangeID
+	Verdict  Verdict
+	Pause    float64 // seconds after which a busy caller should come back; 0 for no word
+	Body     []byte
+	Reason   string // for people
 }
 
-// SendBranch sends a request to a next hop.
+// SendBranch sends a request to a worker.
 type SendBranch struct {
-	Branch  BranchID
-	Request RequestID
-	Hop     HopID
-	Addr    string
-	Until   float64 // when the branch is given up
-	Leg     LegID   `cbor:",omitempty"` // whose caller waits for it; 0 for one that nobody need ask for
-	Before  float64 `cbor:",omitempty"` // when its first byte must be written, since its class allows a repeat for so long; 0 for no such time
-	Once    bool    `cbor:",omitempty"` // what a next hop says of it must be beyond doubt, as a repeat may do harm
-	Message Message
+	Branch   BranchID
+	Request  RequestID
+	Worker   WorkerID `cbor:"Hop"`
+	Addr     string
+	Until    float64    // when the branch is given up
+	Exchange ExchangeID `cbor:"Leg,omitempty"` // whose caller waits for it; 0 for one that nobody need ask for
+	Before   float64    `cbor:",omitempty"`    // when its first byte must be written, since its class allows a repeat for so long; 0 for no such time
+	Once     bool       `cbor:",omitempty"`    // what a worker says of it must be beyond doubt, as a repeat may do harm
+	Message  Message
 }
 
-// GiveUpBranch ends the wait for a branch and tells its next hop so.
+// GiveUpBranch ends the wait for a branch and tells its worker so.
 type GiveUpBranch struct {
 	Branch  BranchID
 	Request RequestID
-	Hop     HopID
+	Worker  WorkerID `cbor:"Hop"`
 	Addr    string
 }
 
-// CloseIdle closes the idle connections to a next hop.
+// CloseIdle closes the idle connections to a worker.
 type CloseIdle struct{ Addr string }
 
-// DropHop says that a next hop takes nothing new: what has not been written to it yet must not be.
-type DropHop struct{ Addr string }
+// DropWorker says that a worker takes nothing new: what has not been written to it yet must not be.
+type DropWorker struct{ Addr string }
 
 // VersionUnknown stands for the version of a list that a source has not told yet.
 const VersionUnknown int64 = -1
@@ -256,7 +260,7 @@
 func (SendBranch) effect()    {}
 func (GiveUpBranch) effect()  {}
 func (CloseIdle) effect()     {}
-func (DropHop) effect()       {}
+func (DropWorker) effect()    {}
 func (Watch) effect()         {}
 func (FetchRouteSet) effect() {}
 func (SetLimits) effect()     {}
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -9,7 +9,7 @@
 // Tally counts what the reducer did since its process began. A successor begins at 0.
 type Tally struct {
 	Calls         uint64 // requests taken
-	Branches      uint64 // sent, or given to the next hops' connections to send
+	Branches      uint64 // sent, or given to the workers' connections to send
 	Moves         uint64 // called off by the decision module, to be tried elsewhere
 	RefusedAtOnce uint64 // busy answers before any attempt
 	RefusedTried  uint64 // busy answers after attempts that did not run, or may be repeated
@@ -33,11 +33,11 @@
 func (Figures) effect() {}
 
 func (r *Reducer) figures() {
-	r.emit(Figures{Tally: r.tally, Version: r.version, View: r.View(r.now), Open: len(r.legs)})
+	r.emit(Figures{Tally: r.tally, Version: r.version, View: r.View(r.now), Open: len(r.exchanges)})
 }
 
 // routeSetTold applies a source's news. Danger: a list from a source that has lost its state, or read a part of it,
-// would empty the route set, or bring back hops that have left. Such a list is asked for anew, whole and once; what is
+// would empty the route set, or bring back workers that have left. Such a list is asked for anew, whole and once; what is
 // told then counts, since a source may really begin anew, and what it tells of drains must be kept to.
 func (r *Reducer) routeSetTold(set RouteSet) {
 	if why := r.doubt(set); why != "" && !r.doubted {
@@ -71,8 +71,8 @@
 	switch {
 	case set.Version < r.acted:
 		return fmt.Sprintf("version %d was told after version %d", set.Version, r.acted)
-	case set.Full && len(set.Hops) == 0 && len(r.hops) > 0:
-		return fmt.Sprintf("an empty list was told where %d next hops are held", len(r.hops))
+	case set.Full && len(set.Workers) == 0 && len(r.workers) > 0:
+		return fmt.Sprintf("an empty list was told where %d workers are held", len(r.workers))
 	}
 	return ""
 }
@@ -81,10 +81,10 @@
 // place may come late.
 func (r *Reducer) takeDrains(set RouteSet) {
 	var list []choice.Worker
-	for _, x := range set.Hops {
-		if h, listed := r.hops[x.ID]; listed && r.usable(h) && x.State != HopActive {
+	for _, x := range set.Workers {
+		if h, listed := r.workers[x.ID]; listed && r.usable(h) && x.State != WorkerActive {
 			r.hints[h.ID] = hint{version: set.Version, at: r.now, own: true}
-			r.emit(DropHop{Addr: h.Addr})
+			r.emit(DropWorker{Addr: h.Addr})
 			list = append(list, r.worker(h))
 		}
 	}
--- a/internal/core/figures_test.go
+++ b/internal/core/figures_test.go
@@ -14,14 +14,14 @@
 		set  RouteSet
 		odd  bool
 	}{
-		{"an older version's changes", RouteSet{Version: 40, Hops: hops("b")}, true},
-		{"an older version's list", RouteSet{Version: 40, Full: true, Hops: hops("b")}, true},
+		{"an older version's changes", RouteSet{Version: 40, Workers: workers("b")}, true},
+		{"an older version's list", RouteSet{Version: 40, Full: true, Workers: workers("b")}, true},
 		{"an empty list", RouteSet{Version: 42, Full: true}, true},
 		{"no changes", RouteSet{Version: 41}, false},
-		{"a newer list", RouteSet{Version: 42, Full: true, Hops: hops("b")}, false},
+		{"a newer list", RouteSet{Version: 42, Full: true, Workers: workers("b")}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			r, err := New(1, settings(choice.Idempotent), RouteSet{Version: 41, Hops: hops("a")}, "d:1")
+			r, err := New(1, settings(choice.Idempotent), RouteSet{Version: 41, Workers: workers("a")}, "d:1")
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -43,8 +43,8 @@
 				t.Fatal(err)
 			}
 			r.Step(2.1, RouteSetTold{Source: r.source, RouteSet: tc.set})
-			if r.version != tc.set.Version || len(tc.set.Hops) != 0 && r.hops["b"].ID != "b" || tc.set.Full && r.hops["a"].ID != "" {
-				t.Errorf("told again, it holds version %d and %v", r.version, r.hops)
+			if r.version != tc.set.Version || len(tc.set.Workers) != 0 && r.workers["b"].ID != "b" || tc.set.Full && r.workers["a"].ID != "" {
+				t.Errorf("told again, it holds version %d and %v", r.version, r.workers)
 			}
 		})
 	}
@@ -52,19 +52,19 @@
 
 // TestDrainsOfAnOddListAreKept: they count as told, though the list is asked for anew. That one's word is the last.
 func TestDrainsOfAnOddListAreKept(t *testing.T) {
-	r, err := New(1, settings(choice.Idempotent), RouteSet{Version: 41, Hops: hops("a", "b")}, "d:1")
+	r, err := New(1, settings(choice.Idempotent), RouteSet{Version: 41, Workers: workers("a", "b")}, "d:1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	leaving := hops("a")
-	leaving[0].State = HopLeaving
-	if got := brief(r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 40, Hops: leaving}})); !slices.Contains(got, "core.DropHop") {
+	leaving := workers("a")
+	leaving[0].State = WorkerLeaving
+	if got := brief(r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 40, Workers: leaving}})); !slices.Contains(got, "core.DropWorker") {
 		t.Fatalf("effects %v", got)
 	}
 	for i := range 8 {
-		expect(t, r.Step(2.1, CallArrived{Call{Leg: LegID(20 + i), ID: RequestID(rune('A' + i)), Class: "c", Remaining: 5}}), "send b")
+		expect(t, r.Step(2.1, CallArrived{Call{Exchange: ExchangeID(20 + i), ID: RequestID(rune('A' + i)), Class: "c", Remaining: 5}}), "send b")
 	}
-	r.Step(2.2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 40, Full: true, Hops: hops("a")}})
+	r.Step(2.2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 40, Full: true, Workers: workers("a")}})
 	if got := brief(r.Step(2.3, call("r"))); !slices.Contains(got, "send a") {
 		t.Errorf("effects %v", got)
 	}
@@ -72,7 +72,7 @@
 
 // TestNewSourceIsDoubtedForItself: what the old source was asked again for says nothing of a new one.
 func TestNewSourceIsDoubtedForItself(t *testing.T) {
-	r, err := New(1, settings(choice.Idempotent), RouteSet{Version: 41, Hops: hops("a")}, "d:1")
+	r, err := New(1, settings(choice.Idempotent), RouteSet{Version: 41, Workers: workers("a")}, "d:1")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,7 +80,7 @@
 	r.Step(2, RouteSetTold{Source: r.source, RouteSet: empty})
 	r.Step(2.1, Reloaded{Discovery: "d:2"})
 	r.Step(2.2, RouteSetTold{Source: r.source, RouteSet: empty})
-	if r.hops["a"].ID != "a" {
+	if r.workers["a"].ID != "a" {
 		t.Error("the first empty list of a new source is believed")
 	}
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -193,10 +193,10 @@
 	r.lease, r.fenceUntil = st.Lease, st.Until
 	r.contested, r.askAt, r.deafUntil = max(0, st.Contested), st.AskAt, st.DeafUntil
 	for i, x := range st.Hints {
-		if _, listed := r.hops[x.Hop]; !listed || !isTime(x.At) {
-			return fmt.Errorf("hint %d (%q) is of no hop or at no time", i, x.Hop)
+		if _, listed := r.workers[x.Worker]; !listed || !isTime(x.At) {
+			return fmt.Errorf("hint %d (%q) is of no worker or at no time", i, x.Worker)
 		}
-		r.hints[x.Hop] = hint{x.Version, x.At, x.Own}
+		r.hints[x.Worker] = hint{x.Version, x.At, x.Own}
 	}
 	r.fleet, err = membership.Import(st.View)
 	return err
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -44,7 +44,7 @@
 	if p.Acting != 2 || r.acting != 2 || p.Members[0].State != membership.Serving {
 		t.Errorf("met: %+v, the module counts %d", p.Members, r.acting)
 	}
-	r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 7, Hops: hops("b")}})
+	r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 7, Workers: workers("b")}})
 	r.Step(2.1, DrainOrdered{})
 	if p, _ = pictured(r.Step(2.5, FleetLooked{Sight: membership.Sight{Reached: []uint64{2}}})); p.Members[0].Routes.No != 7 || p.Members[0].State != membership.SentAway {
 		t.Errorf("says of itself: %+v", p.Members[0])
--- a/internal/core/floors.go
+++ b/internal/core/floors.go
@@ -35,7 +35,7 @@
 	Fault string
 }
 
-// Fenced says from when on nothing new may be written to next hops, on the dispatcher's clock; positive infinity for never.
+// Fenced says from when on nothing new may be written to workers, on the dispatcher's clock; positive infinity for never.
 type Fenced struct{ Until float64 }
 
 func (Fenced) effect()     {}
--- a/internal/core/hints_test.go
+++ b/internal/core/hints_test.go
@@ -25,10 +25,10 @@
 	return all
 }
 
-// TestPeersWordTakesOut a next hop until discovery's own word reaches this dispatcher, and no longer.
+// TestPeersWordTakesOut a worker until discovery's own word reaches this dispatcher, and no longer.
 func TestPeersWordTakesOut(t *testing.T) {
 	r := member(t, "a", "b")
-	drain := Hint{Hop: "a", Version: 5, Source: "s"}
+	drain := Hint{Worker: "a", Version: 5, Source: "s"}
 	if got := hintsOf(r.Step(2, FleetHinted{Hints: []Hint{drain}})); !reflect.DeepEqual(got, []Hint{drain}) {
 		t.Errorf("passed on: %v", got)
 	}
@@ -44,17 +44,17 @@
 	if got := hintsOf(r.Step(2, FleetHinted{Hints: []Hint{drain}})); got != nil {
 		t.Errorf("passed on twice, which would never end: %v", got)
 	}
-	sends := func(now float64) (hops []HopID) {
+	sends := func(now float64) (workers []WorkerID) {
 		t.Helper()
 		for i := range 8 {
 			id := RequestID(string(rune('0'+i)) + string(rune('a'+int(now))))
-			for _, e := range r.Step(now, CallArrived{Call: Call{Leg: LegID(int(now)*100 + i), ID: id, Class: "c", Remaining: 1, Slots: 1}}) {
+			for _, e := range r.Step(now, CallArrived{Call: Call{Exchange: ExchangeID(int(now)*100 + i), ID: id, Class: "c", Remaining: 1, Slots: 1}}) {
 				if s, is := e.(SendBranch); is {
-					hops = append(hops, s.Hop)
+					workers = append(workers, s.Worker)
 				}
 			}
 		}
-		return hops
+		return workers
 	}
 	for _, h := range sends(2) {
 		if h == "a" {
@@ -62,13 +62,13 @@
 		}
 	}
 	// Discovery's list here is older than the peer's word, and says active still.
-	r.Step(3, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 4, Full: true, Hops: hops("a", "b")}})
+	r.Step(3, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 4, Full: true, Workers: workers("a", "b")}})
 	for _, h := range sends(3) {
 		if h == "a" {
 			t.Fatal("an older word of discovery's beats the peer's")
 		}
 	}
-	r.Step(4, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 5, Hops: hops("b")}})
+	r.Step(4, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 5, Workers: workers("b")}})
 	back := false
 	for _, h := range sends(5) {
 		back = back || h == "a"
@@ -90,7 +90,7 @@
 	}
 	r.Step(2, FleetHinted{Hints: []Hint{{"a", 5, "s"}, {"b", 5, "s"}, {"c", 5, "s"}, {"d", 5, "s"}}})
 	if len(r.hints) != 2 {
-		t.Errorf("%d of 4 next hops are out by a peer's word", len(r.hints))
+		t.Errorf("%d of 4 workers are out by a peer's word", len(r.hints))
 	}
 	st, err := r.Export()
 	if err != nil {
@@ -114,17 +114,17 @@
 // TestDrainsArePassedOn, as discovery tells them, and only those.
 func TestDrainsArePassedOn(t *testing.T) {
 	r := member(t, "a", "b", "c")
-	list := hops("a", "b")
-	list[0].State = HopLeaving
-	got := hintsOf(r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 6, Full: true, Hops: list}}))
+	list := workers("a", "b")
+	list[0].State = WorkerLeaving
+	got := hintsOf(r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 6, Full: true, Workers: list}}))
 	if want := []Hint{{"a", 6, "s"}, {"c", 6, "s"}}; !reflect.DeepEqual(got, want) {
 		t.Errorf("passed on %v, want %v", got, want)
 	}
-	if got := hintsOf(r.Step(3, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 7, Hops: list}})); got != nil {
+	if got := hintsOf(r.Step(3, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 7, Workers: list}})); got != nil {
 		t.Errorf("passed on again: %v", got)
 	}
 	alone := start(t, choice.Idempotent, "a")
-	if got := hintsOf(alone.Step(2, RouteSetTold{Source: alone.source, RouteSet: RouteSet{Version: 6, Hops: list[:1]}})); got != nil {
+	if got := hintsOf(alone.Step(2, RouteSetTold{Source: alone.source, RouteSet: RouteSet{Version: 6, Workers: list[:1]}})); got != nil {
 		t.Errorf("without a fleet: %v", got)
 	}
 }
@@ -133,9 +133,9 @@
 // not count, through a hand-over too; its own word does, and later on peers' words do again.
 func TestOldBeginningsDrainsEnd(t *testing.T) {
 	r := member(t, "a", "b", "c")
-	r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 40, Full: true, Hops: states("aaa")}})
+	r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 40, Full: true, Workers: states("aaa")}})
 	r.Step(2, FleetHinted{Hints: []Hint{{"a", 41, "s"}}})
-	anew := RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 1, Full: true, Hops: states("aaa")}}
+	anew := RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 1, Full: true, Workers: states("aaa")}}
 	r.Step(3, anew) // odd, and asked for again
 	r.Step(4, anew)
 	st, err := r.Export()
@@ -148,7 +148,7 @@
 	if got := hintsOf(r.Step(5, FleetHinted{Hints: []Hint{{"b", 42, "s"}}})); got != nil || usable(r) != "abc" || r.version != 1 {
 		t.Errorf("%q in use as of %d, passed on %v", usable(r), r.version, got)
 	}
-	r.Step(6, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 2, Hops: states("aal")[2:]}})
+	r.Step(6, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 2, Workers: states("aal")[2:]}})
 	if usable(r) != "ab" {
 		t.Errorf("its own word: %q", usable(r))
 	}
@@ -182,7 +182,7 @@
 	if n != 4 {
 		t.Errorf("asks %d times in 4 s", n)
 	}
-	r.Step(7, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 6, Full: true, Hops: states("al")}})
+	r.Step(7, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 6, Full: true, Workers: states("al")}})
 	if asked(9) != 0 {
 		t.Error("asks on though its own discovery has told")
 	}
@@ -191,12 +191,12 @@
 // TestDrainsAreRememberedWhileTheyHold: one that lags for long is told them still, and not of those that came back.
 func TestDrainsAreRememberedWhileTheyHold(t *testing.T) {
 	r := member(t, "a", "b", "c")
-	r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 5, Full: true, Hops: states("lla")}})
+	r.Step(2, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 5, Full: true, Workers: states("lla")}})
 	told := func(at float64) (ids string) {
 		for _, e := range r.Step(at, FleetLooked{}) {
 			if p, is := e.(FleetPictured); is {
 				for _, h := range p.Hints {
-					ids += string(h.Hop)
+					ids += string(h.Worker)
 				}
 			}
 		}
@@ -205,7 +205,7 @@
 	if got := told(2 + 10*hintMost); got != "ab" {
 		t.Errorf("told %q", got)
 	}
-	r.Step(3+10*hintMost, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 6, Hops: states("a")}})
+	r.Step(3+10*hintMost, RouteSetTold{Source: r.source, RouteSet: RouteSet{Version: 6, Workers: states("a")}})
 	if got := told(4 + 10*hintMost); got != "b" {
 		t.Errorf("after a has come back: %q", got)
 	}
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -14,7 +14,7 @@
 var _ choice.Actions = host{}
 
 // Assign opens the request's next branch. Where it can't be sent any more it ends as skipped.
-func (h host) Assign(id, worker string, until float64) {
+func (h host) Assign(id, workerID string, until float64) {
 	r := h.r
 	q := r.requests[RequestID(id)]
 	if q == nil {
@@ -24,44 +24,44 @@
 	if until == 0 || until > q.deadline {
 		until = q.deadline
 	}
-	hop, known := r.hops[HopID(worker)]
-	before, allowed := r.mayRepeat(q, hop)
+	worker, known := r.workers[WorkerID(workerID)]
+	before, allowed := r.mayRepeat(q, worker)
 	r.lastID++
-	b := &branch{id: r.lastID, no: len(q.branches), req: q, hop: HopID(worker), sent: r.now, zone: hop.Zone, cell: hop.Cell}
+	b := &branch{id: r.lastID, no: len(q.branches), req: q, worker: WorkerID(workerID), sent: r.now, zone: worker.Zone, cell: worker.Cell}
 	q.branches = append(q.branches, b)
 	q.open++
 	r.branches[b.id] = b
-	// A hop that drains, is out by hand or has gone gets nothing new, whatever the decider still thinks of it.
-	if q.over || r.fenced() || !known || !r.usable(hop) || !allowed || until <= r.now || b.no >= r.settings.MaxAttempts {
+	// A worker that drains, is out by hand or has gone gets nothing new, whatever the decider still thinks of it.
+	if q.over || r.fenced() || !known || !r.usable(worker) || !allowed || until <= r.now || b.no >= r.settings.MaxAttempts {
 		r.later = append(r.later, func() { r.endBranch(b, choice.Skipped, nil) })
 		return
 	}
-	b.addr = hop.Addr
+	b.addr = worker.Addr
 	r.tally.Branches++
-	r.act(audit.Sent, q, b.hop)
-	r.emit(SendBranch{Branch: b.id, Request: q.call.ID, Hop: b.hop, Addr: b.addr, Until: until, Leg: q.call.Leg, Before: before,
+	r.act(audit.Sent, q, b.worker)
+	r.emit(SendBranch{Branch: b.id, Request: q.call.ID, Worker: b.worker, Addr: b.addr, Until: until, Exchange: q.call.Exchange, Before: before,
 		Once: r.effect(q) != choice.Idempotent, Message: q.call.Message})
 	if until < q.deadline {
 		r.after(until, timer{kind: timerBranch, branch: b.id})
 	}
 }
 
-// mayRepeat tells whether the request's class allows a further branch at a hop after those that it has had, whatever the decider thinks,
-// and until when its first byte may be written; 0 for no such time. A hop gets a request a second time only where the first never
-// reached it, was turned away on its own connection, or was called off and the hop has confirmed that. Danger: call-backs are told again until they are answered, so one that ended an
+// mayRepeat tells whether the request's class allows a further branch at a worker after those that it has had, whatever the decider thinks,
+// and until when its first byte may be written; 0 for no such time. A worker gets a request a second time only where the first never
+// reached it, was turned away on its own connection, or was called off and the worker has confirmed that. Danger: call-backs are told again until they are answered, so one that ended an
 // earlier branch there may come once more, and would end the later one, which runs.
-func (r *Reducer) mayRepeat(q *request, hop Hop) (before float64, ok bool) {
+func (r *Reducer) mayRepeat(q *request, worker Worker) (before float64, ok bool) {
 	class := &r.settings.Classes[r.classes[q.call.Class]]
 	for _, b := range q.branches {
 		again := b.ended && b.code.NeverRan()
 		calledOff := b.ended && b.code == choice.Cancelled && b.released
 		switch {
-		case b.hop == hop.ID && (!again && !calledOff || b.code == choice.Returned), !b.released && !r.settings.SecondCopies:
+		case b.worker == worker.ID && (!again && !calledOff || b.code == choice.Returned), !b.released && !r.settings.SecondCopies:
 			return 0, false
 		case again || class.Effect == choice.Idempotent:
 			continue
 		case class.Effect == choice.AtMostOnce,
-			class.Group == choice.GroupZone && b.zone != hop.Zone, class.Group == choice.GroupCell && b.cell != hop.Cell:
+			class.Group == choice.GroupZone && b.zone != worker.Zone, class.Group == choice.GroupCell && b.cell != worker.Cell:
 			return 0, false
 		}
 		if end := b.sent + class.Window; before == 0 || end < before {
@@ -102,9 +102,9 @@
 	h.r.after(h.r.now+max(0, delay), timer{kind: timerDecider, token: token})
 }
 
-func (h host) CloseIdle(worker string) {
-	if hop, known := h.r.hops[HopID(worker)]; known {
-		h.r.emit(CloseIdle{Addr: hop.Addr})
+func (h host) CloseIdle(workerID string) {
+	if worker, known := h.r.workers[WorkerID(workerID)]; known {
+		h.r.emit(CloseIdle{Addr: worker.Addr})
 	}
 }
 
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -20,15 +20,15 @@
 	if !ok {
 		t.Fatal("not held")
 	}
-	news := RouteSetTold{RouteSet: RouteSet{Version: 2, Full: true, Hops: hops("b")}}
+	news := RouteSetTold{RouteSet: RouteSet{Version: 2, Full: true, Workers: workers("b")}}
 	l.Post(call("one"))
-	l.Post(HealthAsked{Leg: 99})
+	l.Post(HealthAsked{Exchange: 99})
 	l.Post(news)
 	l.Drain()
 	l.Post(RouteSetRefused{Source: Source{Addr: "other"}})
 	l.Post(call("two"))
 	l.Drain()
-	want := []Event{news, RouteSetRefused{Source: Source{Addr: "other"}}, call("one"), HealthAsked{Leg: 99}, call("two")}
+	want := []Event{news, RouteSetRefused{Source: Source{Addr: "other"}}, call("one"), HealthAsked{Exchange: 99}, call("two")}
 	if got := l.Backlog(); !reflect.DeepEqual(got, want) {
 		t.Fatalf("backlog %+v", got)
 	}
@@ -37,7 +37,7 @@
 	}
 	goOn()
 	got := []Effect{<-effects, <-effects, <-effects, <-effects}
-	expect(t, got, "core.DropHop", "send b", "answer 0 ready\n", "send b")
+	expect(t, got, "core.DropWorker", "send b", "answer 0 ready\n", "send b")
 	stop()
 	<-l.done
 	if _, ok := l.Hold(); ok {
@@ -46,7 +46,7 @@
 
 	twin := start(t, choice.Idempotent, "a")
 	other := NewLoop(twin, func() float64 { return 2 }, func(e Effect) { effects <- e })
-	other.Post(HealthAsked{Leg: 100})
+	other.Post(HealthAsked{Exchange: 100})
 	other.Precede(want)
 	steps := 0
 	other.Watch(func(float64, Event, []Effect) { steps++ })
@@ -54,8 +54,8 @@
 	defer stop()
 	go other.Run(ctx)
 	got = []Effect{<-effects, <-effects, <-effects, <-effects, <-effects}
-	expect(t, got, "core.DropHop", "send b", "answer 0 ready\n", "send b", "answer 0 ready\n")
-	if got[4].(Answer).Leg != 100 || steps < 6 {
+	expect(t, got, "core.DropWorker", "send b", "answer 0 ready\n", "send b", "answer 0 ready\n")
+	if got[4].(Answer).Exchange != 100 || steps < 6 {
 		t.Errorf("%+v is last, %d steps were told", got[4], steps)
 	}
 }
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -15,7 +15,7 @@
 )
 
 // mostUninformed is for how long at the most a new process says that it is not ready since discovery has not answered, in seconds. Danger: who
-// is given requests before that sends them to next hops that have long gone; and where discovery is down, nobody would ever be ready.
+// is given requests before that sends them to workers that have long gone; and where discovery is down, nobody would ever be ready.
 const mostUninformed = 3.0
 
 // doubtTime is how long a job in doubt may take to report its start, in seconds.
@@ -32,18 +32,18 @@
 
 // branch is one attempt of a request.
 type branch struct {
-	id    BranchID
-	no    int
-	req   *request
-	hop   HopID
-	addr  string
-	sent  float64
-	zone  string // of the hop, as it was told then
-	cell  int
-	begun bool // its start has been passed on
-
-	// An attempt is open, given up (its next hop is being told, and code is what it will end as), or ended. released says that nothing of it
-	// runs, or may yet, as far as its next hop or this machine can know.
+	id     BranchID
+	no     int
+	req    *request
+	worker WorkerID
+	addr   string
+	sent   float64
+	zone   string // of the worker, as it was told then
+	cell   int
+	begun  bool // its start has been passed on
+
+	// An attempt is open, given up (its worker is being told, and code is what it will end as), or ended. released says that nothing of it
+	// runs, or may yet, as far as its worker or this machine can know.
 	givenUp  bool
 	ended    bool
 	code     choice.Code
@@ -61,23 +61,23 @@
 	decider    *choice.Dispatcher
 	requests   map[RequestID]*request
 	spent      map[RequestID]bool // ids of requests that have ended, until their deadlines
-	legs       map[LegID]*request
+	exchanges  map[ExchangeID]*request
 	branches   map[BranchID]*branch
-	hops       map[HopID]Hop
+	workers    map[WorkerID]Worker
 	source     Source
-	version    int64             // of the list that the source told
-	watching   bool              // a watch of the source was asked for and has not been refused
-	readyAt    float64           // when it is ready whatever discovery says; 0 once that has told or refused something
-	banned     map[HopID]bool    // out by hand, listed or not
-	returned   map[HopID]float64 // when a listed hop was put back by hand
-	hints      map[HopID]hint    // out by a peer's word, listed as active
-	hintsAt    float64           // when the next question for drains may go out
-	deafUntil  float64           // until when no hints are believed, since the source has begun anew
-	recent     []HintState       // drains that were told lately, by this source or by peers
-	routesName string            // of the source, among the members of a fleet
-	draining   bool              // by hand
-	stopping   bool              // all that was taken has been answered, and the process ends
-	doubted    bool              // the source was asked for its whole list, since what it told was odd
+	version    int64                // of the list that the source told
+	watching   bool                 // a watch of the source was asked for and has not been refused
+	readyAt    float64              // when it is ready whatever discovery says; 0 once that has told or refused something
+	banned     map[WorkerID]bool    // out by hand, listed or not
+	returned   map[WorkerID]float64 // when a listed worker was put back by hand
+	hints      map[WorkerID]hint    // out by a peer's word, listed as active
+	hintsAt    float64              // when the next question for drains may go out
+	deafUntil  float64              // until when no hints are believed, since the source has begun anew
+	recent     []HintState          // drains that were told lately, by this source or by peers
+	routesName string               // of the source, among the members of a fleet
+	draining   bool                 // by hand
+	stopping   bool                 // all that was taken has been answered, and the process ends
+	doubted    bool                 // the source was asked for its whole list, since what it told was odd
 	tally      Tally
 	fleet      *membership.View // nil where this dispatcher keeps none
 	says       membership.Says  // of itself, to the fleet
@@ -128,8 +128,8 @@
 // empty makes a reducer without a decision module.
 func empty(now float64, s choice.Settings) *Reducer {
 	r := &Reducer{now: now, settings: s, classes: map[string]int{}, tenants: map[string]int{}, requests: map[RequestID]*request{},
-		spent: map[RequestID]bool{}, legs: map[LegID]*request{}, branches: map[BranchID]*branch{}, hops: map[HopID]Hop{},
-		banned: map[HopID]bool{}, returned: map[HopID]float64{}, hints: map[HopID]hint{}, clashed: map[membership.Clash]bool{}}
+		spent: map[RequestID]bool{}, exchanges: map[ExchangeID]*request{}, branches: map[BranchID]*branch{}, workers: map[WorkerID]Worker{},
+		banned: map[WorkerID]bool{}, returned: map[WorkerID]float64{}, hints: map[WorkerID]hint{}, clashed: map[membership.Clash]bool{}}
 	for i, c := range s.Classes {
 		r.classes[c.Name] = i
 	}
@@ -148,7 +148,7 @@
 }
 
 // Step applies one event at the given time, then the timers that are due, and returns the effects to carry
-// out, in order. Danger: timers first would send branches to a next hop whose drain the event tells, and
+// out, in order. Danger: timers first would send branches to a worker whose drain the event tells, and
 // time out what the event says is done.
 func (r *Reducer) Step(now float64, ev Event) []Effect {
 	r.now = max(r.now, now) // the clock never runs backwards for the decider
@@ -157,16 +157,16 @@
 	case CallArrived:
 		r.callArrived(ev.Call)
 	case CallerLeft:
-		r.callerLeft(ev.Leg)
+		r.callerLeft(ev.Exchange)
 	case HealthAsked:
 		if r.draining {
-			r.emit(Answer{Leg: ev.Leg, Verdict: Busy, Reason: "draining"})
+			r.emit(Answer{Exchange: ev.Exchange, Verdict: Busy, Reason: "draining"})
 		} else if r.fenced() {
-			r.emit(Answer{Leg: ev.Leg, Verdict: Busy, Reason: "shut out"})
+			r.emit(Answer{Exchange: ev.Exchange, Verdict: Busy, Reason: "shut out"})
 		} else if r.now < r.readyAt {
-			r.emit(Answer{Leg: ev.Leg, Verdict: Busy, Reason: "discovery has not answered yet"})
+			r.emit(Answer{Exchange: ev.Exchange, Verdict: Busy, Reason: "discovery has not answered yet"})
 		} else {
-			r.emit(Answer{Leg: ev.Leg, Verdict: Served, Body: []byte("ready\n")})
+			r.emit(Answer{Exchange: ev.Exchange, Verdict: Served, Body: []byte("ready\n")})
 		}
 	case BranchFailed:
 		if b := r.branches[ev.Branch]; b != nil {
@@ -174,13 +174,13 @@
 		}
 	case BranchTaken:
 		if b := r.branches[ev.Branch]; b != nil && !b.begun {
-			r.decider.Note(r.now, choice.Note{Request: string(b.req.call.ID), Worker: string(b.hop), Attempt: b.no, Taken: true})
+			r.decider.Note(r.now, choice.Note{Request: string(b.req.call.ID), Worker: string(b.worker), Attempt: b.no, Taken: true})
 		}
 	case BranchReleased:
 		r.released(ev)
 	case JobReported:
-		if ev.Leg != 0 {
-			a := Answer{Leg: ev.Leg, Verdict: Served}
+		if ev.Exchange != 0 {
+			a := Answer{Exchange: ev.Exchange, Verdict: Served}
 			if r.requests[ev.Request] == nil && !r.spent[ev.Request] {
 				a.Verdict = Unowned
 			}
@@ -235,12 +235,12 @@
 var faultCodes = map[Fault]choice.Code{NoConnect: choice.NoConnect, Cut: choice.Cut, TurnedAway: choice.Busy,
 	Broken: choice.Reset, Stale: choice.Stale, Errored: choice.Errored, Unfit: choice.Skipped, NotSent: choice.Skipped}
 
-// branchFailed ends a branch whose job was not taken. Danger: a next hop that turns away what it can't use is
+// branchFailed ends a branch whose job was not taken. Danger: a worker that turns away what it can't use is
 // well; taken for an error of its own, a few bad requests would bar it from all others.
 func (r *Reducer) branchFailed(b *branch, f Fault) {
 	switch {
 	case f == Unfit:
-		r.endBranch(b, faultCodes[f], &Answer{Verdict: Rejected, Reason: "no next hop can use the request"})
+		r.endBranch(b, faultCodes[f], &Answer{Verdict: Rejected, Reason: "no worker can use the request"})
 		return
 	case f == Broken && b.begun:
 		return // the job runs: its end will be reported, or it ends at the deadline
@@ -251,11 +251,11 @@
 		r.after(r.now+doubtTime, timer{kind: timerDoubt, branch: b.id, fault: f})
 		return
 	case b.begun && faultCodes[f].NeverRan():
-		f = Errored // danger: the hop has told that it began, so what says that it never ran is another one's word, or a mistake
+		f = Errored // danger: the worker has told that it began, so what says that it never ran is another one's word, or a mistake
 	case b.givenUp && (f == Broken || f == Stale):
-		return // this machine closed the connection, and the hop is being told
+		return // this machine closed the connection, and the worker is being told
 	case f == Broken || f == Stale:
-		// Danger: the hop may have taken the job and said so just as the connection broke.
+		// Danger: the worker may have taken the job and said so just as the connection broke.
 		r.release(b, faultCodes[f])()
 		return
 	}
@@ -264,7 +264,7 @@
 }
 
 // release gives a branch up, and returns what ends it. Where copies are not allowed and its class may be repeated, that is to wait for the word
-// of its next hop: until then it counts as out. Danger: a repeat elsewhere would be a second copy.
+// of its worker: until then it counts as out. Danger: a repeat elsewhere would be a second copy.
 func (r *Reducer) release(b *branch, code choice.Code) (end func()) {
 	r.giveUp(b)
 	if b.code = code; !r.settings.SecondCopies && r.effect(b.req) != choice.AtMostOnce && !b.req.over {
@@ -281,23 +281,23 @@
 	}
 	switch {
 	case !known:
-		r.emit(Answer{Leg: c.Leg, Verdict: Rejected, Reason: "unknown class"})
+		r.emit(Answer{Exchange: c.Exchange, Verdict: Rejected, Reason: "unknown class"})
 		return
 	case r.requests[c.ID] != nil || r.spent[c.ID]:
-		// An id used twice would mix up the two requests' call-backs, and a next hop may still know the first.
-		r.emit(Answer{Leg: c.Leg, Verdict: Rejected, Reason: "request id in use"})
+		// An id used twice would mix up the two requests' call-backs, and a worker may still know the first.
+		r.emit(Answer{Exchange: c.Exchange, Verdict: Rejected, Reason: "request id in use"})
 		return
 	case c.Remaining <= 0:
-		r.emit(Answer{Leg: c.Leg, Verdict: Failed, Reason: "no time remains"})
+		r.emit(Answer{Exchange: c.Exchange, Verdict: Failed, Reason: "no time remains"})
 		return
 	case r.fenced():
-		r.emit(Answer{Leg: c.Leg, Verdict: Busy, Reason: "shut out"}) // asking elsewhere is harmless
+		r.emit(Answer{Exchange: c.Exchange, Verdict: Busy, Reason: "shut out"}) // asking elsewhere is harmless
 		return
 	case r.stopping:
-		r.emit(Answer{Leg: c.Leg, Verdict: Busy, Reason: "stopping"}) // danger: the process ends before an attempt could
+		r.emit(Answer{Exchange: c.Exchange, Verdict: Busy, Reason: "stopping"}) // danger: the process ends before an attempt could
 		return
-	case r.settings.OpenCap > 0 && len(r.legs) >= r.settings.OpenCap:
-		r.emit(Answer{Leg: c.Leg, Verdict: Busy, Reason: "too many open requests"})
+	case r.settings.OpenCap > 0 && len(r.exchanges) >= r.settings.OpenCap:
+		r.emit(Answer{Exchange: c.Exchange, Verdict: Busy, Reason: "too many open requests"})
 		return
 	}
 	if most := r.settings.Classes[class].Deadline; most > 0 {
@@ -305,15 +305,15 @@
 	}
 	q := &request{call: c, deadline: r.now + c.Remaining}
 	r.tally.Calls++
-	r.requests[c.ID], r.legs[c.Leg] = q, q
-	r.after(q.deadline, timer{kind: timerExpire, request: c.ID, leg: c.Leg})
+	r.requests[c.ID], r.exchanges[c.Exchange] = q, q
+	r.after(q.deadline, timer{kind: timerExpire, request: c.ID, exchange: c.Exchange})
 	r.decider.Request(r.now, choice.Request{ID: string(c.ID), Deadline: q.deadline, Class: class,
 		Tenant: tenant, Key: c.Key, HasKey: c.HasKey, Memory: c.Memory, Slots: c.Slots, Hint: c.Hint,
 		HasHint: c.HasHint, Repeat: c.Repeat})
 }
 
-func (r *Reducer) callerLeft(leg LegID) {
-	if q := r.legs[leg]; q != nil {
+func (r *Reducer) callerLeft(exchange ExchangeID) {
+	if q := r.exchanges[exchange]; q != nil {
 		r.finish(q)
 		r.settle()
 		r.decider.Withdrawn(r.now, string(q.call.ID))
@@ -345,8 +345,8 @@
 // again is harmless, so only what never ran, or may be repeated freely, is told that.
 func (r *Reducer) stop() {
 	r.stopping = true
-	for _, leg := range slices.Sorted(maps.Keys(r.legs)) { // in order, so that twins do alike
-		q := r.legs[leg]
+	for _, exchange := range slices.Sorted(maps.Keys(r.exchanges)) { // in order, so that twins do alike
+		q := r.exchanges[exchange]
 		a := Answer{Verdict: Busy, Reason: "stopping"}
 		if len(q.branches) > 0 && r.effect(q) != choice.Idempotent {
 			a.Verdict = Failed
@@ -357,7 +357,7 @@
 
 // answer gives the one final answer of a request.
 func (r *Reducer) answer(q *request, a Answer) {
-	a.Leg = q.call.Leg
+	a.Exchange = q.call.Exchange
 	r.act(actOf[a.Verdict], q, "")
 	switch {
 	case a.Verdict == Busy && len(q.branches) == 0:
@@ -376,11 +376,11 @@
 func (r *Reducer) finish(q *request) {
 	q.over = true
 	q.call.Message = Message{}
-	delete(r.legs, q.call.Leg)
+	delete(r.exchanges, q.call.Exchange)
 	for _, b := range q.branches {
 		if !b.ended {
 			r.giveUp(b)
-			r.later = append(r.later, func() { r.endBranch(b, choice.TimedOut, nil) }) // it tells nothing of its next hop
+			r.later = append(r.later, func() { r.endBranch(b, choice.TimedOut, nil) }) // it tells nothing of its worker
 		}
 	}
 	r.forget(q)
@@ -424,25 +424,25 @@
 		r.answer(q, *final)
 	}
 	r.forget(q)
-	r.decider.Outcome(r.now, choice.Outcome{Request: string(q.call.ID), Attempt: b.no, Worker: string(b.hop),
+	r.decider.Outcome(r.now, choice.Outcome{Request: string(q.call.ID), Attempt: b.no, Worker: string(b.worker),
 		Code: code, Latency: r.now - b.sent, Final: q.over})
 }
 
 // actOf is how the account counts an answer.
 var actOf = map[Verdict]audit.Kind{Served: audit.Answered, Busy: audit.Refused, Failed: audit.Failed, Rejected: audit.Failed, Unowned: audit.Failed}
 
-// giveUp has a branch's next hop told that nobody waits for it any more, once.
+// giveUp has a branch's worker told that nobody waits for it any more, once.
 func (r *Reducer) giveUp(b *branch) {
 	if b.givenUp {
 		return
 	}
 	b.givenUp = true
-	r.act(audit.GivenUp, b.req, b.hop)
-	r.emit(GiveUpBranch{Branch: b.id, Request: b.req.call.ID, Hop: b.hop, Addr: b.addr})
+	r.act(audit.GivenUp, b.req, b.worker)
+	r.emit(GiveUpBranch{Branch: b.id, Request: b.req.call.ID, Worker: b.worker, Addr: b.addr})
 }
 
 // jobReported applies a call-back. Calls are repeated until answered and may come late, so whatever names
-// no open branch changes nothing. A request may have branches at several hops: the sender tells which.
+// no open branch changes nothing. A request may have branches at several workers: the sender tells which.
 func (r *Reducer) jobReported(ev JobReported) {
 	q := r.requests[ev.Request]
 	if q == nil {
@@ -451,7 +451,7 @@
 	var b *branch
 	known := false
 	for _, x := range q.branches {
-		if x.hop == ev.From {
+		if x.worker == ev.From {
 			known = true
 			if !x.ended {
 				b = x
@@ -470,7 +470,7 @@
 			return
 		}
 		b.begun = true
-		r.decider.Note(r.now, choice.Note{Request: string(q.call.ID), Worker: string(b.hop), Attempt: b.no,
+		r.decider.Note(r.now, choice.Note{Request: string(q.call.ID), Worker: string(b.worker), Attempt: b.no,
 			Started: ev.State == JobStarted, Share: ev.Share})
 	case JobDone:
 		r.endBranch(b, choice.Done, &Answer{Verdict: Served, Body: ev.Result})
@@ -496,22 +496,22 @@
 	r.decider.Withdrawn(r.now, string(q.call.ID))
 }
 
-var hopStates = map[HopState]choice.State{HopActive: choice.InService, HopLeaving: choice.Terminating,
-	HopLeft: choice.Terminated}
+var workerStates = map[WorkerState]choice.State{WorkerActive: choice.InService, WorkerLeaving: choice.Terminating,
+	WorkerLeft: choice.Terminated}
 
 // applyRouteSet takes discovery's news before any later branch is sent.
 func (r *Reducer) applyRouteSet(set RouteSet, form choice.ListForm) {
 	r.version = set.Version
-	before := maps.Clone(r.hops)
+	before := maps.Clone(r.workers)
 	if set.Full {
-		r.hops = make(map[HopID]Hop, len(set.Hops))
+		r.workers = make(map[WorkerID]Worker, len(set.Workers))
 	}
-	list := make([]choice.Worker, 0, len(set.Hops))
-	for _, h := range set.Hops {
-		r.hops[h.ID] = h
+	list := make([]choice.Worker, 0, len(set.Workers))
+	for _, h := range set.Workers {
+		r.workers[h.ID] = h
 	}
 	back := r.unhint(set.Version) // discovery's own word
-	for _, h := range set.Hops {
+	for _, h := range set.Workers {
 		list = append(list, r.worker(h))
 	}
 	if !set.Full {
@@ -521,18 +521,18 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(before)) {
 		h := before[id]
-		now, listed := r.hops[id]
-		if h.State == HopActive && (!listed || now.State != HopActive || now.Addr != h.Addr) {
-			r.emit(DropHop{Addr: h.Addr})
+		now, listed := r.workers[id]
+		if h.State == WorkerActive && (!listed || now.State != WorkerActive || now.Addr != h.Addr) {
+			r.emit(DropWorker{Addr: h.Addr})
 		}
 	}
-	for id, h := range r.hops {
-		if h.State == HopLeft {
-			delete(r.hops, id)
+	for id, h := range r.workers {
+		if h.State == WorkerLeft {
+			delete(r.workers, id)
 		}
 	}
-	maps.DeleteFunc(r.returned, func(id HopID, _ float64) bool {
-		_, listed := r.hops[id]
+	maps.DeleteFunc(r.returned, func(id WorkerID, _ float64) bool {
+		_, listed := r.workers[id]
 		return !listed
 	})
 	r.decider.List(r.now, form, list)
@@ -553,7 +553,7 @@
 	r.source = Source{Addr: ev.Discovery, No: r.source.No + 1}
 	r.version, r.acted, r.watching, r.doubted = VersionUnknown, VersionUnknown, true, false
 	r.recent, r.contested = nil, 0
-	clear(r.hints) // of the old source; each hop that is still out is told by the new one
+	clear(r.hints) // of the old source; each worker that is still out is told by the new one
 	r.audited.Begun++
 	r.holds()
 	r.emit(Watch{On: true, Source: r.source, Since: r.version})
@@ -572,14 +572,14 @@
 // timer says what is to be done when its time has come. It is a record, not a function, so that it can be written
 // down and taken up by another process.
 type timer struct {
-	at      float64
-	seq     uint64
-	kind    timerKind
-	request RequestID // timerExpire
-	leg     LegID     // timerExpire: ids may be used again, legs are not
-	branch  BranchID  // timerBranch, timerDoubt
-	fault   Fault     // timerDoubt
-	token   uint64    // timerDecider
+	at       float64
+	seq      uint64
+	kind     timerKind
+	request  RequestID  // timerExpire
+	exchange ExchangeID // timerExpire: ids may be used again, exchanges are not
+	branch   BranchID   // timerBranch, timerDoubt
+	fault    Fault      // timerDoubt
+	token    uint64     // timerDecider
 }
 
 type timerHeap []timer
@@ -618,7 +618,7 @@
 	switch t.kind {
 	case timerExpire:
 		delete(r.spent, t.request)
-		if q := r.requests[t.request]; q != nil && q.call.Leg == t.leg {
+		if q := r.requests[t.request]; q != nil && q.call.Exchange == t.exchange {
 			r.expire(q)
 		}
 	case timerBranch:
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -17,13 +17,13 @@
 	Source   Source
 	Version  int64 // of the route set that the source told; VersionUnknown before the first
 	Watching bool
-	Hops     []Hop // by id
+	Workers  []Worker `cbor:"Hops"` // by id
 	LastID   BranchID
 	TimerSeq uint64
 	Timers   []TimerState   // in the order in which they come due
 	Requests []RequestState // by id
 	Spent    []RequestID    // ids of requests that have ended, before their deadlines
-	Banned   []HopID        `cbor:",omitempty"` // out by hand
+	Banned   []WorkerID     `cbor:",omitempty"` // out by hand
 	Returned []ReturnState  `cbor:",omitempty"` // put back by hand
 	Draining bool           // by hand
 	Doubted  bool           `cbor:",omitempty"` // the source was asked for its whole list, since what it told was odd
@@ -32,22 +32,22 @@
 	Decider  choice.Snapshot
 }
 
-// ReturnState is a next hop that was put back by hand, and when.
+// ReturnState is a worker that was put back by hand, and when.
 type ReturnState struct {
-	Hop HopID
-	At  float64
+	Worker WorkerID `cbor:"Hop"`
+	At     float64
 }
 
 // TimerState is a timer that is set. Which of the last five fields count depends on Kind.
 type TimerState struct {
-	At      float64
-	Seq     uint64
-	Kind    uint8
-	Request RequestID `cbor:",omitempty"`
-	Leg     LegID     `cbor:",omitempty"`
-	Branch  BranchID  `cbor:",omitempty"`
-	Fault   Fault     `cbor:",omitempty"`
-	Token   uint64    `cbor:",omitempty"`
+	At       float64
+	Seq      uint64
+	Kind     uint8
+	Request  RequestID  `cbor:",omitempty"`
+	Exchange ExchangeID `cbor:"Leg,omitempty"`
+	Branch   BranchID   `cbor:",omitempty"`
+	Fault    Fault      `cbor:",omitempty"`
+	Token    uint64     `cbor:",omitempty"`
 }
 
 // RequestState is a request that is unanswered, or has an open branch.
@@ -61,7 +61,7 @@
 // BranchState is one attempt of a request.
 type BranchState struct {
 	ID      BranchID
-	Hop     HopID
+	Worker  WorkerID `cbor:"Hop"`
 	Addr    string
 	Sent    float64
 	Ended   bool
@@ -102,19 +102,19 @@
 		s.Banned = append(s.Banned, id)
 	}
 	for id, at := range r.returned {
-		s.Returned = append(s.Returned, ReturnState{Hop: id, At: at})
+		s.Returned = append(s.Returned, ReturnState{Worker: id, At: at})
 	}
-	for _, h := range r.hops {
-		s.Hops = append(s.Hops, h)
+	for _, h := range r.workers {
+		s.Workers = append(s.Workers, h)
 	}
 	for _, t := range r.timers {
-		s.Timers = append(s.Timers, TimerState{At: t.at, Seq: t.seq, Kind: uint8(t.kind), Request: t.request, Leg: t.leg,
+		s.Timers = append(s.Timers, TimerState{At: t.at, Seq: t.seq, Kind: uint8(t.kind), Request: t.request, Exchange: t.exchange,
 			Branch: t.branch, Fault: t.fault, Token: t.token})
 	}
 	for _, q := range r.requests {
 		out := RequestState{Call: q.call, Deadline: q.deadline, Over: q.over}
 		for _, b := range q.branches {
-			out.Branches = append(out.Branches, BranchState{ID: b.id, Hop: b.hop, Addr: b.addr, Sent: b.sent, Ended: b.ended,
+			out.Branches = append(out.Branches, BranchState{ID: b.id, Worker: b.worker, Addr: b.addr, Sent: b.sent, Ended: b.ended,
 				Begun: b.begun, InDoubt: b.inDoubt, Zone: b.zone, Cell: b.cell, Code: b.code,
 				GivenUp: b.givenUp, Released: b.released})
 		}
@@ -126,14 +126,14 @@
 // Sort puts everything into the order that its fields name. Export leaves it to whoever writes the state down, since
 // the reducer stands still for as long as an export takes.
 func (s *State) Sort() {
-	slices.SortFunc(s.Hops, func(a, b Hop) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(s.Workers, func(a, b Worker) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(s.Timers, func(a, b TimerState) int {
 		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Seq, b.Seq))
 	})
 	slices.SortFunc(s.Requests, func(a, b RequestState) int { return cmp.Compare(a.Call.ID, b.Call.ID) })
 	slices.Sort(s.Spent)
 	slices.Sort(s.Banned)
-	slices.SortFunc(s.Returned, func(a, b ReturnState) int { return cmp.Compare(a.Hop, b.Hop) })
+	slices.SortFunc(s.Returned, func(a, b ReturnState) int { return cmp.Compare(a.Worker, b.Worker) })
 }
 
 // Import makes a reducer that goes on where the exported one stood: the same events at the same times have the
@@ -150,24 +150,24 @@
 	}
 	r := empty(st.Now, s)
 	r.source, r.version, r.watching, r.lastID, r.timerSeq = st.Source, st.Version, st.Watching, st.LastID, st.TimerSeq
-	for i, h := range st.Hops {
-		if _, twice := r.hops[h.ID]; twice || h.State < HopActive || h.State > HopLeft {
-			return nil, fmt.Errorf("%w: hop %d (%q) is there twice or in no state", ErrState, i, h.ID)
+	for i, h := range st.Workers {
+		if _, twice := r.workers[h.ID]; twice || h.State < WorkerActive || h.State > WorkerLeft {
+			return nil, fmt.Errorf("%w: worker %d (%q) is there twice or in no state", ErrState, i, h.ID)
 		}
-		r.hops[h.ID] = h
+		r.workers[h.ID] = h
 	}
 	if len(st.Banned) > mostBans {
-		return nil, fmt.Errorf("%w: %d hops are out by hand, %d at most", ErrState, len(st.Banned), mostBans)
+		return nil, fmt.Errorf("%w: %d workers are out by hand, %d at most", ErrState, len(st.Banned), mostBans)
 	}
 	r.draining, r.doubted = st.Draining, st.Doubted
 	for _, id := range st.Banned {
 		r.banned[id] = true
 	}
 	for i, x := range st.Returned {
-		if _, listed := r.hops[x.Hop]; !listed || !isTime(x.At) {
-			return nil, fmt.Errorf("%w: return %d (%q) is of no hop or at no time", ErrState, i, x.Hop)
+		if _, listed := r.workers[x.Worker]; !listed || !isTime(x.At) {
+			return nil, fmt.Errorf("%w: return %d (%q) is of no worker or at no time", ErrState, i, x.Worker)
 		}
-		r.returned[x.Hop] = x.At
+		r.returned[x.Worker] = x.At
 	}
 	for _, id := range st.Spent {
 		r.spent[id] = true
@@ -181,7 +181,7 @@
 		if k := timerKind(t.Kind); k < timerExpire || k > timerDecider || t.Seq > st.TimerSeq || !isTime(t.At) {
 			return nil, fmt.Errorf("%w: timer %d is of unknown kind %d, at no time or out of order", ErrState, i, t.Kind)
 		}
-		r.timers = append(r.timers, timer{at: t.At, seq: t.Seq, kind: timerKind(t.Kind), request: t.Request, leg: t.Leg,
+		r.timers = append(r.timers, timer{at: t.At, seq: t.Seq, kind: timerKind(t.Kind), request: t.Request, exchange: t.Exchange,
 			branch: t.Branch, fault: t.Fault, token: t.Token})
 	}
 	heap.Init(&r.timers)
@@ -210,8 +210,8 @@
 	if _, known := r.classes[q.Call.Class]; !known {
 		return fmt.Errorf("%w: it is of class %q, which the settings do not name", ErrState, q.Call.Class)
 	}
-	if r.requests[q.Call.ID] != nil || r.spent[q.Call.ID] || r.legs[q.Call.Leg] != nil {
-		return fmt.Errorf("%w: id %q or leg %d is there twice", ErrState, q.Call.ID, q.Call.Leg)
+	if r.requests[q.Call.ID] != nil || r.spent[q.Call.ID] || r.exchanges[q.Call.Exchange] != nil {
+		return fmt.Errorf("%w: id %q or exchange %d is there twice", ErrState, q.Call.ID, q.Call.Exchange)
 	}
 	if !isTime(q.Deadline) {
 		return fmt.Errorf("%w: deadline %v", ErrState, q.Deadline)
@@ -221,7 +221,7 @@
 		if b.ID > r.lastID || r.branches[b.ID] != nil {
 			return fmt.Errorf("%w: branch %d is there twice or not given out yet", ErrState, b.ID)
 		}
-		own := &branch{id: b.ID, no: no, req: to, hop: b.Hop, addr: b.Addr, sent: b.Sent, ended: b.Ended, begun: b.Begun,
+		own := &branch{id: b.ID, no: no, req: to, worker: b.Worker, addr: b.Addr, sent: b.Sent, ended: b.Ended, begun: b.Begun,
 			inDoubt: b.InDoubt, zone: b.Zone, cell: b.Cell, code: b.Code, givenUp: b.GivenUp, released: b.Released}
 		to.branches = append(to.branches, own)
 		if !b.Ended {
@@ -234,7 +234,7 @@
 	}
 	r.requests[q.Call.ID] = to
 	if !to.over {
-		r.legs[q.Call.Leg] = to
+		r.exchanges[q.Call.Exchange] = to
 	}
 	return nil
 }
@@ -249,7 +249,7 @@
 }
 
 // Open counts the requests that callers wait for.
-func (r *Reducer) Open() int { return len(r.legs) }
+func (r *Reducer) Open() int { return len(r.exchanges) }
 
 // Open counts the requests that callers wait for.
 func (s *State) Open() int {
--- a/internal/gossip/form.go
+++ b/internal/gossip/form.go
@@ -95,7 +95,7 @@
 		return parcel{}, fmt.Errorf("%w: %w", ErrNews, err)
 	}
 	for i, h := range p.Hints {
-		if h.Hop == "" || len(h.Hop) > mostHop || len(h.Source) > membership.MostSource {
+		if h.Worker == "" || len(h.Worker) > mostHop || len(h.Source) > membership.MostSource {
 			return parcel{}, fmt.Errorf("%w: hint %d is of no hop or source that can be", ErrNews, i)
 		}
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -220,7 +220,7 @@
 	}
 	var want []core.Hint
 	for i := range 3 * hintsEach {
-		want = append(want, core.Hint{Hop: core.HopID(fmt.Sprint("w", i)), Version: 7, Source: "s"})
+		want = append(want, core.Hint{Worker: core.WorkerID(fmt.Sprint("w", i)), Version: 7, Source: "s"})
 	}
 	a.mu.Lock()
 	a.hints = want
--- a/internal/nexthop/fence.go
+++ b/internal/nexthop/fence.go
@@ -41,7 +41,7 @@
 // Danger: a process that is stopped after this look writes when it wakes; there is no later moment to look at.
 func (s *Sender) lastWord(x *exchange) (wrote func(), err error) {
 	now := s.clock()
-	if before := x.branch.Before; now >= x.branch.Until || before > 0 && now > before || x.branch.Leg != 0 && !s.asks(x.branch.Leg) {
+	if before := x.branch.Before; now >= x.branch.Until || before > 0 && now > before || x.branch.Exchange != 0 && !s.asks(x.branch.Exchange) {
 		return nil, errCalledOff
 	}
 	bits := s.fence.until.Load()
--- a/internal/nexthop/handover_test.go
+++ b/internal/nexthop/handover_test.go
@@ -132,7 +132,7 @@
 }
 
 func jobAs(id core.BranchID, addr string) core.SendBranch {
-	return core.SendBranch{Branch: id, Request: "r", Hop: "a", Addr: addr, Until: 60, Message: core.Message{Verb: "POST", Target: "/api", Body: []byte("job")}}
+	return core.SendBranch{Branch: id, Request: "r", Worker: "a", Addr: addr, Until: 60, Message: core.Message{Verb: "POST", Target: "/api", Body: []byte("job")}}
 }
 
 // TestHandOverBeforeThe202: a job that was written, and whose answer has come in part, is not sent again, and taken.
@@ -163,7 +163,7 @@
 // TestHandOverOfAGivingUp: a DELETE that is under way is confirmed to the new process, which tells so.
 func TestHandOverOfAGivingUp(t *testing.T) {
 	hop, old := script(t), side()
-	old.sender.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Hop: "a", Addr: hop.addr()})
+	old.sender.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Worker: "a", Addr: hop.addr()})
 	c := hop.reads("DELETE /jobs/r")
 	next, st := old.handOver(t)
 	if len(st.GivingUp) != 1 || st.GivingUp[0].Link == nil {
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -41,7 +41,7 @@
 	IdleClose   time.Duration // after which a next hop closes an idle connection
 	MostConns   int           // over all next hops
 	// Present tells whether a leg's caller still waits, as far as this machine knows; nil for always.
-	Present func(core.LegID) bool
+	Present func(core.ExchangeID) bool
 }
 
 // exchange is a branch whose next hop has not answered yet. Its states, all under Sender.mu: waiting (for a place or a dial),
@@ -77,7 +77,7 @@
 	slots chan struct{} // for giving up
 	sent  atomic.Uint64 // branches written whole
 	fence fence
-	asks  func(core.LegID) bool // Options.Present
+	asks  func(core.ExchangeID) bool // Options.Present
 
 	mu        sync.Mutex
 	exchanges map[core.BranchID]*exchange
@@ -88,7 +88,7 @@
 func NewSender(o Options, gate *hold.Gate, clock func() float64, post func(core.Event), log logrus.FieldLogger) *Sender {
 	idleFor := time.Duration(float64(o.IdleClose) * idlePart)
 	if o.Present == nil {
-		o.Present = func(core.LegID) bool { return true }
+		o.Present = func(core.ExchangeID) bool { return true }
 	}
 	return &Sender{asks: o.Present, gate: gate, pool: newPool(gate, o.DialTimeout, idleFor, o.MostConns), clock: clock, post: post, log: log,
 		slots: make(chan struct{}, mostGiveUps), exchanges: map[core.BranchID]*exchange{},
@@ -147,7 +147,7 @@
 	b := x.branch
 	c, err := s.pool.get(ctx, b.Addr, b.Once)
 	if err != nil {
-		s.log.WithError(err).WithField("hop", b.Hop).Debug("no connection")
+		s.log.WithError(err).WithField("hop", b.Worker).Debug("no connection")
 		// Danger: a shortage of our own descriptors, or a dial that was called off, says nothing of the next hop.
 		if errors.Is(err, errBudget) || ctx.Err() != nil {
 			return core.NotSent, true
@@ -180,7 +180,7 @@
 func (s *Sender) unwritten(x *exchange, err error) core.Fault {
 	c := s.disconnect(x)
 	s.pool.discard(c)
-	s.log.WithError(err).WithField("hop", x.branch.Hop).Debug("request not written")
+	s.log.WithError(err).WithField("hop", x.branch.Worker).Debug("request not written")
 	if c.kept() {
 		s.pool.tried(c, true)
 		return core.NotSent
@@ -195,7 +195,7 @@
 	if err != nil {
 		s.disconnect(x)
 		s.pool.discard(c)
-		s.log.WithError(err).WithFields(logrus.Fields{"hop": x.branch.Hop, "idle": c.age, "after": time.Since(written)}).Debug("no answer")
+		s.log.WithError(err).WithFields(logrus.Fields{"hop": x.branch.Worker, "idle": c.age, "after": time.Since(written)}).Debug("no answer")
 		if c.kept() && !errors.Is(err, os.ErrDeadlineExceeded) && !s.ended(x) {
 			s.pool.tried(c, true)
 			return core.Stale, true
@@ -328,7 +328,7 @@
 		err = s.delete(x) // danger: untold, the next hop runs on what another one may be given
 	}
 	if err != nil {
-		s.log.WithError(err).WithField("hop", x.what.Hop).Debug("giving up not delivered")
+		s.log.WithError(err).WithField("hop", x.what.Worker).Debug("giving up not delivered")
 	}
 	<-s.slots
 	s.mu.Lock()
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/nexthop/nexthop_test.go
@@ -159,7 +159,7 @@
 }
 
 func branch(id core.BranchID, addr string) core.SendBranch {
-	return core.SendBranch{Branch: id, Request: "r", Hop: "s", Addr: addr, Until: 30,
+	return core.SendBranch{Branch: id, Request: "r", Worker: "s", Addr: addr, Until: 30,
 		Message: core.Message{Verb: "POST", Target: "/api?x=%2f..", Token: "5c0f"}}
 }
 
@@ -238,7 +238,7 @@
 	s, events := sender(Options{IdleClose: time.Minute})
 	l := p.takes(s, 1)
 	news := told(s)
-	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Hop: "s", Addr: p.addr()})
+	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Worker: "s", Addr: p.addr()})
 	if got := l.request(); !strings.HasPrefix(got, "DELETE /jobs/r HTTP/1.1\r\n") {
 		t.Fatalf("request %q", got)
 	}
@@ -258,7 +258,7 @@
 	p.ln.Close()
 	s, _ := sender(Options{IdleClose: time.Minute})
 	news := told(s)
-	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Hop: "s", Addr: p.addr()})
+	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Worker: "s", Addr: p.addr()})
 	wantEvent(t, news, core.BranchReleased{Branch: 1, Request: "r"})
 }
 
@@ -323,11 +323,11 @@
 			p := listen(t)
 			var now atomic.Int64 // seconds
 			var gone atomic.Bool
-			s, events := sender(Options{IdleClose: time.Minute, Present: func(leg core.LegID) bool { return leg == 5 && !gone.Load() }})
+			s, events := sender(Options{IdleClose: time.Minute, Present: func(leg core.ExchangeID) bool { return leg == 5 && !gone.Load() }})
 			s.clock = func() float64 { return float64(now.Load()) }
 			up, on := heldDials(s)
 			b := branch(1, p.addr())
-			b.Leg, b.Before = 5, 7
+			b.Exchange, b.Before = 5, 7
 			s.Send(b)
 			<-up
 			l := p.accept()
@@ -514,7 +514,7 @@
 	p := listen(t)
 	s, _ := sender(Options{IdleClose: time.Minute})
 	l := p.takes(s, 1)
-	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Hop: "s", Addr: p.addr()})
+	s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Worker: "s", Addr: p.addr()})
 	l.request()
 	l.Close()
 	if got := p.accept().request(); !strings.HasPrefix(got, "DELETE /jobs/r HTTP/1.1\r\n") {
--- a/internal/ops/call.go
+++ b/internal/ops/call.go
@@ -30,7 +30,7 @@
 // Call is a well-formed call.
 type Call struct {
 	Kind Kind
-	Hop  core.HopID // of HopDown and HopUp
+	Hop  core.WorkerID // of HopDown and HopUp
 }
 
 // Bounds of a call.
@@ -85,7 +85,7 @@
 	case bytes.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c == 0x7f || c == 0xfffd }):
 		return Call{}, line(fasthttp.StatusBadRequest, "not a quote worker's id: %.100q", id), false
 	}
-	return Call{Kind: r.kind, Hop: core.HopID(id)}, Answer{}, true
+	return Call{Kind: r.kind, Hop: core.WorkerID(id)}, Answer{}, true
 }
 
 // bytes writes an answer down. It is the last on its connection.
--- a/internal/ops/door.go
+++ b/internal/ops/door.go
@@ -217,7 +217,7 @@
 		switch fault {
 		case "":
 			return line(fasthttp.StatusOK, "done")
-		case core.UnknownHop:
+		case core.UnknownWorker:
 			return line(fasthttp.StatusNotFound, "%s", fault)
 		}
 		return line(fasthttp.StatusConflict, "%s", fault)
@@ -229,7 +229,7 @@
 func event(call Call, id core.OrderID) core.Event {
 	switch call.Kind {
 	case HopDown, HopUp:
-		return core.BanOrdered{Order: id, Hop: call.Hop, Lift: call.Kind == HopUp}
+		return core.BanOrdered{Order: id, Worker: call.Hop, Lift: call.Kind == HopUp}
 	default:
 		return core.DrainOrdered{Order: id, End: call.Kind == DrainStop}
 	}
--- a/internal/routeset/faults_test.go
+++ b/internal/routeset/faults_test.go
@@ -78,7 +78,7 @@
 			}
 			go serve(func(conn net.Conn) { io.WriteString(conn, ok(whole)) })
 			c.Watch(core.Watch{On: true, Source: from, Since: 7})
-			if e, told := next().(core.RouteSetTold); !told || e.RouteSet.Version != 42 || len(e.RouteSet.Hops) != 1 {
+			if e, told := next().(core.RouteSetTold); !told || e.RouteSet.Version != 42 || len(e.RouteSet.Workers) != 1 {
 				t.Errorf("%+v", e)
 			}
 			if calls, failures := c.Asked(); calls < 2 || failures < 1 {
--- a/internal/routeset/list.go
+++ b/internal/routeset/list.go
@@ -29,7 +29,7 @@
 	} `json:"servers"`
 }
 
-var states = map[string]core.HopState{"active": core.HopActive, "leaving": core.HopLeaving, "left": core.HopLeft}
+var states = map[string]core.WorkerState{"active": core.WorkerActive, "leaving": core.WorkerLeaving, "left": core.WorkerLeft}
 
 // Parse reads a list. A list with one bad entry is refused whole: half a list would look like hops that left.
 func Parse(text []byte) (core.RouteSet, error) {
@@ -44,7 +44,7 @@
 	seen := make(map[string]bool, len(l.Servers))
 	for i, s := range l.Servers {
 		state, ok := states[s.State]
-		h := core.Hop{ID: core.HopID(s.ID), Addr: s.Addr, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, State: state,
+		h := core.Worker{ID: core.WorkerID(s.ID), Addr: s.Addr, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, State: state,
 			Weight: 1, Started: s.Started / 1000}
 		if s.Weight != nil {
 			h.Weight = *s.Weight
@@ -61,11 +61,11 @@
 		case h.Started < 0:
 			return set, fmt.Errorf("servers[%d].started_ms: %v is below 0", i, s.Started)
 		}
-		if _, _, err := net.SplitHostPort(s.Addr); err != nil && state != core.HopLeft {
+		if _, _, err := net.SplitHostPort(s.Addr); err != nil && state != core.WorkerLeft {
 			return set, fmt.Errorf("servers[%d].addr: %q is not host:port", i, s.Addr)
 		}
 		seen[s.ID] = true
-		set.Hops = append(set.Hops, h)
+		set.Workers = append(set.Workers, h)
 	}
 	return set, nil
 }
--- a/internal/routeset/list_test.go
+++ b/internal/routeset/list_test.go
@@ -12,7 +12,7 @@
 	entry := func(s string) string {
 		return `{"version":7,"servers":[{"id":"s","addr":"10.0.0.1:1","state":"active"` + s + `}]}`
 	}
-	hop := core.Hop{ID: "s", Addr: "10.0.0.1:1", Weight: 1}
+	hop := core.Worker{ID: "s", Addr: "10.0.0.1:1", Weight: 1}
 	started := hop
 	started.Zone, started.Kind, started.Cell, started.Weight, started.Started = "a", "m", 3, 0.5, 1.25
 	for _, tc := range []struct {
@@ -21,13 +21,13 @@
 		err  string
 	}{
 		{text: `{"version":41,"full":true,"servers":[]}`, want: core.RouteSet{Version: 41, Full: true}},
-		{text: entry(`,"other":{}`), want: core.RouteSet{Version: 7, Hops: []core.Hop{hop}}},
+		{text: entry(`,"other":{}`), want: core.RouteSet{Version: 7, Workers: []core.Worker{hop}}},
 		{text: entry(`,"zone":"a","kind":"m","cell":3,"weight":0.5,"started_ms":1250`),
-			want: core.RouteSet{Version: 7, Hops: []core.Hop{started}}},
+			want: core.RouteSet{Version: 7, Workers: []core.Worker{started}}},
 		{text: `{"version":8,"servers":[{"id":"s","state":"left"}]}`,
-			want: core.RouteSet{Version: 8, Hops: []core.Hop{{ID: "s", State: core.HopLeft, Weight: 1}}}},
+			want: core.RouteSet{Version: 8, Workers: []core.Worker{{ID: "s", State: core.WorkerLeft, Weight: 1}}}},
 		{text: `{"version":8,"servers":[{"id":"s","addr":"x:1","state":"leaving"}]}`,
-			want: core.RouteSet{Version: 8, Hops: []core.Hop{{ID: "s", Addr: "x:1", State: core.HopLeaving, Weight: 1}}}},
+			want: core.RouteSet{Version: 8, Workers: []core.Worker{{ID: "s", Addr: "x:1", State: core.WorkerLeaving, Weight: 1}}}},
 		{text: `{"servers":[]}`, err: "version"},
 		{text: `{"version":"x"}`, err: "servers"},
 		{text: `nothing`, err: "not a list"},
--- a/internal/snapshot/fuzz_test.go
+++ b/internal/snapshot/fuzz_test.go
@@ -37,8 +37,8 @@
 			return
 		}
 		r.Resume()
-		for i, ev := range []core.Event{core.Tick{}, core.CallArrived{Call: core.Call{Leg: 1 << 60, ID: "fresh", Class: "safe", Remaining: 1}},
-			core.RouteSetTold{Source: st.Source, RouteSet: core.RouteSet{Full: true, Hops: []core.Hop{{ID: "z", Addr: "z:1", Kind: "k"}}}},
+		for i, ev := range []core.Event{core.Tick{}, core.CallArrived{Call: core.Call{Exchange: 1 << 60, ID: "fresh", Class: "safe", Remaining: 1}},
+			core.RouteSetTold{Source: st.Source, RouteSet: core.RouteSet{Full: true, Workers: []core.Worker{{ID: "z", Addr: "z:1", Kind: "k"}}}},
 			core.Stopping{}} {
 			r.Step(st.Now+float64(i), ev)
 		}
--- a/internal/snapshot/twin_test.go
+++ b/internal/snapshot/twin_test.go
@@ -32,11 +32,11 @@
 	versions int64
 }
 
-func (p *player) hops(t *rapid.T) (list []core.Hop) {
+func (p *player) hops(t *rapid.T) (list []core.Worker) {
 	for i := range rapid.IntRange(1, 6).Draw(t, "hops") {
-		h := core.Hop{ID: core.HopID(fmt.Sprint("s-", i)), Addr: fmt.Sprintf("127.0.0.1:%d", 9000+i), Zone: string(rune('a' + i%2)),
+		h := core.Worker{ID: core.WorkerID(fmt.Sprint("s-", i)), Addr: fmt.Sprintf("127.0.0.1:%d", 9000+i), Zone: string(rune('a' + i%2)),
 			Kind: []string{"old-box", "new-blade"}[i%2], Cell: i % 3, Weight: 1,
-			State: core.HopState(rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(t, "state"))}
+			State: core.WorkerState(rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(t, "state"))}
 		if rapid.IntRange(0, 3).Draw(t, "cold") == 0 {
 			h.Started = p.now
 		}
@@ -55,7 +55,7 @@
 		case 1:
 			return core.BranchFailed{Branch: b.Branch, Fault: core.Fault(rapid.IntRange(0, int(core.NotSent)).Draw(t, "fault"))}
 		default:
-			return core.JobReported{Request: b.Request, From: b.Hop, State: core.JobState(rapid.IntRange(0, int(core.JobLost)).Draw(t, "job")),
+			return core.JobReported{Request: b.Request, From: b.Worker, State: core.JobState(rapid.IntRange(0, int(core.JobLost)).Draw(t, "job")),
 				Share: rapid.SampledFrom([]float64{0, 0.3, 0.9}).Draw(t, "share"), Result: []byte("r")}
 		}
 	}
@@ -63,16 +63,16 @@
 	case 0:
 		return core.Tick{}
 	case 1:
-		return core.CallerLeft{Leg: core.LegID(rapid.IntRange(1, p.calls+1).Draw(t, "leg"))}
+		return core.CallerLeft{Exchange: core.ExchangeID(rapid.IntRange(1, p.calls+1).Draw(t, "leg"))}
 	case 2:
 		p.versions++
 		return core.RouteSetTold{Source: core.Source{Addr: "d:1"}, RouteSet: core.RouteSet{Version: p.versions,
-			Full: rapid.Bool().Draw(t, "full"), Hops: p.hops(t)}}
+			Full: rapid.Bool().Draw(t, "full"), Workers: p.hops(t)}}
 	case 3:
 		return core.RouteSetRefused{Source: core.Source{Addr: "d:1"}}
 	default:
 		p.calls++
-		c := core.Call{Leg: core.LegID(p.calls), ID: core.RequestID(fmt.Sprint("id", p.calls-rapid.SampledFrom([]int{0, 0, 0, 3}).Draw(t, "again"))),
+		c := core.Call{Exchange: core.ExchangeID(p.calls), ID: core.RequestID(fmt.Sprint("id", p.calls-rapid.SampledFrom([]int{0, 0, 0, 3}).Draw(t, "again"))),
 			Class: rapid.SampledFrom([]string{"safe", "once", "keyed"}).Draw(t, "class"), Slots: 1, Key: uint64(p.calls % 3),
 			HasKey: rapid.Bool().Draw(t, "has key"), Hint: 0.1, HasHint: rapid.Bool().Draw(t, "has hint"),
 			Remaining: rapid.SampledFrom([]float64{0.01, 0.5, 5}).Draw(t, "remaining"), Message: core.Message{Verb: "POST", Target: "/x", Body: []byte{1, 2}}}
@@ -99,7 +99,7 @@
 func TestTwinDecidesAlike(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := &player{now: 100}
-		first, err := core.New(p.now, settings(), core.RouteSet{Version: 0, Hops: p.hops(t)}, "d:1")
+		first, err := core.New(p.now, settings(), core.RouteSet{Version: 0, Workers: p.hops(t)}, "d:1")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -154,13 +154,13 @@
 
 // busy is a reducer with open requests, for the tests of what is refused.
 func busy(t fatal) *core.Reducer {
-	r, err := core.New(1, settings(), core.RouteSet{Hops: []core.Hop{{ID: "a", Addr: "a:1", Zone: "a", Kind: "k"},
+	r, err := core.New(1, settings(), core.RouteSet{Workers: []core.Worker{{ID: "a", Addr: "a:1", Zone: "a", Kind: "k"},
 		{ID: "b", Addr: "b:1", Zone: "b", Kind: "m"}}}, "d:1")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for i := range 12 {
-		r.Step(2, core.CallArrived{Call: core.Call{Leg: core.LegID(i + 1), ID: core.RequestID(fmt.Sprint("q", i)), Class: []string{"safe", "once"}[i%2],
+		r.Step(2, core.CallArrived{Call: core.Call{Exchange: core.ExchangeID(i + 1), ID: core.RequestID(fmt.Sprint("q", i)), Class: []string{"safe", "once"}[i%2],
 			Remaining: 3, Slots: 1, Message: core.Message{Verb: "POST", Target: "/api", Body: []byte("body")}}})
 		if i%3 == 0 {
 			r.Step(2, core.BranchFailed{Branch: core.BranchID(i + 1), Fault: core.TurnedAway})
@@ -208,8 +208,8 @@
 		"a branch not given out":   func(s *core.State) { s.LastID = 0 },
 		"a timer of no kind":       func(s *core.State) { s.Timers[0].Kind = 77 },
 		"a timer of the future":    func(s *core.State) { s.TimerSeq = 0 },
-		"a hop twice":              func(s *core.State) { s.Hops = append(s.Hops, s.Hops[0]) },
-		"a hop in no state":        func(s *core.State) { s.Hops[0].State = 9 },
+		"a hop twice":              func(s *core.State) { s.Workers = append(s.Workers, s.Workers[0]) },
+		"a hop in no state":        func(s *core.State) { s.Workers[0].State = 9 },
 		"a finished request kept":  func(s *core.State) { s.Requests[0].Over, s.Requests[0].Branches = true, nil },
 		"the module's own request": func(s *core.State) { s.Decider.Requests[0].Request.ID = "other" },
 		"an attempt at no worker":  func(s *core.State) { s.Decider.Requests[0].Attempts[0].Worker = 99 },
@@ -266,8 +266,8 @@
 
 // TestEveryEventIsCarried: what Pack takes Unpack gives back.
 func TestEveryEventIsCarried(t *testing.T) {
-	for _, ev := range []core.Event{core.CallArrived{Call: core.Call{ID: "x", Message: core.Message{Body: []byte("b")}}}, core.CallerLeft{Leg: 3},
-		core.HealthAsked{Leg: 4}, core.BranchFailed{Branch: 1, Fault: core.Cut}, core.BranchTaken{Branch: 2}, core.BranchReleased{Branch: 3, Told: true},
+	for _, ev := range []core.Event{core.CallArrived{Call: core.Call{ID: "x", Message: core.Message{Body: []byte("b")}}}, core.CallerLeft{Exchange: 3},
+		core.HealthAsked{Exchange: 4}, core.BranchFailed{Branch: 1, Fault: core.Cut}, core.BranchTaken{Branch: 2}, core.BranchReleased{Branch: 3, Told: true},
 		core.JobReported{Request: "r", From: "h", State: core.JobDone, Result: []byte("x")}, core.RouteSetTold{RouteSet: core.RouteSet{Version: 4}},
 		core.RouteSetRefused{}, core.Reloaded{Discovery: "d"}, core.Stopping{}, core.Tick{}} {
 		packed, err := Pack(ev)
