Print the state for people in foldlb-control status

It printed one line of JSON of the process asked, which is often no leader and then knows no leases.

--- a/cmd/foldlb-control/checks.go
+++ b/cmd/foldlb-control/checks.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -15,8 +12,6 @@
 	"foldlb.example/foldlb/internal/settings"
 )
 
-const statusTimeout = 3 * time.Second
-
 func checkSettingsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "check-settings",
@@ -58,34 +53,3 @@
 		},
 	}
 }
-
-func statusCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "status",
-		Usage: "print what a control process knows",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "address", Usage: "host:port of a control process", Required: true}},
-		Action: func(ctx context.Context, command *cli.Command) error {
-			return printStatus(ctx, command.String("address"), os.Stdout)
-		},
-	}
-}
-
-func printStatus(ctx context.Context, address string, out io.Writer) error {
-	asking, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(asking, http.MethodGet, "http://"+address+"/internal/status", nil)
-	if err != nil {
-		return errors.Wrap(err, "correct --address: it is host:port")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return errors.Wrap(err, "ask another control process")
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("answered %s: ask another control process", response.Status)
-	}
-	_, err = io.Copy(out, response.Body)
-	fmt.Fprintln(out)
-	return err
-}
--- a/internal/controlplane/status.go
+++ b/internal/controlplane/status.go
@@ -24,9 +24,19 @@
 	Stores           []StoreStatus      `json:"stores"`
 	Dispatchers      []DispatcherStatus `json:"dispatchers"`
 	Partitions       map[string]int     `json:"partitions"` // number owned by each machine
+	Ownerships       []OwnershipStatus  `json:"ownerships"` // in the order of the partitions
 	Retirements      map[string]string  `json:"retirements"`
 }
 
+// OwnershipStatus tells who owns a partition. Node is empty for none, Successor where it is not being handed over.
+type OwnershipStatus struct {
+	Partition int    `json:"partition"`
+	Node      string `json:"node"`
+	Epoch     uint64 `json:"epoch"`
+	Releasing bool   `json:"releasing"`
+	Successor string `json:"successor"`
+}
+
 // StoreStatus is what the leader knows of a store. AgeMs is the time since its newest renewal, -1 for never.
 type StoreStatus struct {
 	Node          string `json:"node"`
@@ -80,8 +90,15 @@
 	for _, member := range known.Members {
 		status.Voters = append(status.Voters, member.Address)
 	}
-	for _, ownership := range state.Partitions {
+	for partition, ownership := range state.Partitions {
 		status.Partitions[ownership.Node]++
+		status.Ownerships = append(status.Ownerships, OwnershipStatus{
+			Partition: partition,
+			Node:      ownership.Node,
+			Epoch:     ownership.Epoch,
+			Releasing: ownership.Releasing,
+			Successor: ownership.Successor,
+		})
 	}
 	for _, retirement := range state.Retirements {
 		status.Retirements[retirement.Node] = retirementState(retirement)
--- a/internal/localrun/run.go
+++ b/internal/localrun/run.go
@@ -110,6 +110,7 @@
 		}
 	}
 	r.say("%d control processes, %d stores and %d dispatchers serve; traffic begins", controlCount, storeCount, dispatcherCount)
+	r.say("look inside with: foldlb-control status --address %s", r.deployment.controls[0].settings.Listen.Control)
 	return nil
 }
 
