--- a/internal/ops/call.go
+++ b/internal/ops/call.go
@@ -21,16 +21,16 @@
 const (
 	Readiness Kind = iota
 	Stats
-	HopDown
-	HopUp
+	WorkerDown
+	WorkerUp
 	DrainStart
 	DrainStop
 )
 
 // Call is a well-formed call.
 type Call struct {
-	Kind Kind
-	Hop  core.WorkerID // of HopDown and HopUp
+	Kind   Kind
+	Worker core.WorkerID // of WorkerDown and WorkerUp
 }
 
 // Bounds of a call.
@@ -47,8 +47,8 @@
 }{
 	"/ops/readiness":          {fasthttp.MethodGet, Readiness},
 	"/ops/stats":              {fasthttp.MethodGet, Stats},
-	"/ops/quote-workers/down": {fasthttp.MethodPost, HopDown},
-	"/ops/quote-workers/up":   {fasthttp.MethodPost, HopUp},
+	"/ops/quote-workers/down": {fasthttp.MethodPost, WorkerDown},
+	"/ops/quote-workers/up":   {fasthttp.MethodPost, WorkerUp},
 	"/ops/drain/start":        {fasthttp.MethodPost, DrainStart},
 	"/ops/drain/stop":         {fasthttp.MethodPost, DrainStop},
 }
@@ -73,7 +73,7 @@
 		return Call{}, line(fasthttp.StatusNotFound, "no such call: %.100q", path), false
 	case method != r.method:
 		return Call{}, line(fasthttp.StatusMethodNotAllowed, "%s is called by %s", path, r.method), false
-	case r.kind != HopDown && r.kind != HopUp:
+	case r.kind != WorkerDown && r.kind != WorkerUp:
 		return Call{Kind: r.kind}, Answer{}, true
 	}
 	id := bytes.TrimSpace(body)
@@ -85,7 +85,7 @@
 	case bytes.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c == 0x7f || c == 0xfffd }):
 		return Call{}, line(fasthttp.StatusBadRequest, "not a quote worker's id: %.100q", id), false
 	}
-	return Call{Kind: r.kind, Hop: core.WorkerID(id)}, Answer{}, true
+	return Call{Kind: r.kind, Worker: core.WorkerID(id)}, Answer{}, true
 }
 
 // bytes writes an answer down. It is the last on its connection.
--- a/internal/ops/door.go
+++ b/internal/ops/door.go
@@ -228,8 +228,8 @@
 
 func event(call Call, id core.OrderID) core.Event {
 	switch call.Kind {
-	case HopDown, HopUp:
-		return core.BanOrdered{Order: id, Worker: call.Hop, Lift: call.Kind == HopUp}
+	case WorkerDown, WorkerUp:
+		return core.BanOrdered{Order: id, Worker: call.Worker, Lift: call.Kind == WorkerUp}
 	default:
 		return core.DrainOrdered{Order: id, End: call.Kind == DrainStop}
 	}
