--- a/internal/routeset/list.go
+++ b/internal/routeset/list.go
@@ -1,4 +1,4 @@
-// Package routeset speaks discovery's protocol: it reads and watches the list of next hops.
+// Package routeset speaks discovery's protocol: it reads and watches the list of workers.
 package routeset
 
 import (
@@ -31,7 +31,7 @@
 
 var states = map[string]core.WorkerState{"active": core.WorkerActive, "leaving": core.WorkerLeaving, "left": core.WorkerLeft}
 
-// Parse reads a list. A list with one bad entry is refused whole: half a list would look like hops that left.
+// Parse reads a list. A list with one bad entry is refused whole: half a list would look like workers that left.
 func Parse(text []byte) (core.RouteSet, error) {
 	var l list
 	if err := json.Unmarshal(text, &l); err != nil {
--- a/internal/routeset/list_test.go
+++ b/internal/routeset/list_test.go
@@ -12,8 +12,8 @@
 	entry := func(s string) string {
 		return `{"version":7,"servers":[{"id":"s","addr":"10.0.0.1:1","state":"active"` + s + `}]}`
 	}
-	hop := core.Worker{ID: "s", Addr: "10.0.0.1:1", Weight: 1}
-	started := hop
+	worker := core.Worker{ID: "s", Addr: "10.0.0.1:1", Weight: 1}
+	started := worker
 	started.Zone, started.Kind, started.Cell, started.Weight, started.Started = "a", "m", 3, 0.5, 1.25
 	for _, tc := range []struct {
 		text string
@@ -21,7 +21,7 @@
 		err  string
 	}{
 		{text: `{"version":41,"full":true,"servers":[]}`, want: core.RouteSet{Version: 41, Full: true}},
-		{text: entry(`,"other":{}`), want: core.RouteSet{Version: 7, Workers: []core.Worker{hop}}},
+		{text: entry(`,"other":{}`), want: core.RouteSet{Version: 7, Workers: []core.Worker{worker}}},
 		{text: entry(`,"zone":"a","kind":"m","cell":3,"weight":0.5,"started_ms":1250`),
 			want: core.RouteSet{Version: 7, Workers: []core.Worker{started}}},
 		{text: `{"version":8,"servers":[{"id":"s","state":"left"}]}`,
