--- a/internal/snapshot/twin_test.go
+++ b/internal/snapshot/twin_test.go
@@ -32,8 +32,8 @@
 	versions int64
 }
 
-func (p *player) hops(t *rapid.T) (list []core.Worker) {
-	for i := range rapid.IntRange(1, 6).Draw(t, "hops") {
+func (p *player) workers(t *rapid.T) (list []core.Worker) {
+	for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
 		h := core.Worker{ID: core.WorkerID(fmt.Sprint("s-", i)), Addr: fmt.Sprintf("127.0.0.1:%d", 9000+i), Zone: string(rune('a' + i%2)),
 			Kind: []string{"old-box", "new-blade"}[i%2], Cell: i % 3, Weight: 1,
 			State: core.WorkerState(rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(t, "state"))}
@@ -63,11 +63,11 @@
 	case 0:
 		return core.Tick{}
 	case 1:
-		return core.CallerLeft{Exchange: core.ExchangeID(rapid.IntRange(1, p.calls+1).Draw(t, "leg"))}
+		return core.CallerLeft{Exchange: core.ExchangeID(rapid.IntRange(1, p.calls+1).Draw(t, "exchange"))}
 	case 2:
 		p.versions++
 		return core.RouteSetTold{Source: core.Source{Addr: "d:1"}, RouteSet: core.RouteSet{Version: p.versions,
-			Full: rapid.Bool().Draw(t, "full"), Workers: p.hops(t)}}
+			Full: rapid.Bool().Draw(t, "full"), Workers: p.workers(t)}}
 	case 3:
 		return core.RouteSetRefused{Source: core.Source{Addr: "d:1"}}
 	default:
@@ -99,7 +99,7 @@
 func TestTwinDecidesAlike(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := &player{now: 100}
-		first, err := core.New(p.now, settings(), core.RouteSet{Version: 0, Workers: p.hops(t)}, "d:1")
+		first, err := core.New(p.now, settings(), core.RouteSet{Version: 0, Workers: p.workers(t)}, "d:1")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -202,24 +202,24 @@
 // TestStatesThatDoNotFit changes one thing in a good state; Import must refuse it by name.
 func TestStatesThatDoNotFit(t *testing.T) {
 	for name, change := range map[string]func(*core.State){
-		"a request twice":          func(s *core.State) { s.Requests = append(s.Requests, s.Requests[0]) },
-		"a request that is spent":  func(s *core.State) { s.Spent = append(s.Spent, s.Requests[0].Call.ID) },
-		"a class that has gone":    func(s *core.State) { s.Requests[0].Call.Class = "none" },
-		"a branch not given out":   func(s *core.State) { s.LastID = 0 },
-		"a timer of no kind":       func(s *core.State) { s.Timers[0].Kind = 77 },
-		"a timer of the future":    func(s *core.State) { s.TimerSeq = 0 },
-		"a hop twice":              func(s *core.State) { s.Workers = append(s.Workers, s.Workers[0]) },
-		"a hop in no state":        func(s *core.State) { s.Workers[0].State = 9 },
-		"a finished request kept":  func(s *core.State) { s.Requests[0].Over, s.Requests[0].Branches = true, nil },
-		"the module's own request": func(s *core.State) { s.Decider.Requests[0].Request.ID = "other" },
-		"an attempt at no worker":  func(s *core.State) { s.Decider.Requests[0].Attempts[0].Worker = 99 },
-		"an attempt held twice":    func(s *core.State) { w := &s.Decider.Workers[0]; w.Out = append(w.Out, w.Out...) },
-		"an attempt not held":      func(s *core.State) { s.Decider.Workers[0].Out, s.Decider.Workers[1].Out = nil, nil },
-		"a worker twice":           func(s *core.State) { s.Decider.Workers[1] = s.Decider.Workers[0] },
-		"a worker of no kind":      func(s *core.State) { s.Decider.Workers[0].Worker.Kind = "none" },
-		"too few profiles":         func(s *core.State) { s.Decider.Workers[0].Profiles = nil },
-		"no random numbers":        func(s *core.State) { s.Decider.RNG = nil },
-		"too few medians":          func(s *core.State) { s.Decider.Kinds[0].Medians = nil },
+		"a request twice":             func(s *core.State) { s.Requests = append(s.Requests, s.Requests[0]) },
+		"a request that is spent":     func(s *core.State) { s.Spent = append(s.Spent, s.Requests[0].Call.ID) },
+		"a class that has gone":       func(s *core.State) { s.Requests[0].Call.Class = "none" },
+		"a branch not given out":      func(s *core.State) { s.LastID = 0 },
+		"a timer of no kind":          func(s *core.State) { s.Timers[0].Kind = 77 },
+		"a timer of the future":       func(s *core.State) { s.TimerSeq = 0 },
+		"a listed worker twice":       func(s *core.State) { s.Workers = append(s.Workers, s.Workers[0]) },
+		"a listed worker in no state": func(s *core.State) { s.Workers[0].State = 9 },
+		"a finished request kept":     func(s *core.State) { s.Requests[0].Over, s.Requests[0].Branches = true, nil },
+		"the module's own request":    func(s *core.State) { s.Decider.Requests[0].Request.ID = "other" },
+		"an attempt at no worker":     func(s *core.State) { s.Decider.Requests[0].Attempts[0].Worker = 99 },
+		"an attempt held twice":       func(s *core.State) { w := &s.Decider.Workers[0]; w.Out = append(w.Out, w.Out...) },
+		"an attempt not held":         func(s *core.State) { s.Decider.Workers[0].Out, s.Decider.Workers[1].Out = nil, nil },
+		"a worker twice":              func(s *core.State) { s.Decider.Workers[1] = s.Decider.Workers[0] },
+		"a worker of no kind":         func(s *core.State) { s.Decider.Workers[0].Worker.Kind = "none" },
+		"too few profiles":            func(s *core.State) { s.Decider.Workers[0].Profiles = nil },
+		"no random numbers":           func(s *core.State) { s.Decider.RNG = nil },
+		"too few medians":             func(s *core.State) { s.Decider.Kinds[0].Medians = nil },
 		"a move of nothing": func(s *core.State) {
 			s.Decider.Moves = []choice.MoveState{{Token: 9, Attempt: choice.AttemptRef{Request: -1}}}
 		},
