--- a/internal/virtual/dispatcher.go
+++ b/internal/virtual/dispatcher.go
@@ -92,7 +92,7 @@
 	return list
 }
 
-// knows tells whether it was told of a next hop's last start.
+// knows tells whether it was told of a worker's last start.
 func (d *dispatcher) knows(x *worker) bool { return d.known[x.id].Started == x.startedAt }
 
 // later does what it is about, unless the dispatcher has died since.
--- a/internal/virtual/model.go
+++ b/internal/virtual/model.go
@@ -1,6 +1,6 @@
-// Package virtual plays many decision modules against one small model of next hops, their list and callers, in virtual
+// Package virtual plays many decision modules against one small model of workers, their list and callers, in virtual
 // time by a seed: no sockets, no clock of the machine. It is a test's model, and counts what a dispatcher that knows
-// only itself can't see: what all of them together do to a cold next hop, to discovery and to connections.
+// only itself can't see: what all of them together do to a cold worker, to discovery and to connections.
 package virtual
 
 import (
@@ -19,7 +19,7 @@
 	idleClose    = 3.0    // seconds after which a kept connection is closed
 	wayThere     = 0.0005 // seconds
 	handshake    = 0.004  // seconds that a new connection takes
-	coldFrom     = 0.2    // part of its capacity that a next hop starts with; more than the settings promise
+	coldFrom     = 0.2    // part of its capacity that a worker starts with; more than the settings promise
 	coldFor      = 16.0   // seconds until it is warm; less than the settings allow
 	callTime     = 0.04   // seconds of discovery's time for a call, and for each line of an answer
 	lineTime     = 0.0002
@@ -35,8 +35,8 @@
 	Dispatchers int
 	Workers     int
 	Length      float64 // seconds
-	Load        float64 // part of what all warm next hops can do
-	ConnsMost   int     // connections that a next hop holds
+	Load        float64 // part of what all warm workers can do
+	ConnsMost   int     // connections that a worker holds
 	Plan        []Happening
 	Told        bool // dispatchers keep a view, and tell their modules how many may be acting
 	Behind      int  // of those that join, so many are behind a partition, and not in the view
@@ -87,10 +87,10 @@
 	Calls      []int   // at discovery, by second
 	Told       float64 // mean part of the list's changes that a dispatcher knew at the end
 	Refusals   int     // of connections
-	ConnsMost  int     // at the next hop that held most
-	Cold       float64 // most work sent to a cold next hop within the rule's window, by those who knew, over what it bears
+	ConnsMost  int     // at the worker that held most
+	Cold       float64 // most work sent to a cold worker within the rule's window, by those who knew, over what it bears
 	Fell       float64 // most jobs of mean work sent to one so, over what it falls under: N + 2 root N + 2, for N that it bears
-	Least      float64 // work of the warm next hop that did least, over the mean of its kind and zone
+	Least      float64 // work of the warm worker that did least, over the mean of its kind and zone
 	Trace      uint64  // of all that happened, in order
 	Overlaps   int     // attempts that began while another of the same request was out
 	Asked      []int   // requests, by class
--- a/internal/virtual/model_test.go
+++ b/internal/virtual/model_test.go
@@ -7,7 +7,7 @@
 	"foldlb.example/foldlb/choice"
 )
 
-// days are what befalls a large fleet: most dispatchers die during a release, a zone comes back cold, most next hops are
+// days are what befalls a large fleet: most dispatchers die during a release, a zone comes back cold, most workers are
 // replaced within seconds.
 var days = map[string][]Happening{
 	"release":  {{At: 6, Dispatchers: 0.7, Back: 0.5}, {At: 5, Replaced: 0.5, Within: 6}},
@@ -32,10 +32,10 @@
 	check(n.Unanswered == 0, "every request ends")
 	check(n.Twice == 0, "every request ends once")
 	check(n.Repeated == 0, "nothing is repeated beyond its class")
-	// The module plans with 0.6 of what a cold next hop bears; what is left is for the sizes of jobs, which nobody tells.
-	check(n.Cold <= 0.75, "no cold next hop is sent more than it bears")
-	check(n.Refusals*50 <= n.Attempts, "connections fit into the next hops' tables")
-	check(n.Least > 0.4, "no warm next hop starves")
+	// The module plans with 0.6 of what a cold worker bears; what is left is for the sizes of jobs, which nobody tells.
+	check(n.Cold <= 0.75, "no cold worker is sent more than it bears")
+	check(n.Refusals*50 <= n.Attempts, "connections fit into the workers' tables")
+	check(n.Least > 0.4, "no warm worker starves")
 	check(n.Served*10 >= n.Requests*9, "nine of ten requests are served")
 	check(n.Told > 0.97, "everybody knows the list at the end")
 	for at, calls := range n.Calls {
@@ -163,17 +163,17 @@
 				}
 			}
 		}},
-		{"no cold next hop is sent more than it bears", func(c *Config) {
+		{"no cold worker is sent more than it bears", func(c *Config) {
 			c.Alter = warmFromTheStart
 		}},
-		{"no warm next hop starves", func(c *Config) { c.Wrap = shuns }},
+		{"no warm worker starves", func(c *Config) { c.Wrap = shuns }},
 		{"calls fit into what discovery can do", func(c *Config) { c.Wrap = wrap(altered{storms: true}) }},
 		{"no second brings more calls than there are dispatchers", func(c *Config) { c.Wrap = wrap(altered{storms: true}) }},
 		{"everybody knows the list at the end", func(c *Config) { c.Wrap = wrap(altered{deaf: true}) }},
 		{"nine of ten requests are served", func(c *Config) {
 			c.Wrap = shun(func(worker string) bool { return strings.HasSuffix(worker, "3") || strings.HasSuffix(worker, "6") })
 		}},
-		{"connections fit into the next hops' tables", func(c *Config) { c.ConnsMost, c.Wrap = 22, wrap(altered{keeps: true}) }},
+		{"connections fit into the workers' tables", func(c *Config) { c.ConnsMost, c.Wrap = 22, wrap(altered{keeps: true}) }},
 	} {
 		c := day("zone", 1)
 		tc.alter(&c)
--- a/internal/virtual/site_test.go
+++ b/internal/virtual/site_test.go
@@ -76,7 +76,7 @@
 	check(n.Twice == 0, "every request ends once: %d don't", n.Twice)
 	check(n.Repeated == 0, "nothing is repeated beyond its class: %d are", n.Repeated)
 	check(n.Overlaps == 0, "one attempt at a time: %d began beside another", n.Overlaps)
-	check(n.Cold <= 1, "no cold next hop is sent more than it bears: %.2f", n.Cold)
+	check(n.Cold <= 1, "no cold worker is sent more than it bears: %.2f", n.Cold)
 	if !plain {
 		// Where workers start by priority, or tell no start, classes of a low priority starve under overload: docs/measurements/sites.md.
 		return broken
@@ -149,7 +149,7 @@
 		"every request ends once":   {true, func(c *Config) { c.Wrap = wrap(altered{again: true}) }},
 		"nothing is repeated":       {false, func(c *Config) { c.Alter = func(s *choice.Settings) { allIdempotent(s) } }},
 		"one attempt at a time":     {false, func(c *Config) { c.Wrap = wrap(altered{assign: twice}) }},
-		"no cold next hop":          {false, func(c *Config) { c.Load, c.Alter = 1.2, func(s *choice.Settings) { s.WarmWithin = 0 } }},
+		"no cold worker":            {false, func(c *Config) { c.Load, c.Alter = 1.2, func(s *choice.Settings) { s.WarmWithin = 0 } }},
 		"half of each class":        {false, func(c *Config) { c.Load = 3 }},
 		"no class starves":          {true, func(c *Config) { c.Load = 6 }},
 		"work is turned away in or": {true, func(c *Config) { c.Alter = upsideDown }},
@@ -174,7 +174,7 @@
 	}
 }
 
-// twice sends each attempt to two next hops' queues, or twice to one.
+// twice sends each attempt to two workers' queues, or twice to one.
 func twice(act choice.Actions, id, worker string, until float64) {
 	act.Assign(id, worker, until)
 	act.Assign(id, worker, until)
--- a/internal/virtual/worker.go
+++ b/internal/virtual/worker.go
@@ -8,7 +8,7 @@
 	"foldlb.example/foldlb/choice"
 )
 
-// worker is a next hop: slots, a queue, connections, and a capacity that grows after a start.
+// worker is one with slots, a queue, connections, and a capacity that grows after a start.
 type worker struct {
 	w                *world
 	id, zone, kind   string
@@ -23,7 +23,7 @@
 
 type sent struct{ at, work float64 }
 
-// held are the connections that one dispatcher has at a next hop.
+// held are the connections that one dispatcher has at a worker.
 type held struct {
 	busy int
 	idle []float64 // since when
@@ -143,7 +143,7 @@
 	x.next()
 }
 
-// countCold enters what is sent to a cold next hop, in parts of what it can bear within the settings' window.
+// countCold enters what is sent to a cold worker, in parts of what it can bear within the settings' window.
 func (x *worker) countCold(a *attempt) {
 	s := a.q.d.plain
 	if x.startedAt == 0 || x.w.now >= x.startedAt+coldFor || !a.q.d.knows(x) {
