clientconn: the package callerleg under the field's name

A leg is an HTTP exchange, as in core; legConn is conn; await is waitForAnswer. hold.Conn.Await becomes ReadAhead, upgrade.Await becomes Listen. The key LastLeg stays on the wire.

--- a/cmd/foldlb/beside.go
+++ b/cmd/foldlb/beside.go
@@ -111,7 +111,7 @@
 	path, err := meetingPath()
 	var m *upgrade.Meeting
 	if err == nil {
-		m, err = upgrade.Await(path)
+		m, err = upgrade.Listen(path)
 	}
 	if err != nil {
 		n.log.WithError(err).Warn("no process can take over from this one")
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -12,7 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"foldlb.example/foldlb/internal/callerleg"
+	"foldlb.example/foldlb/internal/clientconn"
 	"foldlb.example/foldlb/internal/config"
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/hold"
@@ -29,7 +29,7 @@
 	log     logrus.FieldLogger
 	gate    *hold.Gate
 	loop    *core.Loop
-	legs    *callerleg.Server
+	legs    *clientconn.Server
 	hops    *nexthop.Sender
 	routes  *routeset.Client
 	body    *upgrade.Body
@@ -57,7 +57,7 @@
 	n.now.Store(&cfg.Limits)
 	n.loop = core.NewLoop(reducer, clock.Now, n.perform)
 	forCallers, forHops := connections(cfg.Limits)
-	n.legs = callerleg.NewServer(forCallers, n.gate, n.loop.Post, log)
+	n.legs = clientconn.NewServer(forCallers, n.gate, n.loop.Post, log)
 	n.hops = nexthop.NewSender(nexthop.Options{
 		DialTimeout: time.Duration(cfg.Settings.DialTimeout * secondsToNanos),
 		IdleClose:   time.Duration(cfg.Settings.ConnIdle * secondsToNanos),
--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -17,7 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"foldlb.example/foldlb/choice"
-	"foldlb.example/foldlb/internal/callerleg"
+	"foldlb.example/foldlb/internal/clientconn"
 	"foldlb.example/foldlb/internal/config"
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/hold"
@@ -90,7 +90,7 @@
 	if held != nil {
 		return s.beside(ctx, held, door, reload)
 	}
-	ln, err := callerleg.Listen(ctx, s.cfg.Listen, callerleg.ListenWait, s.log)
+	ln, err := clientconn.Listen(ctx, s.cfg.Listen, clientconn.ListenWait, s.log)
 	if err != nil {
 		return err
 	}
--- a/internal/callerleg/away.go
+++ b/internal/clientconn/away.go
@@ -1,4 +1,4 @@
-package callerleg
+package clientconn
 
 import "time"
 
--- a/internal/callerleg/away_test.go
+++ b/internal/clientconn/away_test.go
@@ -1,4 +1,4 @@
-package callerleg
+package clientconn
 
 import (
 	"errors"
@@ -34,16 +34,16 @@
 		c.send(ask, "hi")
 		return f.event().(core.CallArrived).Call.Exchange
 	}
-	answer := func(c *caller, leg core.ExchangeID) (closes bool) {
-		f.s.Answer(core.Answer{Exchange: leg, Verdict: core.Served, Body: []byte("ok")})
+	answer := func(c *caller, exchange core.ExchangeID) (closes bool) {
+		f.s.Answer(core.Answer{Exchange: exchange, Verdict: core.Served, Body: []byte("ok")})
 		resp := c.answer()
 		if string(resp.Body()) != "ok" {
 			t.Errorf("answered %s", resp)
 		}
 		return resp.ConnectionClose()
 	}
-	idle, busy, hop := f.dial(), f.dial(), f.dial()
-	if answer(idle, job(idle)) || hop.callBack(t) {
+	idle, busy, worker := f.dial(), f.dial(), f.dial()
+	if answer(idle, job(idle)) || worker.callBack(t) {
 		t.Fatal("closed before the drain")
 	}
 	f.event()
@@ -51,7 +51,7 @@
 	f.s.SendAway(true)
 	f.s.SendAway(true) // a second word changes nothing
 	idle.ends(t)       // once this is closed, all answers close
-	if hop.callBack(t) {
+	if worker.callBack(t) {
 		t.Error("a call-back's connection is closed")
 	}
 	f.event()
@@ -70,7 +70,7 @@
 			t.Errorf("job %d after the drain: its connection is closed", i)
 		}
 	}
-	if hop.callBack(t) {
+	if worker.callBack(t) {
 		t.Error("a call-back's connection is closed after the drain")
 	}
 	f.event()
@@ -88,12 +88,12 @@
 			c = f.dial()
 		}
 		c.send(ask, "hi")
-		leg := f.event().(core.CallArrived).Call.Exchange
+		exchange := f.event().(core.CallArrived).Call.Exchange
 		if n := f.s.InFlight(); n != 1 {
 			t.Errorf("%d in flight", n)
 		}
-		f.s.Answer(core.Answer{Exchange: leg, Verdict: v})
-		f.s.Answer(core.Answer{Exchange: leg, Verdict: core.Failed}) // a second one ends nothing
+		f.s.Answer(core.Answer{Exchange: exchange, Verdict: v})
+		f.s.Answer(core.Answer{Exchange: exchange, Verdict: core.Failed}) // a second one ends nothing
 		c.answer()
 		switch v {
 		case core.Served:
@@ -110,11 +110,11 @@
 	c.answer()
 	h := f.dial()
 	h.send("GET /healthz HTTP/1.1\r\nHost: h", "")
-	leg := f.event().(core.HealthAsked).Exchange
+	exchange := f.event().(core.HealthAsked).Exchange
 	if n := f.s.InFlight(); n != 0 {
 		t.Errorf("a health check counts as %d in flight", n)
 	}
-	f.s.Answer(core.Answer{Exchange: leg})
+	f.s.Answer(core.Answer{Exchange: exchange})
 	h.answer()
 	want["c"] = tally
 	if got := f.s.Tallies(); len(got) != 2 || got["c"] != want["c"] || got["d"] != want["d"] {
--- a/internal/callerleg/conn.go
+++ b/internal/clientconn/conn.go
@@ -1,4 +1,4 @@
-package callerleg
+package clientconn
 
 import (
 	"sync"
@@ -24,7 +24,7 @@
 const (
 	unknown   side = iota
 	ofCallers      // it brings jobs
-	ofHops         // it brings call-backs
+	ofWorkers      // it brings call-backs
 )
 
 // When a connection may give its place to another one.
@@ -33,28 +33,28 @@
 	partGrace   = 100 * time.Millisecond // for a new one with part of its first request
 )
 
-// legConn is a connection that a caller or a next hop opened.
-type legConn struct {
+// legConn is a connection that a caller or a worker opened.
+type conn struct {
 	*hold.Conn
-	release func(*legConn)
+	release func(*conn)
 
 	mu        sync.Mutex
 	phase     phase
 	proven    bool // a well-formed request has come on it
 	side      side
-	later     bool       // an answer has been written: what comes next is not its first request
-	since     time.Time  // when it was opened; once proven, when its phase began
-	leg       core.ExchangeID // while a request waits for the reducer's answer
-	old       bool       // the request being served is of HTTP/1.0
-	head      bool       // it is a HEAD
-	ends      bool       // its answer is the last
-	continued bool       // a 100 Continue was written for the request being read
-	shut      bool       // nothing that comes from now on is taken: its answers are over, or it was claimed
+	later     bool            // an answer has been written: what comes next is not its first request
+	since     time.Time       // when it was opened; once proven, when its phase began
+	exchange  core.ExchangeID // while a request waits for the reducer's answer
+	old       bool            // the request being served is of HTTP/1.0
+	head      bool            // it is a HEAD
+	ends      bool            // its answer is the last
+	continued bool            // a 100 Continue was written for the request being read
+	shut      bool            // nothing that comes from now on is taken: its answers are over, or it was claimed
 	closed    bool
 }
 
 // enter begins a phase, unless the connection was claimed.
-func (c *legConn) enter(p phase) bool {
+func (c *conn) enter(p phase) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.shut {
@@ -69,7 +69,7 @@
 
 // claim takes a connection from its reader, for its end: only while it waits for a request of which nothing has come, or for the rest of a
 // first one. Danger: what its reader gets a moment later must not be taken; its client sees the end, and sends it again elsewhere.
-func (c *legConn) claim() bool {
+func (c *conn) claim() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.shut || c.closed || !(c.phase == waiting && c.Silent() || c.phase == reading && !c.proven) {
@@ -87,7 +87,7 @@
 )
 
 // linger ends what this side says on the connection, and reads what still comes until the other side ends too.
-func (c *legConn) linger() {
+func (c *conn) linger() {
 	c.mu.Lock()
 	claimed, closed := c.shut, c.closed
 	c.shut = true
@@ -110,33 +110,33 @@
 }
 
 // end says that nothing more will be said on the connection, and bounds how long what comes is read.
-func (c *legConn) end() {
+func (c *conn) end() {
 	c.CloseWrite()
 	c.SetReadDeadline(time.Now().Add(lingerWait))
 }
 
 // lingers tells whether the connection only waits for the other side's end.
-func (c *legConn) lingers() bool {
+func (c *conn) lingers() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.shut
 }
 
 // prove marks that a well-formed request has come, and from whom.
-func (c *legConn) prove(from side) {
+func (c *conn) prove(from side) {
 	c.mu.Lock()
 	c.proven, c.side = true, from
 	c.mu.Unlock()
 }
 
 // serves marks which request of the reducer's the connection waits with.
-func (c *legConn) serves(leg core.ExchangeID) {
+func (c *conn) serves(exchange core.ExchangeID) {
 	c.mu.Lock()
-	c.leg = leg
+	c.exchange = exchange
 	c.mu.Unlock()
 }
 
-func (c *legConn) Close() error {
+func (c *conn) Close() error {
 	c.mu.Lock()
 	was := c.closed
 	c.closed = true
@@ -161,7 +161,7 @@
 
 // rank tells how soon the connection gives up its place, and from when on it has held it. Danger: closing one
 // on which a request has arrived unread costs that request.
-func (c *legConn) rank(now time.Time) (rank, time.Time) {
+func (c *conn) rank(now time.Time) (rank, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held := now.Sub(c.since)
@@ -183,7 +183,7 @@
 
 // idleFor tells for how long the connection, if it is of that side, has been waiting for a request of which nothing has
 // come. unknown stands for all sides.
-func (c *legConn) idleFor(now time.Time, of side) time.Duration {
+func (c *conn) idleFor(now time.Time, of side) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if of != unknown && c.side != of || c.closed || c.shut || c.phase != waiting || !c.Silent() {
@@ -193,7 +193,7 @@
 }
 
 // saysNothing tells whether the connection is new and not a byte has come on it.
-func (c *legConn) saysNothing() bool {
+func (c *conn) saysNothing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.proven && c.phase == waiting && c.Silent()
--- a/internal/callerleg/drain.go
+++ b/internal/clientconn/drain.go
@@ -1,4 +1,4 @@
-package callerleg
+package clientconn
 
 import (
 	"slices"
@@ -53,7 +53,7 @@
 // closeIdle closes what has been idle for long enough, on one side or, for unknown, on all.
 func (s *Server) closeIdle(now time.Time, of side) {
 	s.mu.Lock()
-	var idle []*legConn
+	var idle []*conn
 	for c := range s.conns {
 		// Danger: a new connection is idle too until its first byte is read, and may bring a call-back.
 		if c.idleFor(now, of) >= drainIdle {
@@ -71,7 +71,7 @@
 // Shed closes up to n connections that wait for a next request, those that have waited longest first.
 func (s *Server) Shed(n int) {
 	type waiter struct {
-		c     *legConn
+		c     *conn
 		since time.Time
 	}
 	var all []waiter
@@ -105,5 +105,5 @@
 			return false
 		}
 	}
-	return len(s.legs) == 0 && now.Sub(s.last) >= drainQuiet
+	return len(s.exchanges) == 0 && now.Sub(s.last) >= drainQuiet
 }
--- a/internal/callerleg/end_test.go
+++ b/internal/clientconn/end_test.go
@@ -1,4 +1,4 @@
-package callerleg
+package clientconn
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 )
 
 // only returns the server's one connection.
-func (f *fixture) only() *legConn {
+func (f *fixture) only() *conn {
 	f.t.Helper()
 	for limit := time.Now().Add(patience); ; runtime.Gosched() {
 		f.s.mu.Lock()
@@ -88,12 +88,12 @@
 	f := serve(t, 16)
 	c := f.dial()
 	c.send(ask, "hi")
-	leg := f.event().(core.CallArrived).Call.Exchange
+	exchange := f.event().(core.CallArrived).Call.Exchange
 	conn := f.only()
 	if conn.claim() {
 		t.Fatal("claimed while its request is served")
 	}
-	f.s.Answer(core.Answer{Exchange: leg, Body: []byte("ok")})
+	f.s.Answer(core.Answer{Exchange: exchange, Body: []byte("ok")})
 	c.answer()
 	if err := f.s.gate.Hold(patience, nil); err != nil { // nobody reads
 		t.Fatal(err)
@@ -119,9 +119,9 @@
 	f := serve(t, 16)
 	c := f.dial()
 	c.send(ask+"\r\nConnection: close", "hi")
-	leg := f.event().(core.CallArrived).Call.Exchange
+	exchange := f.event().(core.CallArrived).Call.Exchange
 	c.Write(bytes.Repeat([]byte("x"), 60<<10))
-	f.s.Answer(core.Answer{Exchange: leg, Body: []byte("ok")})
+	f.s.Answer(core.Answer{Exchange: exchange, Body: []byte("ok")})
 	conn := f.only()
 	for limit := time.Now().Add(patience); !conn.lingers(); runtime.Gosched() {
 		if time.Now().After(limit) {
@@ -212,13 +212,13 @@
 		close(over)
 	}()
 	<-refused
-	leg := f.event().(core.CallArrived).Call.Exchange
+	exchange := f.event().(core.CallArrived).Call.Exchange
 	select {
 	case <-over:
 		t.Fatal("over with a request taken")
 	default:
 	}
-	f.s.Answer(core.Answer{Exchange: leg, Body: []byte("ok")})
+	f.s.Answer(core.Answer{Exchange: exchange, Body: []byte("ok")})
 	if resp := last.answer(); string(resp.Body()) != "ok" || !resp.ConnectionClose() {
 		t.Errorf("answered %s", resp)
 	}
--- a/internal/callerleg/handover_test.go
+++ b/internal/clientconn/handover_test.go
@@ -1,4 +1,4 @@
-package callerleg
+package clientconn
 
 import (
 	"errors"
@@ -84,12 +84,12 @@
 	c := f.dial()
 	c.Conn.(*net.TCPConn).SetReadBuffer(4096)
 	c.send(ask, "hi")
-	leg := f.event().(core.CallArrived).Call.Exchange
+	exchange := f.event().(core.CallArrived).Call.Exchange
 	var body strings.Builder
 	for i := range 1 << 14 {
 		fmt.Fprintf(&body, "%07d ", i)
 	}
-	f.s.Answer(core.Answer{Exchange: leg, Verdict: core.Served, Body: []byte(body.String())})
+	f.s.Answer(core.Answer{Exchange: exchange, Verdict: core.Served, Body: []byte(body.String())})
 	if _, err := c.r.Peek(1); err != nil {
 		t.Fatal(err)
 	}
@@ -102,8 +102,8 @@
 	}
 	c.send(ask, "ho")
 	call := f.event().(core.CallArrived).Call
-	if call.Exchange <= leg || string(call.Message.Body) != "ho" {
-		t.Fatalf("the next request is %+v; the last leg was %d", call, leg)
+	if call.Exchange <= exchange || string(call.Message.Body) != "ho" {
+		t.Fatalf("the next request is %+v; the last exchange was %d", call, exchange)
 	}
 	next.Answer(core.Answer{Exchange: call.Exchange, Verdict: core.Served, Body: []byte("ok")})
 	if got := string(c.answer().Body()); got != "ok" {
@@ -153,10 +153,10 @@
 // TestImportRefusesWhatDoesNotFit: places without a descriptor, phases that are none.
 func TestImportRefusesWhatDoesNotFit(t *testing.T) {
 	for name, st := range map[string]State{
-		"no descriptor": {Conns: []ConnState{{File: 3}}},
-		"ahead of none": {Conns: []ConnState{{File: -1}}},
-		"no phase":      {Conns: []ConnState{{Phase: 9}}},
-		"a leg to come": {Conns: []ConnState{{Leg: 5}}},
+		"no descriptor":       {Conns: []ConnState{{File: 3}}},
+		"ahead of none":       {Conns: []ConnState{{File: -1}}},
+		"no phase":            {Conns: []ConnState{{Phase: 9}}},
+		"an exchange to come": {Conns: []ConnState{{Exchange: 5}}},
 	} {
 		gate := hold.NewGate()
 		s := NewServer(16, gate, func(core.Event) {}, logrus.New())
--- a/internal/callerleg/parse.go
+++ b/internal/clientconn/parse.go
@@ -1,4 +1,4 @@
-package callerleg
+package clientconn
 
 import (
 	"bytes"
@@ -39,7 +39,7 @@
 	headerTenant, headerKey, headerRemaining, headerResent, headerHint, headerLabels, headerToken}
 
 // checkHead refuses what two readers could take for different requests; fasthttp is more lenient. Danger: a
-// body framed in two ways may hide a second request, which a next hop would run.
+// body framed in two ways may hide a second request, which a worker would run.
 func checkHead(h *fasthttp.RequestHeader) error {
 	if p := string(h.Protocol()); p != "HTTP/1.1" && p != "HTTP/1.0" {
 		return fmt.Errorf("protocol %q is not served", p)
@@ -178,7 +178,7 @@
 	return nil
 }
 
-// callBack is a next hop's report on a job.
+// callBack is a worker's report on a job.
 type callBack struct {
 	ID     string  `json:"id"`
 	From   string  `json:"from"`
--- a/internal/callerleg/serve.go
+++ b/internal/clientconn/serve.go
@@ -1,4 +1,4 @@
-package callerleg
+package clientconn
 
 import (
 	"bufio"
@@ -51,7 +51,7 @@
 }
 
 // serve reads and answers a connection's requests until it ends.
-func (s *Server) serve(c *legConn) {
+func (s *Server) serve(c *conn) {
 	defer c.Close()
 	for s.next(c) {
 	}
@@ -59,7 +59,7 @@
 }
 
 // next reads one request and answers it, and tells whether the connection goes on.
-func (s *Server) next(c *legConn) bool {
+func (s *Server) next(c *conn) bool {
 	if c.First() != nil {
 		// Danger: an answer to a request that did not come in time could cross that request and be taken for its
 		// own. A close crosses without harm.
@@ -94,13 +94,13 @@
 	}
 	fasthttp.ReleaseRequest(req)
 	if waits {
-		return s.await(c)
+		return s.waitForAnswer(c)
 	}
 	return s.write(c, a)
 }
 
 // read reads a whole request and leaves what follows it ahead.
-func (s *Server) read(c *legConn, req *fasthttp.Request) error {
+func (s *Server) read(c *conn, req *fasthttp.Request) error {
 	br := readers.Get().(*bufio.Reader)
 	br.Reset(c.Conn)
 	defer readers.Put(br)
@@ -121,18 +121,18 @@
 	return err
 }
 
-// await waits for the reducer's answer, reading ahead: the caller may leave. It writes the answer.
-func (s *Server) await(c *legConn) bool {
+// waitForAnswer waits for the reducer's answer, reading ahead: the caller may leave. It writes the answer.
+func (s *Server) waitForAnswer(c *conn) bool {
 	c.mu.Lock()
-	leg := c.leg
+	exchange := c.exchange
 	c.mu.Unlock()
-	if err := c.Await(); err != nil {
-		if _, answered := s.close(leg); !answered {
-			s.post(core.CallerLeft{Exchange: leg})
+	if err := c.ReadAhead(); err != nil {
+		if _, answered := s.close(exchange); !answered {
+			s.post(core.CallerLeft{Exchange: exchange})
 		}
 		return false
 	}
-	a, _ := s.close(leg)
+	a, _ := s.close(exchange)
 	if a.Verdict == core.Unowned {
 		return false // danger: an answer would say that it need not come again
 	}
@@ -140,10 +140,10 @@
 }
 
 // write writes an answer, and tells whether the connection goes on.
-func (s *Server) write(c *legConn, a answer) bool {
+func (s *Server) write(c *conn, a answer) bool {
 	c.mu.Lock()
 	// As of now: the request may have waited since before.
-	a.last = a.last || c.ends || s.closing.Load() || s.away.Load() && c.side != ofHops
+	a.last = a.last || c.ends || s.closing.Load() || s.away.Load() && c.side != ofWorkers
 	c.ends = a.last
 	old, head := c.old, c.head
 	c.mu.Unlock()
@@ -153,13 +153,13 @@
 }
 
 // finish writes what is left of an answer and makes the connection wait for its next request.
-func (s *Server) finish(c *legConn, rest []byte) bool {
+func (s *Server) finish(c *conn, rest []byte) bool {
 	if _, err := c.Write(rest); err != nil {
 		return false
 	}
 	c.mu.Lock()
 	ends := c.ends
-	c.leg, c.later = 0, true
+	c.exchange, c.later = 0, true
 	c.mu.Unlock()
 	if ends {
 		return false
--- a/internal/callerleg/server.go
+++ b/internal/clientconn/server.go
@@ -1,6 +1,6 @@
-// Package callerleg serves callers and takes the next hops' call-backs, which arrive at the same address.
+// Package clientconn serves the connections that clients open and takes the workers' call-backs, which arrive at the same address.
 // It turns requests into events and answers into bytes; it decides nothing.
-package callerleg
+package clientconn
 
 import (
 	"errors"
@@ -36,9 +36,9 @@
 	healthWait      = 2 * time.Second
 )
 
-// leg is a request that waits for the reducer's answer.
-type leg struct {
-	conn     *legConn
+// exchange is a request that waits for the reducer's answer.
+type exchange struct {
+	conn     *conn
 	class    string // of the job; empty for none
 	answer   core.Answer
 	answered bool
@@ -59,13 +59,13 @@
 	shares   atomic.Int64 // Unix nanoseconds until which another process may serve the same listener
 	lastID   atomic.Uint64
 
-	mu      sync.Mutex
-	most    int // open connections
-	conns   map[*legConn]struct{}
-	pending *legConn // accepted, and waits for a place
-	legs    map[core.ExchangeID]*leg
-	last    time.Time     // when the last request came
-	awayEnd chan struct{} // closed at the end of a drain by hand; nil where there is none
+	mu        sync.Mutex
+	most      int // open connections
+	conns     map[*conn]struct{}
+	pending   *conn // accepted, and waits for a place
+	exchanges map[core.ExchangeID]*exchange
+	last      time.Time     // when the last request came
+	awayEnd   chan struct{} // closed at the end of a drain by hand; nil where there is none
 
 	complained time.Time // when the last line on a refused request was logged
 	unsaid     int       // refused since then
@@ -74,7 +74,7 @@
 // NewServer makes a server that holds at most so many connections, all behind the gate.
 func NewServer(mostConns int, gate *hold.Gate, post func(core.Event), log logrus.FieldLogger) *Server {
 	return &Server{post: post, log: log, gate: gate, most: mostConns, freed: make(chan struct{}, 1),
-		conns: map[*legConn]struct{}{}, legs: map[core.ExchangeID]*leg{}}
+		conns: map[*conn]struct{}{}, exchanges: map[core.ExchangeID]*exchange{}}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -91,7 +91,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		c := &legConn{Conn: s.gate.Wrap(nc), release: s.release, since: time.Now()}
+		c := &conn{Conn: s.gate.Wrap(nc), release: s.release, since: time.Now()}
 		c.SetReadDeadline(c.since.Add(readWait))
 		s.place(c)
 		s.gate.Go(func() { s.serve(c) })
@@ -99,7 +99,7 @@
 }
 
 // place waits until a connection is admitted.
-func (s *Server) place(c *legConn) {
+func (s *Server) place(c *conn) {
 	for !s.admit(c) {
 		s.setPending(c)
 		s.gate.Rest()
@@ -114,7 +114,7 @@
 	}
 }
 
-func (s *Server) setPending(c *legConn) {
+func (s *Server) setPending(c *conn) {
 	s.mu.Lock()
 	s.pending = c
 	s.mu.Unlock()
@@ -124,9 +124,9 @@
 // its first request, else the one that has been idle longest. Danger: by age alone usual callers' kept
 // connections would go first when others connect by hundreds and say nothing; so they are spared for as long
 // as a new one may still turn out to be one of those.
-func (s *Server) admit(c *legConn) bool {
+func (s *Server) admit(c *conn) bool {
 	s.mu.Lock()
-	var out *legConn
+	var out *conn
 	if len(s.conns) >= s.most {
 		var from time.Time
 		worst, now := stays, time.Now()
@@ -160,7 +160,7 @@
 	s.wake()
 }
 
-func (s *Server) release(c *legConn) {
+func (s *Server) release(c *conn) {
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -179,11 +179,11 @@
 func (s *Server) crowded() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return float64(len(s.legs)) >= callerPart*float64(s.most)
+	return float64(len(s.exchanges)) >= callerPart*float64(s.most)
 }
 
 // handle takes a request. It returns the answer, or says that the connection waits for the reducer's.
-func (s *Server) handle(c *legConn, req *fasthttp.Request) (a answer, waits bool) {
+func (s *Server) handle(c *conn, req *fasthttp.Request) (a answer, waits bool) {
 	if err := checkHead(&req.Header); err != nil {
 		return s.reject(err), false
 	}
@@ -202,7 +202,7 @@
 // one knows nothing of is left unanswered meanwhile, and comes again. Danger: acknowledged here it would be lost there.
 func (s *Server) Shares(most time.Duration) { s.shares.Store(time.Now().Add(most).UnixNano()) }
 
-func (s *Server) callBack(c *legConn, req *fasthttp.Request) (answer, bool) {
+func (s *Server) callBack(c *conn, req *fasthttp.Request) (answer, bool) {
 	if !req.Header.IsPost() {
 		return refusal(fasthttp.StatusMethodNotAllowed, "call-backs are posted"), false
 	}
@@ -210,7 +210,7 @@
 	if err != nil {
 		return s.reject(err), false
 	}
-	c.prove(ofHops)
+	c.prove(ofWorkers)
 	shared := time.Now().UnixNano() < s.shares.Load()
 	if shared {
 		report.Exchange = s.open(c, "")
@@ -222,7 +222,7 @@
 
 // health asks the reducer itself, so that a 200 shows that it runs. Danger: hundreds may ask once and stay, so
 // the answer closes the connection.
-func (s *Server) health(c *legConn) (answer, bool) {
+func (s *Server) health(c *conn) (answer, bool) {
 	if s.draining.Load() {
 		return refusal(fasthttp.StatusServiceUnavailable, "draining"), false
 	}
@@ -232,7 +232,7 @@
 	id := s.open(c, "")
 	s.post(core.HealthAsked{Exchange: id})
 	c.SetReadDeadline(time.Now().Add(healthWait))
-	err := c.Await()
+	err := c.ReadAhead()
 	if a, answered := s.close(id); answered {
 		return answerOf(a), false
 	} else if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -242,7 +242,7 @@
 }
 
 // call takes a caller's request, which waits for its one final answer.
-func (s *Server) call(c *legConn, req *fasthttp.Request) (answer, bool) {
+func (s *Server) call(c *conn, req *fasthttp.Request) (answer, bool) {
 	if !req.Header.IsPost() {
 		return refusal(fasthttp.StatusMethodNotAllowed, "jobs are posted"), false
 	}
@@ -265,44 +265,44 @@
 	return answer{}, true
 }
 
-func (s *Server) open(c *legConn, class string) core.ExchangeID {
+func (s *Server) open(c *conn, class string) core.ExchangeID {
 	id := core.ExchangeID(s.lastID.Add(1))
 	c.serves(id)
 	s.mu.Lock()
-	s.legs[id] = &leg{conn: c, class: class}
+	s.exchanges[id] = &exchange{conn: c, class: class}
 	s.last = time.Now()
 	s.mu.Unlock()
 	return id
 }
 
-// close ends a leg, and tells its answer if it has got one. A job's end is counted here.
+// close ends an exchange, and tells its answer if it has got one. A job's end is counted here.
 func (s *Server) close(id core.ExchangeID) (core.Answer, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.legs[id]
+	l := s.exchanges[id]
 	if l == nil {
 		return core.Answer{}, false
 	}
-	delete(s.legs, id)
+	delete(s.exchanges, id)
 	if l.answered {
 		s.count(l.class, statuses[l.answer.Verdict])
 	}
 	return l.answer, l.answered
 }
 
-// Present tells whether a leg waits for its answer and its caller has not closed the connection, as far as the kernel knows. It reads nothing.
+// Present tells whether an exchange waits for its answer and its caller has not closed the connection, as far as the kernel knows. It reads nothing.
 func (s *Server) Present(id core.ExchangeID) bool {
 	s.mu.Lock()
-	l := s.legs[id]
+	l := s.exchanges[id]
 	waits := l != nil && !l.answered
 	s.mu.Unlock()
 	return waits && !l.conn.Ended()
 }
 
-// Answer hands a final answer to its caller leg. It does not block.
+// Answer hands a final answer to its exchange. It does not block.
 func (s *Server) Answer(a core.Answer) {
 	s.mu.Lock()
-	l := s.legs[a.Exchange]
+	l := s.exchanges[a.Exchange]
 	if l == nil || l.answered {
 		s.mu.Unlock()
 		return
--- a/internal/callerleg/server_test.go
+++ b/internal/clientconn/server_test.go
@@ -1,4 +1,4 @@
-package callerleg
+package clientconn
 
 import (
 	"bufio"
@@ -119,14 +119,14 @@
 	}
 }
 
-// TestCallerLeaves: a leg that closes while its request waits must reach the reducer.
+// TestCallerLeaves: an exchange that closes while its request waits must reach the reducer.
 func TestCallerLeaves(t *testing.T) {
 	f := serve(t, 16)
 	c := f.dial()
 	c.send(ask, "hi")
-	leg := f.event().(core.CallArrived).Call.Exchange
+	exchange := f.event().(core.CallArrived).Call.Exchange
 	c.Close()
-	if e := f.event(); e != (core.CallerLeft{Exchange: leg}) {
+	if e := f.event(); e != (core.CallerLeft{Exchange: exchange}) {
 		t.Errorf("event %+v, want that the caller left", e)
 	}
 }
@@ -139,8 +139,8 @@
 			f := serve(t, 16)
 			c := f.dial()
 			c.send(ask, "hi")
-			leg := f.event().(core.CallArrived).Call.Exchange
-			if !f.s.Present(leg) {
+			exchange := f.event().(core.CallArrived).Call.Exchange
+			if !f.s.Present(exchange) {
 				t.Fatalf("%d bytes: gone before it left", more)
 			}
 			if _, err := io.WriteString(c, strings.Repeat("x", more)); err != nil {
@@ -153,10 +153,10 @@
 				c.Conn.(*net.TCPConn).SetLinger(0)
 			}
 			c.Close()
-			if e := f.event(); e != (core.CallerLeft{Exchange: leg}) {
+			if e := f.event(); e != (core.CallerLeft{Exchange: exchange}) {
 				t.Errorf("%d bytes, reset %v: event %+v, want that the caller left", more, reset, e)
 			}
-			if f.s.Present(leg) {
+			if f.s.Present(exchange) {
 				t.Errorf("%d bytes, reset %v: present after it left", more, reset)
 			}
 		}
@@ -169,13 +169,13 @@
 	for _, more := range []string{"", "POST"} {
 		c := f.dial()
 		c.send(ask, "hi")
-		leg := f.event().(core.CallArrived).Call.Exchange
+		exchange := f.event().(core.CallArrived).Call.Exchange
 		if err := f.s.gate.Hold(patience, nil); err != nil { // nobody reads
 			t.Fatal(err)
 		}
 		io.WriteString(c, more)
 		c.Close()
-		for limit := time.Now().Add(patience); f.s.Present(leg); runtime.Gosched() {
+		for limit := time.Now().Add(patience); f.s.Present(exchange); runtime.Gosched() {
 			if time.Now().After(limit) {
 				t.Fatalf("behind %q: still present", more)
 			}
@@ -194,12 +194,12 @@
 	c := f.dial()
 	for _, at := range []int{1, 30, len(ask) + 5} { // so much of the next request comes early
 		c.send(ask, "hi")
-		leg := f.event().(core.CallArrived).Call.Exchange
+		exchange := f.event().(core.CallArrived).Call.Exchange
 		next := ask + "\r\n\r\nho"
 		if _, err := io.WriteString(c, next[:at]); err != nil {
 			t.Fatal(err)
 		}
-		f.s.Answer(core.Answer{Exchange: leg, Verdict: core.Served, Body: []byte("one")})
+		f.s.Answer(core.Answer{Exchange: exchange, Verdict: core.Served, Body: []byte("one")})
 		if resp := c.answer(); string(resp.Body()) != "one" {
 			t.Fatalf("answered %s", resp)
 		}
@@ -287,7 +287,7 @@
 	f := serve(t, 16)
 	waits := f.dial()
 	waits.send(ask, "hi")
-	leg := f.event().(core.CallArrived).Call.Exchange
+	exchange := f.event().(core.CallArrived).Call.Exchange
 	silent, trickle := f.dial(), f.dial()
 	pace := time.NewTicker(readWait / 20)
 	defer pace.Stop()
@@ -305,7 +305,7 @@
 		t.Errorf("answered %d", status)
 	}
 	waits.Close() // long after its request's time limit: that must be noticed all the same
-	if e := f.event(); e != (core.CallerLeft{Exchange: leg}) {
+	if e := f.event(); e != (core.CallerLeft{Exchange: exchange}) {
 		t.Errorf("event %+v, want that the caller left", e)
 	}
 }
@@ -389,10 +389,10 @@
 	f := serve(t, 16)
 	waiting := f.dial()
 	waiting.send(ask, "hi")
-	leg := f.event().(core.CallArrived).Call.Exchange
+	exchange := f.event().(core.CallArrived).Call.Exchange
 	over := make(chan struct{})
 	go func() {
-		f.s.Drain(2*time.Second, func() {}, func() { f.s.Answer(core.Answer{Exchange: leg, Verdict: core.Busy}) })
+		f.s.Drain(2*time.Second, func() {}, func() { f.s.Answer(core.Answer{Exchange: exchange, Verdict: core.Busy}) })
 		close(over)
 	}()
 	for !f.s.draining.Load() {
--- a/internal/callerleg/state.go
+++ b/internal/clientconn/state.go
@@ -1,4 +1,4 @@
-package callerleg
+package clientconn
 
 import (
 	"fmt"
@@ -11,8 +11,8 @@
 
 // State is what a held server's successor needs to go on with its connections.
 type State struct {
-	LastLeg core.ExchangeID
-	Conns   []ConnState
+	LastExchange core.ExchangeID `cbor:"LastLeg"`
+	Conns        []ConnState
 }
 
 // ConnState is one connection, however far it has come with its current request.
@@ -27,7 +27,7 @@
 	Old       bool
 	Ends      bool
 	Held      float64 // seconds since `since`
-	Leg       core.ExchangeID
+	Exchange  core.ExchangeID
 	Side      uint8
 	Class     string // of the job that waits for its answer
 }
@@ -36,15 +36,15 @@
 func (s *Server) Export(files *hold.Files) (State, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := State{LastLeg: core.ExchangeID(s.lastID.Load())}
-	all := make([]*legConn, 0, len(s.conns)+1)
+	st := State{LastExchange: core.ExchangeID(s.lastID.Load())}
+	all := make([]*conn, 0, len(s.conns)+1)
 	for c := range s.conns {
 		all = append(all, c)
 	}
 	if s.pending != nil {
 		all = append(all, s.pending)
 	}
-	slices.SortFunc(all, func(a, b *legConn) int { return a.since.Compare(b.since) })
+	slices.SortFunc(all, func(a, b *conn) int { return a.since.Compare(b.since) })
 	for _, c := range all {
 		if c.lingers() {
 			continue // nothing that comes on it is taken, here or elsewhere
@@ -54,33 +54,33 @@
 			continue // it was closed, and its goroutine will find that
 		}
 		class := ""
-		if l := s.legs[c.leg]; l != nil {
+		if l := s.exchanges[c.exchange]; l != nil {
 			class = l.class
 		}
 		st.Conns = append(st.Conns, ConnState{Side: uint8(c.side), Class: class, File: file, Conn: c.Conn.Export(), Phase: uint8(c.phase), Proven: c.proven,
-			Later: c.later, Continued: c.continued, Old: c.old, Ends: c.ends, Held: time.Since(c.since).Seconds(), Leg: c.leg})
+			Later: c.later, Continued: c.continued, Old: c.old, Ends: c.ends, Held: time.Since(c.since).Seconds(), Exchange: c.exchange})
 	}
 	return st, nil
 }
 
 // Import takes connections up. The gate must be held; they go on when it is let go.
 func (s *Server) Import(st State, files *hold.Received) error {
-	s.lastID.Store(uint64(st.LastLeg))
+	s.lastID.Store(uint64(st.LastExchange))
 	for i, x := range st.Conns {
-		if phase(x.Phase) > answering || side(x.Side) > ofHops || x.Leg > st.LastLeg {
-			return fmt.Errorf("callerleg: connection %d: phase %d, side %d, leg %d of %d", i, x.Phase, x.Side, x.Leg, st.LastLeg)
+		if phase(x.Phase) > answering || side(x.Side) > ofWorkers || x.Exchange > st.LastExchange {
+			return fmt.Errorf("clientconn: connection %d: phase %d, side %d, exchange %d of %d", i, x.Phase, x.Side, x.Exchange, st.LastExchange)
 		}
 		hc, err := files.Conn(x.File, x.Conn)
 		if err != nil {
-			return fmt.Errorf("callerleg: connection %d: %w", i, err)
+			return fmt.Errorf("clientconn: connection %d: %w", i, err)
 		}
-		c := &legConn{Conn: hc, release: s.release, phase: phase(x.Phase), proven: x.Proven, later: x.Later,
-			continued: x.Continued, old: x.Old, ends: x.Ends, leg: x.Leg, side: side(x.Side),
+		c := &conn{Conn: hc, release: s.release, phase: phase(x.Phase), proven: x.Proven, later: x.Later,
+			continued: x.Continued, old: x.Old, ends: x.Ends, exchange: x.Exchange, side: side(x.Side),
 			since: time.Now().Add(-time.Duration(x.Held * float64(time.Second)))}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		if c.phase == serving {
-			s.legs[c.leg] = &leg{conn: c, class: x.Class}
+			s.exchanges[c.exchange] = &exchange{conn: c, class: x.Class}
 		}
 		s.mu.Unlock()
 		s.gate.Go(func() { s.goOn(c, x.Conn.Rest) })
@@ -89,14 +89,14 @@
 }
 
 // goOn serves a connection that was taken up, from where it stood.
-func (s *Server) goOn(c *legConn, rest []byte) {
+func (s *Server) goOn(c *conn, rest []byte) {
 	defer c.Close()
 	on := true
 	switch c.phase {
 	case answering:
 		on = s.finish(c, rest)
 	case serving:
-		on = s.await(c)
+		on = s.waitForAnswer(c)
 	default:
 		if len(rest) > 0 { // of a 100 Continue
 			_, err := c.Write(rest)
--- a/internal/callerleg/tally.go
+++ b/internal/clientconn/tally.go
@@ -1,4 +1,4 @@
-package callerleg
+package clientconn
 
 import (
 	"sync/atomic"
@@ -33,7 +33,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
-	for _, l := range s.legs {
+	for _, l := range s.exchanges {
 		if l.class != "" {
 			n++
 		}
--- a/internal/hold/conn.go
+++ b/internal/hold/conn.go
@@ -290,17 +290,17 @@
 	}
 }
 
-// mostAhead bounds the bytes that an Await reads ahead; what comes beyond that stays in the kernel, whose buffer bounds it.
+// mostAhead bounds the bytes that a ReadAhead takes; what comes beyond that stays in the kernel, whose buffer bounds it.
 const mostAhead = 16 << 10
 
-// awaitBytes is how much an Await reads at once. Connections that wait are many, and nearly all say nothing.
-const awaitBytes = 64
+// readAheadBytes is how much a ReadAhead reads at once. Connections that wait are many, and nearly all say nothing.
+const readAheadBytes = 64
 
-// Await reads ahead until Interrupt is called (nil), or the connection ends (its error). Bytes that come meanwhile
+// ReadAhead reads ahead until Interrupt is called (nil), or the connection ends (its error). Bytes that come meanwhile
 // stay ahead for the next Read, mostAhead of them at the most. A read deadline ends it as a Read. Danger: the end stands behind all
 // bytes that came before it, so a wait that stopped at the first byte would never see the other side leave.
-func (c *Conn) Await() error {
-	var b [awaitBytes]byte
+func (c *Conn) ReadAhead() error {
+	var b [readAheadBytes]byte
 	for {
 		c.mu.Lock()
 		if c.interrupted {
@@ -309,7 +309,7 @@
 			c.mu.Unlock()
 			return nil
 		}
-		room := min(awaitBytes, mostAhead-len(c.ahead))
+		room := min(readAheadBytes, mostAhead-len(c.ahead))
 		c.mu.Unlock()
 		n, err := c.readKernel(b[:max(0, room)]) // without room it waits for the end alone
 		c.mu.Lock()
@@ -322,7 +322,7 @@
 	}
 }
 
-// Interrupt ends an Await, the present one or the next.
+// Interrupt ends a ReadAhead, the present one or the next.
 func (c *Conn) Interrupt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// TestInterrupt ends an Await whatever it is doing, and no byte that came is lost.
+// TestInterrupt ends a ReadAhead whatever it is doing, and no byte that came is lost.
 func TestInterrupt(t *testing.T) {
 	g := NewGate()
 	near, far := pair(t, g)
@@ -108,7 +108,7 @@
 	ended := make(chan error)
 	g.Go(func() {
 		for range 4 {
-			err := near.Await()
+			err := near.ReadAhead()
 			ended <- err
 		}
 	})
--- a/internal/ops/door_test.go
+++ b/internal/ops/door_test.go
@@ -13,7 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
-	"foldlb.example/foldlb/internal/callerleg"
+	"foldlb.example/foldlb/internal/clientconn"
 	"foldlb.example/foldlb/internal/core"
 )
 
@@ -34,7 +34,7 @@
 	d.Open(Node{
 		Ready: func() error { return nil },
 		Figures: func() Figures {
-			return FiguresOf(map[string]callerleg.Tally{"c": {Served: 3, Failed: 1}, "d": {}}, 7, 9, core.View{Known: 5, Excluded: 2})
+			return FiguresOf(map[string]clientconn.Tally{"c": {Served: 3, Failed: 1}, "d": {}}, 7, 9, core.View{Known: 5, Excluded: 2})
 		},
 		Post: func(ev core.Event) { posted <- ev },
 	})
--- a/internal/ops/stats.go
+++ b/internal/ops/stats.go
@@ -3,7 +3,7 @@
 import (
 	jsoniter "github.com/json-iterator/go"
 
-	"foldlb.example/foldlb/internal/callerleg"
+	"foldlb.example/foldlb/internal/clientconn"
 	"foldlb.example/foldlb/internal/core"
 )
 
@@ -25,7 +25,7 @@
 }
 
 // FiguresOf puts the figures of a dispatcher's parts together.
-func FiguresOf(ends map[string]callerleg.Tally, inFlight int, attempts uint64, v core.View) Figures {
+func FiguresOf(ends map[string]clientconn.Tally, inFlight int, attempts uint64, v core.View) Figures {
 	f := Figures{Requests: make(map[string]Ends, len(ends)), InFlight: inFlight, Attempts: attempts, Known: v.Known, Excluded: v.Excluded}
 	for class, t := range ends {
 		f.Requests[class] = Ends(t)
--- a/internal/upgrade/meet.go
+++ b/internal/upgrade/meet.go
@@ -48,8 +48,8 @@
 // Meeting is the running process's side of the meeting place.
 type Meeting struct{ ln *net.UnixListener }
 
-// Await makes the meeting place, in place of whatever stands there: the last process to serve is the one to be met.
-func Await(path string) (*Meeting, error) {
+// Listen makes the meeting place, in place of whatever stands there: the last process to serve is the one to be met.
+func Listen(path string) (*Meeting, error) {
 	own := fmt.Sprintf("%s.%d", path, os.Getpid())
 	if len(own) > mostPath {
 		return nil, fmt.Errorf("upgrade: %s has %d bytes, a socket's path %d at most", own, len(own), mostPath)
--- a/internal/upgrade/wirekeys_test.go
+++ b/internal/upgrade/wirekeys_test.go
@@ -12,7 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"foldlb.example/foldlb/internal/audit/trail"
-	"foldlb.example/foldlb/internal/callerleg"
+	"foldlb.example/foldlb/internal/clientconn"
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/gossip"
 	"foldlb.example/foldlb/internal/nexthop"
@@ -33,7 +33,7 @@
 	}{
 		{"parcel", upgrade.Parcel{}},
 		{"reducer", core.State{}},
-		{"callers", callerleg.State{}},
+		{"callers", clientconn.State{}},
 		{"next hops", nexthop.State{}},
 		{"routes", routeset.State{}},
 		{"fleet", gossip.State{}},
