--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -17,10 +17,10 @@
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/hold"
 	"foldlb.example/foldlb/internal/membership"
-	"foldlb.example/foldlb/internal/nexthop"
 	"foldlb.example/foldlb/internal/ops"
 	"foldlb.example/foldlb/internal/routeset"
 	"foldlb.example/foldlb/internal/upgrade"
+	"foldlb.example/foldlb/internal/workerconn"
 )
 
 // node is one dispatcher's parts.
@@ -30,7 +30,7 @@
 	gate    *hold.Gate
 	loop    *core.Loop
 	legs    *clientconn.Server
-	hops    *nexthop.Sender
+	hops    *workerconn.Sender
 	routes  *routeset.Client
 	body    *upgrade.Body
 	giver   *upgrade.Giver    // nil where upgrades are off
@@ -58,7 +58,7 @@
 	n.loop = core.NewLoop(reducer, clock.Now, n.perform)
 	forCallers, forHops := connections(cfg.Limits)
 	n.legs = clientconn.NewServer(forCallers, n.gate, n.loop.Post, log)
-	n.hops = nexthop.NewSender(nexthop.Options{
+	n.hops = workerconn.NewSender(workerconn.Options{
 		DialTimeout: time.Duration(cfg.Settings.DialTimeout * secondsToNanos),
 		IdleClose:   time.Duration(cfg.Settings.ConnIdle * secondsToNanos),
 		MostConns:   forHops,
--- a/internal/upgrade/wirekeys_test.go
+++ b/internal/upgrade/wirekeys_test.go
@@ -15,9 +15,9 @@
 	"foldlb.example/foldlb/internal/clientconn"
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/gossip"
-	"foldlb.example/foldlb/internal/nexthop"
 	"foldlb.example/foldlb/internal/routeset"
 	"foldlb.example/foldlb/internal/upgrade"
+	"foldlb.example/foldlb/internal/workerconn"
 )
 
 // wireKeysFile lists each key of what is written as CBOR, one line each: its path and its Go kind. Programs of two versions exchange
@@ -34,7 +34,7 @@
 		{"parcel", upgrade.Parcel{}},
 		{"reducer", core.State{}},
 		{"callers", clientconn.State{}},
-		{"next hops", nexthop.State{}},
+		{"next hops", workerconn.State{}},
 		{"routes", routeset.State{}},
 		{"fleet", gossip.State{}},
 		{"record", trail.Record{}},
--- a/internal/nexthop/conn.go
+++ b/internal/workerconn/conn.go
@@ -1,4 +1,4 @@
-package nexthop
+package workerconn
 
 import (
 	"bufio"
@@ -12,9 +12,9 @@
 	"foldlb.example/foldlb/internal/hold"
 )
 
-const mostAnswer = 64 << 10 // bytes of a next hop's answer
+const mostAnswer = 64 << 10 // bytes of a worker's answer
 
-// conn is a connection to a next hop. It carries one exchange at a time.
+// conn is a connection to a worker. It carries one exchange at a time.
 type conn struct {
 	*hold.Conn
 	addr  string
@@ -72,7 +72,7 @@
 	return nil
 }
 
-// answer is the head of what a next hop says on an exchange.
+// answer is the head of what a worker says on an exchange.
 type answer struct {
 	status     int
 	turnedAway bool
@@ -127,7 +127,7 @@
 }
 
 // fresh reports whether an idle connection is still open and silent. A request written to one that the
-// next hop has closed would end as a reset, after which most classes must not be tried again.
+// worker has closed would end as a reset, after which most classes must not be tried again.
 func (c *conn) fresh() bool {
 	return c.r == nil && c.Silent()
 }
--- a/internal/nexthop/fence.go
+++ b/internal/workerconn/fence.go
@@ -1,4 +1,4 @@
-package nexthop
+package workerconn
 
 import (
 	"errors"
@@ -35,7 +35,7 @@
 func nothing() {}
 
 // lastWord is asked in the last moment before a branch's first byte, and is the only place that lets one be written. What forbids it: the
-// branch was given up or dropped (its request answered, its next hop out or draining, this process stopping); its time, or the time within which its
+// branch was given up or dropped (its request answered, its worker out or draining, this process stopping); its time, or the time within which its
 // class allows a repeat, is over; its caller has closed the connection, whether or not the reducer has heard; this dispatcher is shut out.
 // Where it allows, the branch counts as written: it may have run from here on. wrote must be called when the write has returned.
 // Danger: a process that is stopped after this look writes when it wakes; there is no later moment to look at.
--- a/internal/nexthop/fence_test.go
+++ b/internal/workerconn/fence_test.go
@@ -1,4 +1,4 @@
-package nexthop
+package workerconn
 
 import (
 	"math"
--- a/internal/nexthop/handover_test.go
+++ b/internal/workerconn/handover_test.go
@@ -1,4 +1,4 @@
-package nexthop
+package workerconn
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	"foldlb.example/foldlb/internal/hold"
 )
 
-// scripted is a next hop whose every word the test says.
+// scripted is a worker whose every word the test says.
 type scripted struct {
 	t     *testing.T
 	ln    net.Listener
@@ -137,9 +137,9 @@
 
 // TestHandOverBeforeThe202: a job that was written, and whose answer has come in part, is not sent again, and taken.
 func TestHandOverBeforeThe202(t *testing.T) {
-	hop, old := script(t), side()
-	old.sender.Send(jobAs(1, hop.addr()))
-	c := hop.reads("job")
+	worker, old := script(t), side()
+	old.sender.Send(jobAs(1, worker.addr()))
+	c := worker.reads("job")
 	says(c, accepted[:20])
 	next, st := old.handOver(t)
 	if len(st.Sent) != 1 || len(st.Unsent) != 0 {
@@ -149,22 +149,22 @@
 	if e := next.event(t); e != (core.BranchTaken{Branch: 1}) {
 		t.Fatalf("%+v", e)
 	}
-	next.sender.Send(jobAs(2, hop.addr())) // on the same connection, which is kept now
-	hop.readsOn(c, "job")
+	next.sender.Send(jobAs(2, worker.addr())) // on the same connection, which is kept now
+	worker.readsOn(c, "job")
 	says(c, accepted)
 	if e := next.event(t); e != (core.BranchTaken{Branch: 2}) {
 		t.Fatalf("%+v", e)
 	}
-	if len(hop.conns) != 0 || len(old.events) != 0 {
-		t.Errorf("%d further connections, %d events in the old process", len(hop.conns), len(old.events))
+	if len(worker.conns) != 0 || len(old.events) != 0 {
+		t.Errorf("%d further connections, %d events in the old process", len(worker.conns), len(old.events))
 	}
 }
 
 // TestHandOverOfAGivingUp: a DELETE that is under way is confirmed to the new process, which tells so.
 func TestHandOverOfAGivingUp(t *testing.T) {
-	hop, old := script(t), side()
-	old.sender.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Worker: "a", Addr: hop.addr()})
-	c := hop.reads("DELETE /jobs/r")
+	worker, old := script(t), side()
+	old.sender.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Worker: "a", Addr: worker.addr()})
+	c := worker.reads("DELETE /jobs/r")
 	next, st := old.handOver(t)
 	if len(st.GivingUp) != 1 || st.GivingUp[0].Link == nil {
 		t.Fatalf("handed over as %+v", st)
@@ -176,8 +176,8 @@
 	if e := next.event(t); e != (core.BranchReleased{Branch: 1, Request: "r", Told: true}) {
 		t.Fatalf("%+v", e)
 	}
-	next.sender.Send(jobAs(2, hop.addr()))
-	hop.readsOn(c, "job") // on the connection that has become free
+	next.sender.Send(jobAs(2, worker.addr()))
+	worker.readsOn(c, "job") // on the connection that has become free
 	says(c, accepted)
 	if e := next.event(t); e != (core.BranchTaken{Branch: 2}) {
 		t.Fatalf("%+v", e)
@@ -185,22 +185,22 @@
 }
 
 // TestHandOverWhileDialling: a branch of which nothing was written is sent by the new process; the old one's dial
-// comes to nothing that the next hop could take for a job.
+// comes to nothing that the worker could take for a job.
 func TestHandOverWhileDialling(t *testing.T) {
-	hop, old := script(t), side()
+	worker, old := script(t), side()
 	dialling := make(chan struct{})
 	old.sender.pool.dial = func(ctx context.Context, addr string) (net.Conn, error) {
 		close(dialling)
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	old.sender.Send(jobAs(2, hop.addr()))
+	old.sender.Send(jobAs(2, worker.addr()))
 	<-dialling
 	next, st := old.handOver(t)
 	if len(st.Unsent) != 1 || string(st.Unsent[0].Message.Body) != "job" {
 		t.Fatalf("handed over as %+v", st)
 	}
-	says(hop.reads("job"), accepted)
+	says(worker.reads("job"), accepted)
 	if e := next.event(t); e != (core.BranchTaken{Branch: 2}) {
 		t.Fatalf("%+v", e)
 	}
@@ -208,9 +208,9 @@
 
 // TestHandOverThatFallsBack: where nobody takes it up, the old process goes on, also with what came meanwhile.
 func TestHandOverThatFallsBack(t *testing.T) {
-	hop, old := script(t), side()
-	old.sender.Send(jobAs(1, hop.addr()))
-	c := hop.reads("job")
+	worker, old := script(t), side()
+	old.sender.Send(jobAs(1, worker.addr()))
+	c := worker.reads("job")
 	if err := old.gate.Hold(10*time.Second, nil); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/nexthop/pool.go
+++ b/internal/workerconn/pool.go
@@ -1,4 +1,4 @@
-package nexthop
+package workerconn
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 	"foldlb.example/foldlb/internal/hold"
 )
 
-// errBudget says that all connections that next hops may hold are in use.
-var errBudget = errors.New("no descriptor left for a next hop")
+// errBudget says that all connections that workers may hold are in use.
+var errBudget = errors.New("no descriptor left for a worker")
 
 // How the time that connections are kept follows what becomes of them.
 const (
@@ -47,7 +47,7 @@
 	dialled, refused atomic.Uint64
 
 	mu    sync.Mutex
-	most  int           // open connections, over all next hops
+	most  int           // open connections, over all workers
 	limit time.Duration // after which idle connections are closed now; idleFor where few break
 	bands [ageBands]band
 	open  int
@@ -92,7 +92,7 @@
 }
 
 // settled is for how long a connection must have been silent after an answer before it carries what must not be sent twice. Danger: a
-// next hop may answer a second time some milliseconds late. Taken for the next request's, such an answer may say that a job never ran
+// worker may answer a second time some milliseconds late. Taken for the next request's, such an answer may say that a job never ran
 // which has just begun.
 const settled = 50 * time.Millisecond
 
@@ -125,7 +125,7 @@
 			p.refused.Add(1)
 		}
 		p.unreserve()
-		return nil, fmt.Errorf("connect to next hop: %w", err)
+		return nil, fmt.Errorf("connect to worker: %w", err)
 	}
 	p.dialled.Add(1)
 	return newConn(p.gate.Wrap(nc), addr), nil
@@ -158,7 +158,7 @@
 }
 
 // reserve counts a connection about to be opened. With the budget spent it closes the connection that has
-// been idle longest, to whichever next hop.
+// been idle longest, to whichever worker.
 func (p *pool) reserve() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -227,7 +227,7 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
-// retire closes what has been idle for too long: the next hop closes it soon, and a request that crosses
+// retire closes what has been idle for too long: the worker closes it soon, and a request that crosses
 // with that ends as a reset.
 func (p *pool) retire(now time.Time) {
 	p.mu.Lock()
--- a/internal/nexthop/nexthop.go
+++ b/internal/workerconn/sender.go
@@ -1,7 +1,7 @@
-// Package nexthop carries branches to the next hops: it opens connections, writes requests, reads what the
-// next hop says of taking them, and gives branches up. How far an exchange came when it broke decides
+// Package workerconn carries branches to the workers: it opens connections, writes requests, reads what the
+// worker says of taking them, and gives branches up. How far an exchange came when it broke decides
 // whether the job may have run, so nothing is ever sent a second time from here.
-package nexthop
+package workerconn
 
 import (
 	"context"
@@ -26,11 +26,11 @@
 	headerTurnedAway = "X-Turned-Away"
 	jobPath          = "/jobs/"
 
-	idlePart    = 0.6             // of the time after which a next hop closes an idle connection
+	idlePart    = 0.6             // of the time after which a worker closes an idle connection
 	giveUpWait  = 2 * time.Second // for the answer to a giving up
 	mostTells   = 3               // tries of a giving up, on a connection each
 	mostGiveUps = 64              // at once; more wait their turn
-	mostWaiting = 1024            // with those that wait; beyond that the next hop's own deadline must do
+	mostWaiting = 1024            // with those that wait; beyond that the worker's own deadline must do
 	answerGrace = time.Second     // after a branch's end, when the reducer has long given it up
 	retireEvery = 200 * time.Millisecond
 )
@@ -38,13 +38,13 @@
 // Options is what a deployment sets.
 type Options struct {
 	DialTimeout time.Duration
-	IdleClose   time.Duration // after which a next hop closes an idle connection
-	MostConns   int           // over all next hops
-	// Present tells whether a leg's caller still waits, as far as this machine knows; nil for always.
+	IdleClose   time.Duration // after which a worker closes an idle connection
+	MostConns   int           // over all workers
+	// Present tells whether an exchange's caller still waits, as far as this machine knows; nil for always.
 	Present func(core.ExchangeID) bool
 }
 
-// exchange is a branch whose next hop has not answered yet. Its states, all under Sender.mu: waiting (for a place or a dial),
+// exchange is a branch whose worker has not answered yet. Its states, all under Sender.mu: waiting (for a place or a dial),
 // connected (conn is set), written (past its point of no return); over may come at any time, and ends the first two without a byte.
 type exchange struct {
 	addr    string
@@ -55,13 +55,13 @@
 	over    bool // given up or dropped: its connection is closed by whoever holds it
 }
 
-// giving is a giving up that its next hop has not confirmed yet.
+// giving is a giving up that its worker has not confirmed yet.
 type giving struct {
 	what core.GiveUpBranch
 	conn *conn // once it is open
 }
 
-// job names a request at one next hop.
+// job names a request at one worker.
 type job struct {
 	addr string
 	id   core.RequestID
@@ -142,13 +142,13 @@
 	}
 }
 
-// exchange runs a branch up to the next hop's answer, and tells its fault if the job was not taken.
+// exchange runs a branch up to the worker's answer, and tells its fault if the job was not taken.
 func (s *Sender) exchange(ctx context.Context, x *exchange) (core.Fault, bool) {
 	b := x.branch
 	c, err := s.pool.get(ctx, b.Addr, b.Once)
 	if err != nil {
-		s.log.WithError(err).WithField("hop", b.Worker).Debug("no connection")
-		// Danger: a shortage of our own descriptors, or a dial that was called off, says nothing of the next hop.
+		s.log.WithError(err).WithField("worker", b.Worker).Debug("no connection")
+		// Danger: a shortage of our own descriptors, or a dial that was called off, says nothing of the worker.
 		if errors.Is(err, errBudget) || ctx.Err() != nil {
 			return core.NotSent, true
 		}
@@ -158,14 +158,14 @@
 		s.pool.giveBack(c, false)
 		return core.NotSent, true
 	}
-	// Danger: a next hop may call back and never answer; the exchange must not hold its connection for ever.
+	// Danger: a worker may call back and never answer; the exchange must not hold its connection for ever.
 	left := time.Duration((b.Until - s.clock()) * float64(time.Second))
 	err = c.SetDeadline(time.Now().Add(left + answerGrace))
 	if err == nil {
 		err = s.write(c, x)
 	}
 	switch {
-	case errors.Is(err, errCalledOff), err != nil && !s.reached(x): // danger: a connection that was closed here says nothing of the next hop
+	case errors.Is(err, errCalledOff), err != nil && !s.reached(x): // danger: a connection that was closed here says nothing of the worker
 		s.disconnect(x)
 		s.pool.giveBack(c, s.ended(x))
 		return core.NotSent, true
@@ -180,7 +180,7 @@
 func (s *Sender) unwritten(x *exchange, err error) core.Fault {
 	c := s.disconnect(x)
 	s.pool.discard(c)
-	s.log.WithError(err).WithField("hop", x.branch.Worker).Debug("request not written")
+	s.log.WithError(err).WithField("worker", x.branch.Worker).Debug("request not written")
 	if c.kept() {
 		s.pool.tried(c, true)
 		return core.NotSent
@@ -188,14 +188,14 @@
 	return core.Cut
 }
 
-// hear reads the next hop's answer to a request that was written. It leaves the connection to the exchange, for what follows the head.
+// hear reads the worker's answer to a request that was written. It leaves the connection to the exchange, for what follows the head.
 func (s *Sender) hear(x *exchange) (core.Fault, bool) {
 	written, c := time.Now(), x.conn
 	a, err := c.read()
 	if err != nil {
 		s.disconnect(x)
 		s.pool.discard(c)
-		s.log.WithError(err).WithFields(logrus.Fields{"hop": x.branch.Worker, "idle": c.age, "after": time.Since(written)}).Debug("no answer")
+		s.log.WithError(err).WithFields(logrus.Fields{"worker": x.branch.Worker, "idle": c.age, "after": time.Since(written)}).Debug("no answer")
 		if c.kept() && !errors.Is(err, os.ErrDeadlineExceeded) && !s.ended(x) {
 			s.pool.tried(c, true)
 			return core.Stale, true
@@ -216,7 +216,7 @@
 	return c
 }
 
-// verdict reads a next hop's answer. Anything not known to prove the contrary may have run.
+// verdict reads a worker's answer. Anything not known to prove the contrary may have run.
 func verdict(a answer) (core.Fault, bool) {
 	switch {
 	case a.status == fasthttp.StatusAccepted:
@@ -267,7 +267,7 @@
 // Sent counts the branches of which this process wrote the last byte.
 func (s *Sender) Sent() uint64 { return s.sent.Load() }
 
-// Connections counts those opened to next hops since the start, and those that were refused or never came up.
+// Connections counts those opened to workers since the start, and those that were refused or never came up.
 func (s *Sender) Connections() (opened, refused uint64) {
 	return s.pool.dialled.Load(), s.pool.refused.Load()
 }
@@ -290,7 +290,7 @@
 	return c.write(req, func() (func(), error) { return s.lastWord(x) })
 }
 
-// GiveUp ends a branch. Before the next hop's answer that is said by closing the connection, afterwards by
+// GiveUp ends a branch. Before the worker's answer that is said by closing the connection, afterwards by
 // a DELETE. Danger: an answer may be on its way to a connection that is being closed, and that close then tells nothing; so what may
 // have been written is told by a DELETE whatever came back.
 func (s *Sender) GiveUp(g core.GiveUpBranch) {
@@ -325,10 +325,10 @@
 // giveUp tries a giving up again where its first try failed, and ends it. It holds a slot.
 func (s *Sender) giveUp(x *giving, err error) {
 	for i := 1; err != nil && i < mostTells; i++ {
-		err = s.delete(x) // danger: untold, the next hop runs on what another one may be given
+		err = s.delete(x) // danger: untold, the worker runs on what another one may be given
 	}
 	if err != nil {
-		s.log.WithError(err).WithField("hop", x.what.Worker).Debug("giving up not delivered")
+		s.log.WithError(err).WithField("worker", x.what.Worker).Debug("giving up not delivered")
 	}
 	<-s.slots
 	s.mu.Lock()
@@ -371,7 +371,7 @@
 	return s.confirmed(x, c)
 }
 
-// confirmed reads the next hop's answer to a giving up.
+// confirmed reads the worker's answer to a giving up.
 func (s *Sender) confirmed(x *giving, c *conn) error {
 	_, err := c.read()
 	s.holds(x, nil)
@@ -387,7 +387,7 @@
 	s.mu.Unlock()
 }
 
-// SetMost changes how many connections next hops may hold.
+// SetMost changes how many connections workers may hold.
 func (s *Sender) SetMost(conns int) { s.pool.setMost(conns) }
 
 // Shed closes up to n idle connections, those idle for longest first, and tells how many.
@@ -396,7 +396,7 @@
 // CloseIdle closes the idle connections to an address.
 func (s *Sender) CloseIdle(addr string) { s.pool.closeIdle(addr) }
 
-// Drop ends the branches that wait for a connection to an address: the hop takes nothing new, and a dial
+// Drop ends the branches that wait for a connection to an address: the worker takes nothing new, and a dial
 // must not outlive the word of that.
 func (s *Sender) Drop(addr string) {
 	s.mu.Lock()
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/workerconn/sender_test.go
@@ -1,4 +1,4 @@
-package nexthop
+package workerconn
 
 import (
 	"bufio"
@@ -20,7 +20,7 @@
 
 const patience = 10 * time.Second // for what must come; nothing is timed
 
-// peer is a next hop whose connections the test plays by hand.
+// peer is a worker whose connections the test plays by hand.
 type peer struct {
 	t  *testing.T
 	ln net.Listener
@@ -175,7 +175,7 @@
 	}
 }
 
-// TestFaults plays what a next hop may do with a whole request.
+// TestFaults plays what a worker may do with a whole request.
 func TestFaults(t *testing.T) {
 	for _, tc := range []struct {
 		name string
@@ -314,7 +314,7 @@
 		{"the branch is given up", func(s *Sender, _ *atomic.Int64, _ *atomic.Bool, p *peer) {
 			s.GiveUp(core.GiveUpBranch{Branch: 1, Request: "r", Addr: p.addr()})
 		}},
-		{"its next hop drains", func(s *Sender, _ *atomic.Int64, _ *atomic.Bool, p *peer) { s.Drop(p.addr()) }},
+		{"its worker drains", func(s *Sender, _ *atomic.Int64, _ *atomic.Bool, p *peer) { s.Drop(p.addr()) }},
 		{"its caller goes, and nobody has told", func(_ *Sender, _ *atomic.Int64, gone *atomic.Bool, _ *peer) { gone.Store(true) }},
 		{"its time is over", func(_ *Sender, now *atomic.Int64, _ *atomic.Bool, _ *peer) { now.Store(30) }},
 		{"the time for a repeat is over", func(_ *Sender, now *atomic.Int64, _ *atomic.Bool, _ *peer) { now.Store(8) }},
@@ -323,7 +323,7 @@
 			p := listen(t)
 			var now atomic.Int64 // seconds
 			var gone atomic.Bool
-			s, events := sender(Options{IdleClose: time.Minute, Present: func(leg core.ExchangeID) bool { return leg == 5 && !gone.Load() }})
+			s, events := sender(Options{IdleClose: time.Minute, Present: func(exchange core.ExchangeID) bool { return exchange == 5 && !gone.Load() }})
 			s.clock = func() float64 { return float64(now.Load()) }
 			up, on := heldDials(s)
 			b := branch(1, p.addr())
@@ -347,7 +347,7 @@
 }
 
 // TestGivenUpOnceConnected: the giving up comes after the branch has its connection and before its first byte, between any two lines that look at
-// the clock. That says nothing of the next hop, though its connection is closed by then.
+// the clock. That says nothing of the worker, though its connection is closed by then.
 func TestGivenUpOnceConnected(t *testing.T) {
 	for look := int64(1); look <= 3; look++ {
 		p := listen(t)
@@ -366,7 +366,7 @@
 	}
 }
 
-// TestRemainingIsOfTheWrite: what a branch tells its next hop is what is left when it is written, however long the connection took.
+// TestRemainingIsOfTheWrite: what a branch tells its worker is what is left when it is written, however long the connection took.
 func TestRemainingIsOfTheWrite(t *testing.T) {
 	p := listen(t)
 	s, _ := sender(Options{IdleClose: time.Minute})
@@ -407,7 +407,7 @@
 	}
 }
 
-// TestSecondAnswer: a next hop answers twice. Where the second answer is there already, or comes before the next request, the connection
+// TestSecondAnswer: a worker answers twice. Where the second answer is there already, or comes before the next request, the connection
 // carries nothing further; and until it could have come, nothing that must not be sent twice.
 func TestSecondAnswer(t *testing.T) {
 	const twice = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
@@ -457,7 +457,7 @@
 	p.ln.(*net.TCPListener).SetDeadline(time.Now())
 	if c, err := p.ln.Accept(); err == nil {
 		c.Close()
-		t.Error("a connection was opened to a next hop that drains")
+		t.Error("a connection was opened to a worker that drains")
 	}
 }
 
@@ -480,7 +480,7 @@
 	}
 }
 
-// TestKeptConnectionsAgeByHowTheyFare: one that breaks under its next request says nothing of the next hop, and
+// TestKeptConnectionsAgeByHowTheyFare: one that breaks under its next request says nothing of the worker, and
 // shortens the time that others are kept; those that hold lengthen it again.
 func TestKeptConnectionsAgeByHowTheyFare(t *testing.T) {
 	p := listen(t)
--- a/internal/nexthop/state.go
+++ b/internal/workerconn/state.go
@@ -1,4 +1,4 @@
-package nexthop
+package workerconn
 
 import (
 	"cmp"
@@ -22,7 +22,7 @@
 	Bands    []BandState
 }
 
-// LinkState is a connection to a next hop.
+// LinkState is a connection to a worker.
 type LinkState struct {
 	_    struct{} `cbor:",toarray"`
 	File int      // place of its descriptor
@@ -72,7 +72,7 @@
 		case x.conn != nil && !x.conn.Untouched():
 			l, err := linkOf(x.conn, files)
 			if err != nil {
-				return st, fmt.Errorf("nexthop: branch %d: %w", id, err)
+				return st, fmt.Errorf("workerconn: branch %d: %w", id, err)
 			}
 			sent := x.branch
 			sent.Message = core.Message{}
@@ -117,7 +117,7 @@
 	take := func(l LinkState) (*conn, error) {
 		hc, err := files.Conn(l.File, l.Conn)
 		if err != nil {
-			return nil, fmt.Errorf("nexthop: connection to %s: %w", l.Addr, err)
+			return nil, fmt.Errorf("workerconn: connection to %s: %w", l.Addr, err)
 		}
 		c := newConn(hc, l.Addr)
 		c.age = seconds(l.Age)
