--- a/cmd/foldlb/audit.go
+++ b/cmd/foldlb/audit.go
@@ -301,7 +301,7 @@
 			}
 			for _, act := range t.Acts {
 				out.Acts = append(out.Acts, auditAct{Ago: now - act.At, Wall: wall().Add(-time.Duration((now - act.At) * float64(time.Second))).UnixMilli(),
-					What: act.Kind.String(), Hop: act.Hop, Versions: act.Versions})
+					What: act.Kind.String(), Hop: act.Worker, Versions: act.Versions})
 			}
 			return say(out)
 		},
--- a/internal/audit/book.go
+++ b/internal/audit/recorder.go
@@ -1,4 +1,4 @@
-// Package audit keeps account of what a dispatcher acted on. Book is the part without I/O: it counts acts in spans, each of
+// Package audit keeps account of what a dispatcher acted on. Recorder is the part without I/O: it counts acts in spans, each of
 // which has the versions that were held, and remembers single acts of the latest requests. Package trail writes it to a folder and
 // reads it back.
 package audit
@@ -14,8 +14,8 @@
 
 // The kinds of acts.
 const (
-	Sent     Kind = iota // a branch was given to a next hop's connection to write
-	GivenUp              // a branch was ended, and its next hop told so
+	Sent     Kind = iota // a branch was given to a worker's connection to write
+	GivenUp              // a branch was ended, and its worker told so
 	Answered             // served
 	Refused              // answered busy
 	Failed               // answered as failed
@@ -79,7 +79,7 @@
 	At       float64
 	Kind     Kind
 	Request  string
-	Hop      string // of what was sent or given up
+	Worker   string // of what was sent or given up
 	Versions Versions
 }
 
@@ -89,8 +89,8 @@
 	heldMost = 1024 // versions that they may name; acts on older ones are forgotten
 )
 
-// Book is a dispatcher's account. It must be used from one goroutine. Its zero value is not ready for use: see New.
-type Book struct {
+// Recorder is a dispatcher's account. It must be used from one goroutine. Its zero value is not ready for use: see New.
+type Recorder struct {
 	now  Span
 	ring []ringAct
 	next int
@@ -103,20 +103,20 @@
 type ringAct struct {
 	at       float64
 	request  string
-	hop      string
+	worker   string
 	versions int // counted from the beginning
 	kind     Kind
 }
 
 // New begins an account. No is the number of the first span: one more than a predecessor's last.
-func New(now float64, no uint64, v Versions) *Book {
-	b := &Book{ring: make([]ringAct, 0, ringMost), held: []Versions{v}}
+func New(now float64, no uint64, v Versions) *Recorder {
+	b := &Recorder{ring: make([]ringAct, 0, ringMost), held: []Versions{v}}
 	b.now = Span{No: no, Versions: v, From: now}
 	return b
 }
 
 // Act counts an act. It allocates nothing but the ring, once.
-func (b *Book) Act(now float64, kind Kind, request, hop string) {
+func (b *Recorder) Act(now float64, kind Kind, request, worker string) {
 	if b.now.First == 0 {
 		b.now.First = now
 	}
@@ -128,7 +128,7 @@
 		b.now.LastSent = now
 	}
 	b.now.Counts[kind]++
-	a := ringAct{at: now, request: request, hop: hop, versions: b.base + len(b.held) - 1, kind: kind}
+	a := ringAct{at: now, request: request, worker: worker, versions: b.base + len(b.held) - 1, kind: kind}
 	if len(b.ring) < ringMost {
 		b.ring = append(b.ring, a)
 		return
@@ -138,7 +138,7 @@
 }
 
 // Hold says which versions are held from now on, and tells whether they are others. What was counted before belongs to those before.
-func (b *Book) Hold(now float64, v Versions) bool {
+func (b *Recorder) Hold(now float64, v Versions) bool {
 	if v == b.now.Versions {
 		return false
 	}
@@ -153,16 +153,16 @@
 }
 
 // Pass ends a span that has lasted long enough, and tells whether one is due.
-func (b *Book) Pass(now float64) {
+func (b *Recorder) Pass(now float64) {
 	if now-b.now.From >= spanMost {
 		b.end(now)
 	}
 }
 
 // End ends the span that is under way.
-func (b *Book) End(now float64) { b.end(now) }
+func (b *Recorder) End(now float64) { b.end(now) }
 
-func (b *Book) end(now float64) {
+func (b *Recorder) end(now float64) {
 	s := b.now
 	s.Until = now
 	b.done = append(b.done, s)
@@ -173,28 +173,28 @@
 }
 
 // Take returns the spans that have ended since it was last called.
-func (b *Book) Take() []Span {
+func (b *Recorder) Take() []Span {
 	done := b.done
 	b.done = nil
 	return done
 }
 
 // Now is the span that is under way.
-func (b *Book) Now() Span { return b.now }
+func (b *Recorder) Now() Span { return b.now }
 
 // Of returns the acts on a request that are remembered, in order.
-func (b *Book) Of(request string) (all []Act) {
+func (b *Recorder) Of(request string) (all []Act) {
 	for i := range b.ring {
 		a := b.ring[(b.next+i)%len(b.ring)]
 		if a.request == request && a.versions >= b.base {
-			all = append(all, Act{At: a.at, Kind: a.kind, Request: a.request, Hop: a.hop, Versions: b.held[a.versions-b.base]})
+			all = append(all, Act{At: a.at, Kind: a.kind, Request: a.request, Worker: a.worker, Versions: b.held[a.versions-b.base]})
 		}
 	}
 	return all
 }
 
 // Sums are the counts of all spans that have ended.
-func (b *Book) Sums() [Kinds]uint64 { return b.sum }
+func (b *Recorder) Sums() [Kinds]uint64 { return b.sum }
 
 // State is what passes to a successor: single acts stay behind.
 type State struct {
@@ -204,12 +204,12 @@
 }
 
 // Export returns the account without single acts.
-func (b *Book) Export() State {
+func (b *Recorder) Export() State {
 	return State{Now: b.now, Done: slices.Clone(b.done), Sums: b.sum}
 }
 
 // Import goes on with an account.
-func Import(s State) *Book {
+func Import(s State) *Recorder {
 	b := New(s.Now.From, s.Now.No, s.Now.Versions)
 	b.now, b.done, b.sum = s.Now, slices.Clone(s.Done), s.Sums
 	return b
--- a/internal/audit/book_test.go
+++ b/internal/audit/recorder_test.go
@@ -80,7 +80,7 @@
 		t.Errorf("the oldest is remembered: %v", got)
 	}
 	got := b.Of("r5000")
-	if len(got) != 2 || got[0].Kind != Sent || got[0].Hop != "w" || got[0].Versions != routes(4999) || got[1].Kind != Answered {
+	if len(got) != 2 || got[0].Kind != Sent || got[0].Worker != "w" || got[0].Versions != routes(4999) || got[1].Kind != Answered {
 		t.Errorf("remembered: %+v", got)
 	}
 	for i := range 3 * ringMost {
@@ -95,10 +95,10 @@
 }
 
 func BenchmarkAct(b *testing.B) {
-	book := New(1, 1, routes(1))
+	recorder := New(1, 1, routes(1))
 	b.ReportAllocs()
 	for i := range b.N {
-		book.Act(float64(i), Sent, "9b1f03aa5c7e2d41", "s-0badcafe")
+		recorder.Act(float64(i), Sent, "9b1f03aa5c7e2d41", "s-0badcafe")
 	}
 }
 
--- a/internal/audit/trail/form.go
+++ b/internal/audit/trail/format.go
@@ -11,8 +11,8 @@
 	"foldlb.example/foldlb/internal/audit"
 )
 
-// Form is the version of the form written here, and the last word of each file's head.
-const Form = 1
+// FormatVersion is the version of the format written here, and the last word of each file's head.
+const FormatVersion = 1
 
 // A file begins with its head. After it come records: four bytes of length, big-endian; the record in CBOR; and a sum, which is the
 // SHA-256 of the last record's sum and the record. The first sum of a file goes on from what its first record names.
@@ -59,11 +59,11 @@
 
 // The faults of a folder.
 var (
-	ErrForm   = errors.New("audit: of a newer form than this program reads")
-	ErrMember = errors.New("audit: another member's record")
-	ErrBroken = errors.New("audit: the chain is broken")
-	ErrBusy   = errors.New("audit: another process writes this folder")
-	ErrTorn   = errors.New("audit: the last record is torn")
+	ErrVersion = errors.New("audit: of a newer format than this program reads")
+	ErrMember  = errors.New("audit: another member's record")
+	ErrBroken  = errors.New("audit: the chain is broken")
+	ErrBusy    = errors.New("audit: another process writes this folder")
+	ErrTorn    = errors.New("audit: the last record is torn")
 )
 
 var reader = func() cbor.DecMode {
--- a/internal/audit/trail/trail_test.go
+++ b/internal/audit/trail/trail_test.go
@@ -109,7 +109,7 @@
 	written(t, options(dir))
 }
 
-// TestDamageIsFound: a record that is torn, cut, altered, reordered, left out, copied from another member or of a newer form.
+// TestDamageIsFound: a record that is torn, cut, altered, reordered, left out, copied from another member or of a newer format.
 func TestDamageIsFound(t *testing.T) {
 	base := func(t *testing.T) (dir, file string, text []byte, at []int) {
 		dir = t.TempDir()
@@ -162,13 +162,13 @@
 		}
 	}
 	dir, file, text, _ := base(t)
-	text[len(head)] = Form + 1
+	text[len(head)] = FormatVersion + 1
 	os.WriteFile(file, text, 0o600)
-	if _, _, err := Open(options(dir), nil); !errors.Is(err, ErrForm) {
-		t.Errorf("a newer form: %v", err)
+	if _, _, err := Open(options(dir), nil); !errors.Is(err, ErrVersion) {
+		t.Errorf("a newer format: %v", err)
 	}
-	if _, err := Verify([]string{dir}, false); !errors.Is(err, ErrForm) {
-		t.Errorf("a newer form: %v", err)
+	if _, err := Verify([]string{dir}, false); !errors.Is(err, ErrVersion) {
+		t.Errorf("a newer format: %v", err)
 	}
 	dir, _, _, _ = base(t)
 	o := options(dir)
@@ -181,7 +181,7 @@
 	}
 }
 
-// TestPromisesAreChecked: what the versions and counts of a record say, not only its form.
+// TestPromisesAreChecked: what the versions and counts of a record say, not only its format.
 func TestPromisesAreChecked(t *testing.T) {
 	older, other := span(2, 2, 1), span(2, 3, 1)
 	other.Versions.Routes.Digest = 99
@@ -339,12 +339,12 @@
 			t.Fatal(err)
 		}
 		v, err := Verify([]string{dir}, true)
-		if err != nil && !errors.Is(err, ErrForm) {
+		if err != nil && !errors.Is(err, ErrVersion) {
 			t.Fatal(err)
 		}
 		w, _, err := Open(options(dir), func(error) {})
 		if err != nil {
-			if !errors.Is(err, ErrForm) && !errors.Is(err, ErrMember) {
+			if !errors.Is(err, ErrVersion) && !errors.Is(err, ErrMember) {
 				t.Fatal(err)
 			}
 			return
--- a/internal/audit/trail/verify.go
+++ b/internal/audit/trail/verify.go
@@ -95,7 +95,7 @@
 	begun        int
 }
 
-// Verify reads the records of folders, one member's each, and checks what they promise. keep has all spans returned. It shares the form
+// Verify reads the records of folders, one member's each, and checks what they promise. keep has all spans returned. It shares the format
 // of records with the writer, and no code.
 func Verify(folders []string, keep bool) (Verdict, error) {
 	v := &verifier{keep: keep, owners: map[origin]content{}, uses: map[useKey]*Use{}}
@@ -168,8 +168,8 @@
 		v.broken(name, Record{}, "is no record: it has no head")
 		return sum, next, nil
 	}
-	if top[len(head)] > Form {
-		return sum, next, fmt.Errorf("%w: %s is of form %d", ErrForm, path, top[len(head)])
+	if top[len(head)] > FormatVersion {
+		return sum, next, fmt.Errorf("%w: %s is of format %d", ErrVersion, path, top[len(head)])
 	}
 	process := uint64(0)
 	for n, at := 0, int64(headSize); ; n++ {
--- a/internal/audit/trail/writer.go
+++ b/internal/audit/trail/writer.go
@@ -74,7 +74,7 @@
 }
 
 // Open goes on with a folder's record, or begins one, and tells what the process before acted on last. A torn last record is cut off
-// and named. A record of another member or of a newer form is an error, and nothing is written. Where the chain is broken a new
+// and named. A record of another member or of a newer format is an error, and nothing is written. Where the chain is broken a new
 // file begins, which says so.
 func Open(o Options, warn func(error)) (*Writer, Last, error) {
 	w := &Writer{o: o, queue: make(chan Record, mostQueued), done: make(chan struct{}), warn: warn}
@@ -161,8 +161,8 @@
 		cut(0, "no head")
 		return last, nil
 	}
-	if text[len(head)] > Form {
-		return last, fmt.Errorf("%w: %s is of form %d, this program writes %d", ErrForm, name, text[len(head)], Form)
+	if text[len(head)] > FormatVersion {
+		return last, fmt.Errorf("%w: %s is of format %d, this program writes %d", ErrVersion, name, text[len(head)], FormatVersion)
 	}
 	at := headSize
 	for at < len(text) {
@@ -345,7 +345,7 @@
 		return fmt.Errorf("audit: %w", err)
 	}
 	w.f, w.size = f, 0
-	n, err := f.Write(append([]byte(head), Form))
+	n, err := f.Write(append([]byte(head), FormatVersion))
 	if err != nil {
 		f.Close()
 		w.f = nil
--- a/internal/core/audit.go
+++ b/internal/core/audit.go
@@ -65,35 +65,35 @@
 	if begun, is := ev.(AuditBegun); is {
 		r.auditBegun(begun)
 	}
-	if r.book == nil {
+	if r.recorder == nil {
 		return
 	}
 	switch ev := ev.(type) {
 	case AuditLooked:
-		r.book.Pass(r.now)
+		r.recorder.Pass(r.now)
 	case AuditConfigured:
 		r.configured(ev)
 	case AuditAsked:
-		r.emit(AuditTold{Order: ev.Order, Acts: r.book.Of(string(ev.Request)), Now: r.book.Now()})
+		r.emit(AuditTold{Order: ev.Order, Acts: r.recorder.Of(string(ev.Request)), Now: r.recorder.Now()})
 	case AuditEnded:
-		r.book.End(r.now)
+		r.recorder.End(r.now)
 	}
-	if done := r.book.Take(); len(done) > 0 {
+	if done := r.recorder.Take(); len(done) > 0 {
 		r.emit(AuditSpans{Spans: done})
 	}
 	if _, ends := ev.(AuditEnded); ends {
-		r.emit(AuditSummed{Sums: r.book.Sums(), Spans: r.book.Now().No - 1})
+		r.emit(AuditSummed{Sums: r.recorder.Sums(), Spans: r.recorder.Now().No - 1})
 	}
 }
 
 func (r *Reducer) auditBegun(ev AuditBegun) {
 	r.audited.Program, r.routesName, r.bringsUp = ev.Program, ev.Routes, ev.BringUp
 	// Danger: what its predecessor took up in its last moments may be newer than what a successor read.
-	if held := r.audited.Config; r.book == nil || held.Source != ev.Config.Source || held.No <= ev.Config.No {
+	if held := r.audited.Config; r.recorder == nil || held.Source != ev.Config.Source || held.No <= ev.Config.No {
 		r.audited.Config, r.shared, r.sharedBy = ev.Config, ev.Shared, ev.By
 	}
 	r.emit(r.Config())
-	if r.book != nil {
+	if r.recorder != nil {
 		r.holds()
 		return
 	}
@@ -105,7 +105,7 @@
 		r.audited.Begun++
 	}
 	r.audited.Routes = r.routes()
-	r.book = audit.New(r.now, 1, r.audited)
+	r.recorder = audit.New(r.now, 1, r.audited)
 	r.tellHeld()
 }
 
@@ -116,7 +116,7 @@
 
 // holds says to the account which versions are held from now on.
 func (r *Reducer) holds() {
-	if r.book == nil {
+	if r.recorder == nil {
 		return
 	}
 	was, told := r.audited.Routes, r.routes()
@@ -125,54 +125,54 @@
 	if altered.Is("records the version before") && was != told {
 		held.Routes = was
 	}
-	if r.book.Hold(r.now, held) {
+	if r.recorder.Hold(r.now, held) {
 		r.tellHeld()
 	}
 }
 
 // tellHeld tells which spans have ended, and what is held.
 func (r *Reducer) tellHeld() {
-	if done := r.book.Take(); len(done) > 0 {
+	if done := r.recorder.Take(); len(done) > 0 {
 		r.emit(AuditSpans{Spans: done})
 	}
-	r.emit(AuditHeld{Versions: r.book.Now().Versions})
+	r.emit(AuditHeld{Versions: r.recorder.Now().Versions})
 }
 
 // act counts an act, on the versions held now.
 func (r *Reducer) act(kind audit.Kind, q *request, worker WorkerID) {
-	if r.book != nil {
-		r.book.Act(r.now, kind, string(q.call.ID), string(worker))
+	if r.recorder != nil {
+		r.recorder.Act(r.now, kind, string(q.call.ID), string(worker))
 	}
 }
 
 // AuditState is the account's part of a reducer's state.
 type AuditState struct {
-	Process uint64
-	Book    audit.State
-	Held    audit.Versions
-	Acted   int64
-	Shared  []byte `cbor:",omitempty"` // the configuration's shared part, as text
-	By      string `cbor:",omitempty"` // the member that told it
-	BringUp bool   `cbor:",omitempty"`
+	Process  uint64
+	Recorder audit.State `cbor:"Book"`
+	Held     audit.Versions
+	Acted    int64
+	Shared   []byte `cbor:",omitempty"` // the configuration's shared part, as text
+	By       string `cbor:",omitempty"` // the member that told it
+	BringUp  bool   `cbor:",omitempty"`
 }
 
 func (r *Reducer) exportAudit() *AuditState {
-	if r.book == nil {
+	if r.recorder == nil {
 		return nil
 	}
-	return &AuditState{Process: r.auditNo, Book: r.book.Export(), Held: r.audited, Acted: r.acted,
+	return &AuditState{Process: r.auditNo, Recorder: r.recorder.Export(), Held: r.audited, Acted: r.acted,
 		Shared: r.shared, By: r.sharedBy, BringUp: r.bringsUp}
 }
 
 func (r *Reducer) importAudit(st *AuditState) {
 	r.acted = r.version
 	if st != nil {
-		r.auditNo, r.book, r.audited, r.acted = st.Process, audit.Import(st.Book), st.Held, st.Acted
+		r.auditNo, r.recorder, r.audited, r.acted = st.Process, audit.Import(st.Recorder), st.Held, st.Acted
 		r.shared, r.sharedBy, r.bringsUp = st.Shared, st.By, st.BringUp
 	}
 }
 
 // Audited is what was acted on last, by which process; false where there is no account.
 func (r *Reducer) Audited() (v audit.Versions, process uint64, kept bool) {
-	return r.audited, r.auditNo, r.book != nil
+	return r.audited, r.auditNo, r.recorder != nil
 }
--- a/internal/core/bringup.go
+++ b/internal/core/bringup.go
@@ -135,7 +135,7 @@
 // bringUp asks a member that acts on a newer configuration for it: one of those with the highest number that all who hold it hold alike.
 func (r *Reducer) bringUp() {
 	held := r.audited.Config
-	if r.book == nil || !r.bringsUp || r.now < r.fetchAt {
+	if r.recorder == nil || !r.bringsUp || r.now < r.fetchAt {
 		return
 	}
 	type candidate struct {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -118,7 +118,7 @@
 		}
 		r.fleet = v
 	}
-	if r.book != nil { // the member that begins just now has not heard it
+	if r.recorder != nil { // the member that begins just now has not heard it
 		r.emit(r.Config())
 		self.Config = r.audited.Config
 	}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -81,12 +81,12 @@
 	tally      Tally
 	fleet      *membership.View // nil where this dispatcher keeps none
 	says       membership.Says  // of itself, to the fleet
-	book       *audit.Book      // nil where there is none
+	recorder   *audit.Recorder  // nil where there is none
 	auditNo    uint64           // the process's number in its account
 	lease      float64          // seconds that it may act without touch with the fleet; 0 for any time
 	fenceUntil float64          // when it may act no longer
 	fenceWhy   string
-	audited    audit.Versions // as the book holds them
+	audited    audit.Versions // as the recorder holds them
 	shared     []byte         // the configuration's shared part, as text; empty where it is not known
 	sharedBy   string         // the member that told it; empty for the own file
 	bringsUp   bool           // newer configurations are asked for at members that act on them
