gossip: messages with a protocol version, and a network in memory for tests

form and parcel become protocolVersion and message; the tests' air is memoryNetwork, await is waitUntil. Keys on the wire are numbers and stay. No behaviour changes.

--- a/internal/gossip/full_test.go
+++ b/internal/gossip/full_test.go
@@ -16,7 +16,7 @@
 	came := make(chan core.ConfigHeld, 8)
 	b.OnConfig(func(held core.ConfigHeld) { came <- held })
 	for _, x := range []*body{a, b} {
-		await(t, "they meet", func() bool { return x.holds("a", "b") })
+		waitUntil(t, "they meet", func() bool { return x.holds("a", "b") })
 	}
 	for range 2 * mostStreams {
 		conn, err := net.Dial("tcp", a.at())
@@ -39,17 +39,17 @@
 	for i := range 4 * mostGive { // of one that is no member
 		a.asked(want{Process: uint64(i) + 1, Config: held.Config})
 	}
-	await(t, "connections and questions beyond the bounds are dropped and counted", func() bool {
+	waitUntil(t, "connections and questions beyond the bounds are dropped and counted", func() bool {
 		c := a.Counts()
 		return c.Full >= mostStreams && c.Dropped >= 2*mostGive
 	})
 	b.Perform(core.FetchConfig{Process: a.process, Member: "a", Config: held.Config})
 	c := member(t, config("c", b.at()), nil, 0, nil)
 	for _, x := range []*body{a, b, c} {
-		await(t, "a third one joins", func() bool { return x.holds("a", "b", "c") })
+		waitUntil(t, "a third one joins", func() bool { return x.holds("a", "b", "c") })
 	}
 	got := false
-	await(t, "the configuration passes", func() bool {
+	waitUntil(t, "the configuration passes", func() bool {
 		select {
 		case h := <-came:
 			got = h.Config == held.Config && string(h.Shared) == string(held.Shared) && h.By == "a"
@@ -98,9 +98,9 @@
 		names = append(names, name)
 	}
 	for _, b := range all {
-		await(t, "all hold all", func() bool { return b.holds(names...) })
+		waitUntil(t, "all hold all", func() bool { return b.holds(names...) })
 	}
-	await(t, "all hold the same", func() bool {
+	waitUntil(t, "all hold the same", func() bool {
 		for _, b := range all {
 			if b.Picture().Digest != all[0].Picture().Digest {
 				return false
--- a/internal/gossip/give.go
+++ b/internal/gossip/give.go
@@ -34,7 +34,7 @@
 func (n *Node) fetch(e core.FetchConfig) {
 	n.asking.Store(&e)
 	if m := n.node(e.Process); m != nil {
-		n.send(m, parcel{Form: form, Want: &want{Process: n.process, Config: e.Config}})
+		n.send(m, message{Version: protocolVersion, Want: &want{Process: n.process, Config: e.Config}})
 	}
 }
 
@@ -103,7 +103,7 @@
 		return
 	}
 	for some := range slices.Chunk(*told, hintsEach) {
-		n.send(m, parcel{Form: form, Hints: some})
+		n.send(m, message{Version: protocolVersion, Hints: some})
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -401,7 +401,7 @@
 		n.fetch(e)
 	case core.AskHints:
 		if m := n.node(e.Process); m != nil {
-			n.send(m, parcel{Form: form, Behind: &behind{Process: n.process}})
+			n.send(m, message{Version: protocolVersion, Behind: &behind{Process: n.process}})
 		}
 	case core.FleetPictured:
 		n.picture.Store(&e.Picture)
@@ -448,7 +448,7 @@
 		}
 		for _, m := range n.list.Members() {
 			if process, ok := processOf(m.Name); ok && process != n.process {
-				n.send(m, parcel{Form: form, Ask: &ask{Process: n.process, Sent: n.clock()}})
+				n.send(m, message{Version: protocolVersion, Ask: &ask{Process: n.process, Sent: n.clock()}})
 			}
 		}
 	}
@@ -458,7 +458,7 @@
 func (n *Node) answer(a ask) {
 	p := n.picture.Load()
 	if m := n.node(a.Process); m != nil && p != nil {
-		n.send(m, parcel{Form: form, Answer: &membership.Contact{Process: n.process, Asker: a.Process, Sent: a.Sent, Floors: p.FloorDigest, Established: p.Established}})
+		n.send(m, message{Version: protocolVersion, Answer: &membership.Contact{Process: n.process, Asker: a.Process, Sent: a.Sent, Floors: p.FloorDigest, Established: p.Established}})
 	}
 }
 
@@ -478,7 +478,7 @@
 	return nil
 }
 
-func (n *Node) send(to *memberlist.Node, p parcel) {
+func (n *Node) send(to *memberlist.Node, p message) {
 	if text, err := cbor.Marshal(p); err == nil {
 		n.list.SendBestEffort(to, text)
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -127,13 +127,13 @@
 	return b
 }
 
-// await waits until something is so, and fails where it never is.
-func await(t *testing.T, what string, so func() bool) {
+// waitUntil waits until something is so, and fails where it never is.
+func waitUntil(t *testing.T, what string, so func() bool) {
 	t.Helper()
-	awaitFor(t, 20*time.Second, what, so)
+	waitWithin(t, 20*time.Second, what, so)
 }
 
-func awaitFor(t *testing.T, most time.Duration, what string, so func() bool) {
+func waitWithin(t *testing.T, most time.Duration, what string, so func() bool) {
 	t.Helper()
 	until := time.Now().Add(most)
 	for !so() {
@@ -164,16 +164,16 @@
 	b := member(t, config("b", a.at()), nil, 0, nil)
 	c := member(t, config("c", "127.0.0.1:1", a.at()), nil, 0, nil) // a seed that is down, and one that is up
 	for _, x := range []*body{a, b, c} {
-		await(t, "all hold all", func() bool { return x.holds("a", "b", "c") })
+		waitUntil(t, "all hold all", func() bool { return x.holds("a", "b", "c") })
 	}
-	await(t, "all hold the same", func() bool {
+	waitUntil(t, "all hold the same", func() bool {
 		return a.Picture().Digest == b.Picture().Digest && b.Picture().Digest == c.Picture().Digest
 	})
 	b.Leave()
 	b.end()
-	await(t, "b has left", func() bool { return a.holds("a", "c") && c.holds("a", "c") })
+	waitUntil(t, "b has left", func() bool { return a.holds("a", "c") && c.holds("a", "c") })
 	c.end() // without a word
-	await(t, "c is gone", func() bool { return a.holds("a") && a.Picture().Acting == 1 })
+	waitUntil(t, "c is gone", func() bool { return a.holds("a") && a.Picture().Acting == 1 })
 }
 
 // TestOthersAreNotHeard: members of another fleet, strangers' addresses, and what is no message at all.
@@ -202,13 +202,13 @@
 	conn.Close()
 	a.NotifyMsg([]byte("no news"))
 	a.MergeRemoteState(make([]byte, mostNews+1), false)
-	await(t, "a and b meet", func() bool { return a.holds("a", "b") && b.holds("a", "b") })
-	await(t, "strangers are counted", func() bool { return s.Counts().Strangers > 0 && a.Counts().Unreadable == 2 })
+	waitUntil(t, "a and b meet", func() bool { return a.holds("a", "b") && b.holds("a", "b") })
+	waitUntil(t, "strangers are counted", func() bool { return s.Counts().Strangers > 0 && a.Counts().Unreadable == 2 })
 	if !f.holds("f") || !s.holds("s") {
 		t.Errorf("the foreign one holds %v, the shut one %v", f.Picture().Members, s.Picture().Members)
 	}
 	s.Configure(config("s")) // as SIGHUP does
-	await(t, "the one that was shut is met", func() bool { return a.holds("a", "b", "s") })
+	waitUntil(t, "the one that was shut is met", func() bool { return a.holds("a", "b", "s") })
 }
 
 // TestDrainsAreGivenToWhomAsks: a member whose discovery is late asks another one for the drains that it knows of, and gets all of them.
@@ -216,7 +216,7 @@
 	a := member(t, config("a"), nil, 0, nil)
 	b := member(t, config("b", a.at()), nil, 0, nil)
 	for _, x := range []*body{a, b} {
-		await(t, "they meet", func() bool { return x.holds("a", "b") })
+		waitUntil(t, "they meet", func() bool { return x.holds("a", "b") })
 	}
 	var want []core.Hint
 	for i := range 3 * hintsEach {
@@ -234,7 +234,7 @@
 		}
 	}
 	b.mu.Unlock()
-	await(t, "all drains are told", func() bool {
+	waitUntil(t, "all drains are told", func() bool {
 		b.Perform(core.AskHints{Process: a.process})
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -253,7 +253,7 @@
 func TestSocketsPassOn(t *testing.T) {
 	a := member(t, config("a"), nil, 0, nil)
 	b := member(t, config("b", a.at()), nil, 0, nil)
-	await(t, "they meet", func() bool { return a.holds("a", "b") && b.holds("a", "b") })
+	waitUntil(t, "they meet", func() bool { return a.holds("a", "b") && b.holds("a", "b") })
 	var silent []membership.Record // behind a partition: connections come up, and nobody says a word
 	for i := range 6 {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -265,11 +265,11 @@
 			Seq: 1, State: membership.Serving, Verdict: membership.Failed, Generation: 1})
 	}
 	b.post(core.FleetTold{Records: silent})
-	await(t, "both hold the same, so that neither asks the other for everything", func() bool {
+	waitUntil(t, "both hold the same, so that neither asks the other for everything", func() bool {
 		return len(a.Picture().Members) == 8 && a.Picture().Digest == b.Picture().Digest
 	})
 	last := a.Counts().Opened
-	await(t, "a asks for nothing more", func() bool {
+	waitUntil(t, "a asks for nothing more", func() bool {
 		was := last
 		last = a.Counts().Opened
 		return was == last && a.Picture().Digest == b.Picture().Digest
@@ -296,10 +296,10 @@
 	b.end()
 	<-b.done
 	next := member(t, config("b"), taken, st.Process, view)
-	await(t, "the successor reaches a", func() bool { return next.Picture().Reached == 2 })
+	waitUntil(t, "the successor reaches a", func() bool { return next.Picture().Reached == 2 })
 	for range 3 {
 		last := a.Counts().Sent
-		await(t, "a asks on", func() bool { return a.Counts().Sent > last+5 })
+		waitUntil(t, "a asks on", func() bool { return a.Counts().Sent > last+5 })
 		if !a.holds("a", "b") {
 			t.Fatalf("a holds %v", a.Picture().Members)
 		}
--- a/internal/gossip/many_test.go
+++ b/internal/gossip/many_test.go
@@ -31,7 +31,7 @@
 
 // many starts so many members at once in one process, over real sockets or a network in memory, waits until all hold one view and nobody has
 // news to tell, and ends one without a word.
-func many(t *testing.T, n int, a *air) fleetCost {
+func many(t *testing.T, n int, a *memoryNetwork) fleetCost {
 	cfg := config("m0")
 	cfg.Probe = 500 * time.Millisecond
 	c := fleetCost{members: n}
@@ -59,14 +59,14 @@
 	}
 	quiet := 20*time.Second + time.Duration(n)*300*time.Millisecond // each tells each record a dozen times, some at a time
 	begun := time.Now()
-	awaitFor(t, quiet, "all hold one view", one)
+	waitWithin(t, quiet, "all hold one view", one)
 	c.start = time.Since(begun).Seconds()
-	awaitFor(t, quiet, "nobody has news to tell", func() bool {
+	waitWithin(t, quiet, "nobody has news to tell", func() bool {
 		return !slices.ContainsFunc(all, func(b *body) bool { return b.queue.NumQueued() > 0 })
 	})
 	c.heap = (heap() - empty) / float64(n)
 	before, cpu, at := all[1].Counts(), processor(), time.Now()
-	await(t, "members ask on", func() bool { return all[1].Counts().Sent > before.Sent+20 })
+	waitUntil(t, "members ask on", func() bool { return all[1].Counts().Sent > before.Sent+20 })
 	now, took := all[1].Counts(), time.Since(at).Seconds()
 	c.messages, c.bytes = float64(now.Sent-before.Sent)/took, float64(now.SentBytes-before.SentBytes)/took
 	c.cpu = (processor() - cpu) / took / float64(n)
@@ -75,7 +75,7 @@
 	last.end()
 	<-last.done
 	all = all[:n-1]
-	await(t, "all know of the crash", func() bool {
+	waitUntil(t, "all know of the crash", func() bool {
 		return !slices.ContainsFunc(all, func(b *body) bool { return b.Picture().Acting != len(all) }) && one()
 	})
 	c.crash = time.Since(begun).Seconds()
@@ -103,7 +103,7 @@
 func TestManyMembers(t *testing.T) { many(t, *large, nil) }
 
 // TestManyMembersInMemory: the same over a network in memory.
-func TestManyMembersInMemory(t *testing.T) { many(t, *large, newAir()) }
+func TestManyMembersInMemory(t *testing.T) { many(t, *large, newMemoryNetwork()) }
 
 // TestSettlingBySize draws how long fleets of several sizes take to settle.
 func TestSettlingBySize(t *testing.T) {
--- a/internal/gossip/air_test.go
+++ b/internal/gossip/memory_network_test.go
@@ -11,61 +11,63 @@
 	"time"
 )
 
-// air is a network in memory: what 300 members cost there is theirs, and no kernel's.
-type air struct {
+// memoryNetwork is a network in memory: what 300 members cost there is theirs, and no kernel's.
+type memoryNetwork struct {
 	mu    sync.Mutex
-	ports map[netip.AddrPort]*airPort
+	ports map[netip.AddrPort]*memoryPort
 	next  uint16
 	apart func(from, to netip.AddrPort) bool // nothing gets through between them; nil for nowhere
 }
 
-type airGram struct {
+type datagram struct {
 	text []byte
 	from netip.AddrPort
 }
 
-// airPort is one member's place in it: where its datagrams and connections come.
-type airPort struct {
-	a     *air
+// memoryPort is one member's place in it: where its datagrams and connections come.
+type memoryPort struct {
+	a     *memoryNetwork
 	at    netip.AddrPort
-	grams chan airGram
+	grams chan datagram
 	conns chan net.Conn
 	done  chan struct{}
 	once  sync.Once
 }
 
-func newAir() *air { return &air{ports: map[netip.AddrPort]*airPort{}, next: 1000} }
+func newMemoryNetwork() *memoryNetwork {
+	return &memoryNetwork{ports: map[netip.AddrPort]*memoryPort{}, next: 1000}
+}
 
-// airBacklog is how many connections wait to be accepted, as a kernel has it.
-const airBacklog = 128
+// acceptBacklog is how many connections wait to be accepted, as a kernel has it.
+const acceptBacklog = 128
 
 // sockets are a new member's.
-func (a *air) sockets() *Sockets {
+func (a *memoryNetwork) sockets() *Sockets {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.next++
-	p := &airPort{a: a, at: netip.AddrPortFrom(netip.MustParseAddr("127.1.0.1"), a.next), grams: make(chan airGram, 4*mostQueued), conns: make(chan net.Conn, airBacklog), done: make(chan struct{})}
+	p := &memoryPort{a: a, at: netip.AddrPortFrom(netip.MustParseAddr("127.1.0.1"), a.next), grams: make(chan datagram, 4*mostQueued), conns: make(chan net.Conn, acceptBacklog), done: make(chan struct{})}
 	a.ports[p.at] = p
-	return &Sockets{packet: p, stream: airListener{p}, addr: p.at, dial: p.dial}
+	return &Sockets{packet: p, stream: memoryListener{p}, addr: p.at, dial: p.dial}
 }
 
-func (a *air) port(from, to netip.AddrPort) (p *airPort, cut bool) {
+func (a *memoryNetwork) port(from, to netip.AddrPort) (p *memoryPort, cut bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.ports[to], a.apart != nil && a.apart(from, to)
 }
 
-func (p *airPort) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
+func (p *memoryPort) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
 	if x, cut := p.a.port(p.at, to); x != nil && !cut {
 		select {
-		case x.grams <- airGram{append([]byte(nil), b...), p.at}:
+		case x.grams <- datagram{append([]byte(nil), b...), p.at}:
 		default: // a full queue, as a kernel's
 		}
 	}
 	return len(b), nil
 }
 
-func (p *airPort) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
+func (p *memoryPort) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
 	select {
 	case g := <-p.grams:
 		return copy(b, g.text), g.from, nil
@@ -75,7 +77,7 @@
 }
 
 // Close gives the place up: from then on connections there are refused.
-func (p *airPort) Close() error {
+func (p *memoryPort) Close() error {
 	p.once.Do(func() {
 		p.a.mu.Lock()
 		delete(p.a.ports, p.at)
@@ -85,15 +87,15 @@
 	return nil
 }
 
-// airConn is an end of a connection that says where the other end is.
-type airConn struct {
+// memoryConn is an end of a connection that says where the other end is.
+type memoryConn struct {
 	net.Conn
 	from netip.AddrPort
 }
 
-func (c airConn) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(c.from) }
+func (c memoryConn) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(c.from) }
 
-func (p *airPort) dial(addr string, most time.Duration) (net.Conn, error) {
+func (p *memoryPort) dial(addr string, most time.Duration) (net.Conn, error) {
 	to, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return nil, err
@@ -103,22 +105,22 @@
 	case cut:
 		return nil, os.ErrDeadlineExceeded // at once: nobody waits for what is known
 	case x == nil:
-		return nil, &net.OpError{Op: "dial", Net: "air", Err: syscall.ECONNREFUSED}
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: syscall.ECONNREFUSED}
 	}
 	near, far := net.Pipe()
 	select {
-	case x.conns <- airConn{far, p.at}:
-		return airConn{near, to}, nil
+	case x.conns <- memoryConn{far, p.at}:
+		return memoryConn{near, to}, nil
 	case <-x.done:
-		return nil, &net.OpError{Op: "dial", Net: "air", Err: syscall.ECONNREFUSED}
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: syscall.ECONNREFUSED}
 	case <-time.After(most):
 		return nil, os.ErrDeadlineExceeded
 	}
 }
 
-type airListener struct{ *airPort }
+type memoryListener struct{ *memoryPort }
 
-func (l airListener) Accept() (net.Conn, error) {
+func (l memoryListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
 		return c, nil
@@ -127,13 +129,13 @@
 	}
 }
 
-func (l airListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.at) }
+func (l memoryListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.at) }
 
 // TestHalvesInMemoryMeetAgain: members on a network in memory come to one view, two halves that are parted hold each other for failed and count
 // all, and they are one fleet again afterwards.
 func TestHalvesInMemoryMeetAgain(t *testing.T) {
 	const n = 12
-	a := newAir()
+	a := newMemoryNetwork()
 	var all []*body
 	half := map[netip.AddrPort]int{}
 	for i := range n {
@@ -155,13 +157,13 @@
 			return reached < n || all[0].Picture().Digest == all[1].Picture().Digest
 		}
 	}
-	await(t, "one view", one(n))
+	waitUntil(t, "one view", one(n))
 	a.mu.Lock()
 	a.apart = func(from, to netip.AddrPort) bool { return half[from] != half[to] }
 	a.mu.Unlock()
-	await(t, "each half holds the other for failed, and counts it", one(n/2))
+	waitUntil(t, "each half holds the other for failed, and counts it", one(n/2))
 	a.mu.Lock()
 	a.apart = nil
 	a.mu.Unlock()
-	await(t, "one view again", one(n))
+	waitUntil(t, "one view again", one(n))
 }
--- a/internal/gossip/form.go
+++ b/internal/gossip/message.go
@@ -11,20 +11,20 @@
 	"foldlb.example/foldlb/internal/membership"
 )
 
-// form is the version of the form of news. A member of another form is no peer: what it tells is counted and dropped.
-const form = 1
+// protocolVersion is the version of the messages. A member of another version is no peer: what it tells is counted and dropped.
+const protocolVersion = 1
 
 const (
-	mostNews  = 1 << 20 // bytes
-	mostHop   = 256     // bytes of a next hop's id
-	hintsEach = 8       // hints of a datagram
+	mostNews     = 1 << 20 // bytes
+	mostWorkerID = 256     // bytes of a worker's id
+	hintsEach    = 8       // hints of a datagram
 )
 
 // ErrNews says that news can't be read. Errors of unpack wrap it.
-var ErrNews = errors.New("gossip: news not of a known form")
+var ErrNews = errors.New("gossip: message of no known version")
 
-type parcel struct {
-	Form    uint                `cbor:"1,keyasint"`
+type message struct {
+	Version uint                `cbor:"1,keyasint"`
 	Records []membership.Record `cbor:"2,keyasint,omitempty"`
 	Hints   []core.Hint         `cbor:"3,keyasint,omitempty"`
 	Floors  []membership.Floor  `cbor:"4,keyasint,omitempty"`
@@ -45,7 +45,7 @@
 }()
 
 func pack(records []membership.Record) ([]byte, error) {
-	return cbor.Marshal(parcel{Form: form, Records: records})
+	return cbor.Marshal(message{Version: protocolVersion, Records: records})
 }
 
 // ask is a question whose answer says that the asker is in touch.
@@ -74,44 +74,44 @@
 
 // packAll is everything that is told in an exchange.
 func packAll(records []membership.Record, floors []membership.Floor, hints []core.Hint) ([]byte, error) {
-	return cbor.Marshal(parcel{Form: form, Records: records, Floors: floors, Hints: hints})
+	return cbor.Marshal(message{Version: protocolVersion, Records: records, Floors: floors, Hints: hints})
 }
 
 func packHints(hints []core.Hint) ([]byte, error) {
-	return cbor.Marshal(parcel{Form: form, Hints: hints})
+	return cbor.Marshal(message{Version: protocolVersion, Hints: hints})
 }
 
 func packGiven(g given) ([]byte, error) {
-	return cbor.Marshal(parcel{Form: form, Given: &g})
+	return cbor.Marshal(message{Version: protocolVersion, Given: &g})
 }
 
 // unpack reads news. Records that can't be are the view's to drop and count.
-func unpack(text []byte) (parcel, error) {
+func unpack(text []byte) (message, error) {
 	if len(text) > mostNews {
-		return parcel{}, fmt.Errorf("%w: %d bytes, %d at most", ErrNews, len(text), mostNews)
+		return message{}, fmt.Errorf("%w: %d bytes, %d at most", ErrNews, len(text), mostNews)
 	}
-	var p parcel
+	var p message
 	if err := reader.Unmarshal(text, &p); err != nil {
-		return parcel{}, fmt.Errorf("%w: %w", ErrNews, err)
+		return message{}, fmt.Errorf("%w: %w", ErrNews, err)
 	}
 	for i, h := range p.Hints {
-		if h.Worker == "" || len(h.Worker) > mostHop || len(h.Source) > membership.MostSource {
-			return parcel{}, fmt.Errorf("%w: hint %d is of no hop or source that can be", ErrNews, i)
+		if h.Worker == "" || len(h.Worker) > mostWorkerID || len(h.Source) > membership.MostSource {
+			return message{}, fmt.Errorf("%w: hint %d is of no worker or source that can be", ErrNews, i)
 		}
 	}
 	if g := p.Given; g != nil && (len(g.Text) == 0 || len(g.Text) > core.MostShared || len(g.Member) > membership.MostName || len(g.Config.Source) > membership.MostSource) {
-		return parcel{}, fmt.Errorf("%w: a configuration of %d bytes, 1 to %d", ErrNews, len(g.Text), core.MostShared)
+		return message{}, fmt.Errorf("%w: a configuration of %d bytes, 1 to %d", ErrNews, len(g.Text), core.MostShared)
 	}
-	if p.Form != form {
-		return parcel{}, fmt.Errorf("%w: form %d, this program reads %d", ErrNews, p.Form, form)
+	if p.Version != protocolVersion {
+		return message{}, fmt.Errorf("%w: version %d, this program reads %d", ErrNews, p.Version, protocolVersion)
 	}
 	return p, nil
 }
 
-func digestText(d uint64) []byte { return binary.BigEndian.AppendUint64([]byte{form}, d) }
+func digestText(d uint64) []byte { return binary.BigEndian.AppendUint64([]byte{protocolVersion}, d) }
 
 func digestOf(text []byte) (uint64, bool) {
-	if len(text) != 9 || text[0] != form {
+	if len(text) != 9 || text[0] != protocolVersion {
 		return 0, false
 	}
 	return binary.BigEndian.Uint64(text[1:]), true
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -87,7 +87,7 @@
 	Opened            uint64 // connections to peers
 	Strangers         uint64 // datagrams and connections from addresses that are not allowed
 	Full              uint64 // datagrams and connections dropped since a queue was full
-	Unreadable        uint64 // news of no form that is known
+	Unreadable        uint64 // messages of no version that is known
 	Dropped           uint64 // questions for a configuration beyond what is answered, and answers that nobody asked for
 }
 
