--- /dev/null
+++ b/internal/controlplane/budget_bench_test.go
@@ -0,0 +1,136 @@
+package controlplane
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// planDispatchers and planDestinations are the size of the operators' plan.
+const (
+	planDispatchers  = 1800
+	planDestinations = 220_000
+)
+
+// budgetHeap is what the heap holds after a collection.
+func budgetHeap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+func budgetRenewal(number int, role string) *rpc.RenewRequest {
+	return &rpc.RenewRequest{Node: fmt.Sprintf("%s-heredia-a-%d", role, number), Incarnation: fmt.Sprintf("%s-%016x", role, number),
+		Zone: "heredia-a", Role: role, Disk: fmt.Sprintf("%016x", number), Address: fmt.Sprintf("10.0.%d.%d:7240", number>>8, number&0xff)}
+}
+
+// BenchmarkDispatcherLease is the memory of one dispatcher's lease at the leader, and the time of a renewal without
+// its transport.
+func BenchmarkDispatcherLease(b *testing.B) {
+	requests := make([]*rpc.RenewRequest, planDispatchers)
+	for number := range requests {
+		requests[number] = budgetRenewal(number, roleDispatcher)
+	}
+	before := budgetHeap()
+	held := newTerm(1, &rpc.ControlState{}, time.Now())
+	defer held.cancel()
+	for _, request := range requests {
+		held.renewDispatcher(request, time.Now())
+	}
+	perLease := float64(budgetHeap()-before) / planDispatchers
+	next := 0
+	for b.Loop() {
+		held.renewDispatcher(requests[next], time.Now())
+		next = (next + 1) % planDispatchers
+	}
+	b.ReportMetric(perLease, "heap-B/lease") // after the loop, whose start clears what was reported
+	must.MapLen(b, planDispatchers, held.dispatchers)
+}
+
+// BenchmarkStoreLease is the same for a store, whose lease guards its partitions.
+func BenchmarkStoreLease(b *testing.B) {
+	const stores = 200
+	state := &rpc.ControlState{}
+	requests := make([]*rpc.RenewRequest, stores)
+	for number := range requests {
+		requests[number] = budgetRenewal(number, roleStore)
+		state.Stores = append(state.Stores, &rpc.StoreMember{Node: requests[number].Node, Disk: requests[number].Disk,
+			Incarnation: requests[number].Incarnation})
+	}
+	before := budgetHeap()
+	held := newTerm(1, state, time.Now())
+	defer held.cancel()
+	for _, request := range requests {
+		must.True(b, held.renewStore(state, request, time.Now()).granted)
+	}
+	perLease := float64(budgetHeap()-before) / stores
+	next := 0
+	for b.Loop() {
+		held.renewStore(state, requests[next], time.Now())
+		next = (next + 1) % stores
+	}
+	b.ReportMetric(perLease, "heap-B/lease")
+}
+
+// BenchmarkDestination is what one destination of the platform's list costs the leader, at the length of the plan:
+// reading a page, comparing with the list before, encoding for the stream.
+func BenchmarkDestination(b *testing.B) {
+	const perPage = 1000
+	var pages [][]byte
+	for first := 0; first < planDestinations; first += perPage {
+		answer := page{}
+		for number := first; number < first+perPage; number++ {
+			answer.Instances = append(answer.Instances, instance{ID: fmt.Sprintf("i-%08x", number), Service: fmt.Sprintf("service-%d", number/100),
+				Address: fmt.Sprintf("10.%d.%d.%d:8080", number>>16, number>>8&0xff, number&0xff), Zone: "heredia-a", Capacity: 8, State: "ready"})
+		}
+		encoded, err := json.Marshal(answer)
+		must.NoError(b, err)
+		pages = append(pages, encoded)
+	}
+	before := budgetHeap()
+	var workers []*rpc.Worker
+	decoding := time.Duration(0)
+	for b.Loop() {
+		started := time.Now()
+		workers = readPages(b, pages)
+		decoding += time.Since(started)
+	}
+	b.ReportMetric(float64(decoding.Nanoseconds())/float64(b.N)/planDestinations, "read-ns/destination")
+	b.ReportMetric(float64(budgetHeap()-before)/planDestinations, "heap-B/destination")
+	reportListCosts(b, workers, readPages(b, pages))
+}
+
+// readPages does what discovery does with the pages of one reading.
+func readPages(b *testing.B, pages [][]byte) []*rpc.Worker {
+	var workers []*rpc.Worker
+	for _, data := range pages {
+		answer := &page{}
+		must.NoError(b, json.Unmarshal(data, answer))
+		for _, entry := range answer.Instances {
+			workers = append(workers, entry.worker())
+		}
+	}
+	return sortedWorkers(workers)
+}
+
+// reportListCosts measures comparing two readings and encoding one.
+func reportListCosts(b *testing.B, workers, again []*rpc.Worker) {
+	started := time.Now()
+	must.True(b, sameWorkers(workers, again))
+	b.ReportMetric(float64(time.Since(started).Nanoseconds())/planDestinations, "compare-ns/destination")
+	started = time.Now()
+	part := workersPart(1, 1, workers)
+	b.ReportMetric(float64(time.Since(started).Nanoseconds())/planDestinations, "encode-ns/destination")
+	b.ReportMetric(float64(len(part.Data))/planDestinations, "wire-B/destination")
+	view := &rpc.View{}
+	must.NoError(b, proto.Unmarshal(part.Data, view))
+	must.Len(b, planDestinations, view.Workers.Workers)
+}
--- /dev/null
+++ b/internal/storenode/budget_bench_test.go
@@ -0,0 +1,90 @@
+package storenode
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foldlb.example/foldlb/coord/applog"
+	"foldlb.example/foldlb/internal/message"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	budgetMessages   = 100_000
+	budgetPartitions = 16
+)
+
+// budgetRecord is the record of a queued message.
+func budgetRecord(b *testing.B, number int, body []byte) []byte {
+	b.Helper()
+	record, err := encodeRecord(recordMessage, time.Now(), &rpc.Message{
+		Name: fmt.Sprintf("%02x-%016x", number%budgetPartitions, number), Partition: uint32(number % budgetPartitions),
+		Route: fmt.Sprintf("r-%07d", number%20), Method: "POST", Path: fmt.Sprintf("/vobo680/%06x", number),
+		Host: "lode17.example", RequestId: fmt.Sprintf("%016x", number), ContentType: "application/json",
+		Epoch: 1, Seq: uint64(number/budgetPartitions + 1), Body: body,
+	})
+	must.NoError(b, err)
+	return record
+}
+
+// BenchmarkQueuedMessageOnDisk writes queued messages to a store's log, and reads them back as a start does.
+func BenchmarkQueuedMessageOnDisk(b *testing.B) {
+	for _, bodyBytes := range []int{0, 600, 2400} {
+		b.Run(fmt.Sprintf("body=%d", bodyBytes), func(b *testing.B) {
+			for b.Loop() {
+				benchLog(b, make([]byte, bodyBytes))
+			}
+		})
+	}
+}
+
+func benchLog(b *testing.B, body []byte) {
+	directory := b.TempDir()
+	log, err := applog.Open(directory, logName, applog.Options{}, func(applog.Position, []byte) error { return nil })
+	must.NoError(b, err)
+	for number := range budgetMessages {
+		_, err := log.Append(budgetRecord(b, number, body))
+		must.NoError(b, err)
+	}
+	must.NoError(b, log.Wait())
+	b.ReportMetric(float64(log.Size())/budgetMessages, "disk-B/message")
+	must.NoError(b, log.Close())
+	before := budgetHeap()
+	started := time.Now()
+	restarted := &Node{table: message.NewTable(), started: started}
+	reopened, err := applog.Open(directory, logName, applog.Options{}, restarted.replay)
+	must.NoError(b, err)
+	b.ReportMetric(float64(time.Since(started).Nanoseconds())/budgetMessages, "replay-ns/message")
+	must.Eq(b, budgetMessages, restarted.table.Queued())
+	must.NoError(b, reopened.Close())
+	b.ReportMetric(float64(budgetHeap()-before)/budgetMessages, "heap-B/message")
+	runtime.KeepAlive(restarted)
+}
+
+// BenchmarkGatherList lists what a store holds for the next owner of its partitions.
+func BenchmarkGatherList(b *testing.B) {
+	node := &Node{table: message.NewTable(), started: time.Now()}
+	for number := range budgetMessages {
+		must.NoError(b, node.replay(applog.Position{}, budgetRecord(b, number, nil)))
+	}
+	var asked []*rpc.PartitionEpoch
+	for id := range uint32(budgetPartitions) {
+		asked = append(asked, &rpc.PartitionEpoch{Partition: id, Epoch: 2})
+	}
+	for b.Loop() {
+		must.Len(b, budgetMessages, node.list(asked))
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/budgetMessages, "ns/message")
+}
+
+// budgetHeap is what the heap holds after a collection.
+func budgetHeap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
