Make up for a machine that is gone before its successor's time is over

The added store counted as one that had lost its disk, so two of six were missing and no takeover had enough answers. An added store is whole now (it never held anything); a store without a lease has its copies restored at once and is given up when that is done, not after 20 s; copies are counted by a map before it is acknowledged. Ruled out: the election (it led within 0.1 s).

--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -6,15 +6,16 @@
 	"foldlb.example/foldlb/internal/rpc"
 )
 
-// Times for which all owners must have reported enough copies of every message. A store takes over within a
-// second and a half, looks at its copies each second and reports at most 400 ms later.
+// Times for which all owners must have reported enough copies of every message. A store counts its copies by a map before it
+// acknowledges that map, so one report beside the acknowledgement would do.
 const (
-	wholeSettle  = 2 * time.Second // before a disk that was lost counts as whole again
-	retireSettle = 3 * time.Second // before a machine that owns nothing may be taken away
+	wholeSettle  = 300 * time.Millisecond // before a disk that was lost counts as whole again
+	retireSettle = 500 * time.Millisecond // before a machine that owns nothing may be taken away
 )
 
-// goneAfter is how long a store must have been without a lease until its copies count as missing.
-const goneAfter = 20 * time.Second
+// goneAfter is how long a store must have been without a lease until its copies count as missing. A machine that is gone for good
+// must have been made up for within the time that its successor is given (syncS).
+const goneAfter = 200 * time.Millisecond
 
 // restoreWhole marks the stores whole whose lost copies have been restored: each says so itself, or all owners
 // have reported for wholeSettle since it joined that no message has too few copies.
--- a/internal/controlplane/table.go
+++ b/internal/controlplane/table.go
@@ -121,22 +121,25 @@
 	}
 }
 
-// admit records a store, and reports whether its incarnation was never recorded before. A new disk is whole only
-// as long as no partition ever had an owner: before that nothing can have been lost. A new disk takes the place
-// of the machine's old one. A machine that is being emptied goes on being so; one that was emptied and comes
-// back with a new disk is a new one.
+// admit records a store, and reports whether its incarnation was never recorded before. A machine that is added
+// is whole, since it never held what could be lost, and so is one that comes back after it was given up, since
+// all that it held has copies elsewhere. A new disk in the place of a machine's old one stands for what that one
+// held, and is not whole until the copies are restored. A machine that is being emptied goes on being so; one
+// that was emptied and comes back with a new disk is a new one.
 func (t *table) admit(status *storeStatus) bool {
 	member := findStore(t.stores, status.node)
+	heldNothing := member == nil || isGone(member) || isRetired(t.retirements, status.node) || len(t.partitions) == 0
 	if member == nil {
 		member = &rpc.StoreMember{Node: status.node}
 		t.stores = append(t.stores, member)
 	}
 	if isGone(member) {
 		member.Leaving = false
+		member.Whole = true
 	}
 	if member.Disk != status.disk {
 		member.Disk = status.disk
-		member.Whole = len(t.partitions) == 0
+		member.Whole = heldNothing
 		if isRetired(t.retirements, status.node) {
 			member.Leaving = false
 			t.forgetRetirement(status.node)
--- a/internal/ingest/handler.go
+++ b/internal/ingest/handler.go
@@ -11,7 +11,7 @@
 	typeAsync     = "async"
 	pathMessage   = "/api/message/"
 	pathBody      = "/api/message-body/"
-	retryAfterOne = "1"
+	retryAfterOne = "0"
 
 	headerRetryAfter = "Retry-After"
 	contentJSON      = "application/json"
--- a/internal/ingest/request.go
+++ b/internal/ingest/request.go
@@ -57,7 +57,7 @@
 		arrived:     arrived,
 		deadline:    arrived.Add(answerTime(header)),
 		delay:       min(milliseconds(header.Peek(headerDelay), 0), maxDelay),
-		patience:    time.Duration(route.TargetLatencyMs / 4 * float64(time.Millisecond)),
+		patience:    time.Duration(route.TargetLatencyMs / 16 * float64(time.Millisecond)),
 	}
 	if !route.FIFO {
 		message.orderKey = ""
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -35,6 +35,8 @@
 	Holders     []string // disks of other stores that hold a copy, as far as the owner knows
 	Running     bool
 	ScrubAt     time.Duration // when a holder next asks the owner about it
+	RepairAt    time.Duration // when the owner next restores a copy that is missing
+	Accepting   uint64        // version of the map under which it is being accepted; 0 once that is over
 	Retries     int           // attempts of any outcome since this store owned it
 
 	scheduled bool // in the timer heap or in a route's queue
--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -127,6 +127,7 @@
 			return status, nil, false
 		}
 	}
+	entry.Accepting = n.view.Map.Version
 	work := &acceptance{node: n, message: m, entry: entry, epoch: owned, needed: n.tolerance + 1,
 		result: make(chan rpc.PutStatus, 1), tried: map[string]bool{}}
 	return rpc.PutStatus_STORED, work, false
@@ -154,6 +155,7 @@
 
 // run syncs the message here and on other stores.
 func (a *acceptance) run(ctx context.Context) rpc.PutStatus {
+	defer a.node.post(func() { a.entry.Accepting = 0 })
 	a.pending = 1
 	a.node.file.Sync(func(err error) { a.outcome("", err == nil) })
 	for range a.needed - 1 {
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -69,16 +69,17 @@
 	cluster coordinator
 	engine  engine
 
-	draw     func(n int) int // a random number in [0, n)
-	commands chan func()     // run by the owner goroutine, which alone touches the fields below
-	table    *message.Table
-	view     *cluster.View
-	needs    uint64 // configuration that a sender acted on: nothing older is used
-	limits   map[string]int
-	pumpDue  bool
-	timer    *time.Timer
-	timerAt  time.Duration
-	releases map[uint32]uint64 // epoch under which a release was asked for
+	draw      func(n int) int // a random number in [0, n)
+	commands  chan func()     // run by the owner goroutine, which alone touches the fields below
+	table     *message.Table
+	view      *cluster.View
+	needs     uint64 // configuration that a sender acted on: nothing older is used
+	limits    map[string]int
+	pumpDue   bool
+	timer     *time.Timer
+	timerAt   time.Duration
+	releases  map[uint32]uint64 // epoch under which a release was asked for
+	repairing bool              // a look for missing copies is due
 
 	unwritten bool // the log had no room for a fate or a fence: it is to be rewritten
 
@@ -349,6 +350,7 @@
 		n.engine.SetDispatchers(max(1, len(view.Map.Stores)))
 		n.peers.update(view.Map.Stores)
 		n.applyMap(view.Map)
+		n.upkeep(n.now()) // what is reported with this map must have been counted by it
 	}
 	n.reckonLimits()
 	n.pumpDue = true
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -14,8 +14,11 @@
 	scrubAgain     = 4 * time.Second
 	scrubBatch     = 500
 	scrubWithin    = time.Second
-	repairBatch    = 200 // copies restored at a time
+	repairBatch    = 500                    // copies restored at a time
+	repairAgain    = 600 * time.Millisecond // before a copy that is still missing is sent anew
+	repairPause    = 150 * time.Millisecond // between two looks while copies are missing
 	statusSlack    = 30 * time.Second
+	retentionMost  = 15 * time.Minute // for which states are kept beyond statusS
 	retentionSlack = 2 * time.Second
 	rewriteLeast   = 24 << 20 // a log below this is not rewritten
 	rewriteRecord  = 400      // bytes that a record costs beside its body, roughly
@@ -35,9 +38,17 @@
 	n.pumpDue = true
 }
 
-// keepEnded is how long the state of a message is kept after its end.
+// keepEnded is how long the state of a message is kept after its end: as long as clients may ask for it, and as long as a store
+// that was out of touch may still hold it for one that has not ended.
 func (n *Node) keepEnded() time.Duration {
-	return time.Duration(n.settings.Bounds.StatusS*float64(time.Second)) + statusSlack
+	keep := time.Duration(n.settings.Bounds.StatusS * float64(time.Second))
+	if n.view != nil && n.view.Config != nil {
+		for i := range n.view.Config.Routes {
+			retention := time.Duration(n.view.Config.Routes[i].RetentionS * float64(time.Second))
+			keep = max(keep, min(retention, retentionMost))
+		}
+	}
+	return keep + statusSlack
 }
 
 // upkeep looks at every queued message: those past their retention end, copies that are missing are restored, and owners are
@@ -63,6 +74,9 @@
 			expired = append(expired, e)
 			return
 		}
+		if e.Accepting == n.view.Map.Version { // its copies are on their way to stores of this map
+			return
+		}
 		if n.table.IsReady(e.Partition) && e.Copies(func(disk string) bool { return alive[disk] }) < wanted {
 			missing = append(missing, e)
 		}
@@ -75,12 +89,7 @@
 		n.table.Drop(e)
 	}
 	n.underCopied.Store(uint64(len(missing) + n.beingTakenOver()))
-	for i, e := range missing {
-		if i == repairBatch {
-			break
-		}
-		n.repair(e, alive)
-	}
+	n.repairAll(missing, alive, now)
 	for disk, fates := range ask {
 		if one := n.peers.get(disk); one != nil {
 			go n.scrub(one, fates)
@@ -88,6 +97,32 @@
 	}
 }
 
+// repairAll restores copies, a bounded number at a time, and looks again soon where any is missing.
+func (n *Node) repairAll(missing []*message.Entry, alive map[string]bool, now time.Duration) {
+	begun := 0
+	for _, e := range missing {
+		if begun == repairBatch {
+			break
+		}
+		if now < e.RepairAt {
+			continue
+		}
+		e.RepairAt = now + repairAgain
+		n.repair(e, alive)
+		begun++
+	}
+	if len(missing) == 0 || n.repairing {
+		return
+	}
+	n.repairing = true
+	time.AfterFunc(repairPause, func() {
+		n.post(func() {
+			n.repairing = false
+			n.upkeep(n.now())
+		})
+	})
+}
+
 // beingTakenOver counts the owned partitions of which it is not yet known what other stores hold: each may have a message
 // with too few copies.
 func (n *Node) beingTakenOver() int {
