--- a/cmd/foldlb/audit.go
+++ b/cmd/foldlb/audit.go
@@ -266,7 +266,7 @@
 	Ago      float64        `json:"ago_s"`
 	Wall     int64          `json:"wall_ms"`
 	What     string         `json:"what"`
-	Hop      string         `json:"hop,omitempty"`
+	Worker   string         `json:"hop,omitempty"`
 	Versions audit.Versions `json:"versions"`
 }
 
@@ -301,7 +301,7 @@
 			}
 			for _, act := range t.Acts {
 				out.Acts = append(out.Acts, auditAct{Ago: now - act.At, Wall: wall().Add(-time.Duration((now - act.At) * float64(time.Second))).UnixMilli(),
-					What: act.Kind.String(), Hop: act.Worker, Versions: act.Versions})
+					What: act.Kind.String(), Worker: act.Worker, Versions: act.Versions})
 			}
 			return say(out)
 		},
--- a/cmd/foldlb/auditcmd.go
+++ b/cmd/foldlb/auditcmd.go
@@ -197,7 +197,7 @@
 			fmt.Println(string(text))
 			continue
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", clock(l.Wall), l.member, l.What, l.Hop, versionText(l.Versions.Config), versionText(l.Versions.Routes))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", clock(l.Wall), l.member, l.What, l.Worker, versionText(l.Versions.Config), versionText(l.Versions.Routes))
 	}
 	return w.Flush()
 }
--- a/cmd/foldlb/door.go
+++ b/cmd/foldlb/door.go
@@ -72,7 +72,7 @@
 	for _, c := range n.cfg.Settings.Classes {
 		classes = append(classes, c.Name)
 	}
-	n.legs.Count(classes)
+	n.clients.Count(classes)
 	n.behind = ops.Node{
 		Ready: func() error {
 			if n.ending.Load() {
@@ -81,7 +81,7 @@
 			return nil
 		},
 		Figures: func() ops.Figures {
-			return ops.FiguresOf(n.legs.Tallies(), n.legs.InFlight(), n.hops.Sent(), *view.Load())
+			return ops.FiguresOf(n.clients.Tallies(), n.clients.InFlight(), n.workers.Sent(), *view.Load())
 		},
 		Post: n.loop.Post,
 	}
--- a/cmd/foldlb/figures.go
+++ b/cmd/foldlb/figures.go
@@ -30,7 +30,7 @@
 
 // figures names a tally's figures and those of the connections. All but the last four count from the process's start.
 func (n *node) figures(f core.Figures) logrus.Fields {
-	opened, refused := n.hops.Connections()
+	opened, refused := n.workers.Connections()
 	calls, failures := n.routes.Asked()
 	t := f.Tally
 	return logrus.Fields{"requests": t.Calls, "attempts": t.Branches, "moves": t.Moves, "refused_at_once": t.RefusedAtOnce,
--- a/cmd/foldlb/fleet.go
+++ b/cmd/foldlb/fleet.go
@@ -68,7 +68,7 @@
 func (n *node) takePart(ctx context.Context) {
 	if n.member != nil {
 		n.body.Reducer.Lease(n.member.cfg.Lease.Seconds())
-		n.hops.Fence(n.body.Reducer.Fence())
+		n.workers.Fence(n.body.Reducer.Fence())
 		go n.member.run(ctx)
 	} else if _, was := n.body.Reducer.Fleet(); was {
 		n.loop.Precede([]core.Event{core.FleetEnded{}})
@@ -353,7 +353,7 @@
 			Process: fmt.Sprintf("%x", x.Process), Seq: x.Seq, Generation: x.Generation, Program: x.Program, Config: x.Config, Routes: x.Routes, Lag: behind[i]})
 	}
 	v.Fenced = p.Fenced
-	v.Stopped, v.Gap = m.n.hops.Fenced()
+	v.Stopped, v.Gap = m.n.workers.Fenced()
 	for _, f := range p.Floors {
 		if !f.Withdrawn {
 			v.Floors = append(v.Floors, fleetFloor{Kind: f.Kind.String(), No: f.No, Source: f.Source, By: f.By, Why: f.Why, In: f.Within - f.Age - (now - p.FloorsAt)})
--- a/cmd/foldlb/fleet_test.go
+++ b/cmd/foldlb/fleet_test.go
@@ -105,8 +105,8 @@
 	}
 }
 
-// TestNewcomerBesideStaysAMember: a process that the platform starts beside the running one is the same member, and nobody doubts it.
-func TestNewcomerBesideStaysAMember(t *testing.T) {
+// TestReplacementStaysAMember: a process that the platform starts beside the running one is the same member, and nobody doubts it.
+func TestReplacementStaysAMember(t *testing.T) {
 	one, two := freeMember(t), freeMember(t)
 	p := newPlatform(t, take)
 	p.write("operator.hcl", "control { socket = \"c.sock\" }\n"+fleetBlock(one, two))
--- a/cmd/foldlb/floor_test.go
+++ b/cmd/foldlb/floor_test.go
@@ -36,7 +36,7 @@
 		resp, err := p.get("/healthz")
 		return err == nil && resp.StatusCode() == 200
 	}
-	await := func(what string, so func() bool) {
+	waitUntil := func(what string, so func() bool) {
 		t.Helper()
 		until := time.Now().Add(patience)
 		for !so() {
@@ -46,14 +46,14 @@
 			}
 		}
 	}
-	await("the straggler is shut out", func() bool { return !healthy(all[2]) })
+	waitUntil("the straggler is shut out", func() bool { return !healthy(all[2]) })
 	if code, body := all[2].call("00000000000000a1", "safe", "2"); code != 503 || !strings.Contains(body, "shut out") {
 		t.Errorf("a request to one that is shut out: %d %s", code, body)
 	}
-	if len(all[2].hops[0].got) != 0 {
+	if len(all[2].workers[0].got) != 0 {
 		t.Error("one that is shut out sends")
 	}
-	await("it says why", func() bool { // right after a start it may have been shut out as not in touch yet
+	waitUntil("it says why", func() bool { // right after a start it may have been shut out as not in touch yet
 		out, _ := all[2].asks("fleet")
 		return strings.Contains(out, "SHUT OUT: below the floor of the configuration: 2 of test") && strings.Contains(out, "the old prices")
 	})
@@ -67,7 +67,7 @@
 	}
 	all[2].write("operator.hcl", strings.Replace(all[2].operatorText, "version = 1", "version = 2", 1))
 	syscall.Kill(all[2].pid, syscall.SIGHUP)
-	await("the straggler is let in", func() bool { return healthy(all[2]) })
+	waitUntil("the straggler is let in", func() bool { return healthy(all[2]) })
 	if code, body := all[2].call("00000000000000a2", "safe", "2"); code != 200 {
 		t.Errorf("%d %s", code, body)
 	}
@@ -75,10 +75,10 @@
 	syscall.Kill(all[0].pid, syscall.SIGSTOP)
 	syscall.Kill(all[1].pid, syscall.SIGSTOP)
 	t.Cleanup(func() { syscall.Kill(all[0].pid, syscall.SIGCONT); syscall.Kill(all[1].pid, syscall.SIGCONT) })
-	await("one that is out of touch is shut out", func() bool { return !healthy(all[2]) })
+	waitUntil("one that is out of touch is shut out", func() bool { return !healthy(all[2]) })
 	syscall.Kill(all[0].pid, syscall.SIGCONT)
 	syscall.Kill(all[1].pid, syscall.SIGCONT)
-	await("all are in touch again", func() bool { return healthy(all[0]) && healthy(all[1]) && healthy(all[2]) })
+	waitUntil("all are in touch again", func() bool { return healthy(all[0]) && healthy(all[1]) && healthy(all[2]) })
 }
 
 // TestFloorIsToldByGossip: a floor goes out as news of its own. The members here ask each other so seldom that nobody would come to
--- a/cmd/foldlb/main.go
+++ b/cmd/foldlb/main.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: %d classes, %d known next hops, %d descriptors, %d MB\n", cfg.Name,
+	fmt.Printf("%s: %d classes, %d known workers, %d descriptors, %d MB\n", cfg.Name,
 		len(cfg.Settings.Classes), len(cfg.Known.Workers), cfg.Limits.Sockets, cfg.Limits.MemoryMB)
 	return nil
 }
--- a/cmd/foldlb/node.go
+++ b/cmd/foldlb/node.go
@@ -29,8 +29,8 @@
 	log     logrus.FieldLogger
 	gate    *hold.Gate
 	loop    *core.Loop
-	legs    *clientconn.Server
-	hops    *workerconn.Sender
+	clients *clientconn.Server
+	workers *workerconn.Sender
 	routes  *routeset.Client
 	body    *upgrade.Body
 	giver   *upgrade.Giver    // nil where upgrades are off
@@ -56,19 +56,19 @@
 	n := &node{cfg: cfg, log: log, gate: gate, lines: make(chan string, queuedLines), tallies: make(chan core.Figures, 1)}
 	n.now.Store(&cfg.Limits)
 	n.loop = core.NewLoop(reducer, clock.Now, n.perform)
-	forCallers, forHops := connections(cfg.Limits)
-	n.legs = clientconn.NewServer(forCallers, n.gate, n.loop.Post, log)
-	n.hops = workerconn.NewSender(workerconn.Options{
+	forCallers, forWorkers := connections(cfg.Limits)
+	n.clients = clientconn.NewServer(forCallers, n.gate, n.loop.Post, log)
+	n.workers = workerconn.NewSender(workerconn.Options{
 		DialTimeout: time.Duration(cfg.Settings.DialTimeout * secondsToNanos),
 		IdleClose:   time.Duration(cfg.Settings.ConnIdle * secondsToNanos),
-		MostConns:   forHops,
-		Present:     n.legs.Present,
+		MostConns:   forWorkers,
+		Present:     n.clients.Present,
 	}, n.gate, clock.Now, n.loop.Post, log)
 	n.routes = routeset.NewClient(n.gate, n.loop.Post, log)
 	n.body = &upgrade.Body{Loop: n.loop, Reducer: reducer, Gate: n.gate, Clock: clock, Generation: 1, Started: time.Now(),
 		Parts: []upgrade.Part{
-			upgrade.NewPart("callers", n.legs.Export, n.legs.Import),
-			upgrade.NewPart("next hops", n.hops.Export, n.hops.Import),
+			upgrade.NewPart("callers", n.clients.Export, n.clients.Import),
+			upgrade.NewPart("next hops", n.workers.Export, n.workers.Import),
 			upgrade.NewPart("routes", n.routes.Export, n.routes.Import),
 			upgrade.NewPart("door", n.exportDoor, n.importDoor),
 			upgrade.NewPart("fleet", n.exportFleet, n.importFleet).OrNone(),
@@ -83,21 +83,21 @@
 func (n *node) perform(e core.Effect) {
 	switch e := e.(type) {
 	case core.Answer:
-		n.legs.Answer(e)
+		n.clients.Answer(e)
 	case core.SendBranch:
-		n.hops.Send(e)
+		n.workers.Send(e)
 	case core.GiveUpBranch:
-		n.hops.GiveUp(e)
+		n.workers.GiveUp(e)
 	case core.CloseIdle:
-		n.hops.CloseIdle(e.Addr)
+		n.workers.CloseIdle(e.Addr)
 	case core.DropWorker:
-		n.hops.Drop(e.Addr)
+		n.workers.Drop(e.Addr)
 	case core.Watch:
 		n.routes.Watch(e)
 	case core.FetchRouteSet:
 		n.routes.Fetch(e)
 	case core.SendAway:
-		n.legs.SendAway(e.On)
+		n.clients.SendAway(e.On)
 	case core.Ordered:
 		if e.Order&ownOrders != 0 {
 			n.member.ordered(e)
@@ -109,7 +109,7 @@
 	case core.FloorTold:
 		n.member.floorTold(e)
 	case core.Fenced:
-		n.hops.Fence(e.Until)
+		n.workers.Fence(e.Until)
 	case core.ConfigHeld:
 		n.auditor.perform(e)
 		n.member.perform(e)
@@ -119,8 +119,8 @@
 		setMachine(e.Limits)
 		n.now.Store(&e.Limits)
 		callers, next := connections(e.Limits)
-		n.legs.SetMost(callers)
-		n.hops.SetMost(next)
+		n.clients.SetMost(callers)
+		n.workers.SetMost(next)
 	case core.Figures:
 		select {
 		case n.tallies <- e:
@@ -158,8 +158,8 @@
 	background, end := context.WithCancel(context.Background())
 	defer end()
 	served := make(chan error, 1)
-	go func() { served <- n.legs.Serve(held) }()
-	go n.hops.Run(background)
+	go func() { served <- n.clients.Serve(held) }()
+	go n.workers.Run(background)
 	go func() {
 		for text := range n.lines {
 			n.log.Info(text)
@@ -172,7 +172,7 @@
 		}
 	}
 	if n.body.Reducer.Draining() {
-		n.legs.SendAway(true)
+		n.clients.SendAway(true)
 	}
 	n.takePart(background)
 	if n.auditor != nil {
@@ -189,7 +189,7 @@
 		go n.giver.Run()
 		n.begins()
 	}
-	n.log.WithFields(logrus.Fields{"name": n.cfg.Name, "listen": n.cfg.Listen, "hops": len(n.cfg.Known.Workers)}).Info("serving")
+	n.log.WithFields(logrus.Fields{"name": n.cfg.Name, "listen": n.cfg.Listen, "workers": len(n.cfg.Known.Workers)}).Info("serving")
 
 	select {
 	case err := <-served:
@@ -203,7 +203,7 @@
 	n.ending.Store(true)
 	n.loop.Post(core.FleetEntered{State: membership.Stopping})
 	var closed error
-	n.legs.Drain(stopAfter(n.cfg.Settings), func() { closed = held.Close() }, func() { n.loop.Post(core.Stopping{}) })
+	n.clients.Drain(stopAfter(n.cfg.Settings), func() { closed = held.Close() }, func() { n.loop.Post(core.Stopping{}) })
 	if closed != nil {
 		return fmt.Errorf("close listener: %w", closed)
 	}
--- a/cmd/foldlb/beside.go
+++ b/cmd/foldlb/replacement.go
@@ -27,9 +27,9 @@
 	meetAgain    = 50 * time.Millisecond // before a second try, and twice as long before each further one
 	// Two processes that could not hand over serve side by side: for the 6 s, and until SIGKILL ends the old one, 3.7 s after
 	// SIGTERM at the latest.
-	besideMost = 10 * time.Second
-	meetStart  = time.Second // for each step of a newcomer before the hold
-	meetFollow = 100 * time.Millisecond
+	overlapMost = 10 * time.Second
+	meetStart   = time.Second // for each step of a newcomer before the hold
+	meetFollow  = 100 * time.Millisecond
 	// A drain that is told while everything is held is known only afterwards, and must be within 750 ms.
 	meetHold, meetOffer, meetCommit = 150 * time.Millisecond, 300 * time.Millisecond, 100 * time.Millisecond
 )
@@ -68,9 +68,9 @@
 	return upgrade.MeetPath(folder)
 }
 
-// beside serves on the listener that the platform holds: from where a running process stands if there is one, else, or
+// replaceRunning serves on the listener that the platform holds: from where a running process stands if there is one, else, or
 // where no hand-over can be had, from a fresh start.
-func (s setup) beside(ctx context.Context, ln *net.TCPListener, door *ops.Door, reload <-chan os.Signal) error {
+func (s setup) replaceRunning(ctx context.Context, ln *net.TCPListener, door *ops.Door, reload <-chan os.Signal) error {
 	halved.Store(true)
 	until := time.Now().Add(takeOverMost)
 	path, err := meetingPath()
@@ -79,7 +79,7 @@
 		if pipe, err = upgrade.Meet(ctx, path, until); err == nil {
 			met = true
 			var t *takeover
-			if t, err = s.takeUp(pipe, door); err == nil {
+			if t, err = s.takeOver(pipe, door); err == nil {
 				ln.Close() // the same socket has been handed over
 				wholeMachine(s.cfg.Limits)
 				return t.serve(ctx, reload)
@@ -93,7 +93,7 @@
 		}
 	}
 	s.log.WithError(err).Info("nothing to take over: a fresh start")
-	time.AfterFunc(besideMost, func() { wholeMachine(s.cfg.Limits) })
+	time.AfterFunc(overlapMost, func() { wholeMachine(s.cfg.Limits) })
 	return s.begin(ctx, ln, door, reload)
 }
 
@@ -103,8 +103,8 @@
 	setMachine(l)
 }
 
-// await lets newcomers take over from the node, where the platform starts them.
-func (s setup) await(n *node) {
+// acceptSuccessors lets newcomers take over from the node, where the platform starts them.
+func (s setup) acceptSuccessors(n *node) {
 	if os.Getenv(envInherited) == "" {
 		return
 	}
@@ -115,7 +115,7 @@
 	}
 	if err != nil {
 		n.log.WithError(err).Warn("no process can take over from this one")
-		n.legs.Shares(time.Duration(math.MaxInt64 / 2)) // a newcomer will serve beside it, and can't say so
+		n.clients.Shares(time.Duration(math.MaxInt64 / 2)) // a newcomer will serve beside it, and can't say so
 		return
 	}
 	limits := upgrade.Limits{Start: meetStart, Probation: meetFollow, Hold: meetHold, Offer: meetOffer, Commit: meetCommit}
@@ -124,8 +124,8 @@
 	}
 	n.giver.Shed = n.shed
 	n.giver.Apart = func() {
-		n.legs.Shares(besideMost)
-		time.AfterFunc(besideMost, func() { wholeMachine(n.limits()) })
+		n.clients.Shares(overlapMost)
+		time.AfterFunc(overlapMost, func() { wholeMachine(n.limits()) })
 	}
 	begins := n.begins
 	n.begins = func() {
@@ -137,13 +137,13 @@
 }
 
 // shed makes room for a second process: it halves the memory, and closes kept connections until two processes can have
-// all that are left open at once: next hops' first, which cost least to open again, then callers'. What is at work stays,
+// all that are left open at once: workers' first, which cost least to open again, then callers'. What is at work stays,
 // whatever the limit.
 func (n *node) shed() {
 	l := n.limits()
 	halved.Store(true)
 	setMachine(l)
 	over := len(n.gate.Conns()) - (l.Sockets-reservedFiles)/2
-	over -= n.hops.Shed(over)
-	n.legs.Shed(over)
+	over -= n.workers.Shed(over)
+	n.clients.Shed(over)
 }
--- a/cmd/foldlb/beside_test.go
+++ b/cmd/foldlb/replacement_test.go
@@ -125,13 +125,13 @@
 	}
 }
 
-// withJob starts the first process, with a job that runs at the first next hop.
+// withJob starts the first process, with a job that runs at the first worker.
 func (p *platform) withJob() (*started, *line) {
 	p.t.Helper()
 	first := p.run(false).ready()
 	c := p.dial()
 	c.say(job("r1", "once", 5))
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	return first, c
 }
 
@@ -142,8 +142,8 @@
 	c.hears(200, "policy 1")
 }
 
-// awaitHeld waits until a newcomer has taken everything up and waits for the test's word.
-func (p *platform) awaitHeld() {
+// waitHeld waits until a newcomer has taken everything up and waits for the test's word.
+func (p *platform) waitHeld() {
 	p.t.Helper()
 	held := make(chan struct{})
 	go func() {
@@ -157,9 +157,9 @@
 	}
 }
 
-// TestBesideTakesOver: a job that waits, a connection that is kept, a used id, a ban and a drain pass on; the counts begin
+// TestReplacementTakesOver: a job that waits, a connection that is kept, a used id, a ban and a drain pass on; the counts begin
 // anew, and SIGTERM to the process that has handed over ends nothing else.
-func TestBesideTakesOver(t *testing.T) {
+func TestReplacementTakesOver(t *testing.T) {
 	p := newPlatform(t, take, take)
 	first := p.run(false).ready()
 	first.posts("/ops/quote-workers/down", "b")
@@ -167,14 +167,14 @@
 	for i := range 4 {
 		id := fmt.Sprint("k", i)
 		kept.say(job(id, "once", 5))
-		p.takes(p.hops[0], id)
+		p.takes(p.workers[0], id)
 		p.callBack(fmt.Sprintf(`{"id":%q,"from":"a","state":"done","result":"kept"}`, id))
 		kept.hears(200, "kept")
 	}
 	c.say(job("r1", "once", 5))
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	second := p.run(true)
-	p.awaitHeld()
+	p.waitHeld()
 	first.cmd.Process.Signal(syscall.SIGTERM)
 	back := p.dial()
 	back.say(report("r1", "a", "done", "policy 1"))
@@ -185,7 +185,7 @@
 	back.hears(200, "")
 	kept.hears(400, "in use")
 	first.goes()
-	p.nothingAt(p.hops[1])
+	p.nothingAt(p.workers[1])
 	if status, text := second.asks("GET", "/ops/stats", ""); status != 200 || !strings.Contains(text, `"attempts":0,`) ||
 		!strings.Contains(text, `"quote_workers_excluded":1`) || !strings.Contains(text, `"served":1,`) {
 		t.Errorf("figures %d %s", status, text)
@@ -227,24 +227,24 @@
 		t.Errorf("a reload ended the drain: %v", err)
 	}
 	c := p.dial()
-	for i := range 4 { // both next hops would get some
+	for i := range 4 { // both workers would get some
 		id := fmt.Sprint("k", i)
 		c.say(job(id, "once", 5))
-		p.takes(p.hops[0], id)
+		p.takes(p.workers[0], id)
 		p.callBack(fmt.Sprintf(`{"id":%q,"from":"a","state":"done","result":"kept"}`, id))
 		c.hears(200, "kept")
 		c = p.dial()
 	}
 	c.say(job("r1", "once", 5))
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	first.cmd.Process.Signal(syscall.SIGTERM)
 	p.ends(c)
 	first.goes()
-	p.nothingAt(p.hops[1])
+	p.nothingAt(p.workers[1])
 }
 
-// TestBesideStaleFolder: whatever stands where processes meet, a process starts, and the next one takes over from it.
-func TestBesideStaleFolder(t *testing.T) {
+// TestReplacementStaleFolder: whatever stands where processes meet, a process starts, and the next one takes over from it.
+func TestReplacementStaleFolder(t *testing.T) {
 	for name, put := range map[string]func(path string) error{
 		"file": func(path string) error { return os.WriteFile(path, []byte("x"), 0o600) },
 		"dead socket": func(path string) error {
@@ -279,9 +279,9 @@
 	}
 }
 
-// TestBesideFolderIsTaken: where nobody can be met, a second process serves beside the first. Each job's report finds the
+// TestReplacementFolderIsTaken: where nobody can be met, a second process serves beside the first. Each job's report finds the
 // process that has it, though it may have to come again: the other one does not acknowledge it.
-func TestBesideFolderIsTaken(t *testing.T) {
+func TestReplacementFolderIsTaken(t *testing.T) {
 	p := newPlatform(t, take)
 	if err := os.MkdirAll(filepath.Join(p.tmp, "foldlb-meet", "x"), 0o700); err != nil {
 		t.Fatal(err)
@@ -291,7 +291,7 @@
 	ask := func(id string) {
 		c := p.dial()
 		c.say(job(id, "once", 5))
-		p.takes(p.hops[0], id)
+		p.takes(p.workers[0], id)
 		jobs[id] = c
 	}
 	ask("r1")
@@ -315,9 +315,9 @@
 	first.goes()
 }
 
-// TestBesideSheds: where both processes could not have all connections open at once, kept ones are closed first; one with
+// TestReplacementSheds: where both processes could not have all connections open at once, kept ones are closed first; one with
 // a job passes on.
-func TestBesideSheds(t *testing.T) {
+func TestReplacementSheds(t *testing.T) {
 	p := newPlatform(t, take)
 	first := p.run(false).ready()
 	var kept []*line
@@ -325,14 +325,14 @@
 		c := p.dial()
 		id := fmt.Sprint("k", i)
 		c.say(job(id, "once", 5))
-		p.takes(p.hops[0], id)
+		p.takes(p.workers[0], id)
 		p.callBack(fmt.Sprintf(`{"id":%q,"from":"a","state":"done","result":"kept"}`, id))
 		c.hears(200, "kept")
 		kept = append(kept, c)
 	}
 	busy := p.dial()
 	busy.say(job("r1", "once", 5))
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	p.run(false).ready()
 	first.goes()
 	p.callBack(`{"id":"r1","from":"a","state":"done","result":"policy 1"}`)
@@ -350,8 +350,8 @@
 	}
 }
 
-// TestBesideHungProcess: a running process that does not answer is given up, and the newcomer starts by itself.
-func TestBesideHungProcess(t *testing.T) {
+// TestReplacementHungProcess: a running process that does not answer is given up, and the newcomer starts by itself.
+func TestReplacementHungProcess(t *testing.T) {
 	p := newPlatform(t, done)
 	first := p.run(false).ready()
 	first.cmd.Process.Signal(syscall.SIGSTOP)
@@ -365,12 +365,12 @@
 	}
 }
 
-// TestBesideKilledGiver: the running process is killed when everything has been handed over: the newcomer has it all.
-func TestBesideKilledGiver(t *testing.T) {
+// TestReplacementKilledGiver: the running process is killed when everything has been handed over: the newcomer has it all.
+func TestReplacementKilledGiver(t *testing.T) {
 	p := newPlatform(t, take)
 	first, c := p.withJob()
 	second := p.run(true)
-	p.awaitHeld()
+	p.waitHeld()
 	first.cmd.Process.Kill()
 	<-first.ended
 	p.release()
@@ -378,12 +378,12 @@
 	p.ends(c)
 }
 
-// TestBesideNewcomerDies: a newcomer that ends before it acts costs nothing, and the next one takes over.
-func TestBesideNewcomerDies(t *testing.T) {
+// TestReplacementNewcomerDies: a newcomer that ends before it acts costs nothing, and the next one takes over.
+func TestReplacementNewcomerDies(t *testing.T) {
 	p := newPlatform(t, take)
 	first, c := p.withJob()
 	second := p.run(true)
-	p.awaitHeld()
+	p.waitHeld()
 	second.cmd.Process.Kill()
 	<-second.ended
 	if status, _ := first.asks("GET", "/ops/readiness", ""); status != 200 {
@@ -395,25 +395,25 @@
 	third.posts("/ops/drain/stop", "")
 }
 
-// TestBesideSlowNewcomer: one that takes too long to take everything up is told that nothing is its own. It starts by
+// TestReplacementSlowNewcomer: one that takes too long to take everything up is told that nothing is its own. It starts by
 // itself, and the running process answers what it has.
-func TestBesideSlowNewcomer(t *testing.T) {
+func TestReplacementSlowNewcomer(t *testing.T) {
 	p := newPlatform(t, take)
 	first, c := p.withJob()
 	second := p.run(true)
-	p.awaitHeld()
+	p.waitHeld()
 	time.Sleep(2 * (meetOffer + meetCommit)) // what is being tested is that it takes too long
 	p.release()
 	// The hand-over is tried again; this time nobody holds it up.
-	p.awaitHeld()
+	p.waitHeld()
 	p.release()
 	second.ready()
 	first.goes()
 	p.ends(c)
 }
 
-// TestBesideTwoNewcomers: one of two that come at once takes over from the running process, the other one from it.
-func TestBesideTwoNewcomers(t *testing.T) {
+// TestReplacementTwoNewcomers: one of two that come at once takes over from the running process, the other one from it.
+func TestReplacementTwoNewcomers(t *testing.T) {
 	p := newPlatform(t, take)
 	first, c := p.withJob()
 	two := []*started{p.run(false), p.run(false)}
@@ -435,8 +435,8 @@
 	p.ends(c)
 }
 
-// TestBesideReloadDuringTheHold: SIGHUP to the running process is obeyed by whoever serves then.
-func TestBesideReloadDuringTheHold(t *testing.T) {
+// TestReplacementReloadDuringTheHold: SIGHUP to the running process is obeyed by whoever serves then.
+func TestReplacementReloadDuringTheHold(t *testing.T) {
 	p := newPlatform(t, done)
 	asked := make(chan struct{}, 8)
 	moved := listen(t, func(c *fasthttp.RequestCtx) {
@@ -445,7 +445,7 @@
 	})
 	first := p.run(false).ready()
 	second := p.run(true)
-	p.awaitHeld()
+	p.waitHeld()
 	p.moveDiscovery(moved)
 	first.cmd.Process.Signal(syscall.SIGHUP)
 	p.release()
--- a/cmd/foldlb/second_test.go
+++ b/cmd/foldlb/second_test.go
@@ -28,7 +28,7 @@
 
 // reports answers a job with call-backs of the states given, the last with a result.
 func reports(states ...string) play {
-	return func(w *world, h *hop, c *fasthttp.RequestCtx) {
+	return func(w *world, h *worker, c *fasthttp.RequestCtx) {
 		id := string(c.Request.Header.Peek("X-Txn"))
 		c.SetStatusCode(fasthttp.StatusAccepted)
 		go func() {
@@ -45,7 +45,7 @@
 		name, class string
 		play        play
 		status      int
-		jobs        int // that reach the two next hops
+		jobs        int // that reach the two workers
 	}{
 		{"progress", "payout", reports("started", "running", "running", "done"), 200, 1},
 		{"done before it is told to have started", "payout", reports("done", "started"), 200, 1},
@@ -60,7 +60,7 @@
 			t.Errorf("%s: answered %d %q, want %d", tc.name, status, body, tc.status)
 		}
 		if n := w.jobs(); tc.jobs != 0 && n < tc.jobs || tc.class == "payout" && tc.jobs == 1 && n > 1 {
-			t.Errorf("%s: %d jobs reached the next hops", tc.name, n)
+			t.Errorf("%s: %d jobs reached the workers", tc.name, n)
 		}
 	}
 }
@@ -68,11 +68,11 @@
 // TestSecondSitesHeaders: all that a caller's request carries is taken, passed on as the protocol says, or refused with the header's name.
 func TestSecondSitesHeaders(t *testing.T) {
 	seen := make(chan string, 8)
-	w := startOn(t, secondSite, active, func(w *world, h *hop, c *fasthttp.RequestCtx) {
+	w := startOn(t, secondSite, active, func(w *world, h *worker, c *fasthttp.RequestCtx) {
 		r := &c.Request
 		seen <- fmt.Sprintf("%s %s id=%s key=%s body=%s", r.Header.Method(), r.RequestURI(), r.Header.Peek("X-Txn"), r.Header.Peek("Idempotency-Key"), r.Body())
 		if string(r.Header.Peek("X-Remaining")) == "" {
-			t.Error("the next hop is not told how long the dispatcher waits")
+			t.Error("the worker is not told how long the dispatcher waits")
 		}
 		done(w, h, c)
 	})
@@ -82,7 +82,7 @@
 		t.Fatalf("answered %v %v", resp, err)
 	}
 	if got, want := <-seen, "POST /api/claims?kind=travel id=r1 key=k-1 body=the body"; got != want {
-		t.Errorf("the next hop got %q, want %q", got, want)
+		t.Errorf("the worker got %q, want %q", got, want)
 	}
 	for header, value := range map[string]string{"X-Labels": "slots", "X-Remaining": "-1", "X-Txn": "a/b", "X-Lane": "no-such"} {
 		headers := map[string]string{"X-Txn": "r2", "X-Lane": "claim-check", "X-Remaining": "1"}
@@ -115,7 +115,7 @@
 		}
 		answers <- resp.StatusCode()
 	}
-	go ask("first", "large") // from when it has waited for 20 ms on, the only next hop counts as full
+	go ask("first", "large") // from when it has waited for 20 ms on, the only worker counts as full
 	until := time.After(patience)
 	for n := 0; ; n++ {
 		go ask(fmt.Sprint("s", n), "small")
@@ -124,7 +124,7 @@
 			if status != 503 && status != 429 {
 				t.Fatalf("answered %d", status)
 			}
-		case <-time.After(50 * time.Millisecond): // it was let in, while the next hop did not count as full yet, or the share not as used up
+		case <-time.After(50 * time.Millisecond): // it was let in, while the worker did not count as full yet, or the share not as used up
 			continue
 		case <-until:
 			t.Fatal("no job over its tenant's share is turned away")
@@ -168,8 +168,8 @@
 // TestSecondSitesLists: lists are pushed, with workers of five zones; one that drains gets nothing new.
 func TestSecondSitesLists(t *testing.T) {
 	w := startOn(t, secondSite, active, done, done)
-	far := strings.ReplaceAll(w.entry(w.hops[1], active), `"zone":"a"`, `"zone":"e"`)
-	w.lists <- `{"version":2,"full":false,"servers":[` + w.entry(w.hops[0], `"state":"leaving"`) + `,` + far + `]}`
+	far := strings.ReplaceAll(w.entry(w.workers[1], active), `"zone":"a"`, `"zone":"e"`)
+	w.lists <- `{"version":2,"full":false,"servers":[` + w.entry(w.workers[0], `"state":"leaving"`) + `,` + far + `]}`
 	for i, want := range []string{"since=1&", "since=2&"} { // the second call: the first one's answer was taken
 		select {
 		case uri := <-w.asked:
@@ -190,6 +190,6 @@
 		}
 	}
 	if n < 5 {
-		t.Error("a next hop that drains gets jobs still")
+		t.Error("a worker that drains gets jobs still")
 	}
 }
--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -30,7 +30,7 @@
 const (
 	memoryPart     = 0.7 // of the memory, for the collector to keep to; the rest is stacks, buffers and code
 	reservedFiles  = 64  // descriptors for the listener, discovery, the runtime and the log
-	nextHopPart    = 3   // one in so many of the rest is for next hops, the others for callers
+	workerPart     = 3   // one in so many of the rest is for workers, the others for callers
 	queuedLines    = 64  // of the reducer's log
 	secondsToNanos = float64(time.Second)
 	mostDrain      = 3.0 // seconds of a deadline that a planned restart waits for
@@ -59,7 +59,7 @@
 		return keep()
 	}
 	if err == nil && pipe != nil {
-		t, err := s.takeUp(pipe, nil)
+		t, err := s.takeOver(pipe, nil)
 		if err != nil {
 			return fmt.Errorf("take over: %w", err)
 		}
@@ -88,7 +88,7 @@
 		return err
 	}
 	if held != nil {
-		return s.beside(ctx, held, door, reload)
+		return s.replaceRunning(ctx, held, door, reload)
 	}
 	ln, err := clientconn.Listen(ctx, s.cfg.Listen, clientconn.ListenWait, s.log)
 	if err != nil {
@@ -156,9 +156,9 @@
 		return err
 	}
 	if os.Getenv(envInherited) != "" {
-		n.legs.Shares(besideMost) // whoever served before may still do
+		n.clients.Shares(overlapMost) // whoever served before may still do
 	}
-	s.await(n)
+	s.acceptSuccessors(n)
 	defer end()
 	return n.serve(ctx, tcp, reload, false)
 }
@@ -171,9 +171,9 @@
 	end   func()
 }
 
-// takeUp takes everything up that the process at the other end of the pipe hands over. On an error, which that process
+// takeOver takes everything over that the process at the other end of the pipe hands over. On an error, which that process
 // is told, nothing is this one's own and nothing is left open.
-func (s setup) takeUp(pipe *upgrade.Pipe, door *ops.Door) (_ *takeover, err error) {
+func (s setup) takeOver(pipe *upgrade.Pipe, door *ops.Door) (_ *takeover, err error) {
 	gate := hold.NewGate()
 	var taken *upgrade.Taken
 	defer func() {
@@ -219,7 +219,7 @@
 		tcp.Close()
 		return nil, err
 	}
-	s.await(n) // danger: before everything is its own, newcomers must meet the process that has it
+	s.acceptSuccessors(n) // danger: before everything is its own, newcomers must meet the process that has it
 	return &takeover{n, tcp, taken, end}, nil
 }
 
@@ -244,10 +244,10 @@
 	debug.SetMemoryLimit(int64(most))
 }
 
-// connections divides the descriptors between callers and next hops.
-func connections(l core.Limits) (callers, hops int) {
+// connections divides the descriptors between callers and workers.
+func connections(l core.Limits) (callers, workers int) {
 	files := l.Sockets - reservedFiles
-	return files - files/nextHopPart, files / nextHopPart
+	return files - files/workerPart, files / workerPart
 }
 
 // stopAfter tells how long after SIGTERM what still waits must be answered: a planned restart waits for the
--- a/cmd/foldlb/serve_test.go
+++ b/cmd/foldlb/serve_test.go
@@ -18,32 +18,32 @@
 	"foldlb.example/foldlb/internal/config"
 )
 
-// One test with real sockets for each of the platform's rules: a whole dispatcher, with next hops and a
+// One test with real sockets for each of the platform's rules: a whole dispatcher, with workers and a
 // discovery service that the test plays.
 
 const patience = 10 * time.Second // for what must come; nothing is timed
 
-// hop is a next hop.
-type hop struct {
+// worker is one that a test plays.
+type worker struct {
 	id, addr string
 	got      chan string // what reached it, "METHOD path"
 	play     play
 }
 
-// play answers a job at a next hop.
-type play func(w *world, h *hop, c *fasthttp.RequestCtx)
+// play answers a job at a worker.
+type play func(w *world, h *worker, c *fasthttp.RequestCtx)
 
-func done(w *world, h *hop, c *fasthttp.RequestCtx) {
+func done(w *world, h *worker, c *fasthttp.RequestCtx) {
 	id := string(c.Request.Header.Peek("X-Txn"))
 	c.SetStatusCode(fasthttp.StatusAccepted)
 	go w.callBack(fmt.Sprintf(`{"id":%q,"from":%q,"state":"done","result":%q}`, id, h.id, "quote of "+h.id))
 }
 
-func take(_ *world, _ *hop, c *fasthttp.RequestCtx) { c.SetStatusCode(fasthttp.StatusAccepted) }
+func take(_ *world, _ *worker, c *fasthttp.RequestCtx) { c.SetStatusCode(fasthttp.StatusAccepted) }
 
-func breaks(_ *world, _ *hop, c *fasthttp.RequestCtx) { c.Conn().Close() }
+func breaks(_ *world, _ *worker, c *fasthttp.RequestCtx) { c.Conn().Close() }
 
-func turnAway(_ *world, _ *hop, c *fasthttp.RequestCtx) {
+func turnAway(_ *world, _ *worker, c *fasthttp.RequestCtx) {
 	c.Response.Header.Set("X-Turned-Away", "1")
 	c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 }
@@ -52,7 +52,7 @@
 type world struct {
 	t       *testing.T
 	addr    string
-	hops    []*hop
+	workers []*worker
 	watches chan *fasthttp.RequestCtx // discovery's calls; each waits for a word on lists
 	asked   chan string               // what the first of them ask for
 	lists   chan string
@@ -60,7 +60,7 @@
 	over    chan error
 }
 
-// start runs a dispatcher that knows next hops a, b ... with the plays given.
+// start runs a dispatcher that knows workers a, b ... with the plays given.
 func start(t *testing.T, entry string, plays ...play) *world {
 	t.Helper()
 	return startOn(t, configFile, entry, plays...)
@@ -77,14 +77,14 @@
 		lists: make(chan string, 8), over: make(chan error, 1)}
 	var entries []string
 	for i, p := range plays {
-		h := &hop{id: string(rune('a' + i)), got: make(chan string, 256), play: p}
+		h := &worker{id: string(rune('a' + i)), got: make(chan string, 256), play: p}
 		h.addr = listen(t, func(c *fasthttp.RequestCtx) {
 			h.got <- string(c.Method()) + " " + string(c.Path())
 			if c.IsPost() {
 				h.play(w, h, c)
 			}
 		})
-		w.hops = append(w.hops, h)
+		w.workers = append(w.workers, h)
 		entries = append(entries, w.entry(h, entry))
 	}
 	discovery := listen(t, func(c *fasthttp.RequestCtx) {
@@ -138,7 +138,7 @@
  {"name":"safe","effect":"idempotent","aim_s":1,"deadline_s":5,"worth":1}]}}`
 }
 
-func (w *world) entry(h *hop, state string) string {
+func (w *world) entry(h *worker, state string) string {
 	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"a","kind":"k","weight":1,%s}`, h.id, h.addr, state)
 }
 
@@ -187,9 +187,9 @@
 	return resp.StatusCode(), string(resp.Body())
 }
 
-// jobs takes what has reached the next hops and counts the jobs in it. It may be called once.
+// jobs takes what has reached the workers and counts the jobs in it. It may be called once.
 func (w *world) jobs() (n int) {
-	for _, h := range w.hops {
+	for _, h := range w.workers {
 		for range len(h.got) {
 			if strings.HasPrefix(<-h.got, "POST ") {
 				n++
@@ -216,7 +216,7 @@
 	}
 }
 
-// TestNoRequestDropped: a next hop that takes a job and keeps silent costs no answer, and is told.
+// TestNoRequestDropped: a worker that takes a job and keeps silent costs no answer, and is told.
 func TestNoRequestDropped(t *testing.T) {
 	w := start(t, active, take)
 	if status, _ := w.call("r", "once", "0.1"); status != 502 {
@@ -224,12 +224,12 @@
 	}
 	for _, want := range []string{"POST /api", "DELETE /jobs/r"} {
 		select {
-		case got := <-w.hops[0].got:
+		case got := <-w.workers[0].got:
 			if got != want {
-				t.Errorf("the next hop got %q, want %q", got, want)
+				t.Errorf("the worker got %q, want %q", got, want)
 			}
 		case <-time.After(patience):
-			t.Fatalf("the next hop did not get %q", want)
+			t.Fatalf("the worker did not get %q", want)
 		}
 	}
 }
@@ -240,7 +240,7 @@
 		name, class string
 		plays       []play
 		status      int
-		jobs        int // that reach the next hops; 0 for any
+		jobs        int // that reach the workers; 0 for any
 	}{
 		{"broken connection", "once", []play{breaks, breaks}, 502, 1},
 		{"one turns away", "once", []play{turnAway, done}, 200, 0},
@@ -257,7 +257,7 @@
 	}
 }
 
-// TestDrainKept: nothing new goes to a next hop once discovery has said that it leaves; the watch is
+// TestDrainKept: nothing new goes to a worker once discovery has said that it leaves; the watch is
 // renewed on its own connection, and asked again after a failure.
 func TestDrainKept(t *testing.T) {
 	w := start(t, active, done, done)
@@ -276,7 +276,7 @@
 	w.lists <- "" // discovery fails: the next call must come all the same
 	first := next()
 	from := first.RemoteAddr().String()
-	w.lists <- `{"version":2,"servers":[` + w.entry(w.hops[0], `"state":"leaving"`) + `]}`
+	w.lists <- `{"version":2,"servers":[` + w.entry(w.workers[0], `"state":"leaving"`) + `]}`
 	second := next()
 	if got := string(second.QueryArgs().Peek("since")); got != "2" || second.RemoteAddr().String() != from {
 		t.Errorf("renewed since %q from %s, want 2 from %s", got, second.RemoteAddr(), from)
@@ -288,17 +288,17 @@
 			t.Errorf("answered %d %q", status, body)
 		}
 	}
-	if n := len(w.hops[0].got); n != 0 {
-		t.Errorf("%d jobs reached the next hop that drains", n)
+	if n := len(w.workers[0].got); n != 0 {
+		t.Errorf("%d jobs reached the worker that drains", n)
 	}
 }
 
-// TestColdHopIsSpared: a burst right after a next hop's start must not fall on it.
-func TestColdHopIsSpared(t *testing.T) {
+// TestColdWorkerIsSpared: a burst right after a worker's start must not fall on it.
+func TestColdWorkerIsSpared(t *testing.T) {
 	const burst = 40
 	w := start(t, active, done, done)
 	w.lists <- fmt.Sprintf(`{"version":2,"servers":[%s]}`,
-		w.entry(w.hops[0], fmt.Sprintf(`"state":"active","started_ms":%d`, time.Now().UnixMilli())))
+		w.entry(w.workers[0], fmt.Sprintf(`"state":"active","started_ms":%d`, time.Now().UnixMilli())))
 	w.lists <- `{"version":3,"servers":[]}`
 	for range 3 {
 		<-w.watches
@@ -315,8 +315,8 @@
 			t.Errorf("answered %d", status)
 		}
 	}
-	if n := len(w.hops[0].got); n > burst/4 {
-		t.Errorf("%d of %d jobs fell on the cold next hop", n, burst)
+	if n := len(w.workers[0].got); n > burst/4 {
+		t.Errorf("%d of %d jobs fell on the cold worker", n, burst)
 	}
 }
 
@@ -381,7 +381,7 @@
 		status, _ := w.call("r", "once", "30")
 		answer <- status
 	}()
-	<-w.hops[0].got
+	<-w.workers[0].got
 	w.stop()
 	w.callBack(`{"id":"r","from":"a","state":"done","result":"late"}`)
 	if status := <-answer; status != 200 {
--- a/cmd/foldlb/stale_test.go
+++ b/cmd/foldlb/stale_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestEmptyListLosesNothing: discovery that has lost its state is asked for the whole list again, and jobs are served
-// meanwhile at the next hops held.
+// meanwhile at the workers held.
 func TestEmptyListLosesNothing(t *testing.T) {
 	w := start(t, active, done)
 	limit := time.After(patience)
@@ -28,7 +28,7 @@
 			if status, body := w.call("meanwhile", "safe", "5"); status != 200 || body != "quote of a" {
 				t.Errorf("while the list is asked for again: %d %q", status, body)
 			}
-			w.lists <- `{"version":3,"full":true,"servers":[` + w.entry(w.hops[0], active) + `]}`
+			w.lists <- `{"version":3,"full":true,"servers":[` + w.entry(w.workers[0], active) + `]}`
 			if status, _ := w.call("after", "safe", "5"); status != 200 {
 				t.Errorf("after the list: %d", status)
 			}
@@ -39,16 +39,16 @@
 	}
 }
 
-// TestNextHopAtANewAddress: a next hop that is known at an address where nobody listens any more is used at its new one,
+// TestWorkerAtANewAddress: a worker that is known at an address where nobody listens any more is used at its new one,
 // as soon as that is told, and a job that found nobody at the old one is served there.
-func TestNextHopAtANewAddress(t *testing.T) {
+func TestWorkerAtANewAddress(t *testing.T) {
 	w := start(t, active, done)
 	gone, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	gone.Close()
-	stale := *w.hops[0]
+	stale := *w.workers[0]
 	stale.addr = gone.Addr().String()
 	<-w.watches
 	w.lists <- `{"version":2,"full":true,"servers":[` + w.entry(&stale, active) + `]}`
@@ -58,7 +58,7 @@
 		status, _ := w.call("r", "once", "5")
 		served <- status
 	}()
-	w.lists <- `{"version":3,"full":false,"servers":[` + w.entry(w.hops[0], active) + `]}`
+	w.lists <- `{"version":3,"full":false,"servers":[` + w.entry(w.workers[0], active) + `]}`
 	select {
 	case status := <-served:
 		if status != 200 && status != 503 { // refused where nobody was there yet: it never ran
--- a/cmd/foldlb/upgrade_test.go
+++ b/cmd/foldlb/upgrade_test.go
@@ -51,7 +51,7 @@
 	main()
 }
 
-// process is a dispatcher in a process of its own, with the next hops and the discovery of a world.
+// process is a dispatcher in a process of its own, with the workers and the discovery of a world.
 type process struct {
 	*world
 	dir          string
@@ -63,20 +63,20 @@
 	ended        chan error
 }
 
-// stage makes next hops a, b ..., discovery, and a folder with the configuration of a dispatcher for them.
+// stage makes workers a, b ..., discovery, and a folder with the configuration of a dispatcher for them.
 func stage(t *testing.T, plays ...play) *process {
 	t.Helper()
 	w := &world{t: t, watches: make(chan *fasthttp.RequestCtx, 8), lists: make(chan string, 8)}
 	var entries []string
 	for i, p := range plays {
-		h := &hop{id: string(rune('a' + i)), got: make(chan string, 1024), play: p}
+		h := &worker{id: string(rune('a' + i)), got: make(chan string, 1024), play: p}
 		h.addr = listen(t, func(c *fasthttp.RequestCtx) {
 			h.got <- string(c.Method()) + " " + string(c.Request.Header.Peek("X-Txn")) + string(c.Path())
 			if c.IsPost() {
 				h.play(w, h, c)
 			}
 		})
-		w.hops = append(w.hops, h)
+		w.workers = append(w.workers, h)
 		entries = append(entries, w.entry(h, `"state":"active"`))
 	}
 	discovery := listen(t, w.discover)
@@ -97,7 +97,7 @@
 	return p
 }
 
-// launch starts a dispatcher process with next hops a, b ...
+// launch starts a dispatcher process with workers a, b ...
 func launch(t *testing.T, keepPID bool, plays ...play) *process {
 	t.Helper()
 	return launchWith(t, "", "", keepPID, plays...)
@@ -298,31 +298,31 @@
 	return fmt.Sprintf("POST /callback HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
-// takes waits until a next hop has been sent a job.
-func (p *process) takes(h *hop, id string) {
+// takes waits until a worker has been sent a job.
+func (p *process) takes(h *worker, id string) {
 	p.t.Helper()
 	p.gets(h, "POST "+id+"/api")
 }
 
-// gets waits until a next hop has been sent something.
-func (p *process) gets(h *hop, want string) {
+// gets waits until a worker has been sent something.
+func (p *process) gets(h *worker, want string) {
 	p.t.Helper()
 	select {
 	case got := <-h.got:
 		if got != want {
-			p.t.Fatalf("next hop %s got %q, want %q", h.id, got, want)
+			p.t.Fatalf("worker %s got %q, want %q", h.id, got, want)
 		}
 	case <-time.After(patience):
-		p.t.Fatalf("%q does not reach next hop %s", want, h.id)
+		p.t.Fatalf("%q does not reach worker %s", want, h.id)
 	}
 }
 
-// nothingAt tells that a next hop has been sent nothing more.
-func (p *process) nothingAt(h *hop) {
+// nothingAt tells that a worker has been sent nothing more.
+func (p *process) nothingAt(h *worker) {
 	p.t.Helper()
 	select {
 	case got := <-h.got:
-		p.t.Errorf("next hop %s got %q besides", h.id, got)
+		p.t.Errorf("worker %s got %q besides", h.id, got)
 	default:
 	}
 }
@@ -333,7 +333,7 @@
 	p := launch(t, false, take)
 	c, first, second := p.dial(), p.dial(), p.dial()
 	c.say(job("r1", "once", 5))
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	p.replaced(func() {
 		first.say(report("r1", "a", "done", "policy 1"))
 		second.say(report("r1", "a", "done", "policy 1"))
@@ -342,10 +342,10 @@
 	first.hears(200, "")
 	second.hears(200, "")
 	c.say(job("r2", "once", 5)) // the next answer on the connection is the next request's
-	p.takes(p.hops[0], "r2")
+	p.takes(p.workers[0], "r2")
 	first.say(report("r2", "a", "done", "policy 2"))
 	c.hears(200, "policy 2")
-	p.nothingAt(p.hops[0])
+	p.nothingAt(p.workers[0])
 }
 
 // TestUpgradeKeepsTheDoor: the new process answers at the operators' door, with a ban that was ordered of the old one.
@@ -368,7 +368,7 @@
 	p := launch(t, false, take)
 	c, back := p.dial(), p.dial()
 	c.say(job("r1", "once", 5))
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	text := report("r1", "a", "done", "policy 1")
 	back.say(text[:len(text)/2])
 	p.replaced(func() { back.say(text[len(text)/2:]) })
@@ -405,11 +405,11 @@
 	p := launch(t, false, take)
 	c := p.dial()
 	c.say(job("r1", "once", 5) + job("r2", "once", 5)[:30])
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	p.replaced(func() { c.say(job("r2", "once", 5)[30:]) })
 	p.callBack(`{"id":"r1","from":"a","state":"done","result":"one"}`)
 	c.hears(200, "one")
-	p.takes(p.hops[0], "r2")
+	p.takes(p.workers[0], "r2")
 	p.callBack(`{"id":"r2","from":"a","state":"done","result":"two"}`)
 	c.hears(200, "two")
 }
@@ -421,7 +421,7 @@
 	due := make(chan struct{})
 	p.replaced(func() {}) // the first one, so that the times below begin in a process that is warm
 	c.say(job("r1", "once", 0.7))
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	go func() { time.Sleep(700 * time.Millisecond); close(due) }()
 	p.replaced(func() {
 		select {
@@ -431,7 +431,7 @@
 	})
 	c.hears(502, "")
 	c.say(job("r2", "once", 5))
-	for got := range p.hops[0].got { // the first job may be given up before the second arrives
+	for got := range p.workers[0].got { // the first job may be given up before the second arrives
 		if got == "POST r2/api" {
 			break
 		}
@@ -446,11 +446,11 @@
 	c := p.dial()
 	c.say(job("r1", "once", 5))
 	c.hears(200, "quote of a")
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	p.replaced(nil)
 	c.say(job("r1", "once", 5))
 	c.hears(400, "in use")
-	p.nothingAt(p.hops[0])
+	p.nothingAt(p.workers[0])
 }
 
 // TestUpgradeCallerLeaves: a caller that goes away during the hold is noticed, its job is given up, and its late result reaches nobody.
@@ -458,12 +458,12 @@
 	p := launch(t, false, take)
 	c, other := p.dial(), p.dial()
 	c.say(job("r1", "once", 5))
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	p.replaced(func() { c.Close() })
-	p.gets(p.hops[0], "DELETE /jobs/r1")
+	p.gets(p.workers[0], "DELETE /jobs/r1")
 	p.callBack(`{"id":"r1","from":"a","state":"done","result":"one"}`)
 	other.say(job("r2", "once", 5))
-	p.takes(p.hops[0], "r2")
+	p.takes(p.workers[0], "r2")
 	p.callBack(`{"id":"r2","from":"a","state":"done","result":"two"}`)
 	other.hears(200, "two")
 }
@@ -482,7 +482,7 @@
 	nc.SetDeadline(time.Now().Add(patience))
 	c := &line{nc, bufio.NewReaderSize(nc, 512), t}
 	c.say(job("r1", "once", 5))
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	var result strings.Builder
 	for i := range 8000 {
 		fmt.Fprintf(&result, "%07d ", i)
@@ -495,14 +495,14 @@
 	p.replaced(nil)
 	c.hears(200, result.String()[:60000])
 	c.say(job("r2", "once", 5))
-	p.takes(p.hops[0], "r2")
+	p.takes(p.workers[0], "r2")
 }
 
-// TestUpgradeKeptConnectionEnds: a next hop closes a kept connection while everything is held; the next job that
+// TestUpgradeKeptConnectionEnds: a worker closes a kept connection while everything is held; the next job that
 // must not run twice goes to it on another.
 func TestUpgradeKeptConnectionEnds(t *testing.T) {
 	conns := make(chan net.Conn, 8)
-	p := launch(t, false, func(w *world, h *hop, c *fasthttp.RequestCtx) {
+	p := launch(t, false, func(w *world, h *worker, c *fasthttp.RequestCtx) {
 		conns <- c.Conn()
 		done(w, h, c)
 	})
@@ -530,12 +530,12 @@
 	}
 }
 
-// TestUpgradeDrainDuringTheHold: discovery tells a drain while everything is held; nothing new reaches that next hop.
+// TestUpgradeDrainDuringTheHold: discovery tells a drain while everything is held; nothing new reaches that worker.
 func TestUpgradeDrainDuringTheHold(t *testing.T) {
 	p := launch(t, false, done, done)
 	<-p.watches
 	p.replaced(func() {
-		p.lists <- fmt.Sprintf(`{"version":9,"full":false,"servers":[%s]}`, p.entry(p.hops[0], `"state":"leaving"`))
+		p.lists <- fmt.Sprintf(`{"version":9,"full":false,"servers":[%s]}`, p.entry(p.workers[0], `"state":"leaving"`))
 	})
 	select { // the next call says that the news were read, by the process that now serves
 	case w := <-p.watches:
@@ -548,14 +548,14 @@
 	c := p.dial()
 	c.say(job("first", "safe", 5)) // behind the news in the reducer's queue, or beside it: not judged
 	c.hears(200, "quote")
-	for len(p.hops[0].got) > 0 {
-		<-p.hops[0].got
+	for len(p.workers[0].got) > 0 {
+		<-p.workers[0].got
 	}
 	for i := range 20 {
 		c.say(job(fmt.Sprint("r", i), "safe", 5))
 		c.hears(200, "quote of b")
 	}
-	p.nothingAt(p.hops[0])
+	p.nothingAt(p.workers[0])
 }
 
 // TestUpgradeOrdersThatCross: SIGTERM, SIGHUP and a second upgrade during the hold.
@@ -564,7 +564,7 @@
 	<-p.watches
 	c := p.dial()
 	c.say(job("r1", "once", 5))
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	other := listen(t, func(c *fasthttp.RequestCtx) { // another discovery, which SIGHUP names
 		p.watches <- c
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -575,7 +575,7 @@
 		if second.Result != upgrade.Refusal {
 			t.Errorf("a second upgrade ended as %+v", second)
 		}
-		p.write("config.json", configFile(p.addr, other, p.entry(p.hops[0], `"state":"active"`)))
+		p.write("config.json", configFile(p.addr, other, p.entry(p.workers[0], `"state":"active"`)))
 		syscall.Kill(p.pid, syscall.SIGHUP)
 		p.putOff()
 	})
@@ -609,7 +609,7 @@
 	p := launch(t, false, take)
 	c := p.dial()
 	c.say(job("r1", "once", 5))
-	p.takes(p.hops[0], "r1")
+	p.takes(p.workers[0], "r1")
 	final := make(chan upgrade.Progress, 1)
 	go func() {
 		var last upgrade.Progress
@@ -710,7 +710,7 @@
 			}
 			if last.Step == upgrade.Following.String() {
 				c.say(job(id, "once", 5))
-				p.takes(p.hops[0], id)
+				p.takes(p.workers[0], id)
 			}
 			return nil
 		})
@@ -721,7 +721,7 @@
 		p.callBack(fmt.Sprintf(`{"id":%q,"from":"a","state":"done","result":"policy"}`, id))
 		c.hears(200, "policy")
 	}
-	p.nothingAt(p.hops[0])
+	p.nothingAt(p.workers[0])
 }
 
 // TestSupervisorsAreTold: who supervises by a PID file or a notification socket knows at once who serves.
