--- a/internal/snapshot/events.go
+++ b/internal/snapshot/events.go
@@ -6,7 +6,7 @@
 	"foldlb.example/foldlb/internal/core"
 )
 
-// Event carries one of the reducer's events; just one field is set. It is the form in which events that were
+// Event carries one of the reducer's events; just one field is set. It is the format in which events that were
 // taken and not applied yet pass from one process to another.
 type Event struct {
 	CallArrived     *core.CallArrived     `cbor:"1,keyasint,omitempty"`
@@ -110,7 +110,7 @@
 	return Event{}, fmt.Errorf("snapshot: event %T can't be written down", ev)
 }
 
-// Unpack takes the event out of its carrier. A carrier without one is an error that wraps ErrForm.
+// Unpack takes the event out of its carrier. A carrier without one is an error that wraps ErrFormat.
 func (e Event) Unpack() (core.Event, error) {
 	switch {
 	case e.CallArrived != nil:
@@ -174,5 +174,5 @@
 	case e.RemoveOrdered != nil:
 		return *e.RemoveOrdered, nil
 	}
-	return nil, fmt.Errorf("%w: an event of no known kind", ErrForm)
+	return nil, fmt.Errorf("%w: an event of no known kind", ErrFormat)
 }
--- a/internal/snapshot/fuzz_test.go
+++ b/internal/snapshot/fuzz_test.go
@@ -22,7 +22,7 @@
 		}
 		st, err := Decode(text)
 		if err != nil {
-			for _, named := range []error{ErrTruncated, ErrMagic, ErrSchema, ErrTooLarge, ErrChecksum, ErrForm} {
+			for _, named := range []error{ErrTruncated, ErrMagic, ErrSchema, ErrTooLarge, ErrChecksum, ErrFormat} {
 				if errors.Is(err, named) {
 					return
 				}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -14,7 +14,7 @@
 	"foldlb.example/foldlb/internal/core"
 )
 
-// Schema is the version of the form written here. It changes whenever a reader of the last one would misread it.
+// Schema is the version of the format written here. It changes whenever a reader of the last one would misread it.
 const Schema uint16 = 2
 
 // MostBytes bounds a snapshot: 4,096 open requests with full bodies of 64 KiB.
@@ -34,7 +34,7 @@
 	ErrSchema    = errors.New("snapshot: schema version not known")
 	ErrTooLarge  = errors.New("snapshot: too large")
 	ErrChecksum  = errors.New("snapshot: checksum does not match")
-	ErrForm      = errors.New("snapshot: not of the form that its schema names")
+	ErrFormat    = errors.New("snapshot: not of the format that its schema names")
 )
 
 var (
@@ -63,10 +63,10 @@
 // Marshal writes a value as CBOR, without a header.
 func Marshal(v any) ([]byte, error) { return encoder.Marshal(v) }
 
-// Unmarshal reads what Marshal wrote. Its errors wrap ErrForm.
+// Unmarshal reads what Marshal wrote. Its errors wrap ErrFormat.
 func Unmarshal(text []byte, v any) error {
 	if err := decoder.Unmarshal(text, v); err != nil {
-		return fmt.Errorf("%w: %w", ErrForm, err)
+		return fmt.Errorf("%w: %w", ErrFormat, err)
 	}
 	return nil
 }
--- a/internal/snapshot/twin_test.go
+++ b/internal/snapshot/twin_test.go
@@ -189,9 +189,9 @@
 		{"another schema", change(5, 2), ErrSchema},
 		{"an altered checksum", change(15, 1), ErrChecksum},
 		{"an altered body", change(len(good)-5, 1), ErrChecksum},
-		{"no CBOR", Seal([]byte("nonsense")), ErrForm},
-		{"CBOR of another form", Seal([]byte{0x83, 1, 2, 3}), ErrForm},
-		{"a deep nest", Seal(append(make([]byte, 0, 99), []byte("\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x80")...)), ErrForm},
+		{"no CBOR", Seal([]byte("nonsense")), ErrFormat},
+		{"CBOR of another format", Seal([]byte{0x83, 1, 2, 3}), ErrFormat},
+		{"a deep nest", Seal(append(make([]byte, 0, 99), []byte("\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x80")...)), ErrFormat},
 	} {
 		if _, err := Decode(tc.text); !errors.Is(err, tc.want) {
 			t.Errorf("%s: %v, want %v", tc.name, err, tc.want)
@@ -286,7 +286,7 @@
 			t.Errorf("%+v came back as %+v, %v", ev, got, err)
 		}
 	}
-	if _, err := (Event{}).Unpack(); !errors.Is(err, ErrForm) {
+	if _, err := (Event{}).Unpack(); !errors.Is(err, ErrFormat) {
 		t.Errorf("no event: %v", err)
 	}
 }
