--- a/internal/upgrade/messages.go
+++ b/internal/upgrade/messages.go
@@ -169,7 +169,7 @@
 	case kindCancelled:
 		return as[Cancelled](text)
 	}
-	return nil, fmt.Errorf("%w: message of unknown kind %d", snapshot.ErrForm, kind)
+	return nil, fmt.Errorf("%w: message of unknown kind %d", snapshot.ErrFormat, kind)
 }
 
 func as[T any](text []byte) (any, error) {
--- a/internal/upgrade/parcel_bench_test.go
+++ b/internal/upgrade/parcel_bench_test.go
@@ -12,17 +12,17 @@
 )
 
 type benchConn struct {
-	File  int
-	Conn  hold.ConnState
-	Phase uint8
-	Leg   uint64
+	File     int
+	Conn     hold.ConnState
+	Phase    uint8
+	Exchange uint64
 }
 
 // BenchmarkParcelOf2000 reads a parcel of 2,000 connections and puts each behind a gate.
 func BenchmarkParcelOf2000(b *testing.B) {
 	var st struct{ Conns []benchConn }
 	for i := range 2000 {
-		st.Conns = append(st.Conns, benchConn{File: -i, Conn: hold.ConnState{ReadIn: 70}, Phase: 2, Leg: uint64(i)})
+		st.Conns = append(st.Conns, benchConn{File: -i, Conn: hold.ConnState{ReadIn: 70}, Phase: 2, Exchange: uint64(i)})
 	}
 	raw, err := snapshot.Marshal(st)
 	if err != nil {
--- a/internal/upgrade/pipe_test.go
+++ b/internal/upgrade/pipe_test.go
@@ -59,9 +59,9 @@
 
 func TestHostileMessages(t *testing.T) {
 	for text, want := range map[string]error{
-		"\x63\x00\x00\x00\x00":         snapshot.ErrForm,     // an unknown kind
+		"\x63\x00\x00\x00\x00":         snapshot.ErrFormat,   // an unknown kind
 		"\x01\xff\xff\xff\xff":         snapshot.ErrTooLarge, // four gigabytes
-		"\x01\x00\x00\x00\x02\xff\xff": snapshot.ErrForm,     // no CBOR
+		"\x01\x00\x00\x00\x02\xff\xff": snapshot.ErrFormat,   // no CBOR
 		"\x01\x00\x00\x00\x05ab":       io.ErrUnexpectedEOF,  // cut short
 		"\x01\x00":                     io.ErrUnexpectedEOF,
 	} {
--- a/internal/upgrade/taker.go
+++ b/internal/upgrade/taker.go
@@ -101,7 +101,7 @@
 			t.opened = time.Now()
 			return t, err
 		default:
-			return nil, fmt.Errorf("%w: %T was not expected", snapshot.ErrForm, m)
+			return nil, fmt.Errorf("%w: %T was not expected", snapshot.ErrFormat, m)
 		}
 	}
 }
@@ -121,7 +121,7 @@
 // follow takes the old process's step and compares. After the first difference there is nothing to compare with.
 func (t *Taken) follow(twin *core.Reducer, f Followed) error {
 	if twin == nil {
-		return fmt.Errorf("%w: a step before the first snapshot", snapshot.ErrForm)
+		return fmt.Errorf("%w: a step before the first snapshot", snapshot.ErrFormat)
 	}
 	t.followed++
 	if t.differed > 0 {
@@ -189,7 +189,7 @@
 	}
 	st, ok := m.(State)
 	if !ok {
-		return nil, fmt.Errorf("%w: %T where the state was expected", snapshot.ErrForm, m)
+		return nil, fmt.Errorf("%w: %T where the state was expected", snapshot.ErrFormat, m)
 	}
 	return restore(st.Reducer, settings)
 }
@@ -204,7 +204,7 @@
 		if !ok && part.Optional {
 			continue
 		} else if !ok {
-			return fmt.Errorf("%w: nothing for %s", snapshot.ErrForm, part.Name)
+			return fmt.Errorf("%w: nothing for %s", snapshot.ErrFormat, part.Name)
 		}
 		if err := part.Import(raw, t.Files); err != nil {
 			return err
@@ -236,7 +236,7 @@
 		return fmt.Errorf("%w: %s", ErrCancelled, c.Reason)
 	}
 	if _, ok := m.(Go); !ok {
-		return fmt.Errorf("%w: %T where the word to go was expected", snapshot.ErrForm, m)
+		return fmt.Errorf("%w: %T where the word to go was expected", snapshot.ErrFormat, m)
 	}
 	if err := t.pipe.Send(Acting{}); err != nil && !ended(err) {
 		return err
