--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -44,7 +44,7 @@
 
 const envDiscovery = "NODE_DISCOVERY"
 
-// file is NODE_CONFIG's form. Keys it does not name are skipped.
+// file is NODE_CONFIG's format. Keys it does not name are skipped.
 type file struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
--- a/internal/config/shared.go
+++ b/internal/config/shared.go
@@ -17,7 +17,7 @@
 // ErrShared says that a shared part can't be. Errors of With wrap it.
 var ErrShared = errors.New("the settings' shared part")
 
-// sharedOf is the part of the settings that the dispatchers of a fleet share, in one form: keys sorted, no blanks.
+// sharedOf is the part of the settings that the dispatchers of a fleet share, in one format: keys sorted, no blanks.
 func sharedOf(settings []byte) ([]byte, error) {
 	all, err := object(settings)
 	if err != nil {
--- a/internal/config/sites_test.go
+++ b/internal/config/sites_test.go
@@ -17,7 +17,7 @@
 	keys map[string]string
 }
 
-// sections reads the form that site files keep to: sections, and one key = value a line. Anything else is an error.
+// sections reads the format that site files keep to: sections, and one key = value a line. Anything else is an error.
 func sections(text string) (all []section, err error) {
 	all = []section{{keys: map[string]string{}}}
 	for no, line := range strings.Split(text, "\n") {
@@ -45,7 +45,7 @@
 	return found
 }
 
-// TestOwnSites: the customers written for the acceptance load: their files are of the site files' form, what they name is beside them, and the
+// TestOwnSites: the customers written for the acceptance load: their files are of the site files' format, what they name is beside them, and the
 // settings that such a deployment's dispatchers are told are taken with every class as it is written. No two are alike in names or number of
 // classes, in how lists come or in whether copies are allowed.
 func TestOwnSites(t *testing.T) {
