--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -81,7 +81,7 @@
 		Offer: 300 * time.Millisecond, Commit: 100 * time.Millisecond}, Log: Log{Format: "text"}}
 }
 
-// file is the form of the operator file.
+// file is the format of the operator file.
 type file struct {
 	Control *struct {
 		Socket *string `hcl:"socket"`
