--- a/internal/routeset/list.go
+++ b/internal/routeset/list.go
@@ -13,7 +13,7 @@
 
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
 
-// list is discovery's form of a route set. Keys it does not name are skipped.
+// list is discovery's format of a route set. Keys it does not name are skipped.
 type list struct {
 	Version *int64 `json:"version"`
 	Full    bool   `json:"full"`
