--- a/internal/audit/trail/trail_test.go
+++ b/internal/audit/trail/trail_test.go
@@ -252,9 +252,9 @@
 
 func (s slow) Seek(at int64, whence int) (int64, error) { return s.file.(io.Seeker).Seek(at, whence) }
 
-// TestSlowDiskDelaysNobody, and what it could not take is recorded as a gap.
-func TestSlowDiskDelaysNobody(t *testing.T) {
-	dir := t.TempDir()
+// unstarted is a writer with its folder locked and its file open, whose goroutine the test starts.
+func unstarted(t *testing.T, dir string) *Writer {
+	t.Helper()
 	w := &Writer{o: options(dir), queue: make(chan Record, mostQueued), done: make(chan struct{}), warn: func(error) {}}
 	var err error
 	if w.lock, err = lock(dir); err != nil {
@@ -263,6 +263,13 @@
 	if _, err := w.open(); err != nil {
 		t.Fatal(err)
 	}
+	return w
+}
+
+// TestSlowDiskDelaysNobody, and what it could not take is recorded as a gap.
+func TestSlowDiskDelaysNobody(t *testing.T) {
+	dir := t.TempDir()
+	w := unstarted(t, dir)
 	wait := make(chan struct{})
 	w.f = slow{file: w.f, wait: wait}
 	go w.run()
@@ -286,14 +293,7 @@
 // TestFullDisk: half a record that was written is taken back, and the record goes on behind a gap when there is room again.
 func TestFullDisk(t *testing.T) {
 	dir := t.TempDir()
-	w := &Writer{o: options(dir), queue: make(chan Record, mostQueued), done: make(chan struct{}), warn: func(error) {}}
-	var err error
-	if w.lock, err = lock(dir); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := w.open(); err != nil {
-		t.Fatal(err)
-	}
+	w := unstarted(t, dir)
 	fail := false
 	w.f = slow{file: w.f, fail: &fail}
 	for i := range 5 {
