--- a/coord/watch/client.go
+++ b/coord/watch/client.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	dialTimeout    = time.Second
+	dialTimeout    = 250 * time.Millisecond // a machine without power loses the opening packet, which TCP repeats after a second
 	userTimeout    = MaxSilence
 	readBufferSize = 4 << 10
 )
--- a/internal/cluster/transport.go
+++ b/internal/cluster/transport.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	dialTimeout         = 300 * time.Millisecond
+	dialTimeout         = 250 * time.Millisecond
 	userTimeout         = 800 * time.Millisecond // unacknowledged data ends a connection after it
 	idleConnTimeout     = 30 * time.Second
 	maxIdleConns        = 256
--- a/internal/controlplane/transport.go
+++ b/internal/controlplane/transport.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	peerDialTimeout = 400 * time.Millisecond
+	peerDialTimeout = 250 * time.Millisecond
 	peerUserTimeout = 2 * time.Second // after which a connection ends whose peer acknowledges nothing
 	idleConnections = 2               // kept to each control process
 )
