Answer at once where most stores are out of reach

While most stores were without power, messages waited for dials and silent owners until the client's deadline.

--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -34,7 +34,7 @@
 	client := &Client{
 		options: options,
 		book:    newAddressBook(options.Settings.Seeds),
-		clients: newClients(),
+		clients: newClients(dialTimeoutFor(options.Settings.Zones)),
 		lease:   newLease(),
 		kicks:   make(chan struct{}, 1),
 		first:   newView(),
--- a/internal/cluster/transport.go
+++ b/internal/cluster/transport.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	dialTimeout         = 250 * time.Millisecond
+	nearDialTimeout     = 100 * time.Millisecond // where all zones are in one region
+	farDialTimeout      = 250 * time.Millisecond
 	userTimeout         = 800 * time.Millisecond // unacknowledged data ends a connection after it
 	idleConnTimeout     = 30 * time.Second
 	maxIdleConns        = 256
@@ -25,7 +26,7 @@
 
 // newTransport returns the transport of the internal protocol. Connections to silent machines end after
 // userTimeout.
-func newTransport() *http.Transport {
+func newTransport(dialTimeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: boundUnacknowledged}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
@@ -53,6 +54,18 @@
 	return optionErr
 }
 
+// dialTimeoutFor bounds the making of a connection by how far apart the machines are.
+func dialTimeoutFor(zones map[string]string) time.Duration {
+	region := ""
+	for _, other := range zones {
+		if region != "" && other != region {
+			return farDialTimeout
+		}
+		region = other
+	}
+	return nearDialTimeout
+}
+
 // clients caches one client for each address, over one shared transport.
 type clients struct {
 	http     *http.Client
@@ -61,9 +74,9 @@
 	controls map[string]rpc.Control
 }
 
-func newClients() *clients {
+func newClients(dialTimeout time.Duration) *clients {
 	return &clients{
-		http:     &http.Client{Transport: newTransport()},
+		http:     &http.Client{Transport: newTransport(dialTimeout)},
 		stores:   map[string]rpc.Store{},
 		controls: map[string]rpc.Control{},
 	}
--- a/internal/ingest/accept.go
+++ b/internal/ingest/accept.go
@@ -21,6 +21,7 @@
 	maxPuts       = 24                     // of one message, over all stores
 	ownerPatience = 40 * time.Millisecond  // after it a silent owner is gone round, within the hedge budget
 	silenceBound  = 200 * time.Millisecond // after it a silent owner is gone round in any case, and counts as unreachable
+	hopelessCheck = 50 * time.Millisecond  // between looks at whether other stores answer, while the owner is silent
 	repeatDelay   = 100 * time.Millisecond // before a repeat at an owner that failed
 	staleDelay    = 25 * time.Millisecond  // before a repeat at an owner that disowned the partition
 )
@@ -99,6 +100,9 @@
 		return now, a.failure()
 	}
 	a.noteSilence(now)
+	if a.hopeless(now) {
+		return now, a.failure()
+	}
 	if a.holders.begun {
 		a.sendToHolders()
 	}
@@ -150,6 +154,15 @@
 	}
 }
 
+// hopeless reports whether the owner has been silent for long and most stores are out of reach: what is held on then is held in
+// vain.
+func (a *acceptance) hopeless(now time.Time) bool {
+	if a.owner.store == nil || now.Sub(a.ownerSent) < silenceBound {
+		return false
+	}
+	return a.dispatcher.health.mostUnreachable(a.view.Stores())
+}
+
 // nextNote is the next moment at which silence is noted, or the deadline.
 func (a *acceptance) nextNote() time.Time {
 	switch {
@@ -157,6 +170,8 @@
 		return a.atMost(a.ownerSent.Add(ownerPatience))
 	case a.pending > 0 && !a.silentNoted:
 		return a.atMost(a.ownerSent.Add(silenceBound))
+	case a.pending > 0:
+		return a.atMost(time.Now().Add(hopelessCheck))
 	default:
 		return a.message.deadline
 	}
--- a/internal/ingest/handler.go
+++ b/internal/ingest/handler.go
@@ -11,7 +11,7 @@
 	typeAsync     = "async"
 	pathMessage   = "/api/message/"
 	pathBody      = "/api/message-body/"
-	retryAfterOne = "0"
+	retryAfterOne = "1"
 
 	headerRetryAfter = "Retry-After"
 	contentJSON      = "application/json"
--- a/internal/ingest/health.go
+++ b/internal/ingest/health.go
@@ -6,10 +6,13 @@
 	"net"
 	"sync"
 	"time"
+
+	"foldlb.example/foldlb/internal/rpc"
 )
 
 const (
 	suspectAfter    = 2                      // answers in a row that did not come in time
+	lateAfter       = 4                      // answers in a row that let ownerPatience pass, before a store counts as unreachable
 	firstSuspicion  = 300 * time.Millisecond // the next in a row last longer
 	longSuspicion   = time.Second
 	failureLifetime = 3 * time.Second // a failure older than this says nothing of now
@@ -75,6 +78,20 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.store(address).slow.add(suspectAfter)
+	h.store(address).unreachable.add(lateAfter)
+}
+
+// mostUnreachable reports whether more than half of the stores are unreachable, so that waiting for a new owner is in vain.
+func (h *health) mostUnreachable(stores []*rpc.StoreMember) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	unreachable := 0
+	for _, member := range stores {
+		if store := h.stores[member.Address]; store != nil && store.unreachable.holds() {
+			unreachable++
+		}
+	}
+	return 2*unreachable > len(stores)
 }
 
 // silent notes that a store has not answered for silenceBound.
