--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -33,7 +33,7 @@
 	partGrace   = 100 * time.Millisecond // for a new one with part of its first request
 )
 
-// legConn is a connection that a caller or a worker opened.
+// conn is a connection that a caller or a worker opened.
 type conn struct {
 	*hold.Conn
 	release func(*conn)
--- a/internal/clientconn/end_test.go
+++ b/internal/clientconn/end_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"foldlb.example/foldlb/internal/core"
 )
 
@@ -51,6 +53,17 @@
 	}
 }
 
+// received tells how many bytes have come on a connection since it was opened, whether or not they were read.
+func received(t *testing.T, c *conn) uint64 {
+	t.Helper()
+	var info *unix.TCPInfo
+	var err error
+	if open := c.FD(func(fd int) { info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) }); open != nil || err != nil {
+		t.Fatal(open, err)
+	}
+	return info.Bytes_received
+}
+
 // TestRequestInTheMomentOfTheClose: a resting connection is chosen for its end, and its client's next request comes just then. It is not taken, by
 // no part of the server, and its client sees an orderly end, upon which it sends it again elsewhere.
 func TestRequestInTheMomentOfTheClose(t *testing.T) {
@@ -65,13 +78,11 @@
 			t.Fatal("a resting connection is not claimed")
 		}
 	}
+	before := received(t, conn)
 	c.send(ask, "hi") // its reader gets this, after the claim and before the end is said
-	for limit := time.Now().Add(patience); conn.Silent(); runtime.Gosched() {
-		f.s.mu.Lock()
-		_, open := f.s.conns[conn]
-		f.s.mu.Unlock()
-		if !open || time.Now().After(limit) {
-			break // read, and left alone
+	for limit := time.Now().Add(patience / 2); received(t, conn) == before || !conn.Silent(); runtime.Gosched() {
+		if time.Now().After(limit) {
+			t.Fatal("the reader does not get the request")
 		}
 	}
 	conn.end()
