--- a/internal/delivery/lane.go
+++ b/internal/delivery/lane.go
@@ -25,7 +25,8 @@
 	downPauseMost  = 500 * time.Millisecond
 	overRatePause  = 200 * time.Millisecond // after an endpoint answered 429
 
-	usablePart = 0.9 // of the connections that a worker takes
+	usablePart   = 0.9  // of the connections that a worker takes
+	handOverPart = 0.45 // where one process delivers: the one before it may still hold as many
 )
 
 // lane is the way of all deliveries to one service. Deliveries pass at once as long as nothing holds them back: the
@@ -96,11 +97,11 @@
 
 // connectionLimit is how many connections this process may hold to each worker.
 func (l *lane) connectionLimit() int {
-	limit := usablePart * float64(l.service.MaxConns)
-	if l.bucket == nil {
-		limit /= float64(l.engine.dispatchers)
+	connections := float64(l.service.MaxConns)
+	if l.bucket != nil {
+		return max(1, int(handOverPart*connections))
 	}
-	return max(1, int(limit))
+	return max(1, int(usablePart*connections/float64(l.engine.dispatchers)))
 }
 
 // submit lets a delivery pass, or has it wait its turn.
