Leave refused dispatchers and slow lists out of the fits of a scale run

A point at which some dispatchers were refused a stream told only of those that were served; a list read at the platform's pace told of the pace.

--- a/cmd/foldlb-scale/measure.go
+++ b/cmd/foldlb-scale/measure.go
@@ -25,7 +25,7 @@
 // measurePoint starts a system of a size and measures it at rest, then while configurations change.
 func measurePoint(ctx context.Context, binaries string, wanted size) (point, error) {
 	measured := point{Dispatchers: wanted.dispatchers, Destinations: wanted.destinations, Routes: wanted.routes,
-		RealDispatchers: wanted.realOnes, Stores: storeCount, Relays: wanted.relays}
+		ListCallsPerS: wanted.cloudRate, RealDispatchers: wanted.realOnes, Stores: storeCount, Relays: wanted.relays}
 	running, err := startSystem(ctx, binaries, wanted)
 	if err != nil {
 		return measured, err
@@ -142,7 +142,7 @@
 // measureDestinations measures a size while its list changes.
 func measureDestinations(ctx context.Context, binaries string, wanted size) (point, error) {
 	measured := point{Dispatchers: wanted.dispatchers, Destinations: wanted.destinations, Routes: wanted.routes,
-		RealDispatchers: wanted.realOnes, Stores: storeCount}
+		ListCallsPerS: wanted.cloudRate, RealDispatchers: wanted.realOnes, Stores: storeCount}
 	running, err := startSystem(ctx, binaries, wanted)
 	if err != nil {
 		return measured, err
--- a/cmd/foldlb-scale/plot.go
+++ b/cmd/foldlb-scale/plot.go
@@ -98,7 +98,7 @@
 func charts(records map[string]*record) []chart {
 	var all []chart
 	if r := records["dispatchers"]; r != nil {
-		all = append(all, leaderChart(r.Points, records["relays"]), inForceChart(r.Points))
+		all = append(all, leaderChart(r.Points, records["relays"]), inForceChart(r.Points, records["relays"]))
 	}
 	if r := records["destinations"]; r != nil {
 		all = append(all, destinationChart(r.Points))
@@ -116,7 +116,7 @@
 const leaderGoal = 72
 
 func leaderChart(points []point, relays *record) chart {
-	made := chart{file: "leader-core", title: "Leader at rest, by dispatchers", xLabel: "dispatchers", yLabel: "% of a core",
+	made := chart{file: "leader-core", title: "Leader at rest (over 1,017 are refused and ask again)", xLabel: "dispatchers", yLabel: "% of a core",
 		goal: leaderGoal, goalName: "share of a control machine"}
 	made.add("without relays", points, always, dispatchersOf, func(p point) float64 { return p.Steady[roleLeader].CorePercent })
 	if relays != nil {
@@ -125,12 +125,16 @@
 	return made
 }
 
-func inForceChart(points []point) chart {
-	made := chart{file: "in-force", title: "Time until a configuration is in force (only subscribers that were reached)", xLabel: "dispatchers", yLabel: "ms",
+// inForceChart leaves out the points at which some dispatchers were refused a stream.
+func inForceChart(points []point, relays *record) chart {
+	made := chart{file: "in-force", title: "Time until a configuration is in force", xLabel: "dispatchers", yLabel: "ms",
 		goal: planInForceMs, goalName: "goal: in force everywhere", logarithmic: true}
-	made.add("median", points, always, dispatchersOf, func(p point) float64 { return p.ConfigInForce.MedianMs })
-	made.add("99th", points, always, dispatchersOf, func(p point) float64 { return p.ConfigInForce.P99Ms })
-	made.add("worst", points, always, dispatchersOf, func(p point) float64 { return p.ConfigInForce.WorstMs })
+	made.add("median", points, whole, dispatchersOf, func(p point) float64 { return p.ConfigInForce.MedianMs })
+	made.add("99th", points, whole, dispatchersOf, func(p point) float64 { return p.ConfigInForce.P99Ms })
+	made.add("worst", points, whole, dispatchersOf, func(p point) float64 { return p.ConfigInForce.WorstMs })
+	if relays != nil {
+		made.add("worst, behind relays (trial)", relays.Points, whole, dispatchersOf, func(p point) float64 { return p.ConfigInForce.WorstMs })
+	}
 	return made
 }
 
@@ -138,7 +142,7 @@
 	made := chart{file: "destinations-memory", title: "Memory by destinations on the list", xLabel: "destinations", yLabel: "resident MB",
 		goal: planMemoryMb, goalName: "goal: dispatcher's control part", logarithmic: true}
 	for _, role := range []string{roleLeader, roleStore, roleDispatcher, roleHollow} {
-		made.add(role, points, always, destinationsOf, func(p point) float64 { return p.Changing[role].MemoryMb })
+		made.add(role, points, quickList, destinationsOf, func(p point) float64 { return p.Changing[role].MemoryMb })
 	}
 	return made
 }
@@ -207,8 +211,10 @@
 // drawGoal draws the goal over the whole width of the points.
 func (c *chart) drawGoal(drawn *plot.Plot) error {
 	low, high := c.lines[0].points[0].X, c.lines[0].points[0].X
-	for _, each := range c.lines[0].points {
-		low, high = min(low, each.X), max(high, each.X)
+	for _, drawnLine := range c.lines {
+		for _, each := range drawnLine.points {
+			low, high = min(low, each.X), max(high, each.X)
+		}
 	}
 	line, err := plotter.NewLine(plotter.XYs{{X: low, Y: c.goal}, {X: high, Y: c.goal}})
 	if err != nil {
--- a/cmd/foldlb-scale/record.go
+++ b/cmd/foldlb-scale/record.go
@@ -31,6 +31,7 @@
 	RealDispatchers int              `json:"realDispatchers"`
 	Stores          int              `json:"stores"`
 	Destinations    int              `json:"destinations"`
+	ListCallsPerS   float64          `json:"listCallsPerS"` // that the stand-in list takes
 	Routes          int              `json:"routes"`
 	Relays          int              `json:"relays"`
 	ConfigBytes     int              `json:"configBytes"`
--- a/cmd/foldlb-scale/slope.go
+++ b/cmd/foldlb-scale/slope.go
@@ -49,6 +49,9 @@
 
 func always(point) bool { return true }
 
+// quickList reports whether the list took many calls, so that the time to read it does not hide the rest.
+func quickList(p point) bool { return p.ListCallsPerS > plainCloudRate }
+
 func dispatchersOf(p point) float64  { return float64(p.Dispatchers) }
 func destinationsOf(p point) float64 { return float64(p.Destinations) }
 func routesOf(p point) float64       { return float64(p.Routes) }
--- a/cmd/foldlb-scale/tables.go
+++ b/cmd/foldlb-scale/tables.go
@@ -80,11 +80,11 @@
 }
 
 func (t *tables) destinations(r *record) {
-	t.heading(r, "Destinations on the platform's list", "destinations", "leader: core % at rest", "leader: MB", "hollow: MB", "real dispatcher: MB", "store: MB",
-		"bytes of one list to a dispatcher", "dispatcher: core ms a list", "in force: median ms", "99th", "worst", "missing")
+	t.heading(r, "Destinations on the platform's list", "destinations", "calls/s of the list", "leader: core % at rest", "leader: MB", "hollow: MB", "real dispatcher: MB", "store: MB",
+		"bytes of the lists of one turn to a dispatcher", "dispatcher: core ms a turn", "in force: median ms", "99th", "worst", "missing")
 	for _, p := range r.Points {
 		hollow := p.Changing[roleHollow]
-		cells := []any{p.Destinations, p.Steady[roleLeader].CorePercent, p.Changing[roleLeader].MemoryMb, hollow.MemoryMb,
+		cells := []any{p.Destinations, p.ListCallsPerS, p.Steady[roleLeader].CorePercent, p.Changing[roleLeader].MemoryMb, hollow.MemoryMb,
 			p.Changing[roleDispatcher].MemoryMb, p.Changing[roleStore].MemoryMb, bytesPerChange(p), cpuMsPerChange(p, roleHollow)}
 		t.row(append(cells, times(p.ListInForce)...)...)
 	}
@@ -143,10 +143,10 @@
 		t.slope(byDispatchers.Points, whole, "change in force, worst ms", "dispatcher", planDispatchers, dispatchersOf, func(p point) float64 { return p.ConfigInForce.WorstMs })
 	}
 	if byDestinations != nil {
-		t.slope(byDestinations.Points, always, "hollow dispatcher: MB", "destination", planDestinations, destinationsOf, func(p point) float64 { return p.Changing[roleHollow].MemoryMb })
-		t.slope(byDestinations.Points, always, "leader: MB", "destination", planDestinations, destinationsOf, func(p point) float64 { return p.Changing[roleLeader].MemoryMb })
-		t.slope(byDestinations.Points, always, "bytes of one list", "destination", planDestinations, destinationsOf, bytesPerChange)
-		t.slope(byDestinations.Points, always, "dispatcher: core ms a list", "destination", planDestinations, destinationsOf, func(p point) float64 { return cpuMsPerChange(p, roleHollow) })
+		t.slope(byDestinations.Points, quickList, "hollow dispatcher: MB", "destination", planDestinations, destinationsOf, func(p point) float64 { return p.Changing[roleHollow].MemoryMb })
+		t.slope(byDestinations.Points, quickList, "leader: MB", "destination", planDestinations, destinationsOf, func(p point) float64 { return p.Changing[roleLeader].MemoryMb })
+		t.slope(byDestinations.Points, quickList, "bytes of the lists of one turn", "destination", planDestinations, destinationsOf, bytesPerChange)
+		t.slope(byDestinations.Points, quickList, "dispatcher: core ms a turn", "destination", planDestinations, destinationsOf, func(p point) float64 { return cpuMsPerChange(p, roleHollow) })
 	}
 	if byRoutes != nil {
 		t.slope(byRoutes.Points, whole, "bytes a change to a dispatcher", "route", 0, routesOf, bytesPerChange)
