--- a/cmd/foldlb-scale/plot.go
+++ b/cmd/foldlb-scale/plot.go
@@ -4,6 +4,7 @@
 	"context"
 	"image/color"
 	"path/filepath"
+	"slices"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -45,6 +46,9 @@
 		return err
 	}
 	for _, each := range charts(records) {
+		if each.isEmpty() {
+			continue
+		}
 		if err := each.save(folder); err != nil {
 			return err
 		}
@@ -174,6 +178,11 @@
 	c.lines = append(c.lines, line)
 }
 
+// isEmpty reports whether there is a line without points.
+func (c *chart) isEmpty() bool {
+	return slices.ContainsFunc(c.lines, func(each series) bool { return len(each.points) == 0 })
+}
+
 // save writes the chart as SVG.
 func (c *chart) save(folder string) error {
 	drawn := plot.New()
--- a/cmd/foldlb-scale/run.go
+++ b/cmd/foldlb-scale/run.go
@@ -95,11 +95,11 @@
 		fmt.Fprintln(os.Stderr, "measuring", each.name)
 		err := each.run(ctx, binaries, measured)
 		measured.TookS = round(now().since(started).Seconds())
-		if saveErr := measured.save(folder); saveErr != nil {
-			return saveErr
-		}
 		if err != nil {
-			return errors.Wrapf(err, "part %s is not whole", each.name)
+			return errors.Wrapf(err, "part %s was not measured whole, and its record stays as it was", each.name)
+		}
+		if err := measured.save(folder); err != nil {
+			return err
 		}
 	}
 	return nil
