Measure until partitions are ready at new owners, also where two stores are lost

The table of the leader tells of owners, not of readiness; the stores log that. The loss of a zone with two stores was only read in the code.

--- a/cmd/foldlb-scale/faults.go
+++ b/cmd/foldlb-scale/faults.go
@@ -105,6 +105,7 @@
 // loseStore kills a store and waits until its partitions have other owners everywhere.
 func (s *system) loseStore(ctx context.Context) (fault, error) {
 	struck := fault{Kind: "a store is killed and stays away", Dispatchers: s.size.dispatchers, Killed: 1, TimesMs: map[string]float64{}}
+	before := s.takeovers() - s.takeoversOf(0)
 	at := now()
 	s.stores[0].kill()
 	status, err := s.awaitStatus(ctx, func(status *controlplane.Status) bool { return status.Partitions["store-0"] == 0 })
@@ -112,6 +113,9 @@
 		return struck, err
 	}
 	struck.TimesMs["partitions moved, as the leader says"] = milliseconds(at, now())
+	if s.awaitTakeovers(ctx, before, storeCount-1) {
+		struck.TimesMs["partitions ready at all new owners, nothing queued"] = milliseconds(at, now())
+	}
 	last, err := s.awaitTable(ctx, status.MapVersion, s.size.dispatchers)
 	if err != nil {
 		return struck, err
--- a/cmd/foldlb-scale/run.go
+++ b/cmd/foldlb-scale/run.go
@@ -186,6 +186,11 @@
 	}
 	lost, err := measureZone(ctx, binaries, size{dispatchers: 900, destinations: 200, routes: 100, realOnes: 3, cloudRate: plainCloudRate})
 	measured.Faults = append(measured.Faults, lost)
+	if err != nil {
+		return err
+	}
+	both, err := measureTwoStores(ctx, binaries, size{destinations: 200, routes: 100, realOnes: 3, cloudRate: plainCloudRate})
+	measured.Faults = append(measured.Faults, both)
 	return err
 }
 
