--- /dev/null
+++ b/internal/delivery/busy_test.go
@@ -0,0 +1,56 @@
+package delivery
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// A job is not refused because a few of the workers are busy: with as many stores as there are connections to a worker each
+// store holds one, and a job must come to a worker whose connection is free.
+func TestBusyWorkersDoNotEndAJob(t *testing.T) {
+	const (
+		nearWorkers = 4
+		farWorkers  = 4
+		workers     = nearWorkers + farWorkers
+	)
+	release := make(chan struct{})
+	arrived := make(chan struct{}, workers)
+	var standIns []*standIn
+	for range workers {
+		standIns = append(standIns, startStandIn(t, func(c net.Conn, r *http.Request) {
+			arrived <- struct{}{}
+			<-release
+			succeed(c, r)
+		}))
+	}
+	config := testConfig()
+	config.Routes[0].TimeoutMs = float64(patience.Milliseconds())
+	config.Services[0].MaxConns = 24
+	e := New(Options{Zone: "a"})
+	t.Cleanup(e.Close)
+	e.SetDispatchers(15)
+	e.SetCatalog(config.Version, config)
+	list := listOf(standIns...)
+	for _, far := range list[nearWorkers:] {
+		far.Zone = "b"
+	}
+	e.SetWorkers(list)
+
+	var outcomes []<-chan Outcome
+	for number := range workers {
+		outcomes = append(outcomes, submit(e, newJob()))
+		select {
+		case <-arrived:
+		case o := <-outcomes[number]:
+			close(release)
+			must.Unreachable(t, must.Sprintf("job %d ended as %s while %d workers were free", number, o.Kind, workers-number))
+		}
+	}
+	close(release)
+	for _, o := range outcomes {
+		must.Eq(t, Succeeded, await(t, o).Kind)
+	}
+}
