--- a/cmd/foldlb-scale/relay.go
+++ b/cmd/foldlb-scale/relay.go
@@ -95,9 +95,9 @@
 	if len(frame) == 0 {
 		return nil
 	}
-	update := &rpc.View{}
-	if err := proto.Unmarshal(frame, update); err != nil {
-		return errors.Wrap(err, "read an update: connect anew")
+	update, err := rpc.DecodeView(frame)
+	if err != nil {
+		return err
 	}
 	parts := []watch.Part{{Index: relayHeader}}
 	views := []*rpc.View{{LeaderEpoch: update.LeaderEpoch, ControlAddresses: []string{r.address}}}
--- a/coord/watch/hub.go
+++ b/coord/watch/hub.go
@@ -99,10 +99,23 @@
 	defer h.leave()
 	writer.Header().Set("Content-Type", "application/octet-stream")
 	writer.WriteHeader(http.StatusOK)
-	stream := &subscription{hub: h, writer: writer, control: http.NewResponseController(writer)}
+	stream := &subscription{hub: h, without: partsWithout(request), writer: writer, control: http.NewResponseController(writer)}
 	_ = stream.run(request.Context().Done(), stopped) // the client's end of the connection tells it all there is
 }
 
+// WithoutParameter is the query parameter that names, once for each, a part that the subscriber does without.
+const WithoutParameter = "without"
+
+func partsWithout(request *http.Request) map[int]bool {
+	without := map[int]bool{}
+	for _, value := range request.URL.Query()[WithoutParameter] {
+		if index, err := strconv.Atoi(value); err == nil && index > 0 {
+			without[index] = true
+		}
+	}
+	return without
+}
+
 // enter takes the place of a subscriber. The channel is closed when the stream is to end.
 func (h *Hub) enter() (<-chan struct{}, bool) {
 	h.mutex.Lock()
@@ -125,14 +138,14 @@
 
 // since returns the parts published after a revision, the header before them, the newest revision, and a
 // channel that is closed at the next publication.
-func (h *Hub) since(revision uint64, buffer [][]byte) ([][]byte, uint64, <-chan struct{}) {
+func (h *Hub) since(revision uint64, without map[int]bool, buffer [][]byte) ([][]byte, uint64, <-chan struct{}) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.revision > revision {
 		buffer = append(buffer, h.parts[0].data)
 	}
-	for _, part := range h.parts[1:] {
-		if part.revision > revision {
+	for index, part := range h.parts {
+		if index > 0 && part.revision > revision && !without[index] {
 			buffer = append(buffer, part.data)
 		}
 	}
@@ -144,6 +157,7 @@
 	hub      *Hub
 	writer   http.ResponseWriter
 	control  *http.ResponseController
+	without  map[int]bool // parts that the subscriber does without
 	revision uint64
 	header   []byte
 	parts    [][]byte
@@ -171,7 +185,7 @@
 
 // sendChanges writes one frame of all parts that are new to the subscriber; it is empty where there are none.
 func (s *subscription) sendChanges() (<-chan struct{}, error) {
-	parts, revision, changed := s.hub.since(s.revision, s.parts[:0])
+	parts, revision, changed := s.hub.since(s.revision, s.without, s.parts[:0])
 	s.parts = parts
 	length := 0
 	for _, part := range parts {
--- a/coord/watch/watch_test.go
+++ b/coord/watch/watch_test.go
@@ -110,7 +110,7 @@
 			hub.Publish(encodeTest(index, step))
 			published[index] = step
 			if rapid.Bool().Draw(t, "reads") {
-				parts, next, _ := hub.since(revision, nil)
+				parts, next, _ := hub.since(revision, nil, nil)
 				for _, part := range parts {
 					if len(part) > 0 {
 						seen[part[0]], _ = binary.Uvarint(part[1:])
@@ -119,7 +119,7 @@
 				must.Eq(t, published, seen)
 				must.GreaterEq(t, revision, next)
 				revision = next
-				again, _, _ := hub.since(revision, nil)
+				again, _, _ := hub.since(revision, nil, nil)
 				must.Len(t, 0, again)
 			}
 		}
@@ -218,3 +218,11 @@
 	must.True(t, errors.As(err, &fault))
 	must.StrContains(t, fault.Error(), fmt.Sprint(300))
 }
+
+func TestSubscriberIsSparedThePartsItDoesWithout(t *testing.T) {
+	hub := NewHub(3, 1)
+	hub.Publish(Part{Index: 0, Data: []byte("h")}, Part{Index: 1, Data: []byte("one")}, Part{Index: 2, Data: []byte("two")})
+	request := httptest.NewRequest(http.MethodGet, "/?"+WithoutParameter+"=2&"+WithoutParameter+"=0&"+WithoutParameter+"=x", nil)
+	parts, _, _ := hub.since(0, partsWithout(request), nil)
+	must.Eq(t, [][]byte{[]byte("h"), []byte("one")}, parts)
+}
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"foldlb.example/foldlb/coord/watch"
 	"foldlb.example/foldlb/internal/rpc"
@@ -32,7 +32,7 @@
 	defer cancel()
 	stop := c.cancelWhenMoved(following, cancel, address)
 	defer stop()
-	err := client.Follow(following, "http://"+address+watchPath, c.onFrame)
+	err := client.Follow(following, "http://"+address+watchPath+c.streamQuery(), c.onFrame)
 	if ctx.Err() != nil || following.Err() != nil {
 		return true
 	}
@@ -70,14 +70,22 @@
 	}
 }
 
+// streamQuery names the parts that this process does without.
+func (c *Client) streamQuery() string {
+	if c.options.Role != RoleDispatcher {
+		return ""
+	}
+	return "?" + watch.WithoutParameter + "=" + strconv.Itoa(rpc.StreamWorkers)
+}
+
 // onFrame applies one frame of the stream. An empty one is a sign of life.
 func (c *Client) onFrame(frame []byte) error {
 	if len(frame) == 0 {
 		return nil
 	}
-	update := &rpc.View{}
-	if err := proto.Unmarshal(frame, update); err != nil {
-		return errors.Wrap(err, "read an update: connect anew")
+	update, err := rpc.DecodeView(frame)
+	if err != nil {
+		return err
 	}
 	return c.apply(update)
 }
--- a/internal/controlplane/budget_bench_test.go
+++ b/internal/controlplane/budget_bench_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"google.golang.org/protobuf/proto"
 
 	"foldlb.example/foldlb/internal/rpc"
 )
@@ -130,7 +129,7 @@
 	part := workersPart(1, 1, workers)
 	b.ReportMetric(float64(time.Since(started).Nanoseconds())/planDestinations, "encode-ns/destination")
 	b.ReportMetric(float64(len(part.Data))/planDestinations, "wire-B/destination")
-	view := &rpc.View{}
-	must.NoError(b, proto.Unmarshal(part.Data, view))
+	view, err := rpc.DecodeView(part.Data)
+	must.NoError(b, err)
 	must.Len(b, planDestinations, view.Workers.Workers)
 }
--- a/internal/controlplane/calm_test.go
+++ b/internal/controlplane/calm_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"google.golang.org/protobuf/proto"
 
 	"foldlb.example/foldlb/coord/watch"
 	"foldlb.example/foldlb/internal/rpc"
@@ -24,8 +23,8 @@
 }
 
 func (n *newestView) take(frame []byte) error {
-	update := &rpc.View{}
-	if err := proto.Unmarshal(frame, update); err != nil {
+	update, err := rpc.DecodeView(frame)
+	if err != nil {
 		return err
 	}
 	n.mutex.Lock()
--- a/internal/controlplane/view.go
+++ b/internal/controlplane/view.go
@@ -2,26 +2,24 @@
 
 import (
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"foldlb.example/foldlb/coord/watch"
 	"foldlb.example/foldlb/internal/rpc"
 )
 
-// Parts of the stream. Each is the encoding of a View with the fields of that part alone: encodings of
-// protobuf messages may be concatenated, so a frame decodes as one View.
+// Parts of the stream.
 const (
-	partHeader = iota // the leader's epoch
-	partConfig
-	partMap
-	partWorkers
-	partAddresses
-	partCount
+	partHeader    = rpc.StreamHeader
+	partConfig    = rpc.StreamConfig
+	partMap       = rpc.StreamMap
+	partWorkers   = rpc.StreamWorkers
+	partAddresses = rpc.StreamAddresses
+	partCount     = rpc.StreamParts
 )
 
 // encodeView encodes one part of the stream.
 func encodeView(part int, view *rpc.View) watch.Part {
-	encoded, err := proto.Marshal(view)
+	encoded, err := rpc.EncodeView(view)
 	if err != nil {
 		panic(errors.Wrap(err, "a part of the stream can't be encoded: report this as a defect"))
 	}
