coord/failover: walk over all states of three members within bounds

TestModel drives the reducers in service, breadth first, over every order of ticks, orders, cuts, freezes, crashes (also before a sync), late messages, a clock that stands still for the margin, and a lost disk with its replacement. In each state one valid lease at most, held by who serves the newest version; no version lost or reverted. Caught: a follower without fencing by epoch, a lease without the margin, a witness that forgets its vote. Not in it: doubled messages, slow saves that a process outlives, more than one disk lost.

--- /dev/null
+++ b/coord/failover/model_test.go
@@ -0,0 +1,177 @@
+package failover
+
+import (
+	"flag"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// modelSteps and modelFaults have TestModel take one longer walk in place of the usual ones: it may take minutes and gigabytes.
+var (
+	modelSteps  = flag.Int("modelsteps", 0, "steps of time of a longer walk of the model, each a third of a lease")
+	modelFaults = flag.Int("modelfaults", 2, "faults of a longer walk of the model, in any combination")
+)
+
+// modelTrace leads back from a state to the first one.
+type modelTrace struct {
+	action string
+	before *modelTrace
+}
+
+func (trace *modelTrace) actions() []string {
+	var actions []string
+	for ; trace != nil && trace.before != nil; trace = trace.before {
+		actions = append(actions, trace.action)
+	}
+	slices.Reverse(actions)
+	return actions
+}
+
+type modelNode struct {
+	state *modelState
+	trace *modelTrace
+}
+
+// modelWalk is the outcome of a walk.
+type modelWalk struct {
+	states    int
+	depth     int    // actions to the farthest state
+	epoch     uint64 // the newest in which a version was committed
+	violation string
+	trace     []string
+}
+
+// walkModel visits every state within the bounds, the nearest first, and ends at the first violation.
+func walkModel(bounds modelBounds, mutation modelMutation) modelWalk {
+	first := modelNode{state: settledModel(&bounds, &mutation), trace: &modelTrace{}}
+	visited := map[modelKey]struct{}{first.state.key(): {}}
+	walked := modelWalk{}
+	for level := []modelNode{first}; len(level) > 0; walked.depth++ {
+		var following []modelNode
+		for position, node := range level {
+			level[position] = modelNode{}
+			for _, action := range node.state.actions() {
+				trace := &modelTrace{action: action.name, before: node.trace}
+				if action.next.violation != "" {
+					walked.states, walked.violation, walked.trace = len(visited), action.next.violation, trace.actions()
+					return walked
+				}
+				key := action.next.key()
+				if _, isKnown := visited[key]; isKnown {
+					continue
+				}
+				visited[key] = struct{}{}
+				walked.epoch = max(walked.epoch, action.next.newest.version.Epoch)
+				following = append(following, modelNode{state: action.next, trace: trace})
+			}
+		}
+		level = following
+	}
+	walked.states = len(visited)
+	return walked
+}
+
+// settledModel is the state in which the first member leads and has committed a version, or that in which all have just
+// started for the first time.
+func settledModel(bounds *modelBounds, mutation *modelMutation) *modelState {
+	state := newModelState(bounds, mutation)
+	if bounds.fresh {
+		return state
+	}
+	state.step(0, tick{})
+	for len(state.queue) > 0 {
+		message := state.queue[0]
+		state.queue = state.queue[1:]
+		state.deliver(message, state.step)
+	}
+	return state
+}
+
+// checkModel walks under the protocol as it is.
+func checkModel(t *testing.T, bounds modelBounds) modelWalk {
+	begun := time.Now()
+	walked := walkModel(bounds, modelMutation{})
+	must.EqOp(t, "", walked.violation, must.Sprint(walked.trace))
+	t.Logf("%d states up to %d actions away, epochs up to %d, in %v", walked.states, walked.depth, walked.epoch, time.Since(begun))
+	return walked
+}
+
+// anyFault bounds a walk by the number of all faults alone.
+func anyFault(steps, faults int) modelBounds {
+	return modelBounds{steps: steps, epochs: 3, proposals: 1, faults: faults, holds: faults, crashes: faults,
+		stalls: 1, losses: 1, resigns: faults, freezes: faults, cuts: faults}
+}
+
+func TestModel(t *testing.T) {
+	if *modelSteps > 0 {
+		checkModel(t, anyFault(*modelSteps, *modelFaults))
+		return
+	}
+	fresh := anyFault(1, 1)
+	fresh.fresh = true
+	cases := []struct {
+		name   string
+		bounds modelBounds
+	}{
+		{"first election", fresh},
+		{"any fault", anyFault(8, 1)},
+		{"any two faults", anyFault(2, 2)},
+		{"every message may be lost", modelBounds{lossy: true, steps: 3, epochs: 3, proposals: 1}},
+	}
+	for _, walked := range cases {
+		t.Run(walked.name, func(t *testing.T) {
+			must.Greater(t, 1, checkModel(t, walked.bounds).epoch) // else no second leader was reached
+		})
+	}
+}
+
+// TestModelCatchesMutations shows that the walk notices a protocol that lacks one of its rules, and that it is the
+// alteration which it notices.
+func TestModelCatchesMutations(t *testing.T) {
+	cases := []struct {
+		name     string
+		bounds   modelBounds
+		mutation modelMutation
+	}{
+		{"an older epoch is followed", modelBounds{steps: 4, epochs: 3, faults: 3, holds: 1, resigns: 1, cuts: 1},
+			modelMutation{beforeStep: followAnyEpoch, afterAnswer: answerInEpochOfRequest}},
+		{"the lease is not shortened by the margin", modelBounds{steps: 3, epochs: 2, faults: 2, stalls: 1, cuts: 1},
+			modelMutation{afterStart: func(machine *machine) { machine.config.timing.Margin = 0 }}},
+		{"a witness forgets its vote", modelBounds{fresh: true, epochs: 1, faults: 3, holds: 1, crashes: 1, cuts: 1},
+			modelMutation{beforeStart: forgetVote}},
+	}
+	for _, altered := range cases {
+		t.Run(altered.name, func(t *testing.T) {
+			checkModel(t, altered.bounds)
+			walked := walkModel(altered.bounds, altered.mutation)
+			must.NotEqOp(t, "", walked.violation)
+			t.Logf("noticed after %d states: %s, by %q", walked.states, walked.violation, walked.trace)
+		})
+	}
+}
+
+// followAnyEpoch takes a heartbeat of an older epoch for one of the newest.
+func followAnyEpoch(machine *machine, taken input) input {
+	asked, isReplicate := taken.(replicateCall)
+	if isReplicate && !asked.request.Resign {
+		asked.request.Epoch = max(asked.request.Epoch, machine.record.VotedEpoch)
+		return asked
+	}
+	return taken
+}
+
+// answerInEpochOfRequest hides from an older leader that there is a newer epoch.
+func answerInEpochOfRequest(request ReplicateRequest, reply ReplicateReply) ReplicateReply {
+	reply.Epoch = min(reply.Epoch, request.Epoch)
+	return reply
+}
+
+// forgetVote leaves the version and its contents of what was on disk.
+func forgetVote(record Record) Record {
+	record.VotedEpoch = record.Version.Epoch
+	record.VotedFor = ""
+	return record
+}
