Keep copies in different failure domains, and count what is missing by them

A zone's stores may be lost together: where faultTolerance names zones or regions, copies stand in different ones, and a takeover goes on when the missing stores are no more than must be borne, by machines, zones or regions. Control wants as many copies and voters. The bound of streams follows the descriptors (1,024 left 800 of 1,800 dispatchers without a configuration). diskMb of 0 no longer rewrites the log each second.

--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -55,7 +55,7 @@
 
 // wantedVoters is the number of voters to keep.
 func (s *Server) wantedVoters() int {
-	return max(minVoters, 2*s.settings().FaultTolerance.Machines+1)
+	return max(minVoters, 2*tolerated(s.settings())+1)
 }
 
 // planVoters returns the next change of the voters. leaderID is this process, which stays; heard are those that
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -20,7 +20,8 @@
 )
 
 const (
-	maxStreams        = 1024
+	leastStreams      = 256
+	keptDescriptors   = 512             // for other connections and files
 	headerTimeout     = 5 * time.Second // for the head of a request
 	idleTimeout       = time.Minute     // of a connection without a request
 	maxHeaderBytes    = 16 << 10
@@ -73,7 +74,7 @@
 		zone:           wanted.Zone,
 		hasDisk:        wanted.DataDir != "",
 		log:            options.Log,
-		hub:            watch.NewHub(partCount, maxStreams),
+		hub:            watch.NewHub(partCount, max(leastStreams, options.Settings.Limits.MaxFds-keptDescriptors)),
 		peers:          newPeerTable(),
 		clients:        newClients(),
 		orderSlots:     make(chan struct{}, maxOrders),
@@ -128,7 +129,13 @@
 
 // copies is the number of copies that a message needs.
 func (s *Server) copies() int {
-	return s.settings().FaultTolerance.Machines + 1
+	return tolerated(s.settings()) + 1
+}
+
+// tolerated is the largest number of machines, zones or regions that may be lost at one time.
+func tolerated(settings *settings.Settings) int {
+	tolerance := settings.FaultTolerance
+	return max(tolerance.Machines, tolerance.Zones, tolerance.Regions)
 }
 
 // identity names the disk of this process; empty without one.
--- a/internal/ingest/holders.go
+++ b/internal/ingest/holders.go
@@ -31,6 +31,10 @@
 
 // mayGoRound reports whether a write to holders is of use and has not begun under the owner's epoch.
 func (a *acceptance) mayGoRound() bool {
+	tolerance := a.dispatcher.settings.FaultTolerance
+	if tolerance.Zones > 0 || tolerance.Regions > 0 { // the owner alone sees to it that copies stand apart
+		return false
+	}
 	return a.message.pinnedTo == "" && (!a.holders.begun || a.owner.epoch > a.holders.epoch)
 }
 
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -64,20 +64,33 @@
 	e.Holders = append(e.Holders, disk)
 }
 
-// Copies counts the copies on disks that alive accepts, this store's included.
-func (e *Entry) Copies(alive func(disk string) bool) int {
+// Copies counts the failure domains in which there is a copy: this store's own, and those that domains gives for the disks that
+// count.
+func (e *Entry) Copies(domains map[string]string, own string) int {
 	count := 0
 	if e.Stored {
 		count++
 	}
-	for _, disk := range e.Holders {
-		if alive(disk) {
-			count++
+	for i, disk := range e.Holders {
+		domain, counts := domains[disk]
+		if !counts || e.Stored && domain == own || e.heldIn(domain, domains, i) {
+			continue
 		}
+		count++
 	}
 	return count
 }
 
+// heldIn reports whether one of the first so many holders stands in the failure domain.
+func (e *Entry) heldIn(domain string, domains map[string]string, first int) bool {
+	for _, disk := range e.Holders[:first] {
+		if other, counts := domains[disk]; counts && other == domain {
+			return true
+		}
+	}
+	return false
+}
+
 // FromMessage makes an entry of a message that was received now.
 func FromMessage(m *rpc.Message, now time.Duration) *Entry {
 	e := &Entry{
--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -54,7 +54,7 @@
 	result  chan rpc.PutStatus
 
 	mutex   sync.Mutex
-	synced  int
+	domains map[string]bool // failure domains in which a copy is synced
 	pending int
 	needed  int
 	tried   map[string]bool
@@ -128,8 +128,8 @@
 		}
 	}
 	entry.Accepting = n.view.Map.Version
-	work := &acceptance{node: n, message: m, entry: entry, epoch: owned, needed: n.tolerance + 1,
-		result: make(chan rpc.PutStatus, 1), tried: map[string]bool{}}
+	work := &acceptance{node: n, message: m, entry: entry, epoch: owned, needed: n.copiesWanted(n.view.Map.Stores),
+		result: make(chan rpc.PutStatus, 1), tried: map[string]bool{}, domains: map[string]bool{}}
 	return rpc.PutStatus_STORED, work, false
 }
 
@@ -157,7 +157,7 @@
 func (a *acceptance) run(ctx context.Context) rpc.PutStatus {
 	defer a.node.post(func() { a.entry.Accepting = 0 })
 	a.pending = 1
-	a.node.file.Sync(func(err error) { a.outcome("", err == nil) })
+	a.node.file.Sync(func(err error) { a.outcome("", a.node.ownDomain(), err == nil) })
 	for range a.needed - 1 {
 		a.another()
 	}
@@ -194,23 +194,24 @@
 	}
 	a.tried[peer.disk] = true
 	a.pending++
+	domain := a.node.domains.of(peer.disk, peer.zone)
 	peer.put(&copyItem{message: a.message, epoch: a.epoch, done: func(status rpc.PutStatus) {
-		a.outcome(peer.disk, status == rpc.PutStatus_STORED)
+		a.outcome(peer.disk, domain, status == rpc.PutStatus_STORED)
 	}})
 	return true
 }
 
 // outcome counts one copy that was synced, or failed.
-func (a *acceptance) outcome(disk string, ok bool) {
+func (a *acceptance) outcome(disk, domain string, ok bool) {
 	if ok && disk != "" {
 		a.node.post(func() { a.node.addHolder(a.entry, disk) })
 	}
 	a.mutex.Lock()
 	a.pending--
 	if ok {
-		a.synced++
+		a.domains[domain] = true
 	}
-	finished := a.synced >= a.needed && !a.over
+	finished := len(a.domains) >= a.needed && !a.over
 	failed := !ok && !a.over
 	if finished {
 		a.over = true
@@ -224,6 +225,15 @@
 	}
 }
 
+// ownDomain is the failure domain of this store.
+func (n *Node) ownDomain() string { return n.domains.of(n.disk, n.settings.Zone) }
+
+// copiesWanted is how many copies in different failure domains a message shall have: all that outlast what must be borne, as far as
+// there are as many domains.
+func (n *Node) copiesWanted(members []*rpc.StoreMember) int {
+	return min(n.domains.copies(), max(n.domains.count(members), 1))
+}
+
 // addHolder notes that another store holds a copy, and tells it what became of the message where that came first.
 func (n *Node) addHolder(entry *message.Entry, disk string) {
 	entry.AddHolder(disk)
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -63,7 +63,7 @@
 	starts      uint64 // of the process with this disk
 	address     string
 	started     time.Time
-	tolerance   int
+	domains     domains
 
 	file    *applog.Log
 	cluster coordinator
@@ -123,9 +123,9 @@
 	}
 	n := &Node{
 		settings: s, log: log, started: time.Now(), draw: mathrand.IntN,
-		address:   net.JoinHostPort(s.IP, strconv.Itoa(s.PortRange[0])),
-		tolerance: max(s.FaultTolerance.Machines, s.FaultTolerance.Zones, s.FaultTolerance.Regions),
-		commands:  make(chan func(), commandBuffer), table: message.NewTable(), limits: map[string]int{},
+		address:  net.JoinHostPort(s.IP, strconv.Itoa(s.PortRange[0])),
+		domains:  domains{tolerance: s.FaultTolerance, regions: s.Zones},
+		commands: make(chan func(), commandBuffer), table: message.NewTable(), limits: map[string]int{},
 		releases: map[uint32]uint64{}, owned: make([]atomic.Uint64, maxPartitions), closed: make(chan struct{}),
 	}
 	n.underCopied.Store(1) // not known before upkeep has counted
--- a/internal/storenode/peers.go
+++ b/internal/storenode/peers.go
@@ -14,16 +14,17 @@
 var errClosed = errors.New("storenode: this store is closing; ask another one")
 
 const (
-	putWithin     = 600 * time.Millisecond
-	reportWithin  = time.Second
-	reportPause   = 10 * time.Millisecond // fates are collected for so long
-	suspectFirst  = 200 * time.Millisecond
-	suspectMost   = 1500 * time.Millisecond
-	batchMessages = 64
-	batchFates    = 500
-	queuedCopies  = 4096
-	queuedFates   = 50_000
-	sendersMost   = 4 // batches of copies under way at one store
+	putWithin      = 600 * time.Millisecond
+	reportWithin   = time.Second
+	reportPause    = 10 * time.Millisecond // fates are collected for so long
+	suspectFirst   = 200 * time.Millisecond
+	suspectMost    = 1500 * time.Millisecond
+	batchMessages  = 64
+	batchFates     = 500
+	queuedCopies   = 4096
+	queuedFates    = 50_000
+	usedDomainRank = 16 // added to stores in whose failure domain there is a copy
+	sendersMost    = 4  // batches of copies under way at one store
 )
 
 // peers are the other stores.
@@ -90,11 +91,15 @@
 	var best *peer
 	bestRank, same := 0, 0
 	now := time.Now()
+	used := p.usedDomains(tried)
 	for _, one := range p.list {
 		if tried[one.disk] {
 			continue
 		}
 		rank := one.rank(now, p.node.settings.Zone)
+		if used[p.node.domains.of(one.disk, one.zone)] {
+			rank += usedDomainRank
+		}
 		switch {
 		case best == nil || rank < bestRank:
 			best, bestRank, same = one, rank, 1
@@ -108,6 +113,17 @@
 	return best
 }
 
+// usedDomains are the failure domains of this store and of those in tried. The mutex is held.
+func (p *peers) usedDomains(tried map[string]bool) map[string]bool {
+	used := map[string]bool{p.node.ownDomain(): true}
+	for disk := range tried {
+		if one := p.byKey[disk]; one != nil {
+			used[p.node.domains.of(disk, one.zone)] = true
+		}
+	}
+	return used
+}
+
 // copyItem is a message on its way to a holder.
 type copyItem struct {
 	message *rpc.Message
--- a/internal/storenode/takeover.go
+++ b/internal/storenode/takeover.go
@@ -330,16 +330,16 @@
 func (n *Node) gathered(g *gathering, view *rpc.MapView) (all, enough bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	whole, missing := 0, 0
+	all = true
+	var missing []*rpc.StoreMember
 	for _, member := range view.Stores {
-		switch {
-		case member.Disk != n.disk && !g.answered[member.Disk]:
-			missing++
-		case member.Whole:
-			whole++
+		answered := member.Disk == n.disk || g.answered[member.Disk]
+		all = all && answered
+		if !answered || !member.Whole {
+			missing = append(missing, member)
 		}
 	}
-	return missing == 0, whole >= len(view.Stores)-n.tolerance
+	return all, n.domains.bears(missing)
 }
 
 // begun lets partitions run whose state is known.
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -55,7 +55,7 @@
 // asked about copies that are held for them.
 func (n *Node) upkeep(now time.Duration) {
 	alive := n.aliveDisks()
-	wanted := min(n.tolerance+1, len(alive))
+	wanted := n.copiesWanted(n.aliveMembers())
 	var expired, missing, unheld []*message.Entry
 	ask := map[string][]*rpc.Fate{}
 	n.table.Each(func(e *message.Entry) {
@@ -77,7 +77,7 @@
 		if e.Accepting == n.view.Map.Version { // its copies are on their way to stores of this map
 			return
 		}
-		if n.table.IsReady(e.Partition) && e.Copies(func(disk string) bool { return alive[disk] }) < wanted {
+		if n.table.IsReady(e.Partition) && e.Copies(alive, n.ownDomain()) < wanted {
 			missing = append(missing, e)
 		}
 	})
@@ -98,7 +98,7 @@
 }
 
 // repairAll restores copies, a bounded number at a time, and looks again soon where any is missing.
-func (n *Node) repairAll(missing []*message.Entry, alive map[string]bool, now time.Duration) {
+func (n *Node) repairAll(missing []*message.Entry, alive map[string]string, now time.Duration) {
 	begun := 0
 	for _, e := range missing {
 		if begun == repairBatch {
@@ -136,14 +136,24 @@
 }
 
 // aliveDisks returns the disks that are members and are not being emptied, this store's included.
-func (n *Node) aliveDisks() map[string]bool {
-	alive := make(map[string]bool, len(n.view.Map.Stores))
+// It gives the failure domain of each.
+func (n *Node) aliveDisks() map[string]string {
+	alive := make(map[string]string, len(n.view.Map.Stores))
+	for _, member := range n.aliveMembers() {
+		alive[member.Disk] = n.domains.of(member.Disk, member.Zone)
+	}
+	return alive
+}
+
+// aliveMembers returns the members that are not being emptied.
+func (n *Node) aliveMembers() []*rpc.StoreMember {
+	members := make([]*rpc.StoreMember, 0, len(n.view.Map.Stores))
 	for _, member := range n.view.Map.Stores {
 		if !member.Leaving {
-			alive[member.Disk] = true
+			members = append(members, member)
 		}
 	}
-	return alive
+	return members
 }
 
 // expired reports whether a message's route is gone or its retention has passed.
@@ -159,7 +169,7 @@
 }
 
 // repair restores one copy of a message that has too few.
-func (n *Node) repair(e *message.Entry, alive map[string]bool) {
+func (n *Node) repair(e *message.Entry, alive map[string]string) {
 	if !e.Stored {
 		name, holders := e.Name, append([]string(nil), e.Holders...)
 		go func() {
@@ -171,7 +181,7 @@
 	}
 	tried := map[string]bool{}
 	for _, disk := range e.Holders {
-		if alive[disk] {
+		if _, counts := alive[disk]; counts {
 			tried[disk] = true
 		}
 	}
@@ -308,7 +318,7 @@
 func (n *Node) maybeRewrite() {
 	size := n.file.Size()
 	live := int64(n.table.LiveBytes() + rewriteRecord*n.table.Len())
-	full := size > n.logBytes()*9/10
+	full := n.logBytes() > 0 && size > n.logBytes()*9/10
 	if !n.unwritten && (size < rewriteLeast && !full || live > size/2) {
 		return
 	}
