--- a/cmd/foldlb-scale/backlog.go
+++ b/cmd/foldlb-scale/backlog.go
@@ -171,7 +171,7 @@
 	started := now()
 	visited := 0
 	table.Each(func(entry *message.Entry) {
-		if !entry.Ended() && entry.Copies(func(string) bool { return true }) > 1 {
+		if !entry.Ended() && entry.Copies(nil, "") > 1 {
 			visited++
 		}
 	})
