--- a/cmd/foldlb-scale/process.go
+++ b/cmd/foldlb-scale/process.go
@@ -69,16 +69,6 @@
 	<-p.ended
 }
 
-// stop asks the process to end, and kills it if it doesn't.
-func (p *process) stop() {
-	_ = p.command.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-p.ended:
-	case <-time.After(endWithin):
-		p.kill()
-	}
-}
-
 // reading is what the kernel has counted of a process so far.
 type reading struct {
 	at                    moment
--- a/internal/delivery/exchange.go
+++ b/internal/delivery/exchange.go
@@ -23,7 +23,6 @@
 	number   int           // as the module counts the delivery's attempts
 	timeout  time.Duration // of the run
 	conn     *conn         // nil until one is open; set with the engine locked
-	sentAt   time.Duration
 }
 
 // fault says how an attempt ended without an answer.
--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -284,7 +284,7 @@
 	}
 	entry.Body = nil
 	entry.ScrubAt = n.now() + scrubFirst
-	entry = n.table.Add(entry, n.now())
+	n.table.Add(entry, n.now())
 	if n.table.IsReady(m.Partition) { // it was sent here by a dispatcher that could not reach this store as the owner
 		n.pumpDue = true
 	}
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -233,7 +233,7 @@
 func (n *Node) replayFate(f *rpc.Fate, elapsed time.Duration) {
 	entry := n.table.Get(f.Name)
 	if entry == nil && f.State != rpc.State_QUEUED { // the message itself was dropped when the log was rewritten
-		entry = n.table.Add(&message.Entry{Name: f.Name, Partition: f.Partition, State: f.State, Stamp: f.Stamp,
+		n.table.Add(&message.Entry{Name: f.Name, Partition: f.Partition, State: f.State, Stamp: f.Stamp,
 			EndedAt: n.now() - elapsed}, n.now())
 		return
 	}
--- a/internal/storenode/peers.go
+++ b/internal/storenode/peers.go
@@ -72,18 +72,6 @@
 	return p.byKey[disk]
 }
 
-// byName returns the store on this machine, or nil.
-func (p *peers) byName(name string) *peer {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for _, one := range p.list {
-		if one.name == name {
-			return one
-		}
-	}
-	return nil
-}
-
 // choose draws a store for a copy that is not in tried: first healthy ones of other zones, then healthy ones, then any.
 func (p *peers) choose(tried map[string]bool) *peer {
 	p.mutex.Lock()
--- a/internal/storenode/sim_ledger_test.go
+++ b/internal/storenode/sim_ledger_test.go
@@ -32,7 +32,6 @@
 	endedAt     time.Time // first success or 422 at a worker, or the last 500
 	rejected    bool
 	successSeen time.Time // when a sender first knew of a success
-	accepted    int       // place among the accepted of its key
 }
 
 // ledger holds what clients and workers saw, and checks the rules.
