coord/failover: the walk catches an identity kept after a lost disk

TestModel also asks that a process that lost its disk has become a member again in each walk that loses one.

--- a/coord/failover/model_test.go
+++ b/coord/failover/model_test.go
@@ -40,6 +40,7 @@
 	states    int
 	depth     int    // actions to the farthest state
 	epoch     uint64 // the newest in which a version was committed
+	exchanged bool   // a process that had lost its disk became a member again
 	violation string
 	trace     []string
 }
@@ -65,6 +66,7 @@
 				}
 				visited[key] = struct{}{}
 				walked.epoch = max(walked.epoch, action.next.newest.version.Epoch)
+				walked.exchanged = walked.exchanged || action.next.hasExchanged()
 				following = append(following, modelNode{state: action.next, trace: trace})
 			}
 		}
@@ -123,7 +125,9 @@
 	}
 	for _, walked := range cases {
 		t.Run(walked.name, func(t *testing.T) {
-			must.Greater(t, 1, checkModel(t, walked.bounds).epoch) // else no second leader was reached
+			outcome := checkModel(t, walked.bounds)
+			must.Greater(t, 1, outcome.epoch) // else no second leader was reached
+			must.EqOp(t, walked.bounds.losses > 0, outcome.exchanged)
 		})
 	}
 }
@@ -142,6 +146,8 @@
 			modelMutation{afterStart: func(machine *machine) { machine.config.timing.Margin = 0 }}},
 		{"a witness forgets its vote", modelBounds{fresh: true, epochs: 1, faults: 3, holds: 1, crashes: 1, cuts: 1},
 			modelMutation{beforeStart: forgetVote}},
+		{"a process without its disk keeps its identity", modelBounds{steps: 3, epochs: 2, proposals: 1, faults: 2, losses: 1, cuts: 1},
+			modelMutation{keepIdentity: true}},
 	}
 	for _, altered := range cases {
 		t.Run(altered.name, func(t *testing.T) {
--- a/coord/failover/modelactions_test.go
+++ b/coord/failover/modelactions_test.go
@@ -315,6 +315,16 @@
 	return process.machine != nil && process.machine.servesUntil(process.clock) > process.clock
 }
 
+// hasExchanged reports whether the newest list of members names a process that has lost its disk.
+func (state *modelState) hasExchanged() bool {
+	for _, process := range state.processes {
+		if process.disksLost > 0 && process.machine != nil && hasMember(state.newest.contents.Members, process.identity) {
+			return true
+		}
+	}
+	return false
+}
+
 func (state *modelState) violate(format string, details ...any) {
 	if state.violation == "" {
 		state.violation = fmt.Sprintf(format, details...)
--- a/coord/failover/modelstate_test.go
+++ b/coord/failover/modelstate_test.go
@@ -30,6 +30,8 @@
 	afterStart  func(machine *machine)
 	beforeStep  func(machine *machine, taken input) input
 	afterAnswer func(request ReplicateRequest, reply ReplicateReply) ReplicateReply
+
+	keepIdentity bool // a process whose disk was lost comes back under its old identity
 }
 
 // modelBounds ends the walk.
@@ -191,6 +193,9 @@
 		return
 	}
 	record := Record{Identity: modelIdentity(number, process.disksLost)}
+	if state.mutation.keepIdentity {
+		record.Identity = process.identity
+	}
 	state.startMachine(number, record, startJoining)
 }
 
