Exchange a silent voter before the next machine may be lost

Cause: a voter counted as silent after 8 s, and only once the leader had led for 8 s. The operators count a machine that is gone for good as lost until syncS (4.4 s) after its successor's start; the next leader may be replaced then. Now 2.5 s of silence count, and only processes heard within that time become voters.

--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -12,6 +12,11 @@
 const (
 	membershipPeriod = 500 * time.Millisecond
 	minVoters        = 3
+
+	// silentAfter is how long a voter may be silent before it is exchanged: two joins, one of which may fail. A machine
+	// that is gone for good counts as lost only until syncS (4.4 s) after its successor's start. The next one may be lost
+	// then, so an election, this time and one membershipPeriod must have passed before.
+	silentAfter = 2500 * time.Millisecond
 )
 
 // voterChange exchanges, adds or removes one voter. The zero value changes nothing.
@@ -30,7 +35,8 @@
 		now := time.Now()
 		s.noteSelf(now)
 		status := s.node.Status()
-		change := planVoters(status.Members, status.Identity, s.peers.heard(now), s.wantedVoters(), now.Sub(t.started))
+		heard := heardLately(s.peers.heard(now), now)
+		change := planVoters(status.Members, status.Identity, heard, s.wantedVoters(), now.Sub(t.started))
 		if change.isEmpty() {
 			continue
 		}
@@ -58,6 +64,11 @@
 	return max(minVoters, 2*tolerated(s.settings())+1)
 }
 
+// heardLately returns the peers that are not silent: only those may stay or become voters.
+func heardLately(peers []peer, now time.Time) []peer {
+	return slices.DeleteFunc(peers, func(p peer) bool { return now.Sub(p.heardAt) >= silentAfter })
+}
+
 // planVoters returns the next change of the voters. leaderID is this process, which stays; heard are those that
 // joined lately; ledFor is how long this process has led.
 func planVoters(voters []failover.Member, leaderID string, heard []peer, wanted int, ledFor time.Duration) voterChange {
@@ -68,7 +79,7 @@
 	if len(voters) < wanted && standby != nil {
 		return voterChange{add: standby}
 	}
-	if ledFor < peerExpiry {
+	if ledFor < silentAfter {
 		return voterChange{} // the others may not have joined here yet
 	}
 	if len(voters) > wanted {
@@ -132,7 +143,7 @@
 	return count
 }
 
-// silentVoter returns a voter that was not heard for peerExpiry, empty if there is none.
+// silentVoter returns a voter that was not heard for silentAfter, empty if there is none.
 func silentVoter(voters []failover.Member, leaderID string, heard []peer) string {
 	for _, voter := range voters {
 		if voter.ID != leaderID && !isHeard(heard, voter.ID) {
--- a/internal/controlplane/membership_test.go
+++ b/internal/controlplane/membership_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"foldlb.example/foldlb/coord/failover"
+	"foldlb.example/foldlb/internal/rpc"
 )
 
 func votersOf(ids ...string) []failover.Member {
@@ -40,13 +41,53 @@
 
 func TestSilentVoterIsExchangedForAStandby(t *testing.T) {
 	heard := heardOf("a", "c", "d")
-	must.True(t, planVoters(votersOf("a", "b", "c"), "a", heard, 3, peerExpiry-1).isEmpty())
-	change := planVoters(votersOf("a", "b", "c"), "a", heard, 3, peerExpiry)
+	must.True(t, planVoters(votersOf("a", "b", "c"), "a", heard, 3, silentAfter-1).isEmpty())
+	change := planVoters(votersOf("a", "b", "c"), "a", heard, 3, silentAfter)
 	must.EqOp(t, "b", change.removeID)
 	must.EqOp(t, "d", change.add.ID)
 	must.True(t, planVoters(votersOf("a", "b", "c"), "a", heardOf("a", "c"), 3, time.Hour).isEmpty())
 }
 
+// A machine may be lost as soon as the successor of an earlier loss has run for syncS. Until then the voters must be
+// three live ones again, also where the lost one led and the others join the new leader one joinPeriod late.
+func TestLostLeaderIsExchangedBeforeTheNextMachineMayBeLost(t *testing.T) {
+	const (
+		syncS    = 4400 * time.Millisecond
+		election = 1200 * time.Millisecond // the lease of the lost leader, and the votes
+	)
+	lost := time.Unix(1000, 0)
+	began := lost.Add(election)
+	table := newPeerTable()
+	for age := time.Duration(0); age < syncS; age += membershipPeriod {
+		now := lost.Add(age)
+		for index, id := range []string{"b", "c", "d"} {
+			joined := now.Truncate(joinPeriod).Add(time.Duration(index) * time.Millisecond)
+			if joined.After(began.Add(joinPeriod)) || id == "b" && joined.After(began) {
+				table.note(&rpc.JoinRequest{Id: id, Address: "address-" + id, Zone: "zone-" + id, Disk: true}, joined)
+			}
+		}
+		heard := heardLately(table.heard(now), now)
+		if change := planVoters(votersOf("a", "b", "c"), "b", heard, 3, now.Sub(began)); !change.isEmpty() {
+			must.EqOp(t, "a", change.removeID)
+			must.EqOp(t, "d", change.add.ID)
+			return
+		}
+	}
+	t.Fatal("the lost voter was not exchanged in time")
+}
+
+func TestSilentProcessBecomesNoVoter(t *testing.T) {
+	now := time.Now()
+	peers := heardOf("a", "c", "d")
+	for index := range peers {
+		peers[index].heardAt = now
+	}
+	peers[2].heardAt = now.Add(-silentAfter)
+	heard := heardLately(peers, now)
+	must.True(t, planVoters(votersOf("a", "b", "c"), "a", heard, 3, time.Hour).isEmpty())
+	must.True(t, planVoters(votersOf("a", "c"), "a", heard, 3, time.Hour).isEmpty())
+}
+
 func TestProcessWithoutADiskIsNoVoter(t *testing.T) {
 	heard := heardOf("a", "b", "c")
 	heard[2].disk = false
