Read stored messages in the background, and mend broken ones from another store

A flipped bit was found only when the message was due, and counted as a copy until then. A store whose log has failed for good ends, so that a new start replays it.

--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -157,7 +157,10 @@
 func (a *acceptance) run(ctx context.Context) rpc.PutStatus {
 	defer a.node.post(func() { a.entry.Accepting = 0 })
 	a.pending = 1
-	a.node.file.Sync(func(err error) { a.outcome("", a.node.ownDomain(), err == nil) })
+	a.node.file.Sync(func(err error) {
+		a.node.noteDisk(err)
+		a.outcome("", a.node.ownDomain(), err == nil)
+	})
 	for range a.needed - 1 {
 		a.another()
 	}
@@ -256,6 +259,7 @@
 		return nil, errClosed
 	}
 	if err := n.file.Wait(); err != nil {
+		n.noteDisk(err)
 		for i := range reply.Statuses {
 			reply.Statuses[i] = rpc.PutStatus_FAILED
 		}
--- a/internal/storenode/deliver.go
+++ b/internal/storenode/deliver.go
@@ -137,7 +137,7 @@
 	whole := entry.Message(now)
 	whole.Body, whole.BodyBytes = m.Body, 0
 	if n.write(entry, whole) == rpc.PutStatus_STORED {
-		n.file.Sync(func(error) {})
+		n.file.Sync(n.noteDisk)
 	}
 }
 
@@ -279,7 +279,7 @@
 		n.log.Error(err, "fate not written", "message", entry.Name)
 		return
 	}
-	n.file.Sync(func(error) {})
+	n.file.Sync(n.noteDisk)
 }
 
 // Report implements rpc.Store: it takes what became of messages that this store holds.
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -69,17 +69,19 @@
 	cluster coordinator
 	engine  engine
 
-	draw      func(n int) int // a random number in [0, n)
-	commands  chan func()     // run by the owner goroutine, which alone touches the fields below
-	table     *message.Table
-	view      *cluster.View
-	needs     uint64 // configuration that a sender acted on: nothing older is used
-	limits    map[string]int
-	pumpDue   bool
-	timer     *time.Timer
-	timerAt   time.Duration
-	releases  map[uint32]uint64 // epoch under which a release was asked for
-	repairing bool              // a look for missing copies is due
+	draw       func(n int) int // a random number in [0, n)
+	commands   chan func()     // run by the owner goroutine, which alone touches the fields below
+	table      *message.Table
+	view       *cluster.View
+	needs      uint64 // configuration that a sender acted on: nothing older is used
+	limits     map[string]int
+	pumpDue    bool
+	timer      *time.Timer
+	timerAt    time.Duration
+	releases   map[uint32]uint64 // epoch under which a release was asked for
+	unverified []*message.Entry  // whose records are read next
+	verifying  bool
+	repairing  bool // a look for missing copies is due
 
 	unwritten bool // the log had no room for a fate or a fence: it is to be rewritten
 
@@ -90,6 +92,8 @@
 	underCopied atomic.Uint64
 	backlog     atomic.Uint64
 	closed      chan struct{}
+	diskFailed  chan struct{} // closed once the log refuses all writes
+	failOnce    sync.Once
 	stopping    sync.WaitGroup
 }
 
@@ -107,7 +111,12 @@
 	go func() { _ = server.Serve(listener) }()
 	n.start()
 	n.log.Info("store started", "node", s.Node, "disk", n.disk, "incarnation", n.incarnation, "messages", n.table.Len())
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-n.diskFailed:
+		_ = server.Close()
+		return errors.Wrap(applog.ErrFailed, "storenode: end, so that a new start replays the log")
+	}
 	n.handOver()
 	_ = server.Close()
 	return n.close()
@@ -127,6 +136,7 @@
 		domains:  domains{tolerance: s.FaultTolerance, regions: s.Zones},
 		commands: make(chan func(), commandBuffer), table: message.NewTable(), limits: map[string]int{},
 		releases: map[uint32]uint64{}, owned: make([]atomic.Uint64, maxPartitions), closed: make(chan struct{}),
+		diskFailed: make(chan struct{}),
 	}
 	n.underCopied.Store(1) // not known before upkeep has counted
 	if err := n.openLog(); err != nil {
@@ -135,6 +145,13 @@
 	return n, nil
 }
 
+// noteDisk ends the process where the log has failed for good: what the disk holds since the last sync is unknown.
+func (n *Node) noteDisk(err error) {
+	if errors.Is(err, applog.ErrFailed) {
+		n.failOnce.Do(func() { close(n.diskFailed) })
+	}
+}
+
 // now is the time that tables and timers use: since the start of the process.
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -35,6 +35,7 @@
 	n.releasePaused()
 	n.upkeep(now)
 	n.maybeRewrite()
+	n.verifySome()
 	n.pumpDue = true
 }
 
--- /dev/null
+++ b/internal/storenode/verify.go
@@ -0,0 +1,91 @@
+package storenode
+
+import (
+	"github.com/pkg/errors"
+
+	"foldlb.example/foldlb/coord/applog"
+	"foldlb.example/foldlb/internal/message"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// verifyBatch is how many records are read and checked each second. A store with little to keep reads all of them about every
+// verifyBatch-th part of their number in seconds.
+const verifyBatch = 32
+
+// verified is one record that is to be read.
+type verified struct {
+	entry  *message.Entry
+	record applog.Position
+}
+
+// verifySome reads records of messages whose bodies are still owed, in turn, and has broken ones written anew from another store.
+func (n *Node) verifySome() {
+	if n.verifying {
+		return
+	}
+	if len(n.unverified) == 0 {
+		n.table.Each(func(e *message.Entry) {
+			if e.Stored && e.State != rpc.State_COMPLETED {
+				n.unverified = append(n.unverified, e)
+			}
+		})
+	}
+	count := min(verifyBatch, len(n.unverified))
+	if count == 0 {
+		return
+	}
+	batch := make([]verified, 0, count)
+	for _, e := range n.unverified[:count] {
+		if e.Stored && e.State != rpc.State_COMPLETED {
+			batch = append(batch, verified{entry: e, record: e.Record})
+		}
+	}
+	n.unverified = n.unverified[count:]
+	n.verifying = true
+	go n.verify(batch)
+}
+
+func (n *Node) verify(batch []verified) {
+	for _, one := range batch {
+		if n.isBroken(one) {
+			n.post(func() { n.restore(one) })
+		}
+	}
+	n.post(func() { n.verifying = false })
+}
+
+// isBroken reports whether the record is not the message that was written there. A disk that does not answer proves nothing.
+func (n *Node) isBroken(one verified) bool {
+	data, err := n.file.Read(one.record)
+	if err != nil {
+		return errors.Is(err, applog.ErrCorrupt)
+	}
+	m, err := decodeMessage(data)
+	return err != nil || m.Name != one.entry.Name
+}
+
+// restore writes a message whose record is broken anew, from another store that holds it.
+func (n *Node) restore(one verified) {
+	if one.entry.Record != one.record || !one.entry.Stored {
+		return // written elsewhere meanwhile
+	}
+	n.log.Info("a record is broken; it is restored from another store", "message", one.entry.Name, "offset", one.record.Offset)
+	sources := append([]string(nil), one.entry.Holders...)
+	if n.view != nil {
+		if owner, _, ok := n.view.Owner(one.entry.Partition); ok && owner.Disk != n.disk {
+			sources = append(sources, owner.Disk)
+		}
+	}
+	go func() {
+		m := n.fetch(one.entry.Name, sources)
+		if m == nil {
+			return
+		}
+		n.post(func() {
+			if one.entry.Record == one.record && one.entry.Stored {
+				one.entry.Stored = false
+				n.keepFetched(one.entry, m)
+			}
+		})
+	}()
+}
