--- a/coord/watch/watch_test.go
+++ b/coord/watch/watch_test.go
@@ -226,3 +226,8 @@
 	parts, _, _ := hub.since(0, partsWithout(request), nil)
 	must.Eq(t, [][]byte{[]byte("h"), []byte("one")}, parts)
 }
+
+// TCP repeats a lost opening packet after a second; a dial must have been given up long before.
+func TestDialEndsBeforeTheOpeningPacketIsRepeated(t *testing.T) {
+	must.LessEq(t, time.Second/4, dialTimeout)
+}
