--- a/internal/storenode/peers.go
+++ b/internal/storenode/peers.go
@@ -48,10 +48,10 @@
 			continue
 		}
 		one := p.byKey[member.Disk]
-		if one == nil || one.address != member.Address {
-			one = &peer{node: p.node, disk: member.Disk, address: member.Address}
+		if one == nil || one.address != member.Address || one.zone != member.Zone {
+			one = &peer{node: p.node, disk: member.Disk, address: member.Address, zone: member.Zone}
 		}
-		one.name, one.zone, one.leaving = member.Node, member.Zone, member.Leaving
+		one.leaving = member.Leaving
 		known[member.Disk] = one
 		p.list = append(p.list, one)
 	}
@@ -124,9 +124,8 @@
 	node    *Node
 	disk    string
 	address string
-	name    string
 	zone    string
-	leaving bool
+	leaving bool // guarded by the mutex of peers
 
 	mutex        sync.Mutex
 	copies       []*copyItem
