--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -1,27 +1,19 @@
 package storenode
 
 import (
-	"context"
 	"time"
 
-	"foldlb.example/foldlb/coord/applog"
 	"foldlb.example/foldlb/internal/message"
 	"foldlb.example/foldlb/internal/rpc"
 )
 
 const (
-	scrubFirst     = 1500 * time.Millisecond // after a copy came, its holder asks the owner what became of it
-	scrubAgain     = 4 * time.Second
-	scrubBatch     = 500
-	scrubWithin    = time.Second
 	repairBatch    = 500                    // copies restored at a time
 	repairAgain    = 600 * time.Millisecond // before a copy that is still missing is sent anew
 	repairPause    = 150 * time.Millisecond // between two looks while copies are missing
 	statusSlack    = 30 * time.Second
 	retentionMost  = 15 * time.Minute // for which states are kept beyond statusS
 	retentionSlack = 2 * time.Second
-	rewriteLeast   = 24 << 20 // a log below this is not rewritten
-	rewriteRecord  = 400      // bytes that a record costs beside its body, roughly
 )
 
 // housekeep runs once a second on the owner goroutine.
@@ -210,197 +202,3 @@
 		}})
 	}()
 }
-
-// collectScrub adds a copy that is held for another store to what its owner is asked about.
-func (n *Node) collectScrub(e *message.Entry, now time.Duration, ask map[string][]*rpc.Fate) {
-	if e.Ended() || now < e.ScrubAt {
-		return
-	}
-	owner, _, ok := n.view.Owner(e.Partition)
-	if !ok || owner.Disk == n.disk || len(ask[owner.Disk]) >= scrubBatch {
-		return
-	}
-	e.ScrubAt = now + scrubAgain
-	ask[owner.Disk] = append(ask[owner.Disk], e.Fate())
-}
-
-// scrub asks an owner what became of copies, and offers it those that it does not know.
-func (n *Node) scrub(owner *peer, fates []*rpc.Fate) {
-	ctx, cancel := context.WithTimeout(context.Background(), scrubWithin)
-	defer cancel()
-	reply, err := n.cluster.Store(owner.address).Scrub(ctx, &rpc.ScrubRequest{Caller: n.disk, Fates: fates})
-	if err != nil {
-		return
-	}
-	n.do(func() {
-		for _, fate := range reply.Fates {
-			n.applyFate(fate)
-		}
-	})
-}
-
-// Scrub implements rpc.Store: it answers a holder, and takes messages that this owner does not know.
-func (n *Node) Scrub(_ context.Context, request *rpc.ScrubRequest) (*rpc.ScrubReply, error) {
-	reply := &rpc.ScrubReply{}
-	if !n.do(func() {
-		for _, fate := range request.Fates {
-			n.scrubOne(request.Caller, fate, reply)
-		}
-	}) {
-		return nil, errClosed
-	}
-	if len(reply.Unknown) > 0 {
-		go n.take(request.Caller, reply.Unknown)
-	}
-	return reply, nil
-}
-
-func (n *Node) scrubOne(caller string, fate *rpc.Fate, reply *rpc.ScrubReply) {
-	entry := n.table.Get(fate.Name)
-	if entry == nil {
-		if n.table.IsReady(fate.Partition) {
-			reply.Unknown = append(reply.Unknown, fate.Name)
-		}
-		return
-	}
-	if entry.Ended() {
-		reply.Fates = append(reply.Fates, entry.Fate())
-		return
-	}
-	entry.AddHolder(caller)
-}
-
-// take fetches messages that a holder has for a partition owned here.
-func (n *Node) take(holder string, names []string) {
-	one := n.peers.get(holder)
-	if one == nil {
-		return
-	}
-	for len(names) > 0 {
-		count := min(batchMessages, len(names))
-		ctx, cancel := context.WithTimeout(context.Background(), scrubWithin)
-		reply, err := n.cluster.Store(one.address).Fetch(ctx, &rpc.FetchRequest{Names: names[:count]})
-		cancel()
-		if err != nil {
-			return
-		}
-		names = names[count:]
-		n.do(func() {
-			for _, m := range reply.Messages {
-				n.takeOne(holder, m)
-			}
-		})
-	}
-}
-
-func (n *Node) takeOne(holder string, m *rpc.Message) {
-	if n.table.Get(m.Name) != nil || !n.table.IsReady(m.Partition) {
-		return
-	}
-	now := n.now()
-	entry := message.FromMessage(m, now)
-	if entry.OrderKey != "" && entry.Seq == 0 {
-		n.table.Number(entry)
-	}
-	if n.write(entry, m) != rpc.PutStatus_STORED {
-		return
-	}
-	entry.Body = nil
-	entry = n.table.Add(entry, now)
-	entry.AddHolder(holder)
-	if !entry.Ended() && n.expired(entry, now) { // the holder can't tell whether it was run, so it is never begun here
-		n.table.End(entry, rpc.State_DEAD, "", now)
-		n.tell(entry)
-	}
-	n.pumpDue = true
-}
-
-// maybeRewrite rewrites the log when most of it is no longer needed, or had no room for what became of a message.
-func (n *Node) maybeRewrite() {
-	size := n.file.Size()
-	live := int64(n.table.LiveBytes() + rewriteRecord*n.table.Len())
-	full := n.logBytes() > 0 && size > n.logBytes()*9/10
-	if !n.unwritten && (size < rewriteLeast && !full || live > size/2) {
-		return
-	}
-	if err := n.rewrite(); err != nil {
-		n.log.Error(err, "log not rewritten")
-		return
-	}
-	n.unwritten = false
-}
-
-// place is where a record stands in the rewritten log.
-type place struct {
-	entry *message.Entry
-	at    applog.Position
-}
-
-func (n *Node) rewrite() error {
-	var places []place
-	err := n.file.Rewrite(func(write func([]byte) (applog.Position, error)) error {
-		if _, err := write(encodeText(recordIdentity, time.Now(), n.disk)); err != nil {
-			return err
-		}
-		if _, err := write(encodeText(recordStart, time.Now(), n.startNumber())); err != nil {
-			return err
-		}
-		for id, epoch := range n.table.Fences() {
-			data, err := encodeRecord(recordFence, time.Now(), &rpc.PartitionEpoch{Partition: id, Epoch: epoch})
-			if err != nil {
-				return err
-			}
-			if _, err := write(data); err != nil {
-				return err
-			}
-		}
-		var failed error
-		n.table.Each(func(e *message.Entry) {
-			if failed == nil {
-				failed = n.rewriteEntry(e, write, &places)
-			}
-		})
-		return failed
-	})
-	if err != nil {
-		return err
-	}
-	for _, p := range places {
-		p.entry.Record = p.at
-	}
-	return nil
-}
-
-func (n *Node) rewriteEntry(e *message.Entry, write func([]byte) (applog.Position, error), places *[]place) error {
-	now := n.now()
-	if e.State == rpc.State_COMPLETED || !e.Stored {
-		if !e.Ended() {
-			return nil
-		}
-		data, err := encodeRecord(recordFate, time.Now().Add(e.EndedAt-now), e.Fate())
-		if err != nil {
-			return err
-		}
-		_, err = write(data)
-		return err
-	}
-	old, err := n.file.Read(e.Record)
-	if err != nil {
-		e.Stored = false // lost here; the copies are on other stores
-		return nil
-	}
-	m, err := decodeMessage(old)
-	if err != nil {
-		e.Stored = false
-		return nil
-	}
-	current := e.Message(now)
-	current.Body, current.BodyBytes = m.Body, 0
-	data, err := encodeRecord(recordMessage, time.Now(), current)
-	if err != nil {
-		return err
-	}
-	at, err := write(data)
-	*places = append(*places, place{entry: e, at: at})
-	return err
-}
