Read a stored message in one place

Delivery, fetching, repair, verification and rewriting each read a record, decoded it and asked for its name; rewriting did not ask. Now readMessage does, and tells a broken record from a disk that does not answer. Behaviour is the same but for that check.

--- a/internal/storenode/deliver.go
+++ b/internal/storenode/deliver.go
@@ -86,10 +86,8 @@
 	var body []byte
 	found := false
 	if stored {
-		if data, err := n.file.Read(at); err == nil {
-			if m, err := decodeMessage(data); err == nil && m.Name == entry.Name {
-				body, found = m.Body, true
-			}
+		if m, err := n.readMessage(at, entry.Name); err == nil {
+			body, found = m.Body, true
 		}
 	}
 	var fetched *rpc.Message
@@ -133,10 +131,7 @@
 	if entry.Stored {
 		return
 	}
-	now := n.now()
-	whole := entry.Message(now)
-	whole.Body, whole.BodyBytes = m.Body, 0
-	if n.write(entry, whole) == rpc.PutStatus_STORED {
+	if n.write(entry, withBody(entry.Message(n.now()), m.Body)) == rpc.PutStatus_STORED {
 		n.file.Sync(n.noteDisk)
 	}
 }
@@ -165,16 +160,11 @@
 	if current == nil {
 		return nil
 	}
-	data, err := n.file.Read(at)
+	m, err := n.readMessage(at, name)
 	if err != nil {
 		return nil
 	}
-	m, err := decodeMessage(data)
-	if err != nil || m.Name != name {
-		return nil
-	}
-	current.Body, current.BodyBytes = m.Body, 0
-	return current
+	return withBody(current, m.Body)
 }
 
 // submit hands an attempt to the delivery engine.
--- a/internal/storenode/records.go
+++ b/internal/storenode/records.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"foldlb.example/foldlb/coord/applog"
 	"foldlb.example/foldlb/internal/rpc"
 )
 
@@ -63,3 +64,26 @@
 	}
 	return m, errors.Wrap(proto.Unmarshal(r.payload, m), "storenode: message record")
 }
+
+// readMessage reads the message of this name from the log. Where the record is not that message, the error is applog.ErrCorrupt;
+// other errors say nothing of the record.
+func (n *Node) readMessage(at applog.Position, name string) (*rpc.Message, error) {
+	data, err := n.file.Read(at)
+	if err != nil {
+		return nil, err
+	}
+	m, err := decodeMessage(data)
+	if err != nil {
+		return nil, errors.Wrap(applog.ErrCorrupt, err.Error())
+	}
+	if m.Name != name {
+		return nil, errors.Wrapf(applog.ErrCorrupt, "storenode: message %s where %s was expected", m.Name, name)
+	}
+	return m, nil
+}
+
+// withBody completes what is known of a message now by its body.
+func withBody(current *rpc.Message, body []byte) *rpc.Message {
+	current.Body, current.BodyBytes = body, 0
+	return current
+}
--- a/internal/storenode/rewrite.go
+++ b/internal/storenode/rewrite.go
@@ -82,19 +82,12 @@
 		_, err = write(data)
 		return err
 	}
-	old, err := n.file.Read(e.Record)
+	m, err := n.readMessage(e.Record, e.Name)
 	if err != nil {
 		e.Stored = false // lost here; the copies are on other stores
 		return nil
 	}
-	m, err := decodeMessage(old)
-	if err != nil {
-		e.Stored = false
-		return nil
-	}
-	current := e.Message(now)
-	current.Body, current.BodyBytes = m.Body, 0
-	data, err := encodeRecord(recordMessage, time.Now(), current)
+	data, err := encodeRecord(recordMessage, time.Now(), withBody(e.Message(now), m.Body))
 	if err != nil {
 		return err
 	}
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -186,16 +186,11 @@
 	at := e.Record
 	current := e.Message(n.now())
 	go func() {
-		data, err := n.file.Read(at)
+		m, err := n.readMessage(at, current.Name)
 		if err != nil {
 			return
 		}
-		m, err := decodeMessage(data)
-		if err != nil || m.Name != current.Name {
-			return
-		}
-		current.Body, current.BodyBytes = m.Body, 0
-		one.put(&copyItem{message: current, epoch: epoch, done: func(status rpc.PutStatus) {
+		one.put(&copyItem{message: withBody(current, m.Body), epoch: epoch, done: func(status rpc.PutStatus) {
 			if status == rpc.PutStatus_STORED {
 				n.post(func() { n.addHolder(e, one.disk) })
 			}
--- a/internal/storenode/verify.go
+++ b/internal/storenode/verify.go
@@ -56,12 +56,8 @@
 
 // isBroken reports whether the record is not the message that was written there. A disk that does not answer proves nothing.
 func (n *Node) isBroken(one verified) bool {
-	data, err := n.file.Read(one.record)
-	if err != nil {
-		return errors.Is(err, applog.ErrCorrupt)
-	}
-	m, err := decodeMessage(data)
-	return err != nil || m.Name != one.entry.Name
+	_, err := n.readMessage(one.record, one.entry.Name)
+	return errors.Is(err, applog.ErrCorrupt)
 }
 
 // restore writes a message whose record is broken anew, from another store that holds it.
