--- a/internal/storenode/takeover.go
+++ b/internal/storenode/takeover.go
@@ -151,7 +151,6 @@
 		return nil, err
 	}
 	n.do(func() { reply.Messages = n.list(request.Partitions) })
-	reply.Whole = true
 	return reply, nil
 }
 
