ingest: give a message up once no store has answered for most of its client's time

Cause: where an owner loses power, its pinned messages were held until the client's deadline, in vain: another owner comes after 2.3 s. Change: 0.45 of the client's time after its arrival, and 200 ms after the last answer of any store, the outcome is told as unknown (504, never a promise). A store that answers, if only that it is not the owner, ends neither.

--- a/internal/ingest/accept.go
+++ b/internal/ingest/accept.go
@@ -22,6 +22,7 @@
 	ownerPatience = 40 * time.Millisecond  // after it a silent owner is gone round, within the hedge budget
 	silenceBound  = 200 * time.Millisecond // after it a silent owner is gone round in any case, and counts as unreachable
 	hopelessCheck = 50 * time.Millisecond  // between looks at whether other stores answer, while the owner is silent
+	silentPart    = 0.45                   // of the time a client gives, after which a message that nobody answers for is given up
 	repeatDelay   = 100 * time.Millisecond // before a repeat at an owner that failed
 	staleDelay    = 25 * time.Millisecond  // before a repeat at an owner that disowned the partition
 )
@@ -46,6 +47,7 @@
 	lateNoted   bool      // that Put was noted as late
 	silentNoted bool      // that Put was noted as silent
 	nextTry     time.Time // not before this is the same owner tried again
+	unanswered  time.Time // since when Puts have been sent without an answer of any store; zero before the first
 	maybeStored bool
 	holders     holderWrite
 }
@@ -154,13 +156,23 @@
 	}
 }
 
-// hopeless reports whether the owner has been silent for long and most stores are out of reach: what is held on then is held in
-// vain.
+// hopeless reports whether no store has answered for long, and either most are out of reach or a good part of the client's time
+// has gone by: what is held on then is held in vain. An owner that died is replaced seconds later.
 func (a *acceptance) hopeless(now time.Time) bool {
-	if a.owner.store == nil || now.Sub(a.ownerSent) < silenceBound {
+	if a.unanswered.IsZero() || now.Sub(a.unanswered) < silenceBound {
 		return false
 	}
-	return a.dispatcher.health.mostUnreachable(a.view.Stores())
+	return !now.Before(a.giveUpAt()) || a.dispatcher.health.mostUnreachable(a.view.Stores())
+}
+
+// giveUpAt is the moment from which a message is given up that no store answers for.
+func (a *acceptance) giveUpAt() time.Time {
+	given := a.message.deadline.Sub(a.message.arrived)
+	patient := a.message.arrived.Add(time.Duration(silentPart * float64(given)))
+	if silent := a.unanswered.Add(silenceBound); silent.After(patient) {
+		return silent
+	}
+	return patient
 }
 
 // nextNote is the next moment at which silence is noted, or the deadline.
@@ -195,19 +207,27 @@
 		}
 	}
 	if !ok {
-		return a.message.deadline, undecided
+		return a.untilGivenUp(), undecided
 	}
 	to := target{store: owner, epoch: epoch, mode: rpc.PutMode_OWNER}
 	if sameOwner(a.owner, to) && now.Before(a.nextTry) {
 		return a.atMost(a.nextTry), undecided
 	}
 	if a.sent >= maxPuts {
-		return a.message.deadline, undecided
+		return a.untilGivenUp(), undecided
 	}
 	a.sendToOwner(to, now)
 	return a.nextNote(), undecided
 }
 
+// untilGivenUp is when to look again at a message for which nothing can be done but wait.
+func (a *acceptance) untilGivenUp() time.Time {
+	if a.unanswered.IsZero() {
+		return a.message.deadline
+	}
+	return a.atMost(a.giveUpAt())
+}
+
 // waitForOwner waits a little for an owner that can be reached, and then refuses, so that the client may try
 // another dispatcher in time.
 func (a *acceptance) waitForOwner(now time.Time) (wake time.Time, result verdict) {
@@ -231,6 +251,9 @@
 
 func (a *acceptance) send(to target) {
 	a.sent++
+	if a.unanswered.IsZero() {
+		a.unanswered = time.Now()
+	}
 	a.putter.start(a.name, a.partition, to, a.view.ConfigVersion)
 }
 
@@ -252,6 +275,9 @@
 
 // onOutcome takes the outcome of a Put.
 func (a *acceptance) onOutcome(outcome putOutcome) verdict {
+	if outcome.result.answered() {
+		a.unanswered = time.Now()
+	}
 	if outcome.target.mode == rpc.PutMode_HOLDER {
 		if a.onHolder(outcome) {
 			return accepted
--- a/internal/ingest/accept_test.go
+++ b/internal/ingest/accept_test.go
@@ -250,3 +250,30 @@
 	must.GreaterEq(t, silenceBound, time.Since(began))
 	must.Eq(t, 2, w.puts(rpc.PutMode_HOLDER))
 }
+
+func TestMessageThatNoStoreAnswersForIsGivenUpInGoodTime(t *testing.T) {
+	for _, path := range []string{"/free/x", "/keyed/x"} {
+		w := newWorld(t)
+		for _, store := range w.stores {
+			store.onPut(store.silence)
+		}
+		began := time.Now()
+		answer := w.send("POST", path, "x", "X-Order-Key", "k", "X-Deadline-Ms", "8000")
+		must.Eq(t, fasthttp.StatusGatewayTimeout, answer.status) // it may have been stored: never a promise
+		must.Less(t, 4*time.Second, time.Since(began))           // before half of the client's time
+	}
+}
+
+func TestOwnerThatAnswersIsNotGivenUpOn(t *testing.T) {
+	w := newWorld(t)
+	key := w.keyOwnedBy(w.stores[1])
+	began := time.Now()
+	w.stores[1].onPut(func(context.Context, *rpc.PutRequest) (rpc.PutStatus, error) {
+		if time.Since(began) < 500*time.Millisecond { // more than silentPart of the time
+			return rpc.PutStatus_NOT_OWNER, nil
+		}
+		return rpc.PutStatus_STORED, nil
+	})
+	answer := w.send("POST", "/keyed/x", "x", "X-Order-Key", key, "X-Deadline-Ms", "1000")
+	must.Eq(t, fasthttp.StatusAccepted, answer.status)
+}
--- a/internal/ingest/put.go
+++ b/internal/ingest/put.go
@@ -17,6 +17,9 @@
 	putUnknown           // it may have been stored
 )
 
+// answered reports whether a store said what it did with the message.
+func (r putResult) answered() bool { return r == putStored || r == putStale || r == putFull }
+
 // target is where and how a message is put.
 type target struct {
 	store *rpc.StoreMember
