storenode: one copy leaves the zone, further ones stay in it

Change: the first copy goes to another zone, so that a zone may still be lost, further ones to stores of the owner's zone, unless copies must stand in different zones or regions by faultTolerance. The small deployments have one store a zone, and nothing changes there.

--- a/internal/storenode/peers.go
+++ b/internal/storenode/peers.go
@@ -72,7 +72,9 @@
 	return p.byKey[disk]
 }
 
-// choose draws a store for a copy that is not in tried: first healthy ones of other zones, then healthy ones, then any.
+// choose draws a store for a copy that is not in tried: healthy ones before others, and among them one of another zone for the
+// first copy, so that a zone may be lost, and of this zone for further ones, since bytes between zones are dear. Where copies must
+// stand in different zones or regions, that goes before.
 func (p *peers) choose(tried map[string]bool) *peer {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -80,11 +82,15 @@
 	bestRank, same := 0, 0
 	now := time.Now()
 	used := p.usedDomains(tried)
+	apart := p.triedElsewhere(tried)
 	for _, one := range p.list {
 		if tried[one.disk] {
 			continue
 		}
-		rank := one.rank(now, p.node.settings.Zone)
+		rank := one.rank(now)
+		if near := one.zone == p.node.settings.Zone; near != apart {
+			rank++
+		}
 		if used[p.node.domains.of(one.disk, one.zone)] {
 			rank += usedDomainRank
 		}
@@ -112,6 +118,16 @@
 	return used
 }
 
+// triedElsewhere reports whether one of the stores in tried is of another zone than this one. The mutex is held.
+func (p *peers) triedElsewhere(tried map[string]bool) bool {
+	for disk := range tried {
+		if one := p.byKey[disk]; one != nil && one.zone != p.node.settings.Zone {
+			return true
+		}
+	}
+	return false
+}
+
 // copyItem is a message on its way to a holder.
 type copyItem struct {
 	message *rpc.Message
@@ -136,7 +152,8 @@
 	suspectFor   time.Duration
 }
 
-func (one *peer) rank(now time.Time, zone string) int {
+// rank is lower for stores that are likely to take a copy.
+func (one *peer) rank(now time.Time) int {
 	rank := 0
 	if one.leaving {
 		rank += 4
@@ -146,9 +163,6 @@
 		rank += 8
 	}
 	one.mutex.Unlock()
-	if one.zone == zone {
-		rank++
-	}
 	return rank
 }
 
