Tell control how many partitions a store has taken over; drop a field nobody fills

Found in reading: RenewRequest.ready was never filled, so the status showed 0 ready partitions for every store, and RenewRequest.whole was set by nobody but tests of an earlier form. The count is now reckoned with the look for missing copies, and the test of a takeover checks it before and during one. The status of a store that was never told about keeps 0.

--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -17,8 +17,8 @@
 // must have been made up for within the time that its successor is given (syncS).
 const goneAfter = 200 * time.Millisecond
 
-// restoreWhole marks the stores whole whose lost copies have been restored: each says so itself, or all owners
-// have reported for wholeSettle since it joined that no message has too few copies.
+// restoreWhole marks the stores whole whose lost copies have been restored: all owners have reported for wholeSettle since they
+// joined that no message has too few copies.
 func (t *term) restoreWhole(state *rpc.ControlState, next *table, now time.Time) {
 	for _, member := range takingPart(next.stores, next.retirements) {
 		if member.Whole {
@@ -34,7 +34,7 @@
 			since = now
 			t.joined[member.Disk] = now
 		}
-		if status.whole || t.ownersSettled(state, next, since, wholeSettle) {
+		if t.ownersSettled(state, next, since, wholeSettle) {
 			member.Whole = true
 		}
 	}
--- a/internal/controlplane/term.go
+++ b/internal/controlplane/term.go
@@ -31,7 +31,6 @@
 	admittedAt    time.Time // when its incarnation was recorded in this term, so that no older table names it
 	granted       bool      // it was granted a lease in this term
 	leaving       bool
-	whole         bool
 	mapVersion    uint64
 	configVersion uint64
 	listVersion   uint64
@@ -165,19 +164,18 @@
 
 // note records a renewal and reports whether it tells anything that the planner acts on.
 func (s *storeStatus) note(request *rpc.RenewRequest, now time.Time) bool {
-	changed := s.leaving != request.Leaving || s.whole != request.Whole
+	changed := s.leaving != request.Leaving
 	s.disk = request.Disk
 	s.address = request.Address
 	s.zone = request.Zone
 	s.renewedAt = now
 	s.leaving = request.Leaving
-	s.whole = request.Whole
 	s.mapVersion = request.MapVersion
 	s.configVersion = request.ConfigVersion
 	s.listVersion = request.ListVersion
 	s.backlog = request.Backlog
 	s.underCopied = request.UnderCopied
-	s.readyCount = len(request.Ready)
+	s.readyCount = int(request.ReadyPartitions)
 	if request.UnderCopied > 0 {
 		s.cleanSince = time.Time{}
 	} else if s.cleanSince.IsZero() {
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -89,12 +89,13 @@
 	owned   []atomic.Uint64 // epoch under which attempts of a partition may begin; 0 for none
 	leaving atomic.Bool
 
-	underCopied atomic.Uint64
-	backlog     atomic.Uint64
-	closed      chan struct{}
-	diskFailed  chan struct{} // closed once the log refuses all writes
-	failOnce    sync.Once
-	stopping    sync.WaitGroup
+	underCopied     atomic.Uint64
+	readyPartitions atomic.Uint32
+	backlog         atomic.Uint64
+	closed          chan struct{}
+	diskFailed      chan struct{} // closed once the log refuses all writes
+	failOnce        sync.Once
+	stopping        sync.WaitGroup
 }
 
 // Run plays the store role until ctx ends, then hands its partitions over and returns.
@@ -290,6 +291,7 @@
 	request.Leaving = n.leaving.Load()
 	request.Backlog = n.backlog.Load()
 	request.UnderCopied = n.underCopied.Load()
+	request.ReadyPartitions = n.readyPartitions.Load()
 }
 
 // do runs a command on the owner goroutine and waits for it. It reports false where the node is closed.
--- a/internal/storenode/scenario_test.go
+++ b/internal/storenode/scenario_test.go
@@ -124,6 +124,7 @@
 func TestPartitionBeingTakenOverCountsAsUnderCopied(t *testing.T) {
 	simulated(t, smallScale, func(t *testing.T, w *world) {
 		owner, _ := w.owner(0)
+		must.Eq(t, 1, owner.running().node.readyPartitions.Load())
 		others := w.others(0)
 		heal := w.cut(others[0].name, others[1].name)
 		w.cut(others[0].name, others[2].name)
@@ -138,6 +139,7 @@
 		p := next.running()
 		must.False(t, isReady(p))
 		must.Positive(t, p.node.underCopied.Load())
+		must.Eq(t, 0, p.node.readyPartitions.Load())
 		heal()
 	})
 }
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -81,7 +81,9 @@
 	for _, e := range unheld {
 		n.table.Drop(e)
 	}
-	n.underCopied.Store(uint64(len(missing) + n.beingTakenOver()))
+	ready, takenOver := n.ownedPartitions()
+	n.readyPartitions.Store(uint32(ready))
+	n.underCopied.Store(uint64(len(missing) + takenOver))
 	n.repairAll(missing, alive, now)
 	for disk, fates := range ask {
 		if one := n.peers.get(disk); one != nil {
@@ -116,16 +118,19 @@
 	})
 }
 
-// beingTakenOver counts the owned partitions of which it is not yet known what other stores hold: each may have a message
-// with too few copies.
-func (n *Node) beingTakenOver() int {
-	count := 0
+// ownedPartitions counts the owned partitions that are ready, and those of which it is not yet known what other stores hold: each of
+// the latter may have a message with too few copies.
+func (n *Node) ownedPartitions() (ready, takenOver int) {
 	for id := range n.view.Map.Partitions {
-		if n.table.OwnedEpoch(uint32(id)) > 0 && !n.table.IsReady(uint32(id)) {
-			count++
+		switch {
+		case n.table.OwnedEpoch(uint32(id)) == 0:
+		case n.table.IsReady(uint32(id)):
+			ready++
+		default:
+			takenOver++
 		}
 	}
-	return count
+	return ready, takenOver
 }
 
 // aliveDisks returns the disks that are members and are not being emptied, this store's included.
