Move partitions off a store whose disk is full or does not answer

One whose disk stalled held its owner goroutine up once 1 MiB waited. The leader then hands its partitions over as it does for one that leaves; the copies there count as before. It counts for 3 s after the last report, and not at all where more stores are impaired than may be lost at one time, as load may be the cause. Tests: the model of the table with stores that are impaired at random; partitions leave and come back; a full store in the simulation; the log's Waiting and Full. The status names the disk.

--- a/cmd/foldlb-control/statustext.go
+++ b/cmd/foldlb-control/statustext.go
@@ -73,6 +73,8 @@
 		return "given up"
 	case store.Leaving:
 		return "leaving"
+	case store.Impaired:
+		return "disk impaired"
 	case !store.Whole:
 		return "not whole"
 	default:
--- a/coord/applog/log.go
+++ b/coord/applog/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -47,6 +48,8 @@
 	flushing   []byte // follows the file; being written, or left by a failed write
 	active     []byte // follows flushing; takes the appends
 	waiters    []func(error)
+	queuedAt   time.Time // when the first of waiters came
+	roundAt    time.Time // when the first of those came whose sync is under way; zero for none
 	rewriting  bool
 	full       bool  // the last write found no space
 	failure    error // set for good after a failed sync
@@ -175,6 +178,20 @@
 	return l.sizeLocked()
 }
 
+// Buffered returns the number of bytes that are not yet written.
+func (l *Log) Buffered() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.flushing) + len(l.active)
+}
+
+// Full reports whether the last write found no space on the disk.
+func (l *Log) Full() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.full
+}
+
 func (l *Log) sizeLocked() int64 {
 	return l.written + int64(len(l.flushing)) + int64(len(l.active))
 }
--- a/coord/applog/log_test.go
+++ b/coord/applog/log_test.go
@@ -7,7 +7,9 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"golang.org/x/sys/unix"
@@ -307,3 +309,45 @@
 	}))
 	return next
 }
+
+func TestWaitingShowsADiskThatDoesNotAnswer(t *testing.T) {
+	log, file := openFaulty(t, t.TempDir(), Options{})
+	must.Eq(t, 0, log.Waiting())
+	file.syncBegan = make(chan struct{})
+	file.syncMayEnd = make(chan struct{})
+	_, err := log.Append([]byte("payload"))
+	must.NoError(t, err)
+	first := make(chan error, 1)
+	began := time.Now()
+	log.Sync(func(err error) { first <- err })
+	<-file.syncBegan
+	second := make(chan error, 1)
+	_, err = log.Append([]byte("behind it"))
+	must.NoError(t, err)
+	log.Sync(func(err error) { second <- err })
+	must.Positive(t, log.Buffered())
+	for log.Waiting() < 10*time.Millisecond { // that of the sync under way, not of the later one
+		must.Less(t, time.Minute, time.Since(began))
+	}
+	file.syncMayEnd <- struct{}{}
+	must.NoError(t, <-first)
+	<-file.syncBegan
+	file.syncMayEnd <- struct{}{}
+	must.NoError(t, <-second)
+	must.NoError(t, log.Close())
+	must.Eq(t, 0, log.Waiting())
+	must.Eq(t, 0, log.Buffered())
+}
+
+func TestFullTellsOfADiskWithoutSpaceUntilThereIsSome(t *testing.T) {
+	log, file := openFaulty(t, t.TempDir(), Options{})
+	file.set(syscall.ENOSPC, nil)
+	_, err := log.Append([]byte("payload"))
+	must.NoError(t, err)
+	must.ErrorIs(t, log.Wait(), ErrFull)
+	must.True(t, log.Full())
+	file.set(nil, nil)
+	must.NoError(t, log.Wait())
+	must.False(t, log.Full())
+	must.NoError(t, log.Close())
+}
--- a/coord/applog/sync.go
+++ b/coord/applog/sync.go
@@ -1,5 +1,7 @@
 package applog
 
+import "time"
+
 // wakeUp asks the goroutine of run for a round.
 func (l *Log) wakeUp() {
 	select {
@@ -19,11 +21,28 @@
 		go done(ErrClosed)
 		return
 	}
+	if len(l.waiters) == 0 {
+		l.queuedAt = time.Now()
+	}
 	l.waiters = append(l.waiters, done)
 	l.mutex.Unlock()
 	l.wakeUp()
 }
 
+// Waiting returns for how long the oldest request for a sync has waited, 0 where there is none.
+func (l *Log) Waiting() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch {
+	case !l.roundAt.IsZero():
+		return time.Since(l.roundAt)
+	case len(l.waiters) > 0:
+		return time.Since(l.queuedAt)
+	default:
+		return 0
+	}
+}
+
 // Wait returns when all that was appended before the call is synced. Its errors are those of Sync.
 func (l *Log) Wait() error {
 	result := make(chan error, 1)
@@ -47,9 +66,15 @@
 	l.mutex.Lock()
 	waiters := l.waiters
 	l.waiters = nil
+	if len(waiters) > 0 {
+		l.roundAt = l.queuedAt
+	}
 	closed := l.closed
 	l.mutex.Unlock()
 	err := l.commit(len(waiters) > 0)
+	l.mutex.Lock()
+	l.roundAt = time.Time{}
+	l.mutex.Unlock()
 	for _, done := range waiters {
 		done(err)
 	}
--- a/internal/controlplane/model_test.go
+++ b/internal/controlplane/model_test.go
@@ -17,7 +17,7 @@
 	modelCopies = 2
 	renewEvery  = 8 // steps
 	commitMost  = 6 // steps that a commit may take
-	eventKinds  = 7
+	eventKinds  = 8
 	streamMost  = 12 // one in so many steps carries the newest table to a store
 )
 
@@ -29,6 +29,7 @@
 	running  bool
 	cut      bool // nothing reaches it
 	leaving  bool
+	impaired bool
 	known    *rpc.ControlState
 	leaseEnd time.Time
 	released map[uint32]uint64 // epochs under which it stopped to act
@@ -54,7 +55,7 @@
 func (s *modelStore) request() *rpc.RenewRequest {
 	return &rpc.RenewRequest{
 		Node: s.node, Incarnation: s.incarnation(), Zone: s.node, Role: roleStore,
-		Disk: "disk-" + s.node, Address: s.node, Leaving: s.leaving, MapVersion: s.known.MapVersion,
+		Disk: "disk-" + s.node, Address: s.node, Leaving: s.leaving, Impaired: s.impaired, MapVersion: s.known.MapVersion,
 	}
 }
 
@@ -215,6 +216,8 @@
 		w.retire(store)
 	case 6:
 		w.changeLeader()
+	case 7:
+		store.impaired = !store.impaired
 	}
 }
 
@@ -252,6 +255,7 @@
 		store.start()
 		store.cut = false
 		store.leaving = false
+		store.impaired = false
 	}
 	const enough = 400 // steps
 	for range enough {
@@ -365,3 +369,41 @@
 	must.Len(t, 2, activeStores(w.committed))
 	must.False(t, findStore(w.committed.Stores, w.stores[0].node).Leaving)
 }
+
+// owned counts the partitions that each store owns by the committed table.
+func (w *modelWorld) owned() map[string]int {
+	owned := make(map[string]int)
+	for _, ownership := range w.committed.Partitions {
+		owned[ownership.Node]++
+	}
+	return owned
+}
+
+func TestImpairedStoreHandsItsPartitionsOverUntilItIsWell(t *testing.T) {
+	const second = int(time.Second / modelStep)
+	draw := drawsOf(1)
+	w := newModelWorld(4)
+	run(t, w, 10*second, draw)
+	ill := w.stores[0]
+	must.Positive(t, w.owned()[ill.node])
+	ill.impaired = true
+	run(t, w, 6*second, draw)
+	must.Eq(t, 0, w.owned()[ill.node])
+	must.Len(t, 4, activeStores(w.committed)) // its copies count as before
+	ill.impaired = false
+	run(t, w, 12*second, draw)
+	must.Eq(t, partitionCount/4, w.owned()[ill.node])
+}
+
+func TestPartitionsStayWhereMoreStoresAreImpairedThanMayBeLost(t *testing.T) {
+	draw := drawsOf(1)
+	w := newModelWorld(4)
+	run(t, w, 200, draw)
+	before := w.owned()
+	for _, store := range w.stores[:modelCopies] {
+		store.impaired = true
+		store.renewIn = 0
+	}
+	run(t, w, 200, draw)
+	must.Eq(t, before, w.owned())
+}
--- a/internal/controlplane/planner.go
+++ b/internal/controlplane/planner.go
@@ -121,7 +121,7 @@
 	if len(next.partitions) == 0 && !t.mayAssignFirst(copies, now) {
 		return nil
 	}
-	members := t.placementMembers(next, now)
+	members := t.placementMembers(next, copies, now)
 	partitions := placementTable(next.partitions)
 	partitions, err := applyReleases(members, partitions, released)
 	if err != nil {
@@ -174,13 +174,15 @@
 }
 
 // placementMembers lists what is known of the stores, and of former incarnations that still own partitions.
-func (t *term) placementMembers(next *table, now time.Time) []placement.Member {
+func (t *term) placementMembers(next *table, copies int, now time.Time) []placement.Member {
 	members := make([]placement.Member, 0, len(next.stores)+1)
+	sparesImpaired := t.countImpaired(next, now) < copies
 	for _, store := range next.stores {
 		alive := t.isAlive(store, now)
 		retired := isRetired(next.retirements, store.Node)
 		status := t.stores[store.Node]
-		leaves := status != nil && status.incarnation == store.Incarnation && status.leaving
+		current := status != nil && status.incarnation == store.Incarnation
+		leaves := current && (status.leaving || sparesImpaired && status.impaired(now))
 		members = append(members, placement.Member{
 			Node:        store.Node,
 			Incarnation: store.Incarnation,
@@ -194,6 +196,19 @@
 	return append(members, formerOwners(next)...)
 }
 
+// countImpaired counts the stores whose disks keep them from accepting. Where there are more than may be lost at one time the cause
+// is none of a single machine, such as too much load, and moving partitions would add to it.
+func (t *term) countImpaired(next *table, now time.Time) int {
+	count := 0
+	for _, store := range next.stores {
+		status := t.stores[store.Node]
+		if status != nil && status.incarnation == store.Incarnation && status.impaired(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // formerOwners lists incarnations that own partitions and have been replaced, which proves their end.
 func formerOwners(next *table) []placement.Member {
 	var members []placement.Member
--- a/internal/controlplane/status.go
+++ b/internal/controlplane/status.go
@@ -45,6 +45,7 @@
 	Incarnation   string `json:"incarnation"`
 	Whole         bool   `json:"whole"`
 	Leaving       bool   `json:"leaving"`
+	Impaired      bool   `json:"impaired"` // its disk was full or did not answer lately
 	Lease         bool   `json:"lease"`
 	AgeMs         int64  `json:"ageMs"`
 	MapVersion    uint64 `json:"mapVersion"`
@@ -133,6 +134,7 @@
 		store.Lease = t.leases.alive(store.Node, store.Incarnation, now)
 		store.AgeMs = now.Sub(known.renewedAt).Milliseconds()
 		store.Leaving = store.Leaving || known.leaving
+		store.Impaired = known.impaired(now)
 		store.MapVersion = known.mapVersion
 		store.ConfigVersion = known.configVersion
 		store.ListVersion = known.listVersion
--- a/internal/controlplane/term.go
+++ b/internal/controlplane/term.go
@@ -17,6 +17,9 @@
 	supersedeAfter = 900 * time.Millisecond
 	assignAfter    = 1500 * time.Millisecond // from the first store to the first assignment
 	assignAtLatest = 3 * time.Second         // the first assignment waits for more stores until then
+	// impairedFor is how long a store counts as impaired after it last said so: a disk that comes and goes is not to move
+	// partitions to and fro.
+	impairedFor = 3 * time.Second
 )
 
 // storeStatus is what the newest renewals of a store have told. It belongs to its term.
@@ -31,6 +34,7 @@
 	admittedAt    time.Time // when its incarnation was recorded in this term, so that no older table names it
 	granted       bool      // it was granted a lease in this term
 	leaving       bool
+	impairedUntil time.Time // its disk kept it from accepting lately
 	mapVersion    uint64
 	configVersion uint64
 	listVersion   uint64
@@ -164,12 +168,15 @@
 
 // note records a renewal and reports whether it tells anything that the planner acts on.
 func (s *storeStatus) note(request *rpc.RenewRequest, now time.Time) bool {
-	changed := s.leaving != request.Leaving
+	changed := s.leaving != request.Leaving || request.Impaired && !s.impaired(now)
 	s.disk = request.Disk
 	s.address = request.Address
 	s.zone = request.Zone
 	s.renewedAt = now
 	s.leaving = request.Leaving
+	if request.Impaired {
+		s.impairedUntil = now.Add(impairedFor)
+	}
 	s.mapVersion = request.MapVersion
 	s.configVersion = request.ConfigVersion
 	s.listVersion = request.ListVersion
@@ -184,6 +191,9 @@
 	return changed
 }
 
+// impaired reports whether the disk of the store kept it from accepting lately.
+func (s *storeStatus) impaired(now time.Time) bool { return now.Before(s.impairedUntil) }
+
 // mayGrant reports whether a lease can't make the store act for a partition that was given to another. A
 // store whose lease went on all the time knows what it owns, and one that was recorded in this term is named by
 // no older table. Any other must know the newest table.
--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return rpc.PutStatus_FAILED
 	}
-	if bound := n.logBytes(); bound > 0 && n.file.Size()+int64(len(data)) > bound-bound/reservePart {
+	if !n.hasRoom(int64(len(data))) {
 		return rpc.PutStatus_FULL
 	}
 	at, err := n.file.Append(data)
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -91,6 +91,7 @@
 
 	underCopied     atomic.Uint64
 	readyPartitions atomic.Uint32
+	refusedAt       atomic.Int64 // when a message was last refused for want of room, by now; 0 for never
 	backlog         atomic.Uint64
 	closed          chan struct{}
 	diskFailed      chan struct{} // closed once the log refuses all writes
@@ -292,6 +293,7 @@
 	request.Backlog = n.backlog.Load()
 	request.UnderCopied = n.underCopied.Load()
 	request.ReadyPartitions = n.readyPartitions.Load()
+	request.Impaired = n.impaired()
 }
 
 // do runs a command on the owner goroutine and waits for it. It reports false where the node is closed.
--- a/internal/storenode/scenario_test.go
+++ b/internal/storenode/scenario_test.go
@@ -335,6 +335,27 @@
 	})
 }
 
+// A store whose disk is full hands its partitions over, so that messages which only their owner may take are taken elsewhere.
+func TestPartitionsLeaveAStoreWhoseDiskIsFull(t *testing.T) {
+	size := smallScale
+	size.diskMb = 1
+	simulated(t, size, func(t *testing.T, w *world) {
+		owner, epoch := w.owner(0)
+		status := rpc.PutStatus_STORED
+		for i := 0; i < 1000 && status == rpc.PutStatus_STORED; i++ {
+			m := w.idle(fmt.Sprint("m", i), "")
+			m.Body = make([]byte, 8<<10)
+			status = w.put(owner, rpc.PutMode_OWNER, epoch, m)
+		}
+		must.Eq(t, rpc.PutStatus_FULL, status)
+		must.True(t, owner.running().node.impaired())
+		time.Sleep(5 * time.Second)
+		next, newEpoch := w.owner(0)
+		must.True(t, next != owner)
+		must.Eq(t, rpc.PutStatus_STORED, w.put(next, rpc.PutMode_OWNER, newEpoch, w.idle("after", "key")))
+	})
+}
+
 // A new disk is not whole while messages of its own partitions have too few copies.
 func TestNewDiskIsNotWholeBeforeItsOwnPartitionsAreCopied(t *testing.T) {
 	simulated(t, smallScale, func(t *testing.T, w *world) {
--- a/internal/storenode/sim_control_test.go
+++ b/internal/storenode/sim_control_test.go
@@ -268,7 +268,8 @@
 		alive = alive || waits
 		members = append(members, placement.Member{Node: store.Node, Incarnation: store.Incarnation, Zone: store.Zone,
 			Alive: alive, Ended: !alive && c.leases.Ended(store.Node, store.Incarnation, c.now()),
-			Leaving:  status != nil && status.request.Incarnation == store.Incarnation && status.request.Leaving,
+			Leaving: status != nil && status.request.Incarnation == store.Incarnation &&
+				(status.request.Leaving || status.request.Impaired),
 			Eligible: true})
 	}
 	seen := map[string]bool{}
