cluster: leave the stream of a leader's former life at the next renewal

Cause: where a leader loses power and leads again at its old address, a dispatcher that kept running waits on the old stream until 3 s of silence have passed. Its view names owners of a former life, every store disowns what it sends, and messages are held until the client's deadline and refused. Ruled out: the election (10 ms after power), takeover (70 ms), the stores' health as the dispatchers saw it. Change: a renewal's reply names the leader's epoch. One above that of the stream in progress ends the stream, as another address does. A dispatcher that is told NOT_OWNER renews at once, as before, and so learns of it. Test: TestStreamOfAFormerLifeIsLeftAtTheNextRenewal fails without it.

--- a/internal/cluster/book.go
+++ b/internal/cluster/book.go
@@ -17,10 +17,16 @@
 	addresses []string
 	current   int
 	failures  map[string]failure
-	leader    string        // the address that last answered as leader
+	leader    leadership
 	moved     chan struct{} // closed when leader changes
 }
 
+// leadership is who last answered as leader.
+type leadership struct {
+	address string // empty before the first
+	epoch   uint64
+}
+
 // failure counts the failures in a row of an address.
 type failure struct {
 	count int
@@ -104,21 +110,22 @@
 	return failed.count >= distrustAfter && time.Since(failed.last) < distrustFor
 }
 
-// confirm notes that an address answered as leader.
-func (b *addressBook) confirm(address string) {
+// confirm notes that an address answered as leader under an epoch.
+func (b *addressBook) confirm(address string, epoch uint64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	delete(b.failures, address)
 	b.current = b.index(address)
-	if b.leader != address {
-		b.leader = address
+	answered := leadership{address: address, epoch: epoch}
+	if b.leader != answered {
+		b.leader = answered
 		close(b.moved)
 		b.moved = make(chan struct{})
 	}
 }
 
-// leaderMoved returns the address that last answered as leader, and a channel that is closed when another does.
-func (b *addressBook) leaderMoved() (string, <-chan struct{}) {
+// leaderMoved returns who last answered as leader, and a channel that is closed when another address or epoch does.
+func (b *addressBook) leaderMoved() (leadership, <-chan struct{}) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	return b.leader, b.moved
--- a/internal/cluster/book_test.go
+++ b/internal/cluster/book_test.go
@@ -25,7 +25,7 @@
 	book.fail("a")
 	must.False(t, book.redirect("b", "a"))
 	must.Eq(t, "c", book.candidate())
-	book.confirm("a")
+	book.confirm("a", 1)
 	must.True(t, book.redirect("b", "a"))
 	must.Eq(t, "a", book.candidate())
 }
@@ -33,16 +33,19 @@
 func TestMovedIsClosedWhenAnotherLeads(t *testing.T) {
 	book := newAddressBook(nil)
 	must.Eq(t, "", book.candidate())
-	book.confirm("a")
+	book.confirm("a", 1)
 	leader, moved := book.leaderMoved()
-	must.Eq(t, "a", leader)
-	book.confirm("a")
+	must.Eq(t, leadership{address: "a", epoch: 1}, leader)
+	book.confirm("a", 1)
 	select {
 	case <-moved:
 		t.Fatal("moved without another leader")
 	default:
 	}
-	book.confirm("b")
+	book.confirm("b", 1)
+	<-moved
+	_, moved = book.leaderMoved()
+	book.confirm("b", 2)
 	<-moved
 }
 
@@ -60,7 +63,7 @@
 				book.learn([]string{address.Draw(t, "learnt")})
 			case 3:
 				if leader := address.Draw(t, "leader"); leader != "" {
-					book.confirm(leader)
+					book.confirm(leader, 1)
 				}
 			}
 			must.NotEq(t, "", book.candidate())
--- a/internal/cluster/client_test.go
+++ b/internal/cluster/client_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"foldlb.example/foldlb/coord/watch"
 	"foldlb.example/foldlb/internal/rpc"
 	"foldlb.example/foldlb/internal/settings"
 )
@@ -107,6 +109,25 @@
 	await(t, client, func(view *View) bool { return view.Map.GetVersion() == 2 })
 }
 
+// A leader that lost power and leads again at its old address says nothing on the streams of its former life, and ends none of them.
+func TestStreamOfAFormerLifeIsLeftAtTheNextRenewal(t *testing.T) {
+	control := newControl(t)
+	control.set(func(c *standInControl) { c.epoch = 1 })
+	control.publish(t, &rpc.View{LeaderEpoch: 1, Map: &rpc.MapView{Version: 1}})
+	client := start(t, Options{Role: RoleStore}, control.address())
+	await(t, client, func(view *View) bool { return view.Map.GetVersion() == 1 })
+	former := control.hub
+	t.Cleanup(former.Disconnect)
+	control.set(func(c *standInControl) { c.hub, c.epoch = watch.NewHub(2, 10), 2 })
+	control.publish(t, &rpc.View{LeaderEpoch: 2, Map: &rpc.MapView{Version: 2}})
+	client.Kick()
+	await(t, client, func(view *View) bool { return view.Map.GetVersion() == 2 })
+	for former.Subscribers() > 0 { // the client has hung up; the hub notices in its own time
+		runtime.Gosched()
+	}
+	must.Eq(t, 1, control.hub.Subscribers())
+}
+
 func TestLeaseIsValidOnceGranted(t *testing.T) {
 	control := newControl(t)
 	control.refuse = true
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -44,15 +44,15 @@
 	return false
 }
 
-// cancelWhenMoved ends a stream once another address than its own answers as leader. The function returned
-// ends the wait.
+// cancelWhenMoved ends a stream once a renewal shows that it will carry nothing more. The function returned ends the wait.
 func (c *Client) cancelWhenMoved(ctx context.Context, cancel context.CancelFunc, address string) func() {
 	ended := make(chan struct{})
+	begun, _ := c.book.leaderMoved()
 	go func() {
 		defer close(ended)
 		for {
 			leader, moved := c.book.leaderMoved()
-			if leader != "" && leader != address && c.book.candidate() != address {
+			if c.outdated(address, begun, leader) {
 				cancel()
 				return
 			}
@@ -69,6 +69,18 @@
 	}
 }
 
+// outdated reports whether the stream of an address can't be that of the leader: another address leads, or a later epoch began since
+// the stream did and the stream has not told of it. A process that lost power and leads again leaves its former streams silent.
+func (c *Client) outdated(address string, begun, leader leadership) bool {
+	if leader.address == "" {
+		return false
+	}
+	if leader.address != address {
+		return c.book.candidate() != address
+	}
+	return leader.epoch > begun.epoch && leader.epoch > c.view.Load().LeaderEpoch
+}
+
 // streamQuery tells the control process what this one does without, and that changes of the configuration may come as such.
 func (c *Client) streamQuery() string {
 	subscription := watch.Subscription{Deltas: true}
--- a/internal/cluster/renew.go
+++ b/internal/cluster/renew.go
@@ -48,7 +48,7 @@
 		}
 		return c.retryDelay()
 	}
-	c.book.confirm(address)
+	c.book.confirm(address, reply.LeaderEpoch)
 	if !reply.Granted {
 		return refusedRetryDelay
 	}
--- a/internal/cluster/world_test.go
+++ b/internal/cluster/world_test.go
@@ -29,6 +29,7 @@
 
 	mutex    sync.Mutex
 	leader   string // address of another process that leads; empty if this one does
+	epoch    uint64 // under which this process leads
 	silent   bool
 	refuse   bool
 	renewals chan *rpc.RenewRequest
@@ -60,7 +61,7 @@
 
 func (c *standInControl) watch(writer http.ResponseWriter, request *http.Request) {
 	c.mutex.Lock()
-	leader, silent := c.leader, c.silent
+	leader, silent, hub := c.leader, c.silent, c.hub
 	c.mutex.Unlock()
 	switch {
 	case silent:
@@ -69,14 +70,14 @@
 		writer.Header().Set("Location", "http://"+leader+watchPath)
 		writer.WriteHeader(http.StatusTemporaryRedirect)
 	default:
-		c.hub.ServeHTTP(writer, request)
+		hub.ServeHTTP(writer, request)
 	}
 }
 
 // Renew grants two seconds, where this process leads.
 func (c *standInControl) Renew(ctx context.Context, request *rpc.RenewRequest) (*rpc.RenewReply, error) {
 	c.mutex.Lock()
-	leader, silent, refuse := c.leader, c.silent, c.refuse
+	leader, epoch, silent, refuse := c.leader, c.epoch, c.silent, c.refuse
 	c.mutex.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -89,7 +90,7 @@
 	case c.renewals <- request:
 	default:
 	}
-	return &rpc.RenewReply{Granted: !refuse, Leader: true, LeaseMs: 2000}, nil
+	return &rpc.RenewReply{Granted: !refuse, Leader: true, LeaderEpoch: epoch, LeaseMs: 2000}, nil
 }
 
 // Release takes any release, where this process leads.
--- a/internal/controlplane/service.go
+++ b/internal/controlplane/service.go
@@ -80,6 +80,9 @@
 		LeaderAddress:    server.leaderAddress(),
 		ControlAddresses: server.controlAddresses(),
 	}
+	if term != nil {
+		reply.LeaderEpoch = term.epoch
+	}
 	if reply.Granted {
 		reply.LeaseMs = leaseDuration.Milliseconds()
 	}
