--- a/internal/ingest/health.go
+++ b/internal/ingest/health.go
@@ -22,6 +22,8 @@
 // it refused a connection or stayed silent for much longer; slow ones are avoided where another will do, and
 // unreachable ones are not waited for. It is safe for concurrent use.
 type health struct {
+	prober *prober // nil where suspicions end by time alone
+
 	mutex       sync.Mutex
 	stores      map[string]*storeHealth // by address
 	asked       bool
@@ -33,8 +35,12 @@
 type storeHealth struct {
 	slow        suspicion
 	unreachable suspicion
+	probed      bool // a prober asks the store, and the store counts as unreachable until it answers
 }
 
+// isUnreachable reports whether waiting for the store is likely in vain.
+func (s *storeHealth) isUnreachable() bool { return s.probed || s.unreachable.holds() }
+
 // suspicion holds for a while after failures, each time longer than before up to a bound.
 type suspicion struct {
 	failures int
@@ -51,7 +57,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	store := h.stores[address]
-	return store != nil && (store.slow.holds() || store.unreachable.holds())
+	return store != nil && (store.slow.holds() || store.isUnreachable())
 }
 
 // unreachable reports whether waiting for a store is likely in vain.
@@ -59,7 +65,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	store := h.stores[address]
-	return store != nil && store.unreachable.holds()
+	return store != nil && store.isUnreachable()
 }
 
 // succeeded notes an answer of a store, which ends any suspicion.
@@ -78,7 +84,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.store(address).slow.add(suspectAfter)
-	h.store(address).unreachable.add(lateAfter)
+	h.suspect(address, lateAfter)
 }
 
 // mostUnreachable reports whether more than half of the stores are unreachable, so that waiting for a new owner is in vain.
@@ -87,7 +93,7 @@
 	defer h.mutex.Unlock()
 	unreachable := 0
 	for _, member := range stores {
-		if store := h.stores[member.Address]; store != nil && store.unreachable.holds() {
+		if store := h.stores[member.Address]; store != nil && store.isUnreachable() {
 			unreachable++
 		}
 	}
@@ -100,7 +106,7 @@
 	defer h.mutex.Unlock()
 	h.asked = true
 	h.lastFailure = time.Now()
-	h.store(address).unreachable.add(suspectAfter)
+	h.suspect(address, suspectAfter)
 }
 
 // refused notes that a connection to a store was refused or broke.
@@ -109,7 +115,33 @@
 	defer h.mutex.Unlock()
 	h.asked = true
 	h.lastFailure = time.Now()
-	h.store(address).unreachable.add(1)
+	h.suspect(address, 1)
+}
+
+// suspect counts a failure against a store. Once there are enough in a row it is unreachable, until the prober has an answer of it
+// where there is one: no request is held up to find out. The mutex is held.
+func (h *health) suspect(address string, enough int) {
+	store := h.store(address)
+	store.unreachable.add(enough)
+	if h.prober == nil || store.probed || !store.unreachable.holds() {
+		return
+	}
+	store.probed = true
+	until := store.unreachable.until
+	go func() {
+		if h.prober.awaitAnswer(address, until) {
+			h.succeeded(address)
+			return
+		}
+		h.forget(address)
+	}()
+}
+
+// forget drops what was seen of a store that is none any more.
+func (h *health) forget(address string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	delete(h.stores, address)
 }
 
 func (h *health) store(address string) *storeHealth {
@@ -153,12 +185,17 @@
 
 // broke notes a call that failed in the middle. An error that the store itself answered is a sign of life.
 func (h *health) broke(address string, err error) {
-	var broken *net.OpError
-	if errors.As(err, &broken) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+	if isBroken(err) {
 		h.refused(address)
 	}
 }
 
+// isBroken reports whether a call failed for its connection, so that no answer of the store came.
+func isBroken(err error) bool {
+	var broken *net.OpError
+	return errors.As(err, &broken) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // neverSent reports whether a call failed before a byte of it left, because no connection was made.
 func neverSent(err error) bool {
 	var failed *net.OpError
--- a/internal/ingest/run.go
+++ b/internal/ingest/run.go
@@ -37,6 +37,7 @@
 		Log:         log,
 	})
 	process := &process{dispatcher: newDispatcher(settings, client), failures: make(chan error, 2), log: log}
+	process.dispatcher.health.prober = &prober{ctx: following, cluster: client}
 	return process.run(ctx, client)
 }
 
