--- a/cmd/foldlb-control/main.go
+++ b/cmd/foldlb-control/main.go
@@ -24,6 +24,7 @@
 			checkSettingsCommand(),
 			checkConfigCommand(),
 			statusCommand(),
+			abandonCommand(),
 			versionCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // said below, once
--- a/cmd/foldlb-control/status_test.go
+++ b/cmd/foldlb-control/status_test.go
@@ -55,6 +55,22 @@
 	}
 }
 
+func TestStatusTellsOfPartitionsThatWaitForMoreStoresThanMayBeLost(t *testing.T) {
+	status := exampleStatus()
+	status.FaultTolerance = 1
+	printed := func() string {
+		var out strings.Builder
+		printStatus(&out, status)
+		return out.String()
+	}
+	must.StrNotContains(t, printed(), "taken over")
+	status.Partitions["store-1"] = 5
+	must.StrContains(t, printed(), "3 are being taken over")
+	must.StrNotContains(t, printed(), "WAITING")
+	status.Stores[1].Lease = false
+	must.StrContains(t, printed(), "WAITING: store-2, store-4 hold no lease, and 1 may be lost")
+}
+
 func TestStatusWithoutALeader(t *testing.T) {
 	var out strings.Builder
 	printStatus(&out, &controlplane.Status{Address: "10.0.0.1:1", ConfigVersion: 2})
--- a/cmd/foldlb-control/statustext.go
+++ b/cmd/foldlb-control/statustext.go
@@ -108,6 +108,20 @@
 	if len(moving) > 0 {
 		fmt.Fprintf(out, "  handed over: %s\n", strings.Join(moving, ", "))
 	}
+	printWaiting(out, status)
+}
+
+// printWaiting tells of partitions that wait for stores, and what to do where they wait for more than may be lost.
+func printWaiting(out io.Writer, status *controlplane.Status) {
+	partitions, silent := status.Waiting()
+	if !status.Leader || partitions == 0 {
+		return
+	}
+	fmt.Fprintf(out, "  %d are being taken over\n", partitions)
+	if len(silent) > status.FaultTolerance {
+		fmt.Fprintf(out, "  WAITING: %s hold no lease, and %d may be lost at one time. Accepted messages may be on these alone: bring one back, or\n"+
+			"  go on without it by `foldlb-control abandon NODE --messages-may-be-lost`\n", strings.Join(silent, ", "), status.FaultTolerance)
+	}
 }
 
 // printConfiguration tells which nodes do not have the newest configuration in force.
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -153,6 +153,7 @@
 	mux.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(&service{server: s}))
 	mux.HandleFunc("GET /internal/watch", s.handleWatch)
 	mux.HandleFunc("GET /internal/status", s.handleStatus)
+	mux.HandleFunc("POST /internal/stores/{node}/abandon", s.leaderOnly(s.handleAbandon))
 	mux.HandleFunc("GET /metrics", s.handleMetrics)
 	mux.HandleFunc("POST /api/config/replace", s.leaderOnly(s.handleReplace))
 	mux.HandleFunc("POST /api/config/update", s.leaderOnly(s.handleUpdate))
--- a/internal/controlplane/status.go
+++ b/internal/controlplane/status.go
@@ -26,6 +26,21 @@
 	Partitions       map[string]int     `json:"partitions"` // number owned by each machine
 	Ownerships       []OwnershipStatus  `json:"ownerships"` // in the order of the partitions
 	Retirements      map[string]string  `json:"retirements"`
+	FaultTolerance   int                `json:"faultTolerance"` // stores that may be lost at one time
+}
+
+// Waiting returns how many partitions have an owner that does not yet know what other stores hold of them, and the stores that hold no
+// lease. Where those are more than may be lost, the partitions wait until some come back or are abandoned.
+func (s *Status) Waiting() (partitions int, silent []string) {
+	for _, store := range s.Stores {
+		switch {
+		case store.Lease:
+			partitions += max(0, s.Partitions[store.Node]-store.Ready)
+		case store.Address != "" && s.Retirements[store.Node] != retirementCompleted:
+			silent = append(silent, store.Node)
+		}
+	}
+	return partitions, silent
 }
 
 // OwnershipStatus tells who owns a partition. Node is empty for none, Successor where it is not being handed over.
@@ -87,6 +102,7 @@
 		ControlAddresses: s.controlAddresses(),
 		Partitions:       make(map[string]int),
 		Retirements:      make(map[string]string),
+		FaultTolerance:   s.copies() - 1,
 	}
 	for _, member := range known.Members {
 		status.Voters = append(status.Voters, member.Address)
--- a/internal/storenode/scenario_test.go
+++ b/internal/storenode/scenario_test.go
@@ -144,6 +144,56 @@
 	})
 }
 
+// Two disks are lost where one may be. The partitions begin again once every store has answered, and what a third store holds is kept.
+func TestPartitionsBeginOnceEveryStoreAnswersAfterTooManyDisksWereLost(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		owner, epoch := w.owner(0)
+		const count = 60
+		for i := range count {
+			must.Eq(t, rpc.PutStatus_STORED, w.put(owner, rpc.PutMode_OWNER, epoch, w.idle(fmt.Sprint("m", i), "")))
+		}
+		others := w.others(0)
+		lost := []*machine{owner, others[0]}
+		kept := map[string]bool{}
+		for _, m := range others[1:] {
+			for name := range tableOf(m.running()) {
+				kept[name] = true
+			}
+		}
+		must.Between(t, 1, len(kept), count-1) // some copies were on the two disks alone
+		for _, m := range lost {
+			m.stop(end{off: true, loseDisk: true})
+		}
+		time.Sleep(8 * time.Second)
+		next, _ := w.owner(0)
+		must.False(t, isReady(next.running()))
+		for _, m := range lost {
+			m.start()
+		}
+		time.Sleep(8 * time.Second)
+		next, _ = w.owner(0)
+		must.True(t, isReady(next.running()))
+		table := tableOf(next.running())
+		for name := range kept {
+			must.Eq(t, rpc.State_QUEUED, table[name].State)
+		}
+		must.MapLen(t, len(kept), table)
+	})
+}
+
+// An owner takes nothing from a sender that is behind, and nothing at all once a newer owner has asked it what it holds.
+func TestOwnerRefusesWritesBelowItsEpochAndItsFence(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		owner, epoch := w.owner(0)
+		must.Eq(t, rpc.PutStatus_STALE_EPOCH, w.put(owner, rpc.PutMode_OWNER, epoch-1, w.idle("behind", "")))
+		must.Eq(t, rpc.PutStatus_STORED, w.put(owner, rpc.PutMode_OWNER, epoch, w.idle("m", "")))
+		fences := &rpc.GatherRequest{Caller: "newer", Partitions: []*rpc.PartitionEpoch{{Partition: 0, Epoch: epoch + 1}}}
+		_, err := owner.running().node.Gather(t.Context(), fences)
+		must.NoError(t, err)
+		must.Eq(t, rpc.PutStatus_STALE_EPOCH, w.put(owner, rpc.PutMode_OWNER, epoch, w.idle("late", "")))
+	})
+}
+
 func isReady(p *process) bool {
 	ready := false
 	p.node.do(func() { ready = p.node.table.IsReady(0) })
