--- a/internal/storenode/scenario_test.go
+++ b/internal/storenode/scenario_test.go
@@ -194,6 +194,19 @@
 	})
 }
 
+// An owner whose lease has ended takes nothing, whatever it still believes to own.
+func TestOwnerTakesNothingOnceItsLeaseHasEnded(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		owner, epoch := w.owner(0)
+		w.cut(owner.name, controlName)
+		w.cut(controlName, owner.name)
+		time.Sleep(simLease)
+		p := owner.running()
+		must.True(t, p.node.do(func() { must.Eq(t, epoch, p.node.table.OwnedEpoch(0)) }))
+		must.Eq(t, rpc.PutStatus_NOT_OWNER, w.put(owner, rpc.PutMode_OWNER, epoch, w.idle("late", "")))
+	})
+}
+
 func isReady(p *process) bool {
 	ready := false
 	p.node.do(func() { ready = p.node.table.IsReady(0) })
