--- a/cmd/foldlb-scale/platform.go
+++ b/cmd/foldlb-scale/platform.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"foldlb.example/foldlb/internal/platformapi"
 )
 
 const (
@@ -19,24 +21,6 @@
 	destinationSlots    = 8
 )
 
-// platformEntry is one destination on the stand-in list, in the platform's form.
-type platformEntry struct {
-	ID              string `json:"id"`
-	Service         string `json:"service"`
-	Address         string `json:"address"`
-	Zone            string `json:"zone"`
-	Version         string `json:"version"`
-	Capacity        int    `json:"capacity"`
-	State           string `json:"state"`
-	ColdRemainingMs int    `json:"coldRemainingMs"`
-}
-
-// platformPage is one answer of the list.
-type platformPage struct {
-	Instances []platformEntry `json:"instances"`
-	NextToken *string         `json:"nextToken"`
-}
-
 // platform is a stand-in for the platform's list of destinations. Each turn moves the part that is down.
 type platform struct {
 	destinations int
@@ -74,9 +58,9 @@
 }
 
 // page holds the entries from a number on.
-func (p *platform) page(first int) platformPage {
+func (p *platform) page(first int) platformapi.Page {
 	last := min(first+entriesPerPage, p.destinations)
-	answer := platformPage{Instances: make([]platformEntry, 0, last-first)}
+	answer := platformapi.Page{Instances: make([]platformapi.Instance, 0, last-first)}
 	for index := first; index < last; index++ {
 		answer.Instances = append(answer.Instances, p.entry(index))
 	}
@@ -87,8 +71,8 @@
 	return answer
 }
 
-func (p *platform) entry(index int) platformEntry {
-	return platformEntry{
+func (p *platform) entry(index int) platformapi.Instance {
+	return platformapi.Instance{
 		ID:       fmt.Sprintf("i-%08x", index),
 		Service:  serviceName(index / destinationsService),
 		Address:  fmt.Sprintf("10.%d.%d.%d:8080", index>>16, index>>8&0xff, index&0xff),
@@ -99,13 +83,13 @@
 	}
 }
 
-// state is "draining" for the part that is down at this turn.
+// state is StateDraining for the part that is down at this turn.
 func (p *platform) state(index int) string {
 	place := (int64(index) + p.turn.Load()*downPerMille) % 1000
 	if place < downPerMille {
-		return "draining"
+		return platformapi.StateDraining
 	}
-	return "ready"
+	return platformapi.StateReady
 }
 
 func serviceName(number int) string { return fmt.Sprintf("service-%d", number) }
--- a/cmd/foldlb-scale/scale_test.go
+++ b/cmd/foldlb-scale/scale_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"foldlb.example/foldlb/internal/catalog"
+	"foldlb.example/foldlb/internal/platformapi"
 )
 
 func TestCountersAreReadFromProc(t *testing.T) {
@@ -63,12 +64,12 @@
 	for token := ""; ; pages++ {
 		response, err := http.Get("http://" + list.address() + "/instances?pageToken=" + token)
 		must.NoError(t, err)
-		answer := platformPage{}
+		answer := platformapi.Page{}
 		must.NoError(t, json.NewDecoder(response.Body).Decode(&answer))
 		must.NoError(t, response.Body.Close())
 		for _, entry := range answer.Instances {
 			seen[entry.ID] = true
-			if entry.State != "ready" {
+			if entry.State != platformapi.StateReady {
 				down++
 			}
 		}
--- a/internal/controlplane/budget_bench_test.go
+++ b/internal/controlplane/budget_bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"foldlb.example/foldlb/internal/platformapi"
 	"foldlb.example/foldlb/internal/rpc"
 	"foldlb.example/foldlb/internal/workerlist"
 )
@@ -86,10 +87,10 @@
 	const perPage = 1000
 	var pages [][]byte
 	for first := 0; first < planDestinations; first += perPage {
-		answer := page{}
+		answer := platformapi.Page{}
 		for number := first; number < first+perPage; number++ {
-			answer.Instances = append(answer.Instances, instance{ID: fmt.Sprintf("i-%08x", number), Service: fmt.Sprintf("service-%d", number/100),
-				Address: fmt.Sprintf("10.%d.%d.%d:8080", number>>16, number>>8&0xff, number&0xff), Zone: "heredia-a", Capacity: 8, State: "ready"})
+			answer.Instances = append(answer.Instances, platformapi.Instance{ID: fmt.Sprintf("i-%08x", number), Service: fmt.Sprintf("service-%d", number/100),
+				Address: fmt.Sprintf("10.%d.%d.%d:8080", number>>16, number>>8&0xff, number&0xff), Zone: "heredia-a", Capacity: 8, State: platformapi.StateReady})
 		}
 		encoded, err := json.Marshal(answer)
 		must.NoError(b, err)
@@ -112,10 +113,10 @@
 func readPages(b *testing.B, pages [][]byte) []*rpc.Worker {
 	var workers []*rpc.Worker
 	for _, data := range pages {
-		answer := &page{}
+		answer := &platformapi.Page{}
 		must.NoError(b, json.Unmarshal(data, answer))
 		for _, entry := range answer.Instances {
-			workers = append(workers, entry.worker())
+			workers = append(workers, workerOf(&entry))
 		}
 	}
 	return sortedWorkers(workers)
--- a/internal/controlplane/discovery.go
+++ b/internal/controlplane/discovery.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"foldlb.example/foldlb/internal/platformapi"
 	"foldlb.example/foldlb/internal/rpc"
 )
 
@@ -27,23 +28,6 @@
 	rateReserve      = 2 // share of the platform's rate that is used is 1 / rateReserve
 )
 
-// instance is one entry of the platform's list.
-type instance struct {
-	ID              string  `json:"id"`
-	Service         string  `json:"service"`
-	Address         string  `json:"address"`
-	Zone            string  `json:"zone"`
-	Capacity        float64 `json:"capacity"`
-	State           string  `json:"state"`
-	ColdRemainingMs float64 `json:"coldRemainingMs"`
-}
-
-// page is one answer of the platform.
-type page struct {
-	Instances []instance `json:"instances"`
-	NextToken *string    `json:"nextToken"`
-}
-
 // PlatformError reports an answer of the platform that is not a list.
 type PlatformError struct {
 	Status int // of HTTP
@@ -129,7 +113,7 @@
 			return nil, err
 		}
 		for _, entry := range next.Instances {
-			workers = append(workers, entry.worker())
+			workers = append(workers, workerOf(&entry))
 		}
 		if next.NextToken == nil || *next.NextToken == "" {
 			return sortedWorkers(workers), nil
@@ -139,7 +123,7 @@
 	return nil, errors.Errorf("the list of workers has more than %d pages: raise the bound", maxPages)
 }
 
-func (d *discovery) readPage(ctx context.Context, token string) (*page, error) {
+func (d *discovery) readPage(ctx context.Context, token string) (*platformapi.Page, error) {
 	target := url.URL{Scheme: "http", Host: d.address, Path: "/instances"}
 	if token != "" {
 		target.RawQuery = url.Values{"pageToken": {token}}.Encode()
@@ -156,7 +140,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, &PlatformError{Status: response.StatusCode}
 	}
-	answer := &page{}
+	answer := &platformapi.Page{}
 	decoder := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxPageBytes))
 	if err := decoder.Decode(answer); err != nil {
 		return nil, errors.Wrap(err, "the platform's list can't be read: ask again")
@@ -179,15 +163,15 @@
 	return slices.CompactFunc(workers, func(left, right *rpc.Worker) bool { return left.Id == right.Id })
 }
 
-// worker translates an entry of the platform's list.
-func (i *instance) worker() *rpc.Worker {
+// workerOf translates an entry of the platform's list.
+func workerOf(i *platformapi.Instance) *rpc.Worker {
 	return &rpc.Worker{
 		Id:       i.ID,
 		Service:  i.Service,
 		Address:  i.Address,
 		Zone:     i.Zone,
 		Capacity: uint32(max(i.Capacity, 0)),
-		Draining: i.State != "ready",
+		Draining: i.State != platformapi.StateReady,
 		ColdMs:   int64(i.ColdRemainingMs),
 	}
 }
--- a/internal/localrun/workers.go
+++ b/internal/localrun/workers.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"foldlb.example/foldlb/internal/platformapi"
 )
 
 const (
@@ -137,24 +139,6 @@
 	server  *http.Server
 }
 
-// instance is an entry of the platform's list.
-type instance struct {
-	ID              string `json:"id"`
-	Service         string `json:"service"`
-	Address         string `json:"address"`
-	Zone            string `json:"zone"`
-	Version         string `json:"version"`
-	Capacity        int    `json:"capacity"`
-	State           string `json:"state"`
-	ColdRemainingMs int    `json:"coldRemainingMs"`
-}
-
-// instanceList is a page of it, and here the whole of it.
-type instanceList struct {
-	Instances []instance `json:"instances"`
-	NextToken *string    `json:"nextToken"`
-}
-
 func startPlatform(workers []*worker) (*platform, error) {
 	listener, err := net.Listen("tcp4", net.JoinHostPort(loopback, "0"))
 	if err != nil {
@@ -169,10 +153,11 @@
 }
 
 func (p *platform) list(writer http.ResponseWriter, _ *http.Request) {
-	answer := instanceList{Instances: []instance{}}
+	answer := platformapi.Page{Instances: []platformapi.Instance{}}
 	for _, w := range p.workers {
-		answer.Instances = append(answer.Instances, instance{
-			ID: w.id, Service: w.service, Address: w.address, Zone: w.zone, Version: "v1", Capacity: workerCapacity, State: "ready",
+		answer.Instances = append(answer.Instances, platformapi.Instance{
+			ID: w.id, Service: w.service, Address: w.address, Zone: w.zone, Version: "v1", Capacity: workerCapacity,
+			State: platformapi.StateReady,
 		})
 	}
 	writer.Header().Set("Content-Type", "application/json")
