--- a/internal/message/table_test.go
+++ b/internal/message/table_test.go
@@ -289,3 +289,12 @@
 	table.Ready(0, 0)
 	must.Eq(t, second, table.Start("r", aim, 0))
 }
+
+func TestNothingRunsBeforeItIsKnownWhatOthersHold(t *testing.T) {
+	table := NewTable()
+	table.Own(0, 2)
+	table.Add(queued("m", "r", "", 0, 0), 0)
+	must.Nil(t, table.Start("r", aim, time.Second))
+	table.Ready(0, time.Second)
+	must.Eq(t, "m", table.Start("r", aim, time.Second).Name)
+}
