--- a/internal/ingest/accept.go
+++ b/internal/ingest/accept.go
@@ -136,66 +136,6 @@
 	return !ok || sameOwner(a.owner, target{store: owner, epoch: epoch})
 }
 
-// noteSilence notes an owner that lets the time pass, and goes round it where the message allows it.
-func (a *acceptance) noteSilence(now time.Time) {
-	if a.pending == 0 {
-		return
-	}
-	silence := now.Sub(a.ownerSent)
-	if silence >= ownerPatience && !a.lateNoted {
-		a.lateNoted = true
-		a.dispatcher.health.late(a.owner.store.Address)
-		if a.mayGoRound() && a.dispatcher.hedges.spend() {
-			a.goRoundOwner()
-		}
-	}
-	if silence >= silenceBound && !a.silentNoted {
-		a.silentNoted = true
-		a.dispatcher.health.silent(a.owner.store.Address)
-		a.goRoundOwner()
-	}
-}
-
-// hopeless reports whether no store has answered for long, and either most are out of reach or a good part of the client's time
-// has gone by: what is held on then is held in vain. An owner that died is replaced seconds later.
-func (a *acceptance) hopeless(now time.Time) bool {
-	if a.unanswered.IsZero() || now.Sub(a.unanswered) < silenceBound {
-		return false
-	}
-	return !now.Before(a.giveUpAt()) || a.dispatcher.health.mostUnreachable(a.view.Stores())
-}
-
-// giveUpAt is the moment from which a message is given up that no store answers for.
-func (a *acceptance) giveUpAt() time.Time {
-	given := a.message.deadline.Sub(a.message.arrived)
-	patient := a.message.arrived.Add(time.Duration(silentPart * float64(given)))
-	if silent := a.unanswered.Add(silenceBound); silent.After(patient) {
-		return silent
-	}
-	return patient
-}
-
-// nextNote is the next moment at which silence is noted, or the deadline.
-func (a *acceptance) nextNote() time.Time {
-	switch {
-	case a.pending > 0 && !a.lateNoted:
-		return a.atMost(a.ownerSent.Add(ownerPatience))
-	case a.pending > 0 && !a.silentNoted:
-		return a.atMost(a.ownerSent.Add(silenceBound))
-	case a.pending > 0:
-		return a.atMost(time.Now().Add(hopelessCheck))
-	default:
-		return a.message.deadline
-	}
-}
-
-func (a *acceptance) atMost(moment time.Time) time.Time {
-	if moment.After(a.message.deadline) {
-		return a.message.deadline
-	}
-	return moment
-}
-
 // tryOwner puts the message to the owner of its partition, moves it to another partition, or waits.
 func (a *acceptance) tryOwner(now time.Time) (wake time.Time, result verdict) {
 	owner, epoch, ok := a.view.Owner(a.partition)
@@ -220,14 +160,6 @@
 	return a.nextNote(), undecided
 }
 
-// untilGivenUp is when to look again at a message for which nothing can be done but wait.
-func (a *acceptance) untilGivenUp() time.Time {
-	if a.unanswered.IsZero() {
-		return a.message.deadline
-	}
-	return a.atMost(a.giveUpAt())
-}
-
 // waitForOwner waits a little for an owner that can be reached, and then refuses, so that the client may try
 // another dispatcher in time.
 func (a *acceptance) waitForOwner(now time.Time) (wake time.Time, result verdict) {
@@ -272,75 +204,3 @@
 	a.holders = holderWrite{}
 	return true
 }
-
-// onOutcome takes the outcome of a Put.
-func (a *acceptance) onOutcome(outcome putOutcome) verdict {
-	if outcome.result.answered() {
-		a.unanswered = time.Now()
-	}
-	if outcome.target.mode == rpc.PutMode_HOLDER {
-		if a.onHolder(outcome) {
-			return accepted
-		}
-		return undecided
-	}
-	a.pending--
-	if sameOwner(a.owner, outcome.target) {
-		a.lateNoted, a.silentNoted = true, true
-	}
-	switch outcome.result {
-	case putStored:
-		a.dispatcher.hedges.earn()
-		return accepted
-	case putStale:
-		a.onStale(outcome)
-		return undecided
-	case putFull:
-		return a.onFull(outcome)
-	case putNotSent:
-		a.moveFrom(outcome)
-		return undecided
-	default:
-		a.onUnknown()
-		return undecided
-	}
-}
-
-// onStale waits for a newer map, or moves where the message may.
-func (a *acceptance) onStale(outcome putOutcome) {
-	a.dispatcher.kick()
-	if sameOwner(a.owner, outcome.target) {
-		a.nextTry = time.Now().Add(staleDelay)
-	}
-	a.moveFrom(outcome)
-}
-
-// onFull moves where the message may, and refuses where nothing is stored.
-func (a *acceptance) onFull(outcome putOutcome) verdict {
-	if a.moveFrom(outcome) || a.failure() == unknown {
-		return undecided
-	}
-	return refused
-}
-
-// onUnknown goes round the owner where the message allows it; else the owner is tried again later.
-func (a *acceptance) onUnknown() {
-	a.maybeStored = true
-	a.goRoundOwner()
-}
-
-// moveFrom moves a message, nothing of which is stored, away from the store that did not take it. It reports
-// whether there was a place to move to.
-func (a *acceptance) moveFrom(outcome putOutcome) bool {
-	if !a.movable() {
-		return false
-	}
-	a.avoid = append(a.avoid, outcome.target.store.Node)
-	return a.choosePartition()
-}
-
-// sameOwner reports whether two targets are one process under one epoch.
-func sameOwner(one, other target) bool {
-	return one.store != nil && other.store != nil && one.epoch == other.epoch &&
-		one.store.Node == other.store.Node && one.store.Incarnation == other.store.Incarnation
-}
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"fmt"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -17,7 +16,6 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"foldlb.example/foldlb/coord/applog"
 	"foldlb.example/foldlb/internal/catalog"
@@ -165,107 +163,6 @@
 	return hex.EncodeToString(random[:])
 }
 
-// openLog replays the log, and writes the disk's identity where it has none.
-func (n *Node) openLog() error {
-	options := applog.Options{MaxBytes: n.logBytes(), OnCorrupt: func(at applog.Position) {
-		n.log.Info("a record of the log is corrupt; other stores hold copies", "offset", at.Offset)
-	}}
-	file, err := applog.Open(n.settings.DataDir, logName, options, n.replay)
-	if err != nil {
-		return errors.Wrap(err, "storenode: log")
-	}
-	n.file = file
-	if n.disk == "" {
-		n.disk = newIdentity()
-		if _, err := file.Append(encodeText(recordIdentity, time.Now(), n.disk)); err != nil {
-			return errors.Wrap(err, "storenode: identity")
-		}
-	}
-	n.starts++
-	n.incarnation = n.startNumber() + "-" + newIdentity()[:8]
-	return errors.Wrap(n.recordStart(), "storenode: start")
-}
-
-// recordStart makes the number of this start durable. A log without room for it is rewritten, which writes it too.
-func (n *Node) recordStart() error {
-	_, err := n.file.Append(encodeText(recordStart, time.Now(), n.startNumber()))
-	if errors.Is(err, applog.ErrFull) {
-		return n.rewrite()
-	}
-	if err != nil {
-		return err
-	}
-	return n.file.Wait()
-}
-
-// startNumber is the number of this start, in a form that sorts.
-func (n *Node) startNumber() string { return fmt.Sprintf("%08x", n.starts) }
-
-// logBytes is the size that the log may reach; the rest of the disk is for its rewriting.
-func (n *Node) logBytes() int64 { return int64(n.settings.Limits.DiskMb) << 20 * 6 / 10 }
-
-// replay enters one record of the log into the table.
-func (n *Node) replay(at applog.Position, data []byte) error {
-	r, err := decodeRecord(data)
-	if err != nil {
-		return err
-	}
-	elapsed := max(0, time.Since(r.written))
-	switch r.kind {
-	case recordIdentity:
-		n.disk = string(r.payload)
-	case recordStart:
-		if n.starts, err = strconv.ParseUint(string(r.payload), 16, 64); err != nil {
-			return errors.Wrap(err, "storenode: start record")
-		}
-	case recordMessage:
-		m := &rpc.Message{}
-		if err := proto.Unmarshal(r.payload, m); err != nil {
-			return errors.Wrap(err, "storenode: message record")
-		}
-		n.replayMessage(at, m, elapsed)
-	case recordFate:
-		f := &rpc.Fate{}
-		if err := proto.Unmarshal(r.payload, f); err != nil {
-			return errors.Wrap(err, "storenode: fate record")
-		}
-		n.replayFate(f, elapsed)
-	case recordFence:
-		f := &rpc.PartitionEpoch{}
-		if err := proto.Unmarshal(r.payload, f); err != nil {
-			return errors.Wrap(err, "storenode: fence record")
-		}
-		n.table.RaiseFence(f.Partition, f.Epoch)
-	}
-	return nil
-}
-
-func (n *Node) replayMessage(at applog.Position, m *rpc.Message, elapsed time.Duration) {
-	entry := message.FromMessage(m, n.now())
-	entry.Arrived -= elapsed
-	entry.Due -= elapsed
-	entry.BodyBytes, entry.Body = len(m.Body), nil
-	entry = n.table.Add(entry, n.now())
-	entry.Stored, entry.Record = true, at
-}
-
-func (n *Node) replayFate(f *rpc.Fate, elapsed time.Duration) {
-	entry := n.table.Get(f.Name)
-	if entry == nil && f.State != rpc.State_QUEUED { // the message itself was dropped when the log was rewritten
-		n.table.Add(&message.Entry{Name: f.Name, Partition: f.Partition, State: f.State, Stamp: f.Stamp,
-			EndedAt: n.now() - elapsed}, n.now())
-		return
-	}
-	if entry == nil {
-		return
-	}
-	entry.Attempts = max(entry.Attempts, f.Attempts)
-	if f.State != rpc.State_QUEUED {
-		n.table.End(entry, f.State, f.Stamp, n.now())
-		entry.EndedAt -= elapsed
-	}
-}
-
 // start begins to serve.
 func (n *Node) start() {
 	n.connect(
@@ -296,67 +193,6 @@
 	request.Impaired = n.impaired()
 }
 
-// do runs a command on the owner goroutine and waits for it. It reports false where the node is closed.
-func (n *Node) do(command func()) bool {
-	done := make(chan struct{})
-	if !n.post(func() { command(); close(done) }) {
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-n.closed:
-		return false
-	}
-}
-
-// post hands a command to the owner goroutine.
-func (n *Node) post(command func()) bool {
-	select {
-	case n.commands <- command:
-		return true
-	case <-n.closed:
-		return false
-	}
-}
-
-// loop is the owner goroutine.
-func (n *Node) loop() {
-	defer n.stopping.Done()
-	ticker := time.NewTicker(housekeeping)
-	defer ticker.Stop()
-	for {
-		select {
-		case command := <-n.commands:
-			command()
-			n.drainCommands()
-		case <-n.timer.C:
-			n.timerAt = 0
-			n.pumpDue = true
-		case <-ticker.C:
-			n.housekeep()
-		case <-n.closed:
-			return
-		}
-		if n.pumpDue {
-			n.pumpDue = false
-			n.pump()
-		}
-	}
-}
-
-// drainCommands runs what else is queued, so that one look for runnable messages serves many commands.
-func (n *Node) drainCommands() {
-	for range commandBuffer {
-		select {
-		case command := <-n.commands:
-			command()
-		default:
-			return
-		}
-	}
-}
-
 // changed takes a new view of the deployment.
 func (n *Node) changed(view *cluster.View) {
 	old := n.view
@@ -377,46 +213,6 @@
 	n.pumpDue = true
 }
 
-// reckonLimits sets how many attempts of each route may be under way here: this store's part of the workers' capacity
-// and some more.
-func (n *Node) reckonLimits() {
-	if n.view.Config == nil || n.view.Workers == nil {
-		return
-	}
-	capacity := map[string]int{}
-	for _, worker := range n.view.Workers.Workers {
-		if !worker.Draining {
-			capacity[worker.Service] += int(worker.Capacity)
-		}
-	}
-	stores := 1
-	if n.view.Map != nil {
-		stores = max(1, len(n.view.Map.Stores))
-	}
-	limits := make(map[string]int, len(n.view.Config.Routes))
-	for i := range n.view.Config.Routes {
-		route := &n.view.Config.Routes[i]
-		limits[route.Name] = routeLimit(n.view.Table, route, capacity, stores)
-	}
-	n.limits = limits
-}
-
-const (
-	limitSurplus  = 2  // attempts above a store's part of the capacity
-	limitEndpoint = 48 // attempts at one endpoint outside
-)
-
-func routeLimit(table *catalog.Table, route *catalog.Route, capacity map[string]int, stores int) int {
-	service, ok := table.Service(route.Service)
-	if !ok {
-		return limitSurplus
-	}
-	if service.StaticEndpoint != nil {
-		return min(limitEndpoint, max(1, service.MaxConns*9/10))
-	}
-	return capacity[service.Name]*3/(2*stores) + limitSurplus
-}
-
 // close ends the owner goroutine and closes the log.
 func (n *Node) close() error {
 	n.engine.Close()
