delivery: measure shares by response times of 40 ms and 160 ms

TestSharesFollowInverseResponseTime failed at a load of 21 (1.97 where 2 is the bound): it reckons with the nominal times of its stand-in workers, and a busy machine adds some 10 ms to both, which halves the ratio of 10 ms to 40 ms. The ratio and its bounds are as before; only the times are four times as long, so that the machine's share of them is a quarter.

--- a/internal/delivery/engine_test.go
+++ b/internal/delivery/engine_test.go
@@ -332,7 +332,7 @@
 
 // Of two workers, the one that answers faster carries more at a time, by the inverse of their response times.
 func TestSharesFollowInverseResponseTime(t *testing.T) {
-	const fast, slow, inFlight, jobs = 10 * time.Millisecond, 40 * time.Millisecond, 10, 1500
+	const fast, slow, inFlight, jobs = 40 * time.Millisecond, 160 * time.Millisecond, 10, 600
 	after := func(pause time.Duration) func(net.Conn, *http.Request) {
 		return func(c net.Conn, r *http.Request) {
 			answered := make(chan struct{})
