delivery: a worker of another zone counts as fifteen times as slow

Cause: an answer is some 2.3 KB beside a body of 5 KB, and 29 % of the deliveries of a service with three workers in each zone left the zone.

--- a/internal/delivery/route.go
+++ b/internal/delivery/route.go
@@ -10,7 +10,7 @@
 const (
 	tries         = 8             // workers that one submitted job is offered to at most, as long as none may have run it
 	clockOffset   = 1000.0        // seconds added to the module's clock, for which 0 means long ago
-	zonePrice     = 0.05          // bytes between zones are dear: a worker of another zone counts as four times as slow
+	zonePrice     = 0.09          // bytes between zones are dear: a worker of another zone counts as fifteen times as slow
 	holdAim       = 0.1           // seconds; the module holds a job for half of it while no worker is free
 	neverLate     = 1e6           // stretch of the aim: no answer counts as late, so nothing is turned away
 	farDeadline   = 3600.0        // seconds
