ingest: rated messages go round an owner that is out of touch

The rate needs no owner before the message is run. Change: without an order key a message goes round its owner as free ones do, at once where the owner is known to be out of reach and enough others answer. It keeps its partition, so the next owner finds it and spends its rate. Ruled out for ordered messages: their order would have to be found from the times at which holders stored them, which is exact to a round trip only. Tests: silent and unreachable owners; refused where too few stores can be reached; ordered messages are still never written round their owner.

--- a/internal/ingest/accept.go
+++ b/internal/ingest/accept.go
@@ -136,13 +136,16 @@
 	return !ok || sameOwner(a.owner, target{store: owner, epoch: epoch})
 }
 
-// tryOwner puts the message to the owner of its partition, moves it to another partition, or waits.
+// tryOwner puts the message to the owner of its partition, moves it to another partition, goes round the owner, or waits.
 func (a *acceptance) tryOwner(now time.Time) (wake time.Time, result verdict) {
 	owner, epoch, ok := a.view.Owner(a.partition)
 	if !ok || a.dispatcher.health.unreachable(owner.Address) {
-		if a.movable() && a.choosePartition() {
+		switch {
+		case a.movable() && a.choosePartition():
 			owner, epoch, ok = a.view.Owner(a.partition)
-		} else if a.failure() == refused {
+		case ok && a.goRoundUnreachable(target{store: owner, epoch: epoch, mode: rpc.PutMode_OWNER}, now):
+			return a.untilGivenUp(), undecided
+		case a.failure() == refused:
 			return a.waitForOwner(now)
 		}
 	}
--- a/internal/ingest/accept_test.go
+++ b/internal/ingest/accept_test.go
@@ -277,3 +277,44 @@
 	answer := w.send("POST", "/keyed/x", "x", "X-Order-Key", key, "X-Deadline-Ms", "1000")
 	must.Eq(t, fasthttp.StatusAccepted, answer.status)
 }
+
+// A rate is spent when a message is run, so only an order binds a message to its owner.
+func TestRatedMessageGoesRoundASilentOwner(t *testing.T) {
+	w := newWorld(t)
+	partition := hashPartition("rated", testPartitions)
+	owner := w.ownerOf(messageName(partition, 0))
+	owner.onPut(owner.silence)
+	answer := w.send("POST", "/rated/x", "x", "X-Deadline-Ms", "9000")
+	must.Eq(t, fasthttp.StatusAccepted, answer.status)
+	kept, ok := partitionOf(answer.header.Get("X-Msg-Id"))
+	must.True(t, ok)
+	must.Eq(t, partition, kept)
+	must.Eq(t, 2, w.puts(rpc.PutMode_HOLDER))
+}
+
+func TestRatedMessageGoesRoundAnOwnerThatCanNotBeReached(t *testing.T) {
+	w := newWorld(t)
+	owner := w.ownerOf(messageName(hashPartition("rated", testPartitions), 0))
+	owner.server.Close()
+	for range 3 {
+		must.Eq(t, fasthttp.StatusAccepted, w.send("POST", "/rated/x", "x", "X-Deadline-Ms", "9000").status)
+	}
+	must.Eq(t, 6, w.puts(rpc.PutMode_HOLDER))
+	must.Eq(t, 0, w.puts(rpc.PutMode_OWNER))
+}
+
+func TestRatedMessageIsRefusedWhereTooFewStoresCanBeReached(t *testing.T) {
+	w := newWorld(t)
+	owner := w.ownerOf(messageName(hashPartition("rated", testPartitions), 0))
+	left := 1
+	for _, store := range w.stores {
+		if store != owner && left > 0 {
+			left--
+			continue
+		}
+		store.server.Close()
+		w.dispatcher.health.refused(store.member.Address)
+	}
+	mustRefuse(t, w.send("POST", "/rated/x", "x"))
+	must.Eq(t, 0, w.puts(rpc.PutMode_HOLDER))
+}
--- a/internal/ingest/holders.go
+++ b/internal/ingest/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"foldlb.example/foldlb/internal/cluster"
 	"foldlb.example/foldlb/internal/rpc"
@@ -21,33 +22,64 @@
 	pending    int
 }
 
-// goRoundOwner begins the write to holders where the message needs neither an order nor a rate. It begins once
-// for each epoch of the partition.
+// goRoundOwner begins the write to holders where the message needs no order: that alone is given by the owner. A rate is spent when
+// the message is run, by whoever owns it then. It begins once for each epoch of the partition.
 func (a *acceptance) goRoundOwner() {
 	if a.mayGoRound() {
 		a.beginHolders()
 	}
 }
 
+// goRoundUnreachable has a message that can't move written to holders, as its owner can't be reached. It reports false where the message
+// does not allow it, where too few stores can be reached, or where nothing came of it under this epoch.
+func (a *acceptance) goRoundUnreachable(owner target, now time.Time) bool {
+	if a.holders.begun && owner.epoch <= a.holders.epoch {
+		return a.holders.pending > 0
+	}
+	if a.message.orderKey != "" || a.dispatcher.reachableHolders(a.view, owner.store) < a.copies() {
+		return false
+	}
+	a.owner, a.ownerSent = owner, now
+	a.lateNoted, a.silentNoted = true, true
+	a.goRoundOwner()
+	if a.holders.begun {
+		a.sendToHolders()
+	}
+	return a.holders.pending > 0
+}
+
+// copies is how many stores must keep the message.
+func (a *acceptance) copies() int { return max(int(a.view.Map.GetCopies()), minCopies) }
+
+// reachableHolders counts the stores other than the owner that answer.
+func (d *dispatcher) reachableHolders(view *cluster.View, owner *rpc.StoreMember) int {
+	count := 0
+	for _, store := range view.Stores() {
+		if store.Node != owner.Node && !d.health.slow(store.Address) {
+			count++
+		}
+	}
+	return count
+}
+
 // mayGoRound reports whether a write to holders is of use and has not begun under the owner's epoch.
 func (a *acceptance) mayGoRound() bool {
 	tolerance := a.dispatcher.settings.FaultTolerance
 	if tolerance.Zones > 0 || tolerance.Regions > 0 { // the owner alone sees to it that copies stand apart
 		return false
 	}
-	return a.message.pinnedTo == "" && (!a.holders.begun || a.owner.epoch > a.holders.epoch)
+	return a.message.orderKey == "" && (!a.holders.begun || a.owner.epoch > a.holders.epoch)
 }
 
 // beginHolders prepares the write to other stores than the owner.
 func (a *acceptance) beginHolders() {
-	copies := max(int(a.view.Map.GetCopies()), minCopies)
 	if a.holders.pending > 0 {
 		a.maybeStored = true // those of the epoch before are not waited for
 	}
 	a.holders = holderWrite{
 		begun:      true,
 		epoch:      a.owner.epoch,
-		needed:     copies,
+		needed:     a.copies(),
 		candidates: a.dispatcher.holderCandidates(a.view, a.owner.store),
 	}
 }
--- a/internal/ingest/silence.go
+++ b/internal/ingest/silence.go
@@ -45,7 +45,7 @@
 	return patient
 }
 
-// nextNote is the next moment at which silence is noted, or the deadline.
+// nextNote is the next moment at which silence is noted, or the message given up.
 func (a *acceptance) nextNote() time.Time {
 	switch {
 	case a.pending > 0 && !a.lateNoted:
@@ -55,7 +55,7 @@
 	case a.pending > 0:
 		return a.atMost(time.Now().Add(hopelessCheck))
 	default:
-		return a.message.deadline
+		return a.untilGivenUp()
 	}
 }
 
--- a/internal/storenode/scenario_test.go
+++ b/internal/storenode/scenario_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"foldlb.example/foldlb/internal/message"
 	"foldlb.example/foldlb/internal/rpc"
@@ -207,6 +209,31 @@
 	})
 }
 
+// A map is acknowledged once the node has taken it, and control counts the first report after that: what is missing by the new map must be
+// in it, or a store counts as made up for before its copies are.
+func TestMissingCopiesAreCountedByAMapBeforeItIsAcknowledged(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		owner, epoch := w.owner(0)
+		for i := range 40 {
+			must.Eq(t, rpc.PutStatus_STORED, w.put(owner, rpc.PutMode_OWNER, epoch, w.idle(fmt.Sprint("m", i), "")))
+		}
+		time.Sleep(2 * time.Second)
+		node := owner.running().node
+		must.Eq(t, 0, node.underCopied.Load())
+		var counted uint64
+		must.True(t, node.do(func() {
+			view := *node.view
+			view.Map = proto.CloneOf(node.view.Map)
+			view.Map.Version++
+			holder := node.table.Get("m0").Holders[0]
+			view.Map.Stores = slices.DeleteFunc(view.Map.Stores, func(member *rpc.StoreMember) bool { return member.Disk == holder })
+			node.changed(&view)
+			counted = node.underCopied.Load()
+		}))
+		must.Positive(t, counted)
+	})
+}
+
 func isReady(p *process) bool {
 	ready := false
 	p.node.do(func() { ready = p.node.table.IsReady(0) })
