--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -45,15 +46,21 @@
 	return false
 }
 
+// firstFrameWithin is how long a stream may take to tell of its leader's epoch. A new leader sends to all at once.
+const firstFrameWithin = 600 * time.Millisecond
+
 // cancelWhenMoved ends a stream once a renewal shows that it will carry nothing more. The function returned ends the wait.
 func (c *Client) cancelWhenMoved(ctx context.Context, cancel context.CancelFunc, address string) func() {
 	ended := make(chan struct{})
 	begun, _ := c.book.leaderMoved()
+	firstFrame := time.NewTimer(firstFrameWithin)
 	go func() {
 		defer close(ended)
+		defer firstFrame.Stop()
+		settled := false // the stream has had the time to tell
 		for {
 			leader, moved := c.book.leaderMoved()
-			if c.outdated(address, begun, leader) {
+			if c.movedFrom(address, leader) || settled && c.outlived(begun, leader) {
 				cancel()
 				return
 			}
@@ -61,6 +68,8 @@
 			case <-ctx.Done():
 				return
 			case <-moved:
+			case <-firstFrame.C:
+				settled = true
 			}
 		}
 	}()
@@ -70,15 +79,14 @@
 	}
 }
 
-// outdated reports whether the stream of an address can't be that of the leader: another address leads, or a later epoch began since
-// the stream did and the stream has not told of it. A process that lost power and leads again leaves its former streams silent.
-func (c *Client) outdated(address string, begun, leader leadership) bool {
-	if leader.address == "" {
-		return false
-	}
-	if leader.address != address {
-		return c.book.candidate() != address
-	}
+// movedFrom reports whether another address than that of the stream leads.
+func (c *Client) movedFrom(address string, leader leadership) bool {
+	return leader.address != "" && leader.address != address && c.book.candidate() != address
+}
+
+// outlived reports whether a later epoch has begun than that of the stream, and the stream has not told of it. A process that lost power
+// and leads again at its address leaves its former streams silent.
+func (c *Client) outlived(begun, leader leadership) bool {
 	return leader.epoch > begun.epoch && leader.epoch > c.view.Load().LeaderEpoch
 }
 
