--- a/coord/failover/checker_test.go
+++ b/coord/failover/checker_test.go
@@ -10,13 +10,16 @@
 // checker watches what is committed and what proposers are told. The state is a list of names of proposals, each
 // followed by a comma.
 type checker struct {
-	violation string // the first one
-	newest    committed
-	byVersion map[Version]string
-	refused   []string // promised never to come into force
-	names     map[uint64]string
-	succeeded []string
-	unknown   int
+	violation     string // the first one
+	newest        committed
+	drifts        bool    // clocks drift by more than the margin, so that a former leader may commit late what is in force
+	jointSince    Version // where the newest contents are joint: the first version with these lists
+	byVersion     map[Version]string
+	refused       []string // promised never to come into force
+	names         map[uint64]string
+	succeeded     []string
+	memberChanges int // lists of voters that were committed
+	unknown       int
 }
 
 func (checker *checker) init() {
@@ -41,6 +44,12 @@
 		return
 	}
 	checker.byVersion[seen.version] = state
+	if checker.drifts && seen.version.Less(checker.newest.version) {
+		if !bytes.HasPrefix(checker.newest.contents.State, seen.contents.State) {
+			checker.violate("%v was committed and is not in %v", seen.version, checker.newest.version)
+		}
+		return
+	}
 	switch {
 	case !checker.newest.version.Less(seen.version):
 		checker.violate("%v was committed after %v", seen.version, checker.newest.version)
@@ -49,6 +58,10 @@
 	case !bytes.HasPrefix(seen.contents.State, checker.newest.contents.State):
 		checker.violate("%v lost what %v had", seen.version, checker.newest.version)
 	}
+	if !slices.Equal(seen.contents.Members, checker.newest.contents.Members) {
+		checker.memberChanges++
+		checker.jointSince = seen.version
+	}
 	checker.newest = seen
 }
 
--- a/coord/failover/effect.go
+++ b/coord/failover/effect.go
@@ -16,6 +16,7 @@
 	address string
 	request ReplicateRequest
 	sentAt  time.Duration
+	round   uint64 // comes back with the outcome
 }
 
 // answerVote answers a voteCall.
@@ -43,6 +44,12 @@
 	err      error
 }
 
+// readDone ends a read. No error means that the committed state holds all that was acknowledged before the read came.
+type readDone struct {
+	read uint64
+	err  error
+}
+
 // committed tells that a version is known to be committed.
 type committed struct {
 	version  Version
@@ -64,6 +71,7 @@
 func (answerReplicate) isEffect() {}
 func (persist) isEffect()         {}
 func (proposalDone) isEffect()    {}
+func (readDone) isEffect()        {}
 func (committed) isEffect()       {}
 func (becameLeader) isEffect()    {}
 func (steppedDown) isEffect()     {}
--- a/coord/failover/election.go
+++ b/coord/failover/election.go
@@ -45,7 +45,7 @@
 }
 
 func (machine *machine) askForVotes() {
-	for _, member := range machine.record.Contents.Members {
+	for _, member := range machine.record.Contents.voters() {
 		if member.ID == machine.record.Identity {
 			continue
 		}
@@ -89,7 +89,7 @@
 
 func (machine *machine) countVotes(now time.Duration) {
 	isGranted := func(identity string) bool { return machine.campaign.granted[identity] }
-	if !isMajority(machine.record.Contents.Members, isGranted) {
+	if !machine.record.Contents.isQuorum(isGranted) {
 		return
 	}
 	if machine.campaign.askOnly {
--- a/coord/failover/errors.go
+++ b/coord/failover/errors.go
@@ -49,6 +49,28 @@
 // Error names the remedy.
 func (err InvalidMembers) Error() string { return "invalid change of members: " + err.Reason }
 
+// MembersChanging reports that nothing was proposed because another change of members is under way.
+type MembersChanging struct{}
+
+// Error names the remedy.
+func (MembersChanging) Error() string {
+	return "another change of members is under way: wait until it has ended"
+}
+
+// LearnerBehind reports that nothing was proposed because the member to be added did not hold the contents in time.
+type LearnerBehind struct {
+	Learner string // its identity
+	Cause   error
+}
+
+// Error names the remedy.
+func (err LearnerBehind) Error() string {
+	return fmt.Sprintf("%s does not hold the contents yet (%v): propose the change again, or add another member", err.Learner, err.Cause)
+}
+
+// Unwrap returns why the wait ended.
+func (err LearnerBehind) Unwrap() error { return err.Cause }
+
 // CorruptRecord reports a record on disk that can't be read back.
 type CorruptRecord struct {
 	Reason string
--- a/coord/failover/failover.go
+++ b/coord/failover/failover.go
@@ -3,8 +3,8 @@
 //
 // The state is opaque bytes and is replaced whole; there is no log. A version of it is named by (epoch, seq): the
 // epoch of the leader that wrote it and a number that rises by one with every version. A version counts once a
-// majority of the voters has synced it. The list of voters is part of the replicated contents and is changed by one
-// voter at a time, so that any majority of the old list meets any majority of the new one.
+// majority of the voters has synced it. The list of voters is part of the replicated contents. A change of it goes
+// through a joint version that holds the old list and the new one, and counts by a majority of each (see members.go).
 //
 // A leader serves only while it holds a lease: it runs from the moment it sent the newest heartbeat that a majority
 // answered, and ends by a margin before the grants of those that answered it. A voter votes for another candidate
@@ -13,6 +13,9 @@
 // given to: it votes for that member at once, and for others one lease later (see grant). A leader that restarts
 // campaigns at once.
 //
+// The lease rests on a bound of the drift of clocks. A read does not: it ends once a majority has answered a round of
+// heartbeats that began after the read came (see read.go).
+//
 // A process has an identity that is written to its disk. A process whose disk was lost comes back with another
 // identity, so what its predecessor voted and stored is not mistaken for its own; the leader exchanges the old
 // identity for the new one.
@@ -48,8 +51,9 @@
 
 // Contents is what is replicated. It is never modified in place.
 type Contents struct {
-	State   []byte
-	Members []Member // voters
+	State      []byte
+	Members    []Member // voters
+	OldMembers []Member // while voters are changed: those before the change, whose majority is needed as well
 }
 
 // VoteRequest asks a witness for its vote.
--- a/coord/failover/formerterm.go
+++ b/coord/failover/formerterm.go
@@ -41,7 +41,7 @@
 }
 
 func (machine *machine) tellFormerTermIsOver(now time.Duration) {
-	for _, member := range machine.record.Contents.Members {
+	for _, member := range machine.record.Contents.voters() {
 		if member.ID == machine.record.Identity {
 			continue
 		}
--- a/coord/failover/input.go
+++ b/coord/failover/input.go
@@ -32,6 +32,7 @@
 	member       string // identity that was asked
 	epoch        uint64 // of the request
 	sentAt       time.Duration
+	round        uint64 // of the heartbeat
 	withContents bool
 	reply        ReplicateReply
 	failed       bool // no reply came
@@ -43,9 +44,17 @@
 	proposal uint64
 	change   func(old []byte) ([]byte, error)
 	members  *memberChange
+	settles  bool // of the leader itself: the end of a change of members
 }
 
-// abandon ends a proposal whose proposer does not wait any longer.
+// isMemberChange reports whether a proposal is a step of a change of members, which ends with the last step.
+func (proposed propose) isMemberChange() bool { return proposed.members != nil || proposed.settles }
+
+// read asks for the moment from which on the committed state of this member is the newest. A readDone with the same
+// number ends it.
+type read struct{ read uint64 }
+
+// abandon ends a proposal or a read whose caller does not wait any longer.
 type abandon struct {
 	proposal uint64
 	cause    error
@@ -63,6 +72,7 @@
 func (replicateCall) isInput()   {}
 func (replicateResult) isInput() {}
 func (propose) isInput()         {}
+func (read) isInput()            {}
 func (abandon) isInput()         {}
 func (resign) isInput()          {}
 func (persisted) isInput()       {}
--- a/coord/failover/leader.go
+++ b/coord/failover/leader.go
@@ -8,6 +8,7 @@
 	version         Version
 	hasGranted      bool
 	grantedSentAt   time.Duration // when the newest heartbeat that it answered was sent
+	answeredRound   uint64        // newest round of heartbeats that it answered
 	contentsRetryAt time.Duration // contents are on their way until then; 0 for none
 }
 
@@ -18,10 +19,13 @@
 	heartbeatAt time.Duration
 	peers       map[string]*peer // by identity
 	same        Version          // an older version with the contents of the record
-	oldMembers  []Member         // while a change of members is under way
+	jointSince  Version          // where the record is joint: the version under which this leader first had it
 	isServing   bool
 	inFlight    *propose
 	queue       []propose
+	change      *changeUnderWay // nil for none
+	round       uint64          // number of the newest round of heartbeats
+	reads       []waitingRead   // by rising round
 }
 
 // startLeadership writes the inherited version anew under the own epoch.
@@ -35,30 +39,31 @@
 	machine.campaign = nil
 	machine.grant = grant{}
 	machine.record.Version = Version{Epoch: machine.leadership.epoch, Seq: machine.record.Version.Seq + 1}
+	machine.leadership.jointSince = machine.record.Version
 	machine.changeRecord()
 	machine.broadcast(now)
 }
 
 // broadcast sends a heartbeat to every other member, with the contents where they are known to be missing.
 func (machine *machine) broadcast(now time.Duration) {
+	machine.leadership.round++
 	machine.leadership.heartbeatAt = now + machine.config.timing.Heartbeat
 	for _, member := range machine.audience() {
 		machine.replicate(now, member)
 	}
 }
 
-// audience lists the members of the old and the new list, without this one.
+// audience lists the voters and the learner, without this member.
 func (machine *machine) audience() []Member {
 	var audience []Member
-	for _, member := range machine.record.Contents.Members {
+	for _, member := range machine.record.Contents.voters() {
 		if member.ID != machine.record.Identity {
 			audience = append(audience, member)
 		}
 	}
-	for _, member := range machine.leadership.oldMembers {
-		if member.ID != machine.record.Identity && !hasMember(audience, member.ID) {
-			audience = append(audience, member)
-		}
+	change := machine.leadership.change
+	if change != nil && change.learner != nil && !hasMember(audience, change.learner.ID) {
+		audience = append(audience, *change.learner)
 	}
 	return audience
 }
@@ -72,7 +77,7 @@
 		contents := machine.record.Contents
 		request.Contents = &contents
 	}
-	machine.emit(sendReplicate{address: member.Address, request: request, sentAt: now})
+	machine.emit(sendReplicate{address: member.Address, request: request, sentAt: now, round: machine.leadership.round})
 }
 
 func (machine *machine) replicateRequest(identity string) ReplicateRequest {
@@ -123,12 +128,18 @@
 	known.isKnown = true
 	known.hasGranted = true
 	known.grantedSentAt = max(known.grantedSentAt, result.sentAt)
+	known.answeredRound = max(known.answeredRound, result.round)
 	version := Version{Epoch: result.reply.StateEpoch, Seq: result.reply.StateSeq}
 	if known.version.Less(version) {
 		known.version = version
 	}
 	machine.sendMissing(now, result.member)
+	machine.advanceLearner(now)
 	machine.advanceCommit(now)
+	if machine.leadership != nil {
+		machine.settleMembers(now)
+		machine.finishReads(now)
+	}
 }
 
 // sendMissing sends the contents at once to a member that has turned out to lack them.
@@ -150,23 +161,24 @@
 	if lead == nil || !machine.committedVersion.Less(machine.record.Version) {
 		return
 	}
-	if !machine.isQuorum(machine.hasSynced) {
+	if !machine.record.Contents.isQuorum(machine.hasSynced) {
 		return
 	}
-	lead.oldMembers = nil
 	machine.setCommitted(machine.record.Version, machine.record.Contents)
 	if !lead.isServing {
 		lead.isServing = true
 		machine.emit(becameLeader{epoch: lead.epoch})
 	}
-	if lead.inFlight != nil {
+	if lead.inFlight != nil && !lead.inFlight.isMemberChange() {
 		machine.emit(proposalDone{proposal: lead.inFlight.proposal})
-		lead.inFlight = nil
 	}
+	lead.inFlight = nil
+	machine.endMemberChange()
 	if !machine.isVoter() {
 		machine.handleResign(now)
 		return
 	}
+	machine.settleMembers(now)
 	machine.startProposal(now)
 }
 
@@ -179,15 +191,6 @@
 	return known != nil && known.version == machine.record.Version
 }
 
-// isQuorum reports whether holds is true of a majority, of the old list as well while members are changed.
-func (machine *machine) isQuorum(holds func(identity string) bool) bool {
-	if !isMajority(machine.record.Contents.Members, holds) {
-		return false
-	}
-	old := machine.leadership.oldMembers
-	return old == nil || isMajority(old, holds)
-}
-
 // leaseEnds returns when the leader must have stopped.
 func (machine *machine) leaseEnds(now time.Duration) time.Duration {
 	start := machine.leadership.electedAt
@@ -203,7 +206,7 @@
 	newest, isFound := time.Duration(0), false
 	consider := func(moment time.Duration) {
 		hasGranted := func(identity string) bool { return machine.hasGrantedSince(identity, moment) }
-		if (!isFound || moment > newest) && machine.isQuorum(hasGranted) {
+		if (!isFound || moment > newest) && machine.record.Contents.isQuorum(hasGranted) {
 			newest, isFound = moment, true
 		}
 	}
@@ -263,11 +266,19 @@
 	lead := machine.leadership
 	machine.leadership = nil
 	machine.planElection(now, machine.spread())
-	if lead.inFlight != nil {
+	if lead.inFlight != nil && !lead.inFlight.isMemberChange() {
 		machine.emit(proposalDone{proposal: lead.inFlight.proposal, err: OutcomeUnknown{Reason: reason}})
 	}
 	for _, waiting := range lead.queue {
-		machine.emit(proposalDone{proposal: waiting.proposal, err: NotLeader{}})
+		if !waiting.isMemberChange() {
+			machine.emit(proposalDone{proposal: waiting.proposal, err: NotLeader{}})
+		}
+	}
+	if lead.change != nil {
+		machine.emit(proposalDone{proposal: lead.change.proposal, err: OutcomeUnknown{Reason: reason}})
+	}
+	for _, waiting := range lead.reads {
+		machine.emit(waiting.ended(NotLeader{}))
 	}
 	machine.emit(steppedDown{epoch: lead.epoch, reason: reason})
 }
--- a/coord/failover/loop.go
+++ b/coord/failover/loop.go
@@ -68,7 +68,9 @@
 		case persist:
 			node.saver.save(wanted)
 		case proposalDone:
-			node.endProposal(wanted)
+			node.endProposal(wanted.proposal, wanted.err)
+		case readDone:
+			node.endProposal(wanted.read, wanted.err)
 		case becameLeader:
 			node.config.Log.Info("leads", "epoch", wanted.epoch)
 		case steppedDown:
@@ -79,14 +81,14 @@
 	}
 }
 
-// endProposal answers the proposer. An abandoned proposal that was under way ends a second time.
-func (node *Node) endProposal(done proposalDone) {
-	answer := node.proposals[done.proposal]
+// endProposal answers who proposed or read. An abandoned proposal that was under way ends a second time.
+func (node *Node) endProposal(number uint64, err error) {
+	answer := node.proposals[number]
 	if answer == nil {
 		return
 	}
-	delete(node.proposals, done.proposal)
-	answer <- done.err
+	delete(node.proposals, number)
+	answer <- err
 }
 
 func (node *Node) sendVote(wanted sendVote) {
@@ -110,6 +112,7 @@
 		member:       wanted.request.Member,
 		epoch:        wanted.request.Epoch,
 		sentAt:       wanted.sentAt,
+		round:        wanted.round,
 		withContents: wanted.request.Contents != nil,
 		reply:        reply,
 		failed:       err != nil,
--- a/coord/failover/machine.go
+++ b/coord/failover/machine.go
@@ -96,6 +96,8 @@
 		machine.handleReplicateResult(now, taken)
 	case propose:
 		machine.handlePropose(now, taken)
+	case read:
+		machine.handleRead(now, taken)
 	case abandon:
 		machine.handleAbandon(taken)
 	case resign:
@@ -153,6 +155,7 @@
 	machine.waiting = remaining
 	machine.countOwnVote(now)
 	machine.advanceCommit(now)
+	machine.settleMembers(now)
 }
 
 // changeRecord must follow every change of the record: it asks for a save.
@@ -176,9 +179,9 @@
 	machine.waiting = append(machine.waiting, waitingAnswer{generation: machine.generation, finish: finish})
 }
 
-// isVoter reports whether this member is in the list that it holds.
+// isVoter reports whether this member is in a list that it holds.
 func (machine *machine) isVoter() bool {
-	return hasMember(machine.record.Contents.Members, machine.record.Identity)
+	return machine.record.Contents.hasVoter(machine.record.Identity)
 }
 
 // leaderAddress returns the address of the leader that this member follows, or its own where it serves, or nothing.
--- a/coord/failover/model_test.go
+++ b/coord/failover/model_test.go
@@ -103,7 +103,7 @@
 
 // anyFault bounds a walk by the number of all faults alone.
 func anyFault(steps, faults int) modelBounds {
-	return modelBounds{steps: steps, epochs: 3, proposals: 1, faults: faults, holds: faults, crashes: faults,
+	return modelBounds{steps: steps, epochs: 3, proposals: 1, reads: 1, faults: faults, holds: faults, crashes: faults,
 		stalls: 1, losses: 1, resigns: faults, freezes: faults, cuts: faults}
 }
 
@@ -112,7 +112,7 @@
 		checkModel(t, anyFault(*modelSteps, *modelFaults))
 		return
 	}
-	fresh := anyFault(1, 1)
+	fresh := anyFault(5, 1) // a process that joins acknowledges nothing for a lease
 	fresh.fresh = true
 	cases := []struct {
 		name   string
@@ -122,6 +122,7 @@
 		{"any fault", anyFault(8, 1)},
 		{"any two faults", anyFault(2, 2)},
 		{"every message may be lost", modelBounds{lossy: true, steps: 3, epochs: 3, proposals: 1}},
+		{"a leader whose clock stands still reads", driftingReads()},
 	}
 	for _, walked := range cases {
 		t.Run(walked.name, func(t *testing.T) {
@@ -132,6 +133,11 @@
 	}
 }
 
+// driftingReads has clocks stand still for longer than the margin allows, so that only the round of a read bounds it.
+func driftingReads() modelBounds {
+	return modelBounds{drift: true, steps: 4, epochs: 2, proposals: 1, reads: 1, faults: 4, cuts: 1, stalls: 3}
+}
+
 // TestModelCatchesMutations shows that the walk notices a protocol that lacks one of its rules, and that it is the
 // alteration which it notices.
 func TestModelCatchesMutations(t *testing.T) {
@@ -148,6 +154,7 @@
 			modelMutation{beforeStart: forgetVote}},
 		{"a process without its disk keeps its identity", modelBounds{steps: 3, epochs: 2, proposals: 1, faults: 2, losses: 1, cuts: 1},
 			modelMutation{keepIdentity: true}},
+		{"a read does not wait for its round", driftingReads(), modelMutation{afterStep: countOlderRounds}},
 	}
 	for _, altered := range cases {
 		t.Run(altered.name, func(t *testing.T) {
@@ -175,6 +182,18 @@
 	return reply
 }
 
+// countOlderRounds has a read end by answers to any round, also to those that began before it came.
+func countOlderRounds(machine *machine) {
+	lead := machine.leadership
+	if lead == nil || len(lead.reads) == 0 {
+		return
+	}
+	for position := range lead.reads {
+		lead.reads[position].round = 1
+	}
+	machine.finishReads(0)
+}
+
 // forgetVote leaves the version and its contents of what was on disk.
 func forgetVote(record Record) Record {
 	record.VotedEpoch = record.Version.Epoch
--- a/coord/failover/modelactions_test.go
+++ b/coord/failover/modelactions_test.go
@@ -114,17 +114,27 @@
 // addOrders are those to a leader that serves: a new version, the exchange of a member whose disk was lost, and to resign.
 func (state *modelState) addOrders(add addAction) {
 	for number, process := range state.processes {
-		if process.frozen || !process.isServing() || process.machine.leadership.inFlight != nil {
+		if process.frozen || !process.isServing() {
 			continue
 		}
 		address := modelAddress(number)
+		if state.used.reads < state.bounds.reads {
+			add("read at "+address, func(next *modelState) {
+				next.used.reads++
+				next.beginRead(number, uint64(next.used.reads))
+			})
+		}
+		if process.machine.leadership.inFlight != nil {
+			continue
+		}
 		if state.used.proposals < state.bounds.proposals {
 			add("propose at "+address, func(next *modelState) {
 				next.used.proposals++
 				next.step(number, propose{proposal: uint64(next.used.proposals), change: appendProposal(next.used.proposals)})
 			})
 		}
-		if change, isWanted := state.wantedChange(process.machine.record.Contents.Members); isWanted {
+		change, isWanted := state.wantedChange(process.machine.record.Contents.Members)
+		if isWanted && process.machine.leadership.change == nil {
 			add("exchange members at "+address, func(next *modelState) { next.step(number, propose{members: &change}) })
 		}
 		if state.mayFault(state.used.resigns, state.bounds.resigns) {
@@ -140,19 +150,20 @@
 	return func(old []byte) ([]byte, error) { return fmt.Appendf(slices.Clone(old), "p%d,", number), nil }
 }
 
-// wantedChange exchanges identities one voter at a time, as the owner of the group does.
+// wantedChange exchanges one identity for another in one step, as the owner of the group does.
 func (state *modelState) wantedChange(members []Member) (memberChange, bool) {
 	for number, process := range state.processes {
 		if !process.isAwake() || hasMember(members, process.identity) {
 			continue
 		}
 		address := modelAddress(number)
+		change := memberChange{add: &Member{ID: process.identity, Address: address}}
 		for _, member := range members {
 			if member.Address == address {
-				return memberChange{removeID: member.ID}, true
+				change.removeID = member.ID
 			}
 		}
-		return memberChange{add: &Member{ID: process.identity, Address: address}}, true
+		return change, true
 	}
 	return memberChange{}, false
 }
@@ -289,6 +300,7 @@
 			member:       message.replicate.Member,
 			epoch:        message.replicate.Epoch,
 			sentAt:       message.sentAt,
+			round:        message.round,
 			withContents: message.replicate.Contents != nil,
 			reply:        *message.replicated,
 		}
@@ -343,6 +355,13 @@
 	}
 	state.versions = maps.Clone(state.versions)
 	state.versions[seen.version] = contents
+	if state.bounds.drift && seen.version.Less(state.newest.version) {
+		// A leader that was replaced while its clock stood still may learn late what its successor holds already.
+		if !bytes.HasPrefix(state.newest.contents.State, seen.contents.State) {
+			state.violate("%v was committed and is not in %v", seen.version, state.newest.version)
+		}
+		return
+	}
 	switch {
 	case !state.newest.version.Less(seen.version):
 		state.violate("%v was committed after %v", seen.version, state.newest.version)
@@ -352,8 +371,29 @@
 	state.newest = seen
 }
 
+// beginRead remembers what the read must see at least.
+func (state *modelState) beginRead(number int, wanted uint64) {
+	state.reading = maps.Clone(state.reading)
+	state.reading[wanted] = state.newest.version
+	state.step(number, read{read: wanted})
+}
+
+// endRead checks that what is read holds all that was committed before the read came.
+func (state *modelState) endRead(number int, done readDone) {
+	before := state.reading[done.read]
+	state.reading = maps.Clone(state.reading)
+	delete(state.reading, done.read)
+	held := state.processes[number].machine.committedVersion
+	if done.err == nil && held.Less(before) {
+		state.violate("%s read %v after %v was acknowledged", modelAddress(number), held, before)
+	}
+}
+
 // check holds in every state: one leader at most has a valid lease, and it serves the newest version.
 func (state *modelState) check() {
+	if state.bounds.drift {
+		return
+	}
 	leaders := 0
 	for number, process := range state.processes {
 		if !process.isServing() {
--- a/coord/failover/modelkey_test.go
+++ b/coord/failover/modelkey_test.go
@@ -32,7 +32,8 @@
 	writer.history(state)
 	used := state.used
 	writer.numbers(uint64(state.elapsed), uint64(used.proposals), uint64(used.holds), uint64(used.crashes),
-		uint64(used.stalls), uint64(used.losses), uint64(used.resigns), uint64(used.cuts), uint64(used.freezes))
+		uint64(used.stalls), uint64(used.losses), uint64(used.resigns), uint64(used.cuts), uint64(used.freezes),
+		uint64(used.reads))
 	for _, row := range state.cut {
 		for _, isCut := range row {
 			writer.flag(isCut)
@@ -80,6 +81,7 @@
 func (writer *keyWriter) contents(contents *Contents) {
 	writer.text(string(contents.State))
 	writer.members(contents.Members)
+	writer.members(contents.OldMembers)
 }
 
 func (writer *keyWriter) members(members []Member) {
@@ -145,7 +147,11 @@
 	writer.past(lead.electedAt)
 	writer.future(lead.heartbeatAt)
 	writer.version(lead.same)
-	writer.members(lead.oldMembers)
+	writer.change(lead.change)
+	if lead.isServing {
+		writer.version(lead.jointSince)
+	}
+	writer.reads(lead)
 	writer.flag(lead.isServing)
 	writer.flag(lead.inFlight != nil)
 	if lead.inFlight != nil {
@@ -163,6 +169,41 @@
 	}
 }
 
+func (writer *keyWriter) change(change *changeUnderWay) {
+	writer.flag(change != nil)
+	if change == nil {
+		return
+	}
+	writer.flag(change.learner != nil)
+	if change.learner != nil {
+		writer.text(change.learner.ID)
+		writer.version(change.needs)
+	}
+	writer.text(change.wanted.removeID)
+}
+
+// reads tells of the reads that wait how far their rounds have come. No other number of a round matters.
+func (writer *keyWriter) reads(lead *leadership) {
+	writer.numbers(uint64(len(lead.reads)))
+	for _, waiting := range lead.reads {
+		writer.flag(waiting.isRead)
+		writer.flag(lead.round >= waiting.round)
+		for _, identity := range slices.Sorted(maps.Keys(lead.peers)) {
+			writer.flag(lead.peers[identity].answeredRound >= waiting.round)
+		}
+	}
+}
+
+// round tells of a heartbeat, or of the answer to one, for which reads it counts.
+func (writer *keyWriter) round(asker *modelProcess, round uint64) {
+	if asker.machine.leadership == nil {
+		return
+	}
+	for _, waiting := range asker.machine.leadership.reads {
+		writer.flag(round >= waiting.round)
+	}
+}
+
 func (writer *keyWriter) messages(state *modelState, messages []modelMessage) {
 	writer.numbers(uint64(len(messages)))
 	for position := range messages {
@@ -197,6 +238,7 @@
 	if isAwaited {
 		writer.clock = asker.clock
 		writer.past(message.sentAt)
+		writer.round(asker, message.round)
 	}
 	writer.flag(message.vote != nil)
 	if message.vote != nil {
@@ -249,4 +291,10 @@
 		writer.version(version)
 		writer.text(state.versions[version])
 	}
+	reading := slices.Sorted(maps.Keys(state.reading))
+	writer.numbers(uint64(len(reading)))
+	for _, number := range reading {
+		writer.numbers(number)
+		writer.version(state.reading[number])
+	}
 }
--- a/coord/failover/modelstate_test.go
+++ b/coord/failover/modelstate_test.go
@@ -30,6 +30,7 @@
 	afterStart  func(machine *machine)
 	beforeStep  func(machine *machine, taken input) input
 	afterAnswer func(request ReplicateRequest, reply ReplicateReply) ReplicateReply
+	afterStep   func(machine *machine)
 
 	keepIdentity bool // a process whose disk was lost comes back under its old identity
 }
@@ -49,6 +50,8 @@
 	resigns   int // of the faults: orders to the leader to give up
 	freezes   int // of the faults: processes that do nothing until they are woken, while their clocks go on
 	cuts      int // of the faults: links cut in one direction or both; they may come back at any time
+	reads     int
+	drift     bool // stalls of clocks exceed the margin, so that leases bound nothing: what rests on them is not checked
 }
 
 // modelMessage is a request or an answer on its way.
@@ -58,6 +61,7 @@
 	vote        *VoteRequest
 	replicate   *ReplicateRequest
 	sentAt      time.Duration // on the clock of the process that asked
+	round       uint64        // of a heartbeat
 	voteReply   *VoteReply    // set in an answer
 	replicated  *ReplicateReply
 }
@@ -87,13 +91,14 @@
 	used      modelBounds
 	versions  map[Version]string // committed, with their states
 	newest    committed
+	reading   map[uint64]Version // reads under way, with what was the newest version when they came
 	violation string
 	mutation  *modelMutation
 	bounds    *modelBounds
 }
 
 func newModelState(bounds *modelBounds, mutation *modelMutation) *modelState {
-	state := &modelState{versions: map[Version]string{}, bounds: bounds, mutation: mutation}
+	state := &modelState{versions: map[Version]string{}, reading: map[uint64]Version{}, bounds: bounds, mutation: mutation}
 	var members []Member
 	for number := range modelMembers {
 		members = append(members, Member{ID: seedIdentity(modelAddress(number)), Address: modelAddress(number)})
@@ -154,6 +159,11 @@
 func cloneLeadership(original *leadership) *leadership {
 	cloned := *original
 	cloned.queue = slices.Clone(original.queue)
+	cloned.reads = slices.Clone(original.reads)
+	if original.change != nil {
+		copied := *original.change
+		cloned.change = &copied
+	}
 	cloned.peers = make(map[string]*peer, len(original.peers))
 	for identity, known := range original.peers {
 		copied := *known
@@ -233,6 +243,10 @@
 		}
 	}()
 	effects := process.machine.step(process.clock, taken)
+	if state.mutation.afterStep != nil {
+		state.mutation.afterStep(process.machine)
+		effects = append(effects, process.machine.takeEffects()...)
+	}
 	state.carryOut(number, effects)
 }
 
@@ -258,13 +272,15 @@
 		case sendVote:
 			state.send(number, wanted.address, modelMessage{vote: &wanted.request})
 		case sendReplicate:
-			state.send(number, wanted.address, modelMessage{replicate: &wanted.request, sentAt: wanted.sentAt})
+			state.send(number, wanted.address, modelMessage{replicate: &wanted.request, sentAt: wanted.sentAt, round: wanted.round})
 		case answerVote, answerReplicate:
 			state.answer(number, wanted)
 		case persist:
 			newest = &wanted
 		case committed:
 			state.commit(wanted)
+		case readDone:
+			state.endRead(number, wanted)
 		case proposalDone, becameLeader, steppedDown:
 		}
 	}
@@ -291,6 +307,7 @@
 		vote:        request.vote,
 		replicate:   request.replicate,
 		sentAt:      request.sentAt,
+		round:       request.round,
 	}
 	switch wanted := wanted.(type) {
 	case answerVote:
--- a/coord/failover/node.go
+++ b/coord/failover/node.go
@@ -82,7 +82,7 @@
 	machine      *machine
 	voteCalls    map[uint64]chan VoteReply
 	replicaCalls map[uint64]chan ReplicateReply
-	proposals    map[uint64]chan error
+	proposals    map[uint64]chan error // and reads
 }
 
 // command is an input together with the channel that its answer goes to; at most one of the channels is set.
@@ -207,36 +207,45 @@
 	return await(ctx, node, answer)
 }
 
-// Propose replaces the state by what change makes of the committed one. It returns nil once that is committed, or
-// where change returned the same bytes. An error of change is returned as it is, and nothing is replaced. Other
+// Propose replaces the state by what change makes of the committed one. It returns nil once that is committed. Where
+// change returned the same bytes, or an error, nothing is replaced; nil or that error is returned once a majority has
+// confirmed, as for Read, that the state which change was given was the newest. Other
 // errors are NotLeader, Overloaded, Closed, the context's (nothing was proposed) and OutcomeUnknown. change runs on
 // the goroutine that sends heartbeats: it must be quick, and must neither modify old nor keep what it returns.
 func (node *Node) Propose(ctx context.Context, change func(old []byte) ([]byte, error)) error {
 	return node.propose(ctx, propose{change: change})
 }
 
-// ProposeMembers adds a voter, removes the one with the identity removeID, or exchanges one for the other (by two
-// versions: removed first). A nil add and an empty removeID stand for nothing. Adding a voter that is in the list and
-// removing one that is not are done already, so an exchange that failed half-way is repeated as it was. Errors are
-// those of Propose and InvalidMembers.
+// Read returns nil once the committed state (Status) holds all that was acknowledged, by whichever leader, before Read
+// was called. It asks a majority of the voters and rests on no clock. Errors are NotLeader, Overloaded, Closed and the
+// context's.
+func (node *Node) Read(ctx context.Context) error {
+	number := node.lastID.Add(1)
+	return node.ask(ctx, read{read: number}, number)
+}
+
+// ProposeMembers adds a voter, removes the one with the identity removeID, or exchanges one for the other in one step. A
+// nil add and an empty removeID stand for nothing. It returns nil once the new list is committed alone. Adding a voter
+// that is in the list and removing one that is not are done already, so a change that failed is repeated as it was.
+// Errors are those of Propose, InvalidMembers, MembersChanging and LearnerBehind.
 func (node *Node) ProposeMembers(ctx context.Context, add *Member, removeID string) error {
-	if removeID != "" {
-		err := node.propose(ctx, propose{members: &memberChange{removeID: removeID}})
-		if err != nil {
-			return err
-		}
-	}
-	if add == nil {
-		return nil
+	change := memberChange{removeID: removeID}
+	if add != nil {
+		added := *add
+		change.add = &added
 	}
-	added := *add
-	return node.propose(ctx, propose{members: &memberChange{add: &added}})
+	return node.propose(ctx, propose{members: &change})
 }
 
 func (node *Node) propose(ctx context.Context, wanted propose) error {
-	answer := make(chan error, 1)
 	wanted.proposal = node.lastID.Add(1)
-	sent := command{input: wanted, id: wanted.proposal, proposal: answer}
+	return node.ask(ctx, wanted, wanted.proposal)
+}
+
+// ask hands a proposal or a read to the machine and waits for its end.
+func (node *Node) ask(ctx context.Context, wanted input, number uint64) error {
+	answer := make(chan error, 1)
+	sent := command{input: wanted, id: number, proposal: answer}
 	if err := node.send(ctx, sent); err != nil {
 		return err
 	}
@@ -247,7 +256,7 @@
 		return OutcomeUnknown{Reason: "the node was closed"}
 	case <-ctx.Done():
 	}
-	return node.abandon(wanted.proposal, ctx.Err(), answer)
+	return node.abandon(number, ctx.Err(), answer)
 }
 
 // abandon asks what became of a proposal whose context has ended.
--- a/coord/failover/proposal.go
+++ b/coord/failover/proposal.go
@@ -13,6 +13,10 @@
 		machine.emit(proposalDone{proposal: wanted.proposal, err: err})
 		return
 	}
+	if wanted.members != nil {
+		machine.handleMemberChange(now, wanted)
+		return
+	}
 	if len(lead.queue) >= machine.config.queueLimit {
 		err := Overloaded{Limit: machine.config.queueLimit}
 		machine.emit(proposalDone{proposal: wanted.proposal, err: err})
@@ -22,10 +26,10 @@
 	machine.startProposal(now)
 }
 
-// handleAbandon ends a proposal early. One that is under way goes on, but nobody learns of its end.
+// handleAbandon ends a proposal or a read early. A proposal that is under way goes on, but nobody learns of its end.
 func (machine *machine) handleAbandon(abandoned abandon) {
 	lead := machine.leadership
-	if lead == nil {
+	if lead == nil || machine.abandonRead(abandoned) || machine.abandonMemberChange(abandoned) {
 		return
 	}
 	if lead.inFlight != nil && lead.inFlight.proposal == abandoned.proposal {
@@ -33,13 +37,22 @@
 		machine.emit(proposalDone{proposal: abandoned.proposal, err: err})
 		return
 	}
-	isAbandoned := func(waiting propose) bool { return waiting.proposal == abandoned.proposal }
-	if position := slices.IndexFunc(lead.queue, isAbandoned); position >= 0 {
-		lead.queue = slices.Delete(lead.queue, position, position+1)
+	if lead.dropQueued(abandoned.proposal) {
 		machine.emit(proposalDone{proposal: abandoned.proposal, err: abandoned.cause})
 	}
 }
 
+// dropQueued takes a proposal out of the queue, and reports whether it was there.
+func (lead *leadership) dropQueued(proposal uint64) bool {
+	isWanted := func(waiting propose) bool { return waiting.proposal == proposal }
+	position := slices.IndexFunc(lead.queue, isWanted)
+	if position < 0 {
+		return false
+	}
+	lead.queue = slices.Delete(lead.queue, position, position+1)
+	return true
+}
+
 // startProposal begins the first proposal that changes something, unless one is under way.
 func (machine *machine) startProposal(now time.Duration) {
 	lead := machine.leadership
@@ -48,7 +61,10 @@
 		lead.queue = slices.Delete(lead.queue, 0, 1)
 		contents, err := machine.proposedContents(next)
 		if err != nil || isSameContents(contents, machine.record.Contents) {
-			machine.emit(proposalDone{proposal: next.proposal, err: err})
+			if next.isMemberChange() {
+				lead.change = nil
+			}
+			machine.awaitRound(now, waitingRead{number: next.proposal, outcome: err})
 			continue
 		}
 		lead.inFlight = &next
@@ -58,12 +74,13 @@
 
 // writeVersion gives new contents the next version and sends them.
 func (machine *machine) writeVersion(now time.Duration, contents Contents) {
-	if !slices.Equal(contents.Members, machine.record.Contents.Members) {
-		machine.leadership.oldMembers = machine.record.Contents.Members
-	}
+	isChanged := !slices.Equal(contents.Members, machine.record.Contents.Members)
 	machine.leadership.same = Version{}
 	machine.record.Contents = contents
 	machine.record.Version.Seq++
+	if isChanged {
+		machine.leadership.jointSince = machine.record.Version
+	}
 	machine.changeRecord()
 	machine.broadcast(now)
 }
@@ -72,8 +89,10 @@
 	contents := machine.record.Contents
 	if proposed.members != nil {
 		members, err := proposed.members.apply(contents.Members)
-		contents.Members = members
-		return contents, err
+		if err != nil {
+			return contents, err
+		}
+		return contents.withMembers(members), nil
 	}
 	state, err := proposed.change(contents.State)
 	contents.State = state
@@ -81,5 +100,7 @@
 }
 
 func isSameContents(one, other Contents) bool {
-	return bytes.Equal(one.State, other.State) && slices.Equal(one.Members, other.Members)
+	return bytes.Equal(one.State, other.State) &&
+		slices.Equal(one.Members, other.Members) &&
+		slices.Equal(one.OldMembers, other.OldMembers)
 }
--- a/coord/failover/record.go
+++ b/coord/failover/record.go
@@ -2,8 +2,11 @@
 
 import "encoding/binary"
 
-// recordFormat is the first byte of an encoded record.
-const recordFormat = 1
+// The first byte of an encoded record. A record of the first format has no old members.
+const (
+	recordFormatSimple = 1
+	recordFormat       = 2
+)
 
 // Record is all that a member keeps on its disk.
 type Record struct {
@@ -23,18 +26,24 @@
 	encoded = appendString(encoded, record.VotedFor)
 	encoded = binary.AppendUvarint(encoded, record.Version.Epoch)
 	encoded = binary.AppendUvarint(encoded, record.Version.Seq)
-	encoded = binary.AppendUvarint(encoded, uint64(len(record.Contents.Members)))
-	for _, member := range record.Contents.Members {
+	encoded = appendMembers(encoded, record.Contents.Members)
+	encoded = appendMembers(encoded, record.Contents.OldMembers)
+	return append(encoded, record.Contents.State...)
+}
+
+func appendMembers(encoded []byte, members []Member) []byte {
+	encoded = binary.AppendUvarint(encoded, uint64(len(members)))
+	for _, member := range members {
 		encoded = appendString(encoded, member.ID)
 		encoded = appendString(encoded, member.Address)
 		encoded = appendString(encoded, member.Zone)
 	}
-	return append(encoded, record.Contents.State...)
+	return encoded
 }
 
 // DecodeRecord reads what Encode returned. The error is a CorruptRecord.
 func DecodeRecord(encoded []byte) (Record, error) {
-	if len(encoded) == 0 || encoded[0] != recordFormat {
+	if len(encoded) == 0 || encoded[0] != recordFormat && encoded[0] != recordFormatSimple {
 		return Record{}, CorruptRecord{Reason: "unknown format"}
 	}
 	reader := recordReader{rest: encoded[1:]}
@@ -45,9 +54,9 @@
 	}
 	record.Version.Epoch = reader.number()
 	record.Version.Seq = reader.number()
-	for count := reader.number(); count > 0 && !reader.broken; count-- {
-		member := Member{ID: reader.string(), Address: reader.string(), Zone: reader.string()}
-		record.Contents.Members = append(record.Contents.Members, member)
+	record.Contents.Members = reader.members()
+	if encoded[0] == recordFormat {
+		record.Contents.OldMembers = reader.members()
 	}
 	if reader.broken {
 		return Record{}, CorruptRecord{Reason: "cut short"}
@@ -78,6 +87,15 @@
 	return number
 }
 
+func (reader *recordReader) members() []Member {
+	var members []Member
+	for count := reader.number(); count > 0 && !reader.broken; count-- {
+		member := Member{ID: reader.string(), Address: reader.string(), Zone: reader.string()}
+		members = append(members, member)
+	}
+	return members
+}
+
 func (reader *recordReader) string() string {
 	length := reader.number()
 	if length > uint64(len(reader.rest)) {
--- a/coord/failover/simulation_test.go
+++ b/coord/failover/simulation_test.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"math"
@@ -30,6 +31,7 @@
 	simulated.repeat(20*time.Millisecond, 120*time.Millisecond, simulated.proposeSomewhere)
 	simulated.repeat(500*time.Millisecond, 4*time.Second, func() { simulated.isQuiet = !simulated.isQuiet })
 	simulated.repeat(200*time.Millisecond, 400*time.Millisecond, simulated.exchangeMembers)
+	simulated.repeat(10*time.Millisecond, 200*time.Millisecond, simulated.readSomewhere)
 	begin(simulated)
 	simulated.run(troubledTime)
 	simulated.heal()
@@ -76,6 +78,15 @@
 	}
 }
 
+// readSomewhere reads at every process that believes to lead.
+func (world *world) readSomewhere() {
+	for _, process := range world.processes {
+		if process.machine != nil && !process.frozen && process.machine.leadership != nil {
+			process.read()
+		}
+	}
+}
+
 // exchangeMembers does what the owner of the group does: at the leader, it removes identities that are gone for good
 // and adds processes that are not members.
 func (world *world) exchangeMembers() {
@@ -85,22 +96,52 @@
 		}
 		if change, isWanted := world.wantedChange(leader.machine.record.Contents.Members); isWanted {
 			world.lastCall++
-			leader.step(propose{proposal: world.lastCall, members: &change})
+			proposal := world.lastCall
+			leader.step(propose{proposal: proposal, members: &change})
+			world.after(changeTimeout, leader.atIncarnation(func() {
+				leader.step(abandon{proposal: proposal, cause: errTakesLong})
+			}))
 		}
 	}
 }
 
+// changeTimeout is after how long a change of members is given up.
+const changeTimeout = 2500 * time.Millisecond
+
+var errTakesLong = errors.New("takes long")
+
 func (world *world) wantedChange(members []Member) (memberChange, bool) {
+	if world.mutation.swaps {
+		return world.wantedSwap(members)
+	}
 	for _, process := range world.processes {
 		if process.identity == "" || hasMember(members, process.identity) {
 			continue
 		}
+		change := memberChange{add: &Member{ID: process.identity, Address: process.address}}
 		for _, member := range members {
 			if member.Address == process.address {
-				return memberChange{removeID: member.ID}, true
+				change.removeID = member.ID
 			}
 		}
-		return memberChange{add: &Member{ID: process.identity, Address: process.address}}, true
+		return change, true
+	}
+	return memberChange{}, false
+}
+
+// wantedSwap exchanges a voter for a process that is none: one that is gone for good, else any.
+func (world *world) wantedSwap(members []Member) (memberChange, bool) {
+	for _, process := range world.processes {
+		if process.identity == "" || hasMember(members, process.identity) {
+			continue
+		}
+		removed := members[world.random.IntN(len(members))]
+		for _, member := range members {
+			if world.find(member.Address).identity != member.ID {
+				removed = member
+			}
+		}
+		return memberChange{add: &Member{ID: process.identity, Address: process.address}, removeID: removed.ID}, true
 	}
 	return memberChange{}, false
 }
@@ -219,10 +260,14 @@
 	}
 }
 
-// loseDisk loses one disk at a time: only where the members are the processes that are there.
+// loseDisk loses one disk at a time: only where all other voters are the processes that are there. A disk that replaces
+// a lost one may be lost again at any time.
 func (world *world) loseDisk(troubled *process) {
-	if !world.areMembersCurrent() {
-		return
+	for _, member := range world.checker.newest.contents.voters() {
+		voter := world.find(member.Address)
+		if voter != troubled && voter.identity != member.ID {
+			return
+		}
 	}
 	world.kill(troubled)
 	troubled.disk = nil
@@ -232,11 +277,15 @@
 
 func (world *world) areMembersCurrent() bool {
 	members := world.checker.newest.contents.Members
-	if len(members) != len(world.processes) {
+	wanted := len(world.processes)
+	if world.mutation.swaps {
+		wanted--
+	}
+	if len(members) != wanted || world.checker.newest.contents.isJoint() && !world.mutation.swaps {
 		return false
 	}
-	for _, process := range world.processes {
-		if !hasMember(members, process.identity) {
+	for _, member := range members {
+		if world.find(member.Address).identity != member.ID {
 			return false
 		}
 	}
@@ -268,19 +317,33 @@
 	checkWalks(t, 3, hasty)
 }
 
+// TestSwapWalk exchanges voters that live for one another all the time.
+func TestSwapWalk(t *testing.T) {
+	changes := 0
+	for seed := range *walkSeeds {
+		simulated := walk(seed, 4, mutation{swaps: true})
+		must.EqOp(t, "", simulated.checker.violation, must.Sprintf("seed %d", seed))
+		changes += simulated.checker.memberChanges
+	}
+	t.Logf("%d lists of voters", changes)
+	must.Greater(t, int(*walkSeeds), changes)
+}
+
 func checkWalks(t *testing.T, members int, timing Timing) {
-	committed, unknown, losses := 0, 0, 0
+	committed, unknown, losses, reads := 0, 0, 0, 0
 	for seed := range *walkSeeds {
 		simulated := walk(seed, members, mutation{timing: timing})
 		must.EqOp(t, "", simulated.checker.violation, must.Sprintf("members %d, seed %d", members, seed))
 		committed += len(simulated.checker.succeeded)
 		unknown += simulated.checker.unknown
+		reads += simulated.readsDone
 		for _, process := range simulated.processes {
 			losses += process.diskLosses
 		}
 	}
-	t.Logf("%d members: %d acknowledged, %d unknown, %d disks lost", members, committed, unknown, losses)
+	t.Logf("%d members: %d acknowledged, %d unknown, %d disks lost, %d reads", members, committed, unknown, losses, reads)
 	must.Positive(t, committed)
+	must.Positive(t, reads)
 	must.Positive(t, losses)
 }
 
@@ -304,12 +367,20 @@
 		{"votes and acknowledgements do not wait for the sync", mutation{unsynced: true}},
 		{"a process without its disk keeps its identity", mutation{keepIdentity: true}},
 		{"a version counts once a single member has it", mutation{beforeStep: pretendSynced}},
+		{"a read does not wait for its round", mutation{clockDrift: wildDrift, afterStep: endReadsAtOnce}},
+		{"voters are exchanged without a joint version", mutation{swaps: true, afterStep: dropOldMembers, afterEffect: withoutOldMembers}},
+		{"a learner counts before it holds the contents", mutation{afterStep: countLearnerEarly}},
+		{"the new list stands alone before those added hold the joint version", mutation{beforeStep: pretendAddedHold}},
 	}
 	for _, altered := range cases {
 		t.Run(altered.name, func(t *testing.T) {
 			const maxSeeds = 300
 			for seed := range uint64(maxSeeds) {
-				violation := walk(seed, 3, altered.mutation).checker.violation
+				members := 3
+				if altered.mutation.swaps {
+					members = 4
+				}
+				violation := walk(seed, members, altered.mutation).checker.violation
 				if violation != "" {
 					t.Logf("seed %d: %s", seed, violation)
 					return
@@ -320,6 +391,74 @@
 	}
 }
 
+// wildDrift has clocks run so differently that no lease bounds anything.
+const wildDrift = 0.6
+
+// TestReadsRestOnNoClock has clocks drift by far more than the margin: there may be two leaders then, but what is read is
+// the newest all the same.
+func TestReadsRestOnNoClock(t *testing.T) {
+	reads := 0
+	for seed := range *walkSeeds {
+		simulated := walk(seed, 3, mutation{clockDrift: wildDrift})
+		must.EqOp(t, "", simulated.checker.violation, must.Sprintf("seed %d", seed))
+		reads += simulated.readsDone
+	}
+	t.Logf("%d reads", reads)
+	must.Positive(t, reads)
+}
+
+func endReadsAtOnce(process *process) {
+	lead := process.machine.leadership
+	if lead == nil || len(lead.reads) == 0 {
+		return
+	}
+	for position := range lead.reads {
+		lead.reads[position].round = 1
+	}
+	process.machine.finishReads(process.clock())
+}
+
+func dropOldMembers(process *process) { process.machine.record.Contents.OldMembers = nil }
+
+func withoutOldMembers(wanted effect) effect {
+	switch wanted := wanted.(type) {
+	case persist:
+		wanted.record.Contents.OldMembers = nil
+		return wanted
+	case sendReplicate:
+		if wanted.request.Contents != nil {
+			contents := *wanted.request.Contents
+			contents.OldMembers = nil
+			wanted.request.Contents = &contents
+		}
+		return wanted
+	}
+	return wanted
+}
+
+func countLearnerEarly(process *process) {
+	lead := process.machine.leadership
+	if lead != nil && lead.change != nil && lead.change.learner != nil {
+		lead.change.learner = nil
+		process.machine.queueMemberChange(process.clock())
+	}
+}
+
+func pretendAddedHold(process *process, taken input) input {
+	lead := process.machine.leadership
+	if lead == nil || !process.machine.record.Contents.isJoint() {
+		return taken
+	}
+	for _, added := range process.machine.record.Contents.added() {
+		known := process.machine.peer(added.ID)
+		known.isKnown = true
+		if known.version.Less(lead.jointSince) {
+			known.version = lead.jointSince
+		}
+	}
+	return taken
+}
+
 func forgetGrant(process *process, taken input) input {
 	if _, isVote := taken.(voteCall); isVote {
 		process.machine.grant = grant{}
--- a/coord/failover/world_test.go
+++ b/coord/failover/world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -20,6 +21,9 @@
 	isQuiet   bool                    // nothing is proposed
 	calls     map[uint64]func(effect) // ways back of the answers
 	lastCall  uint64
+	steps     int                // of all machines
+	reading   map[uint64]Version // reads under way, with what was the newest version when they came
+	readsDone int
 	checker   checker
 	faults    int
 }
@@ -30,8 +34,12 @@
 	beforeStep   func(process *process, taken input) input
 	afterStart   func(process *process)
 	beforeSave   func(process *process, record Record) Record
-	unsynced     bool // saves are confirmed before they are synced
-	keepIdentity bool // a process whose disk was lost comes back under its old name
+	afterStep    func(process *process)
+	afterEffect  func(wanted effect) effect
+	swaps        bool    // voters that live are exchanged again and again, so that one process is none
+	clockDrift   float64 // in place of clockDrift; what rests on leases is not checked then
+	unsynced     bool    // saves are confirmed before they are synced
+	keepIdentity bool    // a process whose disk was lost comes back under its old name
 }
 
 // link is one direction between two addresses.
@@ -94,13 +102,19 @@
 		mutation: mutation,
 		cuts:     make(map[link]bool),
 		calls:    make(map[uint64]func(effect)),
+		reading:  make(map[uint64]Version),
 	}
 	simulated.checker.init()
+	drift := clockDrift
+	if mutation.clockDrift > 0 {
+		drift = mutation.clockDrift
+		simulated.checker.drifts = true
+	}
 	for number := range members {
 		simulated.processes = append(simulated.processes, &process{
 			world:       simulated,
 			address:     fmt.Sprintf("10.0.0.%d:1", number),
-			clockRate:   1 + clockDrift*float64(simulated.random.IntN(3)-1),
+			clockRate:   1 + drift*float64(simulated.random.IntN(3)-1),
 			clockOffset: simulated.duration(0, time.Hour),
 		})
 	}
@@ -240,7 +254,12 @@
 	if world.mutation.beforeStep != nil {
 		taken = world.mutation.beforeStep(process, taken)
 	}
+	world.steps++
 	effects := process.machine.step(process.clock(), taken)
+	if world.mutation.afterStep != nil {
+		world.mutation.afterStep(process)
+		effects = append(effects, process.machine.takeEffects()...)
+	}
 	world.checkSingleLeader()
 	process.carryOut(effects)
 	process.planTick()
@@ -265,6 +284,9 @@
 
 func (process *process) carryOut(effects []effect) {
 	for _, wanted := range effects {
+		if process.world.mutation.afterEffect != nil {
+			wanted = process.world.mutation.afterEffect(wanted)
+		}
 		process.carryOutOne(wanted)
 	}
 }
@@ -288,6 +310,7 @@
 				member:       wanted.request.Member,
 				epoch:        wanted.request.Epoch,
 				sentAt:       wanted.sentAt,
+				round:        wanted.round,
 				withContents: wanted.request.Contents != nil,
 				failed:       answer == nil,
 			}
@@ -306,7 +329,10 @@
 		}
 		process.save(wanted)
 	case committed:
+		world.checkAddedHoldContents(wanted)
 		world.checker.commit(wanted)
+	case readDone:
+		process.endRead(wanted)
 	case proposalDone:
 		world.checker.endProposal(wanted)
 	case becameLeader, steppedDown:
@@ -413,8 +439,64 @@
 	process.atIncarnation(func() { process.step(persisted{point: wanted.point}) })()
 }
 
+// read begins a read, and remembers what it must see at least.
+func (process *process) read() {
+	world := process.world
+	world.lastCall++
+	world.reading[world.lastCall] = world.checker.newest.version
+	process.step(read{read: world.lastCall})
+}
+
+// endRead checks that what is read holds all that was committed before the read came.
+func (process *process) endRead(done readDone) {
+	world := process.world
+	before := world.reading[done.read]
+	delete(world.reading, done.read)
+	if done.err != nil {
+		return
+	}
+	world.readsDone++
+	if held := process.machine.committedVersion; held.Less(before) {
+		world.checker.violate("%s read %v after %v was acknowledged", process.address, held, before)
+	}
+}
+
+// checkAddedHoldContents looks at the disks of the voters that are being added, at each step of a change: they hold the
+// contents before the joint version is written, and the joint version before the new list stands alone.
+func (world *world) checkAddedHoldContents(seen committed) {
+	before := world.checker.newest
+	if !before.version.Less(seen.version) {
+		return
+	}
+	least := bootstrapVersion
+	joining := seen.contents
+	if before.contents.isJoint() && !seen.contents.isJoint() && slices.Equal(before.contents.Members, seen.contents.Members) {
+		least = world.checker.jointSince
+		joining = before.contents
+	}
+	if !joining.isJoint() {
+		return
+	}
+	for _, added := range joining.added() {
+		joined := world.find(added.Address)
+		if joined.identity != added.ID {
+			continue // its disk was lost meanwhile
+		}
+		held := Record{}
+		if len(joined.disk) > 0 {
+			held, _ = DecodeRecord(joined.disk)
+		}
+		if held.Version.Less(least) {
+			world.checker.violate("%s holds %v and counts in %v", added.ID, held.Version, seen.version)
+		}
+	}
+}
+
 // checkSingleLeader counts the processes that hold a valid lease at this true time, frozen ones as well.
 func (world *world) checkSingleLeader() {
+	if world.checker.drifts {
+		return
+	}
 	leaders := 0
 	for _, process := range world.processes {
 		if process.isLeading() {
--- a/internal/controlplane/answers.go
+++ b/internal/controlplane/answers.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// answer gives the outcome of an order. Only a leader whose lease is valid now, after the state was looked
-// at, may give a clear one: another leader may know better.
+// answer gives the outcome of an order or a read. A clear one was confirmed by a majority after the request came (see
+// replicatedState.newest and change); that the lease is valid now is a second guard.
 func (s *Server) answer(writer http.ResponseWriter, request *http.Request, outcome error, success any) {
 	var refusal *Refusal
 	var notLeader failover.NotLeader
--- a/internal/controlplane/node.go
+++ b/internal/controlplane/node.go
@@ -24,6 +24,10 @@
 	return failover.NotLeader{}
 }
 
+func (outsider) Read(context.Context) error {
+	return failover.NotLeader{}
+}
+
 func (outsider) ProposeMembers(context.Context, *failover.Member, string) error {
 	return failover.NotLeader{}
 }
--- a/internal/controlplane/operator.go
+++ b/internal/controlplane/operator.go
@@ -73,14 +73,16 @@
 }
 
 // takeOrder commits an order. It returns nil if the order is part of the committed state, a Refusal if it
-// is refused, and any other error where the outcome is not known.
+// is refused, and any other error where the outcome is not known. All but the last are confirmed by a majority.
 func (s *Server) takeOrder(order configOrder) error {
 	prepared, err := order.prepare(s.state.committed())
 	if err == nil {
 		err = s.changeState(prepared.apply)
+	} else {
+		err = s.confirmOutcome(order)
 	}
 	if errors.Is(err, errTakenBefore) {
-		return s.confirmTaken(order)
+		return nil
 	}
 	return err
 }
@@ -93,23 +95,26 @@
 	return s.state.change(ctx, change)
 }
 
-// confirmTaken checks that a repeated order is part of the committed state, not only of a proposed one.
-func (s *Server) confirmTaken(order configOrder) error {
-	if wasTaken(s.state.committed(), order.digest) {
-		return nil
+// confirmOutcome compares an order that can't be taken on top of the state that this process knows with the newest state.
+func (s *Server) confirmOutcome(order configOrder) error {
+	newest, err := s.state.newest()
+	if err != nil {
+		return err
 	}
-	return errors.New("the order was proposed and is not committed yet: send it again")
+	if _, err := order.prepare(newest); err != nil {
+		return err
+	}
+	return errors.New("the configuration was changed meanwhile: send the order again")
 }
 
 // handleRead answers with the newest configuration.
 func (s *Server) handleRead(writer http.ResponseWriter, request *http.Request) {
-	state := s.state.committed()
-	if !s.state.leading() {
-		s.sendToLeader(writer, request)
-		return
+	state, err := s.state.newest()
+	if err == nil && state.ConfigVersion == 0 {
+		err = refuse(http.StatusNotFound, "there is no configuration yet: send one with X-If-Version: 0")
 	}
-	if state.ConfigVersion == 0 {
-		writeFault(writer, http.StatusNotFound, "there is no configuration yet: send one with X-If-Version: 0")
+	if err != nil || !s.state.leading() {
+		s.answer(writer, request, err, nil)
 		return
 	}
 	writeRaw(writer, http.StatusOK, state.Config)
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -11,8 +11,11 @@
 	"foldlb.example/foldlb/internal/rpc"
 )
 
-// errTakenBefore reports a repeated order that was found in the state.
-var errTakenBefore = errors.New("this order was taken before")
+// Outcomes of an order that are neither new nor a refusal.
+var (
+	errTakenBefore = errors.New("this order was taken before")
+	errForgotten   = errors.New("the order builds on a version so old that it may have been taken and forgotten: read the configuration")
+)
 
 // orderKind tells how the body of an order is read.
 type orderKind string
@@ -37,7 +40,7 @@
 	binary.BigEndian.PutUint64(version[:], ifVersion)
 	hash.Write(version[:])
 	hash.Write(body)
-	return configOrder{kind: kind, ifVersion: ifVersion, body: body, digest: hash.Sum(nil)}
+	return configOrder{kind: kind, ifVersion: ifVersion, body: body, digest: hash.Sum(nil)[:digestBytes]}
 }
 
 // preparedOrder is an order that was found valid on top of the version that it names.
@@ -47,13 +50,10 @@
 	config  []byte // the whole configuration, JSON
 }
 
-// prepare reads and checks the order against a state. It returns errTakenBefore, or a Refusal.
+// prepare reads and checks the order against a state. It returns errTakenBefore, errForgotten, or a Refusal.
 func (o configOrder) prepare(state *rpc.ControlState) (*preparedOrder, error) {
-	if wasTaken(state, o.digest) {
-		return nil, errTakenBefore
-	}
-	if state.ConfigVersion != o.ifVersion {
-		return nil, versionMismatch(o.ifVersion, state.ConfigVersion)
+	if err := o.checkVersion(state); err != nil {
+		return nil, err
 	}
 	config, encoded, err := o.read(state)
 	if err != nil {
@@ -66,6 +66,20 @@
 	return &preparedOrder{configOrder: o, version: config.Version, config: encoded}, nil
 }
 
+// checkVersion reports whether the order is new and builds on the version of a state. It returns errTakenBefore,
+// errForgotten, or a Refusal.
+func (o configOrder) checkVersion(state *rpc.ControlState) error {
+	switch {
+	case wasTaken(state, o.digest):
+		return errTakenBefore
+	case mayBeForgotten(state, o.ifVersion):
+		return errForgotten
+	case state.ConfigVersion != o.ifVersion:
+		return versionMismatch(o.ifVersion, state.ConfigVersion)
+	}
+	return nil
+}
+
 // read returns the whole configuration that the order leads to, checked.
 func (o configOrder) read(state *rpc.ControlState) (*catalog.Config, []byte, error) {
 	if o.kind == orderReplace {
@@ -90,11 +104,8 @@
 
 // apply puts the configuration in a state, unless another order was faster.
 func (p *preparedOrder) apply(state *rpc.ControlState) error {
-	if wasTaken(state, p.digest) {
-		return errTakenBefore
-	}
-	if state.ConfigVersion != p.ifVersion {
-		return versionMismatch(p.ifVersion, state.ConfigVersion)
+	if err := p.checkVersion(state); err != nil {
+		return err
 	}
 	state.ConfigVersion = p.version
 	state.Config = p.config
--- a/internal/controlplane/retire.go
+++ b/internal/controlplane/retire.go
@@ -24,10 +24,6 @@
 		return
 	}
 	node := request.PathValue("node")
-	if findRetirement(s.state.committed().Retirements, node) != nil {
-		s.answer(writer, request, nil, okAnswer{})
-		return
-	}
 	err := s.changeState(func(state *rpc.ControlState) error {
 		return startRetirement(state, node, s.copies())
 	})
@@ -63,7 +59,12 @@
 // handleRetireRead tells how far the emptying of a machine is.
 func (s *Server) handleRetireRead(writer http.ResponseWriter, request *http.Request) {
 	node := request.PathValue("node")
-	retirement := findRetirement(s.state.committed().Retirements, node)
+	state, err := s.state.newest()
+	if err != nil {
+		s.answer(writer, request, err, nil)
+		return
+	}
+	retirement := findRetirement(state.Retirements, node)
 	if retirement == nil {
 		s.answer(writer, request, refuse(http.StatusNotFound, "%q was never asked to retire: start it first", node), nil)
 		return
--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -12,12 +13,20 @@
 	"foldlb.example/foldlb/internal/rpc"
 )
 
-// maxTaken is how many digests of taken orders the state keeps.
-const maxTaken = 512
+// What the state keeps of the orders that were taken.
+const (
+	maxTaken    = 1024 // orders, the newest
+	digestBytes = 16   // of the digest of each
+)
+
+// readTimeout bounds the wait for a majority to confirm that the state of this process is the newest. Callers move on after
+// about a second.
+const readTimeout = 800 * time.Millisecond
 
 // replica is what this package uses of failover.Node.
 type replica interface {
 	Propose(ctx context.Context, change func(old []byte) ([]byte, error)) error
+	Read(ctx context.Context) error
 	Status() failover.Status
 	LeaseValid() bool
 }
@@ -36,8 +45,19 @@
 	return &replicatedState{replica: replica, decoded: &rpc.ControlState{}}
 }
 
-// committed returns the newest committed state that this process knows. The caller must not change it. It is
-// the newest of all only if leading reports true afterwards.
+// newest returns the committed state once a majority has confirmed, after the call began, that this process leads: it
+// holds all that was acknowledged by then. The caller must not change it. Errors are those of failover.Node.Read.
+func (s *replicatedState) newest() (*rpc.ControlState, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	if err := s.replica.Read(ctx); err != nil {
+		return nil, err
+	}
+	return s.committed(), nil
+}
+
+// committed returns the newest committed state that this process knows, which may not be the newest of all: see newest.
+// The caller must not change it.
 func (s *replicatedState) committed() *rpc.ControlState {
 	status := s.replica.Status()
 	s.mutex.Lock()
@@ -61,7 +81,8 @@
 }
 
 // change commits a change of the state. The change gets a copy of its own; an error of it stops the proposal
-// and is returned. It may run while others read the committed state, and must not block.
+// and is returned, once a majority has confirmed that the copy was the newest state. It may run while others read the
+// committed state, and must not block.
 func (s *replicatedState) change(ctx context.Context, change func(*rpc.ControlState) error) error {
 	return s.replica.Propose(ctx, func(old []byte) ([]byte, error) {
 		state := &rpc.ControlState{}
@@ -98,16 +119,22 @@
 	}
 }
 
-// wasTaken reports whether an order with this digest has been taken.
+// wasTaken reports whether an order with this digest has been taken. Digests in older states are longer.
 func wasTaken(state *rpc.ControlState, digest []byte) bool {
 	for _, taken := range state.Taken {
-		if bytes.Equal(taken.Digest, digest) {
+		if bytes.HasPrefix(taken.Digest, digest) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayBeForgotten reports whether an order that builds on a version may have been taken so long ago that its digest was
+// dropped. The configuration that it led to was then older than that of every order that is still known.
+func mayBeForgotten(state *rpc.ControlState, ifVersion uint64) bool {
+	return len(state.Taken) >= maxTaken && ifVersion < state.Taken[0].Version
+}
+
 // recordTaken adds a digest and drops the oldest above the bound.
 func recordTaken(state *rpc.ControlState, digest []byte) {
 	state.Taken = append(state.Taken, &rpc.Taken{Digest: digest, Version: state.ConfigVersion})
--- a/internal/controlplane/transport.go
+++ b/internal/controlplane/transport.go
@@ -140,6 +140,7 @@
 		return nil, errors.Wrap(err, "the state to send can't be read: restore the data folder of this process")
 	}
 	state.Members = membersToWire(request.Contents.Members)
+	state.OldMembers = membersToWire(request.Contents.OldMembers)
 	encoded.State = state
 	return encoded, nil
 }
@@ -160,8 +161,11 @@
 	if request.State == nil {
 		return decoded, nil
 	}
-	contents := &failover.Contents{Members: membersFromWire(request.State.Members)}
-	request.State.Members = nil
+	contents := &failover.Contents{
+		Members:    membersFromWire(request.State.Members),
+		OldMembers: membersFromWire(request.State.OldMembers),
+	}
+	request.State.Members, request.State.OldMembers = nil, nil
 	encoded, err := proto.Marshal(request.State)
 	if err != nil {
 		return decoded, errors.Wrap(err, "the state that came can't be kept: have the leader send it again")
@@ -180,7 +184,7 @@
 }
 
 func membersFromWire(members []*rpc.Member) []failover.Member {
-	decoded := make([]failover.Member, 0, len(members))
+	var decoded []failover.Member
 	for _, member := range members {
 		decoded = append(decoded, failover.Member{ID: member.Id, Address: member.Address, Zone: member.Zone})
 	}
--- a/internal/controlplane/transport_test.go
+++ b/internal/controlplane/transport_test.go
@@ -45,6 +45,8 @@
 		Members: []failover.Member{{ID: "a:1#0", Address: "a:1", Zone: "east"}},
 	}
 	must.Eq(t, request, overTheWire(t, request))
+	request.Contents.OldMembers = []failover.Member{{ID: "a:1#0", Address: "a:1", Zone: "east"}, {ID: "c:1#0", Address: "c:1", Zone: "west"}}
+	must.Eq(t, request, overTheWire(t, request))
 }
 
 func TestVoteRequestIsReadBack(t *testing.T) {
