stores: copies on a store being emptied count for nothing, and copies unknown to owners are told

Cause, found by reading: a message could be accepted with a copy on a store that was being emptied, and a dispatcher could write a message round its owner to such a store and one other. The retirement completed once all owners had reported enough copies for 500 ms, of messages that they knew. The machine was then taken away with one of two copies; the loss of the other was the second loss after a leaving. The same held for a disk that counted as whole, or a store that was given up, while a message was known to two holders alone.

- No copy is put on a store that is being emptied, by owners or dispatchers, and it takes none once it knows.
- A holder tells of copies that were written round the owner until the owner, and nobody else, has said that it knows them.
Stores are whole, emptied or given up only once no store tells of any.
- A retirement waits until the store knows of it, and for 1 s of clean reports in place of 500 ms.
- The log can be told to delay or fail syncs (AroundSync).
The simulation of the stores gives each sync a time, keeps what a loss of power leaves to what was synced, empties a store once and takes it away with its disk, another disk lost at the same moment.

--- a/coord/applog/log.go
+++ b/coord/applog/log.go
@@ -24,6 +24,9 @@
 	// the offset of its first byte and its length in bytes. It is damage to synced records, or a write
 	// that a loss of power dropped while it kept a later one.
 	OnCorrupt func(Position)
+	// AroundSync, if set, is called in place of each write of the buffer that ends with a sync, and must call it. It can delay it,
+	// or return another error than it did: fault injection.
+	AroundSync func(sync func() error) error
 }
 
 // Log is an append-only file of records. Its methods may be called by several goroutines.
--- a/coord/applog/sync.go
+++ b/coord/applog/sync.go
@@ -71,7 +71,7 @@
 	}
 	closed := l.closed
 	l.mutex.Unlock()
-	err := l.commit(len(waiters) > 0)
+	err := l.commitFor(waiters)
 	l.mutex.Lock()
 	l.roundAt = time.Time{}
 	l.mutex.Unlock()
@@ -81,6 +81,18 @@
 	return closed
 }
 
+// commitFor writes the buffer, and syncs the file where somebody waits for it.
+func (l *Log) commitFor(waiters []func(error)) error {
+	if len(waiters) == 0 {
+		return l.commit(false)
+	}
+	commit := func() error { return l.commit(true) }
+	if l.options.AroundSync != nil {
+		return l.options.AroundSync(commit)
+	}
+	return commit()
+}
+
 func (l *Log) commit(wantSync bool) error {
 	l.ioMutex.Lock()
 	defer l.ioMutex.Unlock()
--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -10,7 +10,8 @@
 // acknowledges that map, so one report beside the acknowledgement would do.
 const (
 	wholeSettle  = 300 * time.Millisecond // before a disk that was lost counts as whole again
-	retireSettle = 500 * time.Millisecond // before a machine that owns nothing may be taken away
+	retireSettle = time.Second            // before a machine that owns nothing may be taken away: no message is being accepted for so long
+	giveUpSettle = 500 * time.Millisecond // before a store that has been away for long is given up
 )
 
 // goneAfter is how long a store must have been without a lease until its copies count as missing. A machine that is gone for good
@@ -34,7 +35,7 @@
 			since = now
 			t.joined[member.Disk] = now
 		}
-		if t.ownersSettled(state, next, since, wholeSettle) {
+		if t.ownersSettled(state, next, since, wholeSettle, now) {
 			member.Whole = true
 		}
 	}
@@ -51,12 +52,16 @@
 			delete(t.emptySince, retirement.Node)
 			continue
 		}
+		if !t.knowsItLeaves(state, next, retirement.Node, now) {
+			delete(t.emptySince, retirement.Node)
+			continue
+		}
 		since, known := t.emptySince[retirement.Node]
 		if !known {
 			since = now
 			t.emptySince[retirement.Node] = now
 		}
-		if t.ownersSettled(state, next, since, retireSettle) {
+		if t.ownersSettled(state, next, since, retireSettle, now) {
 			retirement.Completed = true
 		}
 	}
@@ -87,7 +92,7 @@
 			member.Leaving = true
 			continue
 		}
-		if t.ownersSettled(state, next, since.Add(goneAfter), retireSettle) {
+		if t.ownersSettled(state, next, since.Add(goneAfter), giveUpSettle, now) {
 			giveUp(member)
 			delete(t.silentSince, member.Node)
 		}
@@ -106,9 +111,37 @@
 	return left >= copies
 }
 
-// ownersSettled reports whether every partition has an owner, and all owners know the newest table and have
-// reported for so long since a moment that no message has too few copies.
-func (t *term) ownersSettled(state *rpc.ControlState, next *table, since time.Time, settle time.Duration) bool {
+// knowsItLeaves reports whether a store that is being emptied takes no copies any longer: it knows the newest table, or it
+// has been silent until its lease ended.
+func (t *term) knowsItLeaves(state *rpc.ControlState, next *table, node string, now time.Time) bool {
+	member := findStore(next.stores, node)
+	if member == nil {
+		return true
+	}
+	if status := t.heardLately(member, now); status != nil {
+		return status.mapVersion >= state.MapVersion
+	}
+	return t.leases.ended(member.Node, member.Incarnation, now)
+}
+
+// heardLately returns what the recorded incarnation of a store told within the length of a lease, nil for nothing.
+func (t *term) heardLately(member *rpc.StoreMember, now time.Time) *storeStatus {
+	status := t.stores[member.Node]
+	if status == nil || status.incarnation != member.Incarnation || now.Sub(status.renewedAt) >= leaseDuration {
+		return nil
+	}
+	return status
+}
+
+// ownersSettled reports whether every partition has an owner, all owners know the newest table and have reported for so long
+// since a moment that no message has too few copies, and no other store that was heard lately has told of a copy that its
+// owner may not know.
+func (t *term) ownersSettled(state *rpc.ControlState, next *table, since time.Time, settle time.Duration, now time.Time) bool {
+	for _, member := range next.stores {
+		if status := t.heardLately(member, now); status != nil && !status.cleanFor(since, settle) {
+			return false
+		}
+	}
 	for _, ownership := range next.partitions {
 		owner := findStore(next.stores, ownership.Node)
 		if owner == nil || owner.Incarnation != ownership.Incarnation {
--- /dev/null
+++ b/internal/controlplane/settle_test.go
@@ -0,0 +1,113 @@
+package controlplane
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+// settleWorld is a term with three stores that hold leases, of which the last is being emptied and owns nothing.
+type settleWorld struct {
+	t        *testing.T
+	now      time.Time
+	state    *rpc.ControlState
+	term     *term
+	requests []*rpc.RenewRequest
+}
+
+func newSettleWorld(t *testing.T) *settleWorld {
+	w := &settleWorld{t: t, now: time.Now(), state: &rpc.ControlState{MapVersion: 5}}
+	for _, node := range []string{"store-0", "store-1", "store-2"} {
+		w.state.Stores = append(w.state.Stores, &rpc.StoreMember{
+			Node: node, Disk: "disk-" + node, Incarnation: "1-" + node, Address: node, Zone: node, Whole: true,
+		})
+		w.requests = append(w.requests, &rpc.RenewRequest{
+			Node: node, Disk: "disk-" + node, Incarnation: "1-" + node, Address: node, Zone: node, Role: roleStore, MapVersion: 5,
+		})
+	}
+	for partition := range partitionCount {
+		owner := w.state.Stores[partition%2]
+		w.state.Partitions = append(w.state.Partitions, &rpc.Ownership{Node: owner.Node, Incarnation: owner.Incarnation, Epoch: 1})
+	}
+	w.state.Stores[2].Leaving = true
+	w.state.Retirements = []*rpc.Retirement{{Node: "store-2"}}
+	w.term = newTerm(1, w.state, w.now)
+	return w
+}
+
+// run renews all stores and plans for a time, and reports whether the retirement has completed.
+func (w *settleWorld) run(length time.Duration) bool {
+	const step = 100 * time.Millisecond
+	for end := w.now.Add(length); w.now.Before(end); w.now = w.now.Add(step) {
+		for _, request := range w.requests {
+			w.term.renewStore(w.state, request, w.now)
+		}
+		next, _, err := w.term.plan(w.state, modelCopies, w.now)
+		must.NoError(w.t, err)
+		if findRetirement(next.retirements, "store-2").Completed {
+			return true
+		}
+	}
+	return false
+}
+
+func TestRetirementCompletes(t *testing.T) {
+	w := newSettleWorld(t)
+	must.False(t, w.run(retireSettle))
+	must.True(t, w.run(time.Second))
+}
+
+// A store that does not know yet that it is being emptied may still take copies that count.
+func TestRetirementWaitsUntilTheStoreKnowsOfIt(t *testing.T) {
+	w := newSettleWorld(t)
+	w.requests[2].MapVersion = 4
+	must.False(t, w.run(5*time.Second))
+	w.requests[2].MapVersion = 5
+	must.False(t, w.run(retireSettle))
+	must.True(t, w.run(time.Second))
+}
+
+// A holder tells of copies that their owner may not know; so does the store that is being emptied.
+func TestRetirementWaitsForCopiesThatTheOwnerMayNotKnow(t *testing.T) {
+	for _, holder := range []int{1, 2} {
+		w := newSettleWorld(t)
+		for _, ownership := range w.state.Partitions {
+			ownership.Node, ownership.Incarnation = "store-0", "1-store-0"
+		}
+		w.requests[holder].UnderCopied = 1
+		must.False(t, w.run(5*time.Second))
+		w.requests[holder].UnderCopied = 0
+		must.True(t, w.run(3*time.Second))
+	}
+}
+
+// A disk that replaces a lost one is not whole while a holder tells of copies that their owner may not know.
+func TestDiskIsNotWholeWhileAHolderTellsOfUnknownCopies(t *testing.T) {
+	w := newSettleWorld(t)
+	w.state.Retirements, w.state.Stores[2].Leaving = nil, false
+	w.state.Stores[2].Whole = false
+	isWhole := func(length time.Duration) bool {
+		const step = 100 * time.Millisecond
+		for end := w.now.Add(length); w.now.Before(end); w.now = w.now.Add(step) {
+			for _, request := range w.requests {
+				w.term.renewStore(w.state, request, w.now)
+			}
+			next := copyTable(w.state)
+			w.term.restoreWhole(w.state, next, w.now)
+			if findStore(next.stores, "store-2").Whole {
+				return true
+			}
+		}
+		return false
+	}
+	for _, ownership := range w.state.Partitions {
+		ownership.Node, ownership.Incarnation = "store-0", "1-store-0"
+	}
+	w.requests[1].UnderCopied = 2
+	must.False(t, isWhole(3*time.Second))
+	w.requests[1].UnderCopied = 0
+	must.True(t, isWhole(2*time.Second))
+}
--- a/internal/ingest/holders.go
+++ b/internal/ingest/holders.go
@@ -55,7 +55,7 @@
 func (d *dispatcher) reachableHolders(view *cluster.View, owner *rpc.StoreMember) int {
 	count := 0
 	for _, store := range view.Stores() {
-		if store.Node != owner.Node && !d.health.slow(store.Address) {
+		if store.Node != owner.Node && !store.Leaving && !d.health.slow(store.Address) {
 			count++
 		}
 	}
@@ -119,12 +119,12 @@
 	return holders.stored >= holders.needed
 }
 
-// holderCandidates lists the stores other than the owner: those that answer first, and among them those of
-// other zones than the owner's.
+// holderCandidates lists the stores other than the owner that are not being emptied, as a copy there counts as gone: those
+// that answer first, and among them those of other zones than the owner's.
 func (d *dispatcher) holderCandidates(view *cluster.View, owner *rpc.StoreMember) []*rpc.StoreMember {
 	candidates := make([]*rpc.StoreMember, 0, len(view.Stores()))
 	for _, store := range view.Stores() {
-		if store.Node != owner.Node {
+		if store.Node != owner.Node && !store.Leaving {
 			candidates = append(candidates, store)
 		}
 	}
@@ -140,14 +140,11 @@
 
 // holderRank is lower for better holders.
 func (d *dispatcher) holderRank(store, owner *rpc.StoreMember) int {
-	const slowPenalty, leavingPenalty, sameZonePenalty = 4, 2, 1
+	const slowPenalty, sameZonePenalty = 2, 1
 	rank := 0
 	if d.health.slow(store.Address) {
 		rank += slowPenalty
 	}
-	if store.Leaving {
-		rank += leavingPenalty
-	}
 	if store.Zone == owner.Zone {
 		rank += sameZonePenalty
 	}
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -36,6 +36,7 @@
 	Running     bool
 	ScrubAt     time.Duration // when a holder next asks the owner about it
 	RepairAt    time.Duration // when the owner next restores a copy that is missing
+	OwnerKnows  bool          // a copy that a dispatcher wrote round the owner: the owner has been told of it
 	Accepting   uint64        // version of the map under which it is being accepted; 0 once that is over
 	Retries     int           // attempts of any outcome since this store owned it
 
--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -128,7 +128,7 @@
 		}
 	}
 	entry.Accepting = n.view.Map.Version
-	work := &acceptance{node: n, message: m, entry: entry, epoch: owned, needed: n.copiesWanted(n.view.Map.Stores),
+	work := &acceptance{node: n, message: m, entry: entry, epoch: owned, needed: n.copiesWanted(n.aliveMembers()),
 		result: make(chan rpc.PutStatus, 1), tried: map[string]bool{}, domains: map[string]bool{}}
 	return rpc.PutStatus_STORED, work, false
 }
@@ -271,6 +271,9 @@
 	if epoch < n.table.Fence(m.Partition) {
 		return rpc.PutStatus_STALE_EPOCH
 	}
+	if n.isLeaving() {
+		return rpc.PutStatus_FULL // a copy here counts as gone, and may be by the time that its sender learns it
+	}
 	known := n.table.Get(m.Name)
 	if known != nil && (known.Stored || known.State == rpc.State_COMPLETED) {
 		n.table.Add(message.FromMessage(m, n.now()), n.now())
@@ -288,7 +291,11 @@
 	}
 	entry.Body = nil
 	entry.ScrubAt = n.now() + scrubFirst
-	n.table.Add(entry, n.now())
+	entry = n.table.Add(entry, n.now())
+	if n.isUnconfirmed(entry) {
+		entry.ScrubAt = n.now() + scrubUnconfirmed
+		n.underCopied.Add(1) // until upkeep has counted
+	}
 	if n.table.IsReady(m.Partition) { // it was sent here by a dispatcher that could not reach this store as the owner
 		n.pumpDue = true
 	}
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -124,6 +124,11 @@
 
 // open reads the log and prepares a node that is not yet running.
 func open(s *settings.Settings, log logr.Logger) (*Node, error) {
+	return openAround(s, log, nil)
+}
+
+// openAround is open with a function around each sync of the log, nil for none.
+func openAround(s *settings.Settings, log logr.Logger, aroundSync func(sync func() error) error) (*Node, error) {
 	if s.DataDir == "" {
 		return nil, errors.New("storenode: dataDir is empty; a store needs a disk")
 	}
@@ -139,7 +144,7 @@
 		diskFailed: make(chan struct{}),
 	}
 	n.underCopied.Store(1) // not known before upkeep has counted
-	if err := n.openLog(); err != nil {
+	if err := n.openLog(aroundSync); err != nil {
 		return nil, err
 	}
 	return n, nil
--- a/internal/storenode/peers.go
+++ b/internal/storenode/peers.go
@@ -72,8 +72,8 @@
 	return p.byKey[disk]
 }
 
-// choose draws a store for a copy that is not in tried: healthy ones before others, and among them one of another zone for the
-// first copy, so that a zone may be lost, and of this zone for further ones, since bytes between zones are dear. Where copies must
+// choose draws a store for a copy that is not in tried and is not being emptied, as a copy there counts as gone: healthy ones
+// before others, and among them one of another zone for the first copy, so that a zone may be lost, and of this zone for further ones, since bytes between zones are dear. Where copies must
 // stand in different zones or regions, that goes before.
 func (p *peers) choose(tried map[string]bool) *peer {
 	p.mutex.Lock()
@@ -84,7 +84,7 @@
 	used := p.usedDomains(tried)
 	apart := p.triedElsewhere(tried)
 	for _, one := range p.list {
-		if tried[one.disk] {
+		if tried[one.disk] || one.leaving {
 			continue
 		}
 		rank := one.rank(now)
@@ -155,9 +155,6 @@
 // rank is lower for stores that are likely to take a copy.
 func (one *peer) rank(now time.Time) int {
 	rank := 0
-	if one.leaving {
-		rank += 4
-	}
 	one.mutex.Lock()
 	if now.Before(one.suspectUntil) {
 		rank += 8
--- a/internal/storenode/peers_test.go
+++ b/internal/storenode/peers_test.go
@@ -63,3 +63,13 @@
 		must.Eq(t, map[string]int{"b": 2}, holderZones(peers, 2))
 	}
 }
+
+// A copy at a store that is being emptied counts as gone.
+func TestNoCopyGoesToAStoreThatIsBeingEmptied(t *testing.T) {
+	peers := peersIn(settings.FaultTolerance{Machines: 1}, map[string]int{"b": 2})
+	peers.list[0].leaving = true
+	for range 50 {
+		must.EqOp(t, peers.list[1], peers.choose(nil))
+	}
+	must.Nil(t, peers.choose(map[string]bool{peers.list[1].disk: true}))
+}
--- a/internal/storenode/replay.go
+++ b/internal/storenode/replay.go
@@ -16,8 +16,8 @@
 // The log at the start of a store.
 
 // openLog replays the log, and writes the disk's identity where it has none.
-func (n *Node) openLog() error {
-	options := applog.Options{MaxBytes: n.logBytes(), OnCorrupt: func(at applog.Position) {
+func (n *Node) openLog(aroundSync func(sync func() error) error) error {
+	options := applog.Options{MaxBytes: n.logBytes(), AroundSync: aroundSync, OnCorrupt: func(at applog.Position) {
 		n.log.Info("a record of the log is corrupt; other stores hold copies", "offset", at.Offset)
 	}}
 	file, err := applog.Open(n.settings.DataDir, logName, options, n.replay)
--- a/internal/storenode/scrub.go
+++ b/internal/storenode/scrub.go
@@ -9,12 +9,20 @@
 )
 
 const (
-	scrubFirst  = 1500 * time.Millisecond // after a copy came, its holder asks the owner what became of it
-	scrubAgain  = 4 * time.Second
-	scrubBatch  = 500
-	scrubWithin = time.Second
+	scrubFirst       = 1500 * time.Millisecond // after a copy came, its holder asks the owner what became of it
+	scrubAgain       = 4 * time.Second
+	scrubUnconfirmed = 400 * time.Millisecond // in place of both where the owner may not know of the copy
+	scrubBatch       = 500
+	scrubWithin      = time.Second
 )
 
+// isUnconfirmed reports whether a copy may be unknown to the owner of its partition: a dispatcher wrote it round the owner,
+// which has not said since that it knows it. The owner can't count it or make up for one that is lost, so this store counts it as
+// one of a message with too few copies.
+func (n *Node) isUnconfirmed(e *message.Entry) bool {
+	return e.Stored && !e.Ended() && e.Seq == 0 && !e.OwnerKnows && n.table.OwnedEpoch(e.Partition) == 0
+}
+
 // collectScrub adds a copy that is held for another store to what its owner is asked about.
 func (n *Node) collectScrub(e *message.Entry, now time.Duration, ask map[string][]*rpc.Fate) {
 	if e.Ended() || now < e.ScrubAt {
@@ -25,6 +33,9 @@
 		return
 	}
 	e.ScrubAt = now + scrubAgain
+	if n.isUnconfirmed(e) {
+		e.ScrubAt = now + scrubUnconfirmed
+	}
 	ask[owner.Disk] = append(ask[owner.Disk], e.Fate())
 }
 
@@ -40,9 +51,26 @@
 		for _, fate := range reply.Fates {
 			n.applyFate(fate)
 		}
+		n.confirm(fates, reply)
 	})
 }
 
+// confirm notes which of the copies that an owner was asked about it knows.
+func (n *Node) confirm(asked []*rpc.Fate, reply *rpc.ScrubReply) {
+	open := map[string]bool{}
+	for _, name := range reply.Unknown {
+		open[name] = true
+	}
+	for _, name := range reply.Unconfirmed {
+		open[name] = true
+	}
+	for _, fate := range asked {
+		if e := n.table.Get(fate.Name); e != nil && !open[fate.Name] {
+			e.OwnerKnows = true
+		}
+	}
+}
+
 // Scrub implements rpc.Store: it answers a holder, and takes messages that this owner does not know.
 func (n *Node) Scrub(_ context.Context, request *rpc.ScrubRequest) (*rpc.ScrubReply, error) {
 	reply := &rpc.ScrubReply{}
@@ -61,10 +89,15 @@
 
 func (n *Node) scrubOne(caller string, fate *rpc.Fate, reply *rpc.ScrubReply) {
 	entry := n.table.Get(fate.Name)
+	isReady := n.table.IsReady(fate.Partition)
+	if entry == nil && isReady {
+		reply.Unknown = append(reply.Unknown, fate.Name)
+		return
+	}
+	if !isReady {
+		reply.Unconfirmed = append(reply.Unconfirmed, fate.Name)
+	}
 	if entry == nil {
-		if n.table.IsReady(fate.Partition) {
-			reply.Unknown = append(reply.Unknown, fate.Name)
-		}
 		return
 	}
 	if entry.Ended() {
--- a/internal/storenode/sim_control_test.go
+++ b/internal/storenode/sim_control_test.go
@@ -20,7 +20,8 @@
 	simHolderSlack = 100 * time.Millisecond // by which a store stops earlier
 	simRenew       = 400 * time.Millisecond
 	simPlan        = 100 * time.Millisecond
-	simSettle      = 2 * time.Second // for which the owners have reported enough copies before a new disk is whole
+	simWhole       = 300 * time.Millisecond // for which all have reported enough copies before a new disk is whole
+	simRetire      = time.Second            // and before a store that is emptied may be taken away
 	simMoves       = 4
 )
 
@@ -35,6 +36,9 @@
 	statuses   map[string]*storeStatus // by node
 	fences     map[string]uint64
 	joined     map[string]time.Time // by disk
+	retiring   string               // the store that is being emptied
+	emptySince time.Time            // since when it has owned nothing and known that it leaves; zero if it does not
+	retired    bool                 // it may be taken away, and is no member any more
 	version    uint64
 	config     *catalog.Config
 	view       *cluster.View
@@ -106,7 +110,8 @@
 		Map: &rpc.MapView{Version: c.version, Copies: uint32(c.world.scale.tolerance + 1)},
 		Workers: &rpc.WorkerList{Epoch: 1, Version: 1,
 			Workers: []*rpc.Worker{{Id: "w", Service: "s", Capacity: 200}}}}
-	for _, store := range c.stores {
+	taking := slices.DeleteFunc(slices.Clone(c.stores), c.isRetired)
+	for _, store := range taking {
 		view.Map.Stores = append(view.Map.Stores, &rpc.StoreMember{Node: store.Node, Disk: store.Disk, Address: store.Address,
 			Zone: store.Zone, Incarnation: store.Incarnation, Whole: store.Whole, Leaving: store.Leaving})
 	}
@@ -114,7 +119,7 @@
 	for i, p := range c.partitions {
 		view.Map.Partitions = append(view.Map.Partitions, &rpc.Ownership{Node: p.Owner, Incarnation: p.Incarnation,
 			Epoch: p.Epoch, Releasing: p.Releasing, Successor: p.Successor})
-		owners[i] = slices.IndexFunc(c.stores, func(store *rpc.StoreMember) bool {
+		owners[i] = slices.IndexFunc(taking, func(store *rpc.StoreMember) bool {
 			return store.Node == p.Owner && store.Incarnation == p.Incarnation
 		})
 	}
@@ -216,7 +221,7 @@
 func (c *controlPlane) plan() {
 	changed := false
 	for _, store := range c.stores {
-		if !store.Whole && c.ownersSettled(store) {
+		if !store.Whole && c.settled(c.joined[store.Disk], simWhole) {
 			store.Whole = true
 			changed = true
 		}
@@ -224,6 +229,7 @@
 	if len(c.stores) < c.world.scale.stores {
 		return // the first assignment waits for all
 	}
+	changed = c.completeRetirement() || changed
 	before := c.partitions
 	next, moved, err := placement.Plan(c.members(), before, simMoves)
 	if err != nil {
@@ -236,28 +242,86 @@
 	}
 }
 
-// ownersSettled reports whether every partition has an owner, and all owners know the newest map and have reported for
-// long enough since the disk joined that no message has too few copies.
-func (c *controlPlane) ownersSettled(store *rpc.StoreMember) bool {
+// retire begins to empty a store.
+func (c *controlPlane) retire(node string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.retiring = node
+	c.member(node).Leaving = true
+	c.publish()
+}
+
+// isRetired reports whether a store was emptied and may be taken away.
+func (c *controlPlane) isRetired(store *rpc.StoreMember) bool {
+	return c.retired && store.Node == c.retiring
+}
+
+// hasRetired reports whether the store that was to be emptied may be taken away.
+func (c *controlPlane) hasRetired() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.retired
+}
+
+// completeRetirement ends the retirement of a store that owns nothing and knows that it leaves, once its copies were restored.
+func (c *controlPlane) completeRetirement() bool {
+	if c.retiring == "" || c.retired {
+		return false
+	}
 	for _, p := range c.partitions {
-		owner, status := c.member(p.Owner), c.statuses[p.Owner]
-		if owner == nil || owner.Incarnation != p.Incarnation || status.request.Incarnation != p.Incarnation {
+		if p.Owner == c.retiring {
+			c.emptySince = time.Time{}
 			return false
 		}
-		if status.request.MapVersion < c.version || status.cleanSince.IsZero() {
+	}
+	member, status := c.member(c.retiring), c.statuses[c.retiring]
+	alive := c.leases.Alive(member.Node, member.Incarnation, c.now())
+	if alive && (status.request.Incarnation != member.Incarnation || status.request.MapVersion < c.version) {
+		c.emptySince = time.Time{}
+		return false
+	}
+	if c.emptySince.IsZero() {
+		c.emptySince = time.Now()
+	}
+	c.retired = c.settled(c.emptySince, simRetire)
+	return c.retired
+}
+
+// settled reports whether every partition has an owner, all owners know the newest map, and all stores that hold a lease have
+// reported for so long since a moment that no message has too few copies.
+func (c *controlPlane) settled(since time.Time, settle time.Duration) bool {
+	for _, store := range c.stores {
+		status := c.statuses[store.Node]
+		if !c.leases.Alive(store.Node, store.Incarnation, c.now()) || status.request.Incarnation != store.Incarnation {
+			continue
+		}
+		if !status.cleanFor(since, settle) {
 			return false
 		}
-		from := c.joined[store.Disk]
-		if status.cleanSince.After(from) {
-			from = status.cleanSince
+	}
+	for _, p := range c.partitions {
+		owner, status := c.member(p.Owner), c.statuses[p.Owner]
+		if owner == nil || owner.Incarnation != p.Incarnation || status.request.Incarnation != p.Incarnation {
+			return false
 		}
-		if status.renewedAt.Sub(from) < simSettle {
+		if status.request.MapVersion < c.version || !status.cleanFor(since, settle) {
 			return false
 		}
 	}
 	return true
 }
 
+// cleanFor reports whether the store has reported for so long since a moment that no message has too few copies.
+func (s *storeStatus) cleanFor(since time.Time, settle time.Duration) bool {
+	if s.cleanSince.IsZero() {
+		return false
+	}
+	if s.cleanSince.After(since) {
+		since = s.cleanSince
+	}
+	return s.renewedAt.Sub(since) >= settle
+}
+
 func (c *controlPlane) members() []placement.Member {
 	var members []placement.Member
 	for _, store := range c.stores {
@@ -269,8 +333,8 @@
 		members = append(members, placement.Member{Node: store.Node, Incarnation: store.Incarnation, Zone: store.Zone,
 			Alive: alive, Ended: !alive && c.leases.Ended(store.Node, store.Incarnation, c.now()),
 			Leaving: status != nil && status.request.Incarnation == store.Incarnation &&
-				(status.request.Leaving || status.request.Impaired),
-			Eligible: true})
+				(status.request.Leaving || status.request.Impaired) || store.Leaving,
+			Eligible: !c.isRetired(store)})
 	}
 	seen := map[string]bool{}
 	for _, p := range c.partitions {
@@ -318,6 +382,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, store := range c.stores {
+		if c.isRetired(store) {
+			continue
+		}
 		p := c.world.machineAt(store.Address).running()
 		if !store.Whole || p == nil || p.node.disk != store.Disk {
 			return false
--- a/internal/storenode/sim_faults_test.go
+++ b/internal/storenode/sim_faults_test.go
@@ -15,6 +15,8 @@
 	next  time.Time
 	pause time.Duration // between two faults at most
 	open  []*openFault
+
+	retiring *machine // the one that is being emptied, or was; nil for none
 }
 
 // openFault is one that is under way.
@@ -32,6 +34,7 @@
 
 // step ends what is due to end, and may begin something.
 func (f *faults) step() {
+	f.takeAway()
 	now := time.Now()
 	kept := f.open[:0]
 	for _, each := range f.open {
@@ -74,10 +77,10 @@
 func (f *faults) begin() {
 	w := f.world
 	m := w.machines[w.random.IntN(len(w.machines))]
-	if f.isBusy(m.name) || m.running() == nil {
+	if m.gone || f.isBusy(m.name) || m.running() == nil {
 		return
 	}
-	switch w.random.IntN(16) {
+	switch w.random.IntN(17) {
 	case 0, 1:
 		f.down(m, end{}, 200, 1500)
 	case 2, 3:
@@ -100,6 +103,39 @@
 		f.afterAccept()
 	case 15:
 		f.blackout()
+	case 16:
+		f.retire(m)
+	}
+}
+
+// retire empties a store, once in a simulation and where enough are left.
+func (f *faults) retire(m *machine) {
+	w := f.world
+	if f.retiring != nil || !w.control.allWhole() || w.scale.stores <= w.scale.tolerance+2 {
+		return
+	}
+	w.note("%s is to be emptied", m.name)
+	f.retiring = m
+	w.control.retire(m.name)
+}
+
+// takeAway takes the machine that was emptied away with its disk. That is no loss, so another disk may be lost at the same
+// moment, while all others lose power.
+func (f *faults) takeAway() {
+	w, m := f.world, f.retiring
+	if m == nil || m.gone || !w.control.hasRetired() {
+		return
+	}
+	m.gone = true
+	w.note("%s was emptied and is taken away", m.name)
+	m.stop(end{off: true, loseDisk: true})
+	other := w.machines[w.random.IntN(len(w.machines))]
+	if other.gone || f.isBusy(other.name) || other.running() == nil {
+		return
+	}
+	f.loseDisk(other)
+	if other.running() == nil && w.random.IntN(2) == 0 {
+		f.blackout()
 	}
 }
 
--- a/internal/storenode/sim_test.go
+++ b/internal/storenode/sim_test.go
@@ -175,6 +175,10 @@
 	var parts []string
 	for _, each := range w.machines {
 		p := each.process
+		if p == nil {
+			parts = append(parts, each.name+" is gone")
+			continue
+		}
 		p.node.do(func() {
 			e := p.node.table.Get(m.name)
 			if e == nil {
@@ -192,6 +196,9 @@
 // checkTables checks that no store still holds a message that it believes queued.
 func (w *world) checkTables() {
 	for _, each := range w.machines {
+		if each.process == nil {
+			continue // taken away
+		}
 		var names []string
 		each.process.node.do(func() {
 			each.process.node.table.Each(func(e *messageEntry) {
@@ -223,8 +230,8 @@
 		}
 		runs += m.starts
 	}
-	w.t.Logf("seed %d: %d messages, %d accepted, %d refused, %d runs, %d violations", w.seed, len(l.messages), accepted, refused,
-		runs, len(l.violations))
+	w.t.Logf("seed %d: %d messages, %d accepted, %d refused, %d runs, emptied and taken away: %t, %d violations", w.seed,
+		len(l.messages), accepted, refused, runs, w.control.hasRetired(), len(l.violations))
 	if len(l.violations) == 0 {
 		if accepted < len(l.messages)/3 {
 			w.t.Errorf("seed %d: only %d of %d messages were accepted\n%s", w.seed, accepted, len(l.messages), strings.Join(w.trace, "\n"))
--- a/internal/storenode/sim_world_test.go
+++ b/internal/storenode/sim_world_test.go
@@ -69,9 +69,11 @@
 	zone     string
 	address  string
 	settings *settings.Settings
-	disks    int      // directories made so far
-	process  *process // nil while none runs; guarded by world.mutex
-	off      bool     // without power: nothing is refused, all is silent
+	disks    int           // directories made so far
+	process  *process      // nil while none runs; guarded by world.mutex
+	stalled  chan struct{} // the disk answers nothing until it is closed; nil while it does; guarded by world.mutex
+	gone     bool          // taken away for good
+	off      bool          // without power: nothing is refused, all is silent
 }
 
 // process is one life of a store.
@@ -84,7 +86,7 @@
 
 	mutex  sync.Mutex
 	thawed chan struct{} // nil while it is not frozen
-	synced int64         // bytes of the log that were synced before an answer was given
+	synced int64         // bytes of the log that a sync has covered
 }
 
 func newWorld(t *testing.T, seed uint64, directory string, size scale) *world {
@@ -255,7 +257,6 @@
 		return
 	}
 	value, err := r.serve(ctx, p)
-	p.noteSynced()
 	if !p.awaitThaw() {
 		w.mutex.Lock()
 		off := p.machine.off
@@ -284,12 +285,15 @@
 // start begins a life of the store.
 func (m *machine) start() {
 	w := m.world
-	node, err := open(m.settings, logr.Discard())
+	if m.gone {
+		return
+	}
+	p := &process{world: w, machine: m, dead: make(chan struct{})}
+	node, err := openAround(m.settings, logr.Discard(), p.sync)
 	if err != nil {
 		panic(err)
 	}
-	p := &process{world: w, machine: m, node: node, dead: make(chan struct{})}
-	p.synced = node.file.Size()
+	p.node = node
 	node.draw = func(n int) int { return int(w.draw(m.name, "draw", n) * float64(n)) }
 	p.cluster = newFakeCluster(p)
 	w.mutex.Lock()
@@ -356,12 +360,54 @@
 	return torn
 }
 
-// noteSynced notes that an answer was given, before which what was written had been synced.
-func (p *process) noteSynced() {
-	size := p.node.file.Size()
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.synced = max(p.synced, size)
+// sync takes the time of a disk, and notes what the log's file holds for good after it. What is appended while it takes its time
+// waits for the next one.
+func (p *process) sync(commit func() error) error {
+	w, m := p.world, p.machine
+	time.Sleep(w.syncTime(m.name))
+	w.mutex.Lock()
+	stalled := m.stalled
+	w.mutex.Unlock()
+	if stalled != nil {
+		select {
+		case <-stalled:
+		case <-p.dead:
+		}
+	}
+	if p.isDead() {
+		return errReset // it lost power, or was killed, before the disk was written
+	}
+	err := commit()
+	info, statErr := os.Stat(filepath.Join(m.settings.DataDir, logName))
+	if err == nil && statErr == nil {
+		p.mutex.Lock()
+		p.synced = info.Size()
+		p.mutex.Unlock()
+	}
+	return err
+}
+
+// syncTime is how long a sync takes.
+func (w *world) syncTime(name string) time.Duration {
+	x := w.draw(name, "sync")
+	if x < 0.1 {
+		return time.Duration(x / 0.1 * float64(40*time.Millisecond))
+	}
+	return time.Duration(x * float64(3*time.Millisecond))
+}
+
+// stall has the disk of a machine answer nothing until the function returned is called.
+func (m *machine) stall() (heal func()) {
+	stalled := make(chan struct{})
+	m.world.mutex.Lock()
+	defer m.world.mutex.Unlock()
+	m.stalled = stalled
+	return func() {
+		m.world.mutex.Lock()
+		defer m.world.mutex.Unlock()
+		m.stalled = nil
+		close(stalled)
+	}
 }
 
 func (p *process) isDead() bool {
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -50,6 +50,7 @@
 	alive := n.aliveDisks()
 	wanted := n.copiesWanted(n.aliveMembers())
 	var expired, missing, unheld []*message.Entry
+	unconfirmed := 0
 	ask := map[string][]*rpc.Fate{}
 	n.table.Each(func(e *message.Entry) {
 		if e.State == rpc.State_COMPLETED {
@@ -60,6 +61,9 @@
 				unheld = append(unheld, e)
 				return
 			}
+			if n.isUnconfirmed(e) {
+				unconfirmed++
+			}
 			n.collectScrub(e, now, ask)
 			return
 		}
@@ -83,7 +87,7 @@
 	}
 	ready, takenOver := n.ownedPartitions()
 	n.readyPartitions.Store(uint32(ready))
-	n.underCopied.Store(uint64(len(missing) + takenOver))
+	n.underCopied.Store(uint64(len(missing) + takenOver + unconfirmed))
 	n.repairAll(missing, alive, now)
 	for disk, fates := range ask {
 		if one := n.peers.get(disk); one != nil {
@@ -154,6 +158,19 @@
 	return members
 }
 
+// isLeaving reports whether this store is being emptied, or was given up while it was silent: its copies count as gone.
+func (n *Node) isLeaving() bool {
+	if n.view == nil {
+		return false
+	}
+	for _, member := range n.view.Map.GetStores() {
+		if member.Disk == n.disk {
+			return member.Leaving
+		}
+	}
+	return false
+}
+
 // expired reports whether a message's route is gone or its retention has passed.
 func (n *Node) expired(e *message.Entry, now time.Duration) bool {
 	if n.view.Config == nil || n.view.ConfigVersion < n.needs {
