controlplane: operators' calls checked for linearizability over a simulated core

Cause: that no number is confirmed twice, no repeated order refused and nothing older read was tested by cases, not over histories.

Control processes run as they are, on real records and in virtual time, over a network that cuts (both ways, one way, halves, up to 20 s), loses calls, kills, takes power or a disk (at times while all others lose power) and replaces.

--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -36,6 +36,8 @@
 	Settings *settings.Settings // read and checked
 	Log      logr.Logger
 	Timing   failover.Timing // the zero value for the defaults
+	// RoundTripper reaches the other control processes; nil for TCP.
+	RoundTripper http.RoundTripper
 }
 
 // Server is the control role of one process. Create it with New and run it with Run.
@@ -76,7 +78,7 @@
 		log:            options.Log,
 		hub:            watch.NewHub(partCount, max(leastStreams, options.Settings.Limits.MaxFds-keptDescriptors)),
 		peers:          newPeerTable(),
-		clients:        newClients(),
+		clients:        newClients(options.RoundTripper),
 		orderSlots:     make(chan struct{}, maxOrders),
 		leadershipWake: make(chan struct{}, 1),
 		plannerWake:    make(chan struct{}, 1),
--- /dev/null
+++ b/internal/controlplane/sim_network_test.go
@@ -0,0 +1,298 @@
+package controlplane
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"foldlb.example/foldlb/internal/settings"
+)
+
+// The simulation runs control processes as they are, on real records, in virtual time and over a network of its own.
+
+var (
+	errSimRefused = errors.New("simulation: connection refused")
+	errSimReset   = errors.New("simulation: connection reset")
+)
+
+// simNetwork carries calls between control processes and from operators.
+type simNetwork struct {
+	t         *testing.T
+	directory string
+	seeds     []string
+	started   time.Time
+	ended     chan struct{} // closed at the end of the simulation
+
+	mutex   sync.Mutex
+	random  *rand.Rand
+	servers []*simServer
+	cuts    map[[2]string]bool // links that carry nothing, by sender and receiver
+	lossy   float64            // share of calls whose request or answer is lost
+	trace   []string
+}
+
+// simServer is what runs at one address. It outlives processes and disks.
+type simServer struct {
+	network *simNetwork
+	address string
+	disks   int // folders made so far
+
+	// Guarded by the mutex of the network.
+	process *simProcess // nil while none runs
+	off     bool        // without power: nothing is refused, all is silent
+	gone    bool        // for good
+}
+
+// simProcess is one life of a control process.
+type simProcess struct {
+	server *Server
+	cancel context.CancelFunc
+	dead   chan struct{} // closed when it is killed
+}
+
+func newSimNetwork(t *testing.T, seed uint64, directory string) *simNetwork {
+	return &simNetwork{
+		t: t, directory: directory, started: time.Now(), ended: make(chan struct{}),
+		random: rand.New(rand.NewPCG(seed, 3)), cuts: map[[2]string]bool{},
+	}
+}
+
+// note adds a line to the trace that a failure prints.
+func (n *simNetwork) note(format string, values ...any) {
+	line := fmt.Sprintf("%8.3f ", time.Since(n.started).Seconds()) + fmt.Sprintf(format, values...)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.trace = append(n.trace, line)
+}
+
+// intN draws a number from [0, most).
+func (n *simNetwork) intN(most int) int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.random.IntN(most)
+}
+
+func (n *simNetwork) chance(probability float64) bool {
+	return float64(n.intN(1<<20))/(1<<20) < probability
+}
+
+// between draws a time of at least least.
+func (n *simNetwork) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(n.intN(int((most-least)/time.Microsecond)))*time.Microsecond
+}
+
+func (n *simNetwork) delay() time.Duration {
+	if n.chance(0.02) {
+		return n.between(20*time.Millisecond, 900*time.Millisecond)
+	}
+	return n.between(300*time.Microsecond, 4*time.Millisecond)
+}
+
+// add makes a server that does not run yet.
+func (n *simNetwork) add() *simServer {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	added := &simServer{network: n, address: fmt.Sprintf("10.0.0.%d:8046", len(n.servers)+1)}
+	n.servers = append(n.servers, added)
+	return added
+}
+
+func (n *simNetwork) list() []*simServer {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return append([]*simServer(nil), n.servers...)
+}
+
+func (n *simNetwork) at(address string) *simServer {
+	for _, server := range n.list() {
+		if server.address == address {
+			return server
+		}
+	}
+	return nil
+}
+
+// start begins a life of the process; the first one of all founds the group.
+func (s *simServer) start(bootstrap bool) {
+	network := s.network
+	if s.disks == 0 {
+		s.newDisk()
+	}
+	zone := "zone-" + s.address
+	server, err := New(Options{
+		Log:          logr.Discard(),
+		RoundTripper: &simTransport{from: s},
+		Settings: &settings.Settings{
+			Node: s.address, Zone: zone, Listen: settings.Listen{Control: s.address}, Seeds: network.seeds,
+			Bootstrap: bootstrap, DataDir: s.folder(), FaultTolerance: settings.FaultTolerance{Machines: 1},
+		},
+	})
+	must.NoError(network.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	process := &simProcess{server: server, cancel: cancel, dead: make(chan struct{})}
+	network.mutex.Lock()
+	s.process, s.off = process, false
+	network.mutex.Unlock()
+	server.start(ctx)
+	network.note("%s starts, disk %d", s.address, s.disks)
+}
+
+func (s *simServer) newDisk() {
+	s.disks++
+	must.NoError(s.network.t, os.MkdirAll(s.folder(), 0o755))
+}
+
+func (s *simServer) folder() string {
+	return filepath.Join(s.network.directory, fmt.Sprintf("%s-%d", s.address, s.disks))
+}
+
+func (s *simServer) running() *simProcess {
+	s.network.mutex.Lock()
+	defer s.network.mutex.Unlock()
+	return s.process
+}
+
+// kill ends the process at once. Its disk holds what was synced.
+func (s *simServer) kill(off bool) {
+	s.network.mutex.Lock()
+	process := s.process
+	s.process, s.off = nil, off
+	s.network.mutex.Unlock()
+	if process == nil {
+		return
+	}
+	s.network.note("%s is killed, power lost %t", s.address, off)
+	close(process.dead)
+	process.cancel()
+	process.server.node.Close()
+	process.server.working.Wait()
+	process.server.store.Close()
+}
+
+// simTransport is the way of one process to the others. It implements http.RoundTripper.
+type simTransport struct {
+	from *simServer
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *simTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	caller := t.from.running()
+	if caller == nil {
+		return nil, errSimReset
+	}
+	return t.from.network.carry(t.from.address, caller.dead, request)
+}
+
+// carry takes a request there and its answer back. What is cut or lost on its way brings no answer until the caller gives up.
+func (n *simNetwork) carry(from string, callerDead <-chan struct{}, request *http.Request) (*http.Response, error) {
+	body := []byte{}
+	if request.Body != nil {
+		read, err := io.ReadAll(request.Body)
+		if err != nil {
+			return nil, err
+		}
+		body = read
+		request.Body.Close()
+	}
+	silence := func() (*http.Response, error) {
+		select {
+		case <-request.Context().Done():
+			return nil, request.Context().Err()
+		case <-callerDead:
+			return nil, errSimReset
+		case <-n.ended:
+			return nil, errSimReset
+		}
+	}
+	time.Sleep(n.delay())
+	target := n.at(request.URL.Host)
+	if target == nil || n.isLost(from, target.address) || target.isSilent() {
+		return silence()
+	}
+	process := target.running()
+	if process == nil {
+		return nil, errSimRefused
+	}
+	arrived := httptest.NewRequest(request.Method, request.URL.RequestURI(), bytes.NewReader(body))
+	arrived.Header = request.Header.Clone()
+	recorder := httptest.NewRecorder()
+	handled := make(chan struct{})
+	go func() {
+		defer close(handled)
+		process.server.Handler().ServeHTTP(recorder, arrived)
+	}()
+	select {
+	case <-handled:
+	case <-process.dead:
+		return nil, errSimReset
+	case <-request.Context().Done():
+		return nil, request.Context().Err()
+	}
+	if target.running() != process {
+		return nil, errSimReset
+	}
+	if n.isLost(target.address, from) {
+		return silence()
+	}
+	time.Sleep(n.delay())
+	return recorder.Result(), nil
+}
+
+func (s *simServer) isSilent() bool {
+	s.network.mutex.Lock()
+	defer s.network.mutex.Unlock()
+	return s.off || s.gone
+}
+
+func (n *simNetwork) isLost(from, to string) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.cuts[[2]string{from, to}] || n.lossy > 0 && n.random.Float64() < n.lossy
+}
+
+// cut stops what goes from one of some servers to one of others, and back where both is set.
+func (n *simNetwork) cut(some, others []*simServer, both bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, one := range some {
+		for _, other := range others {
+			if one == other {
+				continue
+			}
+			n.cuts[[2]string{one.address, other.address}] = true
+			if both {
+				n.cuts[[2]string{other.address, one.address}] = true
+			}
+		}
+	}
+}
+
+func (n *simNetwork) heal() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	clear(n.cuts)
+	n.lossy = 0
+}
+
+// leader returns a server that believes to lead, nil for none.
+func (n *simNetwork) leader() *simServer {
+	for _, server := range n.list() {
+		if process := server.running(); process != nil && process.server.node.Status().Leader {
+			return server
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controlplane/sim_operator_test.go
@@ -0,0 +1,308 @@
+package controlplane
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// simCall is one call of an operator, repeated until it has a clear answer.
+type simCall struct {
+	read      bool
+	order     int // number of the order, from 1
+	ifVersion uint64
+	version   uint64 // that the order gives
+}
+
+// simOutcome is what the operator learnt.
+type simOutcome struct {
+	status  int    // 0 where no clear answer came
+	version uint64 // read
+	order   int    // whose configuration was read
+}
+
+// simState is the configuration as the model of the history has it.
+type simState struct {
+	version uint64
+	order   int
+	taken   string // orders, each between commas
+}
+
+func (s simState) hasTaken(order int) bool {
+	return strings.Contains(s.taken, fmt.Sprintf(",%d,", order))
+}
+
+func (s simState) take(call simCall) simState {
+	if s.taken == "" {
+		s.taken = ","
+	}
+	return simState{version: call.version, order: call.order, taken: s.taken + strconv.Itoa(call.order) + ","}
+}
+
+// configModel is a register with compare-and-set that knows orders again.
+var configModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{simState{}} },
+	Step: func(state, input, output any) []any {
+		return stepConfig(state.(simState), input.(simCall), output.(simOutcome))
+	},
+}).ToModel()
+
+// stepConfig returns the states that may follow a call with its outcome; none where it contradicts the state.
+func stepConfig(state simState, call simCall, outcome simOutcome) []any {
+	if call.read {
+		isSame := outcome.status == http.StatusOK && outcome.version == state.version && outcome.order == state.order
+		isNone := outcome.status == http.StatusNotFound && state.version == 0
+		if isSame || isNone || outcome.status == 0 {
+			return []any{state}
+		}
+		return nil
+	}
+	mayTake := !state.hasTaken(call.order) && state.version == call.ifVersion && call.version > state.version
+	switch {
+	case outcome.status == 0 && mayTake:
+		return []any{state, state.take(call)}
+	case outcome.status == 0:
+		return []any{state}
+	case outcome.status == http.StatusOK && state.hasTaken(call.order):
+		return []any{state}
+	case outcome.status == http.StatusOK && mayTake:
+		return []any{state.take(call)}
+	case outcome.status == http.StatusPreconditionFailed && !state.hasTaken(call.order) && state.version != call.ifVersion:
+		return []any{state}
+	}
+	return nil
+}
+
+// simHistory collects the calls of all operators.
+type simHistory struct {
+	mutex      sync.Mutex
+	operations []porcupine.Operation
+	orders     int
+	confirmed  int
+	refused    int
+	reads      int
+	repeats    int
+	retired    time.Duration // when a retirement was first confirmed; 0 for never
+	violation  string
+}
+
+// record adds a call that began at a moment and has its outcome now.
+func (h *simHistory) record(client int, call simCall, outcome simOutcome, began, ended time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	returned := ended.Nanoseconds()
+	if outcome.status == 0 {
+		returned = math.MaxInt64 // it may take effect at any time after its begin, or never
+		if call.read {
+			return
+		}
+	}
+	switch {
+	case call.read:
+		h.reads++
+	case outcome.status == http.StatusOK:
+		h.confirmed++
+	case outcome.status != 0:
+		h.refused++
+	}
+	h.operations = append(h.operations, porcupine.Operation{
+		ClientId: client, Input: call, Output: outcome, Call: began.Nanoseconds(), Return: returned,
+	})
+}
+
+func (h *simHistory) violate(format string, values ...any) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.violation == "" {
+		h.violation = fmt.Sprintf(format, values...)
+	}
+}
+
+// simOperator sends orders and reads.
+type simOperator struct {
+	network *simNetwork
+	history *simHistory
+	number  int
+	known   uint64 // version
+	sent    []sentOrder
+}
+
+// sentOrder is an order that was confirmed and may be sent again.
+type sentOrder struct {
+	call simCall
+	body string
+}
+
+const (
+	simCallTimeout = 1100 * time.Millisecond
+	simTries       = 30
+)
+
+// run works until the simulation ends.
+func (o *simOperator) run() {
+	for !o.isOver() {
+		switch o.network.intN(8) {
+		case 0, 1, 2:
+			o.read()
+		case 3:
+			o.repeat()
+		case 4:
+			o.retire()
+		default:
+			o.order()
+		}
+		time.Sleep(o.network.between(10*time.Millisecond, 700*time.Millisecond))
+	}
+}
+
+func (o *simOperator) isOver() bool {
+	select {
+	case <-o.network.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func (o *simOperator) now() time.Duration { return time.Since(o.network.started) }
+
+// order builds on the version that this operator knows. Another one may give the same number to another configuration.
+func (o *simOperator) order() {
+	o.history.mutex.Lock()
+	o.history.orders++
+	number := o.history.orders
+	o.history.mutex.Unlock()
+	call := simCall{order: number, ifVersion: o.known, version: o.known + 1 + uint64(o.network.intN(2))}
+	body := configWith(int(call.version), fmt.Sprintf("order-%d", number))
+	o.send(call, body)
+}
+
+// repeat sends an order again that was confirmed before, after whatever came since.
+func (o *simOperator) repeat() {
+	if len(o.sent) == 0 {
+		return
+	}
+	again := o.sent[o.network.intN(len(o.sent))]
+	o.history.mutex.Lock()
+	o.history.repeats++
+	o.history.mutex.Unlock()
+	o.send(again.call, again.body)
+}
+
+func (o *simOperator) send(call simCall, body string) {
+	began := o.now()
+	answer := o.untilClear(http.MethodPost, replacePath, strconv.FormatUint(call.ifVersion, 10), body)
+	outcome := simOutcome{status: answer.status}
+	o.history.record(o.number, call, outcome, began, o.now())
+	switch answer.status {
+	case http.StatusOK:
+		o.known = max(o.known, call.version)
+		o.sent = append(o.sent, sentOrder{call: call, body: body})
+	case http.StatusPreconditionFailed:
+		o.read()
+	case 0:
+	default:
+		o.history.violate("order %d got %d: %s", call.order, answer.status, answer.body)
+	}
+}
+
+func (o *simOperator) read() {
+	began := o.now()
+	answer := o.untilClear(http.MethodGet, readPath, "", "")
+	outcome := simOutcome{status: answer.status}
+	if answer.status == http.StatusOK {
+		outcome.version, outcome.order = readBack(answer.body)
+		o.known = outcome.version
+	}
+	o.history.record(o.number, simCall{read: true}, outcome, began, o.now())
+}
+
+// readBack returns the version of a configuration, and the order that its only route names.
+func readBack(body string) (version uint64, order int) {
+	var config struct {
+		Version uint64
+		Routes  []struct{ Name string }
+	}
+	if err := json.Unmarshal([]byte(body), &config); err != nil || len(config.Routes) != 1 {
+		return 0, -1
+	}
+	order, err := strconv.Atoi(strings.TrimPrefix(config.Routes[0].Name, "order-"))
+	if err != nil {
+		return config.Version, -1
+	}
+	return config.Version, order
+}
+
+// retire orders a retirement, or reads it: once it was confirmed, nobody is told that there is none.
+func (o *simOperator) retire() {
+	began := o.now()
+	if o.network.chance(0.3) {
+		answer := o.untilClear(http.MethodPost, "/api/retire/store-0/start", "", `{"deadlineS":10}`)
+		o.history.mutex.Lock()
+		if answer.status == http.StatusOK && o.history.retired == 0 {
+			o.history.retired = o.now()
+		}
+		o.history.mutex.Unlock()
+		return
+	}
+	answer := o.untilClear(http.MethodGet, "/api/retire/store-0/read", "", "")
+	o.history.mutex.Lock()
+	retired := o.history.retired
+	o.history.mutex.Unlock()
+	if answer.status == http.StatusNotFound && retired != 0 && began > retired {
+		o.history.violate("a retirement confirmed at %s is unknown to a read that began at %s", retired, began)
+	}
+}
+
+// untilClear calls one process after the other until one answers clearly. Redirects are followed twice.
+func (o *simOperator) untilClear(method, path, ifVersion, body string) answerOf {
+	pause := 50 * time.Millisecond
+	for range simTries {
+		servers := o.network.list()
+		address := servers[o.network.intN(len(servers))].address
+		answer := o.call(address, method, path, ifVersion, body, 2)
+		if answer.status != 0 && answer.status < http.StatusInternalServerError {
+			return answer
+		}
+		if o.isOver() {
+			break
+		}
+		time.Sleep(pause)
+		pause = min(2*pause, time.Second)
+	}
+	return answerOf{}
+}
+
+func (o *simOperator) call(address, method, path, ifVersion, body string, redirects int) answerOf {
+	ctx, cancel := context.WithTimeout(context.Background(), simCallTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	if ifVersion != "" {
+		request.Header.Set(headerIfVersion, ifVersion)
+	}
+	response, err := o.network.carry("operator", nil, request)
+	if err != nil {
+		return answerOf{}
+	}
+	content, _ := io.ReadAll(response.Body)
+	if response.StatusCode == http.StatusTemporaryRedirect {
+		if redirects == 0 {
+			return answerOf{}
+		}
+		next := strings.TrimPrefix(response.Header.Get(headerLocation), "http://")
+		return o.call(strings.SplitN(next, "/", 2)[0], method, path, ifVersion, body, redirects-1)
+	}
+	return answerOf{status: response.StatusCode, body: string(content)}
+}
--- /dev/null
+++ b/internal/controlplane/sim_test.go
@@ -0,0 +1,293 @@
+package controlplane
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/shoenig/test/must"
+
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	simSeedsVariable = "CONTROLPLANE_SEEDS" // plays so many seeds
+	simSeedVariable  = "CONTROLPLANE_SEED"  // plays this one
+	simSeeds         = 16
+	simTrouble       = 50 * time.Second
+	simCalm          = 20 * time.Second
+	simVoters        = 3
+	simProcesses     = 4
+	simOperators     = 3
+	simCheckMost     = 20 * time.Second // of real time
+)
+
+// TestOperatorsSeeOneConfiguration has operators order, repeat and read through processes that are cut off, killed, without
+// power, wiped or replaced, and checks their history for linearizability: one content for a number, no repeated order refused,
+// nothing older read, nothing refused by what is no longer in force.
+func TestOperatorsSeeOneConfiguration(t *testing.T) {
+	first, count := uint64(0), uint64(simSeeds)
+	if value, err := strconv.ParseUint(os.Getenv(simSeedsVariable), 10, 64); err == nil {
+		count = value
+	}
+	if value, err := strconv.ParseUint(os.Getenv(simSeedVariable), 10, 64); err == nil {
+		first, count = value, 1
+	}
+	for seed := first; seed < first+count; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			directory := t.TempDir()
+			var history *simHistory
+			var trace []string
+			synctest.Test(t, func(t *testing.T) { history, trace = playOperators(t, seed, directory) })
+			checkHistory(t, history, trace)
+		})
+	}
+}
+
+// checkHistory looks for an order of the calls in which each outcome follows from the ones before.
+func checkHistory(t *testing.T, history *simHistory, trace []string) {
+	result := porcupine.CheckOperationsTimeout(configModel, history.operations, simCheckMost)
+	t.Logf("%d orders confirmed, %d of them repeats, %d refused, %d reads, %d calls in all: %s", history.confirmed, history.repeats,
+		history.refused, history.reads, len(history.operations), result)
+	if result == porcupine.Ok && history.violation == "" {
+		must.Positive(t, history.confirmed)
+		must.Positive(t, history.reads)
+		return
+	}
+	lines := make([]string, 0, len(history.operations))
+	for _, each := range history.operations {
+		lines = append(lines, fmt.Sprintf("%8.3f to %8.3f: %+v: %+v", float64(each.Call)/1e9, float64(each.Return)/1e9, each.Input, each.Output))
+	}
+	t.Fatalf("%s %s\n%s\n%s", result, history.violation, strings.Join(trace, "\n"), strings.Join(lines, "\n"))
+}
+
+func playOperators(t *testing.T, seed uint64, directory string) (*simHistory, []string) {
+	network := newSimNetwork(t, seed, directory)
+	for number := range simProcesses {
+		server := network.add()
+		if number < simVoters {
+			network.seeds = append(network.seeds, server.address)
+		}
+	}
+	for _, server := range network.list() {
+		server.start(true)
+	}
+	for number := range simVoters {
+		go simRenew(network, number)
+	}
+	time.Sleep(3 * time.Second)
+	history := &simHistory{}
+	for number := range simOperators {
+		go (&simOperator{network: network, history: history, number: number}).run()
+	}
+	troubles := &simTroubles{network: network, began: map[*simServer]time.Time{}}
+	for end := time.Now().Add(simTrouble); time.Now().Before(end); {
+		troubles.begin()
+		time.Sleep(network.between(200*time.Millisecond, 4*time.Second))
+	}
+	troubles.endAll()
+	time.Sleep(simCalm)
+	finalRead := &simOperator{network: network, history: history, number: simOperators}
+	before := history.reads
+	finalRead.read()
+	must.Greater(t, before, history.reads, must.Sprint("nothing can be read after the trouble"))
+	close(network.ended)
+	for _, server := range network.list() {
+		server.kill(false)
+	}
+	time.Sleep(time.Minute) // all goroutines end
+	return history, network.trace
+}
+
+// simRenew plays a store that renews its lease at whichever process leads.
+func simRenew(network *simNetwork, number int) {
+	store := &rpc.RenewRequest{
+		Node: fmt.Sprintf("store-%d", number), Incarnation: fmt.Sprintf("1-store-%d", number), Zone: fmt.Sprint(number),
+		Role: roleStore, Disk: fmt.Sprintf("disk-%d", number), Address: fmt.Sprintf("10.1.0.%d:7240", number),
+	}
+	for {
+		select {
+		case <-network.ended:
+			return
+		case <-time.After(400 * time.Millisecond):
+		}
+		leader := network.leader()
+		if leader == nil {
+			continue
+		}
+		if process := leader.running(); process != nil {
+			_, _ = (&service{server: process.server}).Renew(context.Background(), store)
+		}
+	}
+}
+
+// simTroubles draws what goes wrong, and ends it again. One disk at most is lost at a time.
+type simTroubles struct {
+	network  *simNetwork
+	began    map[*simServer]time.Time // of each loss of a disk
+	cutUntil time.Time
+	lostDisk time.Time // when the newest loss of a disk came back
+	replaced bool
+}
+
+// begin draws one trouble.
+func (f *simTroubles) begin() {
+	n := f.network
+	if !f.cutUntil.IsZero() && time.Now().After(f.cutUntil) {
+		n.heal()
+		f.cutUntil = time.Time{}
+		n.note("links are back")
+	}
+	target := n.list()[n.intN(len(n.list()))]
+	if leader := n.leader(); leader != nil && n.chance(0.5) {
+		target = leader
+	}
+	switch n.intN(12) {
+	case 0, 1, 2:
+		f.cutOff(target)
+	case 3:
+		f.split()
+	case 4, 5:
+		f.down(target, false, n.between(10*time.Millisecond, 2*time.Second))
+	case 6:
+		f.down(target, true, n.between(100*time.Millisecond, 4*time.Second))
+	case 7:
+		f.downAll()
+	case 8, 9:
+		f.loseDisk(target)
+	case 10:
+		f.replace(target)
+	case 11:
+		n.mutex.Lock()
+		n.lossy = 0.2
+		n.mutex.Unlock()
+		f.cutUntil = time.Now().Add(n.between(time.Second, 5*time.Second))
+		n.note("calls are lost")
+	}
+}
+
+// cutOff cuts a process off from the others, or in one direction, for up to twenty seconds. Operators reach all.
+func (f *simTroubles) cutOff(target *simServer) {
+	n := f.network
+	length := n.between(time.Second, 20*time.Second)
+	both, outward := n.chance(0.6), n.chance(0.5)
+	switch {
+	case both:
+		n.cut([]*simServer{target}, n.list(), true)
+	case outward:
+		n.cut([]*simServer{target}, n.list(), false)
+	default:
+		n.cut(n.list(), []*simServer{target}, false)
+	}
+	f.cutUntil = time.Now().Add(length)
+	n.note("%s is cut off, both ways %t, outward %t, for %s", target.address, both, outward, length)
+}
+
+// split cuts the processes into two halves.
+func (f *simTroubles) split() {
+	n := f.network
+	var halves [2][]*simServer
+	for _, server := range n.list() {
+		half := n.intN(2)
+		halves[half] = append(halves[half], server)
+	}
+	n.cut(halves[0], halves[1], true)
+	f.cutUntil = time.Now().Add(n.between(time.Second, 15*time.Second))
+	n.note("two halves")
+}
+
+// down ends a process, which comes back after a time.
+func (f *simTroubles) down(target *simServer, off bool, length time.Duration) {
+	if target.running() == nil {
+		return
+	}
+	target.kill(off)
+	time.Sleep(length)
+	if !target.gone {
+		target.start(false)
+	}
+}
+
+func (f *simTroubles) downAll() {
+	n := f.network
+	off := n.chance(0.5)
+	for _, server := range n.list() {
+		server.kill(off)
+	}
+	for _, server := range n.list() {
+		time.Sleep(n.between(time.Millisecond, 800*time.Millisecond))
+		if !server.gone {
+			server.start(false)
+		}
+	}
+}
+
+// mayLoseDisk reports whether the group has made up for the loss before: all voters run on the disks that the list names.
+func (f *simTroubles) mayLoseDisk() bool {
+	leader := f.network.leader()
+	if leader == nil || !f.cutUntil.IsZero() {
+		return false
+	}
+	voters := leader.running().server.node.Status().Members
+	if len(voters) != simVoters {
+		return false
+	}
+	for _, voter := range voters {
+		server := f.network.at(voter.Address)
+		process := server.running()
+		if process == nil || process.server.identity() != voter.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// loseDisk takes a disk, at times at the moment when all others lose power.
+func (f *simTroubles) loseDisk(target *simServer) {
+	if !f.mayLoseDisk() || target.running() == nil {
+		return
+	}
+	n := f.network
+	n.note("%s loses its disk", target.address)
+	target.kill(true)
+	target.newDisk()
+	if n.chance(0.4) {
+		f.downAll()
+		return
+	}
+	time.Sleep(n.between(100*time.Millisecond, 3*time.Second))
+	target.start(false)
+}
+
+// replace takes a process away for good; an empty one comes at another address.
+func (f *simTroubles) replace(target *simServer) {
+	if f.replaced || !f.mayLoseDisk() || target.running() == nil {
+		return
+	}
+	f.replaced = true
+	f.network.note("%s is replaced", target.address)
+	target.kill(true)
+	f.network.mutex.Lock()
+	target.gone = true
+	f.network.mutex.Unlock()
+	time.Sleep(f.network.between(10*time.Millisecond, 2*time.Second))
+	f.network.add().start(false)
+}
+
+// endAll ends all trouble.
+func (f *simTroubles) endAll() {
+	f.network.heal()
+	for _, server := range f.network.list() {
+		if server.running() == nil && !server.gone {
+			server.start(false)
+		}
+	}
+	f.network.note("all troubles are over")
+}
--- a/internal/controlplane/transport.go
+++ b/internal/controlplane/transport.go
@@ -29,7 +29,16 @@
 	byAddress map[string]rpc.Control
 }
 
-func newClients() *clients {
+// newClients returns clients that reach others as given, or over TCP where that is nil.
+func newClients(roundTripper http.RoundTripper) *clients {
+	if roundTripper == nil {
+		roundTripper = newPeerTransport()
+	}
+	return &clients{http: &http.Client{Transport: roundTripper}, byAddress: make(map[string]rpc.Control)}
+}
+
+// newPeerTransport returns a transport whose connections end soon where the other side has fallen silent.
+func newPeerTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dialer.DialContext(ctx, network, address)
@@ -38,13 +47,12 @@
 		}
 		return connection, err
 	}
-	transport := &http.Transport{
+	return &http.Transport{
 		DialContext:         dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
 	}
-	return &clients{http: &http.Client{Transport: transport}, byAddress: make(map[string]rpc.Control)}
 }
 
 // get returns the client of the process at host:port.
