--- a/internal/delivery/answer.go
+++ b/internal/delivery/answer.go
@@ -34,6 +34,7 @@
 	errNoLength = errors.New("the answer has neither a length nor chunks, so it can't be told whole: have the worker send one of them")
 	errTooLong  = errors.New("the answer's body is longer than 1 MB: have the worker send less")
 	errForeign  = errors.New("the answer belongs to another request: the worker is in trouble")
+	errNameless = errors.New("a success on a used connection names no request, so it may be an earlier one's: the worker is in trouble")
 	errTooMany  = errors.New("too many answers that are not the request's: the worker is in trouble")
 )
 
@@ -64,6 +65,9 @@
 			return answer{}, err
 		}
 		id := response.Header.Peek(headerRequestID)
+		if len(id) == 0 && c.kept && response.StatusCode() < fasthttp.StatusMultipleChoices {
+			return answer{}, errNameless
+		}
 		if len(id) == 0 || string(id) == job.RequestID {
 			// Bytes beyond the answer would be taken for the next request's.
 			return parseAnswer(response, c, skipped == 0 && reader.Buffered() == 0), nil
