--- a/coord/failover/read_test.go
+++ b/coord/failover/read_test.go
@@ -197,3 +197,44 @@
 		must.False(t, one.request.Member == learnerID && one.request.Contents == nil)
 	}
 }
+
+// A joint version counts once a majority of each list has synced it: the leader and the newcomer are a majority of the new list
+// alone.
+func TestJointVersionNeedsAMajorityOfEachList(t *testing.T) {
+	const learnerID = "d:1#0"
+	bench := newSeedBench(t)
+	bench.lead()
+	reply := func() {
+		version := bench.machine.record.Version
+		bench.step(replicateResult{
+			member: learnerID, epoch: 1, sentAt: bench.now,
+			reply: ReplicateReply{Ok: true, Epoch: 1, StateEpoch: version.Epoch, StateSeq: version.Seq},
+		})
+	}
+	change := &memberChange{add: &Member{ID: learnerID, Address: "d:1"}, removeID: thirdID}
+	bench.step(propose{proposal: 1, members: change})
+	reply()
+	must.True(t, bench.machine.record.Contents.isJoint())
+	bench.confirm()
+	reply()
+	must.False(t, bench.machine.committedContents.hasVoter(learnerID))
+	bench.acknowledge(otherID, bench.now)
+	must.True(t, bench.machine.committedContents.hasVoter(learnerID))
+}
+
+// A member that holds a joint version is elected by a majority of each list.
+func TestElectionInAJointVersionNeedsAMajorityOfEachList(t *testing.T) {
+	const newcomerID = "d:1#0"
+	record := bootstrapRecord(Config{Address: selfAddress, Seeds: testSeeds, State: []byte("first")})
+	record.Contents.OldMembers = record.Contents.Members
+	record.Contents.Members = []Member{record.Contents.Members[0], record.Contents.Members[1], {ID: newcomerID, Address: "d:1"}}
+	bench := newBench(t, record, startBootstrap)
+	asked := only[sendVote](bench.step(tick{}))
+	must.SliceLen(t, 3, asked)
+	grant := func(identity string) []sendVote {
+		request := VoteRequest{Member: identity, Epoch: 1, AskOnly: true}
+		return only[sendVote](bench.step(voteResult{request: request, reply: VoteReply{Granted: true}}))
+	}
+	must.SliceEmpty(t, grant(newcomerID)) // with its own vote a majority of the new list alone
+	must.SliceLen(t, 3, grant(thirdID))   // the vote itself is asked for
+}
--- a/internal/controlplane/catchup_test.go
+++ b/internal/controlplane/catchup_test.go
@@ -154,7 +154,8 @@
 
 // largestConfig is a configuration of nearly maxBodyBytes.
 func largestConfig(version uint64) string {
-	routes := make([]string, 0, maxBodyBytes/300)
+	const routeBytes = 242 // of a route in the configuration
+	routes := make([]string, 0, maxBodyBytes/routeBytes)
 	for number := range cap(routes) {
 		routes = append(routes, fmt.Sprintf("route-%06d", number))
 	}
