failover: a change of members is not ended by other proposals

Cause, found by reading the change once more: the commit of any proposal ended a change of members whose learner was still being sent the contents, and told its proposer that it was done. Under constant changes the owner of the group would have begun it anew for ever. With a test at the reducer.

--- a/coord/failover/leader.go
+++ b/coord/failover/leader.go
@@ -193,11 +193,7 @@
 		lead.isServing = true
 		machine.emit(becameLeader{epoch: lead.epoch})
 	}
-	if lead.inFlight != nil && !lead.inFlight.isMemberChange() {
-		machine.emit(proposalDone{proposal: lead.inFlight.proposal})
-	}
-	lead.inFlight = nil
-	machine.endMemberChange()
+	machine.endInFlight()
 	if !machine.isVoter() {
 		machine.handleResign(now)
 		return
@@ -208,6 +204,20 @@
 	}
 }
 
+// endInFlight ends the proposal whose version was committed. A change of members ends with its last version.
+func (machine *machine) endInFlight() {
+	lead := machine.leadership
+	ended := lead.inFlight
+	lead.inFlight = nil
+	switch {
+	case ended == nil:
+	case !ended.isMemberChange():
+		machine.emit(proposalDone{proposal: ended.proposal})
+	case !machine.record.Contents.isJoint():
+		machine.endMemberChange()
+	}
+}
+
 // hasSynced reports whether a member has synced the newest version.
 func (machine *machine) hasSynced(identity string) bool {
 	if identity == machine.record.Identity {
--- a/coord/failover/memberchange.go
+++ b/coord/failover/memberchange.go
@@ -98,7 +98,7 @@
 // endMemberChange tells the proposer that the new list is committed alone.
 func (machine *machine) endMemberChange() {
 	lead := machine.leadership
-	if lead.change == nil || machine.record.Contents.isJoint() {
+	if lead.change == nil {
 		return
 	}
 	machine.emit(proposalDone{proposal: lead.change.proposal})
--- a/coord/failover/members.go
+++ b/coord/failover/members.go
@@ -9,7 +9,8 @@
 //  2. Once it has, the joint version is written: its contents name the old voters and the new ones. Elections, leases
 //     and commits need a majority of the old list and one of the new list from the moment a member holds it.
 //  3. Once the joint version is committed and those that were added have synced it, a version with the new list alone
-//     is written, by a leader that the new list names. Every majority that could elect a leader by an older version needs a member that holds a newer one.
+//     is written, by a leader that the new list names. Every majority that could elect a leader by an older version
+//     needs a member that holds a newer one.
 //
 // A leader that inherits a joint version goes on with step 3. A change whose added voter is lost in the meantime is
 // replaced by another one: the old list stays, and the joint version names another new list. A new list that equals the
--- a/coord/failover/read_test.go
+++ b/coord/failover/read_test.go
@@ -238,3 +238,16 @@
 	must.SliceEmpty(t, grant(newcomerID)) // with its own vote a majority of the new list alone
 	must.SliceLen(t, 3, grant(thirdID))   // the vote itself is asked for
 }
+
+// A change of members goes on while other proposals are committed: none of them ends it.
+func TestOtherProposalsDoNotEndAChangeOfMembers(t *testing.T) {
+	bench := newSeedBench(t)
+	bench.lead()
+	change := &memberChange{add: &Member{ID: "d:1#0", Address: "d:1"}, removeID: thirdID}
+	bench.step(propose{proposal: 1, members: change})
+	bench.step(propose{proposal: 2, change: replaceBy("second")})
+	bench.confirm()
+	must.Eq(t, []proposalDone{{proposal: 2}}, only[proposalDone](bench.acknowledge(otherID, bench.now)))
+	must.NotNil(t, bench.machine.leadership.change)
+	must.NotNil(t, bench.machine.leadership.change.learner)
+}
