Stores and dispatchers tell their figures: ends known, learnt, forgotten, and lookups

Takeovers log ended and learnt messages. No change of logic. Ruled out: forgetting too early; a store that knows and is not asked is not seen.

--- a/internal/ingest/dispatcher.go
+++ b/internal/ingest/dispatcher.go
@@ -26,6 +26,7 @@
 	hedges   *hedgeBudget
 	kicked   atomic.Int64 // when control was last asked out of turn, nanoseconds since started
 	started  time.Time
+	lookups  lookupCounters
 	turn     atomic.Uint64 // counts messages, to spread them over partitions
 	serving  atomic.Bool   // the front address is listened on
 	stopping atomic.Bool   // no new connections are wanted
--- /dev/null
+++ b/internal/ingest/figures.go
@@ -0,0 +1,42 @@
+package ingest
+
+import (
+	"net"
+	"strconv"
+
+	"go.uber.org/atomic"
+
+	"foldlb.example/foldlb/internal/metrics"
+)
+
+// lookupCounters count the questions for messages since the start of the process.
+type lookupCounters struct {
+	asked   atomic.Uint64
+	unknown atomic.Uint64 // every store said that it does not know the message
+	unsure  atomic.Uint64 // no store knew it, and not all answered
+}
+
+// serveMetrics tells the figures of this dispatcher at the port that the command line names; without one the server is nil.
+func (d *dispatcher) serveMetrics() (*metrics.Server, error) {
+	if d.settings.MetricsPort == 0 {
+		return nil, nil
+	}
+	address := net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.MetricsPort))
+	return metrics.Serve(address, d.figures)
+}
+
+// figures are what monitoring sees of a dispatcher.
+func (d *dispatcher) figures() []metrics.Figure {
+	view := d.cluster.View()
+	var mapVersion uint64
+	if view.Map != nil {
+		mapVersion = view.Map.Version
+	}
+	return []metrics.Figure{
+		{Name: "foldlb_dispatcher_config_version", Help: "configuration in force", Value: view.ConfigVersion},
+		{Name: "foldlb_dispatcher_map_version", Help: "table of owners in force", Value: mapVersion},
+		{Name: "foldlb_dispatcher_lookups_total", Help: "questions for a message's state or body", Value: d.lookups.asked.Load()},
+		{Name: "foldlb_dispatcher_lookups_unknown_total", Help: "of these, those answered 404 since no store knew the message", Value: d.lookups.unknown.Load()},
+		{Name: "foldlb_dispatcher_lookups_unsure_total", Help: "of these, those answered 503 since not all stores were heard", Value: d.lookups.unsure.Load()},
+	}
+}
--- a/internal/ingest/lookup.go
+++ b/internal/ingest/lookup.go
@@ -209,12 +209,15 @@
 	}
 	defer d.load.leave(0)
 	result := d.lookup(name, partition, body)
+	d.lookups.asked.Inc()
 	switch {
 	case result.reply.GetFound():
 		return result, true
 	case result.asked == 0 || result.silent > 0:
+		d.lookups.unsure.Inc()
 		refuse(ctx)
 	default:
+		d.lookups.unknown.Inc()
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
 	return found{}, false
--- a/internal/ingest/run.go
+++ b/internal/ingest/run.go
@@ -54,6 +54,11 @@
 	if err := p.serve(newReadyServer(readiness.handle), listen.Ready); err != nil {
 		return err
 	}
+	telling, err := p.dispatcher.serveMetrics()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = telling.Close() }()
 	view, err := p.firstConfig(ctx, client)
 	if err != nil || view == nil {
 		return err
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,71 @@
+// Package metrics serves the figures of a process as text over HTTP, in the exposition format that monitoring systems read: one
+// "name value" a line, with a line of help before it.
+package metrics
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Path is where the figures are served.
+const Path = "/metrics"
+
+const (
+	readTimeout  = 2 * time.Second // of a request's header
+	writeTimeout = 5 * time.Second
+	headerBytes  = 4 << 10
+)
+
+// Figure is one number that a process tells of itself.
+type Figure struct {
+	Name  string // in lower case with underscores; one that only grows ends in _total
+	Help  string // one line
+	Value uint64
+}
+
+// Server answers requests for the figures until it is closed.
+type Server struct {
+	server *http.Server
+}
+
+// Serve listens on an address, host:port, and answers GET Path with what figures returns then. The error names the address where it
+// can't be listened on. figures is called from several goroutines.
+func Serve(address string, figures func() []Figure) (*Server, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "metrics: listen on %s; free the port or name another one", address)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+Path, handler(figures))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: headerBytes}
+	go func() { _ = server.Serve(listener) }()
+	return &Server{server: server}, nil
+}
+
+// Close ends the server and its connections. A nil server is closed already.
+func (s *Server) Close() error {
+	if s == nil {
+		return nil
+	}
+	return s.server.Close()
+}
+
+func handler(figures func() []Figure) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		_, _ = writer.Write(encode(figures()))
+	})
+}
+
+func encode(figures []Figure) []byte {
+	var text bytes.Buffer
+	for _, figure := range figures {
+		fmt.Fprintf(&text, "# HELP %s %s\n%s %d\n", figure.Name, figure.Help, figure.Name, figure.Value)
+	}
+	return text.Bytes()
+}
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -5,6 +5,8 @@
 type Settings struct {
 	// Path is the file that the settings were read from, so that a change of it can be seen.
 	Path string `yaml:"-"`
+	// MetricsPort is where the process tells its own figures, from the command line; 0 for nowhere.
+	MetricsPort int `yaml:"-"`
 
 	Node            string            `yaml:"node"`
 	Role            string            `yaml:"role"`
--- /dev/null
+++ b/internal/storenode/figures.go
@@ -0,0 +1,68 @@
+package storenode
+
+import (
+	"net"
+	"strconv"
+	"sync/atomic"
+
+	"foldlb.example/foldlb/internal/message"
+	"foldlb.example/foldlb/internal/metrics"
+)
+
+// counters count from the start of the process.
+type counters struct {
+	endsLearnt     atomic.Uint64 // ends of messages that other stores told when partitions were taken over
+	endsForgotten  atomic.Uint64
+	lookups        atomic.Uint64
+	lookupsUnknown atomic.Uint64 // for messages that this store does not know
+}
+
+// serveMetrics tells the figures of this store at the port that the command line names; without one the server is nil.
+func (n *Node) serveMetrics() (*metrics.Server, error) {
+	if n.settings.MetricsPort == 0 {
+		return nil, nil
+	}
+	address := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort))
+	return metrics.Serve(address, n.figures)
+}
+
+// figures are what monitoring sees of a store.
+func (n *Node) figures() []metrics.Figure {
+	var known, queued, ownedEnds, scarceEnds, bytes uint64
+	n.do(func() {
+		known, queued = uint64(n.table.Len()), uint64(n.table.Queued())
+		ownedEnds, scarceEnds = n.countEnds()
+		bytes = uint64(n.file.Size())
+	})
+	return []metrics.Figure{
+		{Name: "foldlb_store_messages_queued", Help: "messages known here that have not ended", Value: queued},
+		{Name: "foldlb_store_messages_ended", Help: "messages known here whose end is remembered", Value: known - queued},
+		{Name: "foldlb_store_owned_ended", Help: "ended messages of partitions that this store owns", Value: ownedEnds},
+		{Name: "foldlb_store_owned_ended_scarce", Help: "of these, those known to fewer stores than shall hold a message", Value: scarceEnds},
+		{Name: "foldlb_store_messages_under_copied", Help: "messages with too few copies, as told to the control plane", Value: n.underCopied.Load()},
+		{Name: "foldlb_store_partitions_ready", Help: "partitions owned and ready", Value: uint64(n.readyPartitions.Load())},
+		{Name: "foldlb_store_ends_learnt_total", Help: "ends of messages learnt from other stores at takeovers", Value: n.counters.endsLearnt.Load()},
+		{Name: "foldlb_store_ends_forgotten_total", Help: "ended messages forgotten since their time was over", Value: n.counters.endsForgotten.Load()},
+		{Name: "foldlb_store_lookups_total", Help: "questions for a message's state or body", Value: n.counters.lookups.Load()},
+		{Name: "foldlb_store_lookups_unknown_total", Help: "of these, those for messages not known here", Value: n.counters.lookupsUnknown.Load()},
+		{Name: "foldlb_store_log_bytes", Help: "length of the log", Value: bytes},
+	}
+}
+
+// countEnds counts the ended messages of owned partitions, and those of them that fewer stores know than shall hold a message.
+func (n *Node) countEnds() (owned, scarce uint64) {
+	if n.view == nil || n.view.Map == nil {
+		return 0, 0
+	}
+	alive, wanted := n.aliveDisks(), n.copiesWanted(n.aliveMembers())
+	n.table.Each(func(e *message.Entry) {
+		if !e.Ended() || n.table.OwnedEpoch(e.Partition) == 0 {
+			return
+		}
+		owned++
+		if e.Copies(alive, n.ownDomain()) < wanted {
+			scarce++
+		}
+	})
+	return owned, scarce
+}
--- a/internal/storenode/gather.go
+++ b/internal/storenode/gather.go
@@ -156,6 +156,9 @@
 		wasEnded := known != nil && known.Ended()
 		entry := n.table.Add(message.FromMessage(m, now), now)
 		entry.AddHolder(disk)
+		if known == nil && entry.Ended() {
+			n.counters.endsLearnt.Add(1)
+		}
 		if known != nil && !wasEnded && entry.Ended() {
 			n.appendFate(entry)
 		}
@@ -234,7 +237,8 @@
 		n.table.Ready(p.Partition, now)
 		n.owned[p.Partition].Store(p.Epoch)
 	}
-	n.log.Info("partitions taken over", "partitions", len(partitions), "queued", n.table.Queued())
+	n.log.Info("partitions taken over", "partitions", len(partitions), "queued", n.table.Queued(),
+		"ended", n.table.Len()-n.table.Queued(), "learnt", n.counters.endsLearnt.Load())
 	n.pumpDue = true
 	if n.view != nil && n.view.Map != nil { // what was asked for while the partitions were taken over
 		n.applyMap(n.view.Map)
--- a/internal/storenode/lookup.go
+++ b/internal/storenode/lookup.go
@@ -23,6 +23,10 @@
 	}) {
 		return nil, errClosed
 	}
+	n.counters.lookups.Add(1)
+	if !reply.Found {
+		n.counters.lookupsUnknown.Add(1)
+	}
 	if !reply.Found || !request.Body || reply.State == rpc.State_COMPLETED {
 		return reply, nil
 	}
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -87,6 +87,7 @@
 	owned   []atomic.Uint64 // epoch under which attempts of a partition may begin; 0 for none
 	leaving atomic.Bool
 
+	counters        counters
 	underCopied     atomic.Uint64
 	readyPartitions atomic.Uint32
 	refusedAt       atomic.Int64 // when a message was last refused for want of room, by now; 0 for never
@@ -110,6 +111,11 @@
 	server := &http.Server{Handler: rpc.NewStoreServer(n), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
 	n.start()
+	telling, err := n.serveMetrics()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = telling.Close() }()
 	n.log.Info("store started", "node", s.Node, "disk", n.disk, "incarnation", n.incarnation, "messages", n.table.Len())
 	select {
 	case <-ctx.Done():
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -20,7 +20,7 @@
 func (n *Node) housekeep() {
 	now := n.now()
 	n.backlog.Store(uint64(n.table.Queued()))
-	n.table.Forget(n.keepEnded(), now)
+	n.counters.endsForgotten.Add(uint64(n.table.Forget(n.keepEnded(), now)))
 	if n.view == nil || n.view.Map == nil {
 		return
 	}
