Ends of completed messages are copied again after losses, as messages are

Upkeep passed over completed messages, an end learnt at a takeover was kept in memory alone, and neither counted as too few copies, so a disk counted as made up for, and a store as emptied, while ends stood on one disk or none. The class: state that is owed but not counted among the copies to be restored. Change: whoever knows an end has it in its log (learn, holdEnd); owners count the disks that keep each end once for each map (isScarceEnd) and restore missing ones beside the messages, all within eight rounds; they count as under-copied, so whole, given up and emptied wait for them. What Gather lists is synced when it returns. A message that has ended and is put again is accepted once its end is on enough disks. Ruled out: dead letters, which were restored all along; ends forgotten too early; dispatchers that did not ask.

--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -38,6 +38,7 @@
 	RepairAt    time.Duration // when the owner next restores a copy that is missing
 	OwnerKnows  bool          // a copy that a dispatcher wrote round the owner: the owner has been told of it
 	Accepting   uint64        // version of the map under which it is being accepted; 0 once that is over
+	EnoughAt    uint64        // version of the map by which its end was found to be on enough disks; 0 for none
 	Retries     int           // attempts of any outcome since this store owned it
 
 	scheduled bool // in the timer heap or in a route's queue
@@ -65,16 +66,19 @@
 	e.Holders = append(e.Holders, disk)
 }
 
+// IsKept reports whether this store's log holds what is owed for the message: its end alone once it is completed, else all of it.
+func (e *Entry) IsKept() bool { return e.Stored || e.State == rpc.State_COMPLETED }
+
 // Copies counts the failure domains in which there is a copy: this store's own, and those that domains gives for the disks that
 // count.
 func (e *Entry) Copies(domains map[string]string, own string) int {
 	count := 0
-	if e.Stored {
+	if e.IsKept() {
 		count++
 	}
 	for i, disk := range e.Holders {
 		domain, counts := domains[disk]
-		if !counts || e.Stored && domain == own || e.heldIn(domain, domains, i) {
+		if !counts || e.IsKept() && domain == own || e.heldIn(domain, domains, i) {
 			continue
 		}
 		count++
@@ -124,6 +128,12 @@
 	return m
 }
 
+// End returns what is still owed for a message that is completed, in the form that travels: its state and the stamp of its run.
+func (e *Entry) End(now time.Duration) *rpc.Message {
+	return &rpc.Message{Name: e.Name, Partition: e.Partition, State: e.State, Stamp: e.Stamp, Epoch: e.Epoch, Seq: e.Seq,
+		EndedMsAgo: (now - e.EndedAt).Milliseconds()}
+}
+
 // Fate returns what became of the message.
 func (e *Entry) Fate() *rpc.Fate {
 	return &rpc.Fate{Name: e.Name, Partition: e.Partition, State: e.State, Stamp: e.Stamp, Attempts: e.Attempts}
--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -102,9 +102,6 @@
 	}
 	n.needs = max(n.needs, configVersion)
 	entry := n.table.Get(m.Name)
-	if entry != nil && entry.Ended() {
-		return rpc.PutStatus_STORED, nil, false
-	}
 	if entry == nil {
 		if n.table.Queued() >= mostMessages {
 			return rpc.PutStatus_FULL, nil, false
@@ -121,8 +118,8 @@
 		n.table.Add(entry, n.now())
 		n.pumpDue = true
 	}
-	m.Epoch, m.Seq = entry.Epoch, entry.Seq
-	if !entry.Stored { // known from another store alone: the sync that is waited for must cover a copy here
+	m = n.current(entry, m)
+	if !entry.IsKept() { // known from another store alone: the sync that is waited for must cover a copy here
 		if status := n.write(entry, m); status != rpc.PutStatus_STORED {
 			return status, nil, false
 		}
@@ -133,6 +130,18 @@
 	return rpc.PutStatus_STORED, work, false
 }
 
+// current returns a message as it is to be copied now: with the place that it was given, and with its end where it has ended meanwhile.
+func (n *Node) current(entry *message.Entry, m *rpc.Message) *rpc.Message {
+	if entry.State == rpc.State_COMPLETED {
+		return entry.End(n.now())
+	}
+	m.Epoch, m.Seq = entry.Epoch, entry.Seq
+	if entry.Ended() {
+		m.State, m.Attempts, m.EndedMsAgo = entry.State, entry.Attempts, (n.now() - entry.EndedAt).Milliseconds()
+	}
+	return m
+}
+
 // write appends a message to the log.
 func (n *Node) write(entry *message.Entry, m *rpc.Message) rpc.PutStatus {
 	data, err := encodeRecord(recordMessage, time.Now(), m)
@@ -274,9 +283,12 @@
 	if n.isLeaving() {
 		return rpc.PutStatus_FULL // a copy here counts as gone, and may be by the time that its sender learns it
 	}
+	if m.State == rpc.State_COMPLETED {
+		return n.holdEnd(m)
+	}
 	known := n.table.Get(m.Name)
-	if known != nil && (known.Stored || known.State == rpc.State_COMPLETED) {
-		n.table.Add(message.FromMessage(m, n.now()), n.now())
+	if known != nil && known.IsKept() {
+		n.learn(m)
 		return rpc.PutStatus_STORED
 	}
 	if known == nil && n.table.Queued() >= mostMessages {
--- a/internal/storenode/deliver.go
+++ b/internal/storenode/deliver.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"foldlb.example/foldlb/coord/applog"
 	"foldlb.example/foldlb/internal/catalog"
 	"foldlb.example/foldlb/internal/delivery"
@@ -234,68 +232,3 @@
 	n.tell(entry)
 	n.stopped(entry)
 }
-
-// tell writes what became of a message to the log, and reports it to the stores that hold a copy and to the partition's owner.
-func (n *Node) tell(entry *message.Entry) {
-	n.appendFate(entry)
-	fate := entry.Fate()
-	for _, disk := range entry.Holders {
-		if one := n.peers.get(disk); one != nil {
-			one.report(fate)
-		}
-	}
-	if n.table.OwnedEpoch(entry.Partition) > 0 || n.view == nil {
-		return
-	}
-	if owner, _, ok := n.view.Owner(entry.Partition); ok && owner.Disk != n.disk {
-		if one := n.peers.get(owner.Disk); one != nil {
-			one.report(fate)
-		}
-	}
-}
-
-// appendFate writes what became of a message, and has it synced together with what else is written.
-func (n *Node) appendFate(entry *message.Entry) {
-	data, err := encodeRecord(recordFate, time.Now(), entry.Fate())
-	if err != nil {
-		return
-	}
-	_, err = n.file.Append(data)
-	if errors.Is(err, applog.ErrFull) {
-		n.unwritten = true
-		return
-	}
-	if err != nil {
-		n.log.Error(err, "fate not written", "message", entry.Name)
-		return
-	}
-	n.file.Sync(n.noteDisk)
-}
-
-// Report implements rpc.Store: it takes what became of messages that this store holds.
-func (n *Node) Report(_ context.Context, request *rpc.ReportRequest) (*rpc.ReportReply, error) {
-	if !n.do(func() {
-		for _, fate := range request.Fates {
-			n.applyFate(fate)
-		}
-	}) {
-		return nil, errClosed
-	}
-	return &rpc.ReportReply{}, nil
-}
-
-func (n *Node) applyFate(fate *rpc.Fate) {
-	entry := n.table.Get(fate.Name)
-	if entry == nil {
-		return
-	}
-	changed := fate.Attempts > entry.Attempts
-	entry.Attempts = max(entry.Attempts, fate.Attempts)
-	if fate.State != rpc.State_QUEUED {
-		changed = n.table.End(entry, fate.State, fate.Stamp, n.now()) || changed
-	}
-	if changed {
-		n.appendFate(entry)
-		n.pumpDue = true
-	}
-}
--- a/internal/storenode/ends_test.go
+++ b/internal/storenode/ends_test.go
@@ -1,7 +1,9 @@
 package storenode
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -69,3 +71,113 @@
 		must.EqOp(t, rpc.State_COMPLETED, w.lookup(w.ledger.messages["m"], false).State)
 	})
 }
+
+// endsKnown counts the messages whose end a store knows, without asking any other.
+func endsKnown(p *process, messages []*sent) int {
+	count := 0
+	p.node.do(func() {
+		for _, m := range messages {
+			if e := p.node.table.Get(m.name); e != nil && e.Ended() {
+				count++
+			}
+		}
+	})
+	return count
+}
+
+// scarceEnds sums what all stores tell of ends that too few of them know.
+func (w *world) scarceEnds() int {
+	count := 0
+	for _, m := range w.machines {
+		if p := m.running(); p != nil {
+			count += int(figureNamed(w.t, p.node.figures(), "foldlb_store_owned_ended_scarce"))
+		}
+	}
+	return count
+}
+
+// What a store learns at a takeover counts as kept there, so it is in its log: a restart finds it.
+func TestEndsLearntAtATakeoverOutlastARestart(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		messages := w.sendEnded(24)
+		completed := 0
+		for _, state := range w.endsOf(messages) {
+			if state == rpc.State_COMPLETED {
+				completed++
+			}
+		}
+		owner, _ := w.owner(0)
+		w.replaceDisk(owner)
+		next, _ := w.owner(0)
+		next.stop(end{off: true})
+		next.start()
+		must.GreaterEq(t, completed, endsKnown(next.running(), messages)) // before it has asked anybody
+	})
+}
+
+// An end that was learnt long after it came is forgotten as early as where it was first known, also after a restart.
+func TestAgeOfAnEndOutlastsARestart(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		_, epoch := w.owner(0)
+		holder := w.others(0)[0]
+		const age = 100 * time.Second
+		for name, state := range map[string]rpc.State{"completed": rpc.State_COMPLETED, "dead": rpc.State_DEAD} {
+			m := w.idle(name, "")
+			m.State, m.EndedMsAgo = state, age.Milliseconds()
+			must.Eq(t, rpc.PutStatus_STORED, w.put(holder, rpc.PutMode_HOLDER, epoch, m))
+		}
+		holder.stop(end{})
+		time.Sleep(5 * time.Second)
+		holder.start()
+		node := holder.running().node
+		ages := map[string]time.Duration{}
+		node.do(func() {
+			node.table.Each(func(e *messageEntry) { ages[e.Name] = node.now() - e.EndedAt })
+		})
+		must.MapLen(t, 2, ages)
+		for name, found := range ages {
+			must.GreaterEq(t, age+4*time.Second, found, must.Sprint(name))
+		}
+	})
+}
+
+// Ends on a disk that was lost are made up for within the time that its successor is given, however many there are: only then may the
+// next disk be lost.
+func TestEndsAreRestoredInTime(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		const count = 40_000 // ends in one partition
+		owner, _ := w.owner(0)
+		others := w.others(0)
+		node := owner.running().node
+		node.do(func() {
+			for i := range count {
+				m := &rpc.Message{Name: fmt.Sprint("end", i), State: rpc.State_COMPLETED, Stamp: "s"}
+				node.learn(m).AddHolder(others[i%2].running().node.disk)
+			}
+		})
+		w.replaceDisk(others[0])
+		must.EqOp(t, 0, w.scarceEnds())
+		must.True(t, w.control.allWhole())
+	})
+}
+
+// A machine that is emptied holds the ends of messages too: they are made up for before it may be taken away, which is no loss, so that
+// another disk may be lost at that moment.
+func TestStoreIsEmptiedOnceItsEndsAreElsewhere(t *testing.T) {
+	five := scale{stores: 5, tolerance: 1, partitions: 1, diskMb: 64}
+	simulated(t, five, func(t *testing.T, w *world) {
+		messages := w.sendEnded(24)
+		ends := w.endsOf(messages)
+		for _, leaving := range w.others(0)[:1] {
+			w.control.retire(leaving.name)
+			for !w.control.hasRetired() {
+				time.Sleep(50 * time.Millisecond)
+			}
+			leaving.gone = true
+			leaving.stop(end{off: true, loseDisk: true})
+		}
+		owner, _ := w.owner(0)
+		w.replaceDisk(owner)
+		w.mustKnowEnds(messages, ends)
+	})
+}
--- a/internal/storenode/gather.go
+++ b/internal/storenode/gather.go
@@ -11,7 +11,8 @@
 
 // Gathering: what a new owner asks the other stores before it begins.
 
-// Gather implements rpc.Store: it raises the epochs durably, and lists what this store holds of the partitions.
+// Gather implements rpc.Store: it raises the epochs, and lists what this store holds of the partitions. Both are durable when it
+// returns: the caller counts the copies that are listed.
 func (n *Node) Gather(_ context.Context, request *rpc.GatherRequest) (*rpc.GatherReply, error) {
 	reply := &rpc.GatherReply{Store: n.disk}
 	if !n.do(func() {
@@ -24,6 +25,7 @@
 		for _, p := range request.Partitions {
 			n.raiseFence(p)
 		}
+		reply.Messages = n.list(request.Partitions)
 	}) {
 		return nil, errClosed
 	}
@@ -33,7 +35,6 @@
 	if err := n.file.Wait(); err != nil {
 		return nil, err
 	}
-	n.do(func() { reply.Messages = n.list(request.Partitions) })
 	return reply, nil
 }
 
@@ -55,9 +56,8 @@
 	var messages []*rpc.Message
 	for _, p := range partitions {
 		n.table.Partition(p.Partition, func(e *message.Entry) {
-			if e.Ended() && e.State == rpc.State_COMPLETED {
-				messages = append(messages, &rpc.Message{Name: e.Name, Partition: e.Partition, State: e.State,
-					Stamp: e.Stamp, EndedMsAgo: (now - e.EndedAt).Milliseconds()})
+			if e.State == rpc.State_COMPLETED {
+				messages = append(messages, e.End(now))
 				return
 			}
 			if e.Stored {
@@ -147,22 +147,12 @@
 	for _, p := range partitions {
 		current[p.Partition] = n.table.OwnedEpoch(p.Partition) == p.Epoch
 	}
-	now := n.now()
 	for _, m := range messages {
-		if !current[m.Partition] {
-			continue
-		}
-		known := n.table.Get(m.Name)
-		wasEnded := known != nil && known.Ended()
-		entry := n.table.Add(message.FromMessage(m, now), now)
-		entry.AddHolder(disk)
-		if known == nil && entry.Ended() {
-			n.counters.endsLearnt.Add(1)
-		}
-		if known != nil && !wasEnded && entry.Ended() {
-			n.appendFate(entry)
+		if current[m.Partition] {
+			n.learn(m).AddHolder(disk)
 		}
 	}
+	n.file.Sync(n.noteDisk)
 	n.pumpDue = true
 }
 
--- a/internal/storenode/replay.go
+++ b/internal/storenode/replay.go
@@ -94,6 +94,7 @@
 	entry := message.FromMessage(m, n.now())
 	entry.Arrived -= elapsed
 	entry.Due -= elapsed
+	entry.EndedAt -= elapsed
 	entry.BodyBytes, entry.Body = len(m.Body), nil
 	entry = n.table.Add(entry, n.now())
 	entry.Stored, entry.Record = true, at
--- a/internal/storenode/sim_test.go
+++ b/internal/storenode/sim_test.go
@@ -161,8 +161,8 @@
 		if !ended {
 			l.violate("STRANDED", m, "it has not ended; %d starts, %s", m.starts, w.where(m))
 		}
-		if !reply.Found && !ended {
-			l.violate("LOST", m, "no store knows it")
+		if !reply.Found {
+			l.violate("LOST", m, "no store knows it, ended: %t", ended)
 		} else if reply.State == rpc.State_QUEUED && !reply.HasBody && !ended {
 			l.violate("LOST", m, "its body is gone")
 		}
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	repairBatch    = 500                    // copies restored at a time
+	repairBatch    = 500                    // copies restored at a time, at least
+	repairRounds   = 8                      // within so many times all are restored, however many
 	repairAgain    = 600 * time.Millisecond // before a copy that is still missing is sent anew
 	repairPause    = 150 * time.Millisecond // between two looks while copies are missing
 	statusSlack    = 30 * time.Second
@@ -44,16 +45,19 @@
 	return keep + statusSlack
 }
 
-// upkeep looks at every queued message: those past their retention end, copies that are missing are restored, and owners are
-// asked about copies that are held for them.
+// upkeep looks at every message: those past their retention end, copies that are missing are restored, of messages and of the ends of
+// completed ones alike, and owners are asked about copies that are held for them.
 func (n *Node) upkeep(now time.Duration) {
 	alive := n.aliveDisks()
 	wanted := n.copiesWanted(n.aliveMembers())
-	var expired, missing, unheld []*message.Entry
+	var expired, missing, scarceEnds, unheld []*message.Entry
 	unconfirmed := 0
 	ask := map[string][]*rpc.Fate{}
 	n.table.Each(func(e *message.Entry) {
 		if e.State == rpc.State_COMPLETED {
+			if n.isScarceEnd(e, alive, wanted) {
+				scarceEnds = append(scarceEnds, e)
+			}
 			return
 		}
 		if n.table.OwnedEpoch(e.Partition) == 0 {
@@ -85,6 +89,7 @@
 	for _, e := range unheld {
 		n.table.Drop(e)
 	}
+	missing = append(missing, scarceEnds...)
 	ready, takenOver := n.ownedPartitions()
 	n.readyPartitions.Store(uint32(ready))
 	n.underCopied.Store(uint64(len(missing) + takenOver + unconfirmed))
@@ -96,11 +101,26 @@
 	}
 }
 
+// isScarceEnd reports whether fewer disks than wanted keep the end of a completed message that this store has to answer for. A disk that
+// holds the message as queued counts: it is told, and until then the message can't be unknown. Which disks keep an end only grows
+// in number under one map, so one look for each map is enough.
+func (n *Node) isScarceEnd(e *message.Entry, alive map[string]string, wanted int) bool {
+	version := n.view.Map.Version
+	if e.EnoughAt == version || e.Accepting == version || !n.table.IsReady(e.Partition) {
+		return false
+	}
+	if e.Copies(alive, n.ownDomain()) < wanted {
+		return true
+	}
+	e.EnoughAt = version
+	return false
+}
+
 // repairAll restores copies, a bounded number at a time, and looks again soon where any is missing.
 func (n *Node) repairAll(missing []*message.Entry, alive map[string]string, now time.Duration) {
-	begun := 0
+	begun, most := 0, max(repairBatch, len(missing)/repairRounds)
 	for _, e := range missing {
-		if begun == repairBatch {
+		if begun == most {
 			break
 		}
 		if now < e.RepairAt {
@@ -185,7 +205,7 @@
 
 // repair restores one copy of a message that has too few.
 func (n *Node) repair(e *message.Entry, alive map[string]string) {
-	if !e.Stored {
+	if !e.IsKept() {
 		name, holders := e.Name, append([]string(nil), e.Holders...)
 		go func() {
 			if m := n.fetch(name, holders); m != nil {
@@ -205,6 +225,10 @@
 		return
 	}
 	epoch := n.table.OwnedEpoch(e.Partition)
+	if e.State == rpc.State_COMPLETED {
+		n.sendCopy(one, epoch, e.End(n.now()), func() { e.AddHolder(one.disk) })
+		return
+	}
 	at := e.Record
 	current := e.Message(n.now())
 	go func() {
@@ -212,10 +236,15 @@
 		if err != nil {
 			return
 		}
-		one.put(&copyItem{message: withBody(current, m.Body), epoch: epoch, done: func(status rpc.PutStatus) {
-			if status == rpc.PutStatus_STORED {
-				n.post(func() { n.addHolder(e, one.disk) })
-			}
-		}})
+		n.sendCopy(one, epoch, withBody(current, m.Body), func() { n.addHolder(e, one.disk) })
 	}()
 }
+
+// sendCopy sends a copy of a message, or its end alone, to another store. held is called on the owner goroutine once it is synced there.
+func (n *Node) sendCopy(one *peer, epoch uint64, m *rpc.Message, held func()) {
+	one.put(&copyItem{message: m, epoch: epoch, done: func(status rpc.PutStatus) {
+		if status == rpc.PutStatus_STORED {
+			n.post(held)
+		}
+	}})
+}
