Stores: holders of ended messages are known to their owners; stores of a map reckoned once

Cause: the simulation was made to count, once nothing has been amiss for the time that a successor is given, how many stores keep each accepted message. A dead letter that a dispatcher had written round its owner then stood on one disk that the owner did not know of, and could not be restored. Change: Node.scrubOne notes the holder of ended messages too. Upkeep: which stores count, how many copies are wanted and whether this store leaves is reckoned once for each map (holders.go), in place of once for each accepted message and held copy.

--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -125,7 +125,7 @@
 		}
 	}
 	entry.Accepting = n.view.Map.Version
-	work := &acceptance{node: n, message: m, entry: entry, epoch: owned, needed: n.copiesWanted(n.aliveMembers()),
+	work := &acceptance{node: n, message: m, entry: entry, epoch: owned, needed: n.holders.wanted,
 		result: make(chan rpc.PutStatus, 1), tried: map[string]bool{}, domains: map[string]bool{}}
 	return rpc.PutStatus_STORED, work, false
 }
@@ -237,15 +237,6 @@
 	}
 }
 
-// ownDomain is the failure domain of this store.
-func (n *Node) ownDomain() string { return n.domains.of(n.disk, n.settings.Zone) }
-
-// copiesWanted is how many copies in different failure domains a message shall have: all that outlast what must be borne, as far as
-// there are as many domains.
-func (n *Node) copiesWanted(members []*rpc.StoreMember) int {
-	return min(n.domains.copies(), max(n.domains.count(members), 1))
-}
-
 // addHolder notes that another store holds a copy, and tells it what became of the message where that came first.
 func (n *Node) addHolder(entry *message.Entry, disk string) {
 	entry.AddHolder(disk)
@@ -280,7 +271,7 @@
 	if epoch < n.table.Fence(m.Partition) {
 		return rpc.PutStatus_STALE_EPOCH
 	}
-	if n.isLeaving() {
+	if n.holders.leaving {
 		return rpc.PutStatus_FULL // a copy here counts as gone, and may be by the time that its sender learns it
 	}
 	if m.State == rpc.State_COMPLETED {
--- a/internal/storenode/ends_test.go
+++ b/internal/storenode/ends_test.go
@@ -141,26 +141,34 @@
 	})
 }
 
+// manyEnds are so many that they are not restored within one look.
+const manyEnds = 40_000
+
 // Ends on a disk that was lost are made up for within the time that its successor is given, however many there are: only then may the
 // next disk be lost.
 func TestEndsAreRestoredInTime(t *testing.T) {
 	simulated(t, smallScale, func(t *testing.T, w *world) {
-		const count = 40_000 // ends in one partition
-		owner, _ := w.owner(0)
 		others := w.others(0)
-		node := owner.running().node
-		node.do(func() {
-			for i := range count {
-				m := &rpc.Message{Name: fmt.Sprint("end", i), State: rpc.State_COMPLETED, Stamp: "s"}
-				node.learn(m).AddHolder(others[i%2].running().node.disk)
-			}
-		})
+		w.learnEnds(manyEnds)
 		w.replaceDisk(others[0])
 		must.EqOp(t, 0, w.scarceEnds())
 		must.True(t, w.control.allWhole())
 	})
 }
 
+// learnEnds has the owner of the only partition know many ends, each of which one of the others keeps too.
+func (w *world) learnEnds(count int) {
+	owner, _ := w.owner(0)
+	others := w.others(0)
+	node := owner.running().node
+	node.do(func() {
+		for i := range count {
+			m := &rpc.Message{Name: fmt.Sprint("end", i), State: rpc.State_COMPLETED, Stamp: "s"}
+			node.learn(m).AddHolder(others[i%2].running().node.disk)
+		}
+	})
+}
+
 // A machine that is emptied holds the ends of messages too: they are made up for before it may be taken away, which is no loss, so that
 // another disk may be lost at that moment.
 func TestStoreIsEmptiedOnceItsEndsAreElsewhere(t *testing.T) {
@@ -168,16 +176,54 @@
 	simulated(t, five, func(t *testing.T, w *world) {
 		messages := w.sendEnded(24)
 		ends := w.endsOf(messages)
-		for _, leaving := range w.others(0)[:1] {
-			w.control.retire(leaving.name)
-			for !w.control.hasRetired() {
-				time.Sleep(50 * time.Millisecond)
-			}
-			leaving.gone = true
-			leaving.stop(end{off: true, loseDisk: true})
+		w.learnEnds(manyEnds)
+		leaving := w.others(0)[0]
+		w.control.retire(leaving.name)
+		for !w.control.hasRetired() {
+			time.Sleep(10 * time.Millisecond)
 		}
+		must.EqOp(t, 0, w.scarceEnds())
+		leaving.gone = true
+		leaving.stop(end{off: true, loseDisk: true})
 		owner, _ := w.owner(0)
 		w.replaceDisk(owner)
 		w.mustKnowEnds(messages, ends)
 	})
 }
+
+// An end that is learnt of a message which stood here as queued is written too: a restart does not run the message again.
+func TestEndLearntOfAQueuedMessageOutlastsARestart(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		_, epoch := w.owner(0)
+		holder := w.others(0)[0]
+		for _, name := range []string{"completed", "dead"} {
+			must.Eq(t, rpc.PutStatus_STORED, w.put(holder, rpc.PutMode_HOLDER, epoch, w.idle(name, "")))
+		}
+		node := holder.running().node
+		node.do(func() {
+			node.learn(&rpc.Message{Name: "completed", State: rpc.State_COMPLETED, Stamp: "s"})
+			node.learn(&rpc.Message{Name: "dead", State: rpc.State_DEAD})
+		})
+		must.NoError(t, node.file.Wait())
+		holder.stop(end{off: true})
+		holder.start()
+		must.EqOp(t, 2, endsKnown(holder.running(), []*sent{{name: "completed"}, {name: "dead"}}))
+	})
+}
+
+// The body of a dead letter may be with a store alone that its owner did not know as a holder: it learns it when that store asks.
+func TestOwnerLearnsOfHoldersOfEndedMessages(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		owner, epoch := w.owner(0)
+		holder := w.others(0)[0]
+		must.Eq(t, rpc.PutStatus_STORED, w.put(holder, rpc.PutMode_HOLDER, epoch, w.idle("m", "")))
+		node := owner.running().node
+		node.do(func() { node.learn(&rpc.Message{Name: "m", Route: "plain", State: rpc.State_DEAD}) })
+		time.Sleep(timeToRestore)
+		must.EqOp(t, 2, w.copies("m"))
+		w.replaceDisk(holder)
+		reply := w.lookup(w.ledger.messages["m"], true)
+		must.EqOp(t, rpc.State_DEAD, reply.State)
+		must.Eq(t, "body of m", string(reply.Body))
+	})
+}
--- a/internal/storenode/figures.go
+++ b/internal/storenode/figures.go
@@ -54,13 +54,12 @@
 	if n.view == nil || n.view.Map == nil {
 		return 0, 0
 	}
-	alive, wanted := n.aliveDisks(), n.copiesWanted(n.aliveMembers())
 	n.table.Each(func(e *message.Entry) {
 		if !e.Ended() || n.table.OwnedEpoch(e.Partition) == 0 {
 			return
 		}
 		owned++
-		if e.Copies(alive, n.ownDomain()) < wanted {
+		if e.Copies(n.holders.domains, n.ownDomain()) < n.holders.wanted {
 			scarce++
 		}
 	})
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -71,6 +71,7 @@
 	commands   chan func()     // run by the owner goroutine, which alone touches the fields below
 	table      *message.Table
 	view       *cluster.View
+	holders    holders
 	needs      uint64 // configuration that a sender acted on: nothing older is used
 	limits     map[string]int
 	pumpDue    bool
@@ -216,6 +217,7 @@
 	}
 	if view.Map != nil && (old == nil || old.Map != view.Map) {
 		n.engine.SetDispatchers(max(1, len(view.Map.Stores)))
+		n.reckonHolders(view.Map.Stores)
 		n.peers.update(view.Map.Stores)
 		n.applyMap(view.Map)
 		n.upkeep(n.now()) // what is reported with this map must have been counted by it
--- a/internal/storenode/scrub.go
+++ b/internal/storenode/scrub.go
@@ -100,11 +100,10 @@
 	if entry == nil {
 		return
 	}
+	entry.AddHolder(caller) // also of one that has ended: what is owed for it may have to be restored from there
 	if entry.Ended() {
 		reply.Fates = append(reply.Fates, entry.Fate())
-		return
 	}
-	entry.AddHolder(caller)
 }
 
 // take fetches messages that a holder has for a partition owned here.
--- a/internal/storenode/sim_faults_test.go
+++ b/internal/storenode/sim_faults_test.go
@@ -16,7 +16,8 @@
 	pause time.Duration // between two faults at most
 	open  []*openFault
 
-	retiring *machine // the one that is being emptied, or was; nil for none
+	retiring *machine  // the one that is being emptied, or was; nil for none
+	checked  time.Time // end of the last fault after which all copies were counted
 }
 
 // openFault is one that is under way.
@@ -46,6 +47,7 @@
 		each.done()
 	}
 	f.open = kept
+	f.checkRestored(now)
 	if now.Before(f.next) {
 		return
 	}
@@ -56,6 +58,48 @@
 	}
 }
 
+// checkRestored counts the copies of all that was accepted, once nothing has been amiss for the time that the successor of a lost disk is
+// given: from then on another disk may be lost.
+func (f *faults) checkRestored(now time.Time) {
+	w, l := f.world, f.world.ledger
+	l.mutex.Lock()
+	ended := l.faultEnd
+	calm := l.faults == 0 && len(f.open) == 0 && now.Sub(ended) > timeToRestore
+	l.mutex.Unlock()
+	if !calm || f.checked.Equal(ended) {
+		return
+	}
+	f.checked = ended
+	kept := w.keptCopies()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, m := range l.messages {
+		if accepted := m.acceptedAt; accepted.IsZero() || now.Sub(accepted) < timeToRestore || kept[m.name] > w.scale.tolerance {
+			continue
+		}
+		l.violate("SCARCE", m, "%d stores keep it, ended: %t; %s", kept[m.name], l.hasEnded(m), w.where(m))
+	}
+}
+
+// keptCopies counts for each message the stores whose log holds what is owed for it.
+func (w *world) keptCopies() map[string]int {
+	kept := map[string]int{}
+	for _, m := range w.machines {
+		p := m.running()
+		if p == nil {
+			continue
+		}
+		p.node.do(func() {
+			p.node.table.Each(func(e *messageEntry) {
+				if e.IsKept() {
+					kept[e.Name]++
+				}
+			})
+		})
+	}
+	return kept
+}
+
 func (f *faults) endAll() {
 	for _, each := range f.open {
 		each.heal()
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -48,8 +48,7 @@
 // upkeep looks at every message: those past their retention end, copies that are missing are restored, of messages and of the ends of
 // completed ones alike, and owners are asked about copies that are held for them.
 func (n *Node) upkeep(now time.Duration) {
-	alive := n.aliveDisks()
-	wanted := n.copiesWanted(n.aliveMembers())
+	alive, wanted := n.holders.domains, n.holders.wanted
 	var expired, missing, scarceEnds, unheld []*message.Entry
 	unconfirmed := 0
 	ask := map[string][]*rpc.Fate{}
@@ -157,40 +156,6 @@
 	return ready, takenOver
 }
 
-// aliveDisks returns the disks that are members and are not being emptied, this store's included.
-// It gives the failure domain of each.
-func (n *Node) aliveDisks() map[string]string {
-	alive := make(map[string]string, len(n.view.Map.Stores))
-	for _, member := range n.aliveMembers() {
-		alive[member.Disk] = n.domains.of(member.Disk, member.Zone)
-	}
-	return alive
-}
-
-// aliveMembers returns the members that are not being emptied.
-func (n *Node) aliveMembers() []*rpc.StoreMember {
-	members := make([]*rpc.StoreMember, 0, len(n.view.Map.Stores))
-	for _, member := range n.view.Map.Stores {
-		if !member.Leaving {
-			members = append(members, member)
-		}
-	}
-	return members
-}
-
-// isLeaving reports whether this store is being emptied, or was given up while it was silent: its copies count as gone.
-func (n *Node) isLeaving() bool {
-	if n.view == nil {
-		return false
-	}
-	for _, member := range n.view.Map.GetStores() {
-		if member.Disk == n.disk {
-			return member.Leaving
-		}
-	}
-	return false
-}
-
 // expired reports whether a message's route is gone or its retention has passed.
 func (n *Node) expired(e *message.Entry, now time.Duration) bool {
 	if n.view.Config == nil || n.view.ConfigVersion < n.needs {
