metrics: a role goes on without figures where their port is taken or needed

Cause: a fixed port for figures may be one that a deployment gives to an interface or to the internal protocol; the role would then not start, or take it away. Change: metrics.ServeRole leaves such ports alone, logs why, and never ends the process; both roles use it.

--- a/internal/ingest/figures.go
+++ b/internal/ingest/figures.go
@@ -1,9 +1,6 @@
 package ingest
 
 import (
-	"net"
-	"strconv"
-
 	"go.uber.org/atomic"
 
 	"foldlb.example/foldlb/internal/metrics"
@@ -16,15 +13,6 @@
 	unsure  atomic.Uint64 // no store knew it, and not all answered
 }
 
-// serveMetrics tells the figures of this dispatcher at the port that the command line names; without one the server is nil.
-func (d *dispatcher) serveMetrics() (*metrics.Server, error) {
-	if d.settings.MetricsPort == 0 {
-		return nil, nil
-	}
-	address := net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.MetricsPort))
-	return metrics.Serve(address, d.figures)
-}
-
 // figures are what monitoring sees of a dispatcher.
 func (d *dispatcher) figures() []metrics.Figure {
 	view := d.cluster.View()
--- a/internal/ingest/run.go
+++ b/internal/ingest/run.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"foldlb.example/foldlb/internal/cluster"
+	"foldlb.example/foldlb/internal/metrics"
 	"foldlb.example/foldlb/internal/settings"
 )
 
@@ -54,11 +55,8 @@
 	if err := p.serve(newReadyServer(readiness.handle), listen.Ready); err != nil {
 		return err
 	}
-	telling, err := p.dispatcher.serveMetrics()
-	if err != nil {
-		return err
-	}
-	defer func() { _ = telling.Close() }()
+	figures := metrics.ServeRole(p.dispatcher.settings, p.log, p.dispatcher.figures)
+	defer func() { _ = figures.Close() }()
 	view, err := p.firstConfig(ctx, client)
 	if err != nil || view == nil {
 		return err
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -7,9 +7,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+
+	"foldlb.example/foldlb/internal/settings"
 )
 
 // Path is where the figures are served.
@@ -47,6 +51,24 @@
 	return &Server{server: server}, nil
 }
 
+// ServeRole serves the figures of a role at the port that the command line names. A process that can't tell its figures works on: the
+// cause is logged, and the server is nil, as it is where no port is named.
+func ServeRole(role *settings.Settings, log logr.Logger, figures func() []Figure) *Server {
+	port := role.MetricsPort
+	if port == 0 {
+		return nil
+	}
+	if role.UsesPort(port) {
+		log.Info("figures are not served: the settings use their port for something else; name another one", "port", port)
+		return nil
+	}
+	server, err := Serve(net.JoinHostPort(role.IP, strconv.Itoa(port)), figures)
+	if err != nil {
+		log.Error(err, "figures are not served")
+	}
+	return server
+}
+
 // Close ends the server and its connections. A nil server is closed already.
 func (s *Server) Close() error {
 	if s == nil {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -4,9 +4,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 
+	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
+
+	"foldlb.example/foldlb/internal/settings"
 )
 
 // freeAddress returns a loopback address that nobody listens on.
@@ -50,3 +54,30 @@
 	var server *Server
 	must.NoError(t, server.Close())
 }
+
+// A port that the deployment needs for something else is left alone, and a process works on without figures.
+func TestRoleLeavesPortsOfTheDeploymentAlone(t *testing.T) {
+	address := freeAddress(t)
+	_, text, err := net.SplitHostPort(address)
+	must.NoError(t, err)
+	port, err := strconv.Atoi(text)
+	must.NoError(t, err)
+	none := func() []Figure { return nil }
+	for name, role := range map[string]*settings.Settings{
+		"front":     {Listen: settings.Listen{Front: "10.0.0.1:" + text}},
+		"ready":     {Listen: settings.Listen{Ready: "10.0.0.1:" + text}},
+		"control":   {Listen: settings.Listen{Control: "10.0.0.1:" + text}},
+		"internal":  {PortRange: []int{port - 1, port + 1}},
+		"elsewhere": {IP: "192.0.2.1"},
+	} {
+		role.MetricsPort = port
+		if role.IP == "" {
+			role.IP = "127.0.0.1"
+		}
+		must.Nil(t, ServeRole(role, logr.Discard(), none), must.Sprint(name))
+	}
+	must.Nil(t, ServeRole(&settings.Settings{IP: "127.0.0.1"}, logr.Discard(), none))
+	server := ServeRole(&settings.Settings{IP: "127.0.0.1", MetricsPort: port}, logr.Discard(), none)
+	must.NotNil(t, server)
+	must.NoError(t, server.Close())
+}
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -1,6 +1,11 @@
 // Package settings reads and checks the settings file of a process of the system.
 package settings
 
+import (
+	"net"
+	"strconv"
+)
+
 // Settings is all that a process is told when it starts. Unknown keys of the file are ignored.
 type Settings struct {
 	// Path is the file that the settings were read from, so that a change of it can be seen.
@@ -79,3 +84,16 @@
 	RatePerS float64 `yaml:"ratePerS"`
 	LagMs    float64 `yaml:"lagMs"`
 }
+
+// UsesPort reports whether the deployment has given a port to something else: an interface that a role serves, or the internal protocol.
+func (s *Settings) UsesPort(port int) bool {
+	if len(s.PortRange) == 2 && port >= s.PortRange[0] && port <= s.PortRange[1] {
+		return true
+	}
+	for _, address := range []string{s.Listen.Front, s.Listen.Ready, s.Listen.Control} {
+		if _, text, err := net.SplitHostPort(address); err == nil && text == strconv.Itoa(port) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/storenode/figures.go
+++ b/internal/storenode/figures.go
@@ -1,8 +1,6 @@
 package storenode
 
 import (
-	"net"
-	"strconv"
 	"sync/atomic"
 
 	"foldlb.example/foldlb/internal/message"
@@ -17,15 +15,6 @@
 	lookupsUnknown atomic.Uint64 // for messages that this store does not know
 }
 
-// serveMetrics tells the figures of this store at the port that the command line names; without one the server is nil.
-func (n *Node) serveMetrics() (*metrics.Server, error) {
-	if n.settings.MetricsPort == 0 {
-		return nil, nil
-	}
-	address := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort))
-	return metrics.Serve(address, n.figures)
-}
-
 // figures are what monitoring sees of a store.
 func (n *Node) figures() []metrics.Figure {
 	var known, queued, ownedEnds, scarceEnds, bytes uint64
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -22,6 +22,7 @@
 	"foldlb.example/foldlb/internal/cluster"
 	"foldlb.example/foldlb/internal/delivery"
 	"foldlb.example/foldlb/internal/message"
+	"foldlb.example/foldlb/internal/metrics"
 	"foldlb.example/foldlb/internal/rpc"
 	"foldlb.example/foldlb/internal/settings"
 )
@@ -112,11 +113,8 @@
 	server := &http.Server{Handler: rpc.NewStoreServer(n), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
 	n.start()
-	telling, err := n.serveMetrics()
-	if err != nil {
-		return err
-	}
-	defer func() { _ = telling.Close() }()
+	figures := metrics.ServeRole(s, log, n.figures)
+	defer func() { _ = figures.Close() }()
 	n.log.Info("store started", "node", s.Node, "disk", n.disk, "incarnation", n.incarnation, "messages", n.table.Len())
 	select {
 	case <-ctx.Done():
