--- a/internal/storenode/gather.go
+++ b/internal/storenode/gather.go
@@ -188,6 +188,10 @@
 		}
 		break
 	}
+	if err := n.file.Wait(); err != nil { // the ends that were learnt: they count as kept here
+		n.noteDisk(err)
+		n.log.Error(err, "what other stores told is not synced; free space on the disk, or replace it")
+	}
 	n.do(func() { n.begun(g.request.Partitions) })
 }
 
