--- a/internal/controlplane/sim_network_test.go
+++ b/internal/controlplane/sim_network_test.go
@@ -330,3 +330,16 @@
 	}
 	return nil
 }
+
+// describe tells what each server believes of the group.
+func (n *simNetwork) describe() []string {
+	var lines []string
+	for _, server := range n.list() {
+		line := fmt.Sprintf("%s gone %t disk %d", server.address, server.gone, server.disks)
+		if process := server.running(); process != nil {
+			line += fmt.Sprintf(" id %s status %+v", process.server.identity(), process.server.node.Status())
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
--- a/internal/controlplane/sim_test.go
+++ b/internal/controlplane/sim_test.go
@@ -95,7 +95,9 @@
 	troubles.endAll()
 	time.Sleep(simCalm)
 	finalRead := &simOperator{network: network, history: history, number: simOperators}
-	must.True(t, finalRead.read(), must.Sprint("nothing can be read after the trouble"))
+	if !finalRead.read() {
+		history.violate("nothing can be read after the trouble\n%s", strings.Join(network.describe(), "\n"))
+	}
 	close(network.ended)
 	for _, server := range network.list() {
 		server.kill(false)
--- a/internal/message/table_test.go
+++ b/internal/message/table_test.go
@@ -298,3 +298,15 @@
 	table.Ready(0, time.Second)
 	must.Eq(t, "m", table.Start("r", aim, time.Second).Name)
 }
+
+func TestEndTravelsWithItsAge(t *testing.T) {
+	e := &Entry{Name: "m", Partition: 3, State: rpc.State_COMPLETED, Stamp: "s", Body: []byte("body"), BodyBytes: 4, EndedAt: 2 * time.Second,
+		Epoch: 5, Seq: 6}
+	told := FromMessage(e.End(9*time.Second), 30*time.Second)
+	must.EqOp(t, "m", told.Name)
+	must.EqOp(t, 3, told.Partition)
+	must.EqOp(t, rpc.State_COMPLETED, told.State)
+	must.EqOp(t, "s", told.Stamp)
+	must.EqOp(t, 23*time.Second, told.EndedAt)
+	must.EqOp(t, 0, told.BodyBytes)
+}
