Control tells figures and too few voters; dispatchers tell silence and answers of 404

TestFiguresTellHowLookupsEnded is TestFiguresTellHowRequestsEnded, with the new figures checked beside the old ones. No logic of routing, membership or leases is touched.

--- a/cmd/foldlb-control/control.go
+++ b/cmd/foldlb-control/control.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"foldlb.example/foldlb/internal/controlplane"
+	"foldlb.example/foldlb/internal/metrics"
 	"foldlb.example/foldlb/internal/settings"
 )
 
@@ -39,10 +40,12 @@
 		Usage: "run the control role until SIGTERM",
 		Flags: []cli.Flag{
 			settingsFlag(),
+			metrics.PortFlag(),
 			&cli.IntFlag{Name: "verbosity", Usage: "0 logs changes of state and faults, 1 details too"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			return runControl(ctx, command.String("settings"), newLogger(command.Int("verbosity")))
+			log := newLogger(command.Int("verbosity"))
+			return runControl(ctx, command.String("settings"), command.Int(metrics.PortFlagName), log)
 		},
 	}
 }
@@ -53,11 +56,12 @@
 	return funcr.NewJSON(write, funcr.Options{LogTimestamp: true, Verbosity: verbosity})
 }
 
-func runControl(ctx context.Context, path string, log logr.Logger) error {
+func runControl(ctx context.Context, path string, metricsPort int, log logr.Logger) error {
 	loaded, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
+	loaded.MetricsPort = metricsPort
 	limitMemory(loaded.Limits.MemoryMb)
 	running, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/cmd/foldlb-control/statustext.go
+++ b/cmd/foldlb-control/statustext.go
@@ -26,6 +26,10 @@
 			status.Address, status.Epoch)
 	}
 	fmt.Fprintf(out, "voters %s\n", strings.Join(status.Voters, " "))
+	if len(status.Voters) < status.VotersWanted {
+		fmt.Fprintf(out, "%d voters, but %d are needed to bear the loss of %d at one time: run the control role on more machines with a disk\n",
+			len(status.Voters), status.VotersWanted, status.FaultTolerance)
+	}
 	fmt.Fprintf(out, "map version %d, %d update streams at this process\n", status.MapVersion, status.Streams)
 }
 
--- a/cmd/foldlb/roles.go
+++ b/cmd/foldlb/roles.go
@@ -11,10 +11,10 @@
 
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
-	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"foldlb.example/foldlb/internal/ingest"
+	"foldlb.example/foldlb/internal/metrics"
 	"foldlb.example/foldlb/internal/settings"
 	"foldlb.example/foldlb/internal/storenode"
 )
@@ -24,8 +24,6 @@
 	collectPercent   = 50   // GOGC of the roles: memory is dearer than a collection
 	memoryShare      = 0.75 // of the process's bound, from which on collections come more often
 	megabyte         = 1 << 20
-	metricsFlagName  = "metrics-port"
-	highestPort      = 1<<16 - 1
 )
 
 // roleRunner runs a role until its context ends.
@@ -51,32 +49,18 @@
 	}
 }
 
-// metricsFlag names the port at which a role tells its own figures.
-func metricsFlag() cli.Flag {
-	return &cli.IntFlag{
-		Name:  metricsFlagName,
-		Usage: "port of the machine's address at which the figures of this process are served as text; 0 for none",
-		Validator: func(port int) error {
-			if port < 0 || port > highestPort {
-				return errors.Errorf("--%s is %d: name a port from 1 to %d, or 0 for none", metricsFlagName, port, highestPort)
-			}
-			return nil
-		},
-	}
-}
-
 // roleCommand runs a role as the settings file says, until SIGTERM or SIGINT.
 func roleCommand(name, usage string, run roleRunner) *cli.Command {
 	return &cli.Command{
 		Name:  name,
 		Usage: usage,
-		Flags: []cli.Flag{metricsFlag()},
+		Flags: []cli.Flag{metrics.PortFlag()},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			loaded, err := loadSettings()
 			if err != nil {
 				return err
 			}
-			loaded.MetricsPort = command.Int(metricsFlagName)
+			loaded.MetricsPort = command.Int(metrics.PortFlagName)
 			boundResources(loaded.Limits)
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
--- a/internal/cluster/renew.go
+++ b/internal/cluster/renew.go
@@ -52,10 +52,23 @@
 	if !reply.Granted {
 		return refusedRetryDelay
 	}
+	c.tellSilence(sent)
 	c.lease.renew(sent, time.Duration(reply.LeaseMs)*time.Millisecond)
 	return c.options.renewInterval()
 }
 
+// toldSilence is the shortest time without a leader that is logged once it is over.
+const toldSilence = 3 * time.Second
+
+// tellSilence logs for how long no renewal had been granted when one was sent that is.
+func (c *Client) tellSilence(sent time.Time) {
+	silent := c.lease.age() - time.Since(sent)
+	if silent < toldSilence || c.View().ConfigVersion == 0 {
+		return
+	}
+	c.options.Log.Info("a leader answers again", "after", silent.Round(time.Millisecond).String(), "configuration", c.View().ConfigVersion)
+}
+
 // retryDelay spaces the tries of control addresses so that each is tried a few times a second at most.
 func (c *Client) retryDelay() time.Duration {
 	if c.book.count() > 1 {
--- /dev/null
+++ b/internal/controlplane/figures.go
@@ -0,0 +1,23 @@
+package controlplane
+
+import "foldlb.example/foldlb/internal/metrics"
+
+// Figures are what monitoring sees of this process. Stores and dispatchers are counted at the leader alone.
+func (s *Server) Figures() []metrics.Figure {
+	status := s.Status()
+	leader := uint64(0)
+	if status.Leader {
+		leader = 1
+	}
+	return []metrics.Figure{
+		{Name: "foldlb_control_leader", Help: "1 where this process leads", Value: leader},
+		{Name: "foldlb_control_epoch", Help: "newest epoch that this process voted in or accepted", Value: status.Epoch},
+		{Name: "foldlb_control_config_version", Help: "configuration that is committed as far as is known here", Value: status.ConfigVersion},
+		{Name: "foldlb_control_map_version", Help: "table of owners that is committed as far as is known here", Value: status.MapVersion},
+		{Name: "foldlb_control_voters", Help: "voters of the newest committed state known here", Value: uint64(len(status.Voters))},
+		{Name: "foldlb_control_voters_wanted", Help: "voters that the fault tolerance of the settings needs", Value: uint64(status.VotersWanted)},
+		{Name: "foldlb_control_stores", Help: "stores in the state", Value: uint64(len(status.Stores))},
+		{Name: "foldlb_control_dispatchers", Help: "dispatchers heard in this term", Value: uint64(len(status.Dispatchers))},
+		{Name: "foldlb_control_streams", Help: "streams of updates that are open here", Value: uint64(status.Streams)},
+	}
+}
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -32,6 +32,7 @@
 
 // runMembership keeps the number of voters until the term ends, one change at a time.
 func (s *Server) runMembership(t *term) {
+	told := 0 // number of voters that was last logged as too small
 	for sleep(t.context, membershipPeriod) {
 		now := time.Now()
 		s.noteSelf(now)
@@ -39,6 +40,7 @@
 		heard := heardLately(s.peers.heard(now), now)
 		change := planVoters(status.Members, status.Identity, heard, s.wantedVoters(), now.Sub(t.started))
 		if change.isEmpty() {
+			told = s.tellTooFewVoters(len(status.Members), told, now.Sub(t.started))
 			continue
 		}
 		ctx, cancel := context.WithTimeout(t.context, proposeTimeout)
@@ -48,6 +50,18 @@
 	}
 }
 
+// tellTooFewVoters logs that there are fewer voters than the fault tolerance needs, and no process with a disk is left to become one. It
+// returns the number that was logged last.
+func (s *Server) tellTooFewVoters(voters, told int, ledFor time.Duration) int {
+	wanted := s.wantedVoters()
+	if voters >= wanted || voters == told || ledFor < silentAfter {
+		return told
+	}
+	s.log.Error(nil, "too few voters for the losses that faultTolerance names: while more than they bear are away nobody leads; "+
+		"run the control role on more machines that have a disk", "voters", voters, "wanted", wanted)
+	return voters
+}
+
 // noteSelf lists this process among those that were heard.
 func (s *Server) noteSelf(now time.Time) {
 	s.peers.note(&rpc.JoinRequest{Id: s.identity(), Address: s.address, Zone: s.zone, Disk: s.hasDisk}, now)
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -15,6 +15,7 @@
 
 	"foldlb.example/foldlb/coord/failover"
 	"foldlb.example/foldlb/coord/watch"
+	"foldlb.example/foldlb/internal/metrics"
 	"foldlb.example/foldlb/internal/rpc"
 	"foldlb.example/foldlb/internal/settings"
 )
@@ -156,7 +157,7 @@
 	mux.HandleFunc("GET /internal/watch", s.handleWatch)
 	mux.HandleFunc("GET /internal/status", s.handleStatus)
 	mux.HandleFunc("POST /internal/stores/{node}/abandon", s.leaderOnly(s.handleAbandon))
-	mux.HandleFunc("GET /metrics", s.handleMetrics)
+	mux.Handle("GET "+metrics.Path, metrics.Handler(s.Figures))
 	mux.HandleFunc("POST /api/config/replace", s.leaderOnly(s.handleReplace))
 	mux.HandleFunc("POST /api/config/update", s.leaderOnly(s.handleUpdate))
 	mux.HandleFunc("GET /api/config/read", s.leaderOnly(s.handleRead))
@@ -180,6 +181,8 @@
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.start(running)
+	figures := metrics.ServeRole(s.settings(), s.log, s.Figures)
+	defer func() { _ = figures.Close() }()
 	server := &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/controlplane/status.go
+++ b/internal/controlplane/status.go
@@ -1,10 +1,8 @@
 package controlplane
 
 import (
-	"fmt"
 	"net/http"
 	"sort"
-	"strings"
 	"time"
 )
 
@@ -20,6 +18,7 @@
 	MapVersion       uint64             `json:"mapVersion"`
 	Streams          int                `json:"streams"`
 	Voters           []string           `json:"voters"`
+	VotersWanted     int                `json:"votersWanted"` // for the fault tolerance of the settings
 	ControlAddresses []string           `json:"controlAddresses"`
 	Stores           []StoreStatus      `json:"stores"`
 	Dispatchers      []DispatcherStatus `json:"dispatchers"`
@@ -103,6 +102,7 @@
 		Partitions:       make(map[string]int),
 		Retirements:      make(map[string]string),
 		FaultTolerance:   s.copies() - 1,
+		VotersWanted:     s.wantedVoters(),
 	}
 	for _, member := range known.Members {
 		status.Voters = append(status.Voters, member.Address)
@@ -172,23 +172,3 @@
 		return status.Dispatchers[i].Node < status.Dispatchers[j].Node
 	})
 }
-
-// handleMetrics answers with plain figures, one a line.
-func (s *Server) handleMetrics(writer http.ResponseWriter, _ *http.Request) {
-	status := s.Status()
-	leader := 0
-	if status.Leader {
-		leader = 1
-	}
-	var text strings.Builder
-	fmt.Fprintf(&text, "foldlb_control_leader %d\n", leader)
-	fmt.Fprintf(&text, "foldlb_control_epoch %d\n", status.Epoch)
-	fmt.Fprintf(&text, "foldlb_control_config_version %d\n", status.ConfigVersion)
-	fmt.Fprintf(&text, "foldlb_control_map_version %d\n", status.MapVersion)
-	fmt.Fprintf(&text, "foldlb_control_voters %d\n", len(status.Voters))
-	fmt.Fprintf(&text, "foldlb_control_stores %d\n", len(status.Stores))
-	fmt.Fprintf(&text, "foldlb_control_dispatchers %d\n", len(status.Dispatchers))
-	fmt.Fprintf(&text, "foldlb_control_streams %d\n", status.Streams)
-	writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	_, _ = writer.Write([]byte(text.String()))
-}
--- a/internal/ingest/dispatcher.go
+++ b/internal/ingest/dispatcher.go
@@ -15,6 +15,7 @@
 	View() *cluster.View
 	Store(address string) rpc.Store
 	Kick()
+	ControlReachable() time.Duration
 }
 
 // dispatcher holds what the requests of one process share. It is safe for concurrent use.
@@ -27,6 +28,7 @@
 	kicked   atomic.Int64 // when control was last asked out of turn, nanoseconds since started
 	started  time.Time
 	lookups  lookupCounters
+	routes   routeCounters
 	turn     atomic.Uint64 // counts messages, to spread them over partitions
 	serving  atomic.Bool   // the front address is listened on
 	stopping atomic.Bool   // no new connections are wanted
--- a/internal/ingest/handler.go
+++ b/internal/ingest/handler.go
@@ -60,6 +60,7 @@
 	}
 	route, service, ok := view.Table.Match(string(ctx.Request.Header.Host()), path)
 	if !ok || service == nil || route.Type != typeAsync {
+		d.routes.unknown.Inc()
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
--- a/internal/ingest/lookup_test.go
+++ b/internal/ingest/lookup_test.go
@@ -75,7 +75,7 @@
 	must.Eq(t, "3f-0000000000000abc", messageName(63, 0xabc))
 }
 
-func TestFiguresTellHowLookupsEnded(t *testing.T) {
+func TestFiguresTellHowRequestsEnded(t *testing.T) {
 	w := newWorld(t)
 	w.stores[0].onLookup(&rpc.LookupReply{Found: true, Owner: true, State: rpc.State_QUEUED}, nil)
 	w.send("GET", "/api/message/"+nameAt, "")
@@ -83,11 +83,15 @@
 	w.send("GET", "/api/message/"+nameAt, "")
 	w.stores[2].server.Close()
 	w.send("GET", "/api/message/"+nameAt, "")
+	w.send("POST", "/nowhere/x", "")
 	told := map[string]uint64{}
 	for _, figure := range w.dispatcher.figures() {
 		told[figure.Name] = figure.Value
 	}
+	must.MapContainsKey(t, told, "foldlb_dispatcher_control_silent_ms")
+	must.Less(t, uint64(testPatience.Milliseconds()), told["foldlb_dispatcher_control_silent_ms"])
+	delete(told, "foldlb_dispatcher_control_silent_ms")
 	must.Eq(t, map[string]uint64{"foldlb_dispatcher_config_version": 1, "foldlb_dispatcher_map_version": 1,
 		"foldlb_dispatcher_lookups_total": 3, "foldlb_dispatcher_lookups_unknown_total": 1,
-		"foldlb_dispatcher_lookups_unsure_total": 1}, told)
+		"foldlb_dispatcher_lookups_unsure_total": 1, "foldlb_dispatcher_routes_unknown_total": 1}, told)
 }
--- a/internal/ingest/prober_test.go
+++ b/internal/ingest/prober_test.go
@@ -34,6 +34,8 @@
 func (o *oneStore) Store(string) rpc.Store { return o.store }
 func (o *oneStore) Kick()                  {}
 
+func (o *oneStore) ControlReachable() time.Duration { return 0 }
+
 func (s *probedStore) Lookup(context.Context, *rpc.LookupRequest) (*rpc.LookupReply, error) {
 	s.probes.Inc()
 	if time.Now().Before(s.answers) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -45,7 +45,7 @@
 		return nil, errors.Wrapf(err, "metrics: listen on %s; free the port or name another one", address)
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET "+Path, handler(figures))
+	mux.Handle("GET "+Path, Handler(figures))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: headerBytes}
 	go func() { _ = server.Serve(listener) }()
 	return &Server{server: server}, nil
@@ -77,7 +77,8 @@
 	return s.server.Close()
 }
 
-func handler(figures func() []Figure) http.Handler {
+// Handler answers with what figures returns at that moment.
+func Handler(figures func() []Figure) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		_, _ = writer.Write(encode(figures()))
