--- a/internal/controlplane/catchup_test.go
+++ b/internal/controlplane/catchup_test.go
@@ -44,10 +44,18 @@
 
 // change replaces the configuration on top of the newest until that is confirmed.
 func (o *simOperator) change(body func(version uint64) string) {
+	answer := o.tryChange(body)
+	must.EqOp(o.network.t, http.StatusOK, answer.status, must.Sprint(answer.body))
+}
+
+// tryChange is change where a change may also stay without a clear answer.
+func (o *simOperator) tryChange(body func(version uint64) string) answerOf {
 	version := o.known + 1
 	answer := o.untilClear(http.MethodPost, replacePath, strconv.FormatUint(o.known, 10), body(version))
-	must.EqOp(o.network.t, http.StatusOK, answer.status, must.Sprint(answer.body))
-	o.known = version
+	if answer.status == http.StatusOK {
+		o.known = version
+	}
+	return answer
 }
 
 func oneRoute(version uint64) string { return configWith(int(version), "a") }
--- a/internal/controlplane/sim_network_test.go
+++ b/internal/controlplane/sim_network_test.go
@@ -33,6 +33,7 @@
 	t         *testing.T
 	directory string
 	seeds     []string
+	tolerance int // machines that may be lost at one time
 	started   time.Time
 	ended     chan struct{} // closed at the end of the simulation
 
@@ -51,6 +52,7 @@
 type simServer struct {
 	network *simNetwork
 	address string
+	zone    string
 	disks   int // folders made so far
 
 	// Guarded by the mutex of the network.
@@ -68,7 +70,7 @@
 
 func newSimNetwork(t *testing.T, seed uint64, directory string) *simNetwork {
 	return &simNetwork{
-		t: t, directory: directory, started: time.Now(), ended: make(chan struct{}),
+		t: t, directory: directory, tolerance: 1, started: time.Now(), ended: make(chan struct{}),
 		random: rand.New(rand.NewPCG(seed, 3)), cuts: map[[2]string]bool{}, carried: map[string]int{}, large: map[string]int{},
 	}
 }
@@ -108,7 +110,8 @@
 func (n *simNetwork) add() *simServer {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	added := &simServer{network: n, address: fmt.Sprintf("10.0.0.%d:8046", len(n.servers)+1)}
+	address := fmt.Sprintf("10.0.0.%d:8046", len(n.servers)+1)
+	added := &simServer{network: n, address: address, zone: "zone-" + address}
 	n.servers = append(n.servers, added)
 	return added
 }
@@ -134,13 +137,12 @@
 	if s.disks == 0 {
 		s.newDisk()
 	}
-	zone := "zone-" + s.address
 	server, err := New(Options{
 		Log:          logr.Discard(),
 		RoundTripper: &simTransport{from: s},
 		Settings: &settings.Settings{
-			Node: s.address, Zone: zone, Listen: settings.Listen{Control: s.address}, Seeds: network.seeds,
-			Bootstrap: bootstrap, DataDir: s.folder(), FaultTolerance: settings.FaultTolerance{Machines: 1},
+			Node: s.address, Zone: s.zone, Listen: settings.Listen{Control: s.address}, Seeds: network.seeds,
+			Bootstrap: bootstrap, DataDir: s.folder(), FaultTolerance: settings.FaultTolerance{Machines: network.tolerance},
 		},
 	})
 	must.NoError(network.t, err)
--- /dev/null
+++ b/internal/ingest/unconfirmed_test.go
@@ -0,0 +1,47 @@
+package ingest
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"github.com/valyala/fasthttp"
+
+	"foldlb.example/foldlb/internal/settings"
+)
+
+// confirmedWorld renews often, and its bound for changes of the configuration is short.
+func confirmedWorld(t *testing.T) *world {
+	return newWorldWith(t, func(settings *settings.Settings) {
+		settings.HeartbeatMs = 20
+		settings.Bounds.ConfigApplyMs = 1000
+	})
+}
+
+// awaitUnknownRoute sends requests for a route that is not known until one has the answer that is wanted.
+func (w *world) awaitUnknownRoute(wanted int) reply {
+	w.t.Helper()
+	var last reply
+	must.Wait(w.t, wait.InitialSuccess(wait.ErrorFunc(func() error {
+		last = w.send("POST", "/nowhere/x", "")
+		if last.status != wanted {
+			return fmt.Errorf("%d, wanted %d", last.status, wanted)
+		}
+		return nil
+	}), wait.Timeout(testPatience), wait.Gap(10*time.Millisecond)))
+	return last
+}
+
+// A change may have been confirmed since a leader answered last, and it may have added the route.
+func TestUnknownRouteIsRefusedWhileNoLeaderConfirmsTheConfiguration(t *testing.T) {
+	w := confirmedWorld(t)
+	w.awaitUnknownRoute(fasthttp.StatusNotFound)
+	w.control.silent.Store(true)
+	refused := w.awaitUnknownRoute(fasthttp.StatusServiceUnavailable)
+	must.EqOp(t, retryAfterOne, refused.header.Get(headerRetryAfter))
+	must.EqOp(t, fasthttp.StatusAccepted, w.send("POST", "/free/x", "").status) // a route that is known is served
+	w.control.silent.Store(false)
+	w.awaitUnknownRoute(fasthttp.StatusNotFound)
+}
--- a/internal/ingest/world_test.go
+++ b/internal/ingest/world_test.go
@@ -17,6 +17,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
+	"go.uber.org/atomic"
 	"google.golang.org/protobuf/proto"
 
 	"foldlb.example/foldlb/coord/watch"
@@ -42,6 +43,7 @@
 	rpc.Control
 	hub    *watch.Hub
 	server *httptest.Server
+	silent atomic.Bool // it answers no renewal
 }
 
 func newControl(t *testing.T) *standInControl {
@@ -62,6 +64,9 @@
 
 // Renew grants two seconds.
 func (c *standInControl) Renew(context.Context, *rpc.RenewRequest) (*rpc.RenewReply, error) {
+	if c.silent.Load() {
+		return nil, context.DeadlineExceeded
+	}
 	return &rpc.RenewReply{Granted: true, Leader: true, LeaseMs: 2000}, nil
 }
 
@@ -177,7 +182,13 @@
 // newWorld has four stores, the first in the dispatcher's zone.
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	w := emptyWorld(t)
+	return newWorldWith(t, func(*settings.Settings) {})
+}
+
+// newWorldWith is newWorld with other settings of the dispatcher.
+func newWorldWith(t *testing.T, change func(*settings.Settings)) *world {
+	t.Helper()
+	w := emptyWorldWith(t, change)
 	for i := range 4 {
 		w.stores = append(w.stores, newStore(t, fmt.Sprint("n", i), fmt.Sprint("z", i+1)))
 	}
@@ -188,11 +199,18 @@
 
 // emptyWorld has neither a map nor a configuration.
 func emptyWorld(t *testing.T) *world {
+	t.Helper()
+	return emptyWorldWith(t, func(*settings.Settings) {})
+}
+
+// emptyWorldWith has the settings of the dispatcher changed before it starts.
+func emptyWorldWith(t *testing.T, change func(*settings.Settings)) *world {
 	t.Helper()
 	w := &world{t: t, control: newControl(t), listener: fasthttputil.NewInmemoryListener()}
 	ctx, cancel := context.WithCancel(t.Context())
 	settings := &settings.Settings{Node: "d1", Zone: "z1", Seeds: []string{w.control.address()}, HeartbeatMs: 60000,
 		Limits: settings.Limits{MemoryMb: 100, MaxFds: 2000}}
+	change(settings)
 	w.client = cluster.Start(ctx, cluster.Options{Settings: settings, Role: cluster.RoleDispatcher, Log: logr.Discard()})
 	w.dispatcher = newDispatcher(settings, w.client)
 	server := newFrontServer(w.dispatcher, catalogLimits)
