Configurations are acted on only while a leader confirms them as the newest

What tells how old a view may be stood nowhere.

Change: the answer to a renewal names the newest committed configuration. cluster.Confirmations remembers which version was named when; a version counts as confirmed for configApplyMs less 250 ms from the moment the renewal was sent. Dispatchers answer 503 with Retry-After in place of 404 or 413 by a version that is not confirmed, and renew at once; stores begin no attempt by one. Dispatchers renew at least twice within the bound.

Weighed: the age of the last renewal alone (a leader may answer while its stream is behind); reading the configuration from the leader for each unknown route (a call for each request of whoever asks for nothing); not ready while unconfirmed (all dispatchers are unconfirmed together).

--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -21,6 +21,8 @@
 	lease    *lease
 	kicks    chan struct{}
 
+	confirmations Confirmations
+
 	view      atomic.Pointer[View]
 	inForce   atomic.Pointer[View] // the newest view that all callbacks have seen
 	applying  sync.Mutex           // held while the view is replaced
--- a/internal/cluster/options.go
+++ b/internal/cluster/options.go
@@ -43,10 +43,11 @@
 	Status func(*rpc.RenewRequest)
 }
 
-// renewInterval is the time between two renewals.
+// renewInterval is the time between two renewals: short enough for the configuration to be confirmed twice within its bound.
 func (o *Options) renewInterval() time.Duration {
 	if o.Role == RoleStore || o.Settings.HeartbeatMs <= 0 {
 		return storeRenewInterval
 	}
-	return time.Duration(o.Settings.HeartbeatMs) * time.Millisecond
+	heartbeat := time.Duration(o.Settings.HeartbeatMs) * time.Millisecond
+	return min(heartbeat, ConfirmBound(o.Settings)/2)
 }
--- a/internal/cluster/renew.go
+++ b/internal/cluster/renew.go
@@ -49,6 +49,7 @@
 		return c.retryDelay()
 	}
 	c.book.confirm(address, reply.LeaderEpoch)
+	c.confirmations.Note(reply.ConfigVersion, sent)
 	if !reply.Granted {
 		return refusedRetryDelay
 	}
--- a/internal/cluster/world_test.go
+++ b/internal/cluster/world_test.go
@@ -30,6 +30,7 @@
 	mutex    sync.Mutex
 	leader   string // address of another process that leads; empty if this one does
 	epoch    uint64 // under which this process leads
+	newest   uint64 // configuration that it names as the newest
 	silent   bool
 	refuse   bool
 	renewals chan *rpc.RenewRequest
@@ -77,7 +78,7 @@
 // Renew grants two seconds, where this process leads.
 func (c *standInControl) Renew(ctx context.Context, request *rpc.RenewRequest) (*rpc.RenewReply, error) {
 	c.mutex.Lock()
-	leader, epoch, silent, refuse := c.leader, c.epoch, c.silent, c.refuse
+	leader, epoch, newest, silent, refuse := c.leader, c.epoch, c.newest, c.silent, c.refuse
 	c.mutex.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -90,7 +91,7 @@
 	case c.renewals <- request:
 	default:
 	}
-	return &rpc.RenewReply{Granted: !refuse, Leader: true, LeaderEpoch: epoch, LeaseMs: 2000}, nil
+	return &rpc.RenewReply{Granted: !refuse, Leader: true, LeaderEpoch: epoch, LeaseMs: 2000, ConfigVersion: newest}, nil
 }
 
 // Release takes any release, where this process leads.
--- a/internal/controlplane/service.go
+++ b/internal/controlplane/service.go
@@ -72,7 +72,9 @@
 	if term != nil && server.state.leading() {
 		granted = server.renew(term, request)
 	}
-	// The lease is looked at again after the grant was counted: a later leader begins after it has ended.
+	// The lease is looked at again after the grant was counted and the version read: a later leader begins after it has ended, so until
+	// now nobody else has acknowledged a configuration.
+	newest := server.state.committed().ConfigVersion
 	leading := server.state.leading()
 	reply := &rpc.RenewReply{
 		Granted:          granted && leading && server.currentTerm() == term,
@@ -83,6 +85,9 @@
 	if term != nil {
 		reply.LeaderEpoch = term.epoch
 	}
+	if leading {
+		reply.ConfigVersion = newest
+	}
 	if reply.Granted {
 		reply.LeaseMs = leaseDuration.Milliseconds()
 	}
--- a/internal/controlplane/sim_network_test.go
+++ b/internal/controlplane/sim_network_test.go
@@ -339,7 +339,9 @@
 	for _, server := range n.list() {
 		line := fmt.Sprintf("%s gone %t disk %d", server.address, server.gone, server.disks)
 		if process := server.running(); process != nil {
-			line += fmt.Sprintf(" id %s status %+v", process.server.identity(), process.server.node.Status())
+			status := process.server.node.Status()
+			status.State = nil // long
+			line += fmt.Sprintf(" id %s status %+v", process.server.identity(), status)
 		}
 		lines = append(lines, line)
 	}
--- a/internal/controlplane/sim_operator_test.go
+++ b/internal/controlplane/sim_operator_test.go
@@ -91,6 +91,8 @@
 	refused    int
 	reads      int
 	repeats    int
+	newest     uint64        // highest version that was confirmed or read
+	confirms   int           // renewals that a leader answered
 	retired    time.Duration // when a retirement was first confirmed; 0 for never
 	violation  string
 }
@@ -114,6 +116,9 @@
 	case outcome.status != 0:
 		h.refused++
 	}
+	if outcome.status == http.StatusOK {
+		h.newest = max(h.newest, call.version, outcome.version)
+	}
 	h.operations = append(h.operations, porcupine.Operation{
 		ClientId: client, Input: call, Output: outcome, Call: began.Nanoseconds(), Return: returned,
 	})
--- a/internal/controlplane/sim_test.go
+++ b/internal/controlplane/sim_test.go
@@ -60,6 +60,7 @@
 	if result == porcupine.Ok && history.violation == "" {
 		must.Positive(t, history.confirmed)
 		must.Positive(t, history.reads)
+		must.Positive(t, history.confirms)
 		return
 	}
 	lines := make([]string, 0, len(history.operations))
@@ -85,6 +86,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	history := &simHistory{}
+	go simConfirm(network, history)
 	for number := range simOperators {
 		go (&simOperator{network: network, history: history, number: number}).run()
 	}
@@ -129,6 +131,37 @@
 	}
 }
 
+// simConfirm plays a dispatcher that renews at any process, and holds the version that a leader names against what was confirmed to an operator
+// before the renewal was sent.
+func simConfirm(network *simNetwork, history *simHistory) {
+	request := &rpc.RenewRequest{Node: "front-1", Incarnation: "1", Zone: "1", Role: roleDispatcher}
+	for {
+		select {
+		case <-network.ended:
+			return
+		case <-time.After(network.between(10*time.Millisecond, 300*time.Millisecond)):
+		}
+		servers := network.list()
+		process := servers[network.intN(len(servers))].running()
+		if process == nil {
+			continue
+		}
+		history.mutex.Lock()
+		newest := history.newest
+		history.mutex.Unlock()
+		reply, err := (&service{server: process.server}).Renew(context.Background(), request)
+		if err != nil || !reply.Leader {
+			continue
+		}
+		if reply.ConfigVersion < newest {
+			history.violate("a renewal named version %d as the newest, after %d had been confirmed", reply.ConfigVersion, newest)
+		}
+		history.mutex.Lock()
+		history.confirms++
+		history.mutex.Unlock()
+	}
+}
+
 // simTroubles draws what goes wrong, and ends it again. One disk at most is lost at a time.
 type simTroubles struct {
 	network  *simNetwork
--- a/internal/ingest/dispatcher.go
+++ b/internal/ingest/dispatcher.go
@@ -16,23 +16,24 @@
 	Store(address string) rpc.Store
 	Kick()
 	ControlReachable() time.Duration
+	ConfigConfirmed(version uint64) bool
 }
 
 // dispatcher holds what the requests of one process share. It is safe for concurrent use.
 type dispatcher struct {
-	settings *settings.Settings
-	cluster  members
-	health   *health
-	load     *load
-	hedges   *hedgeBudget
-	kicked   atomic.Int64 // when control was last asked out of turn, nanoseconds since started
-	started  time.Time
-	lookups  lookupCounters
-	routes   routeCounters
-	turn     atomic.Uint64 // counts messages, to spread them over partitions
-	serving  atomic.Bool   // the front address is listened on
-	stopping atomic.Bool   // no new connections are wanted
-	closing  atomic.Bool   // connections end with their next answer
+	settings   *settings.Settings
+	cluster    members
+	health     *health
+	load       *load
+	hedges     *hedgeBudget
+	kicked     atomic.Int64 // when control was last asked out of turn, nanoseconds since started
+	started    time.Time
+	lookups    lookupCounters
+	rejections rejectionCounters
+	turn       atomic.Uint64 // counts messages, to spread them over partitions
+	serving    atomic.Bool   // the front address is listened on
+	stopping   atomic.Bool   // no new connections are wanted
+	closing    atomic.Bool   // connections end with their next answer
 }
 
 func newDispatcher(settings *settings.Settings, cluster members) *dispatcher {
--- a/internal/ingest/handler.go
+++ b/internal/ingest/handler.go
@@ -60,13 +60,12 @@
 	}
 	route, service, ok := view.Table.Match(string(ctx.Request.Header.Host()), path)
 	if !ok || service == nil || route.Type != typeAsync {
-		d.routes.unknown.Inc()
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		d.reject(ctx, view.ConfigVersion, fasthttp.StatusNotFound)
 		return
 	}
 	size := len(ctx.Request.Body())
 	if size > view.Config.Limits.MaxBodyBytes {
-		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+		d.reject(ctx, view.ConfigVersion, fasthttp.StatusRequestEntityTooLarge)
 		return
 	}
 	if !d.load.enter(size) {
@@ -77,6 +76,19 @@
 	answer(ctx, d, readRequest(ctx, route, service))
 }
 
+// reject answers with a status that a version of the configuration leads to. Where that has not been confirmed as the newest one lately, a
+// change may have been acknowledged that leads to another, so the client is asked to come back.
+func (d *dispatcher) reject(ctx *fasthttp.RequestCtx, version uint64, status int) {
+	if !d.cluster.ConfigConfirmed(version) {
+		d.rejections.unsure.Inc()
+		d.kick()
+		refuse(ctx)
+		return
+	}
+	d.rejections.sure.Inc()
+	ctx.SetStatusCode(status)
+}
+
 // answer has a message stored and answers the client.
 func answer(ctx *fasthttp.RequestCtx, d *dispatcher, message *request) {
 	name, result := d.accept(message)
--- a/internal/ingest/lookup_test.go
+++ b/internal/ingest/lookup_test.go
@@ -93,5 +93,6 @@
 	delete(told, "foldlb_dispatcher_control_silent_ms")
 	must.Eq(t, map[string]uint64{"foldlb_dispatcher_config_version": 1, "foldlb_dispatcher_map_version": 1,
 		"foldlb_dispatcher_lookups_total": 3, "foldlb_dispatcher_lookups_unknown_total": 1,
-		"foldlb_dispatcher_lookups_unsure_total": 1, "foldlb_dispatcher_routes_unknown_total": 1}, told)
+		"foldlb_dispatcher_lookups_unsure_total": 1, "foldlb_dispatcher_rejections_total": 1,
+		"foldlb_dispatcher_rejections_unsure_total": 0}, told)
 }
--- a/internal/ingest/prober_test.go
+++ b/internal/ingest/prober_test.go
@@ -35,6 +35,7 @@
 func (o *oneStore) Kick()                  {}
 
 func (o *oneStore) ControlReachable() time.Duration { return 0 }
+func (o *oneStore) ConfigConfirmed(uint64) bool     { return true }
 
 func (s *probedStore) Lookup(context.Context, *rpc.LookupRequest) (*rpc.LookupReply, error) {
 	s.probes.Inc()
--- a/internal/ingest/unconfirmed_test.go
+++ b/internal/ingest/unconfirmed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,3 +46,24 @@
 	w.control.silent.Store(false)
 	w.awaitUnknownRoute(fasthttp.StatusNotFound)
 }
+
+// A leader answers, but its stream has not brought the newest configuration yet.
+func TestUnknownRouteIsRefusedUntilTheNewestConfigurationHasCome(t *testing.T) {
+	w := confirmedWorld(t)
+	w.awaitUnknownRoute(fasthttp.StatusNotFound)
+	w.control.newest.Store(2)
+	w.awaitUnknownRoute(fasthttp.StatusServiceUnavailable)
+	w.publishConfig(2)
+	w.awaitUnknownRoute(fasthttp.StatusNotFound)
+}
+
+// Whether a body is too large is the configuration's to say as well.
+func TestLargeBodyIsRefusedWhileNoLeaderConfirmsTheConfiguration(t *testing.T) {
+	w := confirmedWorld(t)
+	tooLarge := strings.Repeat("x", 1001)
+	w.awaitUnknownRoute(fasthttp.StatusNotFound)
+	must.EqOp(t, fasthttp.StatusRequestEntityTooLarge, w.send("POST", "/free/x", tooLarge).status)
+	w.control.silent.Store(true)
+	w.awaitUnknownRoute(fasthttp.StatusServiceUnavailable)
+	must.EqOp(t, fasthttp.StatusServiceUnavailable, w.send("POST", "/free/x", tooLarge).status)
+}
--- a/internal/ingest/world_test.go
+++ b/internal/ingest/world_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 	"go.uber.org/atomic"
@@ -43,7 +44,8 @@
 	rpc.Control
 	hub    *watch.Hub
 	server *httptest.Server
-	silent atomic.Bool // it answers no renewal
+	silent atomic.Bool   // it answers no renewal
+	newest atomic.Uint64 // configuration that it names as the newest
 }
 
 func newControl(t *testing.T) *standInControl {
@@ -67,7 +69,7 @@
 	if c.silent.Load() {
 		return nil, context.DeadlineExceeded
 	}
-	return &rpc.RenewReply{Granted: true, Leader: true, LeaseMs: 2000}, nil
+	return &rpc.RenewReply{Granted: true, Leader: true, LeaseMs: 2000, ConfigVersion: c.newest.Load()}, nil
 }
 
 // putFunc answers a Put of one message.
@@ -194,9 +196,17 @@
 	}
 	w.publishMap(10, w.ownerAtFirst)
 	w.publishConfig(1)
+	w.awaitConfirmed(1)
 	return w
 }
 
+// awaitConfirmed waits until the answer to a renewal has confirmed a version.
+func (w *world) awaitConfirmed(version uint64) {
+	w.t.Helper()
+	must.Wait(w.t, wait.InitialSuccess(wait.BoolFunc(func() bool { return w.client.ConfigConfirmed(version) }),
+		wait.Timeout(testPatience), wait.Gap(time.Millisecond)))
+}
+
 // emptyWorld has neither a map nor a configuration.
 func emptyWorld(t *testing.T) *world {
 	t.Helper()
--- a/internal/storenode/deliver.go
+++ b/internal/storenode/deliver.go
@@ -23,7 +23,7 @@
 
 // pump begins attempts for messages that are due, as many as the limits of their routes allow, and sets the timer for the next.
 func (n *Node) pump() {
-	if n.view == nil || n.view.Config == nil || n.view.ConfigVersion < n.needs || !n.cluster.LeaseValid() {
+	if n.view == nil || n.view.Config == nil || n.view.ConfigVersion < n.needs || !n.mayDeliver() {
 		n.setTimer(n.now() + 50*time.Millisecond)
 		return
 	}
@@ -48,6 +48,12 @@
 	}
 }
 
+// mayDeliver reports whether messages may be sent to workers at this moment: the lease holds, and the configuration in force here was confirmed
+// lately as the newest one, so that no change has been acknowledged for long that leads them elsewhere. It is safe for concurrent use.
+func (n *Node) mayDeliver() bool {
+	return n.cluster.LeaseValid() && n.cluster.ConfigConfirmed(n.configVersion.Load())
+}
+
 // setTimer has pump called at the given time at the latest.
 func (n *Node) setTimer(at time.Duration) {
 	if n.timerAt != 0 && n.timerAt <= at {
@@ -171,7 +177,7 @@
 	job := &delivery.Job{Name: entry.Name, Route: entry.Route, Method: entry.Method, Path: entry.Path, Host: entry.Host,
 		RequestID: entry.RequestID, OrderKey: entry.OrderKey, ContentType: entry.ContentType, Body: body}
 	guard := func() bool {
-		return epoch > 0 && n.owned[entry.Partition].Load() == epoch && n.cluster.LeaseValid()
+		return epoch > 0 && n.owned[entry.Partition].Load() == epoch && n.mayDeliver()
 	}
 	n.engine.Submit(job, guard, func(outcome delivery.Outcome) {
 		n.post(func() { n.outcome(entry, outcome) })
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -39,6 +39,7 @@
 	View() *cluster.View
 	OnChange(func(*cluster.View))
 	LeaseValid() bool
+	ConfigConfirmed(version uint64) bool
 	Kick()
 	Store(address string) rpc.Store
 	Release(ctx context.Context, partitions []*rpc.PartitionEpoch) error
@@ -94,6 +95,7 @@
 	readyPartitions atomic.Uint32
 	refusedAt       atomic.Int64 // when a message was last refused for want of room, by now; 0 for never
 	backlog         atomic.Uint64
+	configVersion   atomic.Uint64 // of the configuration in force
 	closed          chan struct{}
 	diskFailed      chan struct{} // closed once the log refuses all writes
 	failOnce        sync.Once
@@ -209,6 +211,7 @@
 	n.view = view
 	if view.Config != nil && (old == nil || old.ConfigVersion != view.ConfigVersion) {
 		n.engine.SetCatalog(view.ConfigVersion, view.Config)
+		n.configVersion.Store(view.ConfigVersion)
 	}
 	if view.Workers != nil && (old == nil || old.Workers != view.Workers) {
 		n.engine.SetWorkers(view.Workers.Workers)
--- a/internal/storenode/sim_control_test.go
+++ b/internal/storenode/sim_control_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"foldlb.example/foldlb/coord/lease"
@@ -43,6 +44,7 @@
 	config     *catalog.Config
 	view       *cluster.View
 	changed    chan struct{} // closed when view is replaced
+	muted      atomic.Bool   // the streams bring nothing, while renewals are answered
 }
 
 // storeStatus is what a store told last.
@@ -403,6 +405,8 @@
 	inForce  uint64 // map version that the callback has seen
 	callback func(*cluster.View)
 	leaseEnd time.Time
+
+	confirmations cluster.Confirmations
 }
 
 func newFakeCluster(p *process) *fakeCluster {
@@ -431,6 +435,11 @@
 	return time.Now().Before(f.leaseEnd)
 }
 
+// ConfigConfirmed implements coordinator.
+func (f *fakeCluster) ConfigConfirmed(version uint64) bool {
+	return f.confirmations.Within(version, cluster.ConfirmBound(f.process.node.settings))
+}
+
 // Kick implements coordinator.
 func (f *fakeCluster) Kick() {
 	select {
@@ -491,7 +500,7 @@
 			time.Sleep(w.latency(controlName, p.machine.name, "view"))
 			continue
 		}
-		if w.isCut(controlName, p.machine.name) {
+		if w.isCut(controlName, p.machine.name) || w.control.muted.Load() {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
@@ -529,7 +538,14 @@
 		Disk: p.node.disk, Address: p.machine.address, MapVersion: version}
 	p.node.status(request)
 	sent := time.Now()
-	granted, ok := askControl(p, "renew", func(c *controlPlane) bool { return c.renew(request) })
+	var newest uint64
+	granted, ok := askControl(p, "renew", func(c *controlPlane) bool {
+		newest = c.config.Version
+		return c.renew(request)
+	})
+	if ok {
+		f.confirmations.Note(newest, sent)
+	}
 	if !ok || !granted {
 		return
 	}
