controlplane: the simulation of operators also plays groups that bear two losses

Change: each seed is played with three voters of four processes, as before, and with five of eight, where one loss may begin while another lasts.

--- a/internal/controlplane/sim_test.go
+++ b/internal/controlplane/sim_test.go
@@ -23,12 +23,24 @@
 	simTrouble       = 50 * time.Second
 	simCalm          = 20 * time.Second
 	simVoters        = 3
-	simProcesses     = 4
 	simOperators     = 3
 	simCheckMost     = 20 * time.Second // of real time
 	simSettledWithin = 50 * time.Millisecond
+	overlapNote      = "a loss while another lasts"
 )
 
+// simGroup is the size of a simulated group.
+type simGroup struct {
+	tolerance int // machines that may be lost at one time
+	processes int
+}
+
+// voters is how many voters the group keeps.
+func (g simGroup) voters() int { return 2*g.tolerance + 1 }
+
+// simGroups bear one loss and two.
+var simGroups = []simGroup{{tolerance: 1, processes: 4}, {tolerance: 2, processes: 8}}
+
 // TestOperatorsSeeOneConfiguration has operators order, repeat and read through processes that are cut off, killed, without
 // power, wiped or replaced, and checks their history for linearizability: one content for a number, no repeated order refused,
 // nothing older read, nothing refused by what is no longer in force.
@@ -41,22 +53,30 @@
 		first, count = value, 1
 	}
 	for seed := first; seed < first+count; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			directory := t.TempDir()
-			var history *simHistory
-			var trace []string
-			synctest.Test(t, func(t *testing.T) { history, trace = playOperators(t, seed, directory) })
-			checkHistory(t, history, trace)
-		})
+		for _, group := range simGroups {
+			t.Run(fmt.Sprintf("%d/%d losses", seed, group.tolerance), func(t *testing.T) {
+				t.Parallel()
+				directory := t.TempDir()
+				var history *simHistory
+				var trace []string
+				synctest.Test(t, func(t *testing.T) { history, trace = playOperators(t, seed, directory, group) })
+				checkHistory(t, history, trace)
+			})
+		}
 	}
 }
 
 // checkHistory looks for an order of the calls in which each outcome follows from the ones before.
 func checkHistory(t *testing.T, history *simHistory, trace []string) {
 	result := porcupine.CheckOperationsTimeout(configModel, history.operations, simCheckMost)
-	t.Logf("%d orders confirmed, %d of them repeats, %d refused, %d reads, %d calls in all: %s", history.confirmed, history.repeats,
-		history.refused, history.reads, len(history.operations), result)
+	overlaps := 0
+	for _, line := range trace {
+		if strings.Contains(line, overlapNote) {
+			overlaps++
+		}
+	}
+	t.Logf("%d orders confirmed, %d of them repeats, %d refused, %d reads, %d calls in all, %d losses while another lasted: %s", history.confirmed,
+		history.repeats, history.refused, history.reads, len(history.operations), overlaps, result)
 	if result == porcupine.Ok && history.violation == "" {
 		must.Positive(t, history.confirmed)
 		must.Positive(t, history.reads)
@@ -70,9 +90,10 @@
 	t.Fatalf("%s %s\n%s\n%s", result, history.violation, strings.Join(trace, "\n"), strings.Join(lines, "\n"))
 }
 
-func playOperators(t *testing.T, seed uint64, directory string) (*simHistory, []string) {
+func playOperators(t *testing.T, seed uint64, directory string, group simGroup) (*simHistory, []string) {
 	network := newSimNetwork(t, seed, directory)
-	for number := range simProcesses {
+	network.tolerance = group.tolerance
+	for number := range group.processes {
 		server := network.add()
 		if number < simVoters {
 			network.seeds = append(network.seeds, server.address)
@@ -90,7 +111,7 @@
 	for number := range simOperators {
 		go (&simOperator{network: network, history: history, number: number}).run()
 	}
-	troubles := &simTroubles{network: network}
+	troubles := &simTroubles{network: network, group: group}
 	for end := time.Now().Add(simTrouble); time.Now().Before(end); {
 		troubles.begin()
 		time.Sleep(network.between(200*time.Millisecond, 4*time.Second))
@@ -162,10 +183,12 @@
 	}
 }
 
-// simTroubles draws what goes wrong, and ends it again. One disk at most is lost at a time.
+// simTroubles draws what goes wrong, and ends it again. No more disks are lost at a time than the group bears.
 type simTroubles struct {
 	network  *simNetwork
+	group    simGroup
 	cutUntil time.Time
+	cutOne   *simServer // the only process that is cut off; nil where links fail otherwise
 	replaced bool
 }
 
@@ -174,7 +197,7 @@
 	n := f.network
 	if !f.cutUntil.IsZero() && time.Now().After(f.cutUntil) {
 		n.heal()
-		f.cutUntil = time.Time{}
+		f.cutUntil, f.cutOne = time.Time{}, nil
 		n.note("links are back")
 	}
 	target := n.list()[n.intN(len(n.list()))]
@@ -200,7 +223,7 @@
 		n.mutex.Lock()
 		n.lossy = 0.2
 		n.mutex.Unlock()
-		f.cutUntil = time.Now().Add(n.between(time.Second, 5*time.Second))
+		f.cutUntil, f.cutOne = time.Now().Add(n.between(time.Second, 5*time.Second)), nil
 		n.note("calls are lost")
 	}
 }
@@ -218,6 +241,10 @@
 	default:
 		n.cut(n.list(), []*simServer{target}, false)
 	}
+	f.cutOne = nil
+	if f.cutUntil.IsZero() {
+		f.cutOne = target
+	}
 	f.cutUntil = time.Now().Add(length)
 	n.note("%s is cut off, both ways %t, outward %t, for %s", target.address, both, outward, length)
 }
@@ -231,7 +258,7 @@
 		halves[half] = append(halves[half], server)
 	}
 	n.cut(halves[0], halves[1], true)
-	f.cutUntil = time.Now().Add(n.between(time.Second, 15*time.Second))
+	f.cutUntil, f.cutOne = time.Now().Add(n.between(time.Second, 15*time.Second)), nil
 	n.note("two halves")
 }
 
@@ -261,26 +288,33 @@
 	}
 }
 
-// mayLoseDisk reports whether the group has made up for the loss before: all voters run on the disks that the list names, and that list
-// stands alone. While voters are exchanged, the list that comes is told as the members, but the one before still counts, and a disk that is
-// gone with it.
+// mayLoseDisk reports whether the group bears another loss: fewer voters than it may lose are cut off or do not run on the disks that the list
+// names, and that list stands alone. While voters are exchanged, the list that comes is told as the members, but the one before still
+// counts, and a disk that is gone with it.
 func (f *simTroubles) mayLoseDisk() bool {
 	leader := f.network.leader()
-	if leader == nil || !f.cutUntil.IsZero() || !isSettled(leader) {
+	if leader == nil || !f.cutUntil.IsZero() && f.cutOne == nil || !isSettled(leader) {
 		return false
 	}
 	voters := leader.running().server.node.Status().Members
-	if len(voters) != simVoters {
+	if len(voters) != f.group.voters() {
 		return false
 	}
+	lost := 0
+	if f.cutOne != nil {
+		lost++
+	}
 	for _, voter := range voters {
 		server := f.network.at(voter.Address)
 		process := server.running()
-		if process == nil || process.server.identity() != voter.ID {
-			return false
+		if server != f.cutOne && (process == nil || process.server.identity() != voter.ID) {
+			lost++
 		}
 	}
-	return true
+	if lost > 0 && lost < f.group.tolerance {
+		f.network.note("%s, %d in all", overlapNote, lost+1)
+	}
+	return lost < f.group.tolerance
 }
 
 // isSettled reports whether no change of voters is under way: a change of nothing ends at once, or with the one that is.
