Copies written round their owners hold up a recovery only where they are older than the loss

Cause: a holder tells of copies that a dispatcher wrote round the owner until the owner knows them, and a lost disk counted as made up for only while nobody told of any.

Change: puts carry the table of owners that was in force when the dispatcher began to place the message; stores tell how many of their scarce copies are unconfirmed, and the lowest such table. The leader counts those below the first table that names the new disk, or takes the store for leaving; a table that isn't known counts as below. No clocks are compared. An older store, which tells neither, counts as before.

--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -18,6 +18,21 @@
 // must have been made up for within the time that its successor is given (syncS).
 const goneAfter = 200 * time.Millisecond
 
+// moment is a point in time, and the first table of owners by which what began then is known.
+type moment struct {
+	at    time.Time
+	table uint64 // version
+}
+
+// tableWithDisk returns the version of the first table that surely names the present disk of a store: the committed one does, or the next.
+func tableWithDisk(state *rpc.ControlState, member *rpc.StoreMember) uint64 {
+	committed := findStore(state.Stores, member.Node)
+	if committed != nil && committed.Disk == member.Disk {
+		return state.MapVersion
+	}
+	return state.MapVersion + 1
+}
+
 // restoreWhole marks the stores whole whose lost copies have been restored: all owners have reported for wholeSettle since they
 // joined that no message has too few copies.
 func (t *term) restoreWhole(state *rpc.ControlState, next *table, now time.Time) {
@@ -32,8 +47,8 @@
 		}
 		since, known := t.joined[member.Disk]
 		if !known {
-			since = now
-			t.joined[member.Disk] = now
+			since = moment{at: now, table: tableWithDisk(state, member)}
+			t.joined[member.Disk] = since
 		}
 		if t.ownersSettled(state, next, since, wholeSettle, now) {
 			member.Whole = true
@@ -58,8 +73,8 @@
 		}
 		since, known := t.emptySince[retirement.Node]
 		if !known {
-			since = now
-			t.emptySince[retirement.Node] = now
+			since = moment{at: now, table: state.MapVersion}
+			t.emptySince[retirement.Node] = since
 		}
 		if t.ownersSettled(state, next, since, retireSettle, now) {
 			retirement.Completed = true
@@ -82,17 +97,21 @@
 		}
 		since, known := t.silentSince[member.Node]
 		if !known {
-			since = now
-			t.silentSince[member.Node] = now
+			since = moment{at: now}
+			t.silentSince[member.Node] = since
 		}
-		if now.Sub(since) < goneAfter || next.ownsAny(member.Node) || !t.enoughWithout(next, member.Node, copies, now) {
+		if now.Sub(since.at) < goneAfter || next.ownsAny(member.Node) || !t.enoughWithout(next, member.Node, copies, now) {
 			continue
 		}
 		if !member.Leaving {
 			member.Leaving = true
 			continue
 		}
-		if t.ownersSettled(state, next, since.Add(goneAfter), giveUpSettle, now) {
+		if since.table == 0 {
+			since.table = state.MapVersion // whose stores take it for leaving
+			t.silentSince[member.Node] = since
+		}
+		if t.ownersSettled(state, next, moment{at: since.at.Add(goneAfter), table: since.table}, giveUpSettle, now) {
 			giveUp(member)
 			delete(t.silentSince, member.Node)
 		}
@@ -136,7 +155,7 @@
 // ownersSettled reports whether every partition has an owner, all owners know the newest table and have reported for so long
 // since a moment that no message has too few copies, and no other store that was heard lately has told of a copy that its
 // owner may not know.
-func (t *term) ownersSettled(state *rpc.ControlState, next *table, since time.Time, settle time.Duration, now time.Time) bool {
+func (t *term) ownersSettled(state *rpc.ControlState, next *table, since moment, settle time.Duration, now time.Time) bool {
 	for _, member := range next.stores {
 		if status := t.heardLately(member, now); status != nil && !status.cleanFor(since, settle) {
 			return false
@@ -158,13 +177,14 @@
 	return true
 }
 
-// cleanFor reports whether the store has reported for so long since a moment that it has enough copies of every
-// message.
-func (s *storeStatus) cleanFor(since time.Time, settle time.Duration) bool {
-	if s.cleanSince.IsZero() {
+// cleanFor reports whether the store has reported for so long since a moment that it has enough copies of every message of its partitions,
+// and tells of no copy that a dispatcher began to place under an earlier table and its owner may not know: one that was begun later has
+// no copy on a disk that was gone by then.
+func (s *storeStatus) cleanFor(since moment, settle time.Duration) bool {
+	if s.cleanSince.IsZero() || s.unconfirmed && s.unconfirmedUnder < since.table {
 		return false
 	}
-	from := since
+	from := since.at
 	if s.cleanSince.After(from) {
 		from = s.cleanSince
 	}
--- a/internal/controlplane/term.go
+++ b/internal/controlplane/term.go
@@ -41,7 +41,11 @@
 	readyCount    int // partitions that it has taken over
 	backlog       uint64
 	underCopied   uint64
-	cleanSince    time.Time // since when it has reported no message with too few copies; zero if it has some
+	cleanSince    time.Time // since when it has reported no message of its partitions with too few copies; zero if it has some
+	// unconfirmed is whether it holds copies that their owners may not know; unconfirmedUnder is the lowest table under which a dispatcher
+	// began to place one of them.
+	unconfirmed      bool
+	unconfirmedUnder uint64
 }
 
 // dispatcherStatus is what the newest renewal of a dispatcher has told.
@@ -74,11 +78,11 @@
 	stores      map[string]*storeStatus      // by machine
 	dispatchers map[string]*dispatcherStatus // by machine
 	leases      *storeLeases
-	fences      map[string]uint64    // by machine: the map version it must know to be granted a lease
-	firstStore  time.Time            // when the first store renewed
-	joined      map[string]time.Time // by disk: since when a disk that is not whole has been known
-	emptySince  map[string]time.Time // by machine that retires: since when it has owned nothing
-	silentSince map[string]time.Time // by machine: since when its store has held no lease
+	fences      map[string]uint64 // by machine: the map version it must know to be granted a lease
+	firstStore  time.Time         // when the first store renewed
+	joined      map[string]moment // by disk: since when a disk that is not whole has been known
+	emptySince  map[string]moment // by machine that retires: since when it has owned nothing
+	silentSince map[string]moment // by machine: since when its store has held no lease, and the table by which it was first leaving
 	releases    []*release
 	listVersion uint64 // of the list of workers
 }
@@ -94,9 +98,9 @@
 		dispatchers: make(map[string]*dispatcherStatus),
 		leases:      newStoreLeases(state, now),
 		fences:      make(map[string]uint64),
-		joined:      make(map[string]time.Time),
-		emptySince:  make(map[string]time.Time),
-		silentSince: make(map[string]time.Time),
+		joined:      make(map[string]moment),
+		emptySince:  make(map[string]moment),
+		silentSince: make(map[string]moment),
 	}
 }
 
@@ -183,7 +187,9 @@
 	s.backlog = request.Backlog
 	s.underCopied = request.UnderCopied
 	s.readyCount = int(request.ReadyPartitions)
-	if request.UnderCopied > 0 {
+	s.unconfirmed = request.Unconfirmed > 0
+	s.unconfirmedUnder = request.UnconfirmedUnder
+	if request.UnderCopied > request.Unconfirmed {
 		s.cleanSince = time.Time{}
 	} else if s.cleanSince.IsZero() {
 		s.cleanSince = now
--- a/internal/ingest/accept.go
+++ b/internal/ingest/accept.go
@@ -54,12 +54,13 @@
 
 // accept has a message stored. It returns the name the message got, and the answer to give.
 func (d *dispatcher) accept(message *request) (name string, result verdict) {
+	view := d.cluster.View()
 	course := &acceptance{
 		dispatcher: d,
 		message:    message,
-		putter:     putter{dispatcher: d, message: message, outcomes: make(chan putOutcome, maxPuts)},
+		putter:     putter{dispatcher: d, message: message, under: view.Map.GetVersion(), outcomes: make(chan putOutcome, maxPuts)},
 		random:     randomName(),
-		view:       d.cluster.View(),
+		view:       view,
 	}
 	if course.view.Partitions() == 0 || !course.choosePartition() {
 		return "", refused
--- a/internal/ingest/put.go
+++ b/internal/ingest/put.go
@@ -38,6 +38,7 @@
 type putter struct {
 	dispatcher *dispatcher
 	message    *request
+	under      uint64          // table of owners that was in force when the message began to be placed
 	outcomes   chan putOutcome // has room for all tries
 }
 
@@ -48,6 +49,7 @@
 		ConfigVersion: configVersion,
 		Messages:      []*rpc.Message{p.message.asMessage(name, partition, to.epoch)},
 		Epochs:        []uint64{to.epoch},
+		PlacedUnder:   p.under,
 	}
 	go func() {
 		p.outcomes <- putOutcome{target: to, result: p.call(to, put)}
--- a/internal/ingest/unconfirmed_test.go
+++ b/internal/ingest/unconfirmed_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/wait"
 	"github.com/valyala/fasthttp"
 
+	"foldlb.example/foldlb/internal/rpc"
 	"foldlb.example/foldlb/internal/settings"
 )
 
@@ -67,3 +68,18 @@
 	w.awaitUnknownRoute(fasthttp.StatusServiceUnavailable)
 	must.EqOp(t, fasthttp.StatusServiceUnavailable, w.send("POST", "/free/x", tooLarge).status)
 }
+
+// The control plane asks by it whether a copy may have stood on a disk that was lost: so it is the table of the beginning, whatever came since.
+func TestPutsTellTheTableUnderWhichTheMessageWasBegun(t *testing.T) {
+	w := newWorld(t)
+	key := w.keyOwnedBy(w.stores[0])
+	w.stores[0].onPut(answering(rpc.PutStatus_NOT_OWNER))
+	began := w.mapVersion
+	answer := w.sendAsync("POST", "/keyed/x", "", headerOrderKey, key)
+	must.EqOp(t, began, w.stores[0].awaitPut(t).PlacedUnder)
+	w.publishMap(11, func(int) *standInStore { return w.stores[1] })
+	must.EqOp(t, began, w.stores[1].awaitPut(t).PlacedUnder)
+	must.EqOp(t, fasthttp.StatusAccepted, (<-answer).status)
+	w.send("POST", "/free/x", "")
+	must.EqOp(t, w.mapVersion, w.stores[1].awaitPut(t).PlacedUnder)
+}
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -36,6 +36,7 @@
 	Running     bool
 	ScrubAt     time.Duration // when a holder next asks the owner about it
 	RepairAt    time.Duration // when the owner next restores a copy that is missing
+	PlacedUnder uint64        // table of owners under which a dispatcher began to place the copy here; 0 where that isn't known
 	OwnerKnows  bool          // a copy that a dispatcher wrote round the owner: the owner has been told of it
 	Accepting   uint64        // version of the map under which it is being accepted; 0 once that is over
 	EnoughAt    uint64        // version of the map by which its end was found to be on enough disks; 0 for none
--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -253,7 +253,7 @@
 	reply := &rpc.PutReply{Statuses: make([]rpc.PutStatus, len(request.Messages))}
 	if !n.do(func() {
 		for i, m := range request.Messages {
-			reply.Statuses[i] = n.holdOne(m, request.Epochs[i])
+			reply.Statuses[i] = n.holdOne(m, request.Epochs[i], request.PlacedUnder)
 		}
 	}) {
 		return nil, errClosed
@@ -267,7 +267,8 @@
 	return reply, nil
 }
 
-func (n *Node) holdOne(m *rpc.Message, epoch uint64) rpc.PutStatus {
+// holdOne stores one copy. placedUnder is the table under which a dispatcher began to place the message, 0 for one of a store.
+func (n *Node) holdOne(m *rpc.Message, epoch, placedUnder uint64) rpc.PutStatus {
 	if epoch < n.table.Fence(m.Partition) {
 		return rpc.PutStatus_STALE_EPOCH
 	}
@@ -297,7 +298,8 @@
 	entry = n.table.Add(entry, n.now())
 	if n.isUnconfirmed(entry) {
 		entry.ScrubAt = n.now() + scrubUnconfirmed
-		n.underCopied.Add(1) // until upkeep has counted
+		entry.PlacedUnder = placedUnder
+		n.underCopied.addUnconfirmed(placedUnder)
 	}
 	if n.table.IsReady(m.Partition) { // it was sent here by a dispatcher that could not reach this store as the owner
 		n.pumpDue = true
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -91,7 +91,7 @@
 	leaving atomic.Bool
 
 	counters        counters
-	underCopied     atomic.Uint64
+	underCopied     scarceCount
 	readyPartitions atomic.Uint32
 	refusedAt       atomic.Int64 // when a message was last refused for want of room, by now; 0 for never
 	backlog         atomic.Uint64
@@ -150,7 +150,7 @@
 		releases: map[uint32]uint64{}, owned: make([]atomic.Uint64, maxPartitions), closed: make(chan struct{}),
 		diskFailed: make(chan struct{}),
 	}
-	n.underCopied.Store(1) // not known before upkeep has counted
+	n.underCopied.store(scarceCopies{lacking: 1}) // not known before upkeep has counted
 	if err := n.openLog(aroundSync); err != nil {
 		return nil, err
 	}
@@ -200,7 +200,10 @@
 func (n *Node) status(request *rpc.RenewRequest) {
 	request.Leaving = n.leaving.Load()
 	request.Backlog = n.backlog.Load()
-	request.UnderCopied = n.underCopied.Load()
+	scarce := n.underCopied.read()
+	request.UnderCopied = scarce.lacking + scarce.unconfirmed
+	request.Unconfirmed = scarce.unconfirmed
+	request.UnconfirmedUnder = scarce.placedUnder
 	request.ReadyPartitions = n.readyPartitions.Load()
 	request.Impaired = n.impaired()
 }
--- a/internal/storenode/takeover.go
+++ b/internal/storenode/takeover.go
@@ -37,7 +37,7 @@
 		}
 	}
 	if len(taken) > 0 {
-		n.underCopied.Add(uint64(len(taken))) // until upkeep has counted
+		n.underCopied.addLacking(uint64(len(taken)))
 		n.log.Info("partitions assigned", "map", view.Version, "partitions", len(taken))
 		go n.gather(taken)
 	}
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -50,7 +50,7 @@
 func (n *Node) upkeep(now time.Duration) {
 	alive, wanted := n.holders.domains, n.holders.wanted
 	var expired, missing, scarceEnds, unheld []*message.Entry
-	unconfirmed := 0
+	var scarce scarceCopies
 	ask := map[string][]*rpc.Fate{}
 	n.table.Each(func(e *message.Entry) {
 		if e.State == rpc.State_COMPLETED {
@@ -65,7 +65,7 @@
 				return
 			}
 			if n.isUnconfirmed(e) {
-				unconfirmed++
+				scarce.addUnconfirmed(e.PlacedUnder)
 			}
 			n.collectScrub(e, now, ask)
 			return
@@ -91,7 +91,8 @@
 	missing = append(missing, scarceEnds...)
 	ready, takenOver := n.ownedPartitions()
 	n.readyPartitions.Store(uint32(ready))
-	n.underCopied.Store(uint64(len(missing) + takenOver + unconfirmed))
+	scarce.lacking = uint64(len(missing) + takenOver)
+	n.underCopied.store(scarce)
 	n.repairAll(missing, alive, now)
 	for disk, fates := range ask {
 		if one := n.peers.get(disk); one != nil {
--- a/internal/storenode/whole_test.go
+++ b/internal/storenode/whole_test.go
@@ -60,3 +60,33 @@
 		must.True(t, isReady(next.running()))
 	})
 }
+
+// A copy that was placed before the disk was lost may have had its other copy there, so its owner must know it first; also where its
+// holder has restarted since and can't say when it was placed.
+func TestDiskIsNotWholeWhileACopyOfBeforeItsLossIsUnconfirmed(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		owner, epoch := w.owner(0)
+		lost, holder := w.others(0)[0], w.others(0)[1]
+		for _, m := range []*machine{lost, holder} {
+			w.cut(m.name, owner.name)
+			w.cut(owner.name, m.name)
+		}
+		for _, m := range []*machine{lost, holder} {
+			must.Eq(t, rpc.PutStatus_STORED, w.put(m, rpc.PutMode_HOLDER, epoch, w.idle("round", "")))
+		}
+		lost.stop(end{off: true, loseDisk: true})
+		lost.start()
+		time.Sleep(timeToRestore)
+		must.False(t, w.control.allWhole())
+		holder.stop(end{})
+		holder.start()
+		time.Sleep(timeToRestore)
+		must.False(t, w.control.allWhole())
+		w.mutex.Lock()
+		clear(w.cuts)
+		w.mutex.Unlock()
+		time.Sleep(timeToRestore)
+		must.True(t, w.control.allWhole())
+		must.GreaterEq(t, 2, w.copies("round"))
+	})
+}
