--- a/internal/lab/ledger.go
+++ b/internal/lab/ledger.go
@@ -3,6 +3,7 @@
 package lab
 
 import (
+	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -148,6 +149,7 @@
 	defer l.mu.Unlock()
 	a := Account{Requests: len(l.entries), Outcomes: map[Outcome]int{}, Drained: l.drained, SecondCopies: l.second,
 		Unknown: l.unknown, RepeatedCalls: l.repeated, UnheardCalls: l.unheard}
+	first := l.firstPlanned()
 	for id, e := range l.entries {
 		a.Outcomes[e.outcome]++
 		a.Twice += e.extra
@@ -160,7 +162,7 @@
 		switch e.outcome {
 		case Lost, Wrong, Overdue, Open, Failed, Refused:
 			if len(a.Worst) < 20 {
-				a.Worst = append(a.Worst, id+" "+e.class+" "+string(e.outcome)+": "+e.detail)
+				a.Worst = append(a.Worst, e.describe(id, first))
 			}
 		}
 	}
@@ -168,6 +170,26 @@
 	return a
 }
 
+// firstPlanned is when the first request was to be sent. The ledger is locked.
+func (l *Ledger) firstPlanned() time.Time {
+	var first time.Time
+	for _, e := range l.entries {
+		if first.IsZero() || e.planned.Before(first) {
+			first = e.planned
+		}
+	}
+	return first
+}
+
+// describe tells what became of a request, in seconds from the first one on.
+func (e *entry) describe(id string, first time.Time) string {
+	text := fmt.Sprintf("%s %s %s: %s; planned at %.3f s, sent to workers %d times", id, e.class, e.outcome, e.detail, e.planned.Sub(first).Seconds(), e.sends)
+	if !e.ended.IsZero() {
+		text += fmt.Sprintf(", ended after %.3f s", e.ended.Sub(e.planned).Seconds())
+	}
+	return text
+}
+
 // sample is one request's time, for histograms and charts.
 type sample struct {
 	planned time.Time
