--- a/cmd/foldlb-control/status_test.go
+++ b/cmd/foldlb-control/status_test.go
@@ -104,3 +104,20 @@
 	_, err = leaderStatus(context.Background(), []string{silent})
 	must.Error(t, err)
 }
+
+func TestStatusTellsOfTooFewVotersAndOfAnExchange(t *testing.T) {
+	status := exampleStatus()
+	status.FaultTolerance = 2
+	printed := func() string {
+		var out strings.Builder
+		printStatus(&out, status)
+		return out.String()
+	}
+	status.VotersWanted = 2
+	must.StrNotContains(t, printed(), "needed to bear")
+	must.StrNotContains(t, printed(), "being exchanged")
+	status.VotersWanted = 5
+	must.StrContains(t, printed(), "2 voters, but 5 are needed to bear the loss of 2")
+	status.VotersExchanging = true
+	must.StrContains(t, printed(), "voters are being exchanged")
+}
--- a/cmd/foldlb-control/statustext.go
+++ b/cmd/foldlb-control/statustext.go
@@ -26,6 +26,9 @@
 			status.Address, status.Epoch)
 	}
 	fmt.Fprintf(out, "voters %s\n", strings.Join(status.Voters, " "))
+	if status.VotersExchanging {
+		fmt.Fprintln(out, "voters are being exchanged: take no other control process away until this is over")
+	}
 	if len(status.Voters) < status.VotersWanted {
 		fmt.Fprintf(out, "%d voters, but %d are needed to bear the loss of %d at one time: run the control role on more machines with a disk\n",
 			len(status.Voters), status.VotersWanted, status.FaultTolerance)
--- a/coord/failover/loop.go
+++ b/coord/failover/loop.go
@@ -135,9 +135,9 @@
 
 // status describes the machine.
 func (machine *machine) status(now time.Duration) Status {
-	members := machine.committedContents.Members
+	newest := machine.committedContents
 	if machine.committedVersion == (Version{}) {
-		members = machine.record.Contents.Members
+		newest = machine.record.Contents
 	}
 	return Status{
 		Leader:        machine.servesUntil(now) > now,
@@ -146,7 +146,8 @@
 		StateEpoch:    machine.committedVersion.Epoch,
 		StateSeq:      machine.committedVersion.Seq,
 		State:         machine.committedContents.State,
-		Members:       members,
+		Members:       newest.Members,
+		Exchanging:    newest.isJoint() || machine.record.Contents.isJoint(),
 		Identity:      machine.record.Identity,
 		Voter:         machine.isVoter(),
 	}
@@ -159,6 +160,7 @@
 		one.Epoch == other.Epoch &&
 		one.StateEpoch == other.StateEpoch &&
 		one.StateSeq == other.StateSeq &&
+		one.Exchanging == other.Exchanging &&
 		one.Voter == other.Voter &&
 		slices.Equal(one.Members, other.Members)
 }
--- a/coord/failover/machine_test.go
+++ b/coord/failover/machine_test.go
@@ -313,3 +313,15 @@
 	bench.step(replicateCall{request: resigned})
 	must.True(t, only[answerVote](bench.ask(VoteRequest{Member: selfID, Epoch: 2, AskOnly: true}))[0].reply.Granted)
 }
+
+// Until the new list stands alone, the one before counts as well, and operators are told.
+func TestStatusTellsOfAnExchange(t *testing.T) {
+	members := []Member{{ID: "a", Address: "a:1"}, {ID: "b", Address: "b:1"}, {ID: "c", Address: "c:1"}}
+	record := Record{Identity: "a", Contents: Contents{Members: members}}
+	config := machineConfig{address: "a:1", random: func(int64) int64 { return 0 }}
+	settled, _ := newMachine(config, record, startRestarted, 0)
+	must.False(t, settled.status(0).Exchanging)
+	record.Contents.OldMembers = append([]Member{{ID: "d", Address: "d:1"}}, members[1:]...)
+	joint, _ := newMachine(config, record, startRestarted, 0)
+	must.True(t, joint.status(0).Exchanging)
+}
--- a/coord/failover/node.go
+++ b/coord/failover/node.go
@@ -59,6 +59,7 @@
 	StateSeq      uint64
 	State         []byte   // committed; must not be modified
 	Members       []Member // voters of the committed version, or of the record on disk where none is known yet
+	Exchanging    bool     // Members are the coming list: the one before still counts, and bears no further loss of its own
 	Identity      string   // of this member
 	Voter         bool     // this member is in the newest list that it holds
 }
--- a/internal/controlplane/status.go
+++ b/internal/controlplane/status.go
@@ -18,7 +18,8 @@
 	MapVersion       uint64             `json:"mapVersion"`
 	Streams          int                `json:"streams"`
 	Voters           []string           `json:"voters"`
-	VotersWanted     int                `json:"votersWanted"` // for the fault tolerance of the settings
+	VotersWanted     int                `json:"votersWanted"`     // for the fault tolerance of the settings
+	VotersExchanging bool               `json:"votersExchanging"` // until this ends, a further loss counts for the voters before as well
 	ControlAddresses []string           `json:"controlAddresses"`
 	Stores           []StoreStatus      `json:"stores"`
 	Dispatchers      []DispatcherStatus `json:"dispatchers"`
@@ -103,6 +104,7 @@
 		Retirements:      make(map[string]string),
 		FaultTolerance:   s.copies() - 1,
 		VotersWanted:     s.wantedVoters(),
+		VotersExchanging: known.Exchanging,
 	}
 	for _, member := range known.Members {
 		status.Voters = append(status.Voters, member.Address)
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -253,7 +253,8 @@
 	case 200:
 		c.ledger.ended(id, Answered, "", string(resp.Body()))
 	case 429, 503:
-		c.ledger.ended(id, Refused, strings.TrimSpace(string(resp.Body())), "")
+		reason := fmt.Sprintf("%s, Retry-After %q", strings.TrimSpace(string(resp.Body())), resp.Header.Peek("Retry-After"))
+		c.ledger.ended(id, Refused, reason, "")
 	default:
 		c.ledger.ended(id, Failed, fmt.Sprint(code, " ", strings.TrimSpace(string(resp.Body()))), "")
 	}
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -93,7 +93,7 @@
 	n.readyPartitions.Store(uint32(ready))
 	scarce.lacking = uint64(len(missing) + takenOver)
 	n.underCopied.store(scarce)
-	n.repairAll(missing, alive, now)
+	n.repairAll(missing, now)
 	for disk, fates := range ask {
 		if one := n.peers.get(disk); one != nil {
 			go n.scrub(one, fates)
@@ -117,7 +117,7 @@
 }
 
 // repairAll restores copies, a bounded number at a time, and looks again soon where any is missing.
-func (n *Node) repairAll(missing []*message.Entry, alive map[string]string, now time.Duration) {
+func (n *Node) repairAll(missing []*message.Entry, now time.Duration) {
 	begun, most := 0, max(repairBatch, len(missing)/repairRounds)
 	for _, e := range missing {
 		if begun == most {
@@ -127,7 +127,7 @@
 			continue
 		}
 		e.RepairAt = now + repairAgain
-		n.repair(e, alive)
+		n.repair(e)
 		begun++
 	}
 	if len(missing) == 0 || n.repairing {
@@ -170,7 +170,8 @@
 }
 
 // repair restores one copy of a message that has too few.
-func (n *Node) repair(e *message.Entry, alive map[string]string) {
+func (n *Node) repair(e *message.Entry) {
+	alive := n.holders.domains
 	if !e.IsKept() {
 		name, holders := e.Name, append([]string(nil), e.Holders...)
 		go func() {
