An upgrade that fell back does not have requests turned away as if workers were late

Change: a held body tells the module that it stood still before it goes on; what was out is not judged.

Ruled out: load alone.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -584,6 +584,13 @@
 	}
 }
 
+// StoodStill says that nothing could be read until now: the start of what is out tells nothing of the workers.
+func (d *Dispatcher) StoodStill() {
+	for _, r := range d.reqs {
+		r.judged = true
+	}
+}
+
 // sawLate enters whether a job waited or took longer than its aim bears.
 func (d *Dispatcher) sawLate(late bool) { d.late = part(d.late, late, lateMemory) }
 
@@ -594,14 +601,6 @@
 	}
 }
 
-// FirstByte binds a request to an attempt whose stream has begun.
-func (d *Dispatcher) FirstByte(now float64, id string, no int) {
-	if r := d.reqs[id]; r != nil && no >= 0 && no < len(r.attempts) {
-		r.over = true
-		r.attempts[no].w.lifeAt = now
-	}
-}
-
 // Note takes news of a running attempt.
 func (d *Dispatcher) Note(now float64, n Note) {
 	r := d.reqs[n.Request]
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -934,6 +934,25 @@
 	}
 }
 
+// TestStartsAfterAPauseAreNotJudged: what was out while the dispatcher stood still tells nothing of the workers.
+func TestStartsAfterAPauseAreNotJudged(t *testing.T) {
+	s := plain(AtMostOnce)
+	s.TellsStart = true
+	d, _ := start(t, s, fleet("a"))
+	d.Request(2, ask("r", 2))
+	d.StoodStill()
+	d.refresh(2.5)
+	d.Note(2.6, Note{Request: "r", Started: true})
+	if d.late != 0 {
+		t.Errorf("%.3f are late after a pause", d.late)
+	}
+	d.Request(3, ask("q", 2))
+	d.Note(3.6, Note{Request: "q", Started: true})
+	if d.late == 0 {
+		t.Error("a request that came after the pause was not judged")
+	}
+}
+
 // TestLateReturnsAreTurnedAwayFirst: a caller that has come back can't be served in time any more.
 func TestLateReturnsAreTurnedAwayFirst(t *testing.T) {
 	refused := map[bool]int{}
--- a/choice/state.go
+++ b/choice/state.go
@@ -270,6 +270,14 @@
 	}
 }
 
+// FirstByte binds a request to an attempt whose stream has begun.
+func (d *Dispatcher) FirstByte(now float64, id string, no int) {
+	if r := d.reqs[id]; r != nil && no >= 0 && no < len(r.attempts) {
+		r.over = true
+		r.attempts[no].w.lifeAt = now
+	}
+}
+
 // Barred counts the listed workers in service that are barred for their failures.
 func (d *Dispatcher) Barred(now float64) (n int) {
 	for _, w := range d.workers {
--- a/internal/upgrade/body.go
+++ b/internal/upgrade/body.go
@@ -159,6 +159,7 @@
 // LetGo lets everything go on.
 func (b *Body) LetGo() {
 	if b.goOn != nil {
+		b.Reducer.StoodStill()
 		b.Gate.Release()
 		b.goOn()
 		b.goOn = nil
