--- a/internal/cluster/confirm_test.go
+++ b/internal/cluster/confirm_test.go
@@ -100,3 +100,19 @@
 	options.Settings.HeartbeatMs = 1200
 	must.EqOp(t, 1200*time.Millisecond, options.renewInterval())
 }
+
+// What a leader names it knew when it was asked, however long its answer takes.
+func TestConfirmationCountsFromTheSendingOfTheRenewal(t *testing.T) {
+	control := newControl(t)
+	control.pass = make(chan struct{})
+	options := Options{Settings: &settings.Settings{Bounds: settings.Bounds{ConfigApplyMs: 600}}}
+	bound := ConfirmBound(options.Settings)
+	client := start(t, options, control.address())
+	control.awaitRenewal(t, anyRenewal)
+	asked := time.Now() // or a little earlier
+	<-time.After(bound * 3 / 4)
+	control.pass <- struct{}{}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return client.LeaseValid() }), wait.Timeout(testPatience), wait.Gap(time.Millisecond)))
+	<-time.After(time.Until(asked.Add(bound)))
+	must.False(t, client.ConfigConfirmed(0))
+}
--- a/internal/cluster/world_test.go
+++ b/internal/cluster/world_test.go
@@ -33,6 +33,7 @@
 	newest   uint64 // configuration that it names as the newest
 	silent   bool
 	refuse   bool
+	pass     chan struct{} // each answer to a renewal takes one; nil where none waits
 	renewals chan *rpc.RenewRequest
 	released []*rpc.ReleaseRequest
 }
@@ -78,7 +79,7 @@
 // Renew grants two seconds, where this process leads.
 func (c *standInControl) Renew(ctx context.Context, request *rpc.RenewRequest) (*rpc.RenewReply, error) {
 	c.mutex.Lock()
-	leader, epoch, newest, silent, refuse := c.leader, c.epoch, c.newest, c.silent, c.refuse
+	leader, epoch, newest, silent, refuse, pass := c.leader, c.epoch, c.newest, c.silent, c.refuse, c.pass
 	c.mutex.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -91,6 +92,13 @@
 	case c.renewals <- request:
 	default:
 	}
+	if pass != nil {
+		select {
+		case <-pass:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	return &rpc.RenewReply{Granted: !refuse, Leader: true, LeaderEpoch: epoch, LeaseMs: 2000, ConfigVersion: newest}, nil
 }
 
