--- a/choice/choice.go
+++ b/choice/choice.go
@@ -584,7 +584,7 @@
 	}
 }
 
-// StoodStill says that nothing could be read until now: the start of what is out tells nothing of the workers.
+// StoodStill says that nothing could be read until now: what is out tells nothing of the workers.
 func (d *Dispatcher) StoodStill() {
 	for _, r := range d.reqs {
 		r.judged = true
