Control and members tell when they find no leader, and whom they asked

Now figures (leader_known, peers, joins_total, renewals_total) and a log line after 3 s at control processes, stores and dispatchers. No logic is changed.

--- a/internal/cluster/book.go
+++ b/internal/cluster/book.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -131,6 +132,13 @@
 	return b.leader, b.moved
 }
 
+// known returns the addresses known.
+func (b *addressBook) known() []string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return slices.Clone(b.addresses)
+}
+
 // count is the number of addresses known.
 func (b *addressBook) count() int {
 	b.mutex.Lock()
--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -21,6 +21,8 @@
 	lease    *lease
 	kicks    chan struct{}
 
+	toldNoLeader bool // belongs to the goroutine that renews
+
 	confirmations Confirmations
 
 	view      atomic.Pointer[View]
--- a/internal/cluster/renew.go
+++ b/internal/cluster/renew.go
@@ -37,6 +37,7 @@
 	defer cancel()
 	sent := time.Now()
 	reply, err := c.clients.control(address).Renew(bounded, c.renewRequest())
+	defer c.tellNoLeader()
 	if err != nil {
 		c.book.fail(address)
 		return c.retryDelay()
@@ -64,7 +65,7 @@
 	return c.options.renewInterval()
 }
 
-// toldSilence is the shortest time without a leader that is logged once it is over.
+// toldSilence is the shortest time without a leader that is logged: once while it lasts, and once it is over.
 const toldSilence = 3 * time.Second
 
 // tellSilence logs for how long no renewal had been granted when one was sent that is.
@@ -76,6 +77,20 @@
 	c.options.Log.Info("a leader answers again", "after", silent.Round(time.Millisecond).String(), "configuration", c.View().ConfigVersion)
 }
 
+// tellNoLeader logs once that no renewal has been granted for some time, and who was asked.
+func (c *Client) tellNoLeader() {
+	silent := c.lease.age()
+	if silent < toldSilence {
+		c.toldNoLeader = false
+		return
+	}
+	if c.toldNoLeader {
+		return
+	}
+	c.toldNoLeader = true
+	c.options.Log.Info("no leader answers", "for", silent.Round(time.Millisecond).String(), "asked", c.book.known())
+}
+
 // retryDelay spaces the tries of control addresses so that each is tried a few times a second at most.
 func (c *Client) retryDelay() time.Duration {
 	if c.book.count() > 1 {
--- a/internal/controlplane/figures.go
+++ b/internal/controlplane/figures.go
@@ -1,6 +1,17 @@
 package controlplane
 
-import "foldlb.example/foldlb/internal/metrics"
+import (
+	"sync/atomic"
+	"time"
+
+	"foldlb.example/foldlb/internal/metrics"
+)
+
+// callCounters count the calls of others since the start of the process.
+type callCounters struct {
+	renewals atomic.Uint64
+	joins    atomic.Uint64
+}
 
 // Figures are what monitoring sees of this process. Stores and dispatchers are counted at the leader alone.
 func (s *Server) Figures() []metrics.Figure {
@@ -9,6 +20,10 @@
 	if status.Leader {
 		leader = 1
 	}
+	leaderKnown := uint64(0)
+	if status.LeaderAddress != "" {
+		leaderKnown = 1
+	}
 	return []metrics.Figure{
 		{Name: "foldlb_control_leader", Help: "1 where this process leads", Value: leader},
 		{Name: "foldlb_control_epoch", Help: "newest epoch that this process voted in or accepted", Value: status.Epoch},
@@ -18,6 +33,10 @@
 		{Name: "foldlb_control_voters_wanted", Help: "voters that the fault tolerance of the settings needs", Value: uint64(status.VotersWanted)},
 		{Name: "foldlb_control_stores", Help: "stores in the state", Value: uint64(len(status.Stores))},
 		{Name: "foldlb_control_dispatchers", Help: "dispatchers heard in this term", Value: uint64(len(status.Dispatchers))},
+		{Name: "foldlb_control_leader_known", Help: "1 where this process can tell callers who leads", Value: leaderKnown},
+		{Name: "foldlb_control_peers", Help: "control processes that announced themselves here lately", Value: uint64(len(s.peers.heard(time.Now())))},
+		{Name: "foldlb_control_joins_total", Help: "announcements of control processes that came", Value: s.calls.joins.Load()},
+		{Name: "foldlb_control_renewals_total", Help: "renewals of stores and dispatchers that came", Value: s.calls.renewals.Load()},
 		{Name: "foldlb_control_streams", Help: "streams of updates that are open here", Value: uint64(status.Streams)},
 	}
 }
--- a/internal/controlplane/join.go
+++ b/internal/controlplane/join.go
@@ -13,6 +13,9 @@
 	joinRetry   = 500 * time.Millisecond // while no leader is known
 	joinTimeout = 700 * time.Millisecond
 	hintExpiry  = 5 * time.Second // of the leader's address as another process told it
+
+	// searchTold is for how long this process finds no leader before it says so.
+	searchTold = 3 * time.Second
 )
 
 // leaderHint is the leader's address as another process told it.
@@ -23,17 +26,41 @@
 
 // runJoin announces this process to the leader until the context ends.
 func (s *Server) runJoin(ctx context.Context) {
+	search := leaderSearch{found: time.Now()}
 	for turn := 0; ctx.Err() == nil; turn++ {
 		pause := joinPeriod
-		if !s.state.leading() && !s.announce(ctx, turn) {
+		reached := s.state.leading() || s.announce(ctx, turn)
+		if !reached {
 			pause = joinRetry
 		}
+		s.tellSearch(&search, reached, time.Now())
 		if !sleep(ctx, pause) {
 			return
 		}
 	}
 }
 
+// leaderSearch is since when this process has found no leader.
+type leaderSearch struct {
+	found time.Time // when the leader was reached last, or the start
+	told  bool      // it was logged that none is found
+}
+
+// tellSearch logs that no leader is found, and that one is found again.
+func (s *Server) tellSearch(search *leaderSearch, reached bool, now time.Time) {
+	lasted := now.Sub(search.found).Round(time.Millisecond).String()
+	switch {
+	case reached && search.told:
+		s.log.Info("a leader is found again", "after", lasted, "leader", s.leaderAddress())
+		*search = leaderSearch{found: now}
+	case reached:
+		search.found = now
+	case !search.told && now.Sub(search.found) >= searchTold:
+		search.told = true
+		s.log.Info("no leader is found; name a control process that reaches it among the seeds", "for", lasted, "seeds", s.settings().Seeds)
+	}
+}
+
 // announce sends one Join and reports whether it reached the leader.
 func (s *Server) announce(ctx context.Context, turn int) bool {
 	target := s.otherLeader()
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -58,6 +58,7 @@
 	hint    atomic.Pointer[leaderHint]
 	term    atomic.Pointer[term] // nil while another process leads
 
+	calls          callCounters
 	orderSlots     chan struct{}
 	leadershipWake chan struct{}
 	plannerWake    chan struct{}
--- a/internal/controlplane/service.go
+++ b/internal/controlplane/service.go
@@ -53,6 +53,7 @@
 
 // Join implements rpc.Control.
 func (s *service) Join(_ context.Context, request *rpc.JoinRequest) (*rpc.JoinReply, error) {
+	s.server.calls.joins.Add(1)
 	leading := s.server.state.leading()
 	if leading {
 		s.server.peers.note(request, time.Now())
@@ -67,6 +68,7 @@
 // Renew implements rpc.Control.
 func (s *service) Renew(_ context.Context, request *rpc.RenewRequest) (*rpc.RenewReply, error) {
 	server := s.server
+	server.calls.renewals.Add(1)
 	term := server.currentTerm()
 	granted := false
 	if term != nil && server.state.leading() {
