Tests that fail: nobody finds the leader through seeds that do not vote

In virtual time, with as many control processes in a zone as the deploy file starts: after a loss of power everywhere, or of the leader alone, 5 of 8 control processes never learn who leads where the seeds in the settings name none that votes. Drawn seeds and losses fail on the same.

--- /dev/null
+++ b/internal/controlplane/search_test.go
@@ -0,0 +1,215 @@
+package controlplane
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	searchSeedsVariable = "CONTROLPLANE_SEARCH_SEEDS" // plays so many seeds
+	searchSeeds         = 12
+	searchRounds        = 12
+	searchZones         = 4
+	foundWithin         = 4 * time.Second // the shortest contactMs of a deployment
+)
+
+// newSearchNetwork starts as many control processes in each of four zones as the deploy file does: the first on a machine with a disk, the
+// others without. Three of them vote.
+func newSearchNetwork(t *testing.T, seed uint64, directory string) *simNetwork {
+	network := newSimNetwork(t, seed, directory)
+	for zone := range searchZones {
+		for number := range controlsOfAZone(t) {
+			server := network.add()
+			server.zone = fmt.Sprintf("zone-%d", zone)
+			server.outside = number > 0
+			if number == 0 && len(network.seeds) < minVoters {
+				network.seeds = append(network.seeds, server.address)
+			}
+		}
+	}
+	for _, server := range network.list() {
+		server.start(true)
+	}
+	time.Sleep(settleTime)
+	return network
+}
+
+// nonVoters returns the addresses of the processes that do not vote.
+func (n *simNetwork) nonVoters() []string {
+	voters := n.leader().running().server.node.Status().Members
+	var addresses []string
+	for _, server := range n.list() {
+		votes := false
+		for _, voter := range voters {
+			votes = votes || voter.Address == server.address
+		}
+		if !votes && !server.gone {
+			addresses = append(addresses, server.address)
+		}
+	}
+	return addresses
+}
+
+// turnOver puts other seeds into the settings of a process that runs.
+func (s *simServer) turnOver(seeds []string) {
+	s.seeds = seeds
+	s.network.note("%s has the seeds %v", s.address, seeds)
+	if process := s.running(); process != nil {
+		process.server.Reload(s.settings())
+	}
+}
+
+// restartAll takes the power from all processes for a moment.
+func (n *simNetwork) restartAll() {
+	for _, server := range n.list() {
+		server.kill(true)
+	}
+	for _, server := range n.list() {
+		if !server.gone {
+			server.start(false)
+		}
+	}
+}
+
+// strangers lists the processes that run and can't tell who leads, once the time to find the leader has passed.
+func (n *simNetwork) strangers() []string {
+	time.Sleep(foundWithin)
+	leader := n.leader()
+	if leader == nil {
+		return append(n.describe(), "nobody leads")
+	}
+	var lines []string
+	for _, server := range n.list() {
+		process := server.running()
+		if process == nil {
+			continue
+		}
+		if named := process.server.leaderAddress(); named != leader.address {
+			lines = append(lines, fmt.Sprintf("%s names %q, %s leads", server.address, named, leader.address))
+		}
+	}
+	return lines
+}
+
+// playSearch plays a course of events in virtual time and returns who does not know the leader in the end, and the trace.
+func playSearch(t *testing.T, seed uint64, course func(*simNetwork) []string) {
+	directory := t.TempDir()
+	var strangers, trace []string
+	synctest.Test(t, func(t *testing.T) {
+		network := newSearchNetwork(t, seed, directory)
+		strangers = course(network)
+		trace = network.trace
+		network.end()
+	})
+	must.SliceEmpty(t, strangers, must.Sprint(strings.Join(strangers, "\n")+"\n"+strings.Join(trace, "\n")))
+}
+
+// TestLeaderIsFoundAfterAPowerLossThroughSeedsThatDoNotVote guards against a leader that nobody finds (incident 0011).
+func TestLeaderIsFoundAfterAPowerLossThroughSeedsThatDoNotVote(t *testing.T) {
+	playSearch(t, 1, func(network *simNetwork) []string {
+		seeds := network.nonVoters()[:minVoters]
+		for _, server := range network.list() {
+			server.turnOver(seeds)
+		}
+		network.restartAll()
+		return network.strangers()
+	})
+}
+
+// TestNewLeaderIsFoundThroughSeedsThatDoNotVote has the leader end while the seeds name processes that do not vote.
+func TestNewLeaderIsFoundThroughSeedsThatDoNotVote(t *testing.T) {
+	playSearch(t, 1, func(network *simNetwork) []string {
+		seeds := network.nonVoters()[:minVoters]
+		for _, server := range network.list() {
+			server.turnOver(seeds)
+		}
+		network.leader().kill(true)
+		return network.strangers()
+	})
+}
+
+// TestLeaderIsFoundThroughSeedsThatItDoesNotHave has two groups of seeds: the voters' and the others'.
+func TestLeaderIsFoundThroughSeedsThatItDoesNotHave(t *testing.T) {
+	playSearch(t, 1, func(network *simNetwork) []string {
+		outside := network.nonVoters()
+		for _, server := range network.list() {
+			if slices.Contains(outside, server.address) {
+				server.turnOver(outside[:2])
+			} else {
+				server.turnOver(outside[2:])
+			}
+		}
+		network.restartAll()
+		return network.strangers()
+	})
+}
+
+// TestEachProcessFindsTheLeaderWhateverItsSeeds draws seeds for each process anew, restarts some or all, takes disks and machines, and asks each
+// process in every pause who leads.
+func TestEachProcessFindsTheLeaderWhateverItsSeeds(t *testing.T) {
+	count := uint64(searchSeeds)
+	if value, err := strconv.ParseUint(os.Getenv(searchSeedsVariable), 10, 64); err == nil {
+		count = value
+	}
+	for seed := range count {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playSearch(t, seed, searchCourse)
+		})
+	}
+}
+
+// searchCourse draws what happens, round by round, until a process does not find the leader.
+func searchCourse(network *simNetwork) []string {
+	troubles := &simTroubles{network: network, group: simGroups[0]}
+	for range searchRounds {
+		network.drawSeeds()
+		switch target := network.list()[network.intN(len(network.list()))]; network.intN(5) {
+		case 0, 1:
+			network.restartAll()
+		case 2:
+			troubles.down(network.leader(), true, network.between(100*time.Millisecond, 2*time.Second))
+		case 3:
+			troubles.down(target, network.chance(0.5), network.between(100*time.Millisecond, 2*time.Second))
+		case 4:
+			if !target.outside {
+				troubles.loseDisk(target)
+			}
+		}
+		if strangers := network.strangers(); len(strangers) > 0 {
+			return strangers
+		}
+	}
+	return nil
+}
+
+// drawSeeds gives each process seeds of its own, at times the same to all.
+func (n *simNetwork) drawSeeds() {
+	all := n.drawnSeeds()
+	same := n.chance(0.5)
+	for _, server := range n.list() {
+		seeds := all
+		if !same {
+			seeds = n.drawnSeeds()
+		}
+		server.turnOver(seeds)
+	}
+}
+
+// drawnSeeds returns the addresses of one to three processes.
+func (n *simNetwork) drawnSeeds() []string {
+	servers := n.list()
+	var seeds []string
+	for range 1 + n.intN(minVoters) {
+		seeds = append(seeds, servers[n.intN(len(servers))].address)
+	}
+	return seeds
+}
--- a/internal/controlplane/sim_network_test.go
+++ b/internal/controlplane/sim_network_test.go
@@ -53,7 +53,9 @@
 	network *simNetwork
 	address string
 	zone    string
-	disks   int // folders made so far
+	seeds   []string // in its settings; nil for those of the network
+	outside bool     // it runs without a disk, and so has no vote
+	disks   int      // folders made so far
 
 	// Guarded by the mutex of the network.
 	process *simProcess // nil while none runs
@@ -134,17 +136,12 @@
 // start begins a life of the process; the first one of all founds the group.
 func (s *simServer) start(bootstrap bool) {
 	network := s.network
-	if s.disks == 0 {
+	if s.disks == 0 && !s.outside {
 		s.newDisk()
 	}
-	server, err := New(Options{
-		Log:          logr.Discard(),
-		RoundTripper: &simTransport{from: s},
-		Settings: &settings.Settings{
-			Node: s.address, Zone: s.zone, Listen: settings.Listen{Control: s.address}, Seeds: network.seeds,
-			Bootstrap: bootstrap, DataDir: s.folder(), FaultTolerance: settings.FaultTolerance{Machines: network.tolerance},
-		},
-	})
+	wanted := s.settings()
+	wanted.Bootstrap = bootstrap
+	server, err := New(Options{Log: logr.Discard(), RoundTripper: &simTransport{from: s}, Settings: wanted})
 	must.NoError(network.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	process := &simProcess{server: server, cancel: cancel, dead: make(chan struct{})}
@@ -155,6 +152,22 @@
 	network.note("%s starts, disk %d", s.address, s.disks)
 }
 
+// settings are those that the process reads at its start, or after SIGHUP.
+func (s *simServer) settings() *settings.Settings {
+	seeds := s.seeds
+	if seeds == nil {
+		seeds = s.network.seeds
+	}
+	read := &settings.Settings{
+		Node: s.address, Zone: s.zone, Listen: settings.Listen{Control: s.address}, Seeds: seeds,
+		FaultTolerance: settings.FaultTolerance{Machines: s.network.tolerance},
+	}
+	if !s.outside {
+		read.DataDir = s.folder()
+	}
+	return read
+}
+
 func (s *simServer) newDisk() {
 	s.disks++
 	must.NoError(s.network.t, os.MkdirAll(s.folder(), 0o755))
@@ -184,7 +197,9 @@
 	process.cancel()
 	process.server.node.Close()
 	process.server.working.Wait()
-	process.server.store.Close()
+	if process.server.store != nil {
+		process.server.store.Close()
+	}
 }
 
 // simTransport is the way of one process to the others. It implements http.RoundTripper.
