Members find the leader through their seeds in the simulation of control

No simulation searched for the leader: stand-ins renewed at whichever process led. Now the product's own client (internal/cluster) runs in stores and dispatchers of the simulation, over an in-process transport (Options.RoundTripper), streams included, and after each trouble it is judged whether each has the newest configuration and map, a lease, and partitions that name the running process, within the shortest recoveryS.

--- a/internal/cluster/budget_bench_test.go
+++ b/internal/cluster/budget_bench_test.go
@@ -61,7 +61,7 @@
 		options: Options{Role: RoleDispatcher, Incarnation: "run-1", Log: logr.Discard(),
 			Settings: &settings.Settings{Node: "front-heredia-a-1", Zone: "heredia-a", HeartbeatMs: int(planHeartbeatS * 1000)}},
 		book:      newAddressBook([]string{control.address()}),
-		clients:   newClients(nearDialTimeout),
+		clients:   newClients(newTransport(nearDialTimeout)),
 		lease:     newLease(),
 		kicks:     make(chan struct{}, 1),
 		callbacks: newCallbackList(),
--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -38,7 +38,7 @@
 	client := &Client{
 		options: options,
 		book:    newAddressBook(options.Settings.Seeds),
-		clients: newClients(dialTimeoutFor(options.Settings.Zones)),
+		clients: newClients(options.roundTripper()),
 		lease:   newLease(),
 		kicks:   make(chan struct{}, 1),
 		first:   newView(),
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -16,7 +16,7 @@
 
 // followLoop follows the leader's stream, and connects anew when it ends or another process leads.
 func (c *Client) followLoop(ctx context.Context) {
-	client := &watch.Client{HTTP: watch.NewHTTPClient()}
+	client := &watch.Client{HTTP: c.options.streamClient()}
 	defer client.HTTP.CloseIdleConnections()
 	for ctx.Err() == nil {
 		address := c.book.candidate()
--- a/internal/cluster/options.go
+++ b/internal/cluster/options.go
@@ -1,10 +1,12 @@
 package cluster
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"foldlb.example/foldlb/coord/watch"
 	"foldlb.example/foldlb/internal/rpc"
 	"foldlb.example/foldlb/internal/settings"
 )
@@ -38,11 +40,31 @@
 	FreshDisk   bool   // the disk was empty at this start
 	Log         logr.Logger
 
+	// RoundTripper reaches control processes and stores; nil for TCP.
+	RoundTripper http.RoundTripper
+
 	// Status completes each renewal, if it is set: partitions that are ready, backlog, leaving. It is called
 	// from one goroutine.
 	Status func(*rpc.RenewRequest)
 }
 
+// roundTripper returns the way to other processes.
+func (o *Options) roundTripper() http.RoundTripper {
+	if o.RoundTripper != nil {
+		return o.RoundTripper
+	}
+	return newTransport(dialTimeoutFor(o.Settings.Zones))
+}
+
+// streamClient returns the client that the stream of updates comes by.
+func (o *Options) streamClient() *http.Client {
+	client := watch.NewHTTPClient()
+	if o.RoundTripper != nil {
+		client.Transport = o.RoundTripper
+	}
+	return client
+}
+
 // renewInterval is the time between two renewals: short enough for the configuration to be confirmed twice within its bound.
 func (o *Options) renewInterval() time.Duration {
 	if o.Role == RoleStore || o.Settings.HeartbeatMs <= 0 {
--- a/internal/cluster/transport.go
+++ b/internal/cluster/transport.go
@@ -66,7 +66,7 @@
 	return nearDialTimeout
 }
 
-// clients caches one client for each address, over one shared transport.
+// clients caches one client for each address, over one shared round tripper.
 type clients struct {
 	http     *http.Client
 	mutex    sync.Mutex
@@ -74,9 +74,9 @@
 	controls map[string]rpc.Control
 }
 
-func newClients(dialTimeout time.Duration) *clients {
+func newClients(roundTripper http.RoundTripper) *clients {
 	return &clients{
-		http:     &http.Client{Transport: newTransport(dialTimeout)},
+		http:     &http.Client{Transport: roundTripper},
 		stores:   map[string]rpc.Store{},
 		controls: map[string]rpc.Control{},
 	}
--- a/internal/controlplane/search_test.go
+++ b/internal/controlplane/search_test.go
@@ -18,7 +18,8 @@
 	searchSeeds         = 12
 	searchRounds        = 12
 	searchZones         = 4
-	foundWithin         = 4 * time.Second // the shortest contactMs of a deployment
+	foundWithin         = 4 * time.Second  // the shortest contactMs of a deployment
+	servedWithin        = 12 * time.Second // the shortest recoveryS of a deployment
 	searchLook          = 50 * time.Millisecond
 )
 
@@ -36,9 +37,11 @@
 			}
 		}
 	}
+	network.addMembers()
 	for _, server := range network.list() {
 		server.start(true)
 	}
+	network.startMembers()
 	time.Sleep(settleTime)
 	return network
 }
@@ -59,6 +62,14 @@
 	return addresses
 }
 
+// turnOverAll puts the same seeds into the settings of all machines. Members read them at their next start.
+func (n *simNetwork) turnOverAll(seeds []string) {
+	n.seeds = seeds
+	for _, server := range n.list() {
+		server.turnOver(seeds)
+	}
+}
+
 // turnOver puts other seeds into the settings of a process that runs.
 func (s *simServer) turnOver(seeds []string) {
 	s.seeds = seeds
@@ -68,16 +79,19 @@
 	}
 }
 
-// restartAll takes the power from all processes for a moment.
+// restartAll takes the power from all machines for a moment.
 func (n *simNetwork) restartAll() {
+	n.note("all machines lose power")
 	for _, server := range n.list() {
 		server.kill(true)
 	}
+	n.stopMembers()
 	for _, server := range n.list() {
 		if !server.gone {
 			server.start(false)
 		}
 	}
+	n.startMembers()
 }
 
 // strangers lists the processes that run and have not named the leader at any moment while the time to find it lasted. A process may forget
@@ -122,7 +136,10 @@
 	var strangers, trace []string
 	synctest.Test(t, func(t *testing.T) {
 		network := newSearchNetwork(t, seed, directory)
-		strangers = course(network)
+		strangers = network.awaitService(servedWithin)
+		if len(strangers) == 0 {
+			strangers = course(network)
+		}
 		trace = network.trace
 		network.end()
 	})
@@ -132,24 +149,20 @@
 // TestLeaderIsFoundAfterAPowerLossThroughSeedsThatDoNotVote guards against a leader that nobody finds (incident 0011).
 func TestLeaderIsFoundAfterAPowerLossThroughSeedsThatDoNotVote(t *testing.T) {
 	playSearch(t, 1, func(network *simNetwork) []string {
-		seeds := network.nonVoters()[:minVoters]
-		for _, server := range network.list() {
-			server.turnOver(seeds)
-		}
+		network.turnOverAll(network.nonVoters()[:minVoters])
 		network.restartAll()
-		return network.strangers()
+		return append(network.strangers(), network.awaitService(servedWithin)...)
 	})
 }
 
 // TestNewLeaderIsFoundThroughSeedsThatDoNotVote has the leader end while the seeds name processes that do not vote.
 func TestNewLeaderIsFoundThroughSeedsThatDoNotVote(t *testing.T) {
 	playSearch(t, 1, func(network *simNetwork) []string {
-		seeds := network.nonVoters()[:minVoters]
-		for _, server := range network.list() {
-			server.turnOver(seeds)
-		}
+		network.turnOverAll(network.nonVoters()[:minVoters])
 		network.leader().kill(true)
-		return network.strangers()
+		network.stopMembers()
+		network.startMembers()
+		return append(network.strangers(), network.awaitService(servedWithin)...)
 	})
 }
 
@@ -189,7 +202,7 @@
 	troubles := &simTroubles{network: network, group: simGroups[0]}
 	for range searchRounds {
 		network.drawSeeds()
-		switch target := network.list()[network.intN(len(network.list()))]; network.intN(5) {
+		switch target := network.list()[network.intN(len(network.list()))]; network.intN(6) {
 		case 0, 1:
 			network.restartAll()
 		case 2:
@@ -200,8 +213,13 @@
 			if !target.outside {
 				troubles.loseDisk(target)
 			}
+		case 5:
+			member := network.members[network.intN(len(network.members))]
+			network.note("%s is killed", member.name)
+			member.kill()
 		}
-		if strangers := network.strangers(); len(strangers) > 0 {
+		network.startMembers()
+		if strangers := append(network.strangers(), network.awaitService(servedWithin)...); len(strangers) > 0 {
 			return strangers
 		}
 	}
@@ -210,14 +228,12 @@
 
 // drawSeeds gives each process seeds of its own, at times the same to all.
 func (n *simNetwork) drawSeeds() {
-	all := n.drawnSeeds()
-	same := n.chance(0.5)
+	n.turnOverAll(n.drawnSeeds())
+	if n.chance(0.5) {
+		return
+	}
 	for _, server := range n.list() {
-		seeds := all
-		if !same {
-			seeds = n.drawnSeeds()
-		}
-		server.turnOver(seeds)
+		server.turnOver(n.drawnSeeds())
 	}
 }
 
--- a/internal/controlplane/sim_network_test.go
+++ b/internal/controlplane/sim_network_test.go
@@ -40,6 +40,7 @@
 	mutex   sync.Mutex
 	random  *rand.Rand
 	servers []*simServer
+	members []*simMember       // belong to the goroutine that plays the course
 	cuts    map[[2]string]bool // links that carry nothing, by sender and receiver
 	lossy   float64            // share of calls whose request or answer is lost
 	rate    int                // bytes a second of each call; 0 for no bound
@@ -227,27 +228,10 @@
 		body = read
 		request.Body.Close()
 	}
-	silence := func() (*http.Response, error) {
-		select {
-		case <-request.Context().Done():
-			return nil, request.Context().Err()
-		case <-callerDead:
-			return nil, errSimReset
-		case <-n.ended:
-			return nil, errSimReset
-		}
-	}
-	time.Sleep(n.delay() + n.transferTime(len(body)))
-	target := n.at(request.URL.Host)
-	if target == nil || n.isLost(from, target.address) || target.isSilent() {
-		return silence()
-	}
-	process := target.running()
-	if process == nil {
-		return nil, errSimRefused
-	}
-	if request.Context().Err() != nil {
-		return nil, request.Context().Err()
+	time.Sleep(n.transferTime(len(body)))
+	target, process, err := n.reach(from, callerDead, request)
+	if err != nil {
+		return nil, err
 	}
 	n.count(target.address, len(body))
 	arrived := httptest.NewRequest(request.Method, request.URL.RequestURI(), bytes.NewReader(body))
@@ -269,12 +253,38 @@
 		return nil, errSimReset
 	}
 	if n.isLost(target.address, from) {
-		return silence()
+		return nil, n.silence(callerDead, request)
 	}
 	time.Sleep(n.delay())
 	return recorder.Result(), nil
 }
 
+// silence waits until the caller of a request that brings no answer gives up.
+func (n *simNetwork) silence(callerDead <-chan struct{}, request *http.Request) error {
+	select {
+	case <-request.Context().Done():
+		return request.Context().Err()
+	case <-callerDead:
+		return errSimReset
+	case <-n.ended:
+		return errSimReset
+	}
+}
+
+// reach takes a request to the process that it is for.
+func (n *simNetwork) reach(from string, callerDead <-chan struct{}, request *http.Request) (*simServer, *simProcess, error) {
+	time.Sleep(n.delay())
+	target := n.at(request.URL.Host)
+	if target == nil || n.isLost(from, target.address) || target.isSilent() {
+		return nil, nil, n.silence(callerDead, request)
+	}
+	process := target.running()
+	if process == nil {
+		return nil, nil, errSimRefused
+	}
+	return target, process, request.Context().Err()
+}
+
 // transferTime is how long a body takes.
 func (n *simNetwork) transferTime(length int) time.Duration {
 	n.mutex.Lock()
@@ -308,10 +318,18 @@
 	return s.off || s.gone
 }
 
+// isLost reports whether a call or its answer does not come through.
 func (n *simNetwork) isLost(from, to string) bool {
+	n.mutex.Lock()
+	lossy := n.lossy
+	n.mutex.Unlock()
+	return n.isCut(from, to) || lossy > 0 && n.chance(lossy)
+}
+
+func (n *simNetwork) isCut(from, to string) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.cuts[[2]string{from, to}] || n.lossy > 0 && n.random.Float64() < n.lossy
+	return n.cuts[[2]string{from, to}]
 }
 
 // cut stops what goes from one of some servers to one of others, and back where both is set.
@@ -334,6 +352,7 @@
 // end ends the simulation, all processes and their goroutines.
 func (n *simNetwork) end() {
 	close(n.ended)
+	n.stopMembers()
 	for _, server := range n.list() {
 		server.kill(false)
 	}
--- a/internal/controlplane/sim_test.go
+++ b/internal/controlplane/sim_test.go
@@ -102,9 +102,8 @@
 	for _, server := range network.list() {
 		server.start(true)
 	}
-	for number := range simVoters {
-		go simRenew(network, number)
-	}
+	network.addMembers()
+	network.startMembers()
 	time.Sleep(3 * time.Second)
 	history := &simHistory{}
 	go simConfirm(network, history)
@@ -118,6 +117,9 @@
 	}
 	troubles.endAll()
 	time.Sleep(simCalm)
+	if unserved := network.awaitService(servedWithin); len(unserved) > 0 {
+		history.violate("not served after the trouble\n%s", strings.Join(unserved, "\n"))
+	}
 	finalRead := &simOperator{network: network, history: history, number: simOperators}
 	if !finalRead.read() {
 		history.violate("nothing can be read after the trouble\n%s", strings.Join(network.describe(), "\n"))
@@ -126,28 +128,6 @@
 	return history, network.trace
 }
 
-// simRenew plays a store that renews its lease at whichever process leads.
-func simRenew(network *simNetwork, number int) {
-	store := &rpc.RenewRequest{
-		Node: fmt.Sprintf("store-%d", number), Incarnation: fmt.Sprintf("1-store-%d", number), Zone: fmt.Sprint(number),
-		Role: roleStore, Disk: fmt.Sprintf("disk-%d", number), Address: fmt.Sprintf("10.1.0.%d:7240", number),
-	}
-	for {
-		select {
-		case <-network.ended:
-			return
-		case <-time.After(400 * time.Millisecond):
-		}
-		leader := network.leader()
-		if leader == nil {
-			continue
-		}
-		if process := leader.running(); process != nil {
-			_, _ = (&service{server: process.server}).Renew(context.Background(), store)
-		}
-	}
-}
-
 // simConfirm plays a dispatcher that renews at any process, and holds the version that a leader names against what was confirmed to an operator
 // before the renewal was sent.
 func simConfirm(network *simNetwork, history *simHistory) {
@@ -276,12 +256,16 @@
 	for _, server := range n.list() {
 		server.kill(off)
 	}
+	if off {
+		n.stopMembers()
+	}
 	for _, server := range n.list() {
 		time.Sleep(n.between(time.Millisecond, 800*time.Millisecond))
 		if !server.gone {
 			server.start(false)
 		}
 	}
+	n.startMembers()
 }
 
 // mayLoseDisk reports whether the group bears another loss: fewer voters than it may lose are cut off or do not run on the disks that the list
