--- a/internal/storenode/figures.go
+++ b/internal/storenode/figures.go
@@ -35,6 +35,8 @@
 		{Name: "foldlb_store_lookups_total", Help: "questions for a message's state or body", Value: n.counters.lookups.Load()},
 		{Name: "foldlb_store_lookups_unknown_total", Help: "of these, those for messages not known here", Value: n.counters.lookupsUnknown.Load()},
 		{Name: "foldlb_store_log_bytes", Help: "length of the log", Value: bytes},
+		{Name: "foldlb_store_sync_waiting_ms", Help: "for how long the oldest request for a sync of the log has waited", Value: uint64(n.file.Waiting().Milliseconds())},
+		{Name: "foldlb_store_copies_waiting", Help: "copies that wait to be sent to other stores", Value: uint64(n.peers.waiting())},
 	}
 }
 
--- a/internal/storenode/peers.go
+++ b/internal/storenode/peers.go
@@ -72,6 +72,17 @@
 	return p.byKey[disk]
 }
 
+// waiting counts the copies that have not been sent yet.
+func (p *peers) waiting() int {
+	count := 0
+	for _, one := range p.all() {
+		one.mutex.Lock()
+		count += len(one.copies)
+		one.mutex.Unlock()
+	}
+	return count
+}
+
 // choose draws a store for a copy that is not in tried and is not being emptied, as a copy there counts as gone: healthy ones
 // before others, and among them one of another zone for the first copy, so that a zone may be lost, and of this zone for further ones, since bytes between zones are dear. Where copies must
 // stand in different zones or regions, that goes before.
--- a/internal/storenode/peers_test.go
+++ b/internal/storenode/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -73,3 +74,27 @@
 	}
 	must.Nil(t, peers.choose(map[string]bool{peers.list[1].disk: true}))
 }
+
+// fullQueuePatience bounds the wait for a step that takes no time.
+const fullQueuePatience = 10 * time.Second
+
+// TestFullQueueOfCopiesDoesNotBlockTheSyncOfTheLog guards against a store that never syncs again (incident 0012).
+func TestFullQueueOfCopiesDoesNotBlockTheSyncOfTheLog(t *testing.T) {
+	peers := peersIn(settings.FaultTolerance{Machines: 1}, map[string]int{"b": 1})
+	peers.list[0].copies = make([]*copyItem, queuedCopies)
+	peers.node.peers = peers
+	work := &acceptance{node: peers.node, needed: 2, pending: 1, result: make(chan rpc.PutStatus, 1), tried: map[string]bool{}, domains: map[string]bool{}}
+	synced := make(chan struct{})
+	go func() {
+		work.another()
+		work.outcome("", peers.node.ownDomain(), true) // as the log calls it after a sync
+		close(synced)
+	}()
+	select {
+	case <-synced:
+	case <-time.After(fullQueuePatience):
+		t.Fatal("the sync waits for a copy that can't be queued")
+	}
+	must.Zero(t, work.pending)
+	must.EqOp(t, queuedCopies, peers.waiting())
+}
