A full queue of copies does not call back under the lock of its caller

Cause: acceptance.another holds the lock of the acceptance while it queues a copy. The log calls the acceptance after its sync, needs the lock as well, and so never synced again.

Mend: put reports false where the queue is full and calls nobody; the next store is chosen. The count of pending copies, which nothing read, goes.

--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -55,7 +55,6 @@
 
 	mutex   sync.Mutex
 	domains map[string]bool // failure domains in which a copy is synced
-	pending int
 	needed  int
 	tried   map[string]bool
 	over    bool
@@ -165,7 +164,6 @@
 // run syncs the message here and on other stores.
 func (a *acceptance) run(ctx context.Context) rpc.PutStatus {
 	defer a.node.post(func() { a.entry.Accepting = 0 })
-	a.pending = 1
 	a.node.file.Sync(func(err error) {
 		a.node.noteDisk(err)
 		a.outcome("", a.node.ownDomain(), err == nil)
@@ -197,20 +195,25 @@
 func (a *acceptance) another() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.over {
-		return false
-	}
-	peer := a.node.peers.choose(a.tried)
-	if peer == nil {
-		return false
-	}
-	a.tried[peer.disk] = true
-	a.pending++
-	domain := a.node.domains.of(peer.disk, peer.zone)
-	peer.put(&copyItem{message: a.message, epoch: a.epoch, done: func(status rpc.PutStatus) {
-		a.outcome(peer.disk, domain, status == rpc.PutStatus_STORED)
+	for !a.over {
+		peer := a.node.peers.choose(a.tried)
+		if peer == nil {
+			return false
+		}
+		a.tried[peer.disk] = true
+		if a.sendTo(peer) {
+			return true
+		}
+	}
+	return false
+}
+
+// sendTo queues a copy for a store, and reports whether there was room. The mutex is held.
+func (a *acceptance) sendTo(holder *peer) bool {
+	domain := a.node.domains.of(holder.disk, holder.zone)
+	return holder.put(&copyItem{message: a.message, epoch: a.epoch, done: func(status rpc.PutStatus) {
+		a.outcome(holder.disk, domain, status == rpc.PutStatus_STORED)
 	}})
-	return true
 }
 
 // outcome counts one copy that was synced, or failed.
@@ -219,7 +222,6 @@
 		a.node.post(func() { a.node.addHolder(a.entry, disk) })
 	}
 	a.mutex.Lock()
-	a.pending--
 	if ok {
 		a.domains[domain] = true
 	}
--- a/internal/storenode/peers.go
+++ b/internal/storenode/peers.go
@@ -143,7 +143,7 @@
 type copyItem struct {
 	message *rpc.Message
 	epoch   uint64
-	done    func(rpc.PutStatus)
+	done    func(rpc.PutStatus) // called once, by the goroutine that sent it
 }
 
 // peer is one other store.
@@ -187,23 +187,20 @@
 	one.suspectFor, one.suspectUntil = 0, time.Time{}
 }
 
-// put queues a copy. What is queued while others are under way travels together.
-func (one *peer) put(item *copyItem) {
+// put queues a copy, and reports false where the queue is full. What is queued while others are under way travels together. The callback
+// of the copy runs on another goroutine than the caller's.
+func (one *peer) put(item *copyItem) bool {
 	one.mutex.Lock()
+	defer one.mutex.Unlock()
 	if len(one.copies) >= queuedCopies {
-		one.mutex.Unlock()
-		item.done(rpc.PutStatus_FAILED)
-		return
+		return false
 	}
 	one.copies = append(one.copies, item)
-	start := one.senders < sendersMost
-	if start {
+	if one.senders < sendersMost {
 		one.senders++
-	}
-	one.mutex.Unlock()
-	if start {
 		go one.sendCopies()
 	}
+	return true
 }
 
 func (one *peer) sendCopies() {
--- a/internal/storenode/peers_test.go
+++ b/internal/storenode/peers_test.go
@@ -83,10 +83,11 @@
 	peers := peersIn(settings.FaultTolerance{Machines: 1}, map[string]int{"b": 1})
 	peers.list[0].copies = make([]*copyItem, queuedCopies)
 	peers.node.peers = peers
-	work := &acceptance{node: peers.node, needed: 2, pending: 1, result: make(chan rpc.PutStatus, 1), tried: map[string]bool{}, domains: map[string]bool{}}
+	work := &acceptance{node: peers.node, needed: 2, result: make(chan rpc.PutStatus, 1), tried: map[string]bool{}, domains: map[string]bool{}}
 	synced := make(chan struct{})
+	isQueued := false
 	go func() {
-		work.another()
+		isQueued = work.another()
 		work.outcome("", peers.node.ownDomain(), true) // as the log calls it after a sync
 		close(synced)
 	}()
@@ -95,6 +96,7 @@
 	case <-time.After(fullQueuePatience):
 		t.Fatal("the sync waits for a copy that can't be queued")
 	}
-	must.Zero(t, work.pending)
+	must.False(t, isQueued)
+	must.MapLen(t, 1, work.domains)
 	must.EqOp(t, queuedCopies, peers.waiting())
 }
