settings: one watch of the settings file for control and members

The copy in internal/cluster asked for SIGHUP on a goroutine of its own, so that a signal right after the start could end the process; Hangups now does so before.

--- a/cmd/foldlb-control/control.go
+++ b/cmd/foldlb-control/control.go
@@ -69,12 +69,22 @@
 	if err != nil {
 		return err
 	}
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	go watchSettings(running, path, reloads, server.Reload, log)
+	hangups, stopHangups := settings.Hangups()
+	defer stopHangups()
+	go settings.Watch(running, path, hangups, func() { reload(path, server, log) })
 	return server.Run(running)
 }
 
+// reload takes the settings that the file holds now. A file that can't be read leaves those in force.
+func reload(path string, server *controlplane.Server, log logr.Logger) {
+	loaded, err := settings.Load(path)
+	if err != nil {
+		log.Error(err, "the settings in force stay: correct the file")
+		return
+	}
+	server.Reload(loaded)
+}
+
 // limitMemory trades processor time for a small heap: memory at its peak is priced.
 func limitMemory(machineMb int) {
 	debug.SetGCPercent(gcPercent)
--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -51,10 +51,30 @@
 	client.run(ctx, client.renewLoop)
 	client.run(ctx, client.followLoop)
 	client.run(ctx, client.notifyLoop)
-	client.run(ctx, client.reloadLoop)
+	client.watchSettings(ctx)
 	return client
 }
 
+// watchSettings takes newer settings. Only the seeds are taken into use at once; the others are had from Settings.
+func (c *Client) watchSettings(ctx context.Context) {
+	hangups, stop := settings.Hangups()
+	c.run(ctx, func(ctx context.Context) {
+		defer stop()
+		settings.Watch(ctx, c.options.Settings.Path, hangups, c.reload)
+	})
+}
+
+// reload reads the settings file. A file that is not valid, perhaps half written, leaves all as it was.
+func (c *Client) reload() {
+	loaded, err := settings.Load(c.options.Settings.Path)
+	if err != nil {
+		c.options.Log.Error(err, "settings stay as they were")
+		return
+	}
+	c.settings.Store(loaded)
+	c.book.learn(loaded.Seeds)
+}
+
 func (c *Client) run(ctx context.Context, loop func(context.Context)) {
 	c.running.Go(func() { loop(ctx) })
 }
--- a/internal/cluster/options.go
+++ b/internal/cluster/options.go
@@ -27,7 +27,6 @@
 	candidateDelay     = 20 * time.Millisecond // before the next control address is tried
 	noCandidateDelay   = 100 * time.Millisecond
 	minRenewGap        = 50 * time.Millisecond
-	settingsInterval   = 2 * time.Second
 )
 
 // Options describe the process to the control plane.
