--- a/internal/controlplane/contacts.go
+++ b/internal/controlplane/contacts.go
@@ -16,8 +16,8 @@
 	contactSilentIn = 2 * joinPeriod   // a process that has not announced itself for so long is told who leads
 )
 
-// otherAddresses lists every other control process that this one knows of: the seeds, then the contacts of the replicated state, voters among
-// them. Any of them may be gone.
+// otherAddresses lists the other control processes that this one knows of besides the voters: the seeds, then the contacts of the replicated
+// state. Any of them may be gone.
 func (s *Server) otherAddresses() []string {
 	candidates := slices.Concat(s.settings().Seeds, s.state.committed().ControlAddresses)
 	others := make([]string, 0, len(candidates))
