storenode: the simulation waits for open requests before it counts what is unfinished

Cause: finish counted the accepted messages that had not ended at the moment of the last heal, while clients still waited for their answers. Change: requests of clients are counted, and finish waits until each has its answer or its time is over. What was accepted late has to end within the same bound as all else.

--- a/internal/storenode/sim_dispatcher_test.go
+++ b/internal/storenode/sim_dispatcher_test.go
@@ -159,7 +159,7 @@
 		m.route = "plain"
 	}
 	w.ledger.add(m)
-	go (&dispatch{world: w, message: m}).run()
+	w.requests.Go((&dispatch{world: w, message: m}).run)
 }
 
 // lookup asks the owner of a message, then all other stores, as a dispatcher does.
--- a/internal/storenode/sim_test.go
+++ b/internal/storenode/sim_test.go
@@ -116,8 +116,9 @@
 	w.note("all faults are over")
 }
 
-// finish waits until every accepted message has ended and all stores know it.
+// finish waits until no request is open, every accepted message has ended and all stores know it.
 func (w *world) finish() {
+	w.requests.Wait()
 	deadline := time.Now().Add(simFinish)
 	for w.unfinished() > 0 && time.Now().Before(deadline) {
 		time.Sleep(500 * time.Millisecond)
--- a/internal/storenode/sim_world_test.go
+++ b/internal/storenode/sim_world_test.go
@@ -44,6 +44,7 @@
 	ledger    *ledger
 	ctx       context.Context
 	cancel    context.CancelFunc
+	requests  sync.WaitGroup // of clients, until each has its answer or its time is over
 
 	mutex    sync.Mutex
 	machines []*machine
