ops: a call that waits unread in the kernel is not taken for silence

Cause: with all places at the operators' door taken the oldest caller whose call was not read whole was closed. Change: bytes leave the kernel under the door's lock, so that a caller is known to have been read to the end. Only such a caller yields, or the oldest if all calls were read; while calls that have come in are still being read the door waits. TestUnreadCallKeepsItsPlace fails without the check.

--- a/internal/ops/door.go
+++ b/internal/ops/door.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,6 +15,7 @@
 
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/hold"
+	"foldlb.example/foldlb/internal/tcp"
 )
 
 const (
@@ -44,15 +46,57 @@
 
 	mu     sync.Mutex
 	conns  map[*caller]struct{}
+	moved  sync.Cond // on mu: a caller has begun to wait for the rest of its call, was heard or has left
 	orders map[core.OrderID]chan core.OrderFault
 	last   core.OrderID
 }
 
 // caller is a connection at the door.
 type caller struct {
-	net.Conn
+	*net.TCPConn
+	raw   syscall.RawConn
+	door  *Door
 	since time.Time
-	heard bool // its call has been read whole
+
+	// Guarded by door.mu.
+	heard  bool // its call has been read whole
+	awaits bool // all that came has been read, and the call is not whole
+}
+
+func (d *Door) newCaller(connection *net.TCPConn) (*caller, error) {
+	raw, err := connection.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &caller{TCPConn: connection, raw: raw, door: d, since: time.Now()}, nil
+}
+
+// Read implements io.Reader. Bytes leave the kernel under the lock of the door, so that whoever holds it finds them either there or read.
+func (c *caller) Read(b []byte) (n int, err error) {
+	rawErr := c.raw.Read(func(fd uintptr) bool {
+		c.door.mu.Lock()
+		defer c.door.mu.Unlock()
+		for {
+			n, err = syscall.Read(int(fd), b)
+			if err != syscall.EINTR {
+				break
+			}
+		}
+		c.awaits = err == syscall.EAGAIN
+		if c.awaits {
+			c.door.moved.Broadcast()
+		}
+		return !c.awaits
+	})
+	switch {
+	case rawErr != nil:
+		return 0, rawErr
+	case err != nil:
+		return 0, err
+	case n == 0 && len(b) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
 }
 
 // Listen opens the door at an address. Until Open, readiness is denied and there are no figures.
@@ -66,7 +110,9 @@
 
 // New makes a door of a listener.
 func New(ln *net.TCPListener, log logrus.FieldLogger) *Door {
-	return &Door{ln: ln, log: log, conns: map[*caller]struct{}{}, orders: map[core.OrderID]chan core.OrderFault{}}
+	d := &Door{ln: ln, log: log, conns: map[*caller]struct{}{}, orders: map[core.OrderID]chan core.OrderFault{}}
+	d.moved.L = &d.mu
+	return d
 }
 
 // Addr is where the door listens.
@@ -94,7 +140,7 @@
 		return
 	}
 	for {
-		nc, err := d.ln.Accept()
+		nc, err := d.ln.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		} else if err != nil {
@@ -102,7 +148,10 @@
 			time.Sleep(acceptPause) // danger: out of descriptors, accepting fails at once, again and again
 			continue
 		}
-		c := &caller{Conn: nc, since: time.Now()}
+		c, err := d.newCaller(nc)
+		if err != nil {
+			continue // closed already
+		}
 		d.admit(c)
 		go func() {
 			defer d.leave(c)
@@ -111,17 +160,15 @@
 	}
 }
 
-// admit counts a caller. Where all places are taken the one that has gone longest without finishing its call yields.
-// Danger: callers that say nothing must not keep out those that do.
+// admit counts a caller. Where all places are taken another one yields its place first.
 func (d *Door) admit(c *caller) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.conns) >= mostCallers {
-		var out *caller
-		for x := range d.conns {
-			if out == nil || out.heard && !x.heard || out.heard == x.heard && x.since.Before(out.since) {
-				out = x
-			}
+	for len(d.conns) >= mostCallers {
+		out, found := d.yielding()
+		if !found {
+			d.moved.Wait()
+			continue
 		}
 		delete(d.conns, out)
 		out.Close()
@@ -129,10 +176,29 @@
 	d.conns[c] = struct{}{}
 }
 
+// yielding returns the caller that has gone longest without finishing its call. Where all calls have been read it is the oldest caller;
+// where none can be told while calls that have come in are still being read, there is none. The lock is held.
+// Danger: callers that say nothing must not keep out those that do, nor push out one whose call was not read yet.
+func (d *Door) yielding() (out *caller, found bool) {
+	reading := false
+	for c := range d.conns {
+		silent := c.awaits && tcp.Silent(c.TCPConn)
+		reading = reading || !c.heard && !silent
+		if !c.heard && !silent {
+			continue
+		}
+		if out == nil || out.heard && !c.heard || out.heard == c.heard && c.since.Before(out.since) {
+			out = c
+		}
+	}
+	return out, out != nil && !(out.heard && reading)
+}
+
 func (d *Door) leave(c *caller) {
 	c.Close()
 	d.mu.Lock()
 	delete(d.conns, c)
+	d.moved.Broadcast()
 	d.mu.Unlock()
 }
 
@@ -145,6 +211,7 @@
 	err := req.ReadLimitBody(r, mostBody)
 	d.mu.Lock()
 	c.heard = true
+	d.moved.Broadcast()
 	d.mu.Unlock()
 	var late net.Error
 	var small *fasthttp.ErrSmallBuffer
@@ -169,7 +236,7 @@
 		return
 	}
 	// Danger: a close with something unread would reset the connection, and the answer might never be read.
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+	if c.CloseWrite() == nil {
 		c.SetReadDeadline(time.Now().Add(lingerWait))
 		io.CopyN(io.Discard, c, lingerMost)
 	}
--- a/internal/ops/door_test.go
+++ b/internal/ops/door_test.go
@@ -6,15 +6,18 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"foldlb.example/foldlb/internal/clientconn"
 	"foldlb.example/foldlb/internal/core"
+	"foldlb.example/foldlb/internal/tcp"
 )
 
 const patience = 10 * time.Second // for what must come; nothing is timed
@@ -223,3 +226,44 @@
 		t.Error("a silent caller was answered")
 	}
 }
+
+// TestUnreadCallKeepsItsPlace: a call that has come in whole and is not read yet is not taken for silence, however old its connection is.
+func TestUnreadCallKeepsItsPlace(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d, err := Listen("127.0.0.1:0", log)
+	must.NoError(t, err)
+	t.Cleanup(func() { d.Close() })
+	take := func(text string) *caller {
+		client := dial(t, d)
+		connection, err := d.ln.AcceptTCP()
+		must.NoError(t, err)
+		c, err := d.newCaller(connection)
+		must.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		_, err = io.WriteString(client, text)
+		must.NoError(t, err)
+		return c
+	}
+	first := take(post("/ops/drain/start", ""))
+	for tcp.Silent(first.TCPConn) {
+		runtime.Gosched()
+	}
+	d.admit(first)
+	var silent []*caller
+	for range mostCallers - 1 {
+		c := take("")
+		d.admit(c)
+		go c.Read(make([]byte, 1))
+		silent = append(silent, c)
+	}
+	for range silent {
+		d.admit(take(""))
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	must.MapContainsKey(t, d.conns, first)
+	for _, c := range silent {
+		must.MapNotContainsKey(t, d.conns, c)
+	}
+}
