storenode, ingest: open, start and close a store or dispatcher without listeners

Change: storenode.Open takes options with the way to other processes, the engine and what goes around a sync; Handler, Start, HandOver and Close are public, and Close also ends the exchange with control. ingest.Follow makes a dispatcher that listens on nothing; Handle answers one request. Run is built on both. No decision is changed.

--- a/internal/ingest/run.go
+++ b/internal/ingest/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -22,6 +23,15 @@
 	incarnationBase = 36
 )
 
+// Options are what a dispatcher is told at its start.
+type Options struct {
+	Settings *settings.Settings // read and checked
+	Log      logr.Logger
+
+	// RoundTripper reaches control processes and stores; nil for TCP.
+	RoundTripper http.RoundTripper
+}
+
 // Run runs the dispatcher until the context ends, and then shuts it down in order: not ready at once, serving
 // on for a while, then closing connections with their answers. It returns an error where an address can't
 // be listened on or a server fails.
@@ -31,33 +41,44 @@
 	}
 	following, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopFollowing()
-	client := cluster.Start(following, cluster.Options{
-		Settings:    settings,
-		Role:        cluster.RoleDispatcher,
-		Incarnation: strconv.FormatUint(randomName(), incarnationBase),
-		Log:         log,
-	})
-	process := &process{dispatcher: newDispatcher(settings, client), failures: make(chan error, 2), log: log}
-	process.dispatcher.health.prober = &prober{ctx: following, cluster: client}
-	return process.run(ctx, client)
+	return Follow(following, Options{Settings: settings, Log: log}).run(ctx)
 }
 
-// process holds the servers of a dispatcher.
-type process struct {
+// Process is the dispatcher role of one process. Create it with Follow.
+type Process struct {
 	dispatcher *dispatcher
-	failures   chan error
+	client     *cluster.Client
+	failures   chan error // of servers
 	log        logr.Logger
 }
 
-func (p *process) run(ctx context.Context, client *cluster.Client) error {
+// Follow makes a dispatcher that follows the control plane until the context ends. It listens on nothing.
+func Follow(ctx context.Context, options Options) *Process {
+	client := cluster.Start(ctx, cluster.Options{
+		Settings:     options.Settings,
+		Role:         cluster.RoleDispatcher,
+		Incarnation:  strconv.FormatUint(randomName(), incarnationBase),
+		Log:          options.Log,
+		RoundTripper: options.RoundTripper,
+	})
+	dispatcher := newDispatcher(options.Settings, client)
+	dispatcher.health.prober = &prober{ctx: ctx, cluster: client}
+	return &Process{dispatcher: dispatcher, client: client, failures: make(chan error, 2), log: options.Log}
+}
+
+// Handle answers one request of a client.
+func (p *Process) Handle(ctx *fasthttp.RequestCtx) { p.dispatcher.handle(ctx) }
+
+// run serves clients until the context ends.
+func (p *Process) run(ctx context.Context) error {
 	listen := p.dispatcher.settings.Listen
-	readiness := &readiness{dispatcher: p.dispatcher, control: client}
+	readiness := &readiness{dispatcher: p.dispatcher, control: p.client}
 	if err := p.serve(newReadyServer(readiness.handle), listen.Ready); err != nil {
 		return err
 	}
 	figures := metrics.ServeRole(p.dispatcher.settings, p.log, p.dispatcher.figures)
 	defer func() { _ = figures.Close() }()
-	view, err := p.firstConfig(ctx, client)
+	view, err := p.firstConfig(ctx)
 	if err != nil || view == nil {
 		return err
 	}
@@ -77,9 +98,9 @@
 
 // firstConfig waits for the first configuration: before it nothing can be accepted, and a refused connection
 // tells that best. The view is nil where the context ended first.
-func (p *process) firstConfig(ctx context.Context, client *cluster.Client) (*cluster.View, error) {
+func (p *Process) firstConfig(ctx context.Context) (*cluster.View, error) {
 	for {
-		view := client.View()
+		view := p.client.View()
 		if view.Config != nil {
 			return view, nil
 		}
@@ -94,7 +115,7 @@
 }
 
 // serve listens on an address and serves it in the background.
-func (p *process) serve(server *fasthttp.Server, address string) error {
+func (p *Process) serve(server *fasthttp.Server, address string) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return &ListenError{Address: address, Cause: err}
@@ -108,7 +129,7 @@
 }
 
 // shutDown ends the front server in order, within graceS less a reserve.
-func (p *process) shutDown(front *fasthttp.Server) error {
+func (p *Process) shutDown(front *fasthttp.Server) error {
 	total := time.Duration(p.dispatcher.settings.Bounds.GraceS*float64(time.Second)) - graceReserve
 	ahead := max(min(serveOn, total-leastCloseTime), 0)
 	p.dispatcher.stopping.Store(true)
--- a/internal/storenode/handover.go
+++ b/internal/storenode/handover.go
@@ -9,8 +9,9 @@
 	handOverPause = 25 * time.Millisecond
 )
 
-// handOver gives all partitions up before the process ends: the control plane moves them once no attempt is under way.
-func (n *Node) handOver() {
+// HandOver gives all partitions up before the process ends: the control plane moves them once no attempt is under way. It returns within
+// graceS.
+func (n *Node) HandOver() {
 	n.leaving.Store(true)
 	n.cluster.Kick()
 	grace := time.Duration(n.settings.Bounds.GraceS * float64(time.Second))
--- a/internal/storenode/incident_test.go
+++ b/internal/storenode/incident_test.go
@@ -79,7 +79,7 @@
 		node := owner.running().node
 		left := make(chan time.Duration, 1)
 		began := time.Now()
-		go func() { node.handOver(); left <- time.Since(began) }()
+		go func() { node.HandOver(); left <- time.Since(began) }()
 		time.Sleep(2 * time.Second)
 		next, newer := w.owner(0)
 		must.True(t, next != nil && next != owner)
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -45,8 +45,8 @@
 	Release(ctx context.Context, partitions []*rpc.PartitionEpoch) error
 }
 
-// engine makes attempts; delivery.Engine implements it.
-type engine interface {
+// Engine makes attempts; delivery.Engine implements it.
+type Engine interface {
 	SetCatalog(version uint64, config *catalog.Config)
 	SetWorkers(workers []*rpc.Worker)
 	SetDispatchers(count int)
@@ -54,8 +54,22 @@
 	Close()
 }
 
-// Node is one store.
+// Options are what a store is told at its start.
+type Options struct {
+	Settings *settings.Settings // read and checked
+	Log      logr.Logger
+
+	// RoundTripper reaches control processes and other stores; nil for TCP.
+	RoundTripper http.RoundTripper
+	// Engine makes attempts; nil for a delivery engine.
+	Engine Engine
+	// AroundSync is called for each sync of the log, which it must carry out; nil to sync at once.
+	AroundSync func(sync func() error) error
+}
+
+// Node is one store. Create it with Open.
 type Node struct {
+	options     Options
 	settings    *settings.Settings
 	log         logr.Logger
 	disk        string // identity of the disk
@@ -67,7 +81,8 @@
 
 	file    *applog.Log
 	cluster coordinator
-	engine  engine
+	leave   context.CancelFunc // ends the exchange with the control plane
+	engine  Engine
 
 	draw       func(n int) int // a random number in [0, n)
 	commands   chan func()     // run by the owner goroutine, which alone touches the fields below
@@ -104,7 +119,7 @@
 
 // Run plays the store role until ctx ends, then hands its partitions over and returns.
 func Run(ctx context.Context, s *settings.Settings, log logr.Logger) error {
-	n, err := open(s, log)
+	n, err := Open(Options{Settings: s, Log: log})
 	if err != nil {
 		return err
 	}
@@ -112,9 +127,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "storenode: listen on %s; free the first port of portRange", n.address)
 	}
-	server := &http.Server{Handler: rpc.NewStoreServer(n), ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
-	n.start()
+	n.Start()
 	figures := metrics.ServeRole(s, log, n.figures)
 	defer func() { _ = figures.Close() }()
 	n.log.Info("store started", "node", s.Node, "disk", n.disk, "incarnation", n.incarnation, "messages", n.table.Len())
@@ -124,18 +139,15 @@
 		_ = server.Close()
 		return errors.Wrap(applog.ErrFailed, "storenode: end, so that a new start replays the log")
 	}
-	n.handOver()
+	n.HandOver()
 	_ = server.Close()
-	return n.close()
+	return n.Close()
 }
 
-// open reads the log and prepares a node that is not yet running.
-func open(s *settings.Settings, log logr.Logger) (*Node, error) {
-	return openAround(s, log, nil)
-}
-
-// openAround is open with a function around each sync of the log, nil for none.
-func openAround(s *settings.Settings, log logr.Logger, aroundSync func(sync func() error) error) (*Node, error) {
+// Open reads the log and prepares a node that is not yet running. It fails where the settings name no folder or no port, or where the log
+// can't be read.
+func Open(options Options) (*Node, error) {
+	s := options.Settings
 	if s.DataDir == "" {
 		return nil, errors.New("storenode: dataDir is empty; a store needs a disk")
 	}
@@ -143,7 +155,7 @@
 		return nil, errors.New("storenode: portRange is empty; name the first and the last port")
 	}
 	n := &Node{
-		settings: s, log: log, started: time.Now(), draw: mathrand.IntN,
+		options: options, settings: s, log: options.Log, leave: func() {}, started: time.Now(), draw: mathrand.IntN,
 		address:  net.JoinHostPort(s.IP, strconv.Itoa(s.PortRange[0])),
 		domains:  domains{tolerance: s.FaultTolerance, regions: s.Zones},
 		commands: make(chan func(), commandBuffer), table: message.NewTable(), limits: map[string]int{},
@@ -151,7 +163,7 @@
 		diskFailed: make(chan struct{}),
 	}
 	n.underCopied.store(scarceCopies{lacking: 1}) // not known before upkeep has counted
-	if err := n.openLog(aroundSync); err != nil {
+	if err := n.openLog(options.AroundSync); err != nil {
 		return nil, err
 	}
 	return n, nil
@@ -175,18 +187,25 @@
 	return hex.EncodeToString(random[:])
 }
 
-// start begins to serve.
-func (n *Node) start() {
-	n.connect(
-		cluster.Start(context.Background(), cluster.Options{
-			Settings: n.settings, Role: cluster.RoleStore, Disk: n.disk, Address: n.address, Incarnation: n.incarnation,
-			Log: n.log, Status: n.status,
-		}),
-		delivery.New(delivery.Options{Zone: n.settings.Zone, Log: n.log, Now: n.now, MaxSockets: n.settings.Limits.MaxFds / 2}))
+// Handler serves the other stores and the dispatchers.
+func (n *Node) Handler() http.Handler { return rpc.NewStoreServer(n) }
+
+// Start begins to serve. It returns at once.
+func (n *Node) Start() {
+	attempts := n.options.Engine
+	if attempts == nil {
+		attempts = delivery.New(delivery.Options{Zone: n.settings.Zone, Log: n.log, Now: n.now, MaxSockets: n.settings.Limits.MaxFds / 2})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.leave = cancel
+	n.connect(cluster.Start(ctx, cluster.Options{
+		Settings: n.settings, Role: cluster.RoleStore, Disk: n.disk, Address: n.address, Incarnation: n.incarnation,
+		Log: n.log, RoundTripper: n.options.RoundTripper, Status: n.status,
+	}), attempts)
 }
 
 // connect begins to serve with a coordinator and an engine.
-func (n *Node) connect(coordinator coordinator, engine engine) {
+func (n *Node) connect(coordinator coordinator, engine Engine) {
 	n.timer = time.NewTimer(time.Hour)
 	n.engine, n.cluster = engine, coordinator
 	n.peers = newPeers(n)
@@ -230,8 +249,9 @@
 	n.pumpDue = true
 }
 
-// close ends the owner goroutine and closes the log.
-func (n *Node) close() error {
+// Close ends all work at once and closes the log. HandOver goes before it where there is time.
+func (n *Node) Close() error {
+	n.leave()
 	n.engine.Close()
 	close(n.closed)
 	n.stopping.Wait()
--- a/internal/storenode/sim_faults_test.go
+++ b/internal/storenode/sim_faults_test.go
@@ -302,7 +302,7 @@
 	p := m.running()
 	f.world.note("%s leaves", m.name)
 	finished := make(chan struct{})
-	go func() { p.node.handOver(); close(finished) }()
+	go func() { p.node.HandOver(); close(finished) }()
 	f.open = append(f.open, &openFault{until: time.Now().Add(6 * time.Second), busy: m.name, done: func() {}, heal: func() {
 		select {
 		case <-finished:
--- a/internal/storenode/sim_world_test.go
+++ b/internal/storenode/sim_world_test.go
@@ -290,7 +290,7 @@
 		return
 	}
 	p := &process{world: w, machine: m, dead: make(chan struct{})}
-	node, err := openAround(m.settings, logr.Discard(), p.sync)
+	node, err := Open(Options{Settings: m.settings, Log: logr.Discard(), AroundSync: p.sync})
 	if err != nil {
 		panic(err)
 	}
@@ -337,7 +337,7 @@
 	}
 	p.thaw()
 	close(p.dead)
-	go func() { _ = p.node.close() }()
+	go func() { _ = p.node.Close() }()
 	w.note("%s stops, power lost %t, disk lost %t, %d bytes", m.name, how.off, how.loseDisk, len(content))
 }
 
