storenode: no end of a message is forgotten before the retention is known

Cause: a store that has just started and has no configuration yet took the retention for nothing, and forgot within a second what had ended more than statusS and 30 s before. Another store that was out of touch may hold such a message as queued for the whole retention, and a dispatcher that asks the stores is told that there is no such message. Change: how long ends are kept is unknown before the first configuration, and nothing is forgotten until it is there.

--- a/internal/storenode/figures_test.go
+++ b/internal/storenode/figures_test.go
@@ -44,7 +44,9 @@
 		messages := w.sendEnded(4)
 		owner, _ := w.owner(0)
 		node := owner.running().node
-		time.Sleep(node.keepEnded() + simForgetSlack)
+		keep, known := node.keepEnded()
+		must.True(t, known)
+		time.Sleep(keep + simForgetSlack)
 		must.EqOp(t, uint64(len(messages)), figureNamed(t, node.figures(), "foldlb_store_ends_forgotten_total"))
 		must.EqOp(t, 0, figureNamed(t, node.figures(), "foldlb_store_messages_ended"))
 		must.EqOp(t, rpc.State_QUEUED, w.lookup(messages[0], false).State)
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -21,7 +21,9 @@
 func (n *Node) housekeep() {
 	now := n.now()
 	n.backlog.Store(uint64(n.table.Queued()))
-	n.counters.endsForgotten.Add(uint64(n.table.Forget(n.keepEnded(), now)))
+	if keep, known := n.keepEnded(); known {
+		n.counters.endsForgotten.Add(uint64(n.table.Forget(keep, now)))
+	}
 	if n.view == nil || n.view.Map == nil {
 		return
 	}
@@ -33,16 +35,17 @@
 }
 
 // keepEnded is how long the state of a message is kept after its end: as long as clients may ask for it, and as long as a store
-// that was out of touch may still hold it for one that has not ended.
-func (n *Node) keepEnded() time.Duration {
-	keep := time.Duration(n.settings.Bounds.StatusS * float64(time.Second))
-	if n.view != nil && n.view.Config != nil {
-		for i := range n.view.Config.Routes {
-			retention := time.Duration(n.view.Config.Routes[i].RetentionS * float64(time.Second))
-			keep = max(keep, min(retention, retentionMost))
-		}
+// that was out of touch may still hold it for one that has not ended. It is not known before the first configuration.
+func (n *Node) keepEnded() (keep time.Duration, known bool) {
+	if n.view == nil || n.view.Config == nil {
+		return 0, false
+	}
+	keep = time.Duration(n.settings.Bounds.StatusS * float64(time.Second))
+	for i := range n.view.Config.Routes {
+		retention := time.Duration(n.view.Config.Routes[i].RetentionS * float64(time.Second))
+		keep = max(keep, min(retention, retentionMost))
 	}
-	return keep + statusSlack
+	return keep + statusSlack, true
 }
 
 // upkeep looks at every message: those past their retention end, copies that are missing are restored, of messages and of the ends of
