--- /dev/null
+++ b/internal/controlplane/deployment_test.go
@@ -0,0 +1,326 @@
+package controlplane
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	deploymentSeedsVariable = "DEPLOYMENT_SEEDS" // plays so many seeds
+	deploymentSeedVariable  = "DEPLOYMENT_SEED"  // plays this one
+	deploymentSeeds         = 4
+	deploymentTrouble       = 30 * time.Second
+	deploymentFinish        = 60 * time.Second // within which all accepted messages end once the faults are over
+	deploymentSendEvery     = 60 * time.Millisecond
+	deploymentCalm          = 5 * time.Second
+	servedShare             = 0.25            // of the requests, once the time to recover has passed
+	restoreTime             = 8 * time.Second // from one lost disk to the next
+)
+
+// TestDeploymentKeepsMessages runs control processes, stores and dispatchers as they are, with clients and workers, while machines fail over one
+// another, and at last all lose power at once. What was accepted ends, once where there is calm, in order, and every dispatcher says so; what
+// was refused never runs; service is back in time.
+func TestDeploymentKeepsMessages(t *testing.T) {
+	first, count := uint64(0), uint64(deploymentSeeds)
+	if value, err := strconv.ParseUint(os.Getenv(deploymentSeedsVariable), 10, 64); err == nil {
+		count = value
+	}
+	if value, err := strconv.ParseUint(os.Getenv(deploymentSeedVariable), 10, 64); err == nil {
+		first, count = value, 1
+	}
+	for seed := first; seed < first+count; seed++ {
+		for _, group := range simGroups {
+			t.Run(fmt.Sprintf("%d/%d losses", seed, group.tolerance), func(t *testing.T) {
+				t.Parallel()
+				directory := t.TempDir()
+				synctest.Test(t, func(t *testing.T) { playDeployment(t, seed, directory, group) })
+			})
+		}
+	}
+}
+
+func playDeployment(t *testing.T, seed uint64, directory string, group simGroup) {
+	network := newSimNetwork(t, seed, directory)
+	network.tolerance = group.tolerance
+	network.judge = newSimJudge(network)
+	for number := range group.processes {
+		server := network.add()
+		if number < simVoters {
+			network.seeds = append(network.seeds, server.address)
+		}
+	}
+	network.addStores(group.tolerance + 3)
+	network.addFronts(simDispatchers)
+	for _, server := range network.list() {
+		server.start(true)
+	}
+	network.startMembers()
+	course := &simCourse{network: network, troubles: &simTroubles{network: network, group: group}}
+	must.Eq(t, http.StatusOK, course.configure())
+	time.Sleep(3 * time.Second)
+	go course.sendOn()
+	for end := time.Now().Add(deploymentTrouble); time.Now().Before(end); {
+		course.begin()
+		time.Sleep(network.between(200*time.Millisecond, 4*time.Second))
+	}
+	course.finish()
+	network.end()
+	course.report()
+}
+
+// simCourse is the load of a deployment, and what goes wrong in it.
+type simCourse struct {
+	network  *simNetwork
+	troubles *simTroubles
+	lostAt   time.Time // when a disk was lost last
+	version  int       // of the newest configuration
+}
+
+// configure replaces the configuration by one with another route, on which messages are sent from the time on that it is to be in force.
+func (c *simCourse) configure() (status int) {
+	n := c.network
+	c.version++
+	routes := []string{fmt.Sprintf("work-%d", c.version), fmt.Sprintf("work-%d", c.version-1)}
+	operator := &simOperator{network: n, history: &simHistory{}}
+	status = operator.untilClear(http.MethodPost, replacePath, fmt.Sprint(c.version-1), configWith(c.version, routes...)).status
+	if status == http.StatusOK {
+		n.note("configuration %d", c.version)
+		time.AfterFunc(simApplyMs*time.Millisecond, func() {
+			n.mutex.Lock()
+			n.route = routes[0]
+			n.mutex.Unlock()
+		})
+	}
+	return status
+}
+
+// sendOn sends messages until the simulation ends.
+func (c *simCourse) sendOn() {
+	n := c.network
+	for number := 0; ; number++ {
+		select {
+		case <-n.ended:
+			return
+		case <-time.After(n.between(deploymentSendEvery/2, 3*deploymentSendEvery/2)):
+		}
+		n.judge.send(number)
+	}
+}
+
+// begin draws one trouble: of a store, of a dispatcher, of all machines or of the control processes.
+func (c *simCourse) begin() {
+	n := c.network
+	store := n.stores[n.intN(len(n.stores))]
+	switch n.intN(16) {
+	case 0, 1:
+		store.kill(false)
+		time.Sleep(n.between(10*time.Millisecond, 2*time.Second))
+		store.start()
+	case 2:
+		store.kill(true)
+		time.Sleep(n.between(100*time.Millisecond, 4*time.Second))
+		store.start()
+	case 3:
+		c.loseDisk(store)
+	case 4:
+		c.cutOff(store)
+	case 5:
+		front := n.fronts[n.intN(len(n.fronts))]
+		front.kill()
+		time.Sleep(n.between(10*time.Millisecond, 2*time.Second))
+		front.start()
+	case 6:
+		n.note("all machines stop")
+		c.troubles.downAll()
+	case 7, 8:
+		c.afterAcceptance()
+	case 9:
+		heal := store.stall()
+		n.note("the disk of %s stalls", store.name)
+		time.Sleep(n.between(300*time.Millisecond, 5*time.Second))
+		heal()
+	case 10:
+		c.turnOver()
+	default:
+		if time.Since(c.lostAt) > restoreTime {
+			c.troubles.begin()
+		}
+	}
+}
+
+// loseDisk takes a disk where all that was lost before has been made up for, at times at the moment when all others lose power.
+func (c *simCourse) loseDisk(store *simStore) {
+	n := c.network
+	if time.Since(c.lostAt) < restoreTime || !c.troubles.mayLoseDisk() || !c.allWhole() {
+		return
+	}
+	store.loseDisk()
+	if n.chance(0.4) {
+		c.troubles.downAll()
+	} else {
+		time.Sleep(n.between(100*time.Millisecond, 3*time.Second))
+		store.start()
+	}
+	c.lostAt = time.Now()
+}
+
+// afterAcceptance takes the power of all machines, or of a store, right after a message was accepted.
+func (c *simCourse) afterAcceptance() {
+	n := c.network
+	select {
+	case <-n.judge.acceptances:
+	default:
+	}
+	select {
+	case <-n.judge.acceptances:
+	case <-time.After(restoreTime):
+		return
+	}
+	n.note("right after a 202")
+	if n.chance(0.5) {
+		c.troubles.downAll()
+		return
+	}
+	store := n.stores[n.intN(len(n.stores))]
+	store.kill(true)
+	time.Sleep(n.between(100*time.Millisecond, 3*time.Second))
+	store.start()
+}
+
+// turnOver puts other seeds into the settings of all machines, which need not vote.
+func (c *simCourse) turnOver() {
+	n := c.network
+	var seeds []string
+	servers := n.list()
+	for _, index := range rand.New(rand.NewPCG(uint64(n.intN(1<<20)), 0)).Perm(len(servers)) {
+		if !servers[index].gone && len(seeds) < simVoters {
+			seeds = append(seeds, servers[index].address)
+		}
+	}
+	n.turnOverAll(seeds)
+}
+
+// allWhole reports whether the leader counts every store as whole.
+func (c *simCourse) allWhole() bool {
+	leader := c.network.leader()
+	if leader == nil || leader.running() == nil {
+		return false
+	}
+	whole := 0
+	for _, store := range leader.running().server.state.committed().Stores {
+		if store.Whole {
+			whole++
+		}
+	}
+	return whole == len(c.network.stores)
+}
+
+// cutOff cuts a store off from all others for a time.
+func (c *simCourse) cutOff(store *simStore) {
+	n := c.network
+	outward, inward := n.chance(0.7), n.chance(0.7)
+	for _, other := range n.allAddresses() {
+		n.cutLink(store.address, other, outward)
+		n.cutLink(other, store.address, inward)
+	}
+	n.note("%s is cut off, outward %t, inward %t", store.name, outward, inward)
+	time.Sleep(n.between(300*time.Millisecond, 5*time.Second))
+	c.troubles.heal()
+}
+
+// finish ends the trouble with a loss of power everywhere, and checks that service is back and that every message has ended.
+func (c *simCourse) finish() {
+	n, j := c.network, c.network.judge
+	c.troubles.heal()
+	c.darken()
+	time.Sleep(servedWithin)
+	back := time.Now()
+	time.Sleep(deploymentCalm)
+	accepted, sent := j.acceptedSince(back)
+	if float64(accepted) < servedShare*float64(sent) {
+		j.violate("RECOVER", &simMessage{sentAt: back}, "%s after the machines were back %d of %d messages were accepted\n%s", servedWithin, accepted, sent,
+			strings.Join(n.describe(), "\n"))
+	}
+	c.troubles.endAll()
+	n.startMembers()
+	time.Sleep(servedWithin)
+	if status := c.configure(); status != http.StatusOK {
+		j.violate("CONFIG", &simMessage{sentAt: time.Now()}, "status %d of a change in calm", status)
+	}
+	time.Sleep(simApplyMs * time.Millisecond)
+	j.mutex.Lock()
+	j.calmFrom = time.Now()
+	j.mutex.Unlock()
+	time.Sleep(deploymentCalm)
+	for end := time.Now().Add(deploymentFinish); j.unfinished() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Second)
+	}
+	time.Sleep(deploymentCalm)
+	j.checkStates()
+}
+
+// darken takes the power of all machines at once. Where nothing is missing one store or one control process does not come back.
+func (c *simCourse) darken() {
+	n := c.network
+	n.note("all machines lose power for the last time")
+	bears := time.Since(c.lostAt) > restoreTime && c.troubles.mayLoseDisk() && c.allWhole()
+	for _, server := range n.list() {
+		server.kill(true)
+	}
+	n.stopMembers(true)
+	servers := slices.DeleteFunc(n.list(), func(server *simServer) bool { return server.gone })
+	absent := ""
+	if bears && n.chance(0.7) {
+		absent = n.stores[n.intN(len(n.stores))].address
+		if n.chance(0.5) {
+			absent = servers[n.intN(len(servers))].address
+		}
+		n.note("%s does not come back", absent)
+	}
+	for _, server := range servers {
+		if server.address != absent {
+			time.Sleep(n.between(time.Millisecond, 800*time.Millisecond))
+			server.start(false)
+		}
+	}
+	for _, store := range n.stores {
+		if store.address != absent {
+			store.start()
+		}
+	}
+	for _, front := range n.fronts {
+		front.start()
+	}
+}
+
+// report fails the test where a rule was broken.
+func (c *simCourse) report() {
+	j := c.network.judge
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	accepted, refused, starts := 0, 0, 0
+	for _, m := range j.messages {
+		starts += m.starts
+		if m.refused {
+			refused++
+		}
+		if !m.acceptedAt.IsZero() {
+			accepted++
+		}
+	}
+	c.network.t.Logf("%d messages, %d accepted, %d refused, %d runs, %d violations", len(j.messages), accepted, refused, starts, len(j.violations))
+	if len(j.violations) > 0 {
+		c.network.t.Fatalf("%s\n%s", strings.Join(j.violations[:min(12, len(j.violations))], "\n"), strings.Join(c.network.trace, "\n"))
+	}
+	must.Greater(c.network.t, len(j.messages)/4, accepted)
+}
--- a/internal/controlplane/discovery.go
+++ b/internal/controlplane/discovery.go
@@ -46,9 +46,12 @@
 	lastCall time.Time
 }
 
-func newDiscovery(address string, ratePerS float64, log logr.Logger) *discovery {
-	dialer := &net.Dialer{Timeout: discoveryTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 1, DisableCompression: true}
+// newDiscovery makes a reader of the platform's list; roundTripper is the way to the platform, nil for TCP.
+func newDiscovery(address string, ratePerS float64, roundTripper http.RoundTripper, log logr.Logger) *discovery {
+	if roundTripper == nil {
+		dialer := &net.Dialer{Timeout: discoveryTimeout}
+		roundTripper = &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 1, DisableCompression: true}
+	}
 	interval := time.Duration(0)
 	if ratePerS > 0 {
 		interval = time.Duration(rateReserve * float64(time.Second) / ratePerS)
@@ -56,7 +59,7 @@
 	return &discovery{
 		address:  address,
 		interval: interval,
-		client:   &http.Client{Transport: transport, Timeout: discoveryTimeout},
+		client:   &http.Client{Transport: roundTripper, Timeout: discoveryTimeout},
 		log:      log,
 	}
 }
--- a/internal/controlplane/discovery_test.go
+++ b/internal/controlplane/discovery_test.go
@@ -50,7 +50,7 @@
 func newTestDiscovery(t *testing.T, platform *fakePlatform) *discovery {
 	server := httptest.NewServer(platform)
 	t.Cleanup(server.Close)
-	return newDiscovery(server.Listener.Addr().String(), 0, logr.Discard())
+	return newDiscovery(server.Listener.Addr().String(), 0, nil, logr.Discard())
 }
 
 func TestAllPagesAreRead(t *testing.T) {
--- a/internal/controlplane/leadership.go
+++ b/internal/controlplane/leadership.go
@@ -117,7 +117,7 @@
 // runDiscovery streams the platform's list of workers until the term ends.
 func (s *Server) runDiscovery(t *term) {
 	cloud := s.settings().Cloud
-	reader := newDiscovery(cloud.Address, cloud.RatePerS, s.log)
+	reader := newDiscovery(cloud.Address, cloud.RatePerS, s.platform, s.log)
 	var before *rpc.WorkerList
 	reader.run(t.context, func(workers []*rpc.Worker) {
 		t.mutex.Lock()
--- a/internal/controlplane/search_test.go
+++ b/internal/controlplane/search_test.go
@@ -85,7 +85,7 @@
 	for _, server := range n.list() {
 		server.kill(true)
 	}
-	n.stopMembers()
+	n.stopMembers(true)
 	for _, server := range n.list() {
 		if !server.gone {
 			server.start(false)
@@ -160,7 +160,7 @@
 	playSearch(t, 1, func(network *simNetwork) []string {
 		network.turnOverAll(network.nonVoters()[:minVoters])
 		network.leader().kill(true)
-		network.stopMembers()
+		network.stopMembers(true)
 		network.startMembers()
 		return append(network.strangers(), network.awaitService(servedWithin)...)
 	})
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -39,6 +39,8 @@
 	Timing   failover.Timing // the zero value for the defaults
 	// RoundTripper reaches the other control processes; nil for TCP.
 	RoundTripper http.RoundTripper
+	// Platform reaches the platform; nil for TCP.
+	Platform http.RoundTripper
 }
 
 // Server is the control role of one process. Create it with New and run it with Run.
@@ -48,6 +50,8 @@
 	hasDisk bool
 	log     logr.Logger
 
+	platform http.RoundTripper // nil for TCP
+
 	current atomic.Pointer[settings.Settings]
 	node    node
 	store   *failover.FileStore // nil without a disk
@@ -78,6 +82,7 @@
 		zone:           wanted.Zone,
 		hasDisk:        wanted.DataDir != "",
 		log:            options.Log,
+		platform:       options.Platform,
 		hub:            watch.NewHub(partCount, max(leastStreams, options.Settings.Limits.MaxFds-keptDescriptors)),
 		peers:          newPeerTable(),
 		clients:        newClients(options.RoundTripper),
--- /dev/null
+++ b/internal/controlplane/sim_judge_test.go
@@ -0,0 +1,265 @@
+package controlplane
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"foldlb.example/foldlb/internal/catalog"
+	"foldlb.example/foldlb/internal/delivery"
+	"foldlb.example/foldlb/internal/platformapi"
+	"foldlb.example/foldlb/internal/rpc"
+)
+
+const (
+	simRunLeast = 5 * time.Millisecond
+	simRunMost  = 60 * time.Millisecond
+	simTimeout  = 600 * time.Millisecond // of an attempt, as the route says
+	simKeys     = 6
+	simCapacity = 200
+)
+
+// simMessage is one message, as its client and the workers saw it.
+type simMessage struct {
+	name       string
+	id         string // that it was accepted under
+	key        string // of its order; empty for none
+	body       []byte
+	sentAt     time.Time
+	acceptedAt time.Time // zero where it was not accepted
+	refused    bool      // the client was told that it never runs
+	starts     int
+	endedAt    time.Time // the first success at a worker
+	stamps     map[string]bool
+}
+
+// simJudge holds what clients and workers saw, and checks the rules.
+type simJudge struct {
+	network *simNetwork
+
+	acceptances chan struct{} // holds the newest acceptance
+
+	mutex      sync.Mutex
+	messages   map[string]*simMessage
+	byKey      map[string][]*simMessage // accepted ones
+	requests   sync.WaitGroup
+	calmFrom   time.Time // what is sent later runs once; zero while there is trouble
+	violations []string
+}
+
+func newSimJudge(network *simNetwork) *simJudge {
+	return &simJudge{network: network, acceptances: make(chan struct{}, 1), messages: map[string]*simMessage{}, byKey: map[string][]*simMessage{}}
+}
+
+// violate notes that a rule was broken. The mutex is held.
+func (j *simJudge) violate(rule string, m *simMessage, format string, values ...any) {
+	line := fmt.Sprintf("%8.3f %s %s (key %q, sent %.3f): ", time.Since(j.network.started).Seconds(), rule, m.name, m.key, m.sentAt.Sub(j.network.started).Seconds())
+	j.violations = append(j.violations, line+fmt.Sprintf(format, values...))
+}
+
+// send has a client send a message to any dispatcher, and notes the answer.
+func (j *simJudge) send(number int) {
+	n := j.network
+	m := &simMessage{name: fmt.Sprintf("m%d", number), sentAt: time.Now(), stamps: map[string]bool{}}
+	m.body = bytes.Repeat([]byte(m.name), 1+n.intN(100))
+	if n.chance(0.4) {
+		m.key = fmt.Sprintf("k%d", n.intN(simKeys))
+	}
+	j.mutex.Lock()
+	j.messages[m.name] = m
+	j.mutex.Unlock()
+	n.mutex.Lock()
+	front, path := n.fronts[number%len(n.fronts)], "/"+n.route+"/x"
+	n.mutex.Unlock()
+	headers := map[string]string{"X-Request-Id": m.name, "X-Order-Key": m.key}
+	j.requests.Go(func() {
+		answer := front.ask(http.MethodPost, path, headers, m.body)
+		j.mutex.Lock()
+		defer j.mutex.Unlock()
+		switch answer.status {
+		case http.StatusAccepted:
+			m.id, m.acceptedAt = answer.id, time.Now()
+			select {
+			case j.acceptances <- struct{}{}:
+			default:
+			}
+			if m.key != "" {
+				j.byKey[m.key] = append(j.byKey[m.key], m)
+			}
+		case http.StatusServiceUnavailable:
+			m.refused = true
+			if m.starts > 0 {
+				j.violate("REFUSED", m, "it ran before the refusal")
+			}
+		case 0, http.StatusGatewayTimeout:
+		default:
+			j.violate("REJECTED", m, "status %d", answer.status)
+		}
+	})
+}
+
+// start notes that a worker begins to run a message, and returns its stamp.
+func (j *simJudge) start(job *delivery.Job, store string) (stamp string) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	m := j.messages[job.RequestID]
+	m.starts++
+	if !bytes.Equal(job.Body, m.body) || job.OrderKey != m.key {
+		j.violate("MIXED", m, "the job has %d bytes and key %q", len(job.Body), job.OrderKey)
+	}
+	if m.refused {
+		j.violate("REFUSED", m, "it runs at the order of %s", store)
+	}
+	if m.starts > 1 && !j.calmFrom.IsZero() && m.sentAt.After(j.calmFrom) {
+		j.violate("TWICE", m, "it runs again at the order of %s", store)
+	}
+	for _, other := range j.byKey[m.key] {
+		if other != m && other.acceptedAt.Before(m.sentAt) && other.endedAt.IsZero() {
+			j.violate("ORDER", m, "%s runs it while %s, accepted before it was sent, has not ended", store, other.name)
+		}
+	}
+	stamp = fmt.Sprintf("%s.%d", m.name, m.starts)
+	m.stamps[stamp] = true
+	return stamp
+}
+
+func (j *simJudge) end(name string) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	if m := j.messages[name]; m.endedAt.IsZero() {
+		m.endedAt = time.Now()
+	}
+}
+
+// acceptedSince counts the messages sent since a moment, and those of them that were accepted.
+func (j *simJudge) acceptedSince(moment time.Time) (accepted, sent int) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	for _, m := range j.messages {
+		if m.sentAt.Before(moment) {
+			continue
+		}
+		sent++
+		if !m.acceptedAt.IsZero() {
+			accepted++
+		}
+	}
+	return accepted, sent
+}
+
+// list returns the messages that were accepted.
+func (j *simJudge) accepted() []*simMessage {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	var accepted []*simMessage
+	for _, m := range j.messages {
+		if !m.acceptedAt.IsZero() {
+			accepted = append(accepted, m)
+		}
+	}
+	return accepted
+}
+
+func (j *simJudge) unfinished() int {
+	count := 0
+	for _, m := range j.accepted() {
+		j.mutex.Lock()
+		if m.endedAt.IsZero() {
+			count++
+		}
+		j.mutex.Unlock()
+	}
+	return count
+}
+
+// checkStates asks every dispatcher for every accepted message: all have ended, and all dispatchers say so.
+func (j *simJudge) checkStates() {
+	for _, m := range j.accepted() {
+		for _, front := range j.network.fronts {
+			answer := front.askAgain(http.MethodGet, "/api/message/"+m.id)
+			j.mutex.Lock()
+			switch {
+			case answer.status == http.StatusNotFound:
+				j.violate("LOST", m, "%s knows no %s, %d runs", front.name, m.id, m.starts)
+			case answer.status != http.StatusOK:
+				j.violate("UNSURE", m, "%s answers %d for %s", front.name, answer.status, m.id)
+			case !strings.Contains(string(answer.body), `"completed"`):
+				j.violate("STRANDED", m, "%s says %s of %s, %d runs", front.name, answer.body, m.id, m.starts)
+			case !j.hasStamp(m, string(answer.body)):
+				j.violate("MIXED", m, "%s says %s", front.name, answer.body)
+			}
+			j.mutex.Unlock()
+		}
+	}
+}
+
+func (j *simJudge) hasStamp(m *simMessage, state string) bool {
+	for stamp := range m.stamps {
+		if strings.Contains(state, `"`+stamp+`"`) {
+			return true
+		}
+	}
+	return false
+}
+
+// simPlatform lists one worker. It implements http.RoundTripper.
+type simPlatform struct{}
+
+// RoundTrip implements http.RoundTripper.
+func (simPlatform) RoundTrip(request *http.Request) (*http.Response, error) {
+	page := platformapi.Page{Instances: []platformapi.Instance{{ID: "worker", Service: "s", Address: "worker:80", Capacity: simCapacity, State: platformapi.StateReady}}}
+	recorder := httptest.NewRecorder()
+	err := json.NewEncoder(recorder).Encode(page)
+	response := recorder.Result()
+	response.Request = request
+	return response, err
+}
+
+// simWorkers plays the delivery engine of a store, and the workers that it calls. It implements storenode.Engine.
+type simWorkers struct {
+	process *simStoreProcess
+}
+
+// SetCatalog implements storenode.Engine.
+func (w *simWorkers) SetCatalog(uint64, *catalog.Config) {}
+
+// SetWorkers implements storenode.Engine.
+func (w *simWorkers) SetWorkers([]*rpc.Worker) {}
+
+// SetDispatchers implements storenode.Engine.
+func (w *simWorkers) SetDispatchers(int) {}
+
+// Close implements storenode.Engine.
+func (w *simWorkers) Close() {}
+
+// Submit implements storenode.Engine.
+func (w *simWorkers) Submit(job *delivery.Job, guard func() bool, done func(delivery.Outcome)) {
+	go func() {
+		outcome := w.attempt(job, guard)
+		if !(&simService{dead: w.process.dead}).hasEnded() {
+			done(outcome)
+		}
+	}()
+}
+
+// attempt has a worker run the job. Some answers are lost.
+func (w *simWorkers) attempt(job *delivery.Job, guard func() bool) delivery.Outcome {
+	n := w.process.machine.network
+	time.Sleep(n.delay())
+	if (&simService{dead: w.process.dead}).hasEnded() || !guard() {
+		return delivery.Outcome{Kind: delivery.NotRun}
+	}
+	stamp := n.judge.start(job, w.process.machine.name)
+	time.Sleep(n.between(simRunLeast, simRunMost))
+	n.judge.end(job.RequestID)
+	if n.isLossy() && n.chance(0.05) {
+		time.Sleep(simTimeout)
+		return delivery.Outcome{}
+	}
+	return delivery.Outcome{Kind: delivery.Succeeded, Stamp: stamp}
+}
--- a/internal/controlplane/sim_member_test.go
+++ b/internal/controlplane/sim_member_test.go
@@ -55,8 +55,14 @@
 	}
 }
 
-// startMembers starts those that do not run.
+// startMembers starts the members, stores and dispatchers that do not run.
 func (n *simNetwork) startMembers() {
+	for _, store := range n.stores {
+		store.start()
+	}
+	for _, front := range n.fronts {
+		front.start()
+	}
 	for _, member := range n.members {
 		if member.client == nil {
 			member.start()
@@ -64,8 +70,14 @@
 	}
 }
 
-// stopMembers ends all members at one moment.
-func (n *simNetwork) stopMembers() {
+// stopMembers ends all members, stores and dispatchers at one moment, with or without a loss of power.
+func (n *simNetwork) stopMembers(off bool) {
+	for _, store := range n.stores {
+		store.kill(off)
+	}
+	for _, front := range n.fronts {
+		front.kill()
+	}
 	for _, member := range n.members {
 		member.kill()
 	}
@@ -169,21 +181,22 @@
 
 // stream opens a response without end.
 func (n *simNetwork) stream(from string, callerDead <-chan struct{}, request *http.Request) (*http.Response, error) {
-	target, process, err := n.reach(from, callerDead, request)
+	target, err := n.reach(from, callerDead, request)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(request.Context())
 	body, pipe := io.Pipe()
-	writer := &simStreamWriter{ResponseRecorder: httptest.NewRecorder(), network: n, from: target.address, to: from, pipe: pipe, ctx: ctx, begun: make(chan struct{})}
+	writer := &simStreamWriter{ResponseRecorder: httptest.NewRecorder(), network: n, from: request.URL.Host, to: from, pipe: pipe, ctx: ctx, begun: make(chan struct{})}
 	arrived := httptest.NewRequest(request.Method, request.URL.RequestURI(), nil).WithContext(ctx)
 	go func() {
 		defer cancel()
-		process.server.Handler().ServeHTTP(writer, arrived)
+		target.handler.ServeHTTP(writer, arrived)
 		writer.begin()
-		if target.running() == process {
+		_, isSilent := n.serviceAt(request.URL.Host)
+		if !target.hasEnded() {
 			pipe.Close()
-		} else if !target.isSilent() {
+		} else if !isSilent {
 			pipe.CloseWithError(errSimReset)
 		}
 	}()
--- a/internal/controlplane/sim_network_test.go
+++ b/internal/controlplane/sim_network_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -41,6 +42,10 @@
 	random  *rand.Rand
 	servers []*simServer
 	members []*simMember       // belong to the goroutine that plays the course
+	stores  []*simStore        // none where members are enough
+	fronts  []*simFront        // likewise
+	judge   *simJudge          // of their messages
+	route   string             // that messages are sent on
 	cuts    map[[2]string]bool // links that carry nothing, by sender and receiver
 	lossy   float64            // share of calls whose request or answer is lost
 	rate    int                // bytes a second of each call; 0 for no bound
@@ -142,7 +147,7 @@
 	}
 	wanted := s.settings()
 	wanted.Bootstrap = bootstrap
-	server, err := New(Options{Log: logr.Discard(), RoundTripper: &simTransport{from: s}, Settings: wanted})
+	server, err := New(Options{Log: logr.Discard(), RoundTripper: &simTransport{from: s}, Platform: simPlatform{}, Settings: wanted})
 	must.NoError(network.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	process := &simProcess{server: server, cancel: cancel, dead: make(chan struct{})}
@@ -160,7 +165,7 @@
 		seeds = s.network.seeds
 	}
 	read := &settings.Settings{
-		Node: s.address, Zone: s.zone, Listen: settings.Listen{Control: s.address}, Seeds: seeds,
+		Node: s.address, Zone: s.zone, Listen: settings.Listen{Control: s.address}, Seeds: seeds, Cloud: settings.Cloud{Address: "platform"},
 		FaultTolerance: settings.FaultTolerance{Machines: s.network.tolerance},
 	}
 	if !s.outside {
@@ -229,30 +234,29 @@
 		request.Body.Close()
 	}
 	time.Sleep(n.transferTime(len(body)))
-	target, process, err := n.reach(from, callerDead, request)
+	target, err := n.reach(from, callerDead, request)
 	if err != nil {
 		return nil, err
 	}
-	n.count(target.address, len(body))
+	n.count(request.URL.Host, len(body))
 	arrived := httptest.NewRequest(request.Method, request.URL.RequestURI(), bytes.NewReader(body))
 	arrived.Header = request.Header.Clone()
 	recorder := httptest.NewRecorder()
 	handled := make(chan struct{})
 	go func() {
 		defer close(handled)
-		process.server.Handler().ServeHTTP(recorder, arrived)
+		target.handler.ServeHTTP(recorder, arrived)
 	}()
 	select {
 	case <-handled:
-	case <-process.dead:
-		return nil, errSimReset
+	case <-target.dead:
 	case <-request.Context().Done():
 		return nil, request.Context().Err()
 	}
-	if target.running() != process {
+	if target.hasEnded() {
 		return nil, errSimReset
 	}
-	if n.isLost(target.address, from) {
+	if n.isLost(request.URL.Host, from) {
 		return nil, n.silence(callerDead, request)
 	}
 	time.Sleep(n.delay())
@@ -271,18 +275,57 @@
 	}
 }
 
+// simService is one life of a process that serves.
+type simService struct {
+	handler http.Handler
+	dead    <-chan struct{} // closed when it ends
+}
+
+func (s *simService) hasEnded() bool {
+	select {
+	case <-s.dead:
+		return true
+	default:
+		return false
+	}
+}
+
 // reach takes a request to the process that it is for.
-func (n *simNetwork) reach(from string, callerDead <-chan struct{}, request *http.Request) (*simServer, *simProcess, error) {
+func (n *simNetwork) reach(from string, callerDead <-chan struct{}, request *http.Request) (*simService, error) {
 	time.Sleep(n.delay())
-	target := n.at(request.URL.Host)
-	if target == nil || n.isLost(from, target.address) || target.isSilent() {
-		return nil, nil, n.silence(callerDead, request)
+	service, isSilent := n.serviceAt(request.URL.Host)
+	if isSilent || n.isLost(from, request.URL.Host) {
+		return nil, n.silence(callerDead, request)
 	}
-	process := target.running()
-	if process == nil {
-		return nil, nil, errSimRefused
+	if service == nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errSimRefused}
 	}
-	return target, process, request.Context().Err()
+	return service, request.Context().Err()
+}
+
+// serviceAt returns what serves at an address, nil where nothing runs. It is silent where no machine is there, or none with power.
+func (n *simNetwork) serviceAt(address string) (service *simService, isSilent bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, server := range n.servers {
+		switch {
+		case server.address != address:
+		case server.process == nil:
+			return nil, server.off || server.gone
+		default:
+			return &simService{handler: server.process.server.Handler(), dead: server.process.dead}, server.off || server.gone
+		}
+	}
+	for _, store := range n.stores {
+		switch {
+		case store.address != address:
+		case store.process == nil:
+			return nil, store.off
+		default:
+			return &simService{handler: store.process.node.Handler(), dead: store.process.dead}, false
+		}
+	}
+	return nil, true
 }
 
 // transferTime is how long a body takes.
@@ -312,12 +355,6 @@
 	return n.carried[server.address], n.large[server.address]
 }
 
-func (s *simServer) isSilent() bool {
-	s.network.mutex.Lock()
-	defer s.network.mutex.Unlock()
-	return s.off || s.gone
-}
-
 // isLost reports whether a call or its answer does not come through.
 func (n *simNetwork) isLost(from, to string) bool {
 	n.mutex.Lock()
@@ -326,6 +363,13 @@
 	return n.isCut(from, to) || lossy > 0 && n.chance(lossy)
 }
 
+// isLossy reports whether calls are lost.
+func (n *simNetwork) isLossy() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.lossy > 0
+}
+
 func (n *simNetwork) isCut(from, to string) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -349,10 +393,34 @@
 	}
 }
 
+// cutLink stops what goes one way, if wanted.
+func (n *simNetwork) cutLink(from, to string, wanted bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if wanted && from != to {
+		n.cuts[[2]string{from, to}] = true
+	}
+}
+
+// allAddresses lists where control processes, stores and dispatchers are.
+func (n *simNetwork) allAddresses() []string {
+	var addresses []string
+	for _, server := range n.list() {
+		addresses = append(addresses, server.address)
+	}
+	for _, store := range n.stores {
+		addresses = append(addresses, store.address)
+	}
+	for _, front := range n.fronts {
+		addresses = append(addresses, front.name)
+	}
+	return addresses
+}
+
 // end ends the simulation, all processes and their goroutines.
 func (n *simNetwork) end() {
 	close(n.ended)
-	n.stopMembers()
+	n.stopMembers(false)
 	for _, server := range n.list() {
 		server.kill(false)
 	}
--- a/internal/controlplane/sim_test.go
+++ b/internal/controlplane/sim_test.go
@@ -172,9 +172,7 @@
 func (f *simTroubles) begin() {
 	n := f.network
 	if !f.cutUntil.IsZero() && time.Now().After(f.cutUntil) {
-		n.heal()
-		f.cutUntil, f.cutOne = time.Time{}, nil
-		n.note("links are back")
+		f.heal()
 	}
 	target := n.list()[n.intN(len(n.list()))]
 	if leader := n.leader(); leader != nil && n.chance(0.5) {
@@ -204,6 +202,13 @@
 	}
 }
 
+// heal brings all links back.
+func (f *simTroubles) heal() {
+	f.network.heal()
+	f.cutUntil, f.cutOne = time.Time{}, nil
+	f.network.note("links are back")
+}
+
 // cutOff cuts a process off from the others, or in one direction, for up to twenty seconds. Operators reach all.
 func (f *simTroubles) cutOff(target *simServer) {
 	n := f.network
@@ -257,7 +262,7 @@
 		server.kill(off)
 	}
 	if off {
-		n.stopMembers()
+		n.stopMembers(true)
 	}
 	for _, server := range n.list() {
 		time.Sleep(n.between(time.Millisecond, 800*time.Millisecond))
