deployment simulation: sending ends before the last look at what was accepted

Change: the course ends its load and waits for open requests, then for all that was accepted, and then looks.

--- a/internal/controlplane/deployment_test.go
+++ b/internal/controlplane/deployment_test.go
@@ -65,10 +65,10 @@
 		server.start(true)
 	}
 	network.startMembers()
-	course := &simCourse{network: network, troubles: &simTroubles{network: network, group: group}}
+	course := &simCourse{network: network, over: make(chan struct{}), troubles: &simTroubles{network: network, group: group}}
 	must.Eq(t, http.StatusOK, course.configure())
 	time.Sleep(3 * time.Second)
-	go course.sendOn()
+	network.judge.requests.Go(course.sendOn)
 	for end := time.Now().Add(deploymentTrouble); time.Now().Before(end); {
 		course.begin()
 		time.Sleep(network.between(200*time.Millisecond, 4*time.Second))
@@ -82,8 +82,9 @@
 type simCourse struct {
 	network  *simNetwork
 	troubles *simTroubles
-	lostAt   time.Time // when a disk was lost last
-	version  int       // of the newest configuration
+	lostAt   time.Time     // when a disk was lost last
+	version  int           // of the newest configuration
+	over     chan struct{} // closed when no more messages are sent
 }
 
 // configure replaces the configuration by one with another route, on which messages are sent from the time on that it is to be in force.
@@ -104,12 +105,12 @@
 	return status
 }
 
-// sendOn sends messages until the simulation ends.
+// sendOn sends messages until the course is over.
 func (c *simCourse) sendOn() {
 	n := c.network
 	for number := 0; ; number++ {
 		select {
-		case <-n.ended:
+		case <-c.over:
 			return
 		case <-time.After(n.between(deploymentSendEvery/2, 3*deploymentSendEvery/2)):
 		}
@@ -262,6 +263,8 @@
 	j.calmFrom = time.Now()
 	j.mutex.Unlock()
 	time.Sleep(deploymentCalm)
+	close(c.over)
+	j.requests.Wait()
 	for end := time.Now().Add(deploymentFinish); j.unfinished() > 0 && time.Now().Before(end); {
 		time.Sleep(time.Second)
 	}
