deployment simulation: aimed faults, and a judge of who sends a message

Change: power goes right after an acceptance, machines come back one by one in any order, seeds may all name processes without a vote, dispatchers are cut off from control while the configuration changes, and in every fourth course all stores lose their disks in turn. Judged besides: only the owner by the newest committed table sends a message to a worker.

--- a/internal/controlplane/deployment_test.go
+++ b/internal/controlplane/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -19,7 +20,7 @@
 	deploymentSeedsVariable = "DEPLOYMENT_SEEDS" // plays so many seeds
 	deploymentSeedVariable  = "DEPLOYMENT_SEED"  // plays this one
 	deploymentSeeds         = 4
-	deploymentTrouble       = 30 * time.Second
+	deploymentTrouble       = 40 * time.Second
 	deploymentFinish        = 60 * time.Second // within which all accepted messages end once the faults are over
 	deploymentSendEvery     = 60 * time.Millisecond
 	deploymentCalm          = 5 * time.Second
@@ -69,9 +70,10 @@
 	must.Eq(t, http.StatusOK, course.configure())
 	time.Sleep(3 * time.Second)
 	network.judge.requests.Go(course.sendOn)
-	for end := time.Now().Add(deploymentTrouble); time.Now().Before(end); {
-		course.begin()
-		time.Sleep(network.between(200*time.Millisecond, 4*time.Second))
+	if seed%4 == 1 {
+		course.loseDisksInTurn()
+	} else {
+		course.meetTroubles()
 	}
 	course.finish()
 	network.end()
@@ -118,11 +120,28 @@
 	}
 }
 
+// loseDisksInTurn has every store lose its disk, one after the other, so that none is left that was there at the start.
+func (c *simCourse) loseDisksInTurn() {
+	for _, store := range c.network.stores {
+		time.Sleep(restoreTime)
+		for !c.loseDisk(store) {
+			time.Sleep(searchLook)
+		}
+	}
+}
+
+func (c *simCourse) meetTroubles() {
+	for end := time.Now().Add(deploymentTrouble); time.Now().Before(end); {
+		c.begin()
+		time.Sleep(c.network.between(200*time.Millisecond, 4*time.Second))
+	}
+}
+
 // begin draws one trouble: of a store, of a dispatcher, of all machines or of the control processes.
 func (c *simCourse) begin() {
 	n := c.network
 	store := n.stores[n.intN(len(n.stores))]
-	switch n.intN(16) {
+	switch n.intN(18) {
 	case 0, 1:
 		store.kill(false)
 		time.Sleep(n.between(10*time.Millisecond, 2*time.Second))
@@ -152,6 +171,10 @@
 		heal()
 	case 10:
 		c.turnOver()
+	case 11:
+		c.configure()
+	case 12:
+		c.cutOffFront()
 	default:
 		if time.Since(c.lostAt) > restoreTime {
 			c.troubles.begin()
@@ -160,10 +183,10 @@
 }
 
 // loseDisk takes a disk where all that was lost before has been made up for, at times at the moment when all others lose power.
-func (c *simCourse) loseDisk(store *simStore) {
+func (c *simCourse) loseDisk(store *simStore) (lost bool) {
 	n := c.network
 	if time.Since(c.lostAt) < restoreTime || !c.troubles.mayLoseDisk() || !c.allWhole() {
-		return
+		return false
 	}
 	store.loseDisk()
 	if n.chance(0.4) {
@@ -173,42 +196,109 @@
 		store.start()
 	}
 	c.lostAt = time.Now()
+	return true
+}
+
+// cutOffFront cuts a dispatcher off from all control processes while the configuration changes.
+func (c *simCourse) cutOffFront() {
+	n := c.network
+	front := n.fronts[n.intN(len(n.fronts))]
+	for _, server := range n.list() {
+		n.cutLink(front.name, server.address, true)
+		n.cutLink(server.address, front.name, true)
+	}
+	n.note("%s is cut off from control", front.name)
+	c.configure()
+	time.Sleep(n.between(simApplyMs*time.Millisecond, 3*simApplyMs*time.Millisecond))
+	c.troubles.heal()
 }
 
 // afterAcceptance takes the power of all machines, or of a store, right after a message was accepted.
 func (c *simCourse) afterAcceptance() {
 	n := c.network
+	c.awaitAcceptance()
+	if n.chance(0.7) {
+		c.stopAll()
+		c.startAll("")
+		return
+	}
+	store := n.stores[n.intN(len(n.stores))]
+	store.kill(true)
+	time.Sleep(n.between(100*time.Millisecond, 3*time.Second))
+	store.start()
+}
+
+// awaitAcceptance returns at the moment when a client learns that its message was accepted, or after a time without one.
+func (c *simCourse) awaitAcceptance() {
+	acceptances := c.network.judge.acceptances
 	select {
-	case <-n.judge.acceptances:
+	case <-acceptances:
 	default:
 	}
 	select {
-	case <-n.judge.acceptances:
+	case <-acceptances:
+		c.network.note("right after a 202")
 	case <-time.After(restoreTime):
-		return
 	}
-	n.note("right after a 202")
-	if n.chance(0.5) {
-		c.troubles.downAll()
-		return
+}
+
+// stopAll takes the power of all machines at one moment.
+func (c *simCourse) stopAll() {
+	n := c.network
+	n.note("all machines lose power")
+	n.stopMembers(true)
+	for _, server := range n.list() {
+		server.kill(true)
 	}
-	store := n.stores[n.intN(len(n.stores))]
-	store.kill(true)
-	time.Sleep(n.between(100*time.Millisecond, 3*time.Second))
-	store.start()
 }
 
-// turnOver puts other seeds into the settings of all machines, which need not vote.
+// startAll starts all machines but one, one by one and in any order.
+func (c *simCourse) startAll(absent string) {
+	n := c.network
+	starts := map[string]func(){}
+	for _, server := range n.list() {
+		if !server.gone {
+			starts[server.address] = func() { server.start(false) }
+		}
+	}
+	for _, store := range n.stores {
+		starts[store.address] = store.start
+	}
+	for _, front := range n.fronts {
+		starts[front.name] = front.start
+	}
+	delete(starts, absent)
+	for _, address := range c.shuffle(slices.Sorted(maps.Keys(starts))) {
+		time.Sleep(n.between(time.Millisecond, 500*time.Millisecond))
+		starts[address]()
+	}
+}
+
+func (c *simCourse) shuffle(addresses []string) []string {
+	random := rand.New(rand.NewPCG(uint64(c.network.intN(1<<20)), 0))
+	random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+// turnOver puts other seeds into the settings of all machines: at times those that do not vote.
 func (c *simCourse) turnOver() {
 	n := c.network
-	var seeds []string
-	servers := n.list()
-	for _, index := range rand.New(rand.NewPCG(uint64(n.intN(1<<20)), 0)).Perm(len(servers)) {
-		if !servers[index].gone && len(seeds) < simVoters {
-			seeds = append(seeds, servers[index].address)
+	var all, quiet []string
+	for _, server := range n.list() {
+		if !server.gone {
+			all = append(all, server.address)
+		}
+	}
+	if leader := n.leader(); leader != nil && n.chance(0.7) {
+		quiet = c.shuffle(n.nonVoters())
+	}
+	seeds := quiet
+	for _, address := range c.shuffle(all) {
+		if !slices.Contains(seeds, address) {
+			seeds = append(seeds, address)
 		}
 	}
-	n.turnOverAll(seeds)
+	n.turnOverAll(seeds[:simVoters])
 }
 
 // allWhole reports whether the leader counts every store as whole.
@@ -275,35 +365,18 @@
 // darken takes the power of all machines at once. Where nothing is missing one store or one control process does not come back.
 func (c *simCourse) darken() {
 	n := c.network
-	n.note("all machines lose power for the last time")
 	bears := time.Since(c.lostAt) > restoreTime && c.troubles.mayLoseDisk() && c.allWhole()
-	for _, server := range n.list() {
-		server.kill(true)
-	}
-	n.stopMembers(true)
-	servers := slices.DeleteFunc(n.list(), func(server *simServer) bool { return server.gone })
+	c.awaitAcceptance()
+	c.stopAll()
 	absent := ""
 	if bears && n.chance(0.7) {
 		absent = n.stores[n.intN(len(n.stores))].address
-		if n.chance(0.5) {
+		if servers := slices.DeleteFunc(n.list(), func(server *simServer) bool { return server.gone }); n.chance(0.5) {
 			absent = servers[n.intN(len(servers))].address
 		}
 		n.note("%s does not come back", absent)
 	}
-	for _, server := range servers {
-		if server.address != absent {
-			time.Sleep(n.between(time.Millisecond, 800*time.Millisecond))
-			server.start(false)
-		}
-	}
-	for _, store := range n.stores {
-		if store.address != absent {
-			store.start()
-		}
-	}
-	for _, front := range n.fronts {
-		front.start()
-	}
+	c.startAll(absent)
 }
 
 // report fails the test where a rule was broken.
--- a/internal/controlplane/sim_judge_test.go
+++ b/internal/controlplane/sim_judge_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +24,7 @@
 	simTimeout  = 600 * time.Millisecond // of an attempt, as the route says
 	simKeys     = 6
 	simCapacity = 200
+	simAskers   = 8 // of states, at a time
 )
 
 // simMessage is one message, as its client and the workers saw it.
@@ -128,6 +131,30 @@
 	return stamp
 }
 
+// checkOwner checks that the newest table that was committed anywhere gives a message's partition to the store that sends it.
+func (j *simJudge) checkOwner(job *delivery.Job, store string) {
+	var newest *rpc.ControlState
+	for _, server := range j.network.list() {
+		process := server.running()
+		if process == nil {
+			continue
+		}
+		if state := process.server.state.committed(); newest == nil || state.MapVersion > newest.MapVersion {
+			newest = state
+		}
+	}
+	prefix, _, _ := strings.Cut(job.Name, "-")
+	partition, err := strconv.ParseUint(prefix, 16, 32)
+	if newest == nil || err != nil || int(partition) >= len(newest.Partitions) {
+		return
+	}
+	if owner := newest.Partitions[partition]; owner.Node != store {
+		j.mutex.Lock()
+		defer j.mutex.Unlock()
+		j.violate("LEASE", j.messages[job.RequestID], "%s sends it, but %s owns its partition", store, owner.Node)
+	}
+}
+
 func (j *simJudge) end(name string) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
@@ -179,22 +206,34 @@
 
 // checkStates asks every dispatcher for every accepted message: all have ended, and all dispatchers say so.
 func (j *simJudge) checkStates() {
-	for _, m := range j.accepted() {
-		for _, front := range j.network.fronts {
-			answer := front.askAgain(http.MethodGet, "/api/message/"+m.id)
-			j.mutex.Lock()
-			switch {
-			case answer.status == http.StatusNotFound:
-				j.violate("LOST", m, "%s knows no %s, %d runs", front.name, m.id, m.starts)
-			case answer.status != http.StatusOK:
-				j.violate("UNSURE", m, "%s answers %d for %s", front.name, answer.status, m.id)
-			case !strings.Contains(string(answer.body), `"completed"`):
-				j.violate("STRANDED", m, "%s says %s of %s, %d runs", front.name, answer.body, m.id, m.starts)
-			case !j.hasStamp(m, string(answer.body)):
-				j.violate("MIXED", m, "%s says %s", front.name, answer.body)
+	accepted := j.accepted()
+	share := len(accepted)/simAskers + 1
+	var askers sync.WaitGroup
+	for each := range slices.Chunk(accepted, share) {
+		askers.Go(func() {
+			for _, m := range each {
+				j.checkState(m)
 			}
-			j.mutex.Unlock()
+		})
+	}
+	askers.Wait()
+}
+
+func (j *simJudge) checkState(m *simMessage) {
+	for _, front := range j.network.fronts {
+		answer := front.askAgain(http.MethodGet, "/api/message/"+m.id)
+		j.mutex.Lock()
+		switch {
+		case answer.status == http.StatusNotFound:
+			j.violate("LOST", m, "%s knows no %s, %d runs", front.name, m.id, m.starts)
+		case answer.status != http.StatusOK:
+			j.violate("UNSURE", m, "%s answers %d for %s", front.name, answer.status, m.id)
+		case !strings.Contains(string(answer.body), `"completed"`):
+			j.violate("STRANDED", m, "%s says %s of %s, %d runs", front.name, answer.body, m.id, m.starts)
+		case !j.hasStamp(m, string(answer.body)):
+			j.violate("MIXED", m, "%s says %s", front.name, answer.body)
 		}
+		j.mutex.Unlock()
 	}
 }
 
@@ -254,6 +293,7 @@
 	if (&simService{dead: w.process.dead}).hasEnded() || !guard() {
 		return delivery.Outcome{Kind: delivery.NotRun}
 	}
+	n.judge.checkOwner(job, w.process.machine.name)
 	stamp := n.judge.start(job, w.process.machine.name)
 	time.Sleep(n.between(simRunLeast, simRunMost))
 	n.judge.end(job.RequestID)
