--- a/internal/controlplane/sim_judge_test.go
+++ b/internal/controlplane/sim_judge_test.go
@@ -25,6 +25,8 @@
 	simKeys     = 6
 	simCapacity = 200
 	simAskers   = 8 // of states, at a time
+	// simStatusKept is for how long after its end the state of a message must be told: the retention of the routes.
+	simStatusKept = 90 * time.Second
 )
 
 // simMessage is one message, as its client and the workers saw it.
@@ -212,7 +214,9 @@
 	for each := range slices.Chunk(accepted, share) {
 		askers.Go(func() {
 			for _, m := range each {
-				j.checkState(m)
+				if m.endedAt.IsZero() || time.Since(m.endedAt) < simStatusKept {
+					j.checkState(m)
+				}
 			}
 		})
 	}
