--- a/internal/controlplane/deployment_test.go
+++ b/internal/controlplane/deployment_test.go
@@ -20,6 +20,7 @@
 	deploymentSeedsVariable = "DEPLOYMENT_SEEDS" // plays so many seeds
 	deploymentSeedVariable  = "DEPLOYMENT_SEED"  // plays this one
 	deploymentSeeds         = 4
+	deploymentSeedsRace     = 2 // with the race detector
 	deploymentTrouble       = 40 * time.Second
 	deploymentFinish        = 60 * time.Second // within which all accepted messages end once the faults are over
 	deploymentSendEvery     = 60 * time.Millisecond
@@ -34,6 +35,9 @@
 // was refused never runs; service is back in time.
 func TestDeploymentKeepsMessages(t *testing.T) {
 	first, count := uint64(0), uint64(deploymentSeeds)
+	if raceEnabled {
+		count = deploymentSeedsRace
+	}
 	if value, err := strconv.ParseUint(os.Getenv(deploymentSeedsVariable), 10, 64); err == nil {
 		count = value
 	}
--- /dev/null
+++ b/internal/controlplane/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package controlplane
+
+const raceEnabled = false
