--- a/internal/controlplane/catchup_test.go
+++ b/internal/controlplane/catchup_test.go
@@ -262,29 +262,3 @@
 		}
 	})
 }
-
-// addresses lists the servers that are there, as the settings of a newcomer do.
-func (n *simNetwork) addresses() []string {
-	var addresses []string
-	for _, server := range n.list() {
-		if !server.gone {
-			addresses = append(addresses, server.address)
-		}
-	}
-	return addresses
-}
-
-// isMadeUpFor reports whether there is a leader, and all voters are processes that are there.
-func (n *simNetwork) isMadeUpFor() bool {
-	leader := n.leader()
-	if leader == nil {
-		return false
-	}
-	members := leader.running().server.node.Status().Members
-	for _, member := range members {
-		if n.at(member.Address).gone {
-			return false
-		}
-	}
-	return len(members) == simVoters
-}
--- a/internal/controlplane/deployment_test.go
+++ b/internal/controlplane/deployment_test.go
@@ -5,9 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -34,17 +32,11 @@
 // another, and at last all lose power at once. What was accepted ends, once where there is calm, in order, and every dispatcher says so; what
 // was refused never runs; service is back in time.
 func TestDeploymentKeepsMessages(t *testing.T) {
-	first, count := uint64(0), uint64(deploymentSeeds)
+	usual := uint64(deploymentSeeds)
 	if raceEnabled {
-		count = deploymentSeedsRace
+		usual = deploymentSeedsRace
 	}
-	if value, err := strconv.ParseUint(os.Getenv(deploymentSeedsVariable), 10, 64); err == nil {
-		count = value
-	}
-	if value, err := strconv.ParseUint(os.Getenv(deploymentSeedVariable), 10, 64); err == nil {
-		first, count = value, 1
-	}
-	for seed := first; seed < first+count; seed++ {
+	for _, seed := range seedsToPlay(deploymentSeedsVariable, deploymentSeedVariable, usual) {
 		for _, group := range simGroups {
 			t.Run(fmt.Sprintf("%d/%d losses", seed, group.tolerance), func(t *testing.T) {
 				t.Parallel()
@@ -56,15 +48,8 @@
 }
 
 func playDeployment(t *testing.T, seed uint64, directory string, group simGroup) {
-	network := newSimNetwork(t, seed, directory)
-	network.tolerance = group.tolerance
+	network := newGroupNetwork(t, seed, directory, group)
 	network.judge = newSimJudge(network)
-	for number := range group.processes {
-		server := network.add()
-		if number < simVoters {
-			network.seeds = append(network.seeds, server.address)
-		}
-	}
 	network.addStores(group.tolerance + 3)
 	network.addFronts(simDispatchers)
 	for _, server := range network.list() {
@@ -211,10 +196,8 @@
 func (c *simCourse) cutOffFront() {
 	n := c.network
 	front := n.fronts[n.intN(len(n.fronts))]
-	for _, server := range n.list() {
-		n.cutLink(front.name, server.address, true)
-		n.cutLink(server.address, front.name, true)
-	}
+	n.cutLinks([]string{front.name}, n.addresses())
+	n.cutLinks(n.addresses(), []string{front.name})
 	n.note("%s is cut off from control", front.name)
 	c.configure()
 	time.Sleep(n.between(simApplyMs*time.Millisecond, 3*simApplyMs*time.Millisecond))
@@ -226,7 +209,7 @@
 	n := c.network
 	c.awaitAcceptance()
 	if n.chance(0.7) {
-		c.stopAll()
+		n.stopAll()
 		c.startAll("")
 		return
 	}
@@ -250,16 +233,6 @@
 	}
 }
 
-// stopAll takes the power of all machines at one moment.
-func (c *simCourse) stopAll() {
-	n := c.network
-	n.note("all machines lose power")
-	n.stopMembers(true)
-	for _, server := range n.list() {
-		server.kill(true)
-	}
-}
-
 // startAll starts all machines but one, one by one and in any order.
 func (c *simCourse) startAll(absent string) {
 	n := c.network
@@ -291,17 +264,11 @@
 // turnOver puts other seeds into the settings of all machines: at times those that do not vote.
 func (c *simCourse) turnOver() {
 	n := c.network
-	var all, quiet []string
-	for _, server := range n.list() {
-		if !server.gone {
-			all = append(all, server.address)
-		}
+	var seeds []string
+	if n.leader() != nil && n.chance(0.7) {
+		seeds = c.shuffle(n.nonVoters())
 	}
-	if leader := n.leader(); leader != nil && n.chance(0.7) {
-		quiet = c.shuffle(n.nonVoters())
-	}
-	seeds := quiet
-	for _, address := range c.shuffle(all) {
+	for _, address := range c.shuffle(n.addresses()) {
 		if !slices.Contains(seeds, address) {
 			seeds = append(seeds, address)
 		}
@@ -328,9 +295,11 @@
 func (c *simCourse) cutOff(store *simStore) {
 	n := c.network
 	outward, inward := n.chance(0.7), n.chance(0.7)
-	for _, other := range n.allAddresses() {
-		n.cutLink(store.address, other, outward)
-		n.cutLink(other, store.address, inward)
+	if outward {
+		n.cutLinks([]string{store.address}, n.allAddresses())
+	}
+	if inward {
+		n.cutLinks(n.allAddresses(), []string{store.address})
 	}
 	n.note("%s is cut off, outward %t, inward %t", store.name, outward, inward)
 	time.Sleep(n.between(300*time.Millisecond, 5*time.Second))
@@ -379,12 +348,12 @@
 		time.Sleep(deploymentCalm)
 	}
 	c.awaitAcceptance()
-	c.stopAll()
+	n.stopAll()
 	absent := ""
 	if bears && n.chance(0.7) {
 		absent = n.stores[n.intN(len(n.stores))].address
-		if servers := slices.DeleteFunc(n.list(), func(server *simServer) bool { return server.gone }); n.chance(0.5) {
-			absent = servers[n.intN(len(servers))].address
+		if servers := n.addresses(); n.chance(0.5) {
+			absent = servers[n.intN(len(servers))]
 		}
 		n.note("%s does not come back", absent)
 	}
--- a/internal/controlplane/search_test.go
+++ b/internal/controlplane/search_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -81,11 +79,7 @@
 
 // restartAll takes the power from all machines for a moment.
 func (n *simNetwork) restartAll() {
-	n.note("all machines lose power")
-	for _, server := range n.list() {
-		server.kill(true)
-	}
-	n.stopMembers(true)
+	n.stopAll()
 	for _, server := range n.list() {
 		if !server.gone {
 			server.start(false)
@@ -185,11 +179,7 @@
 // TestEachProcessFindsTheLeaderWhateverItsSeeds draws seeds for each process anew, restarts some or all, takes disks and machines, and asks each
 // process in every pause who leads.
 func TestEachProcessFindsTheLeaderWhateverItsSeeds(t *testing.T) {
-	count := uint64(searchSeeds)
-	if value, err := strconv.ParseUint(os.Getenv(searchSeedsVariable), 10, 64); err == nil {
-		count = value
-	}
-	for seed := range count {
+	for _, seed := range seedsToPlay(searchSeedsVariable, simSeedVariable, searchSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			playSearch(t, seed, searchCourse)
--- a/internal/controlplane/sim_judge_test.go
+++ b/internal/controlplane/sim_judge_test.go
@@ -181,7 +181,7 @@
 	return accepted, sent
 }
 
-// list returns the messages that were accepted.
+// accepted returns the messages that were accepted.
 func (j *simJudge) accepted() []*simMessage {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
@@ -284,7 +284,7 @@
 func (w *simWorkers) Submit(job *delivery.Job, guard func() bool, done func(delivery.Outcome)) {
 	go func() {
 		outcome := w.attempt(job, guard)
-		if !(&simService{dead: w.process.dead}).hasEnded() {
+		if !isClosed(w.process.dead) {
 			done(outcome)
 		}
 	}()
@@ -294,7 +294,7 @@
 func (w *simWorkers) attempt(job *delivery.Job, guard func() bool) delivery.Outcome {
 	n := w.process.machine.network
 	time.Sleep(n.delay())
-	if (&simService{dead: w.process.dead}).hasEnded() || !guard() {
+	if isClosed(w.process.dead) || !guard() {
 		return delivery.Outcome{Kind: delivery.NotRun}
 	}
 	n.judge.checkOwner(job, w.process.machine.name)
--- a/internal/controlplane/sim_machine_test.go
+++ b/internal/controlplane/sim_machine_test.go
@@ -169,7 +169,7 @@
 		case <-p.dead:
 		}
 	}
-	if (&simService{dead: p.dead}).hasEnded() {
+	if isClosed(p.dead) {
 		return errSimReset
 	}
 	if err := commit(); err != nil {
@@ -224,14 +224,15 @@
 
 func (f *simFront) kill() {
 	f.network.mutex.Lock()
-	defer f.network.mutex.Unlock()
-	if f.process == nil {
+	process := f.process
+	f.process = nil
+	f.network.mutex.Unlock()
+	if process == nil {
 		return
 	}
 	close(f.dead)
 	f.cancel()
-	f.process = nil
-	f.network.trace = append(f.network.trace, fmt.Sprintf("%8.3f %s is killed", time.Since(f.network.started).Seconds(), f.name))
+	f.network.note("%s is killed", f.name)
 }
 
 // simAnswer is what a client of a dispatcher learns; status is 0 where no answer came.
@@ -267,7 +268,7 @@
 	}()
 	select {
 	case answer := <-answers:
-		if (&simService{dead: dead}).hasEnded() {
+		if isClosed(dead) {
 			return simAnswer{}
 		}
 		return answer
--- a/internal/controlplane/sim_member_test.go
+++ b/internal/controlplane/sim_member_test.go
@@ -173,6 +173,9 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *simMemberTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if isClosed(t.dead) {
+		return nil, errSimReset // a process that has ended sends nothing
+	}
 	if request.URL.Path == streamPath {
 		return t.network.stream(t.from, t.dead, request)
 	}
--- a/internal/controlplane/sim_network_test.go
+++ b/internal/controlplane/sim_network_test.go
@@ -281,9 +281,11 @@
 	dead    <-chan struct{} // closed when it ends
 }
 
-func (s *simService) hasEnded() bool {
+func (s *simService) hasEnded() bool { return isClosed(s.dead) }
+
+func isClosed(channel <-chan struct{}) bool {
 	select {
-	case <-s.dead:
+	case <-channel:
 		return true
 	default:
 		return false
@@ -378,36 +380,63 @@
 
 // cut stops what goes from one of some servers to one of others, and back where both is set.
 func (n *simNetwork) cut(some, others []*simServer, both bool) {
+	from, to := addressesOf(some), addressesOf(others)
+	n.cutLinks(from, to)
+	if both {
+		n.cutLinks(to, from)
+	}
+}
+
+// cutLinks stops what goes from one of some addresses to one of others.
+func (n *simNetwork) cutLinks(some, others []string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	for _, one := range some {
-		for _, other := range others {
-			if one == other {
-				continue
-			}
-			n.cuts[[2]string{one.address, other.address}] = true
-			if both {
-				n.cuts[[2]string{other.address, one.address}] = true
+	for _, from := range some {
+		for _, to := range others {
+			if from != to {
+				n.cuts[[2]string{from, to}] = true
 			}
 		}
 	}
 }
 
-// cutLink stops what goes one way, if wanted.
-func (n *simNetwork) cutLink(from, to string, wanted bool) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	if wanted && from != to {
-		n.cuts[[2]string{from, to}] = true
+func addressesOf(servers []*simServer) []string {
+	addresses := make([]string, len(servers))
+	for i, server := range servers {
+		addresses[i] = server.address
 	}
+	return addresses
 }
 
-// allAddresses lists where control processes, stores and dispatchers are.
-func (n *simNetwork) allAddresses() []string {
+// addresses lists the servers that are there, as the settings of a newcomer do.
+func (n *simNetwork) addresses() []string {
 	var addresses []string
 	for _, server := range n.list() {
-		addresses = append(addresses, server.address)
+		if !server.gone {
+			addresses = append(addresses, server.address)
+		}
+	}
+	return addresses
+}
+
+// isMadeUpFor reports whether there is a leader, and all voters are processes that are there.
+func (n *simNetwork) isMadeUpFor() bool {
+	leader := n.leader()
+	if leader == nil {
+		return false
 	}
+	members := leader.running().server.node.Status().Members
+	for _, member := range members {
+		if n.at(member.Address).gone {
+			return false
+		}
+	}
+	return len(members) == simVoters
+}
+
+// allAddresses lists where control processes, stores and dispatchers are.
+func (n *simNetwork) allAddresses() []string {
+	addresses := n.addresses()
 	for _, store := range n.stores {
 		addresses = append(addresses, store.address)
 	}
@@ -417,6 +446,15 @@
 	return addresses
 }
 
+// stopAll takes the power of all machines at one moment.
+func (n *simNetwork) stopAll() {
+	n.note("all machines lose power")
+	n.stopMembers(true)
+	for _, server := range n.list() {
+		server.kill(true)
+	}
+}
+
 // end ends the simulation, all processes and their goroutines.
 func (n *simNetwork) end() {
 	close(n.ended)
--- a/internal/controlplane/sim_test.go
+++ b/internal/controlplane/sim_test.go
@@ -45,14 +45,7 @@
 // power, wiped or replaced, and checks their history for linearizability: one content for a number, no repeated order refused,
 // nothing older read, nothing refused by what is no longer in force.
 func TestOperatorsSeeOneConfiguration(t *testing.T) {
-	first, count := uint64(0), uint64(simSeeds)
-	if value, err := strconv.ParseUint(os.Getenv(simSeedsVariable), 10, 64); err == nil {
-		count = value
-	}
-	if value, err := strconv.ParseUint(os.Getenv(simSeedVariable), 10, 64); err == nil {
-		first, count = value, 1
-	}
-	for seed := first; seed < first+count; seed++ {
+	for _, seed := range seedsToPlay(simSeedsVariable, simSeedVariable, simSeeds) {
 		for _, group := range simGroups {
 			t.Run(fmt.Sprintf("%d/%d losses", seed, group.tolerance), func(t *testing.T) {
 				t.Parallel()
@@ -66,6 +59,34 @@
 	}
 }
 
+// seedsToPlay lists the seed that one variable of the environment names, else so many as the other one says, else as many as usual.
+func seedsToPlay(countVariable, seedVariable string, usual uint64) []uint64 {
+	if seed, err := strconv.ParseUint(os.Getenv(seedVariable), 10, 64); err == nil {
+		return []uint64{seed}
+	}
+	if count, err := strconv.ParseUint(os.Getenv(countVariable), 10, 64); err == nil {
+		usual = count
+	}
+	seeds := make([]uint64, usual)
+	for i := range seeds {
+		seeds[i] = uint64(i)
+	}
+	return seeds
+}
+
+// newGroupNetwork makes the control processes of a group, of which the first are the seeds. None runs yet.
+func newGroupNetwork(t *testing.T, seed uint64, directory string, group simGroup) *simNetwork {
+	network := newSimNetwork(t, seed, directory)
+	network.tolerance = group.tolerance
+	for number := range group.processes {
+		server := network.add()
+		if number < simVoters {
+			network.seeds = append(network.seeds, server.address)
+		}
+	}
+	return network
+}
+
 // checkHistory looks for an order of the calls in which each outcome follows from the ones before.
 func checkHistory(t *testing.T, history *simHistory, trace []string) {
 	result := porcupine.CheckOperationsTimeout(configModel, history.operations, simCheckMost)
@@ -91,14 +112,7 @@
 }
 
 func playOperators(t *testing.T, seed uint64, directory string, group simGroup) (*simHistory, []string) {
-	network := newSimNetwork(t, seed, directory)
-	network.tolerance = group.tolerance
-	for number := range group.processes {
-		server := network.add()
-		if number < simVoters {
-			network.seeds = append(network.seeds, server.address)
-		}
-	}
+	network := newGroupNetwork(t, seed, directory, group)
 	for _, server := range network.list() {
 		server.start(true)
 	}
