deployment simulation: LEASE is judged by every table ever committed

Cause: checkOwner took the newest table that a running control process knew to be committed. A leader that was killed right after it committed a table and streamed it took that knowledge with it: the others learn of a commit with the next heartbeat, or from the next leader.

Change: the judge reads the committed table of every life of every control process, dead ones included, so it also holds a store to tables that only a dead leader knew. Stores are cut off from control alone, each at the start of a play and at random, and half of the unordered messages are delayed, so that a store holds work when its lease ends.

--- a/internal/controlplane/deployment_test.go
+++ b/internal/controlplane/deployment_test.go
@@ -60,6 +60,9 @@
 	must.Eq(t, http.StatusOK, course.configure())
 	time.Sleep(3 * time.Second)
 	network.judge.requests.Go(course.sendOn)
+	for _, store := range network.stores {
+		course.cutOffFromControl(store)
+	}
 	if seed%4 == 1 {
 		course.loseDisksInTurn()
 	} else {
@@ -134,7 +137,7 @@
 func (c *simCourse) begin() {
 	n := c.network
 	store := n.stores[n.intN(len(n.stores))]
-	switch n.intN(18) {
+	switch n.intN(20) {
 	case 0, 1:
 		store.kill(false)
 		time.Sleep(n.between(10*time.Millisecond, 2*time.Second))
@@ -168,6 +171,8 @@
 		c.configure()
 	case 12:
 		c.cutOffFront()
+	case 13, 14:
+		c.cutOffFromControl(store)
 	default:
 		if time.Since(c.lostAt) > restoreTime {
 			c.troubles.begin()
@@ -192,6 +197,17 @@
 	return true
 }
 
+// cutOffFromControl cuts a store off from all control processes alone, until its partitions have gone to others: dispatchers go on sending
+// to it what they take for its own.
+func (c *simCourse) cutOffFromControl(store *simStore) {
+	n := c.network
+	n.cutLinks([]string{store.address}, n.addresses())
+	n.cutLinks(n.addresses(), []string{store.address})
+	n.note("%s is cut off from control", store.name)
+	time.Sleep(n.between(leaseDuration+leaseMargin, 2*leaseDuration))
+	c.troubles.heal()
+}
+
 // cutOffFront cuts a dispatcher off from all control processes while the configuration changes.
 func (c *simCourse) cutOffFront() {
 	n := c.network
--- a/internal/controlplane/sim_judge_test.go
+++ b/internal/controlplane/sim_judge_test.go
@@ -23,6 +23,7 @@
 	simRunMost  = 60 * time.Millisecond
 	simTimeout  = 600 * time.Millisecond // of an attempt, as the route says
 	simKeys     = 6
+	simDelay    = 4 * time.Second // the longest that a client asks for
 	simCapacity = 200
 	simAskers   = 8 // of states, at a time
 	// simStatusKept is for how long after its end the state of a message must be told: the retention of the routes.
@@ -82,6 +83,9 @@
 	front, path := n.fronts[number%len(n.fronts)], "/"+n.route+"/x"
 	n.mutex.Unlock()
 	headers := map[string]string{"X-Request-Id": m.name, "X-Order-Key": m.key}
+	if m.key == "" && n.chance(0.5) {
+		headers["X-Delay-Ms"] = strconv.FormatInt(n.between(0, simDelay).Milliseconds(), 10)
+	}
 	j.requests.Go(func() {
 		answer := front.ask(http.MethodPost, path, headers, m.body)
 		j.mutex.Lock()
@@ -133,27 +137,18 @@
 	return stamp
 }
 
-// checkOwner checks that the newest table that was committed anywhere gives a message's partition to the store that sends it.
+// checkOwner checks that the newest table that was ever committed gives a message's partition to the store that sends it.
 func (j *simJudge) checkOwner(job *delivery.Job, store string) {
-	var newest *rpc.ControlState
-	for _, server := range j.network.list() {
-		process := server.running()
-		if process == nil {
-			continue
-		}
-		if state := process.server.state.committed(); newest == nil || state.MapVersion > newest.MapVersion {
-			newest = state
-		}
-	}
+	table := j.network.newestTable()
 	prefix, _, _ := strings.Cut(job.Name, "-")
 	partition, err := strconv.ParseUint(prefix, 16, 32)
-	if newest == nil || err != nil || int(partition) >= len(newest.Partitions) {
+	if err != nil || int(partition) >= len(table.Partitions) {
 		return
 	}
-	if owner := newest.Partitions[partition]; owner.Node != store {
+	if owner := table.Partitions[partition]; owner.Node != store {
 		j.mutex.Lock()
 		defer j.mutex.Unlock()
-		j.violate("LEASE", j.messages[job.RequestID], "%s sends it, but %s owns its partition", store, owner.Node)
+		j.violate("LEASE", j.messages[job.RequestID], "%s sends it, but %s owns its partition by table %d", store, owner.Node, table.MapVersion)
 	}
 }
 
--- a/internal/controlplane/sim_network_test.go
+++ b/internal/controlplane/sim_network_test.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
+	"foldlb.example/foldlb/internal/rpc"
 	"foldlb.example/foldlb/internal/settings"
 )
 
@@ -64,9 +65,10 @@
 	disks   int      // folders made so far
 
 	// Guarded by the mutex of the network.
-	process *simProcess // nil while none runs
-	off     bool        // without power: nothing is refused, all is silent
-	gone    bool        // for good
+	process *simProcess   // nil while none runs
+	lives   []*simProcess // all that ever ran, in turn
+	off     bool          // without power: nothing is refused, all is silent
+	gone    bool          // for good
 }
 
 // simProcess is one life of a control process.
@@ -153,6 +155,7 @@
 	process := &simProcess{server: server, cancel: cancel, dead: make(chan struct{})}
 	network.mutex.Lock()
 	s.process, s.off = process, false
+	s.lives = append(s.lives, process)
 	network.mutex.Unlock()
 	server.start(ctx)
 	network.note("%s starts, disk %d", s.address, s.disks)
@@ -189,6 +192,24 @@
 	return s.process
 }
 
+// newestTable returns the newest table that any control process has committed, in this life or one before: a leader may be killed
+// once a store acts by the table, and before any other process has learnt that it is committed.
+func (n *simNetwork) newestTable() *rpc.ControlState {
+	n.mutex.Lock()
+	var lives []*simProcess
+	for _, server := range n.servers {
+		lives = append(lives, server.lives...)
+	}
+	n.mutex.Unlock()
+	newest := &rpc.ControlState{}
+	for _, process := range lives {
+		if state := process.server.state.committed(); state.MapVersion > newest.MapVersion {
+			newest = state
+		}
+	}
+	return newest
+}
+
 // kill ends the process at once. Its disk holds what was synced.
 func (s *simServer) kill(off bool) {
 	s.network.mutex.Lock()
