storenode: a takeover does not wait for a disk that was replaced

Cause: after a loss of power everywhere in which disks are lost, each new owner waited 300 ms (gatherGrace) for disks at whose address another one had already answered.

Change: a disk for which another one answers is noted as replaced. It still counts as missing where the losses that can be borne are counted, but nothing more is to be heard from it, so it isn't waited for.

TestTakeoverDoesNotWaitForADiskThatWasReplaced fails without it.

--- a/internal/storenode/gather.go
+++ b/internal/storenode/gather.go
@@ -73,10 +73,22 @@
 	request  *rpc.GatherRequest
 	mutex    sync.Mutex
 	answered map[string]bool // by disk
+	replaced map[string]bool // by disk: another one answers at its address
 	asked    map[string]bool // by disk: being asked
 	changed  chan struct{}
 }
 
+// note marks a disk in one of the sets, and has the wait for the answers look again.
+func (g *gathering) note(disks map[string]bool, disk string) {
+	g.mutex.Lock()
+	disks[disk] = true
+	g.mutex.Unlock()
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
+}
+
 // gather learns what other stores hold of partitions, then lets them run.
 func (n *Node) gather(partitions []*rpc.PartitionEpoch) {
 	if err := n.file.Wait(); err != nil { // the fences of this store
@@ -84,7 +96,7 @@
 		return
 	}
 	g := &gathering{request: &rpc.GatherRequest{Caller: n.settings.Node, Partitions: partitions},
-		answered: map[string]bool{}, asked: map[string]bool{}, changed: make(chan struct{}, 1)}
+		answered: map[string]bool{}, replaced: map[string]bool{}, asked: map[string]bool{}, changed: make(chan struct{}, 1)}
 	n.awaitGathered(g)
 }
 
@@ -118,18 +130,13 @@
 			return // a newer owner exists; the map that says so is under way
 		}
 		if err == nil && reply.Store != one.disk {
-			return // the disk asked for is gone, and what it held with it; the map that says so is under way
+			g.note(g.replaced, one.disk) // it is gone, and what it held with it; the map that says so is under way
+			return
 		}
 		if err == nil {
 			one.answered()
 			n.do(func() { n.merge(one.disk, reply.Messages, g.request.Partitions) })
-			g.mutex.Lock()
-			g.answered[one.disk] = true
-			g.mutex.Unlock()
-			select {
-			case g.changed <- struct{}{}:
-			default:
-			}
+			g.note(g.answered, one.disk)
 			return
 		}
 		select {
@@ -157,15 +164,16 @@
 }
 
 // awaitGathered makes the partitions ready once all stores have answered, or enough have and the rest stayed silent for a
-// moment. Enough is all but as many as may be lost, counted without those whose disks are not whole.
+// moment. Enough is all but as many as may be lost, counted without those whose disks are not whole. A disk that was replaced is
+// not among those that have answered, but nothing more is to be heard from it either.
 func (n *Node) awaitGathered(g *gathering) {
 	check := time.NewTicker(gatherCheck)
 	defer check.Stop()
 	var graceOver <-chan time.Time
 	n.askMissing(g)
 	for {
-		all, enough := n.gathered(g, n.cluster.View().Map)
-		if all {
+		all, silent, enough := n.gathered(g, n.cluster.View().Map)
+		if all || enough && silent == 0 {
 			break
 		}
 		if enough && graceOver == nil {
@@ -206,7 +214,8 @@
 	return owns
 }
 
-func (n *Node) gathered(g *gathering, view *rpc.MapView) (all, enough bool) {
+// gathered reports whether all stores of a map have answered, how many of the others may still do so, and whether enough have.
+func (n *Node) gathered(g *gathering, view *rpc.MapView) (all bool, silent int, enough bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	all = true
@@ -214,11 +223,14 @@
 	for _, member := range view.Stores {
 		answered := member.Disk == n.disk || g.answered[member.Disk]
 		all = all && answered
+		if !answered && !g.replaced[member.Disk] {
+			silent++
+		}
 		if !answered || !member.Whole {
 			missing = append(missing, member)
 		}
 	}
-	return all, n.domains.bears(missing)
+	return all, silent, n.domains.bears(missing)
 }
 
 // begun lets partitions run whose state is known.
--- a/internal/storenode/scenario_test.go
+++ b/internal/storenode/scenario_test.go
@@ -518,3 +518,21 @@
 		must.True(t, isReady(next.running()))
 	})
 }
+
+// Nothing more is to be heard from a disk that another one stands for: a takeover does not wait for it once all others have answered.
+func TestTakeoverDoesNotWaitForADiskThatWasReplaced(t *testing.T) {
+	simulated(t, smallScale, func(t *testing.T, w *world) {
+		owner, epoch := w.owner(0)
+		w.cut(owner.name, controlName)
+		w.cut(controlName, owner.name)
+		owner.stop(end{off: true, loseDisk: true})
+		owner.start() // the control plane does not learn of it
+		next, newer := w.owner(0)
+		for newer == epoch || next == nil {
+			time.Sleep(time.Millisecond)
+			next, newer = w.owner(0)
+		}
+		time.Sleep(2 * gatherGrace / 3)
+		must.True(t, isReady(next.running()))
+	})
+}
