cluster: a stream begins as soon as a renewal finds the leader

Cause: a process without a stream tried one candidate each 100 ms, while its renewals looked for the leader each 50 ms.

Change: between two tries the loop also wakes when a renewal was answered by a leader that is new to this process.

The test TestStreamBeginsOnceARenewalFindsTheLeader covers it.

--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -19,11 +19,23 @@
 	client := &watch.Client{HTTP: c.options.streamClient()}
 	defer client.HTTP.CloseIdleConnections()
 	for ctx.Err() == nil {
+		_, moved := c.book.leaderMoved()
 		address := c.book.candidate()
 		if address != "" && c.follow(ctx, client, address) {
 			continue
 		}
-		sleep(ctx, noCandidateDelay)
+		awaitLeader(ctx, moved)
+	}
+}
+
+// awaitLeader waits before the next try of a stream: until a renewal finds a leader, or for noCandidateDelay.
+func awaitLeader(ctx context.Context, moved <-chan struct{}) {
+	timer := time.NewTimer(noCandidateDelay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-moved:
+	case <-timer.C:
 	}
 }
 
--- a/internal/cluster/follow_test.go
+++ b/internal/cluster/follow_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 )
 
@@ -54,3 +58,36 @@
 		must.Error(t, stream.Err())
 	})
 }
+
+// notLeading answers every request as a process that does not lead and knows nobody who does. It tells whom it was asked as.
+type notLeading struct {
+	asked chan string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (n notLeading) RoundTrip(request *http.Request) (*http.Response, error) {
+	n.asked <- request.URL.Host
+	return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: io.NopCloser(strings.NewReader("")), Request: request}, nil
+}
+
+// The first view after a start without a leader comes with it, not at the next try of a stream.
+func TestStreamBeginsOnceARenewalFindsTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		processes := notLeading{asked: make(chan string, 10)}
+		client := &Client{book: newAddressBook([]string{"a", "b", "c"}), options: Options{Log: logr.Discard(), RoundTripper: processes}}
+		client.view.Store(newView())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		client.run(ctx, client.followLoop)
+		must.Eq(t, "a", <-processes.asked)
+		synctest.Wait()
+		begun := time.Now()
+		client.book.confirm("c", 1)
+		must.Eq(t, "c", <-processes.asked)
+		must.Eq(t, 0, time.Since(begun))
+		must.Eq(t, "a", <-processes.asked)
+		must.Eq(t, noCandidateDelay, time.Since(begun))
+		cancel()
+		client.Wait()
+	})
+}
