controlplane: the planner looks at the moment when a lease is over

Cause: the end of a lease comes without an event, and the planner looked each 250 ms, so partitions of a lost store stayed without an owner for up to that long.

Change: after each plan the timer is set to the next end of a lease, as the lease table tells it, and to 250 ms at most.

--- a/internal/controlplane/leases.go
+++ b/internal/controlplane/leases.go
@@ -38,3 +38,13 @@
 func (l *storeLeases) ended(node, incarnation string, now time.Time) bool {
 	return l.table.Ended(node, incarnation, now.Sub(l.started))
 }
+
+// nextChange returns the time until a lease ends or is certainly over if nobody renews, but no more than most.
+func (l *storeLeases) nextChange(now time.Time, most time.Duration) time.Duration {
+	since := now.Sub(l.started)
+	next, ok := l.table.NextChange(since)
+	if !ok {
+		return most
+	}
+	return min(next-since, most)
+}
--- a/internal/controlplane/planner.go
+++ b/internal/controlplane/planner.go
@@ -13,7 +13,7 @@
 
 const (
 	planPause  = 50 * time.Millisecond  // least time between two plans
-	planPeriod = 250 * time.Millisecond // most time between two plans: leases end without an event
+	planPeriod = 250 * time.Millisecond // most time between two plans
 	maxMoves   = 32                     // partitions that are being handed over at a time
 )
 
@@ -28,13 +28,14 @@
 	}
 }
 
-// runPlanner keeps the table in step with the stores until the term ends.
+// runPlanner keeps the table in step with the stores until the term ends. The end of a lease comes without an event: the planner looks
+// at that moment.
 func (s *Server) runPlanner(t *term) {
 	timer := time.NewTimer(planPeriod)
 	defer timer.Stop()
 	for sleep(t.context, planPause) {
 		s.planOnce(t)
-		timer.Reset(planPeriod)
+		timer.Reset(t.untilNextPlan(time.Now()))
 		select {
 		case <-timer.C:
 		case <-s.plannerWake:
@@ -43,6 +44,13 @@
 	}
 }
 
+// untilNextPlan returns the time until the next plan is due without an event.
+func (t *term) untilNextPlan(now time.Time) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.leases.nextChange(now, planPeriod)
+}
+
 // planOnce makes a plan and commits it where it changes anything. A plan that could not be committed is made
 // anew at the next turn.
 func (s *Server) planOnce(t *term) {
