Leases: 1.5 s for stores, 0.7 s for the leader, in place of 2 s and 1 s

Cause: messages with a key wait for their owner, and an owner that is gone is replaced when its lease is over: 2.3 s, and where the leader goes meanwhile 2.3 s after the next one began.

Change: a store's lease lasts 1.5 s, and the leader counts 250 ms more; the leader's own lasts 0.7 s less 120 ms, with heartbeats each 175 ms. Renewals stay at 400 ms, so control costs a store no more. The walk that lets a witness vote at once after a restart begins elections as soon as the walk without the margin does: within the shorter lease no election of the usual spread ended, so 300 walks met no case. The test of the planner now kills stores and fails without its timer.

--- a/coord/failover/simulation_test.go
+++ b/coord/failover/simulation_test.go
@@ -377,6 +377,7 @@
 		mutation mutation
 	}{
 		{"a witness votes at once after a restart", mutation{
+			timing: hasty,
 			afterStart: func(process *process) {
 				process.machine.grant = grant{}
 				process.machine.electionAt = process.clock()
--- a/coord/failover/timing.go
+++ b/coord/failover/timing.go
@@ -5,21 +5,21 @@
 // Timing holds the durations of the protocol. All members must use the same. The zero value of a field stands for
 // its default.
 type Timing struct {
-	Lease           time.Duration // a grant, from the moment a heartbeat arrived; default 1 s
-	Margin          time.Duration // by how much the leader stops earlier; bounds the drift of clocks; default 150 ms
-	Heartbeat       time.Duration // between heartbeats; default 250 ms
-	ElectionSpread  time.Duration // bound of the random wait before a campaign; default 200 ms
-	CampaignTimeout time.Duration // a campaign without a majority begins anew after it; default 300 ms
+	Lease           time.Duration // a grant, from the moment a heartbeat arrived; default 700 ms
+	Margin          time.Duration // by how much the leader stops earlier; bounds the drift of clocks; default 120 ms
+	Heartbeat       time.Duration // between heartbeats; default 175 ms
+	ElectionSpread  time.Duration // bound of the random wait before a campaign; default 150 ms
+	CampaignTimeout time.Duration // a campaign without a majority begins anew after it; default 250 ms
 	ContentsTimeout time.Duration // contents not answered are sent again after it, doubled after each failure; default 2 s
 }
 
 // Defaults of Timing.
 const (
-	defaultLease           = time.Second
-	defaultMargin          = 150 * time.Millisecond
-	defaultHeartbeat       = 250 * time.Millisecond
-	defaultElectionSpread  = 200 * time.Millisecond
-	defaultCampaignTimeout = 300 * time.Millisecond
+	defaultLease           = 700 * time.Millisecond
+	defaultMargin          = 120 * time.Millisecond
+	defaultHeartbeat       = 175 * time.Millisecond
+	defaultElectionSpread  = 150 * time.Millisecond
+	defaultCampaignTimeout = 250 * time.Millisecond
 	defaultContentsTimeout = 2 * time.Second
 )
 
--- a/internal/controlplane/model_test.go
+++ b/internal/controlplane/model_test.go
@@ -343,7 +343,7 @@
 	run(t, w, 10*second, draw)
 	lost := w.stores[0]
 	lost.cut = true
-	run(t, w, 2*second, draw) // its lease has not ended
+	run(t, w, int(leaseDuration/modelStep), draw) // its lease has not ended
 	must.Len(t, 4, activeStores(w.committed))
 	must.False(t, findStore(w.committed.Stores, lost.node).Leaving)
 	run(t, w, 8*second, draw)
--- a/internal/controlplane/planner_test.go
+++ b/internal/controlplane/planner_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -25,3 +27,36 @@
 	}
 	must.Eq(t, planPeriod, w.term.untilNextPlan(over))
 }
+
+// renewedAt is when a store renewed its lease last.
+func (n *simNetwork) renewedAt(store string) time.Time {
+	term := n.leader().running().server.currentTerm()
+	term.mutex.Lock()
+	defer term.mutex.Unlock()
+	return term.stores[store].renewedAt
+}
+
+// A store that is gone owns partitions no longer than its lease may last, and what a plan and its commit take.
+func TestPartitionsOfALostStoreMoveOnceItsLeaseIsOver(t *testing.T) {
+	directory := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		const planned = 2 * planPause
+		network := newSearchNetwork(t, 1, directory)
+		defer network.end()
+		for range 3 {
+			for _, member := range network.members[:simStores] {
+				for time.Since(network.renewedAt(member.name)) > time.Millisecond {
+					time.Sleep(time.Millisecond)
+				}
+				member.kill()
+				killed := time.Now()
+				for copyTable(network.newestTable()).ownsAny(member.name) {
+					time.Sleep(time.Millisecond)
+				}
+				must.Less(t, leaseDuration+leaseMargin+planned, time.Since(killed))
+				member.start()
+				time.Sleep(settleTime)
+			}
+		}
+	})
+}
--- a/internal/controlplane/term.go
+++ b/internal/controlplane/term.go
@@ -10,8 +10,8 @@
 
 // Timing of leases and members.
 const (
-	leaseDuration = 2000 * time.Millisecond // of a store or dispatcher, from the moment it sent the renewal
-	leaseMargin   = 300 * time.Millisecond  // by which the leader waits longer; bounds the drift of clocks
+	leaseDuration = 1500 * time.Millisecond // of a store or dispatcher, from the moment it sent the renewal
+	leaseMargin   = 250 * time.Millisecond  // by which the leader waits longer; bounds the drift of clocks
 	// supersedeAfter is how long a disk must have been silent before another of the same machine takes its
 	// place: a renewal of an ended process that was held up on its way tells of no newer disk.
 	supersedeAfter = 900 * time.Millisecond
