ingest: a message with a key waits for the next owner of its partition

Cause: a message whose order binds it to an owner that had fallen silent was given up after 0.45 of its client's time, though a dispatcher seldom knows for how long the owner has been away, and the next one comes 1.4 to 2 s after it went.

Change: such a message waits until its client's time or 3 s are over, longer than a takeover lasts. It is still given up at once where most stores are out of reach. Messages without a key go round silent owners and are given up as before.

TestKeyedMessageWaitsForTheNextOwnerOfItsPartition fails without it.

--- a/internal/ingest/accept.go
+++ b/internal/ingest/accept.go
@@ -23,6 +23,7 @@
 	silenceBound  = 200 * time.Millisecond // after it a silent owner is gone round in any case, and counts as unreachable
 	hopelessCheck = 50 * time.Millisecond  // between looks at whether other stores answer, while the owner is silent
 	silentPart    = 0.45                   // of the time a client gives, after which a message that nobody answers for is given up
+	takeoverMost  = 3 * time.Second        // from an owner's silence to the next one: its lease, an election, the leader's margin
 	repeatDelay   = 100 * time.Millisecond // before a repeat at an owner that failed
 	staleDelay    = 25 * time.Millisecond  // before a repeat at an owner that disowned the partition
 )
--- a/internal/ingest/accept_test.go
+++ b/internal/ingest/accept_test.go
@@ -264,6 +264,19 @@
 	}
 }
 
+// Only an owner orders the messages of a key: one that falls silent may have a successor within the client's time.
+func TestKeyedMessageWaitsForTheNextOwnerOfItsPartition(t *testing.T) {
+	w := newWorld(t)
+	silent, next := w.stores[1], w.stores[0]
+	silent.onPut(silent.silence)
+	key := w.keyOwnedBy(silent)
+	answer := w.sendAsync("POST", "/keyed/x", "x", "X-Order-Key", key, "X-Deadline-Ms", "3000")
+	silent.awaitPut(t)
+	const late = 1500 * time.Millisecond // more than silentPart of the time
+	time.AfterFunc(late, func() { w.publishMap(9, func(int) *standInStore { return next }) })
+	must.Eq(t, fasthttp.StatusAccepted, (<-answer).status)
+}
+
 func TestOwnerThatAnswersIsNotGivenUpOn(t *testing.T) {
 	w := newWorld(t)
 	key := w.keyOwnedBy(w.stores[1])
--- a/internal/ingest/silence.go
+++ b/internal/ingest/silence.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// hopeless reports whether no store has answered for long, and either most are out of reach or a good part of the client's time
-// has gone by: what is held on then is held in vain. An owner that died is replaced seconds later.
+// hopeless reports whether no store has answered for long, and either most are out of reach or the time is over in which an answer
+// may still be had: what is held on then is held in vain.
 func (a *acceptance) hopeless(now time.Time) bool {
 	if a.unanswered.IsZero() || now.Sub(a.unanswered) < silenceBound {
 		return false
@@ -35,8 +35,12 @@
 	return !now.Before(a.giveUpAt()) || a.dispatcher.health.mostUnreachable(a.view.Stores())
 }
 
-// giveUpAt is the moment from which a message is given up that no store answers for.
+// giveUpAt is the moment from which a message is given up that no store answers for. One whose order binds it to its owner waits for the
+// next owner; any other goes round silent stores, and what none of them has answered for in a good part of the client's time is lost.
 func (a *acceptance) giveUpAt() time.Time {
+	if a.message.orderKey != "" {
+		return a.atMost(a.unanswered.Add(takeoverMost))
+	}
 	given := a.message.deadline.Sub(a.message.arrived)
 	patient := a.message.arrived.Add(time.Duration(silentPart * float64(given)))
 	if silent := a.unanswered.Add(silenceBound); silent.After(patient) {
