--- a/internal/storenode/scenario_test.go
+++ b/internal/storenode/scenario_test.go
@@ -497,14 +497,19 @@
 	return reply
 }
 
+// replaceDiskUnseen has a store start with an empty disk. The control plane does not learn of it.
+func (w *world) replaceDiskUnseen(store *machine) {
+	w.cut(store.name, controlName)
+	w.cut(controlName, store.name)
+	store.stop(end{off: true, loseDisk: true})
+	store.start()
+}
+
 // The answer of a new, empty disk does not stand for that of the lost one at the same address.
 func TestGatherDoesNotCountANewDiskForALostOne(t *testing.T) {
 	simulated(t, smallScale, func(t *testing.T, w *world) {
 		owner, _ := w.owner(0)
-		w.cut(owner.name, controlName)
-		w.cut(controlName, owner.name)
-		owner.stop(end{off: true, loseDisk: true})
-		owner.start() // the control plane does not learn of it
+		w.replaceDiskUnseen(owner)
 		time.Sleep(1500 * time.Millisecond)
 		absent := w.others(0)[0]
 		absent.stop(end{off: true})
@@ -523,10 +528,7 @@
 func TestTakeoverDoesNotWaitForADiskThatWasReplaced(t *testing.T) {
 	simulated(t, smallScale, func(t *testing.T, w *world) {
 		owner, epoch := w.owner(0)
-		w.cut(owner.name, controlName)
-		w.cut(controlName, owner.name)
-		owner.stop(end{off: true, loseDisk: true})
-		owner.start() // the control plane does not learn of it
+		w.replaceDiskUnseen(owner)
 		next, newer := w.owner(0)
 		for newer == epoch || next == nil {
 			time.Sleep(time.Millisecond)
