--- /dev/null
+++ b/review/rig/moved.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// playMoved moves the platform's list to another address, which the settings name and SIGHUP tells, and then replaces all workers.
+func playMoved(w *world) (verdict, error) {
+	const drain = 3 * time.Second
+	quotes := &service{name: "tarifa-base", work: 30 * time.Millisecond, capacity: 6}
+	config := configOf(5, []map[string]any{routeOf("r-1", "/quote/", quotes.name, false, 1500, 3)},
+		[]map[string]any{serviceOf(quotes.name, 110, 0, false, nil)})
+	if err := w.begin([]*service{quotes}, nil, config); err != nil {
+		return verdict{}, err
+	}
+	old := w.workers
+	accepted := make(chan int)
+	stop := make(chan struct{})
+	go func() {
+		count := 0
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				accepted <- count
+				return
+			case <-time.After(40 * time.Millisecond):
+			}
+			if w.clients.send(message{dispatcher: i, host: hostName, path: fmt.Sprintf("/quote/%d", i), body: fmt.Sprint(i)}) != "" {
+				count++
+			}
+		}
+	}()
+	time.Sleep(2 * time.Second)
+	if w.trouble {
+		if err := w.movePlatform(); err != nil {
+			return verdict{}, err
+		}
+	}
+	time.Sleep(7 * time.Second) // the first address has ended 2 s ago
+	var next []*worker
+	for i := range zoneCount {
+		one, err := startWorker(w.record, quotes, fmt.Sprintf("i-new-%d", i), zoneName(i), w.system.address(w.system.otherHost(50+i), 8080))
+		if err != nil {
+			return verdict{}, err
+		}
+		next = append(next, one)
+	}
+	w.platform.add(next)
+	time.Sleep(time.Second)
+	w.platform.drain(old)
+	w.record.note("the old workers are shown as draining")
+	shown := float64(time.Since(w.record.began).Microseconds()) / 1000
+	time.Sleep(drain + 5*time.Second)
+	w.platform.remove()
+	for _, one := range old {
+		_ = one.server.Close()
+	}
+	w.record.note("the old workers are gone")
+	time.Sleep(5 * time.Second)
+	close(stop)
+	total := <-accepted
+	w.awaitEnds(total, 10*time.Second)
+	leaving := map[string]bool{}
+	for _, one := range old {
+		leaving[one.id] = true
+	}
+	broken := 0
+	for _, e := range w.record.all() {
+		if e.Kind == "start" && leaving[e.Worker] && e.AtMs > shown+float64(drain.Milliseconds()) {
+			broken++
+		}
+	}
+	return verdict{broken, fmt.Sprintf("DRAIN: %d accepted, %d ended, %d runs at a worker more than %v after the list showed it as draining", total,
+		succeeded(w.record.all()), broken, drain)}, nil
+}
+
+// movePlatform serves the list at a second address too, names that in all settings files, sends SIGHUP, and ends the first address later.
+func (w *world) movePlatform() error {
+	address := w.system.address(w.system.base+".201", platformPort)
+	if _, err := w.platform.serve(address); err != nil {
+		return err
+	}
+	w.record.note("the settings name another address of the platform")
+	for _, p := range w.system.all() {
+		cloud := p.settings["cloud"].(map[string]any)
+		cloud["address"] = address
+		p.settings["bootstrap"] = false
+		encoded, err := json.MarshalIndent(p.settings, "", " ")
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(p.folder, "settings.yaml")
+		if err := os.WriteFile(path+".new", encoded, 0o644); err != nil {
+			return err
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			return err
+		}
+		p.signal(syscall.SIGHUP)
+	}
+	time.AfterFunc(5*time.Second, func() {
+		w.record.note("the first address of the platform ends")
+		_ = w.platformServer.Close()
+	})
+	return nil
+}
