--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -59,14 +59,14 @@
 
 // playOrder gives a route in order another service while messages of its keys wait.
 func playOrder(w *world) (verdict, error) {
-	binds := &service{name: "poliza-emision", work: 400 * time.Millisecond, capacity: 6, dedup: true}
+	quotes := &service{name: "tarifa-base", work: 300 * time.Millisecond, capacity: 6}
 	partner := &service{name: "asistencia-socios", work: 45 * time.Millisecond, capacity: 11, rate: 39, dedup: true}
 	w.static = w.system.address(w.system.otherHost(90), 8043)
-	services := []map[string]any{serviceOf(binds.name, 100, 0, true, nil), serviceOf(partner.name, 24, 39, true, w.static)}
+	services := []map[string]any{serviceOf(quotes.name, 110, 0, false, nil), serviceOf(partner.name, 24, 39, true, w.static)}
 	config := configOf(5, []map[string]any{
-		routeOf("r-1", "/bind/", binds.name, true, 800, 6),
+		routeOf("r-1", "/bind/", quotes.name, true, 1500, 6),
 		routeOf("r-2", "/cover/", partner.name, false, 800, 4)}, services)
-	if err := w.begin([]*service{binds}, partner, config); err != nil {
+	if err := w.begin([]*service{quotes}, partner, config); err != nil {
 		return verdict{}, err
 	}
 	const keys, before, after = 8, 12, 4
--- a/review/rig/moved.go
+++ b/review/rig/moved.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
 
-// playMoved moves the platform's list to another address, which the settings name and SIGHUP tells, and then replaces all workers.
+// playMoved moves the platform's list to another address, which the settings name and SIGHUP tells, and then replaces the workers
+// one after the other.
 func playMoved(w *world) (verdict, error) {
 	const drain = 3 * time.Second
 	quotes := &service{name: "tarifa-base", work: 30 * time.Millisecond, capacity: 6}
@@ -42,36 +44,34 @@
 		}
 	}
 	time.Sleep(7 * time.Second) // the first address has ended 2 s ago
-	var next []*worker
-	for i := range zoneCount {
-		one, err := startWorker(w.record, quotes, fmt.Sprintf("i-new-%d", i), zoneName(i), w.system.address(w.system.otherHost(50+i), 8080))
+	shown := map[string]float64{}
+	var leaving sync.WaitGroup
+	for i, one := range old {
+		next, err := startWorker(w.record, quotes, fmt.Sprintf("i-new-%d", i), zoneName(i), w.system.address(w.system.otherHost(50+i), 8080))
 		if err != nil {
 			return verdict{}, err
 		}
-		next = append(next, one)
+		w.platform.add([]*worker{next})
+		time.Sleep(500 * time.Millisecond)
+		w.platform.drain([]*worker{one})
+		shown[one.id] = float64(time.Since(w.record.began).Microseconds()) / 1000
+		w.record.note("shown as draining: " + one.id)
+		leaving.Go(func() {
+			time.Sleep(drain + 5*time.Second)
+			w.platform.remove([]*worker{one})
+			_ = one.server.Close()
+			w.record.note("gone: " + one.id)
+		})
+		time.Sleep(500 * time.Millisecond)
 	}
-	w.platform.add(next)
-	time.Sleep(time.Second)
-	w.platform.drain(old)
-	w.record.note("the old workers are shown as draining")
-	shown := float64(time.Since(w.record.began).Microseconds()) / 1000
-	time.Sleep(drain + 5*time.Second)
-	w.platform.remove()
-	for _, one := range old {
-		_ = one.server.Close()
-	}
-	w.record.note("the old workers are gone")
+	leaving.Wait()
 	time.Sleep(5 * time.Second)
 	close(stop)
 	total := <-accepted
 	w.awaitEnds(total, 10*time.Second)
-	leaving := map[string]bool{}
-	for _, one := range old {
-		leaving[one.id] = true
-	}
 	broken := 0
 	for _, e := range w.record.all() {
-		if e.Kind == "start" && leaving[e.Worker] && e.AtMs > shown+float64(drain.Milliseconds()) {
+		if since, leaves := shown[e.Worker]; e.Kind == "start" && leaves && e.AtMs > since+float64(drain.Milliseconds()) {
 			broken++
 		}
 	}
--- a/review/rig/outside.go
+++ b/review/rig/outside.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -221,7 +222,7 @@
 	return server, nil
 }
 
-// add shows further workers; drain shows those shown so far as draining; remove shows no draining one any more.
+// add shows further workers, drain shows some as draining, and remove shows them no more.
 func (p *platform) add(workers []*worker) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -236,14 +237,8 @@
 	}
 }
 
-func (p *platform) remove() {
+func (p *platform) remove(workers []*worker) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	var kept []*worker
-	for _, w := range p.workers {
-		if p.leaving[w.id].IsZero() {
-			kept = append(kept, w)
-		}
-	}
-	p.workers = kept
+	p.workers = slices.DeleteFunc(p.workers, func(one *worker) bool { return slices.Contains(workers, one) })
 }
