Review: case 3 by a change that only adds routes; variants of cases 1 and 3

Change: case 3 adds routes with longer prefixes. The former form stays as a variant of the rig, and case 1 has one that removes and adds.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -10,6 +10,21 @@
 
 // playRoute replaces a route by name while messages of the old one wait for their delay.
 func playRoute(w *world) (verdict, error) {
+	return playRouteChanges(w, map[string]any{"version": 7, "upsert": map[string]any{"routes": []map[string]any{
+		routeOf("r-1", "/renew/", "poliza-emision", false, 500, 6),
+		routeOf("r-3", "/quote/", "tarifa-base", false, 1500, 3)}}, "remove": map[string]any{"routes": []string{}}})
+}
+
+// playRouteAgain removes the route, and adds another one of its name in a second change.
+func playRouteAgain(w *world) (verdict, error) {
+	return playRouteChanges(w, map[string]any{"version": 7, "upsert": map[string]any{"routes": []map[string]any{
+		routeOf("r-3", "/quote/", "tarifa-base", false, 1500, 3)}}, "remove": map[string]any{"routes": []string{"r-1"}}},
+		map[string]any{"version": 9, "upsert": map[string]any{"routes": []map[string]any{
+			routeOf("r-1", "/renew/", "poliza-emision", false, 500, 6)}}, "remove": map[string]any{"routes": []string{}}})
+}
+
+// playRouteChanges makes changes while messages wait for their delay.
+func playRouteChanges(w *world, updates ...map[string]any) (verdict, error) {
 	quotes := &service{name: "tarifa-base", work: 30 * time.Millisecond, capacity: 6}
 	binds := &service{name: "poliza-emision", work: 15 * time.Millisecond, capacity: 6}
 	services := []map[string]any{serviceOf(quotes.name, 110, 0, false, nil), serviceOf(binds.name, 100, 0, false, nil)}
@@ -31,11 +46,10 @@
 		}
 	}
 	if w.trouble {
-		update := map[string]any{"version": 7, "upsert": map[string]any{"routes": []map[string]any{
-			routeOf("r-1", "/renew/", binds.name, false, 500, 6),
-			routeOf("r-3", "/quote/", quotes.name, false, 1500, 3)}}, "remove": map[string]any{"routes": []string{}}}
-		if err := w.operator.order("/api/config/update", "5", update); err != nil {
-			return verdict{}, err
+		for i, update := range updates {
+			if err := w.operator.order("/api/config/update", fmt.Sprint(5+2*i), update); err != nil {
+				return verdict{}, err
+			}
 		}
 	}
 	w.awaitEnds(accepted, 15*time.Second)
@@ -57,8 +71,26 @@
 	return path[:strings.Index(path[1:], "/")+2]
 }
 
-// playOrder gives a route in order another service while messages of its keys wait.
+// playOrder adds routes in order that take some paths to a service with a rate, while messages of their keys wait.
 func playOrder(w *world) (verdict, error) {
+	return playOrderChange(w, func(partner string) []map[string]any {
+		var added []map[string]any
+		for k := range 4 {
+			added = append(added, routeOf(fmt.Sprintf("r-%d", 3+k), fmt.Sprintf("/bind/%d/", k), partner, true, 800, 6))
+		}
+		return added
+	})
+}
+
+// playOrderService gives the route in order itself another service.
+func playOrderService(w *world) (verdict, error) {
+	return playOrderChange(w, func(partner string) []map[string]any {
+		return []map[string]any{routeOf("r-1", "/bind/", partner, true, 800, 6)}
+	})
+}
+
+// playOrderChange changes routes while messages of keys wait.
+func playOrderChange(w *world, change func(partner string) []map[string]any) (verdict, error) {
 	quotes := &service{name: "tarifa-base", work: 300 * time.Millisecond, capacity: 6}
 	partner := &service{name: "asistencia-socios", work: 45 * time.Millisecond, capacity: 11, rate: 39, dedup: true}
 	w.static = w.system.address(w.system.otherHost(90), 8043)
@@ -72,8 +104,8 @@
 	const keys, before, after = 8, 12, 4
 	accepted := w.sendKeys(keys, before, 0)
 	if w.trouble {
-		update := map[string]any{"version": 7, "upsert": map[string]any{"routes": []map[string]any{
-			routeOf("r-1", "/bind/", partner.name, true, 800, 6)}}, "remove": map[string]any{"routes": []string{}}}
+		update := map[string]any{"version": 7, "upsert": map[string]any{"routes": change(partner.name)},
+			"remove": map[string]any{"routes": []string{}}}
 		if err := w.operator.order("/api/config/update", "5", update); err != nil {
 			return verdict{}, err
 		}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -42,10 +42,12 @@
 }
 
 var cases = map[string]func(*world) (verdict, error){
-	"route":   playRoute,
-	"order":   playOrder,
-	"ceiling": playCeiling,
-	"moved":   playMoved,
+	"route":         playRoute,
+	"route-again":   playRouteAgain,
+	"order":         playOrder,
+	"order-service": playOrderService,
+	"ceiling":       playCeiling,
+	"moved":         playMoved,
 }
 
 func main() {
