--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -101,7 +101,7 @@
 	for _, group := range groups {
 		for i := range zoneCount {
 			address := w.system.address(w.system.otherHost(i+10*len(w.workers)), 8080)
-			one, err := startWorker(w.record, group, fmt.Sprintf("i-%s-%d", group.name, i), zoneName(i), address)
+			one, err := startWorker(w.record, group, fmt.Sprintf("i-%s-%d", group.name, len(w.workers)), zoneName(i), address)
 			if err != nil {
 				return err
 			}
