A message's route is the one its host and path match now, never a name it was stored with

Cause: a stored message keeps the name of its route; stores and the delivery engine looked that name up in the newest configuration. Fix: routes are matched by host and path when a message falls due, when its attempt is submitted, and, for what waits in the engine, with each configuration until the first byte. A message keeps the version it was accepted under and what that promised (retries, retention, order); a later one extends it and never shortens it. Table.Add, which all messages pass, notes the version; a store that lacks it neither ends, drops nor sends, unless a leader asked later shows that the version was lost.

--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -80,6 +80,31 @@
 	return nil, nil, false
 }
 
+// MatchMessage returns the route of a message with this host and request target, and its service. There is none if the host and path match no
+// route, or one that takes no messages.
+func (t *Table) MatchMessage(host, target string) (*Route, *Service, bool) {
+	path, _, _ := strings.Cut(target, "?")
+	route, service, ok := t.Match(host, path)
+	if !ok || service == nil || route.Type != RouteTypeAsync {
+		return nil, nil, false
+	}
+	return route, service, true
+}
+
+// RoutesAlike reports whether every message has a route of the same name, and the same order, in both tables. other may be nil.
+func (t *Table) RoutesAlike(other *Table) bool {
+	if other == nil || len(t.routes) != len(other.routes) {
+		return false
+	}
+	for name, route := range t.routes {
+		known := other.routes[name]
+		if known == nil || known.Hostname != route.Hostname || known.PathPrefix != route.PathPrefix || known.Type != route.Type || known.FIFO != route.FIFO {
+			return false
+		}
+	}
+	return true
+}
+
 // Route returns the route with a name.
 func (t *Table) Route(name string) (*Route, bool) {
 	route, ok := t.routes[name]
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -13,6 +13,9 @@
 	digest uint64 // 0 if it has not been computed
 }
 
+// RouteTypeAsync is the type of the routes that take messages.
+const RouteTypeAsync = "async"
+
 // Route assigns the messages of a host and path prefix to a service, and states how they are delivered.
 type Route struct {
 	Name             string  `json:"name"`
--- a/internal/cluster/config_confirmation.go
+++ b/internal/cluster/config_confirmation.go
@@ -55,6 +55,16 @@
 	return false
 }
 
+// Newest returns the version that the latest response named, and when that leader was asked; a zero time before the first response.
+func (c *Confirmations) Newest() (version uint64, requestedAt time.Time) {
+	list := c.load()
+	if len(list) == 0 {
+		return 0, time.Time{}
+	}
+	newest := list[len(list)-1]
+	return newest.version, newest.requestedAt
+}
+
 func (c *Confirmations) load() []confirmation {
 	list := c.list.Load()
 	if list == nil {
@@ -79,3 +89,9 @@
 func (c *Client) ConfigConfirmed(version uint64) bool {
 	return c.confirmations.ConfirmedWithin(version, ConfirmationTTL(c.Settings()))
 }
+
+// NewestConfig returns the configuration version that a leader last named as the newest, and when it was asked; a zero time before the first
+// response of a leader.
+func (c *Client) NewestConfig() (version uint64, requestedAt time.Time) {
+	return c.confirmations.Newest()
+}
--- a/internal/delivery/attempt.go
+++ b/internal/delivery/attempt.go
@@ -113,7 +113,7 @@
 func (e *Engine) maySend(a *attempt) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return a.target.ready && !a.delivery.route.removed && !e.closed
+	return a.target.ready && !a.delivery.route.removed && !a.delivery.withdrawn && !e.closed
 }
 
 // roundTrip writes the request, if the guard permits it, and reads the response.
@@ -299,7 +299,7 @@
 func (e *Engine) handleWithdrawal(now time.Duration, a *attempt) {
 	d := a.delivery
 	d.withdrawals++
-	if d.route.removed || d.withdrawals > maxAttempts {
+	if d.route.removed || d.withdrawn || d.withdrawals > maxAttempts {
 		e.reportAndFinish(now, a, choice.Skipped, attemptResult{}, Outcome{Kind: NotRun, RetryAfter: unplacedRetryDelay})
 		return
 	}
--- a/internal/delivery/catalog.go
+++ b/internal/delivery/catalog.go
@@ -9,7 +9,7 @@
 // Processing of configurations.
 
 // SetCatalog applies a configuration, unless its version is below that in force. Jobs of routes that were removed, or now lead to
-// another service, end as NotRun unless an attempt is already in progress.
+// another service, end as NotRun unless their request is already being written.
 func (e *Engine) SetCatalog(version uint64, config *catalog.Config) {
 	e.doAndNotifyAsync(func(now time.Duration) {
 		if e.closed || config == nil || version < e.configVersion {
@@ -18,7 +18,7 @@
 		e.configVersion = version
 		previous := e.services
 		e.applyServices(config.Services)
-		e.applyRoutes(config.Routes)
+		e.applyRoutes(catalog.NewTable(config))
 		for name, s := range previous {
 			if e.services[name] == nil {
 				e.removeService(s)
@@ -42,20 +42,30 @@
 	e.services = updated
 }
 
-func (e *Engine) applyRoutes(routes []catalog.Route) {
-	configs := make(map[string]catalog.Route, len(routes))
-	for _, config := range routes {
-		configs[config.Name] = config
-	}
-	e.routeConfigs = configs
+func (e *Engine) applyRoutes(table *catalog.Table) {
+	previous := e.table
+	e.table = table
 	for name, r := range e.routes {
-		config, ok := configs[name]
-		if !ok || !sameDestination(config, r.config) || e.services[config.Service] != r.service {
+		config, ok := table.Route(name)
+		if !ok || !sameDestination(*config, r.config) || e.services[config.Service] != r.service {
 			delete(e.routes, name)
 			r.remove()
 			continue
 		}
-		r.config = config
+		r.config = *config
+	}
+	if !table.RoutesAlike(previous) {
+		e.withdrawMisrouted()
+	}
+}
+
+// withdrawMisrouted withdraws the deliveries of which nothing has been written and whose host and path now match another route.
+func (e *Engine) withdrawMisrouted() {
+	for _, r := range e.routes {
+		r.withdraw(func(d *delivery) bool {
+			config, _, ok := e.table.MatchMessage(d.job.Host, d.job.Path)
+			return !ok || config.Name != r.config.Name
+		})
 	}
 }
 
--- a/internal/delivery/engine.go
+++ b/internal/delivery/engine.go
@@ -34,19 +34,19 @@
 
 	mu                  sync.Mutex
 	closed              bool
-	configVersion       uint64                   // version of the catalog in force
-	dispatchers         int                      // number of processes that deliver to the same workers
-	services            map[string]*service      // by service name
-	routeConfigs        map[string]catalog.Route // by route name
-	routes              map[string]*route        // routes used so far, by name
-	targets             map[string]*target       // workers by id, and static endpoints
-	workers             []*rpc.Worker            // newest worker list
-	attempts            map[*attempt]struct{}    // in progress
-	openConns           int                      // connections to workers, including those being opened
-	warmUpSeconds       float64                  // longest cold time that a worker list has given, in seconds
-	lastSequence        uint64                   // of the newest delivery
-	pendingActions      []action                 // requested by the decision module, not yet executed
-	pendingOutcomes     []outcomeCallback        // to be reported once the lock is released
+	configVersion       uint64                // version of the catalog in force
+	dispatchers         int                   // number of processes that deliver to the same workers
+	services            map[string]*service   // by service name
+	table               *catalog.Table        // routes in force; nil before the first catalog
+	routes              map[string]*route     // routes used so far, by name
+	targets             map[string]*target    // workers by id, and static endpoints
+	workers             []*rpc.Worker         // newest worker list
+	attempts            map[*attempt]struct{} // in progress
+	openConns           int                   // connections to workers, including those being opened
+	warmUpSeconds       float64               // longest cold time that a worker list has given, in seconds
+	lastSequence        uint64                // of the newest delivery
+	pendingActions      []action              // requested by the decision module, not yet executed
+	pendingOutcomes     []outcomeCallback     // to be reported once the lock is released
 	sweepScheduled      bool
 	invariantViolations uint64 // number of violations found
 }
@@ -90,7 +90,6 @@
 		options:       options,
 		dispatchers:   1,
 		services:      map[string]*service{},
-		routeConfigs:  map[string]catalog.Route{},
 		routes:        map[string]*route{},
 		targets:       map[string]*target{},
 		attempts:      map[*attempt]struct{}{},
@@ -187,12 +186,14 @@
 	if r := e.routes[name]; r != nil {
 		return r
 	}
-	config, ok := e.routeConfigs[name]
-	s := e.services[config.Service]
-	if !ok || s == nil {
+	if e.table == nil {
 		return nil
 	}
-	r, err := newRoute(e, config, s)
+	config, ok := e.table.Route(name)
+	if !ok || e.services[config.Service] == nil {
+		return nil
+	}
+	r, err := newRoute(e, *config, e.services[config.Service])
 	if err != nil {
 		e.options.Log.Error(err, "decision module rejected the settings of the route: check and correct them", "route", name)
 		return nil
@@ -279,7 +280,7 @@
 		for _, t := range e.targets {
 			t.closeIdleConns(anyConn)
 		}
-		clear(e.routeConfigs)
+		e.table = nil
 		clear(e.routes)
 	})
 }
--- a/internal/delivery/engine_test.go
+++ b/internal/delivery/engine_test.go
@@ -206,6 +206,52 @@
 	must.Eq(t, 0, e.openConns)
 }
 
+// A job whose path gets a route of its own while it waits must not reach the service of the shorter prefix: ROUTE and CONFIG.
+func TestWaitingJobIsWithdrawnWhenItsPathGetsAnotherRoute(t *testing.T) {
+	const retryAfter = time.Hour
+	worker := startFakeWorker(t, succeed)
+	config := testConfig()
+	config.Routes[0].Type = catalog.RouteTypeAsync
+	e := startEngine(t, config, worker)
+	e.doAndNotify(func(now time.Duration) { e.services[testService].pausedUntil = now + retryAfter })
+	moved, kept := newJob(), newJob()
+	kept.Path = "/other"
+	movedOutcome, keptOutcome := submit(e, moved), submit(e, kept)
+
+	next := testConfig()
+	next.Version = 2
+	next.Routes[0].Type = catalog.RouteTypeAsync
+	next.Routes = append(next.Routes, catalog.Route{Name: "r-2", Type: catalog.RouteTypeAsync, Hostname: "h.example", PathPrefix: "/p", Service: testService})
+	e.SetCatalog(next.Version, next)
+	must.Eq(t, NotRun, await(t, movedOutcome).Kind)
+	e.doAndNotify(func(now time.Duration) {
+		e.services[testService].pausedUntil = now
+		e.services[testService].releaseReady(now)
+	})
+	must.Eq(t, Succeeded, await(t, keptOutcome).Kind)
+	must.Eq(t, 1, worker.requests.Load())
+}
+
+// Nothing is written for a job whose route changed while a connection was being opened for it.
+func TestRouteChangeBeforeWrite(t *testing.T) {
+	worker := startFakeWorker(t, succeed)
+	config := testConfig()
+	config.Routes[0].Type = catalog.RouteTypeAsync
+	e := startEngine(t, config, worker)
+	must.Eq(t, Succeeded, await(t, submit(e, newJob())).Kind)
+	r := e.routes[testRoute]
+	d := &delivery{id: "d", job: newJob(), route: r, inProgress: true}
+	r.deliveries[d.id] = d
+	a := &attempt{target: e.targets["i-0"], delivery: d}
+	must.True(t, e.maySend(a))
+	next := testConfig()
+	next.Version = 2
+	next.Routes[0].Type = catalog.RouteTypeAsync
+	next.Routes = append(next.Routes, catalog.Route{Name: "r-2", Type: catalog.RouteTypeAsync, Hostname: "h.example", PathPrefix: "/p", Service: testService})
+	e.SetCatalog(next.Version, next)
+	must.False(t, e.maySend(a))
+}
+
 func TestConnectionLimit(t *testing.T) {
 	var concurrent, maxConcurrent atomic.Int64
 	release := make(chan struct{})
--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -55,6 +55,7 @@
 	attempts    int  // workers assigned under the current id
 	withdrawals int  // attempts that ended because their worker was withdrawn before the request was written
 	inProgress  bool // an attempt is in progress
+	withdrawn   bool // its message has another route by now: nothing more may be written for it
 	isProbe     bool // the only delivery admitted to an endpoint that is failing
 }
 
--- a/internal/delivery/route.go
+++ b/internal/delivery/route.go
@@ -150,6 +150,24 @@
 	}
 }
 
+// withdraw ends the deliveries that match as NotRun. Those with an attempt in progress end so before the first byte of their request; if it
+// is being written already, they go on.
+func (r *route) withdraw(match func(*delivery) bool) {
+	for _, d := range r.service.queue.remove(func(d *delivery) bool { return d.route == r && match(d) }) {
+		r.engine.finish(d, Outcome{Kind: NotRun, RetryAfter: busyBackoffInitial})
+	}
+	for _, d := range r.deliveries {
+		switch {
+		case !match(d):
+		case d.inProgress:
+			d.withdrawn = true
+		default:
+			r.decider.Withdrawn(deciderTime(r.engine.now()), d.id)
+			r.engine.finish(d, Outcome{Kind: NotRun, RetryAfter: busyBackoffInitial})
+		}
+	}
+}
+
 // handleAssignment starts the attempt that the decision module assigned to a worker.
 func (r *route) handleAssignment(now time.Duration, deliveryID, targetKey string) {
 	d := r.deliveries[deliveryID]
--- a/internal/ingest/handler.go
+++ b/internal/ingest/handler.go
@@ -8,7 +8,6 @@
 )
 
 const (
-	routeTypeAsync    = "async"
 	pathMessage       = "/api/message/"
 	pathBody          = "/api/message-body/"
 	retryAfterSeconds = "1"
@@ -58,8 +57,8 @@
 		respondUnavailable(ctx)
 		return
 	}
-	route, service, ok := view.Table.Match(string(ctx.Request.Header.Host()), path)
-	if !ok || service == nil || route.Type != routeTypeAsync {
+	route, service, ok := view.Table.MatchMessage(string(ctx.Request.Header.Host()), path)
+	if !ok {
 		d.respondRejected(ctx, view.ConfigVersion, fasthttp.StatusNotFound)
 		return
 	}
@@ -73,7 +72,7 @@
 		return
 	}
 	defer d.limiter.release(size)
-	storeAndRespond(ctx, d, parseRequest(ctx, route, service))
+	storeAndRespond(ctx, d, parseRequest(ctx, view.ConfigVersion, route, service))
 }
 
 // respondRejected responds with a status that follows from the given configuration version. If that version has
--- a/internal/ingest/request.go
+++ b/internal/ingest/request.go
@@ -39,10 +39,16 @@
 	delay        time.Duration
 	ownerWait    time.Duration // how long to wait for a reachable owner if nothing was sent yet
 	partitionKey string        // determines the partition; empty if any free partition will do
+
+	// What the configuration promises under which the request was matched.
+	configVersion uint64
+	retries       int
+	retention     time.Duration
+	ordered       bool
 }
 
 // parseRequest copies a message from the server's buffers.
-func parseRequest(ctx *fasthttp.RequestCtx, route *catalog.Route, service *catalog.Service) *request {
+func parseRequest(ctx *fasthttp.RequestCtx, configVersion uint64, route *catalog.Route, service *catalog.Service) *request {
 	header := &ctx.Request.Header
 	receivedAt := time.Now()
 	message := &request{
@@ -58,6 +64,11 @@
 		deadline:    receivedAt.Add(responseBudget(header)),
 		delay:       min(parseMilliseconds(header.Peek(headerDelay), 0), maxDelay),
 		ownerWait:   time.Duration(route.TargetLatencyMs / 16 * float64(time.Millisecond)),
+
+		configVersion: configVersion,
+		retries:       route.Retries,
+		retention:     time.Duration(route.RetentionS * float64(time.Second)),
+		ordered:       route.FIFO,
 	}
 	if !route.FIFO {
 		message.orderKey = ""
@@ -113,5 +124,10 @@
 		AgeMs:       age.Milliseconds(),
 		DelayLeftMs: max(r.delay-age, 0).Milliseconds(),
 		Epoch:       epoch,
+
+		ConfigVersion: r.configVersion,
+		Retries:       uint32(r.retries),
+		RetentionMs:   r.retention.Milliseconds(),
+		Ordered:       r.ordered,
 	}
 }
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -14,7 +14,7 @@
 type Entry struct {
 	Name        string
 	Partition   uint32
-	Route       string
+	Route       string // name of the route at the acceptance; the route in force is that of Host and Path
 	Method      string
 	Path        string
 	Host        string
@@ -25,6 +25,7 @@
 	Seq         uint64        // position within the partition and epoch; 0 if no owner has assigned one
 	Arrived     time.Duration // when the message was received
 	Due         time.Duration // earliest time at which it may run
+	Promise     Promise       // what the configuration promised when the message was accepted
 	Attempts    uint32        // failed attempts, that is, responses of 500
 	State       rpc.State
 	Stamp       string // response stamp of the successful run
@@ -46,8 +47,27 @@
 	EnoughAt    uint64          // partition map version as of which its end is known to be on enough disks; 0 for none
 	Retries     int             // attempts in this process whose outcome is unknown
 
-	scheduled bool // in Table.delayed or in the queue of its route
-	heapIndex int  // in Table.delayed; -1 if removed from a heap
+	scheduled bool   // in Table.delayed or in the queue of a route
+	heapIndex int    // in Table.delayed; -1 if removed from a heap
+	queue     string // route under whose name it is queued or running
+}
+
+// Promise is what the configuration said of a message when it was accepted. A later configuration may extend it, but not shorten it.
+type Promise struct {
+	ConfigVersion uint64        // configuration under which the message was accepted; 0 if its sender did not tell
+	Retries       uint32        // failed attempts that end it; 0 if not known
+	Retention     time.Duration // time from its arrival after which it ends; 0 if not known
+	Ordered       bool          // messages of its order key run one after the other
+}
+
+// promiseOf returns the promise in an RPC message. Builds that tell no configuration keep an order key only where it orders.
+func promiseOf(m *rpc.Message) Promise {
+	return Promise{
+		ConfigVersion: m.ConfigVersion,
+		Retries:       m.Retries,
+		Retention:     time.Duration(m.RetentionMs) * time.Millisecond,
+		Ordered:       m.Ordered || m.ConfigVersion == 0 && m.OrderKey != "",
+	}
 }
 
 // Ended reports whether the message has completed or is dead, so that it must not run again.
@@ -126,7 +146,7 @@
 		RequestID: m.RequestId, OrderKey: m.OrderKey, ContentType: m.ContentType, Epoch: m.Epoch, Seq: m.Seq,
 		Arrived:  now - time.Duration(m.AgeMs)*time.Millisecond,
 		Due:      now + time.Duration(m.DelayLeftMs)*time.Millisecond,
-		Attempts: m.Attempts, State: m.State, Stamp: m.Stamp, Body: m.Body, BodyBytes: len(m.Body),
+		Attempts: m.Attempts, State: m.State, Stamp: m.Stamp, Body: m.Body, BodyBytes: len(m.Body), Promise: promiseOf(m),
 	}
 	if m.BodyBytes > 0 {
 		e.BodyBytes = int(m.BodyBytes)
@@ -144,6 +164,7 @@
 		RequestId: e.RequestID, OrderKey: e.OrderKey, ContentType: e.ContentType, Epoch: e.Epoch, Seq: e.Seq,
 		AgeMs: (now - e.Arrived).Milliseconds(), DelayLeftMs: max(0, (e.Due - now).Milliseconds()),
 		Attempts: e.Attempts, State: e.State, Stamp: e.Stamp, BodyBytes: uint64(e.BodyBytes),
+		ConfigVersion: e.Promise.ConfigVersion, Retries: e.Promise.Retries, RetentionMs: e.Promise.Retention.Milliseconds(), Ordered: e.Promise.Ordered,
 	}
 	if e.Ended() {
 		m.EndedMsAgo = (now - e.EndedAt).Milliseconds()
--- a/internal/message/order_key.go
+++ b/internal/message/order_key.go
@@ -35,11 +35,22 @@
 	p.keyQueues[e.OrderKey] = queue
 }
 
-// isFirstOfKey reports whether e is the next message of its order key, and no other message of the key is running.
-func (p *partition) isFirstOfKey(e *Entry) bool {
-	if e.OrderKey == "" {
+// mayRunInKey reports whether the order key of e lets it run now: e has none, needs no order, or is the next of its key.
+func (t *Table) mayRunInKey(p *partition, e *Entry) bool {
+	return e.OrderKey == "" || !t.isOrdered(e) || p.isFirstOfKey(e)
+}
+
+// isOrdered reports whether a message with an order key waits for the earlier ones: its route has order, or had it at the acceptance.
+func (t *Table) isOrdered(e *Entry) bool {
+	if e.Promise.Ordered {
 		return true
 	}
+	_, ordered := t.routing(e)
+	return ordered
+}
+
+// isFirstOfKey reports whether e is the next message of its order key, and no other message of the key is running.
+func (p *partition) isFirstOfKey(e *Entry) bool {
 	queue := p.keyQueues[e.OrderKey]
 	if len(queue) == 0 || queue[0] != e {
 		return false
--- a/internal/message/schedule.go
+++ b/internal/message/schedule.go
@@ -9,17 +9,23 @@
 
 // schedule queues the entry to run when it is due, if its partition and its order key permit that.
 func (t *Table) schedule(p *partition, e *Entry, now time.Duration) {
-	if e.scheduled || e.Running || e.Ended() || p.epoch == 0 || !p.ready || p.paused || !p.isFirstOfKey(e) {
+	if e.scheduled || e.Running || e.Ended() || p.epoch == 0 || !p.ready || p.paused || !t.mayRunInKey(p, e) {
 		return
 	}
 	e.scheduled = true
 	if e.Due <= now {
-		t.queueFor(e.Route).push(e)
+		t.pushDue(e)
 		return
 	}
 	heap.Push(&t.delayed, e)
 }
 
+// pushDue adds a due entry to the queue of its route.
+func (t *Table) pushDue(e *Entry) {
+	e.queue, _ = t.routing(e)
+	t.queueFor(e.queue).push(e)
+}
+
 // unschedule keeps a scheduled entry from running.
 func (t *Table) unschedule(e *Entry) {
 	if !e.scheduled {
@@ -54,7 +60,7 @@
 func (t *Table) Advance(now time.Duration) {
 	for len(t.delayed) > 0 && t.delayed[0].Due <= now {
 		e := heap.Pop(&t.delayed).(*Entry)
-		t.queueFor(e.Route).push(e)
+		t.pushDue(e)
 	}
 }
 
@@ -82,11 +88,11 @@
 		if !e.scheduled || e.Due > now { // an outdated queue entry
 			continue
 		}
-		if e.Running || e.Ended() || p.epoch == 0 || !p.ready || p.paused || !p.isFirstOfKey(e) {
+		if e.Running || e.Ended() || p.epoch == 0 || !p.ready || p.paused || !t.mayRunInKey(p, e) {
 			e.scheduled = false
 			continue
 		}
-		e.scheduled, e.Running = false, true
+		e.scheduled, e.Running, e.queue = false, true, route
 		p.running++
 		q.running++
 		return e
@@ -104,7 +110,7 @@
 	e.Due = max(e.Due, due)
 	p := t.partition(e.Partition)
 	if e.OrderKey != "" { // a message that precedes it may have been added meanwhile
-		e = p.keyQueues[e.OrderKey][0]
+		t.schedule(p, p.keyQueues[e.OrderKey][0], now)
 	}
 	t.schedule(p, e, now)
 }
@@ -116,5 +122,5 @@
 	}
 	e.Running = false
 	t.partition(e.Partition).running--
-	t.queueFor(e.Route).running--
+	t.queueFor(e.queue).running--
 }
--- a/internal/message/table.go
+++ b/internal/message/table.go
@@ -9,20 +9,36 @@
 // Table holds the messages of one store: those of partitions that it owns, and copies of others. It is not safe for concurrent
 // use.
 type Table struct {
-	entries    map[string]*Entry
-	partitions map[uint32]*partition
-	delayed    dueHeap // owned entries that are not due yet
-	routes     map[string]*routeQueue
-	ended      []*Entry // in the order in which they ended on this store
-	queued     int      // entries that have not ended
-	liveBytes  int      // body bytes of entries that have not ended
+	entries       map[string]*Entry
+	partitions    map[uint32]*partition
+	delayed       dueHeap // owned entries that are not due yet
+	routes        map[string]*routeQueue
+	routing       Routing
+	ended         []*Entry // in the order in which they ended on this store
+	queued        int      // entries that have not ended
+	liveBytes     int      // body bytes of entries that have not ended
+	configVersion uint64   // see ConfigVersion
+	retention     time.Duration
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{entries: map[string]*Entry{}, partitions: map[uint32]*partition{}, routes: map[string]*routeQueue{}}
+	return &Table{entries: map[string]*Entry{}, partitions: map[uint32]*partition{}, routes: map[string]*routeQueue{}, routing: acceptedRouting}
 }
 
+// ConfigVersion returns the newest configuration under which a message that was added here was accepted, or that RequireConfig named. What
+// becomes of messages must not be decided by an older one.
+func (t *Table) ConfigVersion() uint64 { return t.configVersion }
+
+// RequireConfig raises ConfigVersion to at least this version.
+func (t *Table) RequireConfig(version uint64) { t.configVersion = max(t.configVersion, version) }
+
+// ForgetConfig lowers ConfigVersion to the newest version that still exists, after the later ones were lost.
+func (t *Table) ForgetConfig(newest uint64) { t.configVersion = min(t.configVersion, newest) }
+
+// Retention returns the longest retention that was promised to a message that was added here.
+func (t *Table) Retention() time.Duration { return t.retention }
+
 // Get returns the message with this name, or nil.
 func (t *Table) Get(name string) *Entry { return t.entries[name] }
 
@@ -48,6 +64,8 @@
 // Add adds a message. If it is already known, its state is merged into the existing entry. Add returns the entry that the table
 // holds.
 func (t *Table) Add(e *Entry, now time.Duration) *Entry {
+	t.RequireConfig(e.Promise.ConfigVersion)
+	t.retention = max(t.retention, e.Promise.Retention)
 	if known := t.entries[e.Name]; known != nil {
 		t.merge(known, e, now)
 		return known
--- a/internal/message/table_test.go
+++ b/internal/message/table_test.go
@@ -311,3 +311,72 @@
 	must.EqOp(t, 23*time.Second, received.EndedAt)
 	must.EqOp(t, 0, received.BodyBytes)
 }
+
+// Messages that are due move to the queue of their new route, those that run are counted where they started.
+func TestRoutingMovesDueMessages(t *testing.T) {
+	table := ownedTable(0)
+	for _, name := range []string{"running", "due", "later"} {
+		table.Add(queuedEntry(name, "old", "", 0, 0), 0)
+	}
+	running := table.StartNext("old", startTarget, 0)
+	later := table.Get("later")
+	table.Requeue(table.StartNext("old", startTarget, 0), time.Second, 0)
+	table.SetRouting(func(e *Entry) (string, bool) { return "new", false }, 0)
+	must.Nil(t, table.StartNext("old", startTarget, 0))
+	must.NotNil(t, table.StartNext("new", startTarget, 0))
+	must.Nil(t, table.StartNext("new", startTarget, 0))
+	table.EachWaitingRoute(func(route string, waiting, _ int) { t.Fatalf("%d messages wait for route %s", waiting, route) })
+	table.FinishAttempt(running, rpc.State_COMPLETED, "s", 0)
+	table.Advance(time.Second)
+	must.NotNil(t, table.StartNext("new", startTarget, time.Second))
+	must.NotNil(t, later)
+}
+
+// A message keeps waiting for the earlier ones of its key if it was accepted with order, whatever its route says now, and does so too once
+// its route gets order.
+func TestOrderHoldsByAcceptanceOrByRoute(t *testing.T) {
+	for _, test := range []struct{ accepted, now, waits bool }{{true, true, true}, {true, false, true}, {false, true, true}, {false, false, false}} {
+		table := ownedTable(0)
+		table.SetRouting(func(*Entry) (string, bool) { return "r", test.now }, 0)
+		for i := range 2 {
+			e := queuedEntry(fmt.Sprint(i), "r", "key", 0, 0)
+			e.Promise.Ordered = test.accepted
+			table.AssignSeq(e)
+			table.Add(e, 0)
+		}
+		first := table.StartNext("r", startTarget, 0)
+		must.Eq(t, "0", first.Name)
+		must.Eq(t, test.waits, table.StartNext("r", startTarget, 0) == nil)
+		table.FinishAttempt(first, rpc.State_COMPLETED, "s", 0)
+		if test.waits {
+			must.Eq(t, "1", table.StartNext("r", startTarget, 0).Name)
+		}
+	}
+}
+
+// Messages that waited only because their route had order run once it has none.
+func TestMessagesOfAKeyRunOnceTheirRouteLosesOrder(t *testing.T) {
+	table := ownedTable(0)
+	for i := range 3 {
+		e := queuedEntry(fmt.Sprint(i), "r", "key", 0, 0)
+		table.AssignSeq(e)
+		table.Add(e, 0)
+	}
+	must.NotNil(t, table.StartNext("r", startTarget, 0))
+	must.Nil(t, table.StartNext("r", startTarget, 0))
+	table.SetRouting(func(*Entry) (string, bool) { return "r", false }, 0)
+	must.NotNil(t, table.StartNext("r", startTarget, 0))
+	must.NotNil(t, table.StartNext("r", startTarget, 0))
+}
+
+// What a message was promised travels with its copies.
+func TestPromiseIsCopied(t *testing.T) {
+	promise := Promise{ConfigVersion: 7, Retries: 4, Retention: 90 * time.Second, Ordered: true}
+	table := NewTable()
+	table.Add(NewEntry((&Entry{Name: "m", Promise: promise}).Message(0), 0), 0)
+	must.Eq(t, promise, table.Get("m").Promise)
+	must.EqOp(t, 7, table.ConfigVersion())
+	must.EqOp(t, 90*time.Second, table.Retention())
+	legacy := NewEntry(&rpc.Message{Name: "old", OrderKey: "key"}, 0)
+	must.True(t, legacy.Promise.Ordered) // builds that told no configuration kept a key only where it ordered
+}
--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -101,7 +101,8 @@
 	if !n.table.IsReady(m.Partition) {
 		return rpc.PutStatus_NOT_OWNER, nil, true
 	}
-	n.minConfigVersion = max(n.minConfigVersion, configVersion)
+	n.table.RequireConfig(configVersion)
+	setConfigVersion(m, configVersion)
 	entry := n.table.Get(m.Name)
 	if entry == nil {
 		if n.table.Queued() >= maxQueuedMessages {
@@ -132,6 +133,14 @@
 	return rpc.PutStatus_STORED, pending, false
 }
 
+// setConfigVersion sets the configuration under which a message was accepted, if its dispatcher is of a build that tells only the newest one
+// that it acted on.
+func setConfigVersion(m *rpc.Message, newest uint64) {
+	if m.ConfigVersion == 0 {
+		m.ConfigVersion, m.Ordered = newest, m.OrderKey != ""
+	}
+}
+
 // currentCopy returns a message as it must be replicated now: with its epoch and sequence number, and with its final state if it has ended
 // meanwhile.
 func (n *Node) currentCopy(entry *message.Entry, m *rpc.Message) *rpc.Message {
@@ -259,6 +268,7 @@
 	reply := &rpc.PutReply{Statuses: make([]rpc.PutStatus, len(request.Messages))}
 	if !n.do(func() {
 		for i, m := range request.Messages {
+			setConfigVersion(m, request.ConfigVersion)
 			reply.Statuses[i] = n.storeCopy(m, request.Epochs[i], request.PlacedUnder)
 		}
 	}) {
--- a/internal/storenode/config_confirmation_test.go
+++ b/internal/storenode/config_confirmation_test.go
@@ -26,7 +26,7 @@
 		w.dropRoute()
 		time.Sleep(cluster.ConfirmationTTL(owner.settings))
 		late := w.immediateMessage("late")
-		late.Route = "dropped"
+		late.Route, late.Path = "dropped", "/dropped"
 		must.Eq(t, rpc.PutStatus_STORED, w.put(owner, rpc.PutMode_OWNER, epoch, late))
 		must.Eq(t, rpc.PutStatus_STORED, w.put(owner, rpc.PutMode_OWNER, epoch, w.immediateMessage("other")))
 		time.Sleep(5 * time.Second)
--- a/internal/storenode/deliver.go
+++ b/internal/storenode/deliver.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"foldlb.example/foldlb/coord/applog"
-	"foldlb.example/foldlb/internal/catalog"
 	"foldlb.example/foldlb/internal/delivery"
 	"foldlb.example/foldlb/internal/message"
 	"foldlb.example/foldlb/internal/rpc"
@@ -23,16 +22,15 @@
 
 // scheduleAttempts starts attempts for due messages, as many as the limits of their routes allow, and sets the timer for the next message.
 func (n *Node) scheduleAttempts() {
-	if n.view == nil || n.view.Config == nil || n.view.ConfigVersion < n.minConfigVersion || !n.mayDeliver() {
+	if !n.hasRequiredConfig() || !n.mayDeliver() {
 		n.setTimer(n.now() + 50*time.Millisecond)
 		return
 	}
 	now := n.now()
 	n.table.Advance(now)
 	n.table.EachWaitingRoute(func(name string, waiting, running int) {
-		route := n.routeByName(name)
 		limit, scheduleTarget := 1, defaultScheduleTarget
-		if route != nil {
+		if route, ok := n.view.Table.Route(name); ok {
 			limit, scheduleTarget = n.attemptLimits[route.Name], time.Duration(route.ScheduleTargetMs)*time.Millisecond
 		}
 		for ; running < limit; running++ {
@@ -40,7 +38,7 @@
 			if entry == nil {
 				return
 			}
-			n.beginAttempt(entry, route)
+			n.beginAttempt(entry)
 		}
 	})
 	if due, ok := n.table.NextDue(); ok {
@@ -64,18 +62,9 @@
 	n.timer.Reset(max(time.Millisecond, at-n.now()))
 }
 
-// routeByName returns the route with this name, or nil if the configuration no longer has it.
-func (n *Node) routeByName(name string) *catalog.Route {
-	route, ok := n.view.Table.Route(name)
-	if !ok {
-		return nil
-	}
-	return route
-}
-
 // beginAttempt starts one attempt of a message that the table has marked as running.
-func (n *Node) beginAttempt(entry *message.Entry, route *catalog.Route) {
-	if route == nil {
+func (n *Node) beginAttempt(entry *message.Entry) {
+	if n.routeOf(entry) == nil {
 		n.finishMessage(entry, rpc.State_DEAD, "")
 		return
 	}
@@ -174,8 +163,14 @@
 
 // submit passes an attempt to the delivery engine.
 func (n *Node) submit(entry *message.Entry, body []byte) {
+	route := n.routeOf(entry)
+	if route == nil { // it was dropped while the body was read
+		n.table.Requeue(entry, n.now(), n.now())
+		n.attemptEnded(entry)
+		return
+	}
 	epoch := n.table.OwnedEpoch(entry.Partition)
-	job := &delivery.Job{Name: entry.Name, Route: entry.Route, Method: entry.Method, Path: entry.Path, Host: entry.Host,
+	job := &delivery.Job{Name: entry.Name, Route: route.Name, Method: entry.Method, Path: entry.Path, Host: entry.Host,
 		RequestID: entry.RequestID, OrderKey: entry.OrderKey, ContentType: entry.ContentType, Body: body}
 	guard := func() bool {
 		return epoch > 0 && n.attemptEpochs[entry.Partition].Load() == epoch && n.mayDeliver()
@@ -216,14 +211,16 @@
 	n.attemptEnded(entry)
 }
 
-// maxFailures returns how many failed attempts make a message a dead letter.
+// maxFailures returns how many failed attempts make a message a dead letter: what was promised, or more if its route now allows more.
 func (n *Node) maxFailures(entry *message.Entry) int {
-	if n.view != nil && n.view.Table != nil {
-		if route, ok := n.view.Table.Route(entry.Route); ok && route.Retries > 0 {
-			return route.Retries
-		}
+	failures := int(entry.Promise.Retries)
+	if route := n.routeOf(entry); route != nil {
+		failures = max(failures, route.Retries)
+	}
+	if failures == 0 {
+		return defaultMaxFailures
 	}
-	return defaultMaxFailures
+	return failures
 }
 
 // attemptEnded schedules the messages that may run now that an attempt has ended, and releases the partition if it is waiting for that.
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -44,6 +44,7 @@
 	OnChange(func(*cluster.View))
 	LeaseValid() bool
 	ConfigConfirmed(version uint64) bool
+	NewestConfig() (version uint64, requestedAt time.Time)
 	Kick()
 	Store(address string) rpc.Store
 	Release(ctx context.Context, partitions []*rpc.PartitionEpoch) error
@@ -95,7 +96,6 @@
 	replicaPolicy     replicaPolicy
 	copyChecks        copyChecks
 	diskLosses        diskLosses
-	minConfigVersion  uint64         // newest configuration version that a sender acted on; no older configuration is applied to deliveries
 	attemptLimits     map[string]int // by route: maximum number of attempts in progress
 	schedulePending   bool           // scheduleAttempts must run after the current event
 	timer             *time.Timer
@@ -105,6 +105,9 @@
 	verifyRunning     bool              // a batch of records is being verified
 	upkeepScheduled   bool              // an additional upkeep run is scheduled
 
+	unroutedCheckPending bool          // routes have changed since upkeep looked for messages without one
+	awaitedConfig        awaitedConfig // configuration that messages need and that is not in force here
+
 	rewriteNeeded bool // the log had no space for a fate or a fence, so it must be rewritten
 
 	peers         *peers
@@ -243,8 +246,7 @@
 	old := n.view
 	n.view = view
 	if view.Config != nil && (old == nil || old.ConfigVersion != view.ConfigVersion) {
-		n.engine.SetCatalog(view.ConfigVersion, view.Config)
-		n.configVersion.Store(view.ConfigVersion)
+		n.applyConfig(old)
 	}
 	if view.Workers != nil && (old == nil || old.Workers != view.Workers) {
 		n.engine.SetWorkers(view.Workers.Workers)
--- a/internal/storenode/scrub.go
+++ b/internal/storenode/scrub.go
@@ -153,7 +153,7 @@
 	entry.Body = nil
 	entry = n.table.Add(entry, now)
 	entry.AddHolder(holder)
-	if !entry.Ended() && n.isExpired(entry, now) { // the holder does not know whether it has run, so it must not run here
+	if !entry.Ended() && (n.isExpired(entry, now) || n.isUnrouted(entry)) { // the holder does not know whether it has run, so it must not run here
 		n.table.MarkEnded(entry, rpc.State_DEAD, "", now)
 		n.publishFate(entry)
 	}
--- a/internal/storenode/sim_checker_test.go
+++ b/internal/storenode/sim_checker_test.go
@@ -173,8 +173,8 @@
 }
 
 func (c *checker) checkJob(m *sentMessage, job *delivery.Job) {
-	if !bytes.Equal(job.Body, m.body) || job.Route != m.route || job.OrderKey != m.key || job.RequestID != m.name {
-		c.violate("UNASKED", m, "the job differs: %d bytes, route %s, key %q", len(job.Body), job.Route, job.OrderKey)
+	if !bytes.Equal(job.Body, m.body) || job.Host != "h" || job.Path != "/"+m.route || job.OrderKey != m.key || job.RequestID != m.name {
+		c.violate("UNASKED", m, "the job differs: %d bytes, path %s, key %q", len(job.Body), job.Path, job.OrderKey)
 	}
 }
 
--- a/internal/storenode/sim_control_test.go
+++ b/internal/storenode/sim_control_test.go
@@ -65,23 +65,38 @@
 	return c
 }
 
-// simConfig returns a configuration. Version 2 lacks a route of version 1.
+// simConfig returns a configuration. Version 2 lacks a route of version 1, and two routes exchange their names.
 func simConfig(version uint64) *catalog.Config {
 	config := &catalog.Config{Version: version, Services: []catalog.Service{{Name: "s", MaxConns: 100}}}
 	for _, name := range []string{"plain", "fifo", "short", "dropped"} {
 		if name == "dropped" && version > 1 {
 			continue
 		}
-		route := catalog.Route{Name: name, Hostname: "h", PathPrefix: "/" + name, Service: "s", Retries: simRetries,
+		route := catalog.Route{Name: name, Type: catalog.RouteTypeAsync, Hostname: "h", PathPrefix: "/" + name, Service: "s", Retries: simRetries,
 			FIFO: name == "fifo", RetentionS: simRetention.Seconds(), ScheduleTargetMs: 500, TimeoutMs: 1200}
 		if name == "short" {
 			route.RetentionS = simShortRetention.Seconds()
 		}
+		if version > 1 {
+			route.Name = exchangedName(name)
+		}
 		config.Routes = append(config.Routes, route)
 	}
 	return config
 }
 
+// exchangedName returns the name that the route of a prefix has in version 2.
+func exchangedName(prefix string) string {
+	switch prefix {
+	case "plain":
+		return "short"
+	case "short":
+		return "plain"
+	default:
+		return prefix
+	}
+}
+
 func (c *controlPlane) run() {
 	for {
 		select {
@@ -455,6 +470,11 @@
 	return f.confirmations.ConfirmedWithin(version, cluster.ConfirmationTTL(f.process.node.settings))
 }
 
+// NewestConfig implements coordinator.
+func (f *fakeCluster) NewestConfig() (version uint64, requestedAt time.Time) {
+	return f.confirmations.Newest()
+}
+
 // Kick implements coordinator.
 func (f *fakeCluster) Kick() {
 	select {
--- a/internal/storenode/sim_worker_test.go
+++ b/internal/storenode/sim_worker_test.go
@@ -20,10 +20,11 @@
 // fakeEngine simulates the delivery engine of one process and the workers that it calls.
 type fakeEngine struct {
 	process *process
+	table   *catalog.Table // set and read by the event loop of the node
 }
 
 // SetCatalog implements Engine.
-func (e *fakeEngine) SetCatalog(uint64, *catalog.Config) {}
+func (e *fakeEngine) SetCatalog(_ uint64, config *catalog.Config) { e.table = catalog.NewTable(config) }
 
 // SetWorkers implements Engine.
 func (e *fakeEngine) SetWorkers([]*rpc.Worker) {}
@@ -36,6 +37,7 @@
 
 // Submit implements Engine.
 func (e *fakeEngine) Submit(job *delivery.Job, guard func() bool, done func(delivery.Outcome)) {
+	e.process.world.checker.checkRoute(job, e.table)
 	go func() {
 		outcome := e.attempt(job, guard)
 		if !e.process.awaitThaw() {
@@ -48,6 +50,16 @@
 	}()
 }
 
+// checkRoute checks that a job goes to the route that its host and path match.
+func (c *checker) checkRoute(job *delivery.Job, table *catalog.Table) {
+	route, _, ok := table.MatchMessage(job.Host, job.Path)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !ok || route.Name != job.Route {
+		c.violate("ROUTE", c.messages[job.Name], "sent to route %s, but its path is %s", job.Route, job.Path)
+	}
+}
+
 // attempt sends a job to a worker and returns the outcome.
 func (e *fakeEngine) attempt(job *delivery.Job, guard func() bool) delivery.Outcome {
 	p := e.process
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -28,6 +28,7 @@
 		return
 	}
 	n.releasePaused()
+	n.forgetLostConfig(time.Now())
 	n.upkeep(now)
 	n.rewriteIfNeeded()
 	n.verifyNextBatch()
@@ -42,6 +43,7 @@
 		return 0, false
 	}
 	keepFor = time.Duration(n.settings.Bounds.StatusS * float64(time.Second))
+	keepFor = max(keepFor, min(n.table.Retention(), maxEndedRetention))
 	for i := range n.view.Config.Routes {
 		retention := time.Duration(n.view.Config.Routes[i].RetentionS * float64(time.Second))
 		keepFor = max(keepFor, min(retention, maxEndedRetention))
@@ -56,6 +58,10 @@
 	failureDomains, required := n.replicaPolicy.failureDomains, n.replicaPolicy.requiredCopies
 	var expired, missing, underCopiedEnded, unread, notStored []*message.Entry
 	var underCopied underCopiedCount
+	checkUnrouted := n.unroutedCheckPending && n.hasRequiredConfig()
+	if checkUnrouted { // messages whose route is dropped later, or that arrive here later, end when they are due
+		n.unroutedCheckPending = false
+	}
 	fatesByOwner := map[string][]*rpc.Fate{}
 	n.table.Each(func(e *message.Entry) {
 		if e.State == rpc.State_COMPLETED {
@@ -75,7 +81,7 @@
 			n.collectScrub(e, now, fatesByOwner)
 			return
 		}
-		if !e.Ended() && !e.Running && n.isExpired(e, now) {
+		if !e.Ended() && !e.Running && (n.isExpired(e, now) || checkUnrouted && n.isUnrouted(e)) {
 			expired = append(expired, e)
 			return
 		}
@@ -175,18 +181,6 @@
 	return ready, pending
 }
 
-// isExpired reports whether a message's route is gone or its retention has passed.
-func (n *Node) isExpired(e *message.Entry, now time.Duration) bool {
-	if n.view.Config == nil || n.view.ConfigVersion < n.minConfigVersion {
-		return false
-	}
-	route := n.routeByName(e.Route)
-	if route == nil {
-		return true
-	}
-	return route.RetentionS > 0 && now-e.Arrived > time.Duration(route.RetentionS*float64(time.Second))+expiryMargin
-}
-
 // repairCopy restores one copy of a message that has too few: this store's own if it has none, else one on another store.
 func (n *Node) repairCopy(e *message.Entry) {
 	failureDomains := n.replicaPolicy.failureDomains
