An order key decides the partition alone; the rate of a service is shared by permits

Cause: the partition of a message was that of its service where that has a rate, so a configuration moved a key to another partition, and order is kept within one only; and each store spent the whole rate on messages in its own partitions, although a rate is owned with one partition. Fix: a message with an order key, on routes without order too, is placed by the key. The owner of the partition of a service's name spends its rate; stores with messages of the service elsewhere ask it for permits (AcquirePermits), good for 0.25 s, and check token or permit right before the first byte. Deliveries of the owner and the stores that wait take turns. A bucket begins empty with each epoch of the ownership. What callers see of the key: it is now part of each delivery, as PROTOCOL.md says. Tests that asserted the former placing are replaced: keys on a route without order were ignored, keyed messages of a rated service shared its partition.

--- a/internal/controlplane/sim_checker_test.go
+++ b/internal/controlplane/sim_checker_test.go
@@ -278,6 +278,9 @@
 // SetDispatchers implements storenode.Engine.
 func (w *simWorkers) SetDispatchers(int) {}
 
+// GrantPermits implements storenode.Engine.
+func (w *simWorkers) GrantPermits(_ string, _ int, done func(int, time.Duration)) { done(0, 0) }
+
 // Close implements storenode.Engine.
 func (w *simWorkers) Close() {}
 
--- a/internal/delivery/attempt.go
+++ b/internal/delivery/attempt.go
@@ -22,6 +22,7 @@
 	target   *target
 	number   int           // number of the attempt within the delivery, as in the decision module
 	timeout  time.Duration // time limit of the run, sent to the worker in X-Deadline-Ms
+	rated    bool          // the service's rate is limited, so the delivery must hold a token; set right before the write
 	conn     *conn         // nil until one is open; written with the engine locked
 }
 
@@ -113,6 +114,7 @@
 func (e *Engine) maySend(a *attempt) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	a.rated = a.target.service.limit != nil
 	return a.target.ready && !a.delivery.route.removed && !a.delivery.withdrawn && !e.closed
 }
 
@@ -122,7 +124,7 @@
 	buffer := requestBufferPool.Get().(*[]byte)
 	defer releaseBuffer(buffer)
 	*buffer = appendRequest((*buffer)[:0], job, a.timeout, a.target.id)
-	if !a.delivery.guard() {
+	if !a.delivery.guard() || a.rated && !e.mayWrite(a.target.service.name, a.delivery.token) {
 		return attemptResult{failure: failureGuard}
 	}
 	sentAt := e.now()
@@ -264,9 +266,9 @@
 		a.target.closeIdleConns(anyConn)
 		a.delivery.route.sendServiceWorkerLists(now)
 		e.reassign(now, a, choice.Skipped, unplacedRetryDelay)
-	case status == 429 && s.bucket != nil:
+	case status == 429 && s.limit != nil:
 		e.reportAndFinish(now, a, choice.Busy, res, Outcome{Kind: NotRun, RetryAfter: s.backOffRateLimited(now)})
-	case s.bucket != nil || a.target.id == "": // offering it to another worker would count towards the rate again
+	case s.limit != nil || a.target.id == "": // offering it to another worker would count towards the rate again
 		e.reportAndFinish(now, a, choice.Busy, res, Outcome{Kind: NotRun, RetryAfter: s.backOffBusy(now)})
 	default:
 		e.reassign(now, a, choice.Busy, busyBackoffInitial)
--- a/internal/delivery/catalog.go
+++ b/internal/delivery/catalog.go
@@ -82,6 +82,9 @@
 			e.retireTarget(t)
 		}
 	}
+	if s.limit != nil {
+		s.limit.close()
+	}
 	if s.timer != nil {
 		s.timer.Stop()
 	}
--- a/internal/delivery/engine.go
+++ b/internal/delivery/engine.go
@@ -25,6 +25,7 @@
 	Log        logr.Logger          // the zero value discards all messages
 	Now        func() time.Duration // monotonic clock; nil for the time since New
 	MaxSockets int                  // upper bound of connections to workers in total; 0 for 1024
+	Rates      RateOwnership        // who may spend the rates of services; nil if this process alone delivers
 }
 
 // Engine sends jobs to workers. All its methods may be called concurrently, and none blocks on the network. One mutex guards all
@@ -86,6 +87,9 @@
 	if options.MaxSockets <= 0 {
 		options.MaxSockets = defaultMaxSockets
 	}
+	if options.Rates == nil {
+		options.Rates = soleOwner{}
+	}
 	return &Engine{
 		options:       options,
 		dispatchers:   1,
@@ -280,6 +284,11 @@
 		for _, t := range e.targets {
 			t.closeIdleConns(anyConn)
 		}
+		for _, s := range e.services {
+			if s.limit != nil {
+				s.limit.close()
+			}
+		}
 		e.table = nil
 		clear(e.routes)
 	})
--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -52,11 +52,12 @@
 	done        func(Outcome)
 	route       *route
 	queuedAt    time.Duration
-	attempts    int  // workers assigned under the current id
-	withdrawals int  // attempts that ended because their worker was withdrawn before the request was written
-	inProgress  bool // an attempt is in progress
-	withdrawn   bool // its message has another route by now: nothing more may be written for it
-	isProbe     bool // the only delivery admitted to an endpoint that is failing
+	attempts    int       // workers assigned under the current id
+	withdrawals int       // attempts that ended because their worker was withdrawn before the request was written
+	inProgress  bool      // an attempt is in progress
+	withdrawn   bool      // its message has another route by now: nothing more may be written for it
+	token       rateToken // if the service's rate is limited
+	isProbe     bool      // the only delivery admitted to an endpoint that is failing
 }
 
 // precedes reports whether d is released before other.
--- a/internal/delivery/service.go
+++ b/internal/delivery/service.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"math"
 	"time"
 
 	"foldlb.example/foldlb/internal/catalog"
@@ -33,11 +34,12 @@
 // limit, the lack of free worker slots or an unreachable endpoint delays it. Callers of its methods hold the engine's lock.
 type service struct {
 	engine   *Engine
+	name     string
 	config   catalog.Service
 	queue    deliveryQueue
-	bucket   *TokenBucket // nil for a service without a rate limit
-	inFlight int          // released deliveries without an outcome
-	endpoint *target      // nil for a service whose workers are on the worker list
+	limit    *rateLimit // nil for a service without a rate limit
+	inFlight int        // released deliveries without an outcome
+	endpoint *target    // nil for a service whose workers are on the worker list
 
 	pausedUntil   time.Duration
 	busyBackoff   time.Duration // the last backoff for lack of a free slot; 0 after a success
@@ -54,24 +56,32 @@
 }
 
 func newService(engine *Engine, config catalog.Service) *service {
-	s := &service{engine: engine}
+	s := &service{engine: engine, name: config.Name}
 	s.update(config)
 	return s
 }
 
 // update applies a new configuration of the service.
 func (s *service) update(config catalog.Service) {
+	s.config = config
+	s.updateLimit()
+	s.updateEndpoint()
+}
+
+// updateLimit applies the configured rate.
+func (s *service) updateLimit() {
 	now := s.engine.now()
 	switch {
-	case config.RatePerS <= 0:
-		s.bucket = nil
-	case s.bucket == nil:
-		s.bucket = NewTokenBucket(config.RatePerS, now)
+	case s.config.RatePerS <= 0 && s.limit != nil:
+		s.limit.close()
+		s.limit = nil
+	case s.config.RatePerS <= 0:
+	case s.limit == nil:
+		s.limit = &rateLimit{service: s}
+		s.limit.ownedEpoch(now) // the bucket of an owner fills from now on
 	default:
-		s.bucket.SetRate(config.RatePerS, now)
+		s.limit.setRate(s.config.RatePerS, now)
 	}
-	s.config = config
-	s.updateEndpoint()
 }
 
 // updateEndpoint creates or replaces the target that stands for a static endpoint.
@@ -98,10 +108,15 @@
 // maxConnsPerWorker returns how many connections this process may hold to each worker.
 func (s *service) maxConnsPerWorker() int {
 	connections := float64(s.config.MaxConns)
-	if s.bucket != nil {
+	others := float64(max(1, s.engine.dispatchers-1))
+	switch {
+	case s.limit == nil:
+		return max(1, int(usableConnShare*connections/float64(s.engine.dispatchers)))
+	case s.engine.options.Rates.Epoch(s.config.Name) != 0:
 		return max(1, int(handoverConnShare*connections))
+	default:
+		return max(1, int(guestConnShare*connections/others))
 	}
-	return max(1, int(usableConnShare*connections/float64(s.engine.dispatchers)))
 }
 
 // enqueue adds a delivery to the queue and releases what may be released. If the queue is too long, its last delivery ends as
@@ -121,7 +136,7 @@
 // rate limit it is at least the time in which half of the queue is released, up to overflowRetryDelayMaxRated.
 func (s *service) overflowRetryDelay() time.Duration {
 	delay := min(overflowRetryDelayMin+time.Duration(s.refusals)*overflowRetryDelayStep, overflowRetryDelayMax)
-	if s.bucket != nil {
+	if s.limit != nil {
 		halfDrained := time.Duration(maxQueueLength / 2 / s.config.RatePerS * float64(time.Second))
 		delay = min(max(delay, halfDrained), overflowRetryDelayMaxRated)
 	}
@@ -130,14 +145,19 @@
 
 // releaseReady releases the deliveries that may be sent now, and sets the timer for the rest.
 func (s *service) releaseReady(now time.Duration) {
+	defer s.serveWaiters(now, math.MaxInt)
 	for s.queue.len() > 0 {
-		wait, blocked := s.admitNext(now)
+		if s.limit != nil {
+			s.serveWaiters(now, s.limit.owed)
+		}
+		token, wait, blocked := s.admitNext(now)
 		if blocked {
 			s.scheduleWake(now, wait)
 			return
 		}
 		s.inFlight++
 		d := s.queue.pop()
+		d.token = token
 		d.isProbe = s.downBackoff > 0
 		s.probing = s.probing || d.isProbe
 		d.route.requestWorker(now, d)
@@ -147,31 +167,42 @@
 	}
 }
 
+// serveWaiters gives up to the given number of tokens to the processes that wait for permits.
+func (s *service) serveWaiters(now time.Duration, most int) {
+	if s.limit == nil || len(s.limit.waiters) == 0 {
+		return
+	}
+	if wait, waiting := s.limit.serveWaiters(now, most); waiting {
+		s.scheduleWake(now, wait)
+	}
+}
+
 // admitNext reports whether the next delivery is blocked, and after which wait it should be tried again if nothing else happens.
 // If it is not blocked, the token or credit that it needs has been taken.
-func (s *service) admitNext(now time.Duration) (wait time.Duration, blocked bool) {
-	slotFreed := s.endpoint == nil && s.bucket == nil && s.credits > 0 // slots seen to become free during a backoff
+func (s *service) admitNext(now time.Duration) (token rateToken, wait time.Duration, blocked bool) {
+	slotFreed := s.endpoint == nil && s.limit == nil && s.credits > 0 // slots seen to become free during a backoff
 	if now < s.pausedUntil && !slotFreed {
-		return s.pausedUntil - now, true
+		return token, s.pausedUntil - now, true
 	}
 	if s.probing {
-		return recheckInterval, true
+		return token, recheckInterval, true
 	}
 	if s.endpoint != nil && s.inFlight >= s.maxConnsPerWorker() {
-		return recheckInterval, true
+		return token, recheckInterval, true
 	}
 	if s.congested && s.credits <= 0 {
-		return busyBackoffInitial, true
+		return token, busyBackoffInitial, true
 	}
-	if s.bucket != nil {
-		if ok, wait := s.bucket.Take(now); !ok {
-			return wait, true
+	if s.limit != nil {
+		var ok bool
+		if token, ok, wait = s.limit.take(now); !ok {
+			return token, wait, true
 		}
 	}
 	if s.congested {
 		s.credits--
 	}
-	return 0, false
+	return token, 0, false
 }
 
 // scheduleWake sets the timer to fire after wait, but not later than it is already due.
--- a/internal/ingest/accept.go
+++ b/internal/ingest/accept.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"foldlb.example/foldlb/internal/cluster"
+	"foldlb.example/foldlb/internal/message"
 	"foldlb.example/foldlb/internal/rpc"
 )
 
@@ -198,7 +199,7 @@
 // choosePartition sets the partition and the name. It returns false if no partition is available.
 func (a *acceptance) choosePartition() bool {
 	if key := a.message.partitionKey; key != "" {
-		a.partition = partitionForKey(key, a.view.Partitions())
+		a.partition = message.PartitionForKey(key, a.view.Partitions())
 	} else {
 		partition, ok := a.dispatcher.chooseFreePartition(a.view, a.avoidNodes)
 		if !ok {
--- a/internal/ingest/accept_test.go
+++ b/internal/ingest/accept_test.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"foldlb.example/foldlb/internal/catalog"
+	"foldlb.example/foldlb/internal/message"
 	"foldlb.example/foldlb/internal/rpc"
 )
 
@@ -16,7 +17,7 @@
 
 func TestStoredMessageIsAcceptedUnderItsName(t *testing.T) {
 	h := newHarness(t)
-	answer := h.send("PUT", "/free/x?q=%20a&b", "the bytes", "X-Request-Id", "id-1", "X-Delay-Ms", "1500", "X-Order-Key", "ignored")
+	answer := h.send("PUT", "/free/x?q=%20a&b", "the bytes", "X-Request-Id", "id-1", "X-Delay-Ms", "1500")
 	must.Eq(t, fasthttp.StatusAccepted, answer.status)
 	name := answer.header.Get("X-Msg-Id")
 	must.True(t, h.ownerOf(name) == h.stores[0], must.Sprint("the owner is not in the dispatcher's zone"))
@@ -62,17 +63,54 @@
 		name := h.send("POST", "/keyed/x", "x", "X-Order-Key", key).header.Get("X-Msg-Id")
 		partition, ok := partitionOf(name)
 		must.True(t, ok)
-		must.Eq(t, partitionForKey(key, testPartitions), partition)
+		must.Eq(t, message.PartitionForKey(key, testPartitions), partition)
 	}
 }
 
+// The partition of a key must not depend on route or service: a configuration that led a key to a service with a rate moved it to another
+// partition, where its messages overtook those that waited (review/3, ORDER).
+func TestOrderKeyDecidesThePartitionOnEveryRoute(t *testing.T) {
+	h := newHarness(t)
+	for _, path := range []string{"/free/x", "/keyed/x", "/rated/x"} {
+		name := h.send("POST", path, "x", "X-Order-Key", "a").header.Get("X-Msg-Id")
+		partition, ok := partitionOf(name)
+		must.True(t, ok)
+		must.Eq(t, message.PartitionForKey("a", testPartitions), partition)
+	}
+	for _, put := range h.stores[0].received() {
+		must.Eq(t, "a", put.Messages[0].OrderKey) // it is part of the delivery
+		route, ok := h.client.View().Table.Route(put.Messages[0].Route)
+		must.True(t, ok)
+		must.Eq(t, route.FIFO, put.Messages[0].Ordered)
+	}
+}
+
+// A message keeps the version and the promises under which it was matched.
+func TestStoredMessageKeepsWhatItsRoutePromised(t *testing.T) {
+	h := newHarness(t)
+	must.Eq(t, fasthttp.StatusAccepted, h.send("POST", "/keyed/x", "x").status)
+	view := h.client.View()
+	route, _, ok := view.Table.MatchMessage("h.example", "/keyed/x")
+	must.True(t, ok)
+	for _, store := range h.stores {
+		for _, put := range store.received() {
+			stored := put.Messages[0]
+			must.Eq(t, view.ConfigVersion, stored.ConfigVersion)
+			must.Eq(t, route.Retries, int(stored.Retries))
+			must.Eq(t, int64(route.RetentionS*1000), stored.RetentionMs)
+			must.True(t, stored.Ordered)
+		}
+	}
+	must.Eq(t, 1, h.puts(rpc.PutMode_OWNER))
+}
+
 func TestMessagesOfRateLimitedServiceShareAPartition(t *testing.T) {
 	h := newHarness(t)
-	for _, key := range []string{"a", "", "b"} {
-		name := h.send("POST", "/rated/x", "x", "X-Order-Key", key).header.Get("X-Msg-Id")
+	for range 3 {
+		name := h.send("POST", "/rated/x", "x").header.Get("X-Msg-Id")
 		partition, ok := partitionOf(name)
 		must.True(t, ok)
-		must.Eq(t, partitionForKey("rated", testPartitions), partition)
+		must.Eq(t, message.PartitionForKey("rated", testPartitions), partition)
 	}
 }
 
@@ -252,13 +290,13 @@
 }
 
 func TestMessageWithoutStoreResponseIsAbandonedEarly(t *testing.T) {
-	for _, path := range []string{"/free/x", "/keyed/x"} {
+	for _, key := range []string{"", "k"} {
 		h := newHarness(t)
 		for _, store := range h.stores {
 			store.onPut(store.blockPut)
 		}
 		began := time.Now()
-		answer := h.send("POST", path, "x", "X-Order-Key", "k", "X-Deadline-Ms", "8000")
+		answer := h.send("POST", "/keyed/x", "x", "X-Order-Key", key, "X-Deadline-Ms", "8000")
 		must.Eq(t, fasthttp.StatusGatewayTimeout, answer.status) // it may have been stored, so not 503
 		must.Less(t, 4*time.Second, time.Since(began))           // less than half of the client's deadline
 	}
@@ -294,7 +332,7 @@
 // A rate limit is applied on delivery, so only an order key binds a message to its owner.
 func TestRateLimitedMessageBypassesUnresponsiveOwner(t *testing.T) {
 	h := newHarness(t)
-	partition := partitionForKey("rated", testPartitions)
+	partition := message.PartitionForKey("rated", testPartitions)
 	owner := h.ownerOf(messageName(partition, 0))
 	owner.onPut(owner.blockPut)
 	answer := h.send("POST", "/rated/x", "x", "X-Deadline-Ms", "9000")
@@ -307,7 +345,7 @@
 
 func TestRateLimitedMessageBypassesUnreachableOwner(t *testing.T) {
 	h := newHarness(t)
-	owner := h.ownerOf(messageName(partitionForKey("rated", testPartitions), 0))
+	owner := h.ownerOf(messageName(message.PartitionForKey("rated", testPartitions), 0))
 	owner.server.Close()
 	for range 3 {
 		must.Eq(t, fasthttp.StatusAccepted, h.send("POST", "/rated/x", "x", "X-Deadline-Ms", "9000").status)
@@ -318,7 +356,7 @@
 
 func TestRateLimitedMessageIsRefusedWithTooFewReachableStores(t *testing.T) {
 	h := newHarness(t)
-	owner := h.ownerOf(messageName(partitionForKey("rated", testPartitions), 0))
+	owner := h.ownerOf(messageName(message.PartitionForKey("rated", testPartitions), 0))
 	left := 1
 	for _, store := range h.stores {
 		if store != owner && left > 0 {
--- a/internal/ingest/harness_test.go
+++ b/internal/ingest/harness_test.go
@@ -23,6 +23,7 @@
 
 	"foldlb.example/foldlb/coord/watch"
 	"foldlb.example/foldlb/internal/cluster"
+	"foldlb.example/foldlb/internal/message"
 	"foldlb.example/foldlb/internal/rpc"
 	"foldlb.example/foldlb/internal/settings"
 )
@@ -128,6 +129,11 @@
 	return &rpc.PutReply{Statuses: []rpc.PutStatus{status}}, nil
 }
 
+// AcquirePermits grants nothing.
+func (s *fakeStore) AcquirePermits(context.Context, *rpc.AcquirePermitsRequest) (*rpc.AcquirePermitsReply, error) {
+	return &rpc.AcquirePermitsReply{}, nil
+}
+
 // Lookup responds as set by onLookup; by default the message is not found.
 func (s *fakeStore) Lookup(ctx context.Context, _ *rpc.LookupRequest) (*rpc.LookupReply, error) {
 	s.mutex.Lock()
@@ -359,7 +365,7 @@
 func (h *harness) keyOwnedBy(store *fakeStore) string {
 	for i := 0; ; i++ {
 		key := fmt.Sprint("key", i)
-		if h.initialOwner(int(partitionForKey(key, testPartitions))) == store {
+		if h.initialOwner(int(message.PartitionForKey(key, testPartitions))) == store {
 			return key
 		}
 	}
--- a/internal/ingest/message_name.go
+++ b/internal/ingest/message_name.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/hex"
-	"hash/fnv"
 	"math/rand/v2"
 	"strconv"
 )
@@ -46,16 +45,5 @@
 // randomID returns the random part of a message name, or an incarnation.
 func randomID() uint64 { return rand.Uint64() }
 
-// Messages with a partition key use the even partitions; messages without one use the odd, free partitions. So
-// the handover of a partition with ordered messages is not delayed by long queues of messages without order.
-
-// partitionForKey maps a key to one of the even partitions. All dispatchers must compute the same partition.
-func partitionForKey(key string, partitions uint32) uint32 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(key))
-	pairs := max(1, uint64(partitions)/2)
-	return uint32(hash.Sum64() % pairs * 2)
-}
-
 // isFreePartition reports whether a partition is for messages without a partition key.
 func isFreePartition(partition uint32) bool { return partition%2 == 1 }
--- a/internal/ingest/random_faults_test.go
+++ b/internal/ingest/random_faults_test.go
@@ -103,7 +103,11 @@
 			for number := range messages {
 				id := fmt.Sprint(client, "-", number)
 				path := []string{"/free/x", "/free/x", "/keyed/x", "/rated/x"}[rand.IntN(4)]
-				answer := h.send("POST", path, id, "X-Request-Id", id, "X-Order-Key", fmt.Sprint(rand.IntN(9)), "X-Deadline-Ms", "300")
+				key := ""
+				if path == "/keyed/x" || path == "/rated/x" && rand.IntN(2) == 0 {
+					key = fmt.Sprint(rand.IntN(9))
+				}
+				answer := h.send("POST", path, id, "X-Request-Id", id, "X-Order-Key", key, "X-Deadline-Ms", "300")
 				recorder.checkResponse(t, id, answer)
 			}
 		})
--- a/internal/ingest/request.go
+++ b/internal/ingest/request.go
@@ -70,17 +70,15 @@
 		retention:     time.Duration(route.RetentionS * float64(time.Second)),
 		ordered:       route.FIFO,
 	}
-	if !route.FIFO {
-		message.orderKey = ""
-	}
 	message.partitionKey = choosePartitionKey(message, service)
 	return message
 }
 
-// choosePartitionKey returns what determines the message's partition: the service if its rate is limited, as a
-// single owner must account for the whole rate; otherwise the order key. It is empty if there is none.
+// choosePartitionKey returns what determines the message's partition: the order key, on routes without order too, so that no change of the
+// configuration moves a key; otherwise the service if its rate is limited, as the owner of that partition spends the whole rate. It is empty
+// if there is neither.
 func choosePartitionKey(message *request, service *catalog.Service) string {
-	if service.RatePerS > 0 {
+	if message.orderKey == "" && service.RatePerS > 0 {
 		return service.Name
 	}
 	return message.orderKey
--- a/internal/storenode/metrics.go
+++ b/internal/storenode/metrics.go
@@ -15,7 +15,10 @@
 	lookupsUnknown atomic.Uint64 // for messages unknown to this store
 
 	copiesUnreadable atomic.Uint64 // records of this store's log that could not be read
-	copiesLacking    atomic.Uint64 // copies that this store counted on other stores but that turned out to be missing there
+	permitsGranted   atomic.Uint64 // to other stores, for services whose rate this store owns
+	permitsReceived  atomic.Uint64 // from the owners of rates
+
+	copiesLacking atomic.Uint64 // copies that this store counted on other stores but that turned out to be missing there
 }
 
 // metricValues returns the metrics of this store.
@@ -39,6 +42,8 @@
 		{Name: "foldlb_store_lookups_unknown_total", Help: "of these, those for messages not known here", Value: n.counters.lookupsUnknown.Load()},
 		{Name: "foldlb_store_copies_unreadable_total", Help: "copies here whose records could not be read", Value: n.counters.copiesUnreadable.Load()},
 		{Name: "foldlb_store_copies_lacking_total", Help: "copies on other stores that turned out to be missing or unreadable there", Value: n.counters.copiesLacking.Load()},
+		{Name: "foldlb_store_permits_granted_total", Help: "permits given to other stores from the rates that this store owns", Value: n.counters.permitsGranted.Load()},
+		{Name: "foldlb_store_permits_received_total", Help: "permits got from the stores that own the rates", Value: n.counters.permitsReceived.Load()},
 		{Name: "foldlb_store_log_bytes", Help: "length of the log", Value: bytes},
 		{Name: "foldlb_store_sync_waiting_ms", Help: "for how long the oldest request for a sync of the log has waited", Value: uint64(n.file.OldestSyncWait().Milliseconds())},
 		{Name: "foldlb_store_copies_waiting", Help: "copies that wait to be sent to other stores", Value: uint64(n.peers.waitingCopies())},
--- a/internal/storenode/node.go
+++ b/internal/storenode/node.go
@@ -55,6 +55,7 @@
 	SetCatalog(version uint64, config *catalog.Config)
 	SetWorkers(workers []*rpc.Worker)
 	SetDispatchers(count int)
+	GrantPermits(service string, count int, done func(granted int, waited time.Duration))
 	Submit(job *delivery.Job, guard func() bool, done func(delivery.Outcome))
 	Close()
 }
@@ -207,7 +208,8 @@
 func (n *Node) Start() {
 	engine := n.options.Engine
 	if engine == nil {
-		engine = delivery.New(delivery.Options{Zone: n.settings.Zone, Log: n.log, Now: n.now, MaxSockets: n.settings.Limits.MaxFds / 2})
+		engine = delivery.New(delivery.Options{Zone: n.settings.Zone, Log: n.log, Now: n.now, MaxSockets: n.settings.Limits.MaxFds / 2,
+			Rates: rateOwnership{n}})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.disconnect = cancel
--- a/internal/storenode/sim_client_store_test.go
+++ b/internal/storenode/sim_client_store_test.go
@@ -54,6 +54,11 @@
 	return callStore(ctx, c, "scrub", request, (*Node).Scrub)
 }
 
+// AcquirePermits implements rpc.Store.
+func (c *storeClient) AcquirePermits(ctx context.Context, request *rpc.AcquirePermitsRequest) (*rpc.AcquirePermitsReply, error) {
+	return callStore(ctx, c, "permits", request, (*Node).AcquirePermits)
+}
+
 // Lookup implements rpc.Store.
 func (c *storeClient) Lookup(ctx context.Context, request *rpc.LookupRequest) (*rpc.LookupReply, error) {
 	return callStore(ctx, c, "lookup", request, (*Node).Lookup)
--- a/internal/storenode/sim_worker_test.go
+++ b/internal/storenode/sim_worker_test.go
@@ -32,6 +32,9 @@
 // SetDispatchers implements Engine.
 func (e *fakeEngine) SetDispatchers(int) {}
 
+// GrantPermits implements Engine.
+func (e *fakeEngine) GrantPermits(_ string, _ int, done func(int, time.Duration)) { done(0, 0) }
+
 // Close implements Engine.
 func (e *fakeEngine) Close() {}
 
