A key waits for messages that an earlier build stored in the partition of a service

Cause: the partition of a stored message is part of its name and can't change. Fix: stores list such messages when the partition of their key is taken over (Gather), and its owner lets the key wait until each has ended, asking once a second. New ones, which dispatchers of the earlier build may still send, are refused before anything is written, so their clients get 503 or repeat. Measured: TestKeyWaitsForMessageThatAnEarlierBuildPlacedElsewhere fails without the check in isFirstOfKey, and passes with it, as does TestMisplacedKeyIsRefused. internal/storenode (with its simulation) and message pass.

--- a/internal/message/order_key.go
+++ b/internal/message/order_key.go
@@ -52,7 +52,7 @@
 // isFirstOfKey reports whether e is the next message of its order key, and no other message of the key is running.
 func (p *partition) isFirstOfKey(e *Entry) bool {
 	queue := p.keyQueues[e.OrderKey]
-	if len(queue) == 0 || queue[0] != e {
+	if len(queue) == 0 || queue[0] != e || len(p.strays[e.OrderKey]) > 0 {
 		return false
 	}
 	for _, other := range queue[1:] {
--- a/internal/message/ownership.go
+++ b/internal/message/ownership.go
@@ -16,6 +16,8 @@
 	lastSeq   uint64              // last sequence number assigned in this epoch
 	messages  map[string]*Entry   // known messages, by name
 	keyQueues map[string][]*Entry // queued messages by order key, in order of execution
+
+	strays map[string]map[Stray]time.Duration // by order key: messages of other partitions that it waits for, and until when
 }
 
 // partition returns the state of a partition, and creates it on first use.
@@ -66,7 +68,7 @@
 // EndOwnership ends the ownership of a partition. Attempts in progress continue, and their outcomes are still accepted.
 func (t *Table) EndOwnership(id uint32) {
 	p := t.partition(id)
-	p.epoch, p.ready, p.paused = 0, false, false
+	p.epoch, p.ready, p.paused, p.strays = 0, false, false, nil
 	for _, e := range p.messages {
 		t.unschedule(e)
 		e.Body = nil
--- a/internal/storenode/accept.go
+++ b/internal/storenode/accept.go
@@ -101,6 +101,9 @@
 	if !n.table.IsReady(m.Partition) {
 		return rpc.PutStatus_NOT_OWNER, nil, true
 	}
+	if n.table.Get(m.Name) == nil && n.isMisplaced(m) {
+		return rpc.PutStatus_NOT_OWNER, nil, false
+	}
 	n.table.RequireConfig(configVersion)
 	setConfigVersion(m, configVersion)
 	entry := n.table.Get(m.Name)
--- a/internal/storenode/gather.go
+++ b/internal/storenode/gather.go
@@ -27,6 +27,7 @@
 			n.raiseFence(p)
 		}
 		reply.Messages = n.listMessages(request.Partitions)
+		reply.Strays = n.listStrays(request.Partitions, request.PartitionCount)
 	}) {
 		return nil, errClosed
 	}
@@ -99,8 +100,9 @@
 		n.log.Error(err, "fences not synced; partitions are not started")
 		return
 	}
-	round := &gatherRound{request: &rpc.GatherRequest{Caller: n.settings.Node, Partitions: partitions},
+	round := &gatherRound{request: &rpc.GatherRequest{Caller: n.settings.Node, Partitions: partitions, PartitionCount: n.cluster.View().Partitions()},
 		answered: map[string]bool{}, replaced: map[string]bool{}, inFlight: map[string]bool{}, changed: make(chan struct{}, 1)}
+	n.do(func() { n.awaitStrays(n.listStrays(partitions, round.request.PartitionCount), round.request) })
 	n.awaitAnswers(round)
 }
 
@@ -139,7 +141,10 @@
 		}
 		if err == nil {
 			target.answered()
-			n.do(func() { n.mergeGathered(target.disk, reply.Messages, round.request.Partitions) })
+			n.do(func() {
+				n.mergeGathered(target.disk, reply.Messages, round.request.Partitions)
+				n.awaitStrays(reply.Strays, round.request)
+			})
 			round.mark(round.answered, target.disk)
 			return
 		}
--- a/internal/storenode/sim_dispatcher_test.go
+++ b/internal/storenode/sim_dispatcher_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foldlb.example/foldlb/internal/cluster"
+	"foldlb.example/foldlb/internal/message"
 	"foldlb.example/foldlb/internal/rpc"
 )
 
@@ -147,7 +148,8 @@
 	switch x := w.random.Float64(); {
 	case x < 0.5:
 		key := w.random.IntN(12)
-		m.route, m.key, m.partition = "fifo", fmt.Sprintf("k%d", key), uint32(key*5%w.scale.partitions)
+		m.route, m.key = "fifo", fmt.Sprintf("k%d", key)
+		m.partition = message.PartitionForKey(m.key, uint32(w.scale.partitions))
 	case x < 0.55:
 		m.route = "short"
 	case x < 0.6:
--- a/internal/storenode/upkeep.go
+++ b/internal/storenode/upkeep.go
@@ -29,6 +29,7 @@
 	}
 	n.releasePaused()
 	n.forgetLostConfig(time.Now())
+	n.checkStrays()
 	n.upkeep(now)
 	n.rewriteIfNeeded()
 	n.verifyNextBatch()
