--- a/internal/delivery/rate_test.go
+++ b/internal/delivery/rate_test.go
@@ -178,3 +178,16 @@
 	d.owner.Store(&rateOwner{index: 0, epoch: 2})
 	must.False(t, owner.mayWrite(testService, rateToken{epoch: 1}))
 }
+
+// The ownership of a rate may end between the release of a delivery and its first byte: then nothing is written.
+func TestNothingIsWrittenAfterTheRateWasLost(t *testing.T) {
+	d := newRatedDeployment(t, 1)
+	outcomes := make(chan Outcome, 1)
+	loseRate := func() bool { // called right before the write
+		d.owner.Store(&rateOwner{index: 0, epoch: 2})
+		return true
+	}
+	d.engines[0].Submit(newJob(), loseRate, func(o Outcome) { outcomes <- o })
+	must.Eq(t, NotRun, await(t, outcomes).Kind)
+	must.SliceEmpty(t, d.arrivals)
+}
