Guards of the rate: its owner, its bucket at a new epoch, its turns

Cause: three guards of the permits could be taken out with all tests passing: that only the owner of the service's partition spends the rate, that a bucket begins empty with each epoch, and that an owner with a queue of its own takes turns with the stores that wait.

--- a/internal/delivery/rate_test.go
+++ b/internal/delivery/rate_test.go
@@ -191,3 +191,45 @@
 	must.Eq(t, NotRun, await(t, outcomes).Kind)
 	must.SliceEmpty(t, d.arrivals)
 }
+
+// The bucket of a new ownership begins empty: its predecessor may just have spent a burst.
+func TestBucketBeginsEmptyWithEachOwnership(t *testing.T) {
+	d := newRatedDeployment(t, 1)
+	d.engines[0].doAndNotify(func(now time.Duration) {
+		limit := d.engines[0].services[testService].limit
+		later := now + time.Hour
+		_, ok, _ := limit.take(later)
+		must.True(t, ok)
+		d.owner.Store(&rateOwner{index: 0, epoch: 2})
+		_, ok, wait := limit.take(later)
+		must.False(t, ok)
+		token, ok, _ := limit.take(later + wait)
+		must.True(t, ok)
+		must.EqOp(t, 2, token.epoch)
+	})
+}
+
+// An owner with a long queue of its own must not keep the permits from other processes.
+func TestOwnerWithABacklogStillGrantsPermits(t *testing.T) {
+	const ownJobs, guestJobs = 150, 10
+	d := newRatedDeployment(t, 2)
+	var own []<-chan Outcome
+	for range ownJobs {
+		own = append(own, submit(d.engines[0], newJob()))
+	}
+	for range guestJobs {
+		for outcome := await(t, submit(d.engines[1], newJob())); outcome.Kind != Succeeded; outcome = await(t, submit(d.engines[1], newJob())) {
+			time.Sleep(outcome.RetryAfter)
+		}
+	}
+	waiting := 0
+	for _, outcome := range own {
+		select {
+		case o := <-outcome:
+			must.Eq(t, Succeeded, o.Kind)
+		default:
+			waiting++
+		}
+	}
+	must.Positive(t, waiting, must.Sprint("the other process was served only after the owner's queue"))
+}
--- a/internal/storenode/sim_worker_test.go
+++ b/internal/storenode/sim_worker_test.go
@@ -33,7 +33,7 @@
 func (e *fakeEngine) SetDispatchers(int) {}
 
 // GrantPermits implements Engine.
-func (e *fakeEngine) GrantPermits(_ string, _ int, done func(int, time.Duration)) { done(0, 0) }
+func (e *fakeEngine) GrantPermits(_ string, count int, done func(int, time.Duration)) { done(count, 0) }
 
 // Close implements Engine.
 func (e *fakeEngine) Close() {}
