A delivery that may not be sent from here ends at once and takes no part of a rate

The partition is released only when none of its attempts is left, and permits of the new owner went to deliveries that it then did not allow. Fix: a delivery whose guard says no is ended before it takes a token or asks for a permit.

--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -14,6 +14,9 @@
 
 func (q *deliveryQueue) pop() *delivery { return heap.Pop(&q.items).(*delivery) }
 
+// first returns the delivery that would be popped next. The queue must not be empty.
+func (q *deliveryQueue) first() *delivery { return q.items[0] }
+
 // last returns the delivery that would be popped last. The queue must not be empty.
 func (q *deliveryQueue) last() *delivery {
 	last := q.items[0]
--- a/internal/delivery/service.go
+++ b/internal/delivery/service.go
@@ -148,6 +148,11 @@
 	defer s.serveWaiters(now, math.MaxInt)
 	for s.queue.len() > 0 {
 		if s.limit != nil {
+			if d := s.queue.first(); !d.guard() { // it may not be sent from here any more: it needs no part of the rate
+				s.queue.pop()
+				s.engine.finish(d, Outcome{Kind: NotRun, RetryAfter: unplacedRetryDelay})
+				continue
+			}
 			s.serveWaiters(now, s.limit.owed)
 		}
 		token, wait, blocked := s.admitNext(now)
