Only messages of owned partitions make a store wait for a configuration

Cause, by reading: a copy for another owner made a store wait, although nothing is decided about it there. So a few dispatchers with a new version stopped the stores that hold copies as well as the owners. Fix: a version is required by messages of partitions that are owned, when they are added and when the ownership begins. Also, the test of the check right before the write calls it directly, as the guard may now be asked before the release too.

--- a/internal/delivery/rate_test.go
+++ b/internal/delivery/rate_test.go
@@ -182,16 +182,14 @@
 // The ownership of a rate may end between the release of a delivery and its first byte: then nothing is written.
 func TestNothingIsWrittenAfterTheRateWasLost(t *testing.T) {
 	d := newRatedDeployment(t, 1)
-	outcomes := make(chan Outcome, 1)
-	calls := 0
-	loseRate := func() bool { // called before the release, and right before the write
-		if calls++; calls == 2 {
-			d.owner.Store(&rateOwner{index: 0, epoch: 2})
-		}
-		return true
-	}
-	d.engines[0].Submit(newJob(), loseRate, func(o Outcome) { outcomes <- o })
-	must.Eq(t, NotRun, await(t, outcomes).Kind)
+	e := d.engines[0]
+	endpoint := e.services[testService].endpoint
+	connection, err := dial(endpoint.address)
+	must.NoError(t, err)
+	defer connection.close()
+	released := &attempt{target: endpoint, rated: true, delivery: &delivery{job: newJob(), guard: allow, token: rateToken{epoch: 1}}}
+	d.owner.Store(&rateOwner{index: 0, epoch: 2})
+	must.Eq(t, failureGuard, e.roundTrip(released, connection).failure)
 	must.SliceEmpty(t, d.arrivals)
 }
 
--- a/internal/message/ownership.go
+++ b/internal/message/ownership.go
@@ -63,6 +63,9 @@
 	}
 	p.fence = epoch
 	p.epoch, p.ready, p.paused, p.lastSeq = epoch, false, false, 0
+	for _, e := range p.messages {
+		t.RequireConfig(e.Promise.ConfigVersion)
+	}
 }
 
 // EndOwnership ends the ownership of a partition. Attempts in progress continue, and their outcomes are still accepted.
--- a/internal/message/table.go
+++ b/internal/message/table.go
@@ -26,8 +26,8 @@
 	return &Table{entries: map[string]*Entry{}, partitions: map[uint32]*partition{}, routes: map[string]*routeQueue{}, routing: acceptedRouting}
 }
 
-// ConfigVersion returns the newest configuration under which a message that was added here was accepted, or that RequireConfig named. What
-// becomes of messages must not be decided by an older one.
+// ConfigVersion returns the newest configuration under which a message of a partition owned here was accepted, or that RequireConfig named. What
+// becomes of messages must not be decided by an older one. Copies for other owners do not count, as nothing is decided about them here.
 func (t *Table) ConfigVersion() uint64 { return t.configVersion }
 
 // RequireConfig raises ConfigVersion to at least this version.
@@ -64,7 +64,9 @@
 // Add adds a message. If it is already known, its state is merged into the existing entry. Add returns the entry that the table
 // holds.
 func (t *Table) Add(e *Entry, now time.Duration) *Entry {
-	t.RequireConfig(e.Promise.ConfigVersion)
+	if t.OwnedEpoch(e.Partition) > 0 {
+		t.RequireConfig(e.Promise.ConfigVersion)
+	}
 	t.retention = max(t.retention, e.Promise.Retention)
 	if known := t.entries[e.Name]; known != nil {
 		t.merge(known, e, now)
--- a/internal/message/table_test.go
+++ b/internal/message/table_test.go
@@ -375,7 +375,11 @@
 	table := NewTable()
 	table.Add(NewEntry((&Entry{Name: "m", Promise: promise}).Message(0), 0), 0)
 	must.Eq(t, promise, table.Get("m").Promise)
+	must.EqOp(t, 0, table.ConfigVersion()) // another store decides about it
+	table.BeginOwnership(0, 1)
 	must.EqOp(t, 7, table.ConfigVersion())
+	table.Add(NewEntry((&Entry{Name: "later", Promise: Promise{ConfigVersion: 8}}).Message(0), 0), 0)
+	must.EqOp(t, 8, table.ConfigVersion())
 	must.EqOp(t, 90*time.Second, table.Retention())
 	legacy := NewEntry(&rpc.Message{Name: "old", OrderKey: "key"}, 0)
 	must.True(t, legacy.Promise.Ordered) // builds that told no configuration kept a key only where it ordered
