--- a/internal/delivery/engine.go
+++ b/internal/delivery/engine.go
@@ -156,8 +156,8 @@
 }
 
 // Submit sends a job. guard is called immediately before the first byte of each request for the job is written, on the goroutine
-// that writes; if it returns false, nothing is written and the outcome is NotRun. It may be called before, with the engine locked. While the job can't have run, it may be offered
-// to several workers. done is called exactly once, on another goroutine and never from within Submit.
+// that writes; if it returns false, nothing is written and the outcome is NotRun. It may be called before, with the engine locked.
+// While the job can't have run, it may be offered to several workers. done is called exactly once, on another goroutine and never from within Submit.
 func (e *Engine) Submit(job *Job, guard func() bool, done func(Outcome)) {
 	e.doAndNotifyAsync(func(now time.Duration) {
 		id := e.nextDeliveryID()
