A running leader asks the platform at its newest address

Cause: runDiscovery read `cloud` once, when a term began; a term that began without an address never asked. Reload had stored the new settings.

Change: the discovery looks at the settings before each read, and a change ends its pause. The log says once that the address changed, that the platform doesn't answer and that it does again; the last list stays in use meanwhile. If the list at a new address names no worker of a service that had some, these stay for 30 s or until it names one (knownWorkers).

--- a/internal/controlplane/discovery.go
+++ b/internal/controlplane/discovery.go
@@ -17,6 +17,7 @@
 
 	"foldlb.example/foldlb/internal/platformapi"
 	"foldlb.example/foldlb/internal/rpc"
+	"foldlb.example/foldlb/internal/settings"
 )
 
 const (
@@ -28,6 +29,9 @@
 	rateReserve      = 2 // calls are limited to 1/rateReserve of the platform's rate
 )
 
+// errNoPlatform reports that the settings name no platform.
+var errNoPlatform = errors.New("cloud.address is empty: set the platform's address in the settings")
+
 // PlatformError reports that the platform responded with a status other than 200.
 type PlatformError struct {
 	Status int // HTTP status
@@ -39,30 +43,32 @@
 
 // discovery reads the platform's list of workers while this process leads. It must be used by a single goroutine.
 type discovery struct {
-	address  string        // host:port of the platform
-	interval time.Duration // minimum time between two calls
-	client   *http.Client
-	log      logr.Logger
-	lastCall time.Time
+	configured func() settings.Cloud // the platform as the settings name it now
+	changed    <-chan struct{}       // receives after the settings have changed, which ends a pause
+	address    string                // host:port in use; empty for none
+	interval   time.Duration         // minimum time between two calls
+	client     *http.Client
+	log        logr.Logger
+	lastCall   time.Time
+	known      knownWorkers
+	answering  bool // the last read of the list succeeded
+	reported   bool // the log says whether the platform in use answers
 }
 
-// newDiscovery returns a discovery. ratePerS is the rate of calls that the platform allows, 0 for no limit; roundTripper
-// carries the calls, nil selects TCP.
-func newDiscovery(address string, ratePerS float64, roundTripper http.RoundTripper, log logr.Logger) *discovery {
+// newDiscovery returns a discovery. roundTripper carries the calls, nil selects TCP.
+func newDiscovery(configured func() settings.Cloud, changed <-chan struct{}, roundTripper http.RoundTripper, log logr.Logger) *discovery {
 	if roundTripper == nil {
 		dialer := &net.Dialer{Timeout: discoveryTimeout}
 		roundTripper = &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 1, DisableCompression: true}
 	}
-	interval := time.Duration(0)
-	if ratePerS > 0 {
-		interval = time.Duration(rateReserve * float64(time.Second) / ratePerS)
-	}
-	return &discovery{
-		address:  address,
-		interval: interval,
-		client:   &http.Client{Transport: roundTripper, Timeout: discoveryTimeout},
-		log:      log,
+	d := &discovery{
+		configured: configured,
+		changed:    changed,
+		client:     &http.Client{Transport: roundTripper, Timeout: discoveryTimeout},
+		log:        log,
 	}
+	d.applySettings()
+	return d
 }
 
 // run reads the list until the context ends, and publishes each list that differs from the previous one.
@@ -71,22 +77,75 @@
 	var filter listFilter
 	pause := discoveryPeriod
 	for {
+		if d.applySettings() {
+			pause = discoveryPeriod
+		}
 		workers, err := d.readAll(ctx)
+		d.report(err)
 		if err != nil {
-			d.log.V(1).Info("reading the list of workers failed", "error", err.Error())
 			pause = min(2*pause, discoveryBackoff)
 		} else {
 			pause = discoveryPeriod
+			workers = d.known.update(time.Now(), workers)
 			if filter.isNew(workers) {
 				publish(workers)
 			}
 		}
-		if !sleep(ctx, pause) {
+		if !d.wait(ctx, pause) {
 			return
 		}
 	}
 }
 
+// applySettings takes the configured platform into use, and reports whether its address has changed.
+func (d *discovery) applySettings() bool {
+	cloud := d.configured()
+	d.interval = 0
+	if cloud.RatePerS > 0 {
+		d.interval = time.Duration(rateReserve * float64(time.Second) / cloud.RatePerS)
+	}
+	if cloud.Address == d.address {
+		return false
+	}
+	if d.address != "" {
+		d.log.Info("the platform's address has changed", "before", d.address, "after", cloud.Address)
+		d.known.holdMissing(time.Now())
+	}
+	d.address = cloud.Address
+	d.reported = false
+	d.client.CloseIdleConnections()
+	return true
+}
+
+// report logs when the platform stops answering and when it answers again, once each.
+func (d *discovery) report(err error) {
+	answering := err == nil
+	if d.address == "" || errors.Is(err, context.Canceled) || d.reported && answering == d.answering {
+		return
+	}
+	d.reported = true
+	d.answering = answering
+	if answering {
+		d.log.Info("the platform answers", "address", d.address)
+		return
+	}
+	d.log.Info("the platform does not answer, the list of workers stays as it is", "address", d.address, "error", err.Error())
+}
+
+// wait waits for a time, or until the settings have changed. It returns false if the context ended before.
+func (d *discovery) wait(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-d.changed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // listFilter detects lists that are equal to the previous one.
 type listFilter struct {
 	any  bool
@@ -105,6 +164,9 @@
 
 // readAll reads all pages. It returns the whole list or an error, never part of a list.
 func (d *discovery) readAll(ctx context.Context) ([]*rpc.Worker, error) {
+	if d.address == "" {
+		return nil, errNoPlatform
+	}
 	var workers []*rpc.Worker
 	token := ""
 	for range maxPages {
--- a/internal/controlplane/discovery_test.go
+++ b/internal/controlplane/discovery_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"foldlb.example/foldlb/internal/rpc"
+	"foldlb.example/foldlb/internal/settings"
 )
 
 // fakePlatform serves a list in pages.
@@ -50,7 +51,8 @@
 func newTestDiscovery(t *testing.T, platform *fakePlatform) *discovery {
 	server := httptest.NewServer(platform)
 	t.Cleanup(server.Close)
-	return newDiscovery(server.Listener.Addr().String(), 0, nil, logr.Discard())
+	configured := func() settings.Cloud { return settings.Cloud{Address: server.Listener.Addr().String()} }
+	return newDiscovery(configured, nil, nil, logr.Discard())
 }
 
 func TestAllPagesAreRead(t *testing.T) {
--- a/internal/controlplane/leadership.go
+++ b/internal/controlplane/leadership.go
@@ -9,6 +9,7 @@
 	"foldlb.example/foldlb/coord/watch"
 	"foldlb.example/foldlb/internal/catalog"
 	"foldlb.example/foldlb/internal/rpc"
+	"foldlb.example/foldlb/internal/settings"
 	"foldlb.example/foldlb/internal/workerlist"
 )
 
@@ -81,7 +82,7 @@
 
 // startTermWork starts the goroutines that run only at the leader. They end with the term.
 func (s *Server) startTermWork(started *term) {
-	s.background.Add(3)
+	s.background.Add(4)
 	go func() {
 		defer s.background.Done()
 		s.runPlanner(started)
@@ -94,10 +95,6 @@
 		defer s.background.Done()
 		s.runMembership(started)
 	}()
-	if s.settings().Cloud.Address == "" {
-		return
-	}
-	s.background.Add(1)
 	go func() {
 		defer s.background.Done()
 		s.runDiscovery(started)
@@ -116,8 +113,8 @@
 
 // runDiscovery streams the platform's list of workers until the term ends.
 func (s *Server) runDiscovery(t *term) {
-	cloud := s.settings().Cloud
-	reader := newDiscovery(cloud.Address, cloud.RatePerS, s.platform, s.log)
+	configured := func() settings.Cloud { return s.settings().Cloud }
+	reader := newDiscovery(configured, s.discoveryWake, s.platform, s.log)
 	var before *rpc.WorkerList
 	reader.run(t.context, func(workers []*rpc.Worker) {
 		t.mutex.Lock()
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -74,6 +74,7 @@
 	requestSlots   chan struct{}
 	leadershipWake chan struct{}
 	plannerWake    chan struct{}
+	discoveryWake  chan struct{}
 	background     sync.WaitGroup
 	published      publishedVersions
 }
@@ -98,6 +99,7 @@
 		requestSlots:   make(chan struct{}, maxConcurrentRequests),
 		leadershipWake: make(chan struct{}, 1),
 		plannerWake:    make(chan struct{}, 1),
+		discoveryWake:  make(chan struct{}, 1),
 	}
 	server.currentSettings.Store(initial)
 	server.hub.LimitRate(maxStreamLinkShare * bytesPerMegabit * initial.Limits.LinkMbps)
@@ -258,8 +260,12 @@
 	}
 }
 
-// Reload applies updated settings: seeds, the platform's address and the fault tolerance. Listen addresses and
-// the data directory stay as they were at the start of the process.
+// Reload applies updated settings: seeds, the platform's address and rate, and the fault tolerance. A running term takes them into use.
+// Listen addresses and the data directory stay as they were at the start of the process.
 func (s *Server) Reload(updated *settings.Settings) {
 	s.currentSettings.Store(updated)
+	select {
+	case s.discoveryWake <- struct{}{}:
+	default: // a wake-up is pending already
+	}
 }
