A new process reads its configuration again when it takes over

What was seen: TestReplacementReloadDuringTheHold failed in 4 of 320 plays beside others: a SIGHUP that reached the old process just before it handed over was obeyed by nobody, and the old configuration led until the next signal.

Cause: the old process passes on orders that come within 5 ms after the new one acts. On a busy machine the goroutine that takes the signal runs later than that. The new process read its file before the change.

Change: whoever takes over reads the configuration once more; what the old process still gets is passed on as before. Parcel.Reload stays for earlier builds.

--- a/cmd/foldlb/serve.go
+++ b/cmd/foldlb/serve.go
@@ -223,12 +223,13 @@
 	return &takeover{n, tcp, taken, end}, nil
 }
 
-// serve goes on where the other process stood.
+// serve goes on where the other process stood. It reads the configuration once more: a SIGHUP may have reached the other process when
+// that could neither obey it nor pass it on.
 func (t *takeover) serve(ctx context.Context, reload <-chan os.Signal) error {
 	defer t.end()
 	read, place, words := t.taken.Durations()
 	t.node.log.WithFields(logrus.Fields{"read": read.String(), "place": place.String(), "words": words.String()}).Info("taken over")
-	return t.node.serve(ctx, t.ln, reload, t.taken.Parcel.Reload)
+	return t.node.serve(ctx, t.ln, reload, true)
 }
 
 // halved tells that another process shares this one's memory, as its successor or predecessor.
--- a/internal/upgrade/messages.go
+++ b/internal/upgrade/messages.go
@@ -63,7 +63,7 @@
 		Control    int                        // index of the control socket's listener; -1 for none
 		Parts      map[string]cbor.RawMessage // states by the names of the parts
 		Files      int                        // number of descriptors that follow
-		Reload     bool                       // the configuration was reloaded since the new process was started
+		Reload     bool                       // the configuration was reloaded since the new process was started; for builds that don't reload at every take-over
 	}
 	// Ahead announces so many descriptors that are sent ahead; 0 ends them.
 	Ahead struct{ Files int }
