The test of shares measures the response times that it compares

It took response times of 40 and 160 ms for granted; load stretches both by the same amount, so their quotient falls.

Change: each worker measures for how long requests occupied it. The quotient of these times, which is that of the requests in flight, is held against the quotient of the measured response times, with the same bounds; the last responses are waited for.

--- a/internal/delivery/engine_test.go
+++ b/internal/delivery/engine_test.go
@@ -377,29 +377,50 @@
 	})
 }
 
+// slowWorker responds after a pause, and measures how long each response took, since work on all cores stretches the pause.
+type slowWorker struct {
+	*fakeWorker
+	pause    time.Duration
+	occupied atomic.Int64 // nanoseconds, summed over all requests
+}
+
+func startSlowWorker(t *testing.T, pause time.Duration) *slowWorker {
+	worker := &slowWorker{pause: pause}
+	worker.fakeWorker = startFakeWorker(t, worker.respond)
+	return worker
+}
+
+func (w *slowWorker) respond(c net.Conn, r *http.Request) {
+	begin := time.Now()
+	done := make(chan struct{})
+	time.AfterFunc(w.pause, func() {
+		succeed(c, r)
+		close(done)
+	})
+	<-done
+	w.occupied.Add(int64(time.Since(begin)))
+}
+
+// responseTime returns the mean measured response time in nanoseconds.
+func (w *slowWorker) responseTime() float64 {
+	return float64(w.occupied.Load()) / float64(w.requests.Load())
+}
+
 // Of two workers, the faster one has more requests in flight, in inverse proportion to the response times.
 func TestSharesFollowInverseResponseTime(t *testing.T) {
 	const fast, slow, inFlight, jobs = 40 * time.Millisecond, 160 * time.Millisecond, 10, 600
-	respondAfter := func(pause time.Duration) func(net.Conn, *http.Request) {
-		return func(c net.Conn, r *http.Request) {
-			done := make(chan struct{})
-			time.AfterFunc(pause, func() {
-				succeed(c, r)
-				close(done)
-			})
-			<-done
-		}
-	}
-	first, second := startFakeWorker(t, respondAfter(fast)), startFakeWorker(t, respondAfter(slow))
-	e := startEngine(t, testConfig(), first, second)
+	first, second := startSlowWorker(t, fast), startSlowWorker(t, slow)
+	e := startEngine(t, testConfig(), first.fakeWorker, second.fakeWorker)
 	slots := make(chan struct{}, inFlight)
 	for range jobs {
 		slots <- struct{}{}
 		e.Submit(newJob(), allow, func(Outcome) { <-slots })
 	}
-	// The average number of requests in flight is the number of requests times the response time.
-	loadFast := float64(first.requests.Load()) * fast.Seconds()
-	loadSlow := float64(second.requests.Load()) * slow.Seconds()
-	ratio, want := loadFast/loadSlow, slow.Seconds()/fast.Seconds()
+	for range inFlight {
+		slots <- struct{}{} // all have ended
+	}
+	// The requests in flight, on average, are in proportion to the time for which requests occupied each worker.
+	ratio := float64(first.occupied.Load()) / float64(second.occupied.Load())
+	want := second.responseTime() / first.responseTime()
 	must.Between(t, want/2, ratio, want*2)
 }
