Changes of worker lists carry a checksum that no swap of fields cancels out

Not seen in service.

Cause: the digest is a sum of FNV-1a hashes, which mix their last bytes hardly at all; the differences of two workers cancel out in the sum.

Change: lists and changes have a second sum, of xxHash hashes, as an optional field that is checked where it is there. Earlier versions send none and check the digest alone, so versions run side by side.

Measured: TestSwappedFieldsAreNoticed finds pairs with equal digests among 325, and all are refused.

--- a/internal/workerlist/workerlist.go
+++ b/internal/workerlist/workerlist.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"foldlb.example/foldlb/internal/rpc"
@@ -24,13 +25,13 @@
 		e.Base, e.Version, e.Epoch, e.Held)
 }
 
-// New returns a list with its digest. It keeps the slice.
+// New returns a list with its digest and checksum. It keeps the slice.
 func New(epoch, version uint64, workers []*rpc.Worker) *rpc.WorkerList {
-	list := &rpc.WorkerList{Epoch: epoch, Version: version, Workers: workers}
+	var total sums
 	for _, worker := range workers {
-		list.Digest += digest(worker)
+		total.add(worker)
 	}
-	return list
+	return &rpc.WorkerList{Epoch: epoch, Version: version, Workers: workers, Digest: total.digest, Checksum: &total.checksum}
 }
 
 // Difference returns the change that leads from one list to a later one of the same epoch. It returns nil if the epochs
@@ -40,7 +41,7 @@
 	if from.Epoch != to.Epoch || before == nil || byID(to.Workers) == nil {
 		return nil
 	}
-	change := &rpc.WorkerChange{Epoch: to.Epoch, Base: from.Version, Version: to.Version, Digest: to.Digest}
+	change := &rpc.WorkerChange{Epoch: to.Epoch, Base: from.Version, Version: to.Version, Digest: to.Digest, Checksum: to.Checksum}
 	for _, worker := range to.Workers {
 		if held := before[worker.Id]; held == nil || !proto.Equal(held, worker) {
 			change.Upsert = append(change.Upsert, worker)
@@ -67,23 +68,23 @@
 	for _, id := range change.Remove {
 		removed[id] = true
 	}
-	next := &rpc.WorkerList{Epoch: change.Epoch, Version: change.Version, Digest: held.Digest}
-	next.Workers = make([]*rpc.Worker, 0, len(held.Workers)+len(change.Upsert))
+	total := sumsOf(held)
+	workers := make([]*rpc.Worker, 0, len(held.Workers)+len(change.Upsert))
 	for _, worker := range held.Workers {
 		if removed[worker.Id] || replaced[worker.Id] != nil {
-			next.Digest -= digest(worker)
+			total.remove(worker)
 			continue
 		}
-		next.Workers = append(next.Workers, worker)
+		workers = append(workers, worker)
 	}
 	for _, worker := range change.Upsert {
-		next.Digest += digest(worker)
-		next.Workers = append(next.Workers, worker)
+		total.add(worker)
+		workers = append(workers, worker)
 	}
-	if next.Digest != change.Digest {
+	if total.digest != change.Digest || change.Checksum != nil && total.checksum != *change.Checksum {
 		return nil, mismatch
 	}
-	return next, nil
+	return &rpc.WorkerList{Epoch: change.Epoch, Version: change.Version, Workers: workers, Digest: total.digest, Checksum: &total.checksum}, nil
 }
 
 // byID indexes workers by id. It returns nil if an id is listed twice.
@@ -98,13 +99,44 @@
 	return index
 }
 
-// digest hashes one worker. The digest of a list is the sum over its workers, so it doesn't depend on their order.
-func digest(worker *rpc.Worker) uint64 {
+// sums are sums of hashes over the workers of a list, so they don't depend on their order. In the sum of FNV hashes, which earlier versions
+// check alone, a swap of the last fields of two workers can cancel out.
+type sums struct {
+	digest   uint64 // of FNV hashes
+	checksum uint64 // of xxHash hashes
+}
+
+// sumsOf returns the sums of a list. A list from an earlier version has no checksum.
+func sumsOf(list *rpc.WorkerList) sums {
+	if list.Checksum != nil {
+		return sums{digest: list.Digest, checksum: *list.Checksum}
+	}
+	var total sums
+	for _, worker := range list.Workers {
+		total.add(worker)
+	}
+	total.digest = list.Digest
+	return total
+}
+
+func (s *sums) add(worker *rpc.Worker) {
+	one := hashesOf(worker)
+	s.digest += one.digest
+	s.checksum += one.checksum
+}
+
+func (s *sums) remove(worker *rpc.Worker) {
+	one := hashesOf(worker)
+	s.digest -= one.digest
+	s.checksum -= one.checksum
+}
+
+func hashesOf(worker *rpc.Worker) sums {
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(worker)
 	if err != nil {
 		panic("workerlist: a worker can't be encoded: report this as a defect: " + err.Error())
 	}
 	hash := fnv.New64a()
 	_, _ = hash.Write(encoded)
-	return hash.Sum64()
+	return sums{digest: hash.Sum64(), checksum: xxhash.Sum64(encoded)}
 }
--- a/internal/workerlist/workerlist_test.go
+++ b/internal/workerlist/workerlist_test.go
@@ -67,6 +67,45 @@
 	})
 }
 
+// TestSwappedFieldsAreNoticed guards against a change that is applied to a list that it doesn't lead from: two workers had swapped their last
+// fields, and the FNV hashes added up to the same sum.
+func TestSwappedFieldsAreNoticed(t *testing.T) {
+	sameDigests := 0
+	for first := 'a'; first <= 'z'; first++ {
+		for second := first + 1; second <= 'z'; second++ {
+			one := New(1, 4, []*rpc.Worker{{Id: string(first), Draining: true}, {Id: string(second), ColdMs: 1}})
+			other := New(1, 4, []*rpc.Worker{{Id: string(first), ColdMs: 1}, {Id: string(second), Draining: true}})
+			if one.Digest == other.Digest {
+				sameDigests++
+			}
+			change := Difference(one, New(1, 5, append(slices.Clone(one.Workers), &rpc.Worker{Id: "new"})))
+			_, err := Apply(other, change)
+			must.Error(t, err)
+		}
+	}
+	must.Positive(t, sameDigests)
+}
+
+// TestListsOfEarlierVersionsAreChecked applies changes and lists without a checksum, as earlier versions send them, and a change with one to a list
+// without.
+func TestListsOfEarlierVersionsAreChecked(t *testing.T) {
+	worker, added := &rpc.Worker{Id: "a"}, &rpc.Worker{Id: "b"}
+	from, to := New(1, 4, []*rpc.Worker{worker}), New(1, 5, []*rpc.Worker{worker, added})
+	change := Difference(from, to)
+	from.Checksum = nil
+	reached, err := Apply(from, change)
+	must.NoError(t, err)
+	must.Eq(t, to.Checksum, reached.Checksum)
+
+	change.Checksum = nil
+	reached, err = Apply(from, change)
+	must.NoError(t, err)
+	must.Eq(t, to.Checksum, reached.Checksum)
+	change.Digest++
+	_, err = Apply(from, change)
+	must.Error(t, err)
+}
+
 func TestChangeOfAnotherVersionOrEpochIsRefused(t *testing.T) {
 	worker := &rpc.Worker{Id: "a"}
 	from, to := New(1, 4, nil), New(1, 9, []*rpc.Worker{worker})
