Test that a new process reads its configuration at every take-over

Change: a test in which the configuration changes during the hold and no process gets SIGHUP. It shares its course with TestReplacementReloadDuringTheHold, which keeps its assertions.

--- a/cmd/foldlb/replacement_test.go
+++ b/cmd/foldlb/replacement_test.go
@@ -436,7 +436,14 @@
 }
 
 // TestReplacementReloadDuringTheHold: SIGHUP to the running process is obeyed by whoever serves then.
-func TestReplacementReloadDuringTheHold(t *testing.T) {
+func TestReplacementReloadDuringTheHold(t *testing.T) { takeOverWithMovedDiscovery(t, true) }
+
+// TestReplacementReadsTheConfigurationWhenItTakesOver guards against a SIGHUP that reached the old process too late to be obeyed or passed on
+// (incident 0018): here no process gets one.
+func TestReplacementReadsTheConfigurationWhenItTakesOver(t *testing.T) { takeOverWithMovedDiscovery(t, false) }
+
+// takeOverWithMovedDiscovery names another discovery during the hold, and checks that the new process asks it. hangup sends the old process SIGHUP.
+func takeOverWithMovedDiscovery(t *testing.T, hangup bool) {
 	p := newPlatform(t, done)
 	asked := make(chan struct{}, 8)
 	moved := listen(t, func(c *fasthttp.RequestCtx) {
@@ -447,7 +454,9 @@
 	second := p.run(true)
 	p.waitHeld()
 	p.moveDiscovery(moved)
-	first.cmd.Process.Signal(syscall.SIGHUP)
+	if hangup {
+		first.cmd.Process.Signal(syscall.SIGHUP)
+	}
 	p.release()
 	second.ready()
 	first.goes()
