--- a/cmd/foldlb/replacement_test.go
+++ b/cmd/foldlb/replacement_test.go
@@ -440,7 +440,9 @@
 
 // TestReplacementReadsTheConfigurationWhenItTakesOver guards against a SIGHUP that reached the old process too late to be obeyed or passed on
 // (incident 0018): here no process gets one.
-func TestReplacementReadsTheConfigurationWhenItTakesOver(t *testing.T) { takeOverWithMovedDiscovery(t, false) }
+func TestReplacementReadsTheConfigurationWhenItTakesOver(t *testing.T) {
+	takeOverWithMovedDiscovery(t, false)
+}
 
 // takeOverWithMovedDiscovery names another discovery during the hold, and checks that the new process asks it. hangup sends the old process SIGHUP.
 func takeOverWithMovedDiscovery(t *testing.T, hangup bool) {
