Spoilt heads of workers' and discovery's responses are no responses

A message could end as completed, rejected or not run by it, a branch as taken or refused, a cancellation as delivered; discovery's list could be read with another content than was sent.

Cause: fasthttp repairs or passes over what RFC 9112 does not let a server send: an empty line before the status line, any version, more blanks, control bytes in the reason phrase, lines without CR, folded fields, Content-Length beside Transfer-Encoding, a coding in HTTP/1.0 or in an interim response. What followed such a head was read with a length that the worker had not said. On a reused connection to a quote worker every unreadable response also counted as a stale connection.

Change: internal/responsecheck checks the bytes of a connection before a parser gets them, in one state machine for heads, bodies, chunks and trailers. Invalid bytes are withheld, so no parser can complete the response, and the reader returns an InvalidResponseError. internal/delivery, internal/workerconn (branches and DELETE) and internal/routeset read through it. An invalid response is an unknown outcome, a connection that broke after the send, and a refusal of discovery; idle times are not blamed for it. A status line without a reason phrase may still lack its last blank. Why that is enough: what is valid by the grammar leaves a parser nothing to choose.

--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -1,8 +1,8 @@
 package delivery
 
 import (
-	"bufio"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"foldlb.example/foldlb/internal/responsecheck"
 	"foldlb.example/foldlb/internal/tcp"
 )
 
@@ -77,15 +78,16 @@
 }
 
 // readerPool holds buffers for reading responses. The many idle connections need none.
-var readerPool = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+var readerPool = sync.Pool{New: func() any { return responsecheck.NewReader(nil, http.MethodGet) }}
 
-func acquireReader(c *conn) *bufio.Reader {
-	reader := readerPool.Get().(*bufio.Reader)
-	reader.Reset(c.Conn)
+// acquireReader returns a reader of the responses on a connection to requests with this method.
+func acquireReader(c *conn, method string) *responsecheck.Reader {
+	reader := readerPool.Get().(*responsecheck.Reader)
+	reader.ResetTo(c.Conn, method)
 	return reader
 }
 
-func releaseReader(reader *bufio.Reader) {
-	reader.Reset(nil)
+func releaseReader(reader *responsecheck.Reader) {
+	reader.ResetTo(nil, http.MethodGet)
 	readerPool.Put(reader)
 }
--- a/internal/delivery/response.go
+++ b/internal/delivery/response.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 // Header fields of the protocol between stores and workers.
@@ -47,21 +49,28 @@
 	idleTimeout time.Duration
 }
 
-// readResponse reads the complete response to a job that was written to c. If it returns an error, the outcome is unknown.
+// readResponse reads the complete response to a job that was written to c. If it returns an error, the outcome is unknown. It returns a
+// responsecheck.InvalidResponseError for bytes that are not a response.
 func readResponse(c *conn, job *Job) (response, error) {
-	reader := acquireReader(c)
+	reader := acquireReader(c, job.Method)
 	defer releaseReader(reader)
+	resp, err := parseResponses(c, job, reader)
+	return resp, reader.Cause(err)
+}
+
+// parseResponses reads responses until the one to the job.
+func parseResponses(c *conn, job *Job, reader *responsecheck.Reader) (response, error) {
 	raw := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(raw)
 	skipped := 0
 	for ; skipped <= maxSkippedResponses; skipped++ {
-		if err := raw.Header.Read(reader); err != nil {
+		if err := raw.Header.Read(reader.Reader); err != nil {
 			return response{}, errors.Wrap(err, "read response header")
 		}
 		if isInformational(raw.StatusCode()) {
 			continue
 		}
-		if err := discardBody(reader, raw, job.Method); err != nil {
+		if err := discardBody(reader.Reader, raw, job.Method); err != nil {
 			return response{}, err
 		}
 		id := raw.Header.Peek(headerRequestID)
@@ -70,7 +79,7 @@
 		}
 		if len(id) == 0 || string(id) == job.RequestID {
 			// Bytes beyond this response would be mistaken for the next one.
-			return parseResponse(raw, c, skipped == 0 && reader.Buffered() == 0), nil
+			return parseResponse(raw, c, skipped == 0 && reader.Pending() == 0), nil
 		}
 		if string(id) != c.previousRequestID { // a duplicate response to the previous request is skipped
 			return response{}, errOtherRequest
--- a/internal/routeset/watch.go
+++ b/internal/routeset/watch.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/hold"
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 // maxUpdateDelay is the time after which an update counts as delivered, from when discovery had it and was reachable, whatever happened to
@@ -200,7 +202,7 @@
 // conn is a connection to discovery.
 type conn struct {
 	*hold.Conn
-	r      *bufio.Reader
+	r      *responsecheck.Reader
 	closes bool // discovery closes it after its last response
 }
 
@@ -215,7 +217,9 @@
 	return newConn(c.gate.Wrap(nc)), nil
 }
 
-func newConn(c *hold.Conn) *conn { return &conn{Conn: c, r: bufio.NewReader(c)} }
+func newConn(c *hold.Conn) *conn {
+	return &conn{Conn: c, r: responsecheck.NewReader(c, http.MethodGet)}
+}
 
 // request sends a call, whose response must arrive within the wait.
 func (c *conn) request(target string, wait time.Duration) error {
@@ -238,14 +242,14 @@
 	return nil
 }
 
-// readResponse reads the response to the last call.
+// readResponse reads the response to the last call. It returns a responsecheck.InvalidResponseError for bytes that are not a response.
 func (c *conn) readResponse() (core.RouteSet, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	if err := resp.ReadLimitBody(c.r, maxListBytes); err != nil {
+	if err := c.r.Cause(resp.ReadLimitBody(c.r.Reader, maxListBytes)); err != nil {
 		return core.RouteSet{}, fmt.Errorf("discovery's answer: %w", err)
 	}
-	c.MarkConsumed(c.r.Buffered())
+	c.MarkConsumed(c.r.Pending())
 	c.closes = resp.ConnectionClose()
 	if code := resp.StatusCode(); code != fasthttp.StatusOK {
 		return core.RouteSet{}, fmt.Errorf("discovery's answer: status %d", code)
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"foldlb.example/foldlb/internal/hold"
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 const maxAnswerBytes = 64 << 10 // limit for the body of a worker's response
@@ -18,10 +20,10 @@
 type conn struct {
 	*hold.Conn
 	addr      string
-	r         *bufio.Reader      // while a response is read; nil otherwise
-	resp      *fasthttp.Response // response whose header has been read; nil for none
-	idleSince time.Time          // when it became idle
-	idleTime  time.Duration      // how long it was idle before its current use; 0 for a new connection
+	r         *responsecheck.Reader // while a response is read; nil otherwise
+	resp      *fasthttp.Response    // response whose header has been read; nil for none
+	idleSince time.Time             // when it became idle
+	idleTime  time.Duration         // how long it was idle before its current use; 0 for a new connection
 }
 
 // reused reports whether the connection carried an exchange before the current one.
@@ -32,7 +34,7 @@
 }
 
 // readerPool holds the buffers for reading responses: idle connections are many and need none.
-var readerPool = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+var readerPool = sync.Pool{New: func() any { return responsecheck.NewReader(nil, http.MethodGet) }}
 
 // requestBuffers holds buffers in which whole requests are encoded. A request must go out in one Write: after a handover
 // the other process gets only the unwritten rest of one Write, and couldn't finish a request written in parts.
@@ -85,15 +87,15 @@
 )
 
 // read reads the header of the final response. It doesn't wait for the body, which may never end: the outcome of the job
-// must not depend on it. See drainBody.
+// must not depend on it. See drainBody. It returns a responsecheck.InvalidResponseError for bytes that are not a response.
 func (c *conn) read() (answer, error) {
 	if c.r == nil {
-		c.r = readerPool.Get().(*bufio.Reader)
-		c.r.Reset(c.Conn)
+		c.r = readerPool.Get().(*responsecheck.Reader)
+		c.r.ResetTo(c.Conn, http.MethodGet)
 	}
 	c.resp = fasthttp.AcquireResponse()
 	for range maxInterimHeads {
-		if err := c.resp.Header.Read(c.r); err != nil {
+		if err := c.r.Cause(c.resp.Header.Read(c.r.Reader)); err != nil {
 			return answer{}, fmt.Errorf("read from %s: %w", c.addr, err)
 		}
 		if code := c.resp.StatusCode(); code >= fasthttp.StatusOK || code == fasthttp.StatusSwitchingProtocols {
@@ -114,12 +116,12 @@
 	if c.resp == nil || c.resp.ConnectionClose() || c.SetDeadline(time.Now().Add(bodyTimeout)) != nil {
 		return false
 	}
-	if err := c.resp.ReadBody(c.r, maxAnswerBytes); err != nil {
+	if err := c.resp.ReadBody(c.r.Reader, maxAnswerBytes); err != nil {
 		return false
 	}
 	fasthttp.ReleaseResponse(c.resp)
 	c.resp = nil
-	if c.r.Buffered() > 0 { // a second response would be taken for that to the next request
+	if c.r.Pending() > 0 { // a second response would be taken for that to the next request
 		return false
 	}
 	c.MarkConsumed(0)
--- a/internal/workerconn/sender.go
+++ b/internal/workerconn/sender.go
@@ -17,6 +17,7 @@
 
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/hold"
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 const (
@@ -199,7 +200,7 @@
 		s.detach(x)
 		s.pool.discard(c)
 		s.log.WithError(err).WithFields(logrus.Fields{"worker": x.branch.Worker, "idle": c.idleTime, "after": time.Since(written)}).Debug("no response from the worker")
-		if c.reused() && !errors.Is(err, os.ErrDeadlineExceeded) && !s.isCancelled(x) {
+		if c.reused() && connectionEnded(err) && !s.isCancelled(x) {
 			s.pool.recordReuse(c, true)
 			return core.StaleConnection, true
 		}
@@ -209,6 +210,13 @@
 	return faultOf(a)
 }
 
+// connectionEnded reports whether a read failed because the connection had ended, rather than for want of a response in time or of a valid
+// one.
+func connectionEnded(err error) bool {
+	var invalid *responsecheck.InvalidResponseError
+	return !errors.Is(err, os.ErrDeadlineExceeded) && !errors.As(err, &invalid)
+}
+
 // remove deletes an exchange and returns its connection, or nil if it has none.
 func (s *Sender) remove(x *exchange) *conn {
 	s.mu.Lock()
@@ -380,7 +388,7 @@
 func (s *Sender) readDeleteAnswer(x *cancellation, c *conn) error {
 	_, err := c.read()
 	s.setCancellationConn(x, nil)
-	s.pool.recordReuse(c, err != nil)
+	s.pool.recordReuse(c, err != nil && connectionEnded(err))
 	s.pool.put(c, err != nil || !c.drainBody())
 	return err
 }
