A status that is none is no response

With a response stamp a message ended as completed; with X-Not-Executed it counted as not run, and at a quote worker as an error, which proves that nothing of the branch runs any more; discovery's list was taken.

Cause: fasthttp reads three digits, whatever they are, and its getter StatusCode returns 200 for a status of 0. 600 to 999 passed too: with X-Not-Executed they counted as not run.

Change: the rule in internal/responsecheck takes statuses from 100 to 599 alone, RFC 9110, section 15. So the getter is never asked for a status that it would make up.

--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -12,6 +12,8 @@
 	versionPrefix   = "HTTP/1."
 	statusStart     = len(versionPrefix) + 2 // after the minor version and a blank
 	statusDigits    = 3
+	lowestStatus    = 100
+	highestStatus   = 599
 	chunkedCoding   = "chunked"
 	contentLength   = "Content-Length"
 	transferCoding  = "Transfer-Encoding"
@@ -23,6 +25,7 @@
 // Rules that a response may break.
 var (
 	errStatusLine      = errors.New("status line is not HTTP/1.0 or HTTP/1.1, a blank, three digits, a blank and a reason phrase")
+	errStatus          = errors.Errorf("status is not between %d and %d", lowestStatus, highestStatus)
 	errReason          = errors.New("control byte in the reason phrase")
 	errNoColon         = errors.New("no colon after the name of a field")
 	errFolded          = errors.New("folded field")
@@ -75,6 +78,9 @@
 		}
 		h.status = h.status*decimalBase + int(digit-'0')
 	}
+	if h.status < lowestStatus || h.status > highestStatus {
+		return errStatus
+	}
 	reason := line[end:]
 	if len(reason) > 0 && reason[0] != ' ' {
 		return errStatusLine
--- a/internal/responsecheck/responsetest/responsetest.go
+++ b/internal/responsecheck/responsetest/responsetest.go
@@ -34,6 +34,13 @@
 // withField adds a line after the status line.
 func withField(line string) func(string) string { return replaced(lineEnd, lineEnd+line+lineEnd) }
 
+// withStatusCode replaces the status code.
+func withStatusCode(code string) func(string) string {
+	return func(response string) string {
+		return response[:len(versionText)] + code + response[len(versionText)+statusDigits:]
+	}
+}
+
 // withStatusLine replaces the whole status line but for the status code.
 func withStatusLine(beforeCode, afterCode string) func(string) string {
 	return func(response string) string {
@@ -129,6 +136,18 @@
 	}
 }
 
+// InvalidStatuses returns cases whose status is none.
+func InvalidStatuses() []Case {
+	var cases []Case
+	for _, code := range []string{"000", "001", "007", "099", "600", "999", "20", "2000", "2 0", "+20", "-20", "2x0", ""} {
+		change := withStatusCode(code)
+		cases = append(cases, Case{"status " + code, change}, Case{"status " + code + ", empty body", func(response string) string {
+			return change(withoutBody(response))
+		}})
+	}
+	return cases
+}
+
 // Sound returns cases that are unusual and valid.
 func Sound() []Case {
 	return []Case{
@@ -162,11 +181,17 @@
 }
 
 // Broken returns all cases that prove nothing, but for those of SpoiltBodies: a reader may act on the head of a response before its body.
-func Broken() []Case { return SpoiltHeads() }
+func Broken() []Case { return append(SpoiltHeads(), InvalidStatuses()...) }
 
 // complete ends a chunked body.
 func complete(chunk string) string { return chunk + "0" + headEnd }
 
+// withoutBody returns the response with an empty body.
+func withoutBody(response string) string {
+	head, _, _ := strings.Cut(response, headEnd)
+	return strings.Replace(head, lengthLine(response), lengthName+" 0", 1) + headEnd
+}
+
 // lengthLine returns the line of the Content-Length, without its end.
 func lengthLine(response string) string {
 	_, after, _ := strings.Cut(response, lengthName)
