A field whose name is no token makes a response none

Cause: fasthttp cuts blanks off the end of a name ("Content-Length : 4", "X-Not-Executed : 1", "Transfer-Encoding : chunked" all counted) and takes names with blanks inside as fields of their own, so that a spoilt length was none and the body ran to the end of the connection. It does the same in trailers. Other bytes that no name may hold it refused, but on a reused connection to a quote worker that counted as a stale connection.

Change: the rule in internal/responsecheck takes a token followed at once by a colon as a name, in heads and in trailers. Tests by name: blanks, control bytes, delimiters, bytes over 0x7F, an empty name. A property test changes bytes of responses at random: what passes the check is read by net/http without an error, up to the same byte.

--- a/internal/responsecheck/checker_test.go
+++ b/internal/responsecheck/checker_test.go
@@ -1,6 +1,8 @@
 package responsecheck
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -8,6 +10,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
 	"foldlb.example/foldlb/internal/responsecheck/responsetest"
 )
@@ -97,3 +100,44 @@
 		must.NoError(t, reader.Cause(nil))
 	}
 }
+
+// TestWhatPassesIsReadAlike changes, removes and adds bytes of responses at random. Of what passes the check, net/http reads each response
+// without an error, with what the check has seen in it and up to the same byte, unless the stream is cut short.
+func TestWhatPassesIsReadAlike(t *testing.T) {
+	cases := append(append(responsetest.Sound(), responsetest.Broken()...), responsetest.SpoiltBodies()...)
+	rapid.Check(t, func(t *rapid.T) {
+		stream := []byte(rapid.SampledFrom(cases).Draw(t, "case").Apply(ordinary))
+		for range rapid.IntRange(0, 3).Draw(t, "changes") {
+			at := rapid.IntRange(0, len(stream)-1).Draw(t, "at")
+			changed := rapid.SampledFrom([]string{"", " ", "\t", "\r", "\n", "\r\n", ":", "0", "\x00", "a", "\xff"}).Draw(t, "by")
+			removed := rapid.IntRange(0, 1).Draw(t, "removed")
+			stream = bytes.Join([][]byte{stream[:at], []byte(changed), stream[at+removed:]}, nil)
+		}
+		valid, invalid := checkStream(string(stream), len(stream))
+		validInPieces, invalidInPieces := checkStream(string(stream), rapid.IntRange(1, len(stream)).Draw(t, "size"))
+		must.Eq(t, invalid == nil, invalidInPieces == nil)
+		must.Eq(t, valid, validInPieces)
+		if invalid != nil || !isComplete(stream) {
+			return
+		}
+		reader := bufio.NewReader(bytes.NewReader(stream))
+		for _, err := reader.Peek(1); err == nil; _, err = reader.Peek(1) {
+			response, err := http.ReadResponse(reader, nil)
+			must.NoError(t, err)
+			must.Between(t, lowestStatus, response.StatusCode, highestStatus)
+			for name := range response.Header {
+				must.True(t, isToken([]byte(name)), must.Sprintf("%q", name))
+			}
+			_, err = io.ReadAll(response.Body)
+			must.NoError(t, err)
+			must.True(t, isComplete(stream[:len(stream)-reader.Buffered()]))
+		}
+	})
+}
+
+// isComplete reports whether a valid stream ends where a response may end.
+func isComplete(stream []byte) bool {
+	var c checker
+	_, err := c.check(stream)
+	return err == nil && (c.state == unframed || c.state == inStatusLine && len(c.line) == 0)
+}
--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -29,6 +29,7 @@
 	errReason          = errors.New("control byte in the reason phrase")
 	errNoColon         = errors.New("no colon after the name of a field")
 	errFolded          = errors.New("folded field")
+	errName            = errors.New("name of a field is not a token followed by a colon")
 	errValue           = errors.New("control byte in the value of a field")
 	errLength          = errors.New("Content-Length is not a decimal number")
 	errLengthTwice     = errors.New("two Content-Length fields")
@@ -163,6 +164,9 @@
 	if !found {
 		return nil, nil, errNoColon
 	}
+	if !isToken(name) {
+		return nil, nil, errName
+	}
 	if !isText(value) {
 		return nil, nil, errValue
 	}
--- a/internal/responsecheck/responsetest/responsetest.go
+++ b/internal/responsecheck/responsetest/responsetest.go
@@ -132,6 +132,8 @@
 		{"size of a chunk with a sign", asChunked(func(chunk string) string { return "+" + complete(chunk) })},
 		{"control byte in a chunk extension", asChunked(func(chunk string) string { return chunk + "0;a=\x01\r\n\r\n" })},
 		{"chunk longer than its size", asChunked(func(chunk string) string { return strings.TrimSuffix(chunk, lineEnd) + "x\r\n0\r\n\r\n" })},
+		{"blank in the name of a trailer field", asChunked(func(chunk string) string { return chunk + "0\r\nX Note: a\r\n\r\n" })},
+		{"blank after the name of a trailer field", asChunked(func(chunk string) string { return chunk + "0\r\nX-Note : a\r\n\r\n" })},
 		{"length in the trailer", asChunked(func(chunk string) string { return chunk + "0\r\nContent-Length: 4\r\n\r\n" })},
 	}
 }
@@ -148,6 +150,25 @@
 	return cases
 }
 
+// InvalidNames returns cases in which the name of a field is no token.
+func InvalidNames() []Case {
+	cases := []Case{
+		{"blank after the name of the length", replaced(lengthName, "Content-Length :")},
+		{"tab after the name of the length", replaced(lengthName, "Content-Length\t:")},
+		{"blank in the name of the length", replaced(lengthName, "Content Length:")},
+		{"control byte in the name of the length", replaced(lengthName, "Content\x00Length:")},
+		{"blank after the name of the coding", func(response string) string {
+			return replaced("Encoding:", "Encoding :")(asChunked(complete)(response))
+		}},
+		{"empty name", withField(": a")},
+	}
+	for _, name := range []string{"X Note", "X-Note ", "X-Note\t", "X\tNote", "X\x00Note", "X\x01Note", "X\x1fNote", "X\x7fNote", "X\x80Note", "X\rNote",
+		"(X-Note)", "X@Note", "X/Note", "\"X\"", "X[1]", "X{Note}", "X=Note", "X,Note", "X;Note", "X?Note", "X<Note>", `X\Note`} {
+		cases = append(cases, Case{"name " + name, withField(name + ": a")})
+	}
+	return cases
+}
+
 // Sound returns cases that are unusual and valid.
 func Sound() []Case {
 	return []Case{
@@ -181,7 +202,11 @@
 }
 
 // Broken returns all cases that prove nothing, but for those of SpoiltBodies: a reader may act on the head of a response before its body.
-func Broken() []Case { return append(SpoiltHeads(), InvalidStatuses()...) }
+func Broken() []Case {
+	cases := SpoiltHeads()
+	cases = append(cases, InvalidStatuses()...)
+	return append(cases, InvalidNames()...)
+}
 
 // complete ends a chunked body.
 func complete(chunk string) string { return chunk + "0" + headEnd }
--- a/internal/responsecheck/syntax.go
+++ b/internal/responsecheck/syntax.go
@@ -29,6 +29,8 @@
 	return true
 }
 
+func isToken(text []byte) bool { return len(text) > 0 && tokenLength(text) == len(text) }
+
 // tokenLength returns how many bytes of a token the text begins with.
 func tokenLength(text []byte) int {
 	for i, b := range text {
