--- a/internal/controlplane/discovery.go
+++ b/internal/controlplane/discovery.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -206,9 +207,12 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, &PlatformError{Status: response.StatusCode}
 	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxPageBytes)) // to its end, which tells whether it is whole
+	if err != nil {
+		return nil, errors.Wrap(err, "read the platform's list: try again")
+	}
 	answer := &platformapi.Page{}
-	decoder := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxPageBytes))
-	if err := decoder.Decode(answer); err != nil {
+	if err := json.Unmarshal(body, answer); err != nil {
 		return nil, errors.Wrap(err, "decode the platform's list: try again")
 	}
 	return answer, nil
