All responses between processes and to operators are checked

Cause: net/http is as lenient in ways of its own. It takes three characters that are a number as a status (000, +20), any version of one digit, more blanks, lines without CR, folded fields, blanks in names, equal lengths twice, Content-Length beside Transfer-Encoding, and a coding in HTTP/1.0, which it drops.

Change: responsecheck.Dial wraps the dial function of a transport, so that its connections check what they pass on, by the one rule that the readers of workers' responses have. The transports of internal/cluster and internal/controlplane (RPC), coord/watch, the client of the platform's list and foldlb-control use it.

--- a/cmd/foldlb-control/abandon.go
+++ b/cmd/foldlb-control/abandon.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return "", 0, errors.Wrap(err, "correct the address: it is host:port")
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := controlClient.Do(request)
 	if err != nil {
 		return "", 0, errors.Wrap(err, "ask another control process")
 	}
--- a/cmd/foldlb-control/status.go
+++ b/cmd/foldlb-control/status.go
@@ -12,11 +12,15 @@
 	"github.com/urfave/cli/v3"
 
 	"foldlb.example/foldlb/internal/controlplane"
+	"foldlb.example/foldlb/internal/responsecheck"
 	"foldlb.example/foldlb/internal/settings"
 )
 
 const statusTimeout = 3 * time.Second // of one question
 
+// controlClient calls control processes. Its calls need a context with a deadline.
+var controlClient = responsecheck.NewClient(0)
+
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "status",
@@ -98,7 +102,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "correct the address: it is host:port")
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := controlClient.Do(request)
 	if err != nil {
 		return nil, errors.Wrap(err, "ask another control process")
 	}
--- a/coord/watch/client.go
+++ b/coord/watch/client.go
@@ -13,6 +13,8 @@
 	"github.com/pkg/errors"
 	"go.uber.org/atomic"
 	"golang.org/x/sys/unix"
+
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 const (
@@ -54,7 +56,7 @@
 }
 
 // NewHTTPClient returns an HTTP client for streams. It has a dial timeout, does not follow redirects, and closes a
-// connection whose peer does not acknowledge data for DefaultSilenceTimeout.
+// connection whose peer does not acknowledge data for DefaultSilenceTimeout, or sends what is not a valid response.
 func NewHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -65,7 +67,7 @@
 		return connection, err
 	}
 	return &http.Client{
-		Transport:     &http.Transport{DialContext: dial, DisableCompression: true, ReadBufferSize: readBufferBytes},
+		Transport:     &http.Transport{DialContext: responsecheck.Dial(dial), DisableCompression: true, ReadBufferSize: readBufferBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/cluster/transport.go
+++ b/internal/cluster/transport.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"foldlb.example/foldlb/internal/responsecheck"
 	"foldlb.example/foldlb/internal/rpc"
 )
 
@@ -25,13 +26,14 @@
 )
 
 // newTransport returns the transport of the internal protocol. Connections to unresponsive machines are closed after
-// tcpUserTimeout.
+// tcpUserTimeout, and a response that is not valid is an error.
 func newTransport(dialTimeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp4", address)
+	}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp4", address)
-		},
+		DialContext:         responsecheck.Dial(dial),
 		DisableCompression:  true,
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
--- a/internal/controlplane/broken_response_test.go
+++ b/internal/controlplane/broken_response_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
+	"foldlb.example/foldlb/coord/failover"
 	"foldlb.example/foldlb/internal/responsecheck/responsetest"
 	"foldlb.example/foldlb/internal/rpc"
 	"foldlb.example/foldlb/internal/settings"
@@ -24,6 +28,25 @@
 	return reading.readAll(context.Background())
 }
 
+// TestBrokenResponsesOfThePlatformAreNoList checks that no list is taken from a response that HTTP does not allow, and no refusal either.
+func TestBrokenResponsesOfThePlatformAreNoList(t *testing.T) {
+	list := `{"instances":[` + entry("a", "ready", 0) + `]}`
+	for _, broken := range append(responsetest.Broken(), responsetest.SpoiltBodies()...) {
+		t.Run(broken.Name, func(t *testing.T) {
+			workers, err := readList(t, broken.Apply(responsetest.Response(http.StatusOK, list)))
+			must.Error(t, err)
+			must.Nil(t, workers)
+		})
+	}
+	for _, broken := range responsetest.Broken() {
+		t.Run(broken.Name+", refusal", func(t *testing.T) {
+			_, err := readList(t, broken.Apply(responsetest.Response(http.StatusServiceUnavailable, "")))
+			refused := &PlatformError{}
+			must.False(t, errors.As(err, &refused), must.Sprint(err))
+		})
+	}
+}
+
 // TestListsThatAreCutShortAreNotTaken ends a response within its body, after the list but before the end that its length or chunks promise.
 func TestListsThatAreCutShortAreNotTaken(t *testing.T) {
 	list := `{"instances":[` + entry("a", "ready", 0) + `]}`
@@ -39,3 +62,45 @@
 		})
 	}
 }
+
+func TestUnusualResponsesOfThePlatformAreTaken(t *testing.T) {
+	for _, sound := range responsetest.Sound() {
+		t.Run(sound.Name, func(t *testing.T) {
+			list := `{"instances":[` + entry("a", "ready", 0) + `]}`
+			workers, err := readList(t, sound.Apply(responsetest.Response(http.StatusOK, list)))
+			must.NoError(t, err)
+			must.Len(t, 1, workers)
+		})
+	}
+}
+
+// vote asks a control process that sends this response for its vote.
+func vote(t *testing.T, response string) (failover.VoteReply, error) {
+	t.Helper()
+	peers := newClients(nil)
+	defer peers.close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return (&transport{clients: peers}).Vote(ctx, responsetest.Serve(t, response).Address, failover.VoteRequest{})
+}
+
+// TestBrokenResponsesGrantNoVote checks calls between control processes.
+func TestBrokenResponsesGrantNoVote(t *testing.T) {
+	body, err := proto.Marshal(&rpc.VoteReply{Granted: true, Epoch: 3})
+	must.NoError(t, err)
+	granted := responsetest.Response(http.StatusOK, string(body), "Content-Type: application/protobuf")
+	for _, broken := range append(responsetest.Broken(), responsetest.SpoiltBodies()...) {
+		t.Run(broken.Name, func(t *testing.T) {
+			reply, err := vote(t, broken.Apply(granted))
+			must.Error(t, err)
+			must.Eq(t, failover.VoteReply{}, reply)
+		})
+	}
+	for _, sound := range responsetest.Sound() {
+		t.Run(sound.Name, func(t *testing.T) {
+			reply, err := vote(t, sound.Apply(granted))
+			must.NoError(t, err)
+			must.True(t, reply.Granted)
+		})
+	}
+}
--- a/internal/controlplane/discovery.go
+++ b/internal/controlplane/discovery.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"foldlb.example/foldlb/internal/platformapi"
+	"foldlb.example/foldlb/internal/responsecheck"
 	"foldlb.example/foldlb/internal/rpc"
 	"foldlb.example/foldlb/internal/settings"
 )
@@ -60,7 +61,7 @@
 func newDiscovery(configured func() settings.Cloud, changed <-chan struct{}, roundTripper http.RoundTripper, log logr.Logger) *discovery {
 	if roundTripper == nil {
 		dialer := &net.Dialer{Timeout: discoveryTimeout}
-		roundTripper = &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 1, DisableCompression: true}
+		roundTripper = &http.Transport{DialContext: responsecheck.Dial(dialer.DialContext), MaxIdleConns: 1, DisableCompression: true}
 	}
 	d := &discovery{
 		configured: configured,
--- a/internal/controlplane/transport.go
+++ b/internal/controlplane/transport.go
@@ -12,6 +12,7 @@
 
 	"foldlb.example/foldlb/coord/failover"
 	"foldlb.example/foldlb/coord/watch"
+	"foldlb.example/foldlb/internal/responsecheck"
 	"foldlb.example/foldlb/internal/rpc"
 )
 
@@ -37,7 +38,8 @@
 	return &clients{http: &http.Client{Transport: roundTripper}, byAddress: make(map[string]rpc.Control)}
 }
 
-// newPeerTransport returns an HTTP transport that closes connections within peerUserTimeout if the peer stops responding.
+// newPeerTransport returns an HTTP transport that closes connections within peerUserTimeout if the peer stops responding. A
+// response that is not valid is an error.
 func newPeerTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -48,7 +50,7 @@
 		return connection, err
 	}
 	return &http.Transport{
-		DialContext:         dial,
+		DialContext:         responsecheck.Dial(dial),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 		IdleConnTimeout:     time.Minute,
--- a/internal/responsecheck/conn.go
+++ b/internal/responsecheck/conn.go
@@ -8,7 +8,8 @@
 )
 
 // Conn is a connection whose responses are checked as they are read. A read returns an InvalidResponseError before an invalid one is
-// complete. Requests on it must not use the methods HEAD and CONNECT, whose responses have other bodies. One goroutine at a time may read.
+// complete. It is for HTTP without TLS, and requests on it must not use the methods HEAD and CONNECT, whose responses have other bodies. One
+// goroutine at a time may read.
 type Conn struct {
 	net.Conn
 	source source
@@ -36,7 +37,7 @@
 	}
 }
 
-// NewClient returns an HTTP client with the defaults of net/http that checks responses. A timeout of 0 is none.
+// NewClient returns an HTTP client with the defaults of net/http that checks responses, within the bounds of Conn. A timeout of 0 is none.
 func NewClient(timeout time.Duration) *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.DialContext = Dial(transport.DialContext)
