Tests of foldlb-control send each request to a server of its own

The stand-in ends a connection after one response without saying so; the test's second request went to the same server and could be written to the connection that was just ending. Change: a server for each call, and the stand-in's page says why. All assertions stay.

--- a/cmd/foldlb-control/broken_response_test.go
+++ b/cmd/foldlb-control/broken_response_test.go
@@ -16,12 +16,14 @@
 func TestBrokenResponsesAreNoStatus(t *testing.T) {
 	for _, broken := range append(responsetest.Broken(), responsetest.SpoiltBodies()...) {
 		t.Run(broken.Name, func(t *testing.T) {
-			address := responsetest.Serve(t, broken.Apply(responsetest.Response(http.StatusOK, leads))).Address
-			status, err := askStatus(context.Background(), address)
+			address := func() string { // of a server of its own for each call, because a server ends its connections
+				return responsetest.Serve(t, broken.Apply(responsetest.Response(http.StatusOK, leads))).Address
+			}
+			status, err := askStatus(context.Background(), address())
 			must.Error(t, err)
 			must.Nil(t, status)
-			must.Error(t, abandon(context.Background(), []string{address}, "store-1"))
-			_, code, err := order(context.Background(), "http://"+address+"/")
+			must.Error(t, abandon(context.Background(), []string{address()}, "store-1"))
+			_, code, err := order(context.Background(), "http://"+address()+"/")
 			must.Error(t, err)
 			must.Zero(t, code)
 		})
@@ -31,11 +33,11 @@
 func TestUnusualResponsesAreTaken(t *testing.T) {
 	for _, sound := range responsetest.Sound() {
 		t.Run(sound.Name, func(t *testing.T) {
-			address := responsetest.Serve(t, sound.Apply(responsetest.Response(http.StatusOK, leads))).Address
-			status, err := askStatus(context.Background(), address)
+			answered := sound.Apply(responsetest.Response(http.StatusOK, leads))
+			status, err := askStatus(context.Background(), responsetest.Serve(t, answered).Address)
 			must.NoError(t, err)
 			must.True(t, status.Leader)
-			must.NoError(t, abandon(context.Background(), []string{address}, "store-1"))
+			must.NoError(t, abandon(context.Background(), []string{responsetest.Serve(t, answered).Address}, "store-1"))
 		})
 	}
 }
--- a/internal/responsecheck/responsetest/server.go
+++ b/internal/responsecheck/responsetest/server.go
@@ -21,7 +21,8 @@
 	return fmt.Sprintf("%s%s %d%s%s", head, lengthName, len(body), headEnd, body)
 }
 
-// Server answers every request with the same bytes, after which it ends the connection.
+// Server answers the first request on each connection with the same bytes, and ends the connection after them. A client that keeps connections
+// may send its next request on one that ends meanwhile, so a test needs a server for each request.
 type Server struct {
 	Address  string // host:port
 	listener net.Listener
