Stand-ins and tools read responses through the same check

Change: they read through internal/responsecheck; an invalid response is a lost request in the lab's ledger.

--- a/cmd/foldlb-scale/operator.go
+++ b/cmd/foldlb-scale/operator.go
@@ -13,6 +13,7 @@
 
 	"foldlb.example/foldlb/internal/catalog"
 	"foldlb.example/foldlb/internal/controlplane"
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 const (
@@ -32,8 +33,9 @@
 }
 
 func newOperator(addresses []string, routes int) *operator {
-	refuseRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &operator{addresses: addresses, routes: routes, http: &http.Client{Timeout: orderTimeout, CheckRedirect: refuseRedirects}}
+	client := responsecheck.NewClient(orderTimeout)
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &operator{addresses: addresses, routes: routes, http: client}
 }
 
 // configuration is a valid one with so many routes. It differs from version to version in a time-out.
--- a/cmd/foldlb-scale/system.go
+++ b/cmd/foldlb-scale/system.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"foldlb.example/foldlb/internal/controlplane"
+	"foldlb.example/foldlb/internal/responsecheck"
 	"foldlb.example/foldlb/internal/settings"
 )
 
@@ -312,13 +313,16 @@
 	return nil
 }
 
+// reportClient calls hosts. A call lasts as long as its context allows.
+var reportClient = responsecheck.NewClient(0)
+
 // report asks a host what its hollow dispatchers hold.
 func (h *host) report(ctx context.Context) (*hostReport, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.address, nil)
 	if err != nil {
 		return nil, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := reportClient.Do(request)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/foldlb-scale/traffic.go
+++ b/cmd/foldlb-scale/traffic.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 const (
@@ -103,9 +105,15 @@
 	return all, nil
 }
 
+// newTrafficTransport returns a transport that keeps the connections of all senders and checks responses.
+func newTrafficTransport() *http.Transport {
+	dialer := &net.Dialer{}
+	return &http.Transport{DialContext: responsecheck.Dial(dialer.DialContext), MaxIdleConnsPerHost: trafficConns}
+}
+
 // measureRate sends so many messages a second for a while, whatever the answers.
 func (s *system) measureRate(ctx context.Context, endpoint *worker, rate int) (traffic, error) {
-	client := &http.Client{Timeout: trafficTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: trafficConns}}
+	client := &http.Client{Timeout: trafficTimeout, Transport: newTrafficTransport()}
 	defer client.CloseIdleConnections()
 	measured := traffic{PerS: rate, BodyBytes: trafficBodyBytes, Dispatchers: len(s.others), Stores: len(s.stores)}
 	runsBefore := endpoint.runs.Load()
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"foldlb.example/foldlb/internal/responsecheck"
 	"foldlb.example/foldlb/internal/tcp"
 )
 
@@ -73,13 +75,17 @@
 // link is a caller's connection.
 type link struct {
 	net.Conn
-	r       *bufio.Reader
+	r       *responsecheck.Reader
 	addr    string
 	asked   time.Time // when its last request was sent
 	kept    bool      // it has carried an answer
 	crossed bool      // its last request crossed the connection's close, unread
 }
 
+func newLink(nc net.Conn, addr string) *link {
+	return &link{Conn: nc, r: responsecheck.NewReader(nc, http.MethodPost), addr: addr}
+}
+
 func (c *callers) caller() {
 	defer c.wg.Done()
 	var l *link
@@ -130,7 +136,7 @@
 		return nil
 	}
 	c.linked.Add(1)
-	return &link{Conn: nc, r: bufio.NewReader(nc), addr: addr}
+	return newLink(nc, addr)
 }
 
 func (c *callers) unlink(l *link) {
@@ -140,7 +146,7 @@
 
 // usable looks whether a kept connection is open and silent.
 func (c *callers) usable(l *link) *link {
-	if l == nil || l.r.Buffered() == 0 && tcp.OpenWithoutData(l.Conn) {
+	if l == nil || l.r.Pending() == 0 && tcp.OpenWithoutData(l.Conn) {
 		return l
 	}
 	c.mu.Lock()
@@ -192,7 +198,7 @@
 		}
 		on = c.answer(l, next, false)
 	}
-	if on && l.r.Buffered() > 0 {
+	if on && l.r.Pending() > 0 {
 		c.ledger.answeredAgain(a.id)
 		return false
 	}
@@ -235,15 +241,19 @@
 // answer reads one answer.
 func (c *callers) answer(l *link, id string, slow bool) bool {
 	var resp fasthttp.Response
-	r := l.r
+	r := l.r.Reader
 	if slow {
 		r = bufio.NewReaderSize(slowly{l.r}, 512)
 	}
-	if err := resp.Read(r); err != nil {
+	if err := l.r.Cause(resp.Read(r)); err != nil {
 		var late net.Error
-		if errors.As(err, &late) && late.Timeout() && (c.excuse == nil || !c.excuse(l.addr, l.asked)) {
+		var invalid *responsecheck.InvalidResponseError
+		switch {
+		case errors.As(err, &invalid):
+			c.ledger.ended(id, Lost, err.Error(), "")
+		case errors.As(err, &late) && late.Timeout() && (c.excuse == nil || !c.excuse(l.addr, l.asked)):
 			c.ledger.ended(id, Overdue, err.Error(), "")
-		} else {
+		default:
 			c.lost(l, id, "read: "+err.Error())
 		}
 		return false
--- a/internal/lab/ops.go
+++ b/internal/lab/ops.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"foldlb.example/foldlb/internal/ops"
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 // With a platform the lab holds the callers' listening socket and a folder, starts every process on them with a door for
@@ -84,7 +85,8 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	c := responsecheck.NewClient(time.Second)
+	c.Transport.(*http.Transport).DisableKeepAlives = true
 	resp, err := c.Do(req)
 	if err != nil {
 		return 0, nil, err
@@ -142,7 +144,7 @@
 		return err
 	}
 	begin := time.Now()
-	if resp, err := http.Get("http://" + d.addr + "/healthz"); err != nil {
+	if resp, err := healthClient.Get("http://" + d.addr + "/healthz"); err != nil {
 		return err
 	} else if resp.Body.Close(); resp.StatusCode == http.StatusOK {
 		return fmt.Errorf("/healthz says yes in a drain")
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -17,6 +17,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"foldlb.example/foldlb/internal/responsecheck"
 	"foldlb.example/foldlb/internal/upgrade"
 )
 
@@ -137,10 +138,13 @@
 
 func (d *dispatcher) config() string { return filepath.Join(d.dir, "config.json") }
 
+// healthClient asks dispatchers whether they are ready.
+var healthClient = responsecheck.NewClient(0)
+
 func (d *dispatcher) ready(most time.Duration) error {
 	until := time.Now().Add(most)
 	for {
-		resp, err := http.Get("http://" + d.addr + "/healthz")
+		resp, err := healthClient.Get("http://" + d.addr + "/healthz")
 		if err == nil {
 			io.Copy(io.Discard, resp.Body)
 			resp.Body.Close()
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 // drainRule is how long after a drain was told a dispatcher may still send; sockets get 50 ms more.
@@ -55,13 +57,22 @@
 
 func (w *Worker) start(back func() string) error {
 	w.jobs = map[string]*job{}
-	w.caller = &fasthttp.Client{MaxConnsPerHost: 64, MaxIdleConnDuration: 3 * time.Second, ReadTimeout: callWait, WriteTimeout: callWait,
+	w.caller = &fasthttp.Client{Dial: dialChecked, MaxConnsPerHost: 64, MaxIdleConnDuration: 3 * time.Second, ReadTimeout: callWait, WriteTimeout: callWait,
 		NoDefaultUserAgentHeader: true, RetryIfErr: func(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }}
 	var err error
 	w.Addr, err = w.listen(back)
 	return err
 }
 
+// dialChecked connects to a dispatcher. A response that is not valid is an error.
+func dialChecked(addr string) (net.Conn, error) {
+	connection, err := fasthttp.Dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	return responsecheck.NewConn(connection), nil
+}
+
 // listen takes jobs at one more address, and calls back where those that come there say.
 func (w *Worker) listen(back func() string) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/localrun/account.go
+++ b/internal/localrun/account.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 const (
@@ -39,7 +41,7 @@
 }
 
 func newAccount(ledger *Ledger, entry *entry) *account {
-	return &account{ledger: ledger, entry: entry, client: &http.Client{Timeout: askBound}}
+	return &account{ledger: ledger, entry: entry, client: responsecheck.NewClient(askBound)}
 }
 
 // run asks for all messages, again after every failure, until the context ends.
--- a/internal/localrun/entry.go
+++ b/internal/localrun/entry.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 const (
@@ -24,7 +26,7 @@
 }
 
 func newEntry(dispatchers []*process) *entry {
-	e := &entry{dispatchers: dispatchers, client: &http.Client{Timeout: readyBound}, misses: make([]int, len(dispatchers))}
+	e := &entry{dispatchers: dispatchers, client: responsecheck.NewClient(readyBound), misses: make([]int, len(dispatchers))}
 	for i := range e.misses {
 		e.misses[i] = readyMisses
 	}
--- a/internal/localrun/operator.go
+++ b/internal/localrun/operator.go
@@ -12,6 +12,7 @@
 
 	"foldlb.example/foldlb/internal/catalog"
 	"foldlb.example/foldlb/internal/controlplane"
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 const (
@@ -27,7 +28,7 @@
 }
 
 func newOperator(controls []*process) *operator {
-	return &operator{controls: controls, client: &http.Client{Timeout: orderBound}}
+	return &operator{controls: controls, client: responsecheck.NewClient(orderBound)}
 }
 
 // replace sends a configuration to one process after the other until it is acknowledged.
--- a/internal/localrun/traffic.go
+++ b/internal/localrun/traffic.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"foldlb.example/foldlb/internal/responsecheck"
 )
 
 const (
@@ -47,7 +49,7 @@
 	return &traffic{
 		ledger: ledger,
 		entry:  entry,
-		client: &http.Client{Timeout: clientDeadline},
+		client: responsecheck.NewClient(clientDeadline),
 		random: rand.New(rand.NewPCG(seed, 0)),
 	}
 }
