--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -104,7 +104,7 @@
 	NoConnect        Fault = iota // the connection could not be established: the job never ran
 	BrokenBeforeSend              // the connection broke before the last byte was sent: the job never ran
 	WorkerBusy                    // the worker answered that it is busy: the job never ran
-	BrokenAfterSend               // the connection broke after the last byte was sent: the job may have run
+	BrokenAfterSend               // the connection broke, or brought no valid response, after the last byte was sent: the job may have run
 	StaleConnection               // a kept-alive connection broke during the request: the job may have run
 	Errored                       // the worker answered with an error: the job may have run
 	RequestUnusable               // the request is invalid for every worker: the job never ran
