--- a/cmd/foldlb-control/status.go
+++ b/cmd/foldlb-control/status.go
@@ -110,13 +110,9 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("%s answered %s: ask another control process", address, response.Status)
 	}
-	body, err := io.ReadAll(response.Body) // to its end, which tells whether it is whole
-	if err != nil {
-		return nil, errors.Wrap(err, "the answer did not come whole: ask again")
-	}
 	status := &controlplane.Status{}
-	if err := json.Unmarshal(body, status); err != nil {
-		return nil, errors.Wrap(err, "the status can't be read: use the same build as the control process")
+	if err := responsecheck.DecodeJSON(response.Body, status); err != nil {
+		return nil, errors.Wrap(err, "the status can't be read: ask again, or use the same build as the control process")
 	}
 	return status, nil
 }
--- a/cmd/foldlb-scale/operator.go
+++ b/cmd/foldlb-scale/operator.go
@@ -127,7 +127,7 @@
 	}
 	defer response.Body.Close()
 	status := &controlplane.Status{}
-	return status, json.NewDecoder(response.Body).Decode(status)
+	return status, responsecheck.DecodeJSON(response.Body, status)
 }
 
 // leader returns the state of the control process that leads, nil where none says that it does.
--- a/cmd/foldlb-scale/system.go
+++ b/cmd/foldlb-scale/system.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -328,7 +327,7 @@
 	}
 	defer response.Body.Close()
 	report := &hostReport{}
-	return report, json.NewDecoder(response.Body).Decode(report)
+	return report, responsecheck.DecodeJSON(response.Body, report)
 }
 
 // reports adds up what the hosts that are alive tell.
--- a/internal/controlplane/discovery.go
+++ b/internal/controlplane/discovery.go
@@ -3,9 +3,7 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -208,12 +206,8 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, &PlatformError{Status: response.StatusCode}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxPageBytes)) // to its end, which tells whether it is whole
-	if err != nil {
-		return nil, errors.Wrap(err, "read the platform's list: try again")
-	}
 	answer := &platformapi.Page{}
-	if err := json.Unmarshal(body, answer); err != nil {
+	if err := responsecheck.DecodeJSON(http.MaxBytesReader(nil, response.Body, maxPageBytes), answer); err != nil {
 		return nil, errors.Wrap(err, "decode the platform's list: try again")
 	}
 	return answer, nil
--- a/internal/localrun/operator.go
+++ b/internal/localrun/operator.go
@@ -96,7 +96,7 @@
 	}
 	defer response.Body.Close()
 	known := &controlplane.Status{}
-	if json.NewDecoder(response.Body).Decode(known) != nil {
+	if responsecheck.DecodeJSON(response.Body, known) != nil {
 		return nil
 	}
 	return known
