--- a/internal/delivery/broken_response_test.go
+++ b/internal/delivery/broken_response_test.go
@@ -60,6 +60,23 @@
 	}
 }
 
+// TestConnectionWithMoreThanItsResponseIsNotReused has a worker send bytes behind each response that are the beginning of none. The response
+// counts, and the connection is not used again, also where the check has withheld all of those bytes.
+func TestConnectionWithMoreThanItsResponseIsNotReused(t *testing.T) {
+	for _, behind := range []string{"\n", "\r\n", "x"} {
+		t.Run(fmt.Sprintf("%q", behind), func(t *testing.T) {
+			worker := startFakeWorker(t, func(c net.Conn, r *http.Request) {
+				_, _ = io.WriteString(c, responseText(r.Header.Get(headerRequestID), http.StatusOK, headerStamp+": "+testStamp)+behind)
+			})
+			e := startEngine(t, testConfig(), worker)
+			for range 2 {
+				must.Eq(t, Succeeded, await(t, submit(e, newJob())).Kind)
+			}
+			must.Eq(t, 2, worker.connections.Load())
+		})
+	}
+}
+
 func TestUnusualResponsesAreTaken(t *testing.T) {
 	for _, sound := range responsetest.Sound() {
 		for _, reused := range []bool{false, true} {
--- a/internal/routeset/broken_response_test.go
+++ b/internal/routeset/broken_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 
 	"foldlb.example/foldlb/internal/core"
 	"foldlb.example/foldlb/internal/hold"
+	"foldlb.example/foldlb/internal/loopback"
 	"foldlb.example/foldlb/internal/responsecheck/responsetest"
 )
 
@@ -43,6 +45,42 @@
 	}
 }
 
+// TestBytesBehindAResponseAreHandedOver checks that a process that takes a watch over reads all bytes behind the last response again, also
+// those that the check has withheld.
+func TestBytesBehindAResponseAreHandedOver(t *testing.T) {
+	near, far := loopbackPair(t)
+	const behind = "x\n\n"
+	if _, err := io.WriteString(far, ok(whole)+behind); err != nil {
+		t.Fatal(err)
+	}
+	far.Close()
+	link := newConn(hold.NewGate().Wrap(near))
+	defer link.Close()
+	if _, err := link.readResponse(); err != nil {
+		t.Fatal(err)
+	}
+	if ahead := string(link.Export().Ahead); ahead != behind {
+		t.Errorf("%q is handed over", ahead)
+	}
+}
+
+// loopbackPair returns both ends of a TCP connection.
+func loopbackPair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	ln, err := loopback.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if near, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if far, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	return near, far
+}
+
 func TestUnusualResponsesAreTaken(t *testing.T) {
 	for _, sound := range responsetest.Sound() {
 		t.Run(sound.Name, func(t *testing.T) {
